--- /dev/null
+++ b/fulmarhold/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on loopback with stand-in upstreams."""
--- /dev/null
+++ b/fulmarhold/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control instances."""
--- /dev/null
+++ b/fulmarhold/consensus/core.py
@@ -0,0 +1,562 @@
+"""The decisions of one member of the replicated log.
+
+The core has no input or output and reads no clock: messages and times go in, and what is to be
+written, sent and applied comes out of `take_output`. The caller must sync the writes of an output
+before it sends the messages of that output or applies its entries.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fulmarhold.consensus.memory import MemoryLog, pack_members
+from fulmarhold.consensus.messages import (
+    KIND_MEMBERS,
+    KIND_NOTHING,
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    Members,
+    PeerMessage,
+    Snapshot,
+    SnapshotRequest,
+    TakeOver,
+    VoteReply,
+    VoteRequest,
+)
+from fulmarhold.errors import FulmarholdError
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from fulmarhold.clock import Milliseconds
+
+HEARTBEAT_PERIOD: Milliseconds = 150.0
+SHORTEST_ELECTION_TIMEOUT: Milliseconds = 1_000.0
+LONGEST_ELECTION_TIMEOUT: Milliseconds = 2_000.0
+# Shorter than the shortest election timeout, so that clocks that drift apart do no harm.
+LEADER_LEASE: Milliseconds = 800.0
+SNAPSHOT_RESEND_PERIOD: Milliseconds = 2_000.0
+HANDOVER_TIMEOUT: Milliseconds = 1_000.0
+ENTRIES_PER_REQUEST = 256
+BYTES_PER_REQUEST = 4 * 1024 * 1024
+
+
+class Role(Enum):
+    """What a member is at the moment."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class NotLeader(FulmarholdError):
+    """The member is not the leader; `leader` is the identity of the one it knows, if any."""
+
+    def __init__(self, leader: str | None) -> None:
+        super().__init__("this instance does not lead", step="proposing", peer=leader or "")
+        self.leader = leader
+
+
+class MembershipRefused(FulmarholdError):
+    """A change of members is not possible now; the message says why."""
+
+
+@dataclass(frozen=True)
+class HardState:
+    """What must be synced before a vote is given: the term, and for whom the vote was."""
+
+    term: int = 0
+    voted_for: str | None = None
+
+
+@dataclass
+class Output:
+    """What the caller must do, in this order: install, write, send, apply."""
+
+    installed: Snapshot | None = None
+    hard_state: HardState | None = None
+    truncate_from: int | None = None
+    entries: list[LogEntry] = field(default_factory=list)
+    messages: list[PeerMessage] = field(default_factory=list)
+    committed: list[LogEntry] = field(default_factory=list)
+
+    @property
+    def writes(self) -> bool:
+        return bool(self.hard_state or self.entries or self.truncate_from is not None)
+
+
+@dataclass
+class _Progress:
+    next_index: int
+    match_index: int = 0
+    acknowledged_at: Milliseconds = float("-inf")
+    snapshot_sent_at: Milliseconds = float("-inf")
+
+
+class Core:
+    """One member: follower, candidate or leader."""
+
+    def __init__(
+        self,
+        identity: str,
+        cluster: str,
+        log: MemoryLog,
+        hard_state: HardState,
+        random: Random,
+        now: Milliseconds,
+    ) -> None:
+        self.identity = identity
+        self.cluster = cluster
+        self.log = log
+        self.role = Role.FOLLOWER
+        self.leader: str | None = None
+        self.commit_index = log.snapshot.index
+        self._hard_state = hard_state
+        self._random = random
+        self._delivered = log.snapshot.index
+        # A member that starts again may have promised a leader its patience before.
+        has_history = hard_state.term > 0 or log.last_index > 0
+        self._heard_at = now if has_history else float("-inf")
+        self._election_at = now
+        self._heartbeat_at = now
+        self._votes: set[str] = set()
+        self._trial = False
+        self._progress: dict[str, _Progress] = {}
+        self._first_of_term = 0
+        self._handing_over_until: Milliseconds | None = None
+        self._output = Output()
+        self._reset_election(now)
+
+    @property
+    def term(self) -> int:
+        return self._hard_state.term
+
+    @property
+    def hard_state(self) -> HardState:
+        return self._hard_state
+
+    @property
+    def members(self) -> Members:
+        return self.log.members
+
+    @property
+    def is_leader(self) -> bool:
+        return self.role is Role.LEADER
+
+    @property
+    def has_settled(self) -> bool:
+        """Whether this leader has committed an entry of its own term."""
+        return self.is_leader and self.commit_index >= self._first_of_term
+
+    def lease_until(self, now: Milliseconds) -> Milliseconds:
+        """Return until when no other leader can be elected, as far as this leader knows."""
+        if not self.is_leader or self._handing_over_until is not None:
+            return float("-inf")
+        times = sorted(
+            (
+                now if voter == self.identity else self._progress[voter].acknowledged_at
+                for voter in self.members.voters
+            ),
+            reverse=True,
+        )
+        return times[self.members.quorum - 1] + LEADER_LEASE
+
+    def may_read(self, now: Milliseconds) -> bool:
+        """Whether what this leader has applied is the newest there is."""
+        return self.has_settled and now < self.lease_until(now)
+
+    def match_index(self, identity: str) -> int:
+        """Return up to where a member's synced log is known to equal this leader's."""
+        progress = self._progress.get(identity)
+        return progress.match_index if progress else 0
+
+    def take_output(self) -> Output:
+        """Return what there is to do since the last call."""
+        output, self._output = self._output, Output()
+        return output
+
+    def tick(self, now: Milliseconds) -> None:
+        """Let time pass: elections, heartbeats, and stepping down when cut off."""
+        if self.is_leader:
+            self._tick_leader(now)
+        elif now >= self._election_at:
+            self._campaign(now, trial=True, transfer=False)
+
+    def propose(self, kind: str, data: bytes, now: Milliseconds) -> int:
+        """Append an entry as the leader and return its index; raises `NotLeader`."""
+        if not self.is_leader or self._handing_over_until is not None:
+            raise NotLeader(self.leader)
+        entry = LogEntry(self.log.last_index + 1, self.term, kind, data)
+        self._append(entry)
+        self._replicate(now)
+        self._advance_commit()
+        return entry.index
+
+    def propose_members(self, members: Members, now: Milliseconds) -> int:
+        """Change the members; at most one voter may come or go at a time.
+
+        Raises `MembershipRefused` while another change is open, and `NotLeader`.
+        """
+        if not self.is_leader:
+            raise NotLeader(self.leader)
+        if not self.has_settled or self.log.members_index > self.commit_index:
+            raise MembershipRefused("another change of members is not committed yet")
+        changed = set(members.voters) ^ set(self.members.voters)
+        if len(changed) > 1:
+            raise MembershipRefused("only one voter may be added or removed at a time")
+        if not members.voters:
+            raise MembershipRefused("the last voter can't be removed")
+        for identity in changed & set(members.voters):
+            if self.match_index(identity) < self.commit_index:
+                raise MembershipRefused(f"{identity} has not caught up yet")
+        return self.propose(KIND_MEMBERS, pack_members(members), now)
+
+    def hand_over(self, now: Milliseconds) -> bool:
+        """Ask the most advanced voter to take over; returns whether there is one to ask."""
+        others = [voter for voter in self.members.voters if voter != self.identity]
+        if not self.is_leader or not others:
+            return False
+        heir = max(others, key=lambda voter: self._progress[voter].match_index)
+        if self._progress[heir].match_index < self.log.last_index:
+            self._replicate(now)
+            return False
+        self._handing_over_until = now + HANDOVER_TIMEOUT
+        self._send(TakeOver(self.cluster, self.identity, heir, self.term))
+        return True
+
+    def receive(self, message: PeerMessage, now: Milliseconds) -> None:
+        """Handle a message; one for another cluster or identity is passed over."""
+        if message.cluster != self.cluster or message.recipient != self.identity:
+            return
+        match message:
+            case VoteRequest():
+                self._on_vote_request(message, now)
+            case VoteReply():
+                self._on_vote_reply(message, now)
+            case AppendRequest():
+                self._on_append(message, now)
+            case AppendReply():
+                self._on_append_reply(message, now)
+            case SnapshotRequest():
+                self._on_snapshot(message, now)
+            case TakeOver():
+                self._on_take_over(message, now)
+
+    def compact(self, snapshot: Snapshot, start: int) -> None:
+        """Drop log entries up to `start` that a synced snapshot covers."""
+        self.log.compact(snapshot, start)
+
+    # Elections
+
+    def _campaign(self, now: Milliseconds, *, trial: bool, transfer: bool) -> None:
+        self._reset_election(now)
+        if self.identity not in self.members.voters:
+            return
+        self.role = Role.CANDIDATE
+        self.leader = None
+        self._trial = trial
+        self._votes = {self.identity}
+        term = self.term + 1
+        if not trial:
+            self._set_hard_state(HardState(term, self.identity))
+        for voter in self.members.voters:
+            if voter != self.identity:
+                self._send(
+                    VoteRequest(
+                        self.cluster,
+                        self.identity,
+                        voter,
+                        term,
+                        self.log.last_index,
+                        self.log.last_term,
+                        trial,
+                        transfer,
+                    )
+                )
+        self._count_votes(now)
+
+    def _on_vote_request(self, message: VoteRequest, now: Milliseconds) -> None:
+        if not message.transfer and self._is_loyal(now):
+            self._reply_vote(message, granted=False)
+            return
+        if not message.trial and message.term > self.term:
+            self._become_follower(message.term, None)
+        up_to_date = (message.last_term, message.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        if message.trial:
+            self._reply_vote(message, granted=up_to_date and message.term > self.term)
+            return
+        free = self._hard_state.voted_for in (None, message.sender)
+        granted = message.term == self.term and free and up_to_date
+        if granted:
+            self._set_hard_state(HardState(self.term, message.sender))
+            self._reset_election(now)
+        self._reply_vote(message, granted=granted)
+
+    def _is_loyal(self, now: Milliseconds) -> bool:
+        if self.is_leader:
+            return now < self.lease_until(now)
+        return now < self._heard_at + SHORTEST_ELECTION_TIMEOUT
+
+    def _reply_vote(self, message: VoteRequest, *, granted: bool) -> None:
+        term = message.term if granted else self.term
+        self._send(
+            VoteReply(self.cluster, self.identity, message.sender, term, message.trial, granted)
+        )
+
+    def _on_vote_reply(self, message: VoteReply, now: Milliseconds) -> None:
+        if not message.granted:
+            if message.term > self.term:
+                self._become_follower(message.term, None)
+            return
+        expected = self.term + 1 if message.trial else self.term
+        if (
+            self.role is Role.CANDIDATE
+            and message.trial == self._trial
+            and message.term == expected
+            and message.sender in self.members.voters
+        ):
+            self._votes.add(message.sender)
+            self._count_votes(now)
+
+    def _count_votes(self, now: Milliseconds) -> None:
+        if len(self._votes) < self.members.quorum:
+            return
+        if self._trial:
+            self._campaign(now, trial=False, transfer=False)
+        else:
+            self._become_leader(now)
+
+    def _on_take_over(self, message: TakeOver, now: Milliseconds) -> None:
+        if message.term == self.term and self.identity in self.members.voters:
+            self._campaign(now, trial=False, transfer=True)
+
+    def _become_leader(self, now: Milliseconds) -> None:
+        self.role = Role.LEADER
+        self.leader = self.identity
+        self._handing_over_until = None
+        self._progress = {
+            identity: _Progress(self.log.last_index + 1)
+            for identity in self.members.everyone
+            if identity != self.identity
+        }
+        self._first_of_term = self.log.last_index + 1
+        self._append(LogEntry(self._first_of_term, self.term, KIND_NOTHING, b""))
+        self._heard_at = now
+        self._replicate(now)
+        self._advance_commit()
+
+    def _become_follower(self, term: int, leader: str | None) -> None:
+        if term > self.term:
+            self._set_hard_state(HardState(term, None))
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._handing_over_until = None
+        self._progress = {}
+
+    def _reset_election(self, now: Milliseconds) -> None:
+        self._election_at = now + self._random.uniform(
+            SHORTEST_ELECTION_TIMEOUT, LONGEST_ELECTION_TIMEOUT
+        )
+
+    # Replication, as leader
+
+    def _tick_leader(self, now: Milliseconds) -> None:
+        if self._handing_over_until is not None:
+            if now >= self._handing_over_until:
+                self._become_follower(self.term, None)
+                self._reset_election(now)
+            return
+        silent_since = self.lease_until(now) - LEADER_LEASE
+        if now - max(silent_since, self._heard_at) > SHORTEST_ELECTION_TIMEOUT:
+            self._become_follower(self.term, None)
+            self._reset_election(now)
+        elif now >= self._heartbeat_at:
+            self._replicate(now)
+
+    def _append(self, entry: LogEntry) -> None:
+        self.log.append(entry)
+        self._output.entries.append(entry)
+        if entry.kind == KIND_MEMBERS and self.is_leader:
+            for identity in self.members.everyone:
+                if identity != self.identity:
+                    self._progress.setdefault(identity, _Progress(self.log.first_index))
+
+    def _replicate(self, now: Milliseconds) -> None:
+        self._heartbeat_at = now + HEARTBEAT_PERIOD
+        for identity in self.members.everyone:
+            if identity != self.identity:
+                self._replicate_to(identity, now)
+
+    def _replicate_to(self, identity: str, now: Milliseconds) -> None:
+        progress = self._progress[identity]
+        if progress.next_index < self.log.first_index:
+            self._send_snapshot(identity, progress, now)
+            return
+        previous = progress.next_index - 1
+        entries = self._next_entries(progress.next_index)
+        progress.next_index += len(entries)
+        self._send(
+            AppendRequest(
+                self.cluster,
+                self.identity,
+                identity,
+                self.term,
+                previous,
+                self.log.term_at(previous) or 0,
+                entries,
+                self.commit_index,
+                now,
+            )
+        )
+
+    def _next_entries(self, first: int) -> tuple[LogEntry, ...]:
+        entries = self.log.slice(first, min(self.log.last_index, first + ENTRIES_PER_REQUEST - 1))
+        size = 0
+        for count, entry in enumerate(entries):
+            size += len(entry.data)
+            if size > BYTES_PER_REQUEST and count > 0:
+                return entries[:count]
+        return entries
+
+    def _send_snapshot(self, identity: str, progress: _Progress, now: Milliseconds) -> None:
+        if now < progress.snapshot_sent_at + SNAPSHOT_RESEND_PERIOD:
+            return
+        progress.snapshot_sent_at = now
+        self._send(
+            SnapshotRequest(
+                self.cluster, self.identity, identity, self.term, self.log.snapshot, now
+            )
+        )
+
+    def _on_append_reply(self, message: AppendReply, now: Milliseconds) -> None:
+        if message.term > self.term:
+            self._become_follower(message.term, None)
+            return
+        progress = self._progress.get(message.sender)
+        if not self.is_leader or message.term < self.term or progress is None:
+            return
+        progress.acknowledged_at = max(progress.acknowledged_at, message.sent_at)
+        if message.success:
+            progress.match_index = max(progress.match_index, message.match_index)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            self._advance_commit()
+        else:
+            progress.next_index = max(1, min(progress.next_index, message.match_index + 1))
+        if self.is_leader and progress.next_index <= self.log.last_index:
+            self._replicate_to(message.sender, now)
+
+    def _advance_commit(self) -> None:
+        matches = sorted(
+            (
+                self.log.last_index if voter == self.identity else self.match_index(voter)
+                for voter in self.members.voters
+            ),
+            reverse=True,
+        )
+        index = matches[self.members.quorum - 1]
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self._commit_up_to(index)
+            if self.log.members_index <= index and self.identity not in self.members.voters:
+                self._become_follower(self.term, None)
+
+    def _commit_up_to(self, index: int) -> None:
+        self.commit_index = index
+        self._output.committed.extend(self.log.slice(self._delivered + 1, index))
+        self._delivered = index
+
+    # Replication, as follower
+
+    def _on_append(self, message: AppendRequest, now: Milliseconds) -> None:
+        if message.term < self.term:
+            self._reply_append(message.sender, message.sent_at, False, self.log.last_index)
+            return
+        self._follow(message.sender, message.term, now)
+        if message.previous_index < self.commit_index:
+            self._merge_committed_prefix(message)
+            return
+        if self.log.term_at(message.previous_index) != message.previous_term:
+            hint = min(self.log.last_index, message.previous_index - 1)
+            self._reply_append(message.sender, message.sent_at, False, max(hint, self.commit_index))
+            return
+        self._merge(message.entries)
+        match_index = message.previous_index + len(message.entries)
+        self._follow_commit(min(message.commit, match_index))
+        self._reply_append(message.sender, message.sent_at, True, match_index)
+
+    def _merge_committed_prefix(self, message: AppendRequest) -> None:
+        newer = [entry for entry in message.entries if entry.index > self.commit_index]
+        self._merge(tuple(newer))
+        match_index = newer[-1].index if newer else self.commit_index
+        self._follow_commit(min(message.commit, match_index))
+        self._reply_append(message.sender, message.sent_at, True, match_index)
+
+    def _merge(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            held = self.log.term_at(entry.index)
+            if held == entry.term:
+                continue
+            if held is not None:
+                self._truncate(entry.index)
+            self._append(entry)
+
+    def _truncate(self, index: int) -> None:
+        if index <= self.commit_index:
+            raise FulmarholdError(
+                f"refused to remove the committed entry {index}",
+                step="following",
+                peer=self.leader or "",
+            )
+        self.log.truncate(index)
+        self._output.entries = [item for item in self._output.entries if item.index < index]
+        earlier = self._output.truncate_from
+        self._output.truncate_from = index if earlier is None else min(earlier, index)
+
+    def _follow(self, leader: str, term: int, now: Milliseconds) -> None:
+        if term > self.term or self.role is not Role.FOLLOWER:
+            self._become_follower(term, leader)
+        self.leader = leader
+        self._heard_at = now
+        self._reset_election(now)
+
+    def _follow_commit(self, index: int) -> None:
+        if index > self.commit_index:
+            self._commit_up_to(index)
+
+    def _on_snapshot(self, message: SnapshotRequest, now: Milliseconds) -> None:
+        if message.term < self.term:
+            self._reply_append(message.sender, message.sent_at, False, self.log.last_index)
+            return
+        self._follow(message.sender, message.term, now)
+        snapshot = message.snapshot
+        if snapshot.index > self.commit_index:
+            self.log = MemoryLog(snapshot)
+            self.commit_index = snapshot.index
+            self._delivered = snapshot.index
+            self._output.installed = snapshot
+            self._output.truncate_from = None
+            self._output.entries = []
+            self._output.committed = []
+        self._reply_append(message.sender, message.sent_at, True, self.commit_index)
+
+    def _reply_append(
+        self, leader: str, sent_at: Milliseconds, success: bool, match_index: int
+    ) -> None:
+        self._send(
+            AppendReply(
+                self.cluster, self.identity, leader, self.term, success, match_index, sent_at
+            )
+        )
+
+    def _set_hard_state(self, hard_state: HardState) -> None:
+        if hard_state != self._hard_state:
+            self._hard_state = hard_state
+            self._output.hard_state = hard_state
+
+    def _send(self, message: PeerMessage) -> None:
+        self._output.messages.append(message)
--- /dev/null
+++ b/fulmarhold/consensus/node.py
@@ -0,0 +1,290 @@
+"""Runs one member: feeds the core, syncs its writes, sends its messages, applies its entries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING, Any, Protocol
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.queue import Empty, Queue
+
+from fulmarhold.clock import SECOND
+from fulmarhold.consensus.core import Core, HardState, NotLeader, Output
+from fulmarhold.consensus.memory import MemoryLog, pack_members
+from fulmarhold.consensus.messages import (
+    KIND_COMMAND,
+    KIND_MEMBERS,
+    LogEntry,
+    Members,
+    PeerMessage,
+    Snapshot,
+)
+from fulmarhold.consensus.storage import EMPTY_SNAPSHOT, Storage, StorageFailed
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.observe.logs import part_log
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.consensus.transport import Transport
+
+log = part_log("consensus")
+
+TICK_PERIOD: Milliseconds = 40.0
+FIRST_TERM = 1
+HANDOVER_PATIENCE: Milliseconds = 2_000.0
+
+
+class Machine(Protocol):
+    """The replicated state machine."""
+
+    def apply(self, data: bytes) -> Any:
+        """Apply one committed command and return its result."""
+
+    def save(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state."""
+
+
+class OutcomeUnknown(FulmarholdError):
+    """Leadership was lost before the entry committed; it may commit yet."""
+
+
+class NotFormed(FulmarholdError):
+    """This instance belongs to no cluster yet."""
+
+
+@dataclass(frozen=True)
+class _Proposal:
+    term: int
+    result: AsyncResult
+
+
+class Node:
+    """One member with its storage, transport and state machine."""
+
+    def __init__(
+        self, storage: Storage, transport: Transport, machine: Machine, clock: Clock
+    ) -> None:
+        self._storage = storage
+        self._transport = transport
+        self._machine = machine
+        self._clock = clock
+        self._random = Random()
+        self._events: Queue[Callable[[Core], None]] = Queue()
+        self._proposals: dict[int, _Proposal] = {}
+        # A member that has just joined does not know the others from its log yet.
+        self._sender_endpoints: dict[str, str] = {}
+        self._applied = 0
+        self._core: Core | None = None
+        self._greenlet: gevent.Greenlet | None = None
+        self.failure: AsyncResult = AsyncResult()
+
+    @property
+    def identity(self) -> str:
+        return self._storage.identity.member
+
+    @property
+    def cluster(self) -> str:
+        return self._storage.identity.cluster
+
+    @property
+    def core(self) -> Core:
+        """The core; raises `NotFormed` before the cluster is formed or joined."""
+        if self._core is None:
+            raise NotFormed("this instance belongs to no cluster yet", step="reading")
+        return self._core
+
+    @property
+    def is_formed(self) -> bool:
+        return self._core is not None
+
+    @property
+    def applied_index(self) -> int:
+        return self._applied
+
+    @property
+    def leader_endpoint(self) -> str | None:
+        """The endpoint of the leader that this member knows, if any."""
+        if self._core is None or self._core.leader is None:
+            return None
+        return self._core.members.everyone.get(self._core.leader)
+
+    def start(self) -> None:
+        """Load what was synced and start to take part."""
+        hard_state, memory = self._storage.load()
+        if self.cluster:
+            self._begin(hard_state, memory)
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop taking part; `hand_over` first keeps the others from waiting for an election."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        self._transport.close()
+        self._storage.close()
+
+    def form(self, cluster: str, voters: dict[str, str]) -> None:
+        """Start a new cluster of the given voters from this instance.
+
+        Raises `FulmarholdError` when this instance already belongs to a cluster.
+        """
+        if self.cluster:
+            raise FulmarholdError("this instance already belongs to a cluster", step="forming")
+        if self.identity not in voters:
+            raise FulmarholdError("the voters do not include this instance", step="forming")
+        first = LogEntry(1, FIRST_TERM, KIND_MEMBERS, pack_members(Members(voters, {})))
+        output = Output(hard_state=HardState(FIRST_TERM), truncate_from=1, entries=[first])
+        memory = MemoryLog(EMPTY_SNAPSHOT, [first])
+        self._storage.write(output, memory)
+        self._storage.join_cluster(cluster)
+        self._begin(HardState(FIRST_TERM), memory)
+        log.info("formed cluster {} with {} voters", cluster, len(voters))
+
+    def receive(self, endpoint: str, message: PeerMessage) -> None:
+        """Take in a message of the member that listens at `endpoint`."""
+        if message.recipient != self.identity:
+            return
+        self._sender_endpoints[message.sender] = endpoint
+        if not self.cluster:
+            # Only an instance that knows this new identity can have admitted it.
+            self._storage.join_cluster(message.cluster)
+            self._begin(HardState(), MemoryLog(EMPTY_SNAPSHOT))
+            log.info("joined cluster {}", message.cluster)
+        self._events.put(lambda core: core.receive(message, self._clock.now()))
+
+    def propose(self, data: bytes) -> Any:
+        """Replicate a command and return what applying it gave.
+
+        Raises `NotLeader`, or `OutcomeUnknown` when leadership was lost on the way.
+        """
+        return self._submit(lambda core: core.propose(KIND_COMMAND, data, self._clock.now()))
+
+    def change_members(self, change: Callable[[Members], Members]) -> None:
+        """Replicate a change of the members; raises `MembershipRefused` or `NotLeader`."""
+        self._submit(lambda core: core.propose_members(change(core.members), self._clock.now()))
+
+    def may_read(self) -> bool:
+        """Whether the applied state is the newest there is (leader's lease holds)."""
+        return (
+            self._core is not None
+            and self._core.may_read(self._clock.now())
+            and self._applied >= self._core.commit_index
+        )
+
+    def hand_over(self) -> None:
+        """Give leadership to another voter, as far as one is ready within the patience."""
+        until = self._clock.now() + HANDOVER_PATIENCE
+        while self._core is not None and self._core.is_leader and self._clock.now() < until:
+            if len(self._core.members.voters) == 1:
+                return
+            self._events.put(lambda core: core.hand_over(self._clock.now()) and None)
+            gevent.sleep(TICK_PERIOD / SECOND)
+
+    def _submit(self, action: Callable[[Core], int]) -> Any:
+        result: AsyncResult = AsyncResult()
+
+        def run(core: Core) -> None:
+            try:
+                index = action(core)
+            except FulmarholdError as error:
+                result.set_exception(error)
+            else:
+                self._proposals[index] = _Proposal(core.term, result)
+
+        if self._core is None:
+            raise NotFormed("this instance belongs to no cluster yet", step="proposing")
+        if not self._core.is_leader:
+            raise NotLeader(self._core.leader)
+        self._events.put(run)
+        return result.get()
+
+    def _begin(self, hard_state: HardState, memory: MemoryLog) -> None:
+        if memory.snapshot.state:
+            self._machine.restore(memory.snapshot.state)
+        self._applied = memory.snapshot.index
+        self._core = Core(
+            self.identity, self.cluster, memory, hard_state, self._random, self._clock.now()
+        )
+
+    def _run(self) -> None:
+        try:
+            while True:
+                events = self._next_events()
+                if self._core is not None:
+                    self._step(self._core, events)
+        except Exception as error:
+            log.exception("stopped taking part: {}", error)
+            self.failure.set_exception(error)
+
+    def _next_events(self) -> list[Callable[[Core], None]]:
+        events = []
+        try:
+            events.append(self._events.get(timeout=TICK_PERIOD / SECOND))
+            while True:
+                events.append(self._events.get_nowait())
+        except Empty:
+            return events
+
+    def _step(self, core: Core, events: list[Callable[[Core], None]]) -> None:
+        term, was_leader = core.term, core.is_leader
+        for event in events:
+            event(core)
+        core.tick(self._clock.now())
+        output = core.take_output()
+        if output.writes or output.installed:
+            self._sync(output, core.log)
+        for message in output.messages:
+            endpoint = core.members.everyone.get(
+                message.recipient, self._sender_endpoints.get(message.recipient)
+            )
+            if endpoint is not None:
+                self._transport.send(endpoint, message)
+        if output.installed is not None:
+            self._machine.restore(output.installed.state)
+            self._applied = output.installed.index
+        for entry in output.committed:
+            self._apply(entry)
+        if was_leader and (not core.is_leader or core.term != term):
+            self._fail_proposals()
+        if core.is_leader and not was_leader:
+            log.info("leads in term {}", core.term)
+        self._compact_if_due(core)
+
+    def _sync(self, output: Output, memory: MemoryLog) -> None:
+        pool = gevent.get_hub().threadpool
+        pool.apply(self._storage.write, (output, memory))
+
+    def _apply(self, entry: LogEntry) -> None:
+        result = None
+        if entry.kind == KIND_COMMAND:
+            result = self._machine.apply(entry.data)
+        self._applied = entry.index
+        proposal = self._proposals.pop(entry.index, None)
+        if proposal is None:
+            return
+        if proposal.term == entry.term:
+            proposal.result.set(result)
+        else:
+            proposal.result.set_exception(OutcomeUnknown("leadership was lost", step="proposing"))
+
+    def _fail_proposals(self) -> None:
+        proposals, self._proposals = self._proposals, {}
+        for proposal in proposals.values():
+            proposal.result.set_exception(OutcomeUnknown("leadership was lost", step="proposing"))
+
+    def _compact_if_due(self, core: Core) -> None:
+        if not self._storage.is_compaction_due or self._applied <= core.log.snapshot.index:
+            return
+        term = core.log.term_at(self._applied)
+        if term is None:
+            raise StorageFailed(f"entry {self._applied} is not held", step="compacting")
+        members = core.log.members_at(self._applied)
+        snapshot = Snapshot(self._applied, term, members, self._machine.save())
+        gevent.get_hub().threadpool.apply(self._storage.compact, (snapshot, core.log))
+        log.info("saved a snapshot up to entry {}", snapshot.index)
--- /dev/null
+++ b/fulmarhold/consensus/storage.py
@@ -0,0 +1,261 @@
+"""Durable state of one member: identity, log and snapshots under one data folder."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import uuid
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from fulmarhold.consensus.core import HardState, Output
+from fulmarhold.consensus.memory import MemoryLog
+from fulmarhold.consensus.messages import LogEntry, Members, Snapshot
+from fulmarhold.consensus.records import CorruptFile, decode_records, encode_record
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.observe.logs import part_log
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+log = part_log("storage")
+
+IDENTITY_FILE = "identity.bin"
+LOG_FILE = "log.bin"
+LOCK_FILE = "lock"
+SNAPSHOT_PREFIX = "snapshot-"
+SNAPSHOTS_KEPT = 2
+LEAST_LOG_BYTES = 256 * 1024
+LOG_TO_SNAPSHOT_RATIO = 2
+
+RECORD_TERM = "term"
+RECORD_ENTRY = "entry"
+RECORD_TRUNCATE = "truncate"
+RECORD_START = "start"
+
+EMPTY_SNAPSHOT = Snapshot(0, 0, Members({}, {}), b"")
+
+
+class StorageFailed(FulmarholdError):
+    """Writing or syncing failed; the process must end, since what is on disk is not known."""
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Who this data folder belongs to; a new folder is a new member."""
+
+    member: str
+    cluster: str
+
+
+class Storage:
+    """The files of one member. Every write is synced, with its folder, before it returns."""
+
+    def __init__(self, folder: Path, sync: Callable[[int], None] = os.fsync) -> None:
+        self._folder = folder
+        self._sync = sync
+        self._hard_state = HardState()
+        self._log_file: Any = None
+        self._log_bytes = 0
+        self._snapshot_bytes = 0
+        self._lock = self._take_lock()
+        self.identity = self._load_identity()
+
+    @property
+    def is_compaction_due(self) -> bool:
+        """Whether the log has outgrown the snapshot enough to pay for a new one."""
+        return self._log_bytes > max(LEAST_LOG_BYTES, LOG_TO_SNAPSHOT_RATIO * self._snapshot_bytes)
+
+    def join_cluster(self, cluster: str) -> None:
+        """Record the cluster that this member belongs to from now on."""
+        self.identity = Identity(self.identity.member, cluster)
+        self._replace(IDENTITY_FILE, encode_record([self.identity.member, cluster]))
+
+    def load(self) -> tuple[HardState, MemoryLog]:
+        """Return what was synced; raises `CorruptFile` when it does not check."""
+        path = self._folder / LOG_FILE
+        data = path.read_bytes() if path.exists() else b""
+        records = decode_records(path, data)
+        if records.length < len(data):
+            log.warning("cut a torn tail of {} bytes off {}", len(data) - records.length, path)
+            with path.open("r+b") as file:
+                file.truncate(records.length)
+                self._sync(file.fileno())
+        self._log_bytes = records.length
+        hard_state, memory = self._replay(path, records.values)
+        self._log_file = path.open("ab")
+        self._sync_folder()
+        return hard_state, memory
+
+    def write(self, output: Output, log_now: MemoryLog) -> None:
+        """Sync the writes of one output of the core; raises `StorageFailed`."""
+        try:
+            if output.installed is not None:
+                self._save_snapshot(output.installed)
+                self._rewrite(output.hard_state or self._hard_state, log_now)
+                self._hard_state = output.hard_state or self._hard_state
+            elif output.writes:
+                self._append(output)
+        except OSError as error:
+            raise StorageFailed(f"can't sync the log: {error}", step="syncing") from error
+
+    def compact(self, snapshot: Snapshot, memory: MemoryLog) -> None:
+        """Save a snapshot and drop the log entries that the older snapshot kept covers."""
+        try:
+            self._save_snapshot(snapshot)
+            start = max(memory.first_index - 1, self._oldest_snapshot_index())
+            memory.compact(snapshot, start)
+            self._rewrite(self._hard_state, memory)
+        except OSError as error:
+            raise StorageFailed(f"can't save a snapshot: {error}", step="syncing") from error
+
+    def close(self) -> None:
+        """Close the files and release the folder."""
+        if self._log_file is not None:
+            self._log_file.close()
+        self._lock.close()
+
+    def _take_lock(self) -> Any:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        lock = (self._folder / LOCK_FILE).open("a")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            raise FulmarholdError(
+                f"data folder {self._folder} is in use by another process", step="starting"
+            ) from error
+        return lock
+
+    def _load_identity(self) -> Identity:
+        path = self._folder / IDENTITY_FILE
+        if path.exists():
+            records = decode_records(path, path.read_bytes())
+            if len(records.values) != 1:
+                raise CorruptFile(path, records.length, "the identity is incomplete")
+            member, cluster = records.values[0]
+            return Identity(member, cluster)
+        if (self._folder / LOG_FILE).exists():
+            raise CorruptFile(path, 0, "there is a log, but the identity is missing")
+        identity = Identity(uuid.uuid4().hex, "")
+        self._replace(IDENTITY_FILE, encode_record([identity.member, identity.cluster]))
+        return identity
+
+    def _replay(self, path: Path, values: tuple[Any, ...]) -> tuple[HardState, MemoryLog]:
+        self._hard_state = HardState()
+        start = 0
+        entries: list[LogEntry] = []
+        for value in values:
+            match value:
+                case [str(kind), index] if kind == RECORD_START:
+                    start = index
+                case [str(kind), term, voted_for] if kind == RECORD_TERM:
+                    self._hard_state = HardState(term, voted_for)
+                case [str(kind), index] if kind == RECORD_TRUNCATE:
+                    entries = [entry for entry in entries if entry.index < index]
+                case [str(kind), *fields] if kind == RECORD_ENTRY:
+                    entries.append(LogEntry(*fields))
+                case _:
+                    raise CorruptFile(path, 0, f"unknown record {value!r:.40}")
+        snapshot = self._newest_snapshot(start)
+        self._snapshot_bytes = len(snapshot.state)
+        later = [entry for entry in entries if entry.index > snapshot.index]
+        memory = MemoryLog(snapshot)
+        for entry in later:
+            if entry.index != memory.last_index + 1:
+                raise CorruptFile(path, 0, f"entry {memory.last_index + 1} is missing")
+            memory.append(entry)
+        return self._hard_state, memory
+
+    def _newest_snapshot(self, start: int) -> Snapshot:
+        """Return the newest snapshot that is whole and reaches the start of the log."""
+        problem: CorruptFile | None = None
+        for path in sorted(self._snapshot_paths(), reverse=True):
+            try:
+                snapshot = _read_snapshot(path)
+            except CorruptFile as error:
+                log.warning("passed over a snapshot: {}", error)
+                problem = error
+                continue
+            if snapshot.index >= start:
+                return snapshot
+        if start > 0:
+            missing = self._folder / _snapshot_name(start)
+            raise problem or CorruptFile(missing, 0, "the snapshot that the log needs is missing")
+        return EMPTY_SNAPSHOT
+
+    def _append(self, output: Output) -> None:
+        parts: list[bytes] = []
+        if output.hard_state is not None:
+            self._hard_state = output.hard_state
+            parts.append(_term_record(output.hard_state))
+        if output.truncate_from is not None:
+            parts.append(encode_record([RECORD_TRUNCATE, output.truncate_from]))
+        parts.extend(_entry_record(entry) for entry in output.entries)
+        data = b"".join(parts)
+        self._log_file.write(data)
+        self._log_file.flush()
+        self._sync(self._log_file.fileno())
+        self._log_bytes += len(data)
+
+    def _rewrite(self, hard_state: HardState, memory: MemoryLog) -> None:
+        """Replace the log by one that begins where `memory` begins."""
+        parts = [encode_record([RECORD_START, memory.first_index - 1]), _term_record(hard_state)]
+        entries = memory.slice(memory.first_index, memory.last_index)
+        parts.extend(_entry_record(entry) for entry in entries)
+        data = b"".join(parts)
+        self._replace(LOG_FILE, data)
+        self._log_file.close()
+        self._log_file = (self._folder / LOG_FILE).open("ab")
+        self._log_bytes = len(data)
+
+    def _save_snapshot(self, snapshot: Snapshot) -> None:
+        members = [snapshot.members.voters, snapshot.members.learners]
+        record = encode_record([snapshot.index, snapshot.term, members, snapshot.state])
+        self._replace(_snapshot_name(snapshot.index), record)
+        self._snapshot_bytes = len(snapshot.state)
+        for path in sorted(self._snapshot_paths())[:-SNAPSHOTS_KEPT]:
+            path.unlink()
+
+    def _oldest_snapshot_index(self) -> int:
+        paths = sorted(self._snapshot_paths())
+        return _read_snapshot(paths[0]).index if len(paths) >= SNAPSHOTS_KEPT else 0
+
+    def _snapshot_paths(self) -> list[Path]:
+        return [path for path in self._folder.glob(f"{SNAPSHOT_PREFIX}*") if path.suffix == ".bin"]
+
+    def _replace(self, name: str, data: bytes) -> None:
+        temporary = self._folder / f"{name}.tmp"
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            self._sync(file.fileno())
+        temporary.replace(self._folder / name)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            self._sync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def _snapshot_name(index: int) -> str:
+    return f"{SNAPSHOT_PREFIX}{index:016d}.bin"
+
+
+def _read_snapshot(path: Path) -> Snapshot:
+    records = decode_records(path, path.read_bytes())
+    if len(records.values) != 1:
+        raise CorruptFile(path, records.length, "the snapshot is incomplete")
+    index, term, (voters, learners), state = records.values[0]
+    return Snapshot(index, term, Members(voters, learners), state)
+
+
+def _term_record(hard_state: HardState) -> bytes:
+    return encode_record([RECORD_TERM, hard_state.term, hard_state.voted_for])
+
+
+def _entry_record(entry: LogEntry) -> bytes:
+    return encode_record([RECORD_ENTRY, entry.index, entry.term, entry.kind, entry.data])
--- /dev/null
+++ b/fulmarhold/consensus/transport.py
@@ -0,0 +1,68 @@
+"""Carries messages between members; a slow or lost peer delays nobody else."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.queue import Queue
+
+from fulmarhold.clock import SECOND
+from fulmarhold.consensus.messages import MemberMessage, PeerMessage
+from fulmarhold.errors import PeerUnavailable
+from fulmarhold.wire.client import Link
+from fulmarhold.wire.messages import to_values
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Milliseconds
+
+LONGEST_QUEUE = 512
+SEND_TIMEOUT: Milliseconds = 2_000.0
+
+
+class Transport:
+    """Sends messages in order to each peer and drops what does not fit its queue."""
+
+    def __init__(self, own_endpoint: str) -> None:
+        self._own_endpoint = own_endpoint
+        self._senders: dict[str, _Sender] = {}
+
+    def send(self, endpoint: str, message: PeerMessage) -> None:
+        """Queue a message for the member at `endpoint`; it may be lost."""
+        sender = self._senders.get(endpoint)
+        if sender is None:
+            sender = self._senders[endpoint] = _Sender(endpoint)
+        sender.put(MemberMessage(self._own_endpoint, to_values(message)))
+
+    def close(self) -> None:
+        """Close every connection."""
+        for sender in self._senders.values():
+            sender.close()
+
+
+class _Sender:
+    def __init__(self, endpoint: str) -> None:
+        self._link = Link(endpoint)
+        self._queue: Queue[MemberMessage] = Queue()
+        self._greenlet = gevent.spawn(self._run)
+
+    def put(self, message: MemberMessage) -> None:
+        if self._queue.qsize() >= LONGEST_QUEUE:
+            self._queue.get_nowait()
+        self._queue.put_nowait(message)
+
+    def close(self) -> None:
+        self._greenlet.kill(block=False)
+        self._link.close()
+
+    def _run(self) -> None:
+        while True:
+            message = self._queue.get()
+            try:
+                with gevent.Timeout(SEND_TIMEOUT / SECOND, PeerUnavailable("send timed out")):
+                    self._link.send(message)
+            except PeerUnavailable:
+                # The protocol repeats what is lost; a backlog would only be stale.
+                while not self._queue.empty():
+                    self._queue.get_nowait()
+                gevent.sleep(0.05)
--- /dev/null
+++ b/fulmarhold/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon: accepted configuration, entry roster and claims."""
--- /dev/null
+++ b/fulmarhold/control/daemon.py
@@ -0,0 +1,67 @@
+"""The control daemon: the replicated log with its interfaces to entries and operators."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import gevent
+
+from fulmarhold.clock import Clock
+from fulmarhold.consensus.node import Node
+from fulmarhold.consensus.storage import Storage
+from fulmarhold.consensus.transport import Transport
+from fulmarhold.control.http import operator_application
+from fulmarhold.control.machine import ControlMachine
+from fulmarhold.control.presence import Presence
+from fulmarhold.control.queries import ControlQueries
+from fulmarhold.control.service import ControlService
+from fulmarhold.observe.counters import Counters
+from fulmarhold.observe.logs import part_log
+from fulmarhold.web.serving import start_server
+from fulmarhold.wire.server import MessageServer
+
+if TYPE_CHECKING:
+    from fulmarhold.settings.processes import ControlSettings
+
+log = part_log("control")
+
+
+class ControlDaemon:
+    """Everything that one control process runs."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        clock = Clock()
+        counters = Counters()
+        machine = ControlMachine()
+        presence = Presence(clock)
+        storage = Storage(Path(settings.data_folder))
+        transport = Transport(settings.peer_endpoint)
+        self.node = Node(storage, transport, machine, clock)
+        self.failure = self.node.failure
+        self._service = ControlService(self.node, machine, presence, clock, counters)
+        queries = ControlQueries(settings, self.node, machine, presence, clock)
+        counters.register_gauges(queries.gauges)
+        self._application = operator_application(self._service, queries, self.node, counters)
+        self._messages = MessageServer(settings.peer_endpoint, counters)
+        self._service.register(self._messages)
+
+    def start(self) -> None:
+        """Load the synced state, listen and take part."""
+        self.node.start()
+        self._messages.start()
+        self._http = start_server(
+            self._application, self._settings.address, self._settings.operator_port
+        )
+        self._housekeeping = gevent.spawn(self._service.run_housekeeping)
+        log.info("{} serves {}", self._settings.name, self._settings.peer_endpoint)
+
+    def stop(self) -> None:
+        """Hand leadership over, end open requests and stop."""
+        self._housekeeping.kill()
+        self.node.hand_over()
+        self._http.stop(timeout=1)
+        self.node.stop()
+        self._messages.stop()
+        log.info("{} has stopped", self._settings.name)
--- /dev/null
+++ b/fulmarhold/control/machine.py
@@ -0,0 +1,277 @@
+"""The replicated state: accepted configuration, roster, outcomes of commands and claims.
+
+Applying a command depends on the state and the command alone, never on a clock, so that every
+member comes to the same state.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+import xxhash
+
+from fulmarhold.clock import HOUR, MINUTE
+from fulmarhold.control.identifiers import identifier_time
+from fulmarhold.control.messages import (
+    AcceptConfiguration,
+    Accepted,
+    AdmitEntry,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimKey,
+    ClaimRefused,
+    CommandRefused,
+    RemoveEntry,
+    RosterEntry,
+    SettleKey,
+    Superseded,
+)
+from fulmarhold.registry import Registry
+from fulmarhold.wire.messages import from_values, to_values
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Milliseconds
+
+COMMAND_RETENTION: Milliseconds = 24 * HOUR
+CLAIM_RETENTION: Milliseconds = 2 * HOUR
+LARGEST_CLOCK_SKEW: Milliseconds = 5 * MINUTE
+PRUNE_PERIOD: Milliseconds = MINUTE
+MOST_CLAIMS = 100_000
+LARGEST_KEPT_ANSWER_BYTES = 4_096
+
+Outcome = Accepted | Superseded | CommandRefused
+
+
+@dataclass(frozen=True)
+class Remembered:
+    """The first outcome of a command, with a digest of the command itself."""
+
+    digest: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True)
+class Claim:
+    """One idempotency key: the attempt that holds it and how that ended, if it has."""
+
+    digest: str
+    attempt: str
+    entry: str
+    settled: bool = False
+    answer: bytes = b""
+    over: tuple[str, ...] = ()
+
+
+@dataclass
+class ControlState:
+    """Everything that is replicated."""
+
+    revision: int = 0
+    version: int = 0
+    document: dict[str, Any] | None = None
+    accepted_by: str = ""
+    accepted_at: Milliseconds = 0.0
+    time: Milliseconds = 0.0
+    pruned_at: Milliseconds = 0.0
+    roster: dict[str, RosterEntry] = field(default_factory=dict)
+    commands: dict[str, Remembered] = field(default_factory=dict)
+    claims: dict[str, Claim] = field(default_factory=dict)
+
+
+appliers: Registry[Callable[[ControlState, Any], Any]] = Registry("command")
+
+
+def encode_command(command: Any) -> bytes:
+    """Return the log data of a command."""
+    packed: bytes = msgpack.packb(to_values(command))
+    return packed
+
+
+class ControlMachine:
+    """Applies committed commands to the state."""
+
+    def __init__(self) -> None:
+        self.state = ControlState()
+
+    def apply(self, data: bytes) -> Any:
+        """Apply one committed command and return its outcome."""
+        command = from_values(msgpack.unpackb(data))
+        self.state.time = max(self.state.time, command.at)
+        outcome = appliers.find(type(command).__name__)(self.state, command)
+        _prune(self.state)
+        return outcome
+
+    def save(self) -> bytes:
+        """Return the whole state as bytes."""
+        state = self.state
+        packed: bytes = msgpack.packb(
+            {
+                "scalars": [
+                    state.revision,
+                    state.version,
+                    state.document,
+                    state.accepted_by,
+                    state.accepted_at,
+                    state.time,
+                    state.pruned_at,
+                ],
+                "roster": [
+                    [item.name, item.data_centre, item.caller_endpoint, item.peer_endpoint]
+                    for item in state.roster.values()
+                ],
+                "commands": [
+                    [command_id, item.digest, to_values(item.outcome)]
+                    for command_id, item in state.commands.items()
+                ],
+                "claims": [
+                    [
+                        key,
+                        item.digest,
+                        item.attempt,
+                        item.entry,
+                        item.settled,
+                        item.answer,
+                        item.over,
+                    ]
+                    for key, item in state.claims.items()
+                ],
+            }
+        )
+        return packed
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by what `save` returned once."""
+        values = msgpack.unpackb(data)
+        revision, version, document, accepted_by, accepted_at, time, pruned_at = values["scalars"]
+        self.state = ControlState(
+            revision,
+            version,
+            document,
+            accepted_by,
+            accepted_at,
+            time,
+            pruned_at,
+            roster={item[0]: RosterEntry(*item) for item in values["roster"]},
+            commands={
+                command_id: Remembered(digest, from_values(outcome))
+                for command_id, digest, outcome in values["commands"]
+            },
+            claims={
+                key: Claim(digest, attempt, entry, settled, answer, tuple(over))
+                for key, digest, attempt, entry, settled, answer, over in values["claims"]
+            },
+        )
+
+
+@appliers.register(AcceptConfiguration.__name__)
+def _accept(state: ControlState, command: AcceptConfiguration) -> Outcome:
+    digest = _digest([command.operator, command.base_revision, command.document])
+    remembered = state.commands.get(command.command_id)
+    if remembered is not None:
+        if remembered.digest != digest:
+            return CommandRefused("the command id was used for another command")
+        return remembered.outcome
+    refusal = _identifier_refusal(state, command.command_id, COMMAND_RETENTION)
+    if refusal is not None:
+        return CommandRefused(f"the command id is {refusal}")
+    outcome = _decide_accept(state, command)
+    state.commands[command.command_id] = Remembered(digest, outcome)
+    return outcome
+
+
+def _decide_accept(state: ControlState, command: AcceptConfiguration) -> Outcome:
+    if command.base_revision != state.revision:
+        return Superseded(state.revision, state.accepted_by, state.accepted_at)
+    state.revision += 1
+    state.version += 1
+    state.document = command.document
+    state.accepted_by = command.operator
+    state.accepted_at = command.at
+    return Accepted(state.revision, state.version)
+
+
+@appliers.register(AdmitEntry.__name__)
+def _admit(state: ControlState, command: AdmitEntry) -> None:
+    if state.roster.get(command.entry.name) != command.entry:
+        state.roster[command.entry.name] = command.entry
+        state.version += 1
+
+
+@appliers.register(RemoveEntry.__name__)
+def _remove(state: ControlState, command: RemoveEntry) -> None:
+    if state.roster.pop(command.name, None) is not None:
+        state.version += 1
+
+
+@appliers.register(ClaimKey.__name__)
+def _claim(state: ControlState, command: ClaimKey) -> ClaimGranted | ClaimHeld | ClaimRefused:
+    claim = state.claims.get(command.key)
+    if claim is None:
+        refusal = _identifier_refusal(state, command.key, CLAIM_RETENTION)
+        if refusal is not None:
+            return ClaimRefused("key_invalid" if refusal == "invalid" else "key_expired")
+        if len(state.claims) >= MOST_CLAIMS:
+            return ClaimRefused("claims_full")
+        state.claims[command.key] = Claim(command.digest, command.attempt, command.entry)
+        return ClaimGranted()
+    if claim.digest != command.digest:
+        return ClaimRefused("key_reused")
+    if command.attempt in claim.over:
+        return ClaimRefused("attempt_over")
+    if claim.attempt == command.attempt and not claim.settled:
+        return ClaimGranted()
+    if not claim.attempt:
+        state.claims[command.key] = replace(claim, attempt=command.attempt, entry=command.entry)
+        return ClaimGranted()
+    return ClaimHeld(claim.entry, claim.settled, claim.answer)
+
+
+@appliers.register(SettleKey.__name__)
+def _settle(state: ControlState, command: SettleKey) -> None:
+    claim = state.claims.get(command.key)
+    if claim is None or claim.settled or claim.attempt != command.attempt:
+        return
+    if command.ran:
+        answer = command.answer if len(command.answer) <= LARGEST_KEPT_ANSWER_BYTES else b""
+        state.claims[command.key] = replace(claim, settled=True, answer=answer)
+    else:
+        # The key is free again, but a delayed claim of this attempt must not take it back.
+        over = (*claim.over, command.attempt)
+        state.claims[command.key] = replace(claim, attempt="", entry="", over=over)
+
+
+def _identifier_refusal(
+    state: ControlState, identifier: str, retention: Milliseconds
+) -> str | None:
+    made_at = identifier_time(identifier)
+    if made_at is None or made_at > state.time + LARGEST_CLOCK_SKEW:
+        return "invalid"
+    if made_at < state.time - retention:
+        return "too old"
+    return None
+
+
+def _prune(state: ControlState) -> None:
+    if state.time < state.pruned_at + PRUNE_PERIOD:
+        return
+    state.pruned_at = state.time
+    oldest_command = state.time - COMMAND_RETENTION
+    oldest_claim = state.time - CLAIM_RETENTION
+    state.commands = {
+        key: item
+        for key, item in state.commands.items()
+        if (identifier_time(key) or 0.0) >= oldest_command
+    }
+    state.claims = {
+        key: item
+        for key, item in state.claims.items()
+        if (identifier_time(key) or 0.0) >= oldest_claim
+    }
+
+
+def _digest(value: Any) -> str:
+    return str(xxhash.xxh3_128_hexdigest(msgpack.packb(value)))
--- /dev/null
+++ b/fulmarhold/control/service.py
@@ -0,0 +1,260 @@
+"""What a control instance does for entries and operators, on top of the replicated log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import gevent
+
+from fulmarhold.clock import MINUTE, SECOND
+from fulmarhold.configuration import configuration_from_document
+from fulmarhold.consensus.core import MembershipRefused, NotLeader
+from fulmarhold.consensus.messages import MemberMessage, Members
+from fulmarhold.consensus.node import NotFormed, OutcomeUnknown
+from fulmarhold.control.machine import encode_command
+from fulmarhold.control.messages import (
+    AcceptConfiguration,
+    Accepted,
+    AdmitEntry,
+    ClaimKey,
+    CommandRefused,
+    EntrySync,
+    NotLeading,
+    RemoveEntry,
+    SettleKey,
+    Superseded,
+    SyncReply,
+)
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.observe.logs import part_log
+from fulmarhold.wire.messages import Done, Failure, from_values
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.consensus.node import Node
+    from fulmarhold.control.machine import ControlMachine
+    from fulmarhold.control.presence import Presence
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.wire.server import MessageServer
+
+log = part_log("control")
+
+IN_FORCE_PATIENCE: Milliseconds = 4_500.0
+IN_FORCE_CHECK_PERIOD: Milliseconds = 20.0
+SILENT_ENTRY_REMOVED_AFTER: Milliseconds = 10 * MINUTE
+HOUSEKEEPING_PERIOD: Milliseconds = 250.0
+LEAST_CONFIRMATION_LEASE: Milliseconds = 2_500.0
+
+
+@dataclass(frozen=True)
+class AcceptResult:
+    """The outcome of an accept, and how far it is in force."""
+
+    outcome: Accepted | Superseded | CommandRefused
+    in_force: bool
+    waiting_for: tuple[str, ...]
+
+
+class ControlService:
+    """Handles requests; only the leader with a lease answers, others name the leader."""
+
+    def __init__(
+        self,
+        node: Node,
+        machine: ControlMachine,
+        presence: Presence,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._node = node
+        self._machine = machine
+        self._presence = presence
+        self._clock = clock
+        self._counters = counters
+        self._led_since: Milliseconds | None = None
+        self._roster_change_open = False
+
+    def register(self, server: MessageServer) -> None:
+        """File the handlers of every message that control serves."""
+        server.handle(MemberMessage, self.receive_member_message)
+        server.handle(EntrySync, self.sync_entry)
+        server.handle(ClaimKey, self.claim)
+        server.handle(SettleKey, self.settle)
+
+    def receive_member_message(self, envelope: MemberMessage) -> None:
+        """Give a message between members to the replicated log."""
+        self._node.receive(envelope.endpoint, from_values(envelope.content))
+
+    def sync_entry(self, sync: EntrySync) -> Any:
+        """Tell an entry the accepted state, as a linearizable read."""
+        if not self._node.may_read():
+            return self._not_leading()
+        self._presence.note(sync)
+        self._update_roster(sync)
+        state = self._machine.state
+        if sync.version == state.version:
+            return SyncReply(state.version, state.revision, None, None)
+        roster = tuple(state.roster.values())
+        return SyncReply(state.version, state.revision, state.document, roster)
+
+    def claim(self, command: ClaimKey) -> Any:
+        """Claim an idempotency key through the log."""
+        outcome = self._propose_for_entry(
+            ClaimKey(
+                command.key, command.digest, command.attempt, command.entry, self._clock.wall()
+            )
+        )
+        self._counters.add("claims", outcome=type(outcome).__name__)
+        return outcome
+
+    def settle(self, command: SettleKey) -> Any:
+        """Record the end of an attempt through the log."""
+        outcome = self._propose_for_entry(
+            SettleKey(command.key, command.attempt, command.ran, command.answer, self._clock.wall())
+        )
+        return outcome if isinstance(outcome, NotLeading | Failure) else Done()
+
+    def accept(
+        self, command_id: str, operator: str, base_revision: int, document: Any
+    ) -> AcceptResult:
+        """Accept a configuration and wait until it is in force, as far as patience goes.
+
+        Raises `InvalidSettings` for a bad document, `NotLeader` and `OutcomeUnknown`.
+        """
+        configuration_from_document(document, "configuration")
+        command = AcceptConfiguration(
+            command_id, operator, base_revision, document, self._clock.wall()
+        )
+        outcome = self._node.propose(encode_command(command))
+        self._counters.add("commands", outcome=type(outcome).__name__)
+        if not isinstance(outcome, Accepted):
+            return AcceptResult(outcome, False, ())
+        log.info("accepted revision {} of {}", outcome.revision, operator)
+        in_force, waiting_for = self._await_in_force(outcome.version)
+        return AcceptResult(outcome, in_force, waiting_for)
+
+    def admit_member(self, identity: str, endpoint: str) -> None:
+        """Start to replicate to a new instance; it becomes a voter once it has caught up."""
+
+        def change(members: Members) -> Members:
+            if identity in members.everyone:
+                raise MembershipRefused(f"{identity} is a member already")
+            return Members(members.voters, {**members.learners, identity: endpoint})
+
+        self._node.change_members(change)
+
+    def remove_member(self, identity: str) -> None:
+        """Remove a voter or learner from the cluster."""
+
+        def change(members: Members) -> Members:
+            if identity not in members.everyone:
+                raise MembershipRefused(f"{identity} is no member")
+            return Members(_without(members.voters, identity), _without(members.learners, identity))
+
+        self._node.change_members(change)
+
+    def run_housekeeping(self) -> None:
+        """Promote learners and remove entries that have long been silent, until killed."""
+        while True:
+            gevent.sleep(HOUSEKEEPING_PERIOD / SECOND)
+            if not self._node.is_formed or not self._node.may_read():
+                self._led_since = None
+                self._presence.clear()
+                continue
+            if self._led_since is None:
+                self._led_since = self._clock.now()
+            self._promote_learners()
+            self._remove_silent_entries()
+
+    def _propose_for_entry(self, command: Any) -> Any:
+        try:
+            return self._node.propose(encode_command(command))
+        except (NotLeader, NotFormed):
+            return self._not_leading()
+        except OutcomeUnknown as error:
+            return Failure("outcome_unknown", str(error))
+
+    def _not_leading(self) -> NotLeading:
+        self._counters.add("control_refusals", reason="not_leading")
+        return NotLeading(self._node.leader_endpoint)
+
+    def _update_roster(self, sync: EntrySync) -> None:
+        known = self._machine.state.roster.get(sync.entry.name)
+        if sync.state == "left":
+            self._presence.forget(sync.entry.name)
+            if known is not None:
+                self._change_roster(RemoveEntry(sync.entry.name, self._clock.wall()))
+        elif known != sync.entry and sync.state != "leaving":
+            self._change_roster(AdmitEntry(sync.entry, self._clock.wall()))
+
+    def _change_roster(self, command: AdmitEntry | RemoveEntry) -> None:
+        """Change the roster by one entry, once a majority runs the roster before the change.
+
+        Then the majorities of any two rosters that entries may hold at one time overlap.
+        """
+        state = self._machine.state
+        if self._roster_change_open or not self._presence.has_majority(state.version, state.roster):
+            self._counters.add("control_refusals", reason="roster_change_open")
+            return
+        self._roster_change_open = True
+        gevent.spawn(self._propose_roster_change, command)
+
+    def _propose_roster_change(self, command: AdmitEntry | RemoveEntry) -> None:
+        try:
+            self._node.propose(encode_command(command))
+        except FulmarholdError as error:
+            log.warning("roster change failed: {}", error)
+        finally:
+            self._roster_change_open = False
+
+    def _await_in_force(self, version: int) -> tuple[bool, tuple[str, ...]]:
+        """Wait until no entry can serve by an older version.
+
+        That is once a majority of the roster runs it, and every entry either runs it or has
+        outlived the longest lease that an older confirmation can give.
+        """
+        started = self._clock.now()
+        majority_at: Milliseconds | None = None
+        while self._clock.now() - started < IN_FORCE_PATIENCE:
+            roster = self._machine.state.roster
+            behind = self._presence.behind(version, {*roster, *self._presence.names})
+            if majority_at is None and self._presence.has_majority(version, roster):
+                majority_at = self._clock.now()
+            if majority_at is not None:
+                lease_is_over = self._clock.now() > majority_at + LEAST_CONFIRMATION_LEASE
+                if not behind or lease_is_over:
+                    return True, behind
+            gevent.sleep(IN_FORCE_CHECK_PERIOD / SECOND)
+        return False, self._presence.behind(version, self._machine.state.roster)
+
+    def _promote_learners(self) -> None:
+        core = self._node.core
+        for identity, endpoint in core.members.learners.items():
+            if core.match_index(identity) < core.commit_index:
+                continue
+            try:
+                self._node.change_members(partial(_promote, identity, endpoint))
+                log.info("{} has caught up and votes from now on", identity)
+            except FulmarholdError as error:
+                log.info("{} can't vote yet: {}", identity, error)
+            return
+
+    def _remove_silent_entries(self) -> None:
+        now = self._clock.now()
+        if self._led_since is None or now < self._led_since + SILENT_ENTRY_REMOVED_AFTER:
+            return
+        moment = now - SILENT_ENTRY_REMOVED_AFTER
+        for name in self._presence.silent_since(moment, self._machine.state.roster)[:1]:
+            log.info("removes the entry {}, which has long been silent", name)
+            self._change_roster(RemoveEntry(name, self._clock.wall()))
+
+
+def _promote(identity: str, endpoint: str, members: Members) -> Members:
+    voters = {**members.voters, identity: endpoint}
+    return Members(voters, _without(members.learners, identity))
+
+
+def _without(mapping: dict[str, str], key: str) -> dict[str, str]:
+    return {name: value for name, value in mapping.items() if name != key}
--- /dev/null
+++ b/fulmarhold/daemons.py
@@ -0,0 +1,52 @@
+"""What the daemons' programs share: settings, logs, signals and the exit code."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from typing import TYPE_CHECKING, Any, Protocol
+
+import gevent
+from gevent.event import AsyncResult, Event
+
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.observe.logs import start_logging
+from fulmarhold.settings.loading import load_file
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+EXIT_FAILED = 1
+
+
+class Daemon(Protocol):
+    """A daemon that can be started and stopped; `failure` is set when it can't go on."""
+
+    failure: AsyncResult
+
+    def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+
+def run_daemon(settings_file: Path, schema: type, make: Callable[[Any], Daemon]) -> int:
+    """Run a daemon until SIGTERM, SIGINT or its failure, and return the exit code."""
+    try:
+        settings: Any = load_file(settings_file, schema)
+        start_logging(settings.log.level)
+        daemon = make(settings)
+        daemon.start()
+    except FulmarholdError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+    ended = Event()
+    gevent.signal_handler(signal.SIGTERM, ended.set)
+    gevent.signal_handler(signal.SIGINT, ended.set)
+    daemon.failure.rawlink(lambda _: ended.set())
+    ended.wait()
+    if daemon.failure.ready():
+        print(daemon.failure.exception, file=sys.stderr)
+        return EXIT_FAILED
+    daemon.stop()
+    return 0
--- /dev/null
+++ b/fulmarhold/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a whole fleet on loopback with a caller."""
--- /dev/null
+++ b/fulmarhold/demo/caller.py
@@ -0,0 +1,98 @@
+"""A caller as users run it: asks for addresses, keeps the answer, connects there itself."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from geventhttpclient import HTTPClient
+
+from fulmarhold.clock import SECOND, Clock, Milliseconds
+from fulmarhold.errors import PeerUnavailable
+from fulmarhold.standin.announcer import EntryFinder
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+CONNECTIONS_PER_ENTRY = 16
+TRANSPORT_MARGIN: Milliseconds = 2_000.0
+
+
+@dataclass(frozen=True)
+class CallerAnswer:
+    """What came back: the decoded outcome, from which entry, after how long."""
+
+    status: int
+    document: dict[str, Any]
+    entry: str
+    latency: Milliseconds
+
+    @property
+    def outcome(self) -> str:
+        return str(self.document.get("outcome", ""))
+
+
+class Caller:
+    """Sends requests to the entries that the system names, the preferred ones in turn."""
+
+    def __init__(self, seeds: Sequence[str], data_centre: str, random: Random) -> None:
+        self._clock = Clock()
+        self._finder = EntryFinder(seeds, data_centre, self._clock)
+        self._random = random
+        self._clients: dict[str, HTTPClient] = {}
+
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses in force, asking again only when the answer has run out."""
+        return self._finder.find()
+
+    def ask(
+        self,
+        service: str,
+        request_type: str,
+        *,
+        deadline: Milliseconds,
+        body: Any = None,
+        key: str = "",
+        shard_key: str = "",
+        entry: str = "",
+    ) -> CallerAnswer:
+        """Send one request; raises `PeerUnavailable` when the connection failed."""
+        entry = entry or self._random.choice(self.addresses())
+        headers = {"Fulmarhold-Deadline-Ms": f"{deadline:.0f}"}
+        if key:
+            headers["Idempotency-Key"] = key
+        if shard_key:
+            headers["Fulmarhold-Shard-Key"] = shard_key
+        started_at = self._clock.now()
+        try:
+            response = self._client(entry).post(
+                f"/query/{service}/{request_type}", json.dumps(body or {}), headers
+            )
+            document = json.loads(response.read())
+        except Exception as error:
+            # The library raises its own errors, those of sockets and, for a bad body, ValueError.
+            raise PeerUnavailable(str(error), step="asking", peer=entry) from error
+        latency = self._clock.now() - started_at
+        return CallerAnswer(response.status_code, document, entry, latency)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for client in self._clients.values():
+            client.close()
+
+    def _client(self, endpoint: str) -> HTTPClient:
+        client = self._clients.get(endpoint)
+        if client is None:
+            address, _, port = endpoint.rpartition(":")
+            timeout = (60 * SECOND + TRANSPORT_MARGIN) / SECOND
+            client = HTTPClient(
+                address,
+                port=int(port),
+                concurrency=CONNECTIONS_PER_ENTRY,
+                connection_timeout=2.0,
+                network_timeout=timeout,
+            )
+            self._clients[endpoint] = client
+        return client
--- /dev/null
+++ b/fulmarhold/effects/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests, run at most once."""
--- /dev/null
+++ b/fulmarhold/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: answers callers and hears upstreams."""
--- /dev/null
+++ b/fulmarhold/entry/answering.py
@@ -0,0 +1,132 @@
+"""Takes a caller's request from its checks to its outcome."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fulmarhold.gather.outcome import Answered, NotRun, NotRunReason, Outcome, Refused, Unknown
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.configuration import Configuration, RequestType, ServiceConfiguration
+    from fulmarhold.effects.dispatch import EffectRunner
+    from fulmarhold.gather.query import QueryRunner
+    from fulmarhold.gather.services import ServicePolicies
+    from fulmarhold.limits.admission import Admission
+    from fulmarhold.membership.running import RunningState
+    from fulmarhold.observe.counters import Counters
+
+LEAST_NEEDED: Milliseconds = 1.0
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A request as it came in; `deadline_at` is on this entry's clock."""
+
+    request_id: str
+    service: str
+    request_type: str
+    deadline_at: Milliseconds
+    key: str
+    shard_key: str
+    body: bytes
+
+
+class Answering:
+    """Turns requests into outcomes; counts every outcome with its reason."""
+
+    def __init__(
+        self,
+        running: RunningState,
+        admission: Admission,
+        policies: ServicePolicies,
+        queries: QueryRunner,
+        effects: EffectRunner,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._running = running
+        self._admission = admission
+        self._policies = policies
+        self._queries = queries
+        self._effects = effects
+        self._clock = clock
+        self._counters = counters
+
+    def answer(self, request: CallerRequest) -> Outcome:
+        """Return the outcome of a request."""
+        try:
+            outcome = self._run(request)
+        except Refused as refusal:
+            outcome = NotRun(refusal.reason, refusal.message)
+        self.count(request.service, outcome)
+        return outcome
+
+    def count(self, service: str, outcome: Outcome) -> None:
+        """Count an outcome; a service that does not exist shares one label."""
+        configuration = self._running.configuration
+        known = configuration is not None and service in configuration.services
+        label = service if known else "unknown"
+        match outcome:
+            case Answered():
+                reason = "whole" if not outcome.coverage.missing else "partial"
+                self._counters.add("answered", service=label, reason=reason)
+            case NotRun(reason):
+                self._counters.add("not_run", service=label, reason=reason.value)
+            case Unknown(unknown_reason):
+                self._counters.add("unknown", service=label, reason=unknown_reason.value)
+
+    def _run(self, request: CallerRequest) -> Outcome:
+        configuration = self._confirmed_configuration()
+        service, request_type = _find_type(configuration, request)
+        left = request.deadline_at - self._clock.now()
+        if left <= 0:
+            raise Refused(NotRunReason.DEADLINE_PAST, "no time is left")
+        deadline_at = min(request.deadline_at, self._clock.now() + service.longest_deadline_ms)
+        if not request_type.idempotent and not request.key:
+            raise Refused(NotRunReason.KEY_MISSING, "Idempotency-Key is required for this type")
+        policy = self._policies.find(service)
+        self._admission.configure(service.name, service.urgency, service.admission_limit)
+        with self._admission.admitted(service.name, deadline_at, LEAST_NEEDED):
+            # Waiting for a place may have outlived the confirmation.
+            self._confirmed_configuration()
+            if request_type.idempotent:
+                return self._queries.run(
+                    request.request_id, request_type.name, request.body, policy, deadline_at
+                )
+            return self._effects.run(
+                request_type.name,
+                request.key,
+                request.shard_key,
+                request.body,
+                policy,
+                deadline_at,
+                configuration.timings.claim_timeout_ms,
+            )
+
+    def _confirmed_configuration(self) -> Configuration:
+        configuration = self._running.configuration
+        if configuration is None:
+            raise Refused(NotRunReason.CONFIGURATION_UNKNOWN, "no accepted configuration is known")
+        if not self._running.is_confirmed:
+            raise Refused(
+                NotRunReason.CONFIGURATION_UNCONFIRMED,
+                "neither control nor a majority of the entries confirmed the configuration lately",
+            )
+        return configuration
+
+
+def _find_type(
+    configuration: Configuration, request: CallerRequest
+) -> tuple[ServiceConfiguration, RequestType]:
+    service = configuration.services.get(request.service)
+    if service is None:
+        raise Refused(NotRunReason.UNKNOWN_SERVICE, f"there is no service {request.service!r:.70}")
+    request_type = service.requests.get(request.request_type)
+    if request_type is None:
+        raise Refused(
+            NotRunReason.UNKNOWN_REQUEST_TYPE,
+            f"{service.name} has no request type {request.request_type!r:.70}",
+        )
+    return service, request_type
--- /dev/null
+++ b/fulmarhold/entry/daemon.py
@@ -0,0 +1,166 @@
+"""The entry daemon: answers callers, hears upstreams and keeps in touch with the fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import AsyncResult, Event
+
+from fulmarhold.clock import SECOND, Clock, Milliseconds
+from fulmarhold.control.client import ControlClient
+from fulmarhold.control.messages import RosterEntry
+from fulmarhold.effects.dispatch import SETTLE_TIMEOUT, EffectRunner
+from fulmarhold.entry.addresses import Addresses
+from fulmarhold.entry.answering import Answering
+from fulmarhold.entry.http import (
+    AnnounceResource,
+    DrainResource,
+    InstancesResource,
+    QueryResource,
+    caller_application,
+)
+from fulmarhold.gather.query import QueryRunner
+from fulmarhold.gather.services import ServicePolicies
+from fulmarhold.limits.admission import Admission
+from fulmarhold.membership.announced import AnnouncedSet
+from fulmarhold.membership.directory import Directory
+from fulmarhold.membership.exchange import Exchange
+from fulmarhold.membership.running import RunningState
+from fulmarhold.observe.counters import Counters, Gauge
+from fulmarhold.observe.logs import part_log
+from fulmarhold.routing.table import RoutingTable
+from fulmarhold.web.serving import start_server
+from fulmarhold.wire.server import MessageServer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarhold.settings.processes import EntrySettings
+
+log = part_log("entry")
+
+MAINTENANCE_PERIOD: Milliseconds = 100.0
+
+
+class EntryDaemon:
+    """Everything that one entry process runs."""
+
+    def __init__(self, settings: EntrySettings, policies: ServicePolicies | None = None) -> None:
+        self._settings = settings
+        self._in_flight = 0
+        self._idle = Event()
+        self._idle.set()
+        self._drain_asked = Event()
+        self.failure: AsyncResult = AsyncResult()
+        clock = Clock()
+        counters = self.counters = Counters()
+        own = RosterEntry(
+            settings.name, settings.data_centre, settings.caller_endpoint, settings.peer_endpoint
+        )
+        self.running = RunningState(settings.name, clock)
+        self._announced = AnnouncedSet(clock, counters)
+        self.directory = Directory(self._announced, clock)
+        control = ControlClient(settings.control, clock, counters)
+        self.exchange = Exchange(
+            own, self.running, self._announced, self.directory, control, clock, counters
+        )
+        self.table = RoutingTable(self.directory, self.running, clock, counters)
+        self._addresses = Addresses(own, self.running, self.directory, self.exchange)
+        self._effects = EffectRunner(
+            settings.name, self.table, self.directory, control, clock, counters
+        )
+        self.answering = Answering(
+            self.running,
+            Admission(clock),
+            policies or ServicePolicies(),
+            QueryRunner(self.table, self.directory, clock, counters),
+            self._effects,
+            clock,
+            counters,
+        )
+        self._messages = MessageServer(settings.peer_endpoint, counters)
+        self.exchange.register(self._messages)
+        counters.register_gauges(self._gauges)
+        self._application = caller_application(
+            counters,
+            self._health,
+            {
+                "/query/{service}/{request_type}": QueryResource(
+                    self.answering, clock, self._note_in_flight
+                ),
+                "/instances": InstancesResource(self._addresses, self.running),
+                "/announce": AnnounceResource(self._announced, self.running, counters),
+                "/drain": DrainResource(self._drain_asked.set),
+            },
+        )
+
+    def start(self) -> None:
+        """Listen, sync with control and begin to serve once a configuration is confirmed."""
+        self._messages.start()
+        self._http = start_server(
+            self._application, self._settings.address, self._settings.caller_port
+        )
+        self.exchange.start()
+        self._greenlets = [
+            gevent.spawn(self._run_maintenance),
+            gevent.spawn(self._begin_serving),
+            gevent.spawn(self._leave_when_asked),
+        ]
+        log.info("{} listens on {}", self._settings.name, self._settings.caller_endpoint)
+
+    def stop(self) -> None:
+        """Leave: serve until no address answer names this entry, end requests, then stop."""
+        log.info("{} is leaving", self._settings.name)
+        self.exchange.announce_state("leaving")
+        gevent.sleep(self._addresses.leaving_time / SECOND)
+        self._http.stop_accepting()
+        self._idle.wait()
+        self._effects.await_settled(SETTLE_TIMEOUT)
+        self._http.stop(timeout=1)
+        gevent.killall(self._greenlets)
+        self.exchange.stop()
+        self.table.close()
+        self._messages.stop()
+        log.info("{} has stopped", self._settings.name)
+
+    def _begin_serving(self) -> None:
+        while not self.running.is_confirmed:
+            gevent.sleep(MAINTENANCE_PERIOD / SECOND)
+        if self.exchange.state == "starting":
+            self.exchange.announce_state("serving")
+            log.info("{} serves revision {}", self._settings.name, self.running.revision)
+
+    def _leave_when_asked(self) -> None:
+        self._drain_asked.wait()
+        self.exchange.announce_state("leaving")
+
+    def _run_maintenance(self) -> None:
+        while True:
+            self.table.maintain()
+            gevent.sleep(MAINTENANCE_PERIOD / SECOND)
+
+    def _note_in_flight(self, change: int) -> None:
+        self._in_flight += change
+        if self._in_flight:
+            self._idle.clear()
+        else:
+            self._idle.set()
+
+    def _health(self) -> str:
+        if self.running.configuration is None:
+            return "no accepted configuration is known"
+        if not self.running.is_confirmed:
+            return "the configuration is not confirmed"
+        if self.exchange.state == "leaving":
+            return "leaving"
+        return ""
+
+    def _gauges(self) -> Iterable[Gauge]:
+        yield "entry_revision", {}, float(self.running.revision)
+        yield "entry_version", {}, float(self.running.version)
+        yield "entry_confirmed", {}, float(self.running.is_confirmed)
+        yield "entry_in_flight", {}, float(self._in_flight)
+        replicas = list(self.table.replicas)
+        yield "entry_upstreams", {}, float(len(replicas))
+        yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- /dev/null
+++ b/fulmarhold/entry/http.py
@@ -0,0 +1,241 @@
+"""The HTTP interface of an entry towards callers and upstreams."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import falcon
+from pydantic import ValidationError
+
+from fulmarhold.entry.answering import Answering, CallerRequest
+from fulmarhold.errors import MalformedInput
+from fulmarhold.gather.outcome import Answered, NotRun, NotRunReason, Outcome, Unknown
+from fulmarhold.membership.exchange import FIRST_POLL_LEASE
+from fulmarhold.membership.records import Announcement
+from fulmarhold.settings.loading import adapter
+from fulmarhold.web.serving import BodyTooLarge, make_application, read_body, read_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.entry.addresses import Addresses
+    from fulmarhold.membership.announced import AnnouncedSet
+    from fulmarhold.membership.running import RunningState
+    from fulmarhold.observe.counters import Counters
+
+DEADLINE_HEADER = "Fulmarhold-Deadline-Ms"
+REQUEST_ID_HEADER = "Fulmarhold-Request-Id"
+SHARD_KEY_HEADER = "Fulmarhold-Shard-Key"
+KEY_HEADER = "Idempotency-Key"
+
+REQUEST_ID_PATTERN = re.compile(r"^[A-Za-z0-9_.-]{1,64}$")
+LONGEST_SHARD_KEY = 256
+LARGEST_ANNOUNCEMENT_BYTES = 16 * 1024
+
+BAD_REQUEST_REASONS = {
+    NotRunReason.UNKNOWN_SERVICE,
+    NotRunReason.UNKNOWN_REQUEST_TYPE,
+    NotRunReason.MALFORMED_REQUEST,
+    NotRunReason.DEADLINE_MISSING,
+    NotRunReason.KEY_MISSING,
+    NotRunReason.KEY_INVALID,
+    NotRunReason.KEY_REUSED,
+    NotRunReason.KEY_EXPIRED,
+}
+
+
+class QueryResource:
+    """POST /query/SERVICE/TYPE: answers with one tagged outcome."""
+
+    def __init__(
+        self, answering: Answering, clock: Clock, in_flight: Callable[[int], None]
+    ) -> None:
+        self._answering = answering
+        self._clock = clock
+        self._in_flight = in_flight
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response, service: str, request_type: str
+    ) -> None:
+        arrived_at = self._clock.now()
+        self._in_flight(1)
+        try:
+            outcome, request_id = self._answer(request, service, request_type, arrived_at)
+        finally:
+            self._in_flight(-1)
+        response.status = status_of(outcome)
+        response.content_type = falcon.MEDIA_JSON
+        response.data = encode_outcome(outcome, request_id)
+
+    def _answer(
+        self, request: falcon.Request, service: str, request_type: str, arrived_at: Milliseconds
+    ) -> tuple[Outcome, str]:
+        request_id = request.get_header(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        try:
+            checked = self._check(request, request_id, service, request_type, arrived_at)
+        except BodyTooLarge as error:
+            return self._refuse(service, NotRunReason.BODY_TOO_LARGE, str(error)), request_id
+        except MalformedInput as error:
+            return self._refuse(service, NotRunReason.MALFORMED_REQUEST, str(error)), ""
+        if checked is None:
+            detail = f"{DEADLINE_HEADER} must be a number of milliseconds"
+            return self._refuse(service, NotRunReason.DEADLINE_MISSING, detail), request_id
+        return self._answering.answer(checked), request_id
+
+    def _refuse(self, service: str, reason: NotRunReason, detail: str) -> NotRun:
+        outcome = NotRun(reason, detail)
+        self._answering.count(service, outcome)
+        return outcome
+
+    def _check(
+        self,
+        request: falcon.Request,
+        request_id: str,
+        service: str,
+        request_type: str,
+        arrived_at: Milliseconds,
+    ) -> CallerRequest | None:
+        """Return the checked request, or `None` without a usable deadline."""
+        if not REQUEST_ID_PATTERN.match(request_id):
+            raise MalformedInput(f"{REQUEST_ID_HEADER} must match {REQUEST_ID_PATTERN.pattern}")
+        shard_key = request.get_header(SHARD_KEY_HEADER) or ""
+        if len(shard_key) > LONGEST_SHARD_KEY:
+            raise MalformedInput(f"{SHARD_KEY_HEADER} is longer than {LONGEST_SHARD_KEY}")
+        deadline = _parse_deadline(request.get_header(DEADLINE_HEADER))
+        body = read_body(request)
+        if deadline is None:
+            return None
+        key = request.get_header(KEY_HEADER) or ""
+        return CallerRequest(
+            request_id, service, request_type, arrived_at + deadline, key, shard_key, body
+        )
+
+
+class InstancesResource:
+    """GET /instances: which entry instances to use, and for how long to keep the answer."""
+
+    def __init__(self, addresses: Addresses, running: RunningState) -> None:
+        self._addresses = addresses
+        self._running = running
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        service = request.get_param("service") or ""
+        configuration = self._running.configuration
+        if service and configuration is not None and service not in configuration.services:
+            raise MalformedInput(f"service: there is no service {service!r:.70}")
+        answer = self._addresses.answer(request.get_param("data_centre") or "")
+        response.media = {"addresses": list(answer.addresses), "keep_ms": answer.keep_ms}
+
+
+class AnnounceResource:
+    """POST /announce: an upstream tells its state; the reply carries the next token."""
+
+    def __init__(self, announced: AnnouncedSet, running: RunningState, counters: Counters) -> None:
+        self._announced = announced
+        self._running = running
+        self._counters = counters
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        try:
+            body = read_json(request, LARGEST_ANNOUNCEMENT_BYTES)
+            announcement = adapter(Announcement).validate_python(body)
+        except MalformedInput:
+            self._counters.add("announcement_refusals", reason="malformed")
+            raise
+        except ValidationError as error:
+            self._counters.add("announcement_refusals", reason="malformed")
+            detail = error.errors()[0]
+            path = ".".join(str(part) for part in detail["loc"])
+            raise MalformedInput(f"{path}: {detail['msg']}", step="announcing") from error
+        configuration = self._running.configuration
+        lease = configuration.timings.announcement_lease_ms if configuration else FIRST_POLL_LEASE
+        is_held = self._announced.take(announcement, lease)
+        response.media = {
+            "token": self._announced.issue_token(),
+            "lease_ms": lease,
+            "is_held": is_held,
+        }
+
+
+class DrainResource:
+    """POST /drain: the entry leaves gracefully, as on SIGTERM."""
+
+    def __init__(self, drain: Callable[[], None]) -> None:
+        self._drain = drain
+
+    def on_post(self, _: falcon.Request, response: falcon.Response) -> None:
+        self._drain()
+        response.media = {"outcome": "leaving"}
+
+
+def caller_application(
+    counters: Counters,
+    health: Callable[[], str],
+    resources: dict[str, Any],
+) -> falcon.App:
+    """Return the interface as a WSGI application."""
+    application = make_application(counters, health)
+    for path, resource in resources.items():
+        application.add_route(path, resource)
+    return application
+
+
+def status_of(outcome: Outcome) -> str:
+    """Return the HTTP status that goes with an outcome."""
+    match outcome:
+        case NotRun(reason) if reason in BAD_REQUEST_REASONS:
+            return falcon.HTTP_400
+        case NotRun(NotRunReason.BODY_TOO_LARGE):
+            return falcon.HTTP_413
+        case NotRun():
+            return falcon.HTTP_503
+        case Unknown():
+            return falcon.HTTP_504
+    return falcon.HTTP_200
+
+
+def encode_outcome(outcome: Outcome, request_id: str) -> bytes:
+    """Return an outcome as the JSON that callers get."""
+    match outcome:
+        case Answered():
+            document = _answered_document(outcome)
+        case NotRun(reason, detail):
+            document = {"outcome": "not_run", "reason": reason.value, "detail": detail}
+        case Unknown(unknown_reason, detail):
+            document = {"outcome": "unknown", "reason": unknown_reason.value, "detail": detail}
+    document["request_id"] = request_id
+    return json.dumps(document).encode()
+
+
+def _answered_document(outcome: Answered) -> dict[str, Any]:
+    coverage = outcome.coverage
+    return {
+        "outcome": "answered",
+        "snapshot": {"layout": outcome.snapshot.layout, "version": outcome.snapshot.version},
+        "coverage": {
+            "covered": coverage.covered,
+            "total": coverage.total,
+            "missing": [
+                {"shard": shard, "reason": reason.value}
+                for shard, reason in coverage.missing.items()
+            ],
+        },
+        "sufficient": outcome.sufficient,
+        "parts": [
+            {"shard": shard, "body": body.decode("utf-8", "replace")}
+            for shard, body in sorted(outcome.parts.items())
+        ],
+    }
+
+
+def _parse_deadline(text: str | None) -> Milliseconds | None:
+    try:
+        value = float(text or "")
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
--- /dev/null
+++ b/fulmarhold/gather/query.py
@@ -0,0 +1,110 @@
+"""Runs an idempotent query: chooses the snapshot, scatters, reruns if the snapshot went away."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from fulmarhold.gather.outcome import Answered, NotRunReason, Refused
+from fulmarhold.gather.scatter import Scatter
+from fulmarhold.upstreams.protocol import RequestTemplate
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.gather.scatter import Policy
+    from fulmarhold.membership.directory import Directory
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.routing.table import RoutingTable, SnapshotReplicas
+
+RERUN_SHARE_OF_TIME = 0.4
+
+
+class QueryRunner:
+    """Runs queries of any service."""
+
+    def __init__(
+        self, table: RoutingTable, directory: Directory, clock: Clock, counters: Counters
+    ) -> None:
+        self._table = table
+        self._directory = directory
+        self._clock = clock
+        self._counters = counters
+        self._random = Random()
+
+    def run(
+        self,
+        request_id: str,
+        request_type: str,
+        body: bytes,
+        policy: Policy,
+        deadline_at: Milliseconds,
+    ) -> Answered:
+        """Return the answer; raises `Refused` when nothing was sent to any upstream."""
+        service = policy.service
+        started_at = self._clock.now()
+        snapshot = choose_snapshot(self._table.snapshots(service.name), started_at)
+        if snapshot.coverable(started_at) < service.least_coverage * snapshot.total:
+            live = snapshot.coverable(started_at)
+            raise Refused(
+                NotRunReason.COVERAGE_UNREACHABLE, f"{live} of {snapshot.total} shards are live"
+            )
+        template = RequestTemplate(service.name, request_type, body)
+        answer = self._scatter(request_id, template, snapshot, policy, deadline_at)
+        newer = self._rerun_snapshot(answer, policy, started_at, deadline_at)
+        if newer is None:
+            return answer
+        self._counters.add("extra_load", newer.total, service=service.name, kind="rerun")
+        again = self._scatter(f"{request_id}r", template, newer, policy, deadline_at)
+        return max(answer, again, key=lambda item: item.coverage.share)
+
+    def _scatter(
+        self,
+        request_id: str,
+        template: RequestTemplate,
+        snapshot: SnapshotReplicas,
+        policy: Policy,
+        deadline_at: Milliseconds,
+    ) -> Answered:
+        scatter = Scatter(
+            request_id,
+            template,
+            snapshot,
+            policy,
+            deadline_at,
+            self._clock,
+            self._random,
+            self._counters,
+            self._directory.note_left,
+        )
+        return scatter.run()
+
+    def _rerun_snapshot(
+        self,
+        answer: Answered,
+        policy: Policy,
+        started_at: Milliseconds,
+        deadline_at: Milliseconds,
+    ) -> SnapshotReplicas | None:
+        """Return the newer snapshot to run an incomplete query on, if it is worth it."""
+        if not answer.coverage.missing:
+            return None
+        now = self._clock.now()
+        if deadline_at - now < RERUN_SHARE_OF_TIME * (deadline_at - started_at):
+            return None
+        best = choose_snapshot(self._table.snapshots(policy.service.name), now)
+        is_same = (best.layout, best.version) == (answer.snapshot.layout, answer.snapshot.version)
+        if is_same or best.coverable(now) / best.total <= answer.coverage.share:
+            return None
+        return best if policy.budget.take(best.total) else None
+
+
+def choose_snapshot(snapshots: Sequence[SnapshotReplicas], now: Milliseconds) -> SnapshotReplicas:
+    """Return the snapshot with the largest coverable share, the newest among equals.
+
+    Raises `Refused` when no layout is known.
+    """
+    if not snapshots:
+        raise Refused(NotRunReason.LAYOUT_UNKNOWN, "no upstream of the service is known")
+    return max(snapshots, key=lambda item: (item.coverable(now) / item.total, item.version))
--- /dev/null
+++ b/fulmarhold/gather/scatter.py
@@ -0,0 +1,236 @@
+"""Sends a query to every shard of one snapshot and gathers the parts."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gevent.event import Event
+
+from fulmarhold.clock import SECOND
+from fulmarhold.gather.outcome import Answered, Coverage, MissingReason, Snapshot
+from fulmarhold.gather.subrequest import Attempt, AttemptKind
+from fulmarhold.routing.choice import candidates
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.configuration import ServiceConfiguration
+    from fulmarhold.limits.budget import ExtraLoadBudget
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.routing.choice import Chooser
+    from fulmarhold.routing.estimates import QuantileEstimate
+    from fulmarhold.routing.replica import Replica
+    from fulmarhold.routing.table import SnapshotReplicas
+    from fulmarhold.upstreams.protocol import RequestTemplate
+
+# The answer must be written and travel before the caller's deadline.
+RETURN_RESERVE: Milliseconds = 2.0
+# A part is late once it took this many times the latency past which it was hedged.
+LATE_FACTOR = 3.0
+
+
+@dataclass(frozen=True)
+class Policy:
+    """What a scatter decides by; shared by the queries of one service."""
+
+    service: ServiceConfiguration
+    choose: Chooser
+    hedges: bool
+    returns_early: bool
+    budget: ExtraLoadBudget
+    hedge_after: QuantileEstimate
+
+
+class _Shard:
+    __slots__ = ("attempts", "body", "hedged", "reason")
+
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+        self.body: bytes | None = None
+        self.hedged = False
+        self.reason: MissingReason | None = None
+
+
+class Scatter:
+    """One query over one snapshot."""
+
+    def __init__(
+        self,
+        request_id: str,
+        template: RequestTemplate,
+        snapshot: SnapshotReplicas,
+        policy: Policy,
+        deadline_at: Milliseconds,
+        clock: Clock,
+        random: Random,
+        counters: Counters,
+        note_left: Callable[[str, int], None],
+    ) -> None:
+        self.clock = clock
+        self.template = template
+        self.deadline_at = deadline_at - RETURN_RESERVE
+        self._request_id = request_id
+        self._snapshot = snapshot
+        self._policy = policy
+        self._random = random
+        self._counters = counters
+        self._note_left = note_left
+        self._shards = [_Shard() for _ in range(snapshot.total)]
+        self._unresolved = snapshot.total
+        self._covered = 0
+        self._needed = math.ceil(policy.service.least_coverage * snapshot.total)
+        self._wake = Event()
+        self._started_at = clock.now()
+        self._late_at: Milliseconds = float("inf")
+        self.saw_snapshot_gone = False
+
+    def run(self) -> Answered:
+        """Scatter, wait as long as the policy says, cancel the rest and return the answer."""
+        self._send_first_attempts()
+        hedge_delay = self._policy.hedge_after.value
+        if self._policy.returns_early:
+            self._late_at = self._started_at + LATE_FACTOR * hedge_delay
+        if self._policy.hedges and self._wait_until(self._started_at + hedge_delay):
+            self._hedge()
+        self._wait_until(self.deadline_at)
+        return self._finish()
+
+    # Called by attempts
+
+    def part_arrived(self, attempt: Attempt, body: bytes) -> None:
+        """Take a part; the first of a shard counts and the others are cancelled."""
+        shard = self._shards[attempt.shard]
+        if shard.body is not None:
+            return
+        now = self.clock.now()
+        if attempt.kind is AttemptKind.HEDGE:
+            self._count_extra("hedge_won")
+        self._policy.hedge_after.update(now - self._started_at)
+        was_unresolved = shard.reason is None
+        shard.body = body
+        shard.reason = None
+        self._covered += 1
+        for other in shard.attempts:
+            other.cancel()
+        if was_unresolved:
+            self._unresolved -= 1
+        if self._unresolved == 0 or (now >= self._late_at and self._covered >= self._needed):
+            self._wake.set()
+
+    def attempt_failed(
+        self, attempt: Attempt, reason: MissingReason, detail: str, *, may_have_run: bool
+    ) -> None:
+        """Try another replica within the budget, or give the shard up."""
+        self._counters.add(
+            "attempts_failed", service=self._policy.service.name, reason=reason.value
+        )
+        if reason is MissingReason.SNAPSHOT_GONE:
+            self.saw_snapshot_gone = True
+        shard = self._shards[attempt.shard]
+        if shard.body is not None or any(not other.is_over for other in shard.attempts):
+            return
+        left = self._candidates(attempt.shard)
+        if not left or self.clock.now() >= self.deadline_at:
+            self._give_up(shard, reason)
+        elif not self._policy.budget.take(1):
+            self._count_extra("retry_refused")
+            self._give_up(shard, MissingReason.BUDGET_SPENT)
+        else:
+            self._count_extra(f"retry_{reason.value}")
+            self._send(attempt.shard, left, AttemptKind.RETRY)
+
+    def replica_left(self, replica: Replica) -> None:
+        """Pass on that an upstream says it is leaving."""
+        self._note_left(*replica.key)
+
+    def _send_first_attempts(self) -> None:
+        self._policy.budget.earn(self._snapshot.total)
+        self._counters.add(
+            "subrequests", self._snapshot.total, service=self._policy.service.name, kind="first"
+        )
+        for number, shard in enumerate(self._shards):
+            left = self._candidates(number)
+            if left:
+                self._send(number, left, AttemptKind.FIRST)
+            else:
+                self._give_up(shard, MissingReason.NO_LIVE_REPLICA)
+
+    def _candidates(self, number: int) -> list[Replica]:
+        replicas = self._snapshot.shards.get(number, ())
+        tried = [attempt.replica for attempt in self._shards[number].attempts]
+        return candidates(replicas, tried, self.clock.now())
+
+    def _send(self, number: int, replicas: list[Replica], kind: AttemptKind) -> None:
+        replica = self._policy.choose(replicas, self._random, self.clock.now())
+        part = f"{self._request_id};{number};{self._snapshot.version};{self._snapshot.layout}"
+        attempt = Attempt(self, number, replica, part, kind)
+        self._shards[number].attempts.append(attempt)
+        replica.pool.submit(attempt)
+
+    def _hedge(self) -> None:
+        for number, shard in enumerate(self._shards):
+            if shard.body is not None or shard.reason is not None or shard.hedged:
+                continue
+            left = self._candidates(number)
+            if not left:
+                continue
+            if not self._policy.budget.take(1):
+                self._count_extra("hedge_refused")
+                return
+            shard.hedged = True
+            self._count_extra("hedge")
+            self._send(number, left, AttemptKind.HEDGE)
+
+    def _give_up(self, shard: _Shard, reason: MissingReason) -> None:
+        shard.reason = reason
+        self._unresolved -= 1
+        if self._unresolved == 0:
+            self._wake.set()
+
+    def _wait_until(self, moment: Milliseconds) -> bool:
+        """Wait for the end of the scatter; returns whether it still goes on at `moment`."""
+        while not self._is_finished():
+            now = self.clock.now()
+            if now >= moment:
+                return True
+            next_look = min(moment, self._late_at) if now < self._late_at else moment
+            self._wake.wait((next_look - now) / SECOND)
+        return False
+
+    def _is_finished(self) -> bool:
+        now = self.clock.now()
+        if self._unresolved == 0 or now >= self.deadline_at:
+            return True
+        return now >= self._late_at and self._covered >= self._needed
+
+    def _finish(self) -> Answered:
+        open_reason = (
+            MissingReason.DEADLINE if self.clock.now() >= self.deadline_at else MissingReason.LATE
+        )
+        missing: dict[int, MissingReason] = {}
+        parts: dict[int, bytes] = {}
+        for number, shard in enumerate(self._shards):
+            for attempt in shard.attempts:
+                attempt.cancel()
+            if shard.body is not None:
+                parts[number] = shard.body
+            else:
+                missing[number] = shard.reason or open_reason
+        coverage = Coverage(self._snapshot.total, missing)
+        for reason in missing.values():
+            self._counters.add(
+                "parts_missing", service=self._policy.service.name, reason=reason.value
+            )
+        return Answered(
+            Snapshot(self._snapshot.layout, self._snapshot.version),
+            coverage,
+            parts,
+            coverage.covered >= self._needed,
+        )
+
+    def _count_extra(self, kind: str) -> None:
+        self._counters.add("extra_load", service=self._policy.service.name, kind=kind)
--- /dev/null
+++ b/fulmarhold/gather/subrequest.py
@@ -0,0 +1,154 @@
+"""One attempt at one shard's part, from choice of replica to response."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from fulmarhold.gather.outcome import MissingReason
+from fulmarhold.upstreams.protocol import (
+    OUTCOME_CANCELLED,
+    OUTCOME_NOT_RUN,
+    OUTCOME_SNAPSHOT_GONE,
+    STATE_DRAINING,
+    STATUS_OK,
+    RequestTemplate,
+    UpstreamResponse,
+    encode_cancel,
+)
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.routing.replica import Replica
+
+
+class AttemptKind(Enum):
+    """Why an attempt was made."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
+class AttemptOwner(Protocol):
+    """What an attempt reports to."""
+
+    clock: Clock
+    template: RequestTemplate
+    deadline_at: Milliseconds
+
+    def part_arrived(self, attempt: Attempt, body: bytes) -> None: ...
+
+    def attempt_failed(
+        self, attempt: Attempt, reason: MissingReason, detail: str, *, may_have_run: bool
+    ) -> None: ...
+
+    def replica_left(self, replica: Replica) -> None: ...
+
+
+class Attempt:
+    """A request to one replica for one part."""
+
+    __slots__ = ("_is_over", "kind", "owner", "part", "replica", "sent_at", "shard")
+
+    def __init__(
+        self, owner: AttemptOwner, shard: int, replica: Replica, part: str, kind: AttemptKind
+    ) -> None:
+        self.owner = owner
+        self.shard = shard
+        self.replica = replica
+        self.part = part
+        self.kind = kind
+        self.sent_at: Milliseconds | None = None
+        self._is_over = False
+
+    @property
+    def is_over(self) -> bool:
+        return self._is_over
+
+    def may_send(self) -> bool:
+        """Whether it is still wanted, the replica's lease runs and there is time left."""
+        now = self.owner.clock.now()
+        return not self._is_over and now < self.owner.deadline_at and self.replica.is_live(now)
+
+    def encode(self) -> bytes:
+        """Return the request's bytes; called at the moment of sending."""
+        self.sent_at = self.owner.clock.now()
+        left = self.owner.deadline_at - self.sent_at
+        return self.owner.template.encode(self.replica.pool.address, self.part, left)
+
+    def cancel(self) -> None:
+        """Give the attempt up; a response that comes later is read and dropped."""
+        if self._is_over:
+            return
+        self._is_over = True
+        if self.sent_at is not None:
+            self.replica.note_slow(self.owner.clock.now() - self.sent_at)
+            self.replica.pool.send_aside(_Cancel(self.replica.pool.address, self.part))
+
+    def completed(self, response: UpstreamResponse) -> bool:
+        """Take the response; returns whether the connection may be used further."""
+        if response.state == STATE_DRAINING:
+            self.owner.replica_left(self.replica)
+        is_own = response.part == self.part
+        if not self._is_over:
+            self._is_over = True
+            self._report(response, is_own)
+        return is_own
+
+    def failed(self, reason: str, *, sent: bool) -> None:
+        """Take the loss of the request."""
+        if self._is_over:
+            return
+        self._is_over = True
+        if sent:
+            self._note_failure()
+        self.owner.attempt_failed(self, MissingReason.CONNECTION_LOST, reason, may_have_run=sent)
+
+    def _report(self, response: UpstreamResponse, is_own: bool) -> None:
+        owner = self.owner
+        if not is_own:
+            self._note_failure()
+            owner.attempt_failed(
+                self, MissingReason.WRONG_ECHO, f"echoed {response.part!r}", may_have_run=True
+            )
+        elif response.status == STATUS_OK and not response.outcome:
+            sent_at = self.sent_at if self.sent_at is not None else owner.clock.now()
+            self.replica.note_success(owner.clock.now() - sent_at)
+            owner.part_arrived(self, response.body)
+        elif response.outcome == OUTCOME_NOT_RUN:
+            owner.attempt_failed(self, MissingReason.SHED, "shed", may_have_run=False)
+        elif response.outcome == OUTCOME_SNAPSHOT_GONE:
+            owner.attempt_failed(self, MissingReason.SNAPSHOT_GONE, "gone", may_have_run=False)
+        else:
+            detail = f"status {response.status} {response.outcome}"
+            self._note_failure()
+            owner.attempt_failed(
+                self,
+                MissingReason.UPSTREAM_ERROR,
+                detail,
+                may_have_run=response.outcome != OUTCOME_CANCELLED,
+            )
+
+    def _note_failure(self) -> None:
+        self.replica.note_failure(self.owner.clock.now())
+
+
+class _Cancel:
+    """Tells an upstream that the response to a part is not wanted any more."""
+
+    def __init__(self, address: str, part: str) -> None:
+        self._address = address
+        self._part = part
+
+    def may_send(self) -> bool:
+        return True
+
+    def encode(self) -> bytes:
+        return encode_cancel(self._address, self._part)
+
+    def completed(self, response: UpstreamResponse) -> bool:
+        return response.status == STATUS_OK and response.part == self._part
+
+    def failed(self, reason: str, *, sent: bool) -> None:
+        pass
--- /dev/null
+++ b/fulmarhold/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets for extra load and admission of queries."""
--- /dev/null
+++ b/fulmarhold/limits/budget.py
@@ -0,0 +1,34 @@
+"""One budget per service for all extra load: hedges, retries and reruns."""
+
+from __future__ import annotations
+
+LEAST_CAPACITY = 10.0
+CAPACITY_IN_SCATTERS = 2.0
+
+
+class ExtraLoadBudget:
+    """First tries earn a share of a token each, and every extra request costs one.
+
+    >>> budget = ExtraLoadBudget(share=0.05, shards=10)
+    >>> budget.take(20), budget.take(1)
+    (True, False)
+    >>> budget.earn(20)
+    >>> budget.take(1)
+    True
+    """
+
+    def __init__(self, share: float, shards: int) -> None:
+        self._share = share
+        self._capacity = max(LEAST_CAPACITY, CAPACITY_IN_SCATTERS * shards)
+        self._tokens = self._capacity
+
+    def earn(self, first_tries: int) -> None:
+        """Note first tries that were sent."""
+        self._tokens = min(self._capacity, self._tokens + self._share * first_tries)
+
+    def take(self, requests: int) -> bool:
+        """Spend tokens for extra requests; returns whether there were enough."""
+        if self._tokens < requests:
+            return False
+        self._tokens -= requests
+        return True
--- /dev/null
+++ b/fulmarhold/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Upstream announcements, leases and what entries tell each other."""
--- /dev/null
+++ b/fulmarhold/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, logs and latency histograms."""
--- /dev/null
+++ b/fulmarhold/observe/latency.py
@@ -0,0 +1,51 @@
+"""Latency histograms; values go in and come out in milliseconds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Milliseconds
+
+LOWEST_MICROSECONDS = 10
+HIGHEST_MICROSECONDS = 120_000_000
+SIGNIFICANT_DIGITS = 2
+MICROSECONDS_PER_MILLISECOND = 1_000
+
+
+class LatencyHistogram:
+    """A histogram of latencies from 10 microseconds to 2 minutes.
+
+    >>> histogram = LatencyHistogram()
+    >>> for latency in (1.0, 2.0, 40.0):
+    ...     histogram.record(latency)
+    >>> round(histogram.quantile(0.5))
+    2
+    """
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(
+            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+        )
+
+    @property
+    def count(self) -> int:
+        return int(self._histogram.get_total_count())
+
+    def record(self, latency: Milliseconds) -> None:
+        """Record one latency; values past the range count at its end."""
+        microseconds = int(latency * MICROSECONDS_PER_MILLISECOND)
+        self._histogram.record_value(
+            min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
+        )
+
+    def quantile(self, quantile: float) -> Milliseconds:
+        """Return the latency at a quantile between 0 and 1, zero while empty."""
+        value = self._histogram.get_value_at_percentile(quantile * 100)
+        return float(value) / MICROSECONDS_PER_MILLISECOND
+
+    def reset(self) -> None:
+        """Forget every recorded value."""
+        self._histogram.reset()
--- /dev/null
+++ b/fulmarhold/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What the command line does, as plain functions."""
--- /dev/null
+++ b/fulmarhold/operators/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' work that changes state."""
--- /dev/null
+++ b/fulmarhold/operators/commands/configurations.py
@@ -0,0 +1,69 @@
+"""Submits configurations, and drains entry instances."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fulmarhold.configuration import configuration_to_document
+from fulmarhold.control.identifiers import new_identifier
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.operators.control import ControlRefused, send_command
+from fulmarhold.web.client import request_json
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from fulmarhold.configuration import Configuration
+
+SUPERSEDED = 409
+
+
+@dataclass(frozen=True)
+class Acceptance:
+    """The accepted revision, and the entries that do not run it yet."""
+
+    revision: int
+    is_in_force: bool
+    waiting_for: tuple[str, ...]
+
+
+class SupersededError(FulmarholdError):
+    """Another operator's configuration was accepted since the base revision was read."""
+
+
+def accept_configuration(
+    endpoints: Sequence[str],
+    configuration: Configuration,
+    base_revision: int,
+    operator: str,
+    command_id: str = "",
+) -> Acceptance:
+    """Submit a configuration; resending it with the same command id gives the same outcome.
+
+    Raises `SupersededError` that names the other operator, `ControlRefused`, `PeerUnavailable`.
+    """
+    body = {
+        "command_id": command_id or new_identifier(),
+        "operator": operator,
+        "base_revision": base_revision,
+        "configuration": configuration_to_document(configuration),
+    }
+    response = send_command(endpoints, "accept", body)
+    if response.status == SUPERSEDED:
+        raise SupersededError(
+            f"revision {response.body['revision']} of {response.body['operator']} was accepted "
+            f"in the meantime; this one was based on revision {base_revision}",
+            step="accept",
+        )
+    if response.status != 200:
+        raise ControlRefused(response, "accept", "control")
+    answer = response.body
+    return Acceptance(answer["revision"], answer["in_force"], tuple(answer["waiting_for"]))
+
+
+def drain_entry(endpoint: str) -> None:
+    """Let the entry at a caller endpoint leave gracefully."""
+    response = request_json(endpoint, "POST", "/drain")
+    if response.status != 200:
+        raise ControlRefused(response, "drain", endpoint)
--- /dev/null
+++ b/fulmarhold/operators/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' work that reads state."""
--- /dev/null
+++ b/fulmarhold/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' questionnaire and the configuration derived from it."""
--- /dev/null
+++ b/fulmarhold/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the replica that serves a sub-request."""
--- /dev/null
+++ b/fulmarhold/routing/choice.py
@@ -0,0 +1,53 @@
+"""Policies that choose the replica of a shard for a sub-request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+from fulmarhold.clock import Milliseconds
+from fulmarhold.registry import Registry
+from fulmarhold.routing.replica import Replica
+
+Chooser = Callable[[Sequence[Replica], Random, Milliseconds], Replica]
+
+choosers: Registry[Chooser] = Registry("replica choice")
+
+DEFAULT_CHOICE = "two_choices"
+
+
+@choosers.register("random")
+def choose_at_random(replicas: Sequence[Replica], random: Random, _: Milliseconds) -> Replica:
+    """Choose any replica; the baseline that the others are measured against."""
+    return replicas[int(random.random() * len(replicas))]
+
+
+@choosers.register("two_choices")
+def choose_better_of_two(replicas: Sequence[Replica], random: Random, now: Milliseconds) -> Replica:
+    """Draw two replicas and take the one with the lower expected latency."""
+    count = len(replicas)
+    if count == 1:
+        return replicas[0]
+    first = int(random.random() * count)
+    second = (first + 1 + int(random.random() * (count - 1))) % count
+    one, other = replicas[first], replicas[second]
+    return one if one.expected_latency(now) <= other.expected_latency(now) else other
+
+
+@choosers.register("least_expected")
+def choose_least_expected(replicas: Sequence[Replica], _: Random, now: Milliseconds) -> Replica:
+    """Take the replica with the lowest expected latency of all."""
+    return min(replicas, key=lambda replica: replica.expected_latency(now))
+
+
+def candidates(
+    replicas: Sequence[Replica], tried: Sequence[Replica], now: Milliseconds
+) -> list[Replica]:
+    """Return the replicas to choose from: live, not tried yet, and not ejected if possible.
+
+    When all that are left are ejected they are candidates all the same, so that a shard never
+    loses its last replica by our own judgement.
+    """
+    live = [item for item in replicas if item not in tried and item.is_live(now)]
+    healthy = [item for item in live if not item.is_ejected(now)]
+    return healthy or live
--- /dev/null
+++ b/fulmarhold/routing/estimates.py
@@ -0,0 +1,49 @@
+"""Small running estimates of latency, updated with each response."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Milliseconds
+
+AVERAGE_WEIGHT = 0.15
+QUANTILE_STEP_SHARE = 0.05
+LEAST_QUANTILE: Milliseconds = 0.5
+
+
+class LatencyAverage:
+    """An exponentially weighted average.
+
+    >>> average = LatencyAverage(10.0)
+    >>> average.update(20.0)
+    >>> average.value
+    11.5
+    """
+
+    __slots__ = ("value",)
+
+    def __init__(self, initial: Milliseconds) -> None:
+        self.value = initial
+
+    def update(self, latency: Milliseconds) -> None:
+        """Take in one latency."""
+        self.value += AVERAGE_WEIGHT * (latency - self.value)
+
+
+class QuantileEstimate:
+    """Follows one quantile by steps that balance where the quantile lies."""
+
+    __slots__ = ("_quantile", "value")
+
+    def __init__(self, quantile: float, initial: Milliseconds) -> None:
+        self._quantile = quantile
+        self.value = initial
+
+    def update(self, latency: Milliseconds) -> None:
+        """Take in one latency."""
+        step = QUANTILE_STEP_SHARE * self.value
+        if latency > self.value:
+            self.value += step * self._quantile
+        else:
+            self.value = max(LEAST_QUANTILE, self.value - step * (1 - self._quantile))
--- /dev/null
+++ b/fulmarhold/routing/replica.py
@@ -0,0 +1,88 @@
+"""One upstream as a target of sub-requests: its lease, connections, latency and health."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fulmarhold.routing.estimates import LatencyAverage
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Milliseconds
+    from fulmarhold.membership.directory import KnownUpstream
+    from fulmarhold.upstreams.pool import ConnectionPool
+
+INITIAL_LATENCY: Milliseconds = 5.0
+FAILURES_BEFORE_EJECTION = 3
+MOST_EJECTION_DOUBLINGS = 4
+SLOW_START_FLOOR = 0.1
+
+
+class Replica:
+    """What this entry itself saw of one incarnation of an upstream."""
+
+    def __init__(
+        self,
+        upstream: KnownUpstream,
+        pool: ConnectionPool,
+        ejection: Milliseconds,
+        slow_start: Milliseconds,
+        now: Milliseconds,
+    ) -> None:
+        self.upstream = upstream
+        self.pool = pool
+        self.latency = LatencyAverage(INITIAL_LATENCY)
+        self.ejected_until: Milliseconds = float("-inf")
+        self._ejection = ejection
+        self._slow_start = slow_start
+        self._started_at = now
+        self._failures = 0
+        self._ejections = 0
+
+    @property
+    def address(self) -> str:
+        return self.upstream.record.address
+
+    @property
+    def key(self) -> tuple[str, int]:
+        return self.upstream.record.address, self.upstream.record.incarnation
+
+    def is_live(self, now: Milliseconds) -> bool:
+        """Whether its lease still runs."""
+        return self.upstream.is_live(now)
+
+    def is_ejected(self, now: Milliseconds) -> bool:
+        """Whether it is passed over for now because it failed repeatedly."""
+        return now < self.ejected_until
+
+    def expected_latency(self, now: Milliseconds) -> Milliseconds:
+        """Return the latency a new request may expect, queueing included."""
+        slots = self.upstream.record.slots
+        return self.latency.value * (1 + self.pool.load / slots) / self._warmth(now)
+
+    def note_success(self, latency: Milliseconds) -> None:
+        """Take in a good response."""
+        self.latency.update(latency)
+        self._failures = 0
+        self._ejections = 0
+
+    def note_slow(self, elapsed: Milliseconds) -> None:
+        """Take in that a request was given up after `elapsed` ms without a response."""
+        if elapsed > self.latency.value:
+            self.latency.update(elapsed)
+
+    def note_failure(self, now: Milliseconds) -> bool:
+        """Take in a failure; returns whether the replica is ejected by it."""
+        self._failures += 1
+        if self._failures < FAILURES_BEFORE_EJECTION or self.is_ejected(now):
+            return False
+        doublings = min(self._ejections, MOST_EJECTION_DOUBLINGS)
+        self.ejected_until = now + self._ejection * 2**doublings
+        self._ejections += 1
+        # One more failure after the return is enough for the next ejection.
+        self._failures = FAILURES_BEFORE_EJECTION - 1
+        return True
+
+    def _warmth(self, now: Milliseconds) -> float:
+        if self._slow_start <= 0:
+            return 1.0
+        return min(1.0, max(SLOW_START_FLOOR, (now - self._started_at) / self._slow_start))
--- /dev/null
+++ b/fulmarhold/routing/table.py
@@ -0,0 +1,149 @@
+"""The replicas of every service by layout, version and shard, kept up with the directory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fulmarhold.clock import Milliseconds
+from fulmarhold.routing.replica import Replica
+from fulmarhold.upstreams.pool import ConnectionPool
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarhold.clock import Clock
+    from fulmarhold.configuration import Configuration, ServiceConfiguration
+    from fulmarhold.membership.directory import Directory, KnownUpstream
+    from fulmarhold.membership.running import RunningState
+    from fulmarhold.observe.counters import Counters
+
+LEAVING_EXCHANGE: Milliseconds = 60_000.0
+
+
+@dataclass(frozen=True)
+class SnapshotReplicas:
+    """The replicas that hold one version of one layout, by shard."""
+
+    layout: str
+    version: int
+    total: int
+    shards: dict[int, tuple[Replica, ...]]
+
+    def coverable(self, now: Milliseconds) -> int:
+        """Return how many shards have a live replica."""
+        return sum(
+            1
+            for replicas in self.shards.values()
+            if any(replica.is_live(now) for replica in replicas)
+        )
+
+
+class RoutingTable:
+    """Rebuilt when the directory or the configuration changed; replicas outlive a rebuild."""
+
+    def __init__(
+        self, directory: Directory, running: RunningState, clock: Clock, counters: Counters
+    ) -> None:
+        self._directory = directory
+        self._running = running
+        self._clock = clock
+        self._counters = counters
+        self._replicas: dict[tuple[str, int], Replica] = {}
+        self._leaving: list[ConnectionPool] = []
+        self._snapshots: dict[str, tuple[SnapshotReplicas, ...]] = {}
+        self._built_from: object = None
+
+    @property
+    def replicas(self) -> Iterable[Replica]:
+        return self._replicas.values()
+
+    def snapshots(self, service: str) -> tuple[SnapshotReplicas, ...]:
+        """Return what is held of a service, the newest version first."""
+        self._refresh()
+        return self._snapshots.get(service, ())
+
+    def maintain(self) -> None:
+        """Keep connections warm and close overdue ones; called regularly."""
+        self._refresh()
+        configuration = self._running.configuration
+        if configuration is None:
+            return
+        for replica in self._replicas.values():
+            service = configuration.services.get(replica.upstream.record.service)
+            longest = service.longest_deadline_ms if service else 0.0
+            replica.pool.maintain(longest)
+        self._leaving = [pool for pool in self._leaving if pool.connections]
+        for pool in self._leaving:
+            pool.maintain(LEAVING_EXCHANGE)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for pool in [*(replica.pool for replica in self._replicas.values()), *self._leaving]:
+            pool.close()
+
+    def _refresh(self) -> None:
+        configuration = self._running.configuration
+        state = (self._directory.generation, self._running.version)
+        if state == self._built_from or configuration is None:
+            return
+        self._built_from = state
+        known = [
+            upstream
+            for upstream in self._directory.known()
+            if upstream.record.service in configuration.services
+        ]
+        self._update_replicas(known, configuration)
+        self._snapshots = _group_snapshots(self._replicas.values())
+
+    def _update_replicas(self, known: list[KnownUpstream], configuration: Configuration) -> None:
+        before, self._replicas = self._replicas, {}
+        for upstream in known:
+            service = configuration.services[upstream.record.service]
+            key = (upstream.record.address, upstream.record.incarnation)
+            replica = before.pop(key, None)
+            if replica is None:
+                replica = self._make_replica(upstream, service, configuration.entries)
+            replica.upstream = upstream
+            self._replicas[key] = replica
+        for replica in before.values():
+            replica.pool.close_when_idle()
+            self._leaving.append(replica.pool)
+
+    def _make_replica(
+        self, upstream: KnownUpstream, service: ServiceConfiguration, entries: int
+    ) -> Replica:
+        limit = min(
+            service.connections_per_entry, max(1, upstream.record.connection_limit // entries)
+        )
+        pool = ConnectionPool(
+            upstream.record.address, limit, service.warm_connections, self._clock, self._counters
+        )
+        return Replica(
+            upstream, pool, service.ejection_ms, service.slow_start_ms, self._clock.now()
+        )
+
+
+def _group_snapshots(replicas: Iterable[Replica]) -> dict[str, tuple[SnapshotReplicas, ...]]:
+    grouped: dict[tuple[str, str, int], dict[int, list[Replica]]] = {}
+    totals: dict[tuple[str, str], int] = {}
+    for replica in replicas:
+        record = replica.upstream.record
+        totals[(record.service, record.layout)] = record.layout_shards
+        for version in record.versions:
+            shards = grouped.setdefault((record.service, record.layout, version), {})
+            shards.setdefault(record.shard, []).append(replica)
+    snapshots: dict[str, list[SnapshotReplicas]] = {}
+    for (service, layout, version), shards in grouped.items():
+        snapshots.setdefault(service, []).append(
+            SnapshotReplicas(
+                layout,
+                version,
+                totals[(service, layout)],
+                {shard: tuple(held) for shard, held in shards.items()},
+            )
+        )
+    return {
+        service: tuple(sorted(held, key=lambda item: (-item.version, item.layout)))
+        for service, held in snapshots.items()
+    }
--- /dev/null
+++ b/fulmarhold/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Loading and checking of YAML files."""
--- /dev/null
+++ b/fulmarhold/settings/loading.py
@@ -0,0 +1,121 @@
+"""Loads YAML files into frozen dataclasses and reports every problem of a file at once."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+from functools import cache
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import yaml
+from pydantic import TypeAdapter, ValidationError
+
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.registry import nearest_hint
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+Schema = TypeVar("Schema")
+
+LARGEST_FILE_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """One thing that is wrong: the option's path and a sentence about it."""
+
+    path: str
+    sentence: str
+
+    def __str__(self) -> str:
+        return f"{self.path or 'file'}: {self.sentence}"
+
+
+class InvalidSettings(FulmarholdError):
+    """A file or document has problems; all of them are listed."""
+
+    def __init__(self, source: str, problems: Sequence[Problem]) -> None:
+        lines = "\n".join(f"  {problem}" for problem in problems)
+        noun = "problem" if len(problems) == 1 else "problems"
+        super().__init__(f"{source} has {len(problems)} {noun}:\n{lines}", step="checking settings")
+        self.problems = tuple(problems)
+
+
+def load_file(path: Path, schema: type[Schema]) -> Schema:
+    """Read the YAML file at `path` as `schema`.
+
+    Raises `InvalidSettings` when the file can't be read, is no YAML or breaks the schema.
+    """
+    return load_document(read_yaml(path), schema, str(path))
+
+
+def read_yaml(path: Path) -> Any:
+    """Read a YAML file as plain values; raises `InvalidSettings` when that fails."""
+    try:
+        if path.stat().st_size > LARGEST_FILE_BYTES:
+            raise _single(path, f"is larger than {LARGEST_FILE_BYTES} bytes")
+        return yaml.safe_load(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise _single(path, f"can't be read: {error}") from error
+    except yaml.YAMLError as error:
+        raise _single(path, f"is not valid YAML: {' '.join(str(error).split())}") from error
+
+
+def load_document(document: Any, schema: type[Schema], source: str) -> Schema:
+    """Check plain values against `schema`; `source` names them in an error.
+
+    Raises `InvalidSettings` that lists every problem with the path of its option.
+    """
+    if not isinstance(document, dict):
+        raise InvalidSettings(source, [Problem("", "must be a mapping of options to values")])
+    try:
+        return adapter(schema).validate_python(document)
+    except ValidationError as error:
+        problems = [_problem(schema, dict(detail)) for detail in error.errors()]
+        raise InvalidSettings(source, problems) from error
+
+
+@cache
+def adapter(schema: Any) -> TypeAdapter[Any]:
+    """Return the validator of a dataclass, built once."""
+    return TypeAdapter(schema)
+
+
+def _single(path: Path, sentence: str) -> InvalidSettings:
+    return InvalidSettings(str(path), [Problem("", sentence)])
+
+
+def _problem(schema: type, detail: dict[str, Any]) -> Problem:
+    location = tuple(detail["loc"])
+    path = ".".join(str(part) for part in location)
+    if detail["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
+        known = _known_options(schema, location[:-1])
+        return Problem(path, f"is not an option{nearest_hint(str(location[-1]), known)}")
+    if detail["type"] in ("missing", "missing_argument"):
+        return Problem(path, "is required")
+    if detail["type"] == "value_error":
+        return Problem(path, str(detail["ctx"]["error"]))
+    message = detail["msg"][0].lower() + detail["msg"][1:]
+    return Problem(path, f"{message}, got {detail['input']!r:.60}")
+
+
+def _known_options(schema: Any, location: tuple[Any, ...]) -> list[str]:
+    for part in location:
+        schema = _step_into(schema, part)
+    if not dataclasses.is_dataclass(schema):
+        return []
+    return [field.name for field in dataclasses.fields(schema)]
+
+
+def _step_into(schema: Any, part: Any) -> Any:
+    if dataclasses.is_dataclass(schema):
+        hints = typing.get_type_hints(schema)
+        return _unwrap(hints.get(str(part)))
+    return schema
+
+
+def _unwrap(hint: Any) -> Any:
+    arguments = [item for item in typing.get_args(hint) if dataclasses.is_dataclass(item)]
+    return arguments[0] if arguments else hint
--- /dev/null
+++ b/fulmarhold/settings/processes.py
@@ -0,0 +1,88 @@
+"""Settings files of the daemons: where each listens, who it talks to, where its data lies."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from ipaddress import ip_address
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, ConfigDict, Field
+
+STRICT = ConfigDict(extra="forbid")
+
+Port = Annotated[int, Field(ge=1, le=65_535)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+def _check_address(value: str) -> str:
+    try:
+        return str(ip_address(value))
+    except ValueError:
+        raise ValueError(f"must be an IP number, got {value!r}") from None
+
+
+def _check_endpoint(value: str) -> str:
+    address, _, port = value.rpartition(":")
+    _check_address(address)
+    if not port.isdigit() or not 1 <= int(port) <= 65_535:
+        raise ValueError(f"must be IP:port with a port from 1 to 65535, got {value!r}")
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Endpoint = Annotated[str, AfterValidator(_check_endpoint)]
+
+
+@dataclass(frozen=True)
+class LogSettings:
+    """What the daemon logs."""
+
+    __pydantic_config__ = STRICT
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+@dataclass(frozen=True)
+class EntrySettings:
+    """Settings of `fulmarhold-entry`."""
+
+    __pydantic_config__ = STRICT
+
+    name: Name
+    data_centre: Name
+    address: Address
+    caller_port: Port
+    peer_port: Port
+    control: Annotated[tuple[Endpoint, ...], Field(min_length=1, max_length=7)]
+    log: LogSettings = field(default_factory=LogSettings)
+
+    @property
+    def caller_endpoint(self) -> str:
+        return f"{self.address}:{self.caller_port}"
+
+    @property
+    def peer_endpoint(self) -> str:
+        return f"{self.address}:{self.peer_port}"
+
+
+@dataclass(frozen=True)
+class ControlSettings:
+    """Settings of `fulmarhold-control`."""
+
+    __pydantic_config__ = STRICT
+
+    name: Name
+    data_centre: Name
+    address: Address
+    operator_port: Port
+    peer_port: Port
+    data_folder: Annotated[str, Field(min_length=1)]
+    log: LogSettings = field(default_factory=LogSettings)
+
+    @property
+    def operator_endpoint(self) -> str:
+        return f"{self.address}:{self.operator_port}"
+
+    @property
+    def peer_endpoint(self) -> str:
+        return f"{self.address}:{self.peer_port}"
--- /dev/null
+++ b/fulmarhold/standin/announcer.py
@@ -0,0 +1,104 @@
+"""Announces stand-in upstreams to two entry instances each, found as callers find them."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, replace
+from typing import TYPE_CHECKING
+
+import gevent
+import xxhash
+from gevent.event import Event
+
+from fulmarhold.clock import SECOND, Clock, Milliseconds
+from fulmarhold.errors import PeerUnavailable
+from fulmarhold.observe.logs import part_log
+from fulmarhold.web.client import request_json
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from fulmarhold.standin.upstream import StandinUpstream
+
+log = part_log("standin")
+
+ANNOUNCEMENT_PERIOD: Milliseconds = 400.0
+ENTRIES_TOLD = 2
+REQUEST_TIMEOUT: Milliseconds = 400.0
+
+
+class EntryFinder:
+    """Asks any known entry for the instances to use, and keeps the answer as long as told."""
+
+    def __init__(self, seeds: Sequence[str], data_centre: str, clock: Clock) -> None:
+        self._seeds = tuple(seeds)
+        self._data_centre = data_centre
+        self._clock = clock
+        self._addresses: tuple[str, ...] = ()
+        self._keep_until: Milliseconds = float("-inf")
+
+    def find(self) -> tuple[str, ...]:
+        """Return the addresses in order of preference, empty when no entry answers."""
+        if self._clock.now() < self._keep_until and self._addresses:
+            return self._addresses
+        for endpoint in dict.fromkeys((*self._addresses, *self._seeds)):
+            asked_at = self._clock.now()
+            try:
+                path = f"/instances?data_centre={self._data_centre}"
+                answer = request_json(endpoint, "GET", path, timeout=REQUEST_TIMEOUT)
+            except PeerUnavailable:
+                continue
+            if answer.status == 200 and answer.body["addresses"]:
+                self._addresses = tuple(answer.body["addresses"])
+                self._keep_until = asked_at + answer.body["keep_ms"]
+                return self._addresses
+        self._addresses = ()
+        return self._addresses
+
+
+class Announcer:
+    """Keeps one upstream announced."""
+
+    def __init__(self, upstream: StandinUpstream, finder: EntryFinder) -> None:
+        self._upstream = upstream
+        self._finder = finder
+        self._tokens: dict[str, str] = {}
+        self._now = Event()
+
+    def run(self) -> None:
+        """Announce until killed."""
+        while True:
+            self._now.clear()
+            if self._upstream.behaviour.announces:
+                tellings = [gevent.spawn(self._tell, endpoint) for endpoint in self._homes()]
+                gevent.joinall(tellings)
+            self._now.wait(ANNOUNCEMENT_PERIOD / SECOND)
+
+    def announce_now(self) -> None:
+        """Announce a change without waiting for the period."""
+        self._now.set()
+
+    def _homes(self) -> list[str]:
+        """Return the entries to tell: the same ones as long as they serve."""
+        address = self._upstream.record.address
+        ranked = sorted(
+            self._finder.find(),
+            key=lambda entry: xxhash.xxh64_intdigest(f"{address} {entry}".encode()),
+        )
+        return ranked[:ENTRIES_TOLD]
+
+    def _tell(self, endpoint: str) -> None:
+        for _ in range(2):
+            record = replace(self._upstream.record, load=self._upstream.load)
+            body = {"upstream": asdict(record), "token": self._tokens.get(endpoint, "")}
+            try:
+                answer = request_json(
+                    endpoint, "POST", "/announce", body=body, timeout=REQUEST_TIMEOUT
+                )
+            except PeerUnavailable:
+                return
+            if answer.status != 200:
+                log.warning("{} refused an announcement: {}", endpoint, answer.body)
+                return
+            self._tokens[endpoint] = answer.body["token"]
+            if answer.body["is_held"]:
+                return
--- /dev/null
+++ b/fulmarhold/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the package."""
--- /dev/null
+++ b/fulmarhold/tests/consensus/test_core.py
@@ -0,0 +1,199 @@
+"""The decision core under random schedules of loss, duplication, reordering, crash and restart."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from fulmarhold.consensus.core import Core, HardState, NotLeader, Output
+from fulmarhold.consensus.memory import MemoryLog, pack_members
+from fulmarhold.consensus.messages import (
+    KIND_COMMAND,
+    KIND_MEMBERS,
+    LogEntry,
+    Members,
+    PeerMessage,
+    Snapshot,
+)
+from fulmarhold.consensus.storage import EMPTY_SNAPSHOT
+
+CLUSTER = "c"
+STEP = 50.0
+SCHEDULES = 300
+
+
+class Disk:
+    """What a member has synced."""
+
+    def __init__(self, members: Members) -> None:
+        self.hard_state = HardState(1)
+        self.snapshot = EMPTY_SNAPSHOT
+        self.entries = [LogEntry(1, 1, KIND_MEMBERS, pack_members(members))]
+
+    def write(self, output: Output) -> None:
+        if output.hard_state is not None:
+            self.hard_state = output.hard_state
+        if output.installed is not None:
+            self.snapshot, self.entries = output.installed, []
+        if output.truncate_from is not None:
+            self.entries = [item for item in self.entries if item.index < output.truncate_from]
+        self.entries.extend(output.entries)
+
+    def load(self) -> MemoryLog:
+        return MemoryLog(self.snapshot, self.entries)
+
+
+class Cluster:
+    """Members joined by a network that the schedule rules over; checks the invariants."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.random = Random(seed)
+        self.now = 0.0
+        self.names = [f"m{number}" for number in range(size)]
+        members = Members({name: name for name in self.names}, {})
+        self.disks = {name: Disk(members) for name in self.names}
+        self.cores: dict[str, Core] = {}
+        self.wire: list = []
+        self.cut: set[str] = set()
+        self.committed: dict[int, LogEntry] = {}
+        self.leaders: dict[int, str] = {}
+        self.delivered: dict[str, int] = {}
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        disk = self.disks[name]
+        self.cores[name] = Core(
+            name, CLUSTER, disk.load(), disk.hard_state, Random(self.random.random()), self.now
+        )
+        self.delivered[name] = disk.snapshot.index
+
+    def crash(self, name: str) -> None:
+        self.cores.pop(name, None)
+
+    def pump(self, name: str) -> None:
+        core = self.cores[name]
+        output = core.take_output()
+        self.disks[name].write(output)
+        self.wire.extend(output.messages)
+        if output.installed is not None:
+            self.delivered[name] = output.installed.index
+        for entry in output.committed:
+            assert entry.index == self.delivered[name] + 1, "entries are applied in order"
+            self.delivered[name] = entry.index
+            known = self.committed.setdefault(entry.index, entry)
+            assert known == entry, "no committed entry is lost or replaced"
+        if core.is_leader:
+            assert self.leaders.setdefault(core.term, name) == name, "one leader per term"
+
+    def step(self) -> None:
+        self.now += STEP
+        for name in list(self.cores):
+            self.cores[name].tick(self.now)
+            self.pump(name)
+        wire, self.wire = self.wire, []
+        self.random.shuffle(wire)
+        for message in wire:
+            self.deliver(message)
+        self.check_leases()
+
+    def deliver(self, message: PeerMessage) -> None:
+        if message.recipient not in self.cores or {message.sender, message.recipient} & self.cut:
+            return
+        chance = self.random.random()
+        if chance < 0.1:
+            return
+        if chance < 0.2:
+            self.wire.append(message)
+        if chance > 0.9:
+            self.wire.append(message)
+            return
+        self.cores[message.recipient].receive(message, self.now)
+        self.pump(message.recipient)
+
+    def check_leases(self) -> None:
+        holders = [name for name, core in self.cores.items() if core.may_read(self.now)]
+        assert len(holders) <= 1, "two members hold a leader's lease"
+        for name in holders:
+            newest = max(self.committed, default=0)
+            assert self.cores[name].commit_index >= newest, "a leased read would be stale"
+
+    def propose(self, name: str, data: bytes) -> None:
+        core = self.cores.get(name)
+        if core is None:
+            return
+        try:
+            core.propose(KIND_COMMAND, data, self.now)
+        except NotLeader:
+            return
+        self.pump(name)
+
+    def compact(self, name: str) -> None:
+        core = self.cores.get(name)
+        if core is None or core.commit_index <= core.log.snapshot.index:
+            return
+        index = core.commit_index
+        term = core.log.term_at(index)
+        assert term is not None
+        snapshot = Snapshot(index, term, core.log.members_at(index), b"s")
+        core.compact(snapshot, index)
+        disk = self.disks[name]
+        disk.snapshot = snapshot
+        disk.entries = [entry for entry in disk.entries if entry.index > index]
+
+    def heal(self) -> None:
+        self.cut.clear()
+        for name in self.names:
+            if name not in self.cores:
+                self.start(name)
+
+
+events = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["step", "step", "step", "propose", "crash", "start", "cut", "join", "compact"]
+        ),
+        st.integers(0, 4),
+        st.integers(1, 25),
+    ),
+    max_size=60,
+)
+
+
+@settings(
+    max_examples=SCHEDULES,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(size=st.sampled_from([3, 5]), seed=st.integers(0, 2**32), schedule=events)
+def test_invariants_hold_under_random_schedules(size, seed, schedule):
+    cluster = Cluster(size, seed)
+    for number, (event, member, count) in enumerate(schedule):
+        name = cluster.names[member % size]
+        match event:
+            case "step":
+                for _ in range(count):
+                    cluster.step()
+            case "propose":
+                for candidate in cluster.names:
+                    cluster.propose(candidate, b"%d" % number)
+            case "crash":
+                cluster.crash(name)
+            case "start":
+                if name not in cluster.cores:
+                    cluster.start(name)
+            case "cut":
+                cluster.cut.add(name)
+            case "join":
+                cluster.cut.discard(name)
+            case "compact":
+                cluster.compact(name)
+    cluster.heal()
+    for _ in range(400):
+        cluster.step()
+        if any(core.has_settled for core in cluster.cores.values()):
+            break
+    assert any(core.has_settled for core in cluster.cores.values()), "a healed cluster elects"
--- /dev/null
+++ b/fulmarhold/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to upstreams and the requests sent over them."""
--- /dev/null
+++ b/fulmarhold/upstreams/channel.py
@@ -0,0 +1,168 @@
+"""One kept connection to an upstream, driven by the event loop without a greenlet of its own."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from enum import Enum
+from typing import TYPE_CHECKING, Any, Protocol
+
+import gevent
+from geventhttpclient.response import HTTPParseError
+
+from fulmarhold.upstreams.protocol import ResponseReader, UpstreamResponse
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Milliseconds
+
+READABLE = 1
+WRITABLE = 2
+READ_BYTES = 65_536
+
+
+class Exchange(Protocol):
+    """One request with its response, from the point of view of the connection."""
+
+    def encode(self) -> bytes:
+        """Return the bytes of the request, at the moment of sending."""
+
+    def completed(self, response: UpstreamResponse) -> bool:
+        """Take the whole response; returns whether the connection may be trusted further."""
+
+    def failed(self, reason: str, *, sent: bool) -> None:
+        """Take the loss of the request; `sent` tells whether any byte may have left."""
+
+
+class ChannelOwner(Protocol):
+    """What a channel reports to."""
+
+    def channel_opened(self, channel: Channel) -> None: ...
+
+    def channel_free(self, channel: Channel) -> None: ...
+
+    def channel_closed(self, channel: Channel, reason: str) -> None: ...
+
+
+class ChannelState(Enum):
+    """Where a channel is in its life."""
+
+    CONNECTING = "connecting"
+    FREE = "free"
+    BUSY = "busy"
+    CLOSED = "closed"
+
+
+class Channel:
+    """A connection that carries one exchange at a time."""
+
+    __slots__ = ("_exchange", "_fd", "_owner", "_pending", "_reader", "_socket", "_watchers",
+                 "busy_since", "state")  # fmt: skip
+
+    def __init__(self, address: str, owner: ChannelOwner) -> None:
+        host, _, port = address.rpartition(":")
+        self._owner = owner
+        self._exchange: Exchange | None = None
+        self._pending = b""
+        self._reader = ResponseReader()
+        self.state = ChannelState.CONNECTING
+        self.busy_since: Milliseconds = 0.0
+        self._socket = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        loop = gevent.get_hub().loop
+        self._fd = self._socket.fileno()
+        self._watchers: dict[int, Any] = {
+            READABLE: loop.io(self._fd, READABLE),
+            WRITABLE: loop.io(self._fd, WRITABLE),
+        }
+        code = self._socket.connect_ex((host, int(port)))
+        if code in (0, errno.EINPROGRESS):
+            self._watchers[WRITABLE].start(self._on_connected)
+        else:
+            loop.run_callback(self.close, errno.errorcode.get(code, "connect failed"))
+
+    def send(self, exchange: Exchange, now: Milliseconds) -> None:
+        """Send the request of an exchange; the channel must be free."""
+        self._exchange = exchange
+        self.state = ChannelState.BUSY
+        self.busy_since = now
+        data = exchange.encode()
+        try:
+            sent = self._socket.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close("connection lost")
+            return
+        if sent < len(data):
+            self._pending = data[sent:]
+            self._watchers[WRITABLE].start(self._on_writable)
+
+    def close(self, reason: str) -> None:
+        """Close the connection; an open exchange fails as sent."""
+        if self.state is ChannelState.CLOSED:
+            return
+        self.state = ChannelState.CLOSED
+        for watcher in self._watchers.values():
+            watcher.stop()
+            watcher.close()
+        self._socket.close()
+        exchange, self._exchange = self._exchange, None
+        self._owner.channel_closed(self, reason)
+        if exchange is not None:
+            exchange.failed(reason, sent=True)
+
+    def _on_connected(self) -> None:
+        self._watchers[WRITABLE].stop()
+        code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.close(errno.errorcode.get(code, "connect failed"))
+            return
+        self._watchers[READABLE].start(self._on_readable)
+        self.state = ChannelState.FREE
+        self._owner.channel_opened(self)
+
+    def _on_writable(self) -> None:
+        try:
+            sent = self._socket.send(self._pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close("connection lost")
+            return
+        self._pending = self._pending[sent:]
+        if not self._pending:
+            self._watchers[WRITABLE].stop()
+
+    def _on_readable(self) -> None:
+        try:
+            data = self._socket.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close("connection lost")
+            return
+        if not data or self._exchange is None:
+            # An idle connection that becomes readable was closed or holds what nobody asked for.
+            self.close("closed by upstream" if not data else "unexpected data")
+            return
+        try:
+            self._reader.feed(data)
+        except HTTPParseError:
+            self.close("malformed response")
+            return
+        if self._reader.is_complete:
+            self._finish(self._exchange)
+        elif self._reader.is_too_large:
+            self.close("response too large")
+
+    def _finish(self, exchange: Exchange) -> None:
+        response = self._reader.take()
+        self._exchange = None
+        is_trusted = exchange.completed(response)
+        # A response before the whole request was written leaves the stream undefined.
+        if is_trusted and response.keep_open and not self._pending:
+            self.state = ChannelState.FREE
+            self._owner.channel_free(self)
+        else:
+            self.close("not kept open")
--- /dev/null
+++ b/fulmarhold/upstreams/pool.py
@@ -0,0 +1,146 @@
+"""The connections of this entry to one upstream: its share, some of them warm, and a queue."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Protocol
+
+from fulmarhold.upstreams.channel import Channel, ChannelState, Exchange
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.observe.counters import Counters
+
+LONGEST_CONNECT: Milliseconds = 1_000.0
+RECONNECT_PAUSE: Milliseconds = 200.0
+LONGEST_QUEUE = 256
+
+
+class Request(Exchange, Protocol):
+    """An exchange that may have become pointless while it waited for a connection."""
+
+    def may_send(self) -> bool:
+        """Whether it may still be sent; if not, it is told that it failed unsent."""
+
+
+class ConnectionPool:
+    """At most `limit` connections to `address`; requests beyond that wait in order."""
+
+    def __init__(
+        self, address: str, limit: int, warm: int, clock: Clock, counters: Counters
+    ) -> None:
+        self.address = address
+        self.limit = limit
+        self._warm = min(warm, limit)
+        self._clock = clock
+        self._counters = counters
+        self._free: list[Channel] = []
+        self._channels: dict[Channel, Milliseconds] = {}
+        self._waiting: deque[Request] = deque()
+        self._closed = False
+        self._connect_after: Milliseconds = float("-inf")
+
+    @property
+    def load(self) -> int:
+        """Requests sent and not answered, or waiting."""
+        busy = sum(1 for channel in self._channels if channel.state is ChannelState.BUSY)
+        return busy + len(self._waiting)
+
+    @property
+    def connections(self) -> int:
+        return len(self._channels)
+
+    def submit(self, request: Request) -> None:
+        """Send a request, at once or when a connection is free; never blocks."""
+        now = self._clock.now()
+        if self._closed:
+            request.failed("pool closed", sent=False)
+        elif self._free:
+            self._free.pop().send(request, now)
+        elif len(self._waiting) >= LONGEST_QUEUE:
+            request.failed("queue full", sent=False)
+        elif now < self._connect_after and not self._channels:
+            request.failed("connect refused", sent=False)
+        else:
+            self._waiting.append(request)
+            connecting = sum(
+                1 for channel in self._channels if channel.state is ChannelState.CONNECTING
+            )
+            if connecting < len(self._waiting) and len(self._channels) < self.limit:
+                self._open(now)
+
+    def send_aside(self, request: Request) -> bool:
+        """Send a request of lesser weight if a connection is free; returns whether it was."""
+        if not self._free:
+            return False
+        self._free.pop().send(request, self._clock.now())
+        return True
+
+    def maintain(self, longest_exchange: Milliseconds) -> None:
+        """Close what takes too long and keep the warm connections open; called regularly."""
+        now = self._clock.now()
+        for channel, opened_at in list(self._channels.items()):
+            if channel.state is ChannelState.CONNECTING and now > opened_at + LONGEST_CONNECT:
+                channel.close("connect timed out")
+            elif channel.state is ChannelState.BUSY and now > channel.busy_since + longest_exchange:
+                self._counters.add("connections_closed", reason="late_response")
+                channel.close("response overdue")
+        if len(self._channels) < self._warm and now >= self._connect_after and not self._closed:
+            self._open(now)
+
+    def close(self) -> None:
+        """Close every connection; open requests fail."""
+        self._closed = True
+        for channel in list(self._channels):
+            channel.close("pool closed")
+        self._fail_waiting("pool closed")
+
+    def close_when_idle(self) -> None:
+        """Close the free connections now and the others once their response has come."""
+        self._closed = True
+        for channel in list(self._free):
+            channel.close("upstream left")
+        self._fail_waiting("upstream left")
+
+    # Called by channels
+
+    def channel_opened(self, channel: Channel) -> None:
+        """Take a connection that was just established."""
+        self._counters.add("connections_opened")
+        self.channel_free(channel)
+
+    def channel_free(self, channel: Channel) -> None:
+        """Use a free connection for the next waiting request, or keep it."""
+        if channel.state is not ChannelState.FREE:
+            return
+        if self._closed:
+            channel.close("upstream left")
+            return
+        while self._waiting:
+            request = self._waiting.popleft()
+            if request.may_send():
+                channel.send(request, self._clock.now())
+                return
+            request.failed("not sent in time", sent=False)
+        self._free.append(channel)
+
+    def channel_closed(self, channel: Channel, reason: str) -> None:
+        """Forget a closed connection and replace it if requests wait."""
+        opened_at = self._channels.pop(channel, None)
+        if channel in self._free:
+            self._free.remove(channel)
+        if opened_at is not None and reason.startswith(("E", "connect")):
+            self._counters.add("connections_closed", reason="connect_failed")
+            self._connect_after = self._clock.now() + RECONNECT_PAUSE
+            if not self._channels:
+                self._fail_waiting("connect refused")
+        elif self._waiting and not self._closed and len(self._channels) < self.limit:
+            self._open(self._clock.now())
+
+    def _open(self, now: Milliseconds) -> None:
+        self._channels[Channel(self.address, self)] = now
+
+    def _fail_waiting(self, reason: str) -> None:
+        waiting, self._waiting = self._waiting, deque()
+        for request in waiting:
+            request.failed(reason, sent=False)
--- /dev/null
+++ b/fulmarhold/upstreams/protocol.py
@@ -0,0 +1,149 @@
+"""The HTTP interface of upstreams: header names, encoding of requests, reading of responses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from geventhttpclient.response import HTTPResponseParser
+
+# Header names are compared in lower case.
+PART_HEADER = "fulmarhold-part"
+OUTCOME_HEADER = "fulmarhold-outcome"
+STATE_HEADER = "fulmarhold-state"
+DEADLINE_HEADER = "Fulmarhold-Deadline-Ms"
+KEY_HEADER = "Idempotency-Key"
+
+OUTCOME_NOT_RUN = "not_run"
+OUTCOME_SNAPSHOT_GONE = "snapshot_gone"
+OUTCOME_CANCELLED = "cancelled"
+STATE_DRAINING = "draining"
+
+STATUS_OK = 200
+LARGEST_RESPONSE_BYTES = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True)
+class Part:
+    """Names one shard's part of one request; the upstream echoes it in its response."""
+
+    request_id: str
+    shard: int
+    version: int
+    layout: str
+
+    def __str__(self) -> str:
+        return f"{self.request_id};{self.shard};{self.version};{self.layout}"
+
+
+@dataclass(frozen=True)
+class UpstreamResponse:
+    """A whole response; empty strings stand for headers that were not sent."""
+
+    status: int
+    part: str
+    outcome: str
+    state: str
+    body: bytes
+    keep_open: bool
+
+
+class RequestTemplate:
+    """What is the same in every sub-request of a scatter, encoded once."""
+
+    def __init__(self, service: str, request_type: str, body: bytes, key: str = "") -> None:
+        key_line = f"{KEY_HEADER}: {key}\r\n" if key else ""
+        self._head = f"POST /run/{service}/{request_type} HTTP/1.1\r\nHost: ".encode()
+        self._tail = f"\r\nContent-Length: {len(body)}\r\n{key_line}\r\n".encode() + body
+
+    def encode(self, address: str, part: str, deadline_left: float) -> bytes:
+        """Return the bytes of the request for one upstream; `deadline_left` in milliseconds."""
+        middle = f"{address}\r\n{PART_HEADER}: {part}\r\n{DEADLINE_HEADER}: {deadline_left:.1f}"
+        return self._head + middle.encode() + self._tail
+
+
+def encode_cancel(address: str, part: str) -> bytes:
+    """Return the bytes of a request that cancels another one."""
+    return (
+        f"POST /cancel HTTP/1.1\r\nHost: {address}\r\n{PART_HEADER}: {part}\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
+class ResponseReader(HTTPResponseParser):
+    """Reads the responses of one connection, one at a time, with the library's parser."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._headers: dict[str, str] = {}
+        self._field = ""
+        self._value = ""
+        self._in_value = False
+        self._body: list[bytes] = []
+        self._size = 0
+        self._complete = False
+        # More than one response came for one request: the connection can't be trusted.
+        self._overrun = False
+
+    @property
+    def is_complete(self) -> bool:
+        return self._complete
+
+    @property
+    def is_too_large(self) -> bool:
+        return self._size > LARGEST_RESPONSE_BYTES
+
+    def take(self) -> UpstreamResponse:
+        """Return the complete response and make ready for the next one."""
+        headers = self._headers
+        response = UpstreamResponse(
+            self.get_code(),
+            headers.get(PART_HEADER, ""),
+            headers.get(OUTCOME_HEADER, ""),
+            headers.get(STATE_HEADER, ""),
+            b"".join(self._body),
+            self.should_keep_alive() and not self._overrun,
+        )
+        self._complete = False
+        return response
+
+    # The hooks that the library's parser calls.
+
+    def _on_message_begin(self) -> None:
+        if self._complete:
+            self._overrun = True
+            return
+        self._headers = {}
+        self._field = self._value = ""
+        self._in_value = False
+        self._body = []
+        self._size = 0
+
+    def _on_status(self, _: str) -> None:
+        pass
+
+    def _on_header_field(self, text: str) -> None:
+        if self._in_value:
+            self._flush_header()
+        self._field += text
+
+    def _on_header_value(self, text: str) -> None:
+        self._in_value = True
+        self._value += text
+
+    def _on_headers_complete(self) -> bool:
+        self._flush_header()
+        return False
+
+    def _on_body(self, data: bytes) -> None:
+        if not self._overrun:
+            self._body.append(bytes(data))
+            self._size += len(data)
+
+    def _on_message_complete(self) -> None:
+        self._complete = True
+
+    def _flush_header(self) -> None:
+        if self._field and not self._overrun:
+            self._headers[self._field.lower()] = self._value
+        self._field = self._value = ""
+        self._in_value = False
--- /dev/null
+++ b/fulmarhold/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, upstreams and operators."""
--- /dev/null
+++ b/fulmarhold/web/serving.py
@@ -0,0 +1,117 @@
+"""What the HTTP interfaces of the daemons share: server, errors, bodies, health and metrics."""
+
+from __future__ import annotations
+
+import json
+import socket
+from typing import TYPE_CHECKING, Any
+
+import falcon
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+from fulmarhold.errors import FulmarholdError, MalformedInput
+from fulmarhold.observe.logs import part_log
+from fulmarhold.wire.server import listen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.observe.counters import Counters
+
+log = part_log("web")
+
+LARGEST_BODY_BYTES = 64 * 1024
+CONNECTIONS_AT_ONCE = 2_048
+
+
+class BodyTooLarge(MalformedInput):
+    """The body of a request is above the bound of its interface."""
+
+
+class MetricsResource:
+    """GET /metrics: the counters as Prometheus text."""
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+
+    def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
+        response.content_type = "text/plain; version=0.0.4"
+        response.data = self._counters.expose()
+
+
+class HealthResource:
+    """GET /health: 200 while the daemon can do its job, 503 with the reason otherwise."""
+
+    def __init__(self, check: Callable[[], str]) -> None:
+        self._check = check
+
+    def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
+        problem = self._check()
+        response.status = falcon.HTTP_503 if problem else falcon.HTTP_200
+        response.media = {"healthy": not problem, "reason": problem}
+
+
+def make_application(counters: Counters, health: Callable[[], str]) -> falcon.App:
+    """Return an application that answers errors as JSON and serves health and metrics."""
+    application = falcon.App()
+    application.add_error_handler(FulmarholdError, _answer_error)
+    application.add_route("/metrics", MetricsResource(counters))
+    application.add_route("/health", HealthResource(health))
+    return application
+
+
+def start_server(application: falcon.App, address: str, port: int) -> WSGIServer:
+    """Serve an application; raises `FulmarholdError` when the port can't be had."""
+    server = _Server(
+        listen(address, port),
+        application,
+        log=None,
+        error_log=_ErrorLog(),
+        spawn=Pool(CONNECTIONS_AT_ONCE),
+    )
+    server.start()
+    return server
+
+
+def read_body(request: falcon.Request, largest: int = LARGEST_BODY_BYTES) -> bytes:
+    """Return the body of a request; raises `BodyTooLarge` above `largest` bytes."""
+    if (request.content_length or 0) > largest:
+        raise BodyTooLarge(f"the body is larger than {largest} bytes", step="reading the body")
+    body: bytes = request.bounded_stream.read(largest + 1)
+    if len(body) > largest:
+        raise BodyTooLarge(f"the body is larger than {largest} bytes", step="reading the body")
+    return body
+
+
+def read_json(request: falcon.Request, largest: int = LARGEST_BODY_BYTES) -> dict[str, Any]:
+    """Return the body as a JSON object; raises `MalformedInput` when it is none."""
+    try:
+        value = json.loads(read_body(request, largest))
+    except (ValueError, RecursionError) as error:
+        raise MalformedInput(f"the body is not JSON: {error}", step="reading the body") from error
+    if not isinstance(value, dict):
+        raise MalformedInput("the body must be a JSON object", step="reading the body")
+    return value
+
+
+def _answer_error(
+    _: falcon.Request, response: falcon.Response, error: FulmarholdError, __: Any
+) -> None:
+    response.status = falcon.HTTP_400 if isinstance(error, MalformedInput) else falcon.HTTP_500
+    if isinstance(error, BodyTooLarge):
+        response.status = falcon.HTTP_413
+    response.media = {"error": error.message, "step": error.step, "peer": error.peer}
+
+
+class _Server(WSGIServer):
+    def handle(self, connection: Any, address: Any) -> None:
+        # Head and body are written apart; without this the second waits for an acknowledgement.
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(connection, address)
+
+
+class _ErrorLog:
+    def write(self, text: str) -> None:
+        if text.strip():
+            log.warning("{}", text.strip())
--- /dev/null
+++ b/fulmarhold/wire/client.py
@@ -0,0 +1,127 @@
+"""Calls typed requests of another process over one kept msgpack stream."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import gevent.socket
+from gevent.event import AsyncResult
+from gevent.lock import RLock
+
+from fulmarhold.clock import SECOND
+from fulmarhold.errors import FulmarholdError, MalformedInput, PeerUnavailable
+from fulmarhold.wire.frames import ONE_WAY, FrameDecoder, encode_frame
+from fulmarhold.wire.messages import Failure
+from fulmarhold.wire.server import READ_BYTES
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Milliseconds
+
+CONNECT_TIMEOUT: Milliseconds = 1_000.0
+
+
+class CallFailed(FulmarholdError):
+    """The peer replied that it could not serve the request."""
+
+    def __init__(self, failure: Failure, *, step: str, peer: str) -> None:
+        super().__init__(f"{failure.reason} {failure.detail}".strip(), step=step, peer=peer)
+        self.reason = failure.reason
+
+
+class Link:
+    """A connection to one endpoint that is opened at need and again after a loss."""
+
+    def __init__(self, endpoint: str) -> None:
+        self.endpoint = endpoint
+        self._socket: Any = None
+        self._reader: gevent.Greenlet | None = None
+        self._waiting: dict[int, AsyncResult] = {}
+        self._ids = itertools.count(ONE_WAY + 1)
+        self._write_lock = RLock()
+
+    def call(self, request: Any, timeout: Milliseconds) -> Any:
+        """Send a request and return its reply.
+
+        Raises `PeerUnavailable` without a reply in `timeout` milliseconds, and `CallFailed` when
+        the peer replied with a failure.
+        """
+        step = type(request).__name__
+        request_id = next(self._ids)
+        result: AsyncResult = AsyncResult()
+        self._waiting[request_id] = result
+        try:
+            with gevent.Timeout(timeout / SECOND, PeerUnavailable("no reply in time", step=step)):
+                self._write(encode_frame(request_id, request), step)
+                reply = result.get()
+        except PeerUnavailable as error:
+            error.peer = self.endpoint
+            raise
+        finally:
+            self._waiting.pop(request_id, None)
+        if isinstance(reply, Failure):
+            raise CallFailed(reply, step=step, peer=self.endpoint)
+        return reply
+
+    def send(self, value: Any) -> None:
+        """Send a message that has no reply; raises `PeerUnavailable` when it can't be sent."""
+        self._write(encode_frame(ONE_WAY, value), type(value).__name__)
+
+    def close(self) -> None:
+        """Close the connection; calls that wait fail."""
+        if self._reader is not None:
+            self._reader.kill(block=False)
+        self._drop(self._socket, "closed")
+
+    def _write(self, frame: bytes, step: str) -> None:
+        with self._write_lock:
+            connection = self._connect(step)
+            try:
+                connection.sendall(frame)
+            except OSError as error:
+                self._drop(connection, str(error))
+                raise PeerUnavailable(str(error), step=step, peer=self.endpoint) from error
+            except BaseException:
+                # A frame cut short by a timeout would garble the stream.
+                self._drop(connection, "write was interrupted")
+                raise
+
+    def _connect(self, step: str) -> Any:
+        if self._socket is not None:
+            return self._socket
+        address, _, port = self.endpoint.rpartition(":")
+        try:
+            connection = gevent.socket.create_connection(
+                (address, int(port)), timeout=CONNECT_TIMEOUT / SECOND
+            )
+            connection.settimeout(None)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as error:
+            raise PeerUnavailable(str(error), step=step, peer=self.endpoint) from error
+        self._socket = connection
+        self._reader = gevent.spawn(self._read, connection)
+        return connection
+
+    def _read(self, connection: Any) -> None:
+        decoder = FrameDecoder()
+        reason = "connection closed"
+        try:
+            while data := connection.recv(READ_BYTES):
+                for request_id, value in decoder.feed(data):
+                    waiting = self._waiting.pop(request_id, None)
+                    if waiting is not None:
+                        waiting.set(value)
+        except (OSError, MalformedInput) as error:
+            reason = str(error)
+        self._drop(connection, reason)
+
+    def _drop(self, connection: Any, reason: str) -> None:
+        if connection is None or connection is not self._socket:
+            return
+        self._socket = None
+        connection.close()
+        waiting, self._waiting = self._waiting, {}
+        for result in waiting.values():
+            result.set_exception(PeerUnavailable(reason, step="reading", peer=self.endpoint))
--- /dev/null
+++ b/fulmarhold/wire/frames.py
@@ -0,0 +1,58 @@
+"""Frames of the msgpack streams: `[request id, tag, fields]`, bounded in size."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+
+from fulmarhold.errors import MalformedInput
+from fulmarhold.wire.messages import from_values, to_values
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+LARGEST_FRAME_BYTES = 64 * 1024 * 1024
+ONE_WAY = 0
+
+
+def encode_frame(request_id: int, value: Any) -> bytes:
+    """Return the bytes of one frame."""
+    packed: bytes = msgpack.packb([request_id, *to_values(value)])
+    return packed
+
+
+class FrameDecoder:
+    """Decodes the frames of one connection.
+
+    >>> decoder = FrameDecoder()
+    >>> from fulmarhold.wire.messages import Done
+    >>> list(decoder.feed(encode_frame(7, Done())))
+    [(7, Done())]
+    """
+
+    def __init__(self, largest_frame: int = LARGEST_FRAME_BYTES) -> None:
+        self._unpacker = msgpack.Unpacker(max_buffer_size=largest_frame)
+
+    def feed(self, data: bytes) -> Iterator[tuple[int, Any]]:
+        """Yield request id and message of each complete frame.
+
+        Raises `MalformedInput` for a frame that is too large or is no message of ours.
+        """
+        try:
+            self._unpacker.feed(data)
+            for frame in self._unpacker:
+                yield _checked(frame)
+        except msgpack.BufferFull:
+            raise MalformedInput("frame is larger than allowed", step="decoding") from None
+        except (msgpack.UnpackException, ValueError, RecursionError) as error:
+            raise MalformedInput(f"not a msgpack frame: {error}", step="decoding") from error
+
+
+def _checked(frame: Any) -> tuple[int, Any]:
+    if not (isinstance(frame, list) and len(frame) == 3):
+        raise MalformedInput("a frame must hold a request id, a tag and fields", step="decoding")
+    request_id = frame[0]
+    if type(request_id) is not int or request_id < 0:
+        raise MalformedInput("the request id must be a whole number", step="decoding")
+    return request_id, from_values(frame[1:])
