--- a/fulmarhold/operators/commands/configurations.py
+++ b/fulmarhold/operators/commands/configurations.py
@@ -8,12 +8,13 @@
 from fulmarhold.configuration import configuration_to_document
 from fulmarhold.control.identifiers import new_identifier
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.operators.control import ControlRefused, send_command
+from fulmarhold.operators.control import PATIENCE, ControlRefused, send_command
 from fulmarhold.web.client import request_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from fulmarhold.clock import Milliseconds
     from fulmarhold.configuration import Configuration
 
 SUPERSEDED = 409
@@ -38,6 +39,7 @@
     base_revision: int,
     operator: str,
     command_id: str = "",
+    patience: Milliseconds = PATIENCE,
 ) -> Acceptance:
     """Submit a configuration; resending it with the same command id gives the same outcome.
 
@@ -49,7 +51,7 @@
         "base_revision": base_revision,
         "configuration": configuration_to_document(configuration),
     }
-    response = send_command(endpoints, "accept", body)
+    response = send_command(endpoints, "accept", body, patience)
     if response.status == SUPERSEDED:
         raise SupersededError(
             f"revision {response.body['revision']} of {response.body['operator']} was accepted "
--- a/fulmarhold/settings/loading.py
+++ b/fulmarhold/settings/loading.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import typing
-from functools import cache
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -19,6 +18,8 @@
 
 Schema = TypeVar("Schema")
 
+_adapters: dict[Any, TypeAdapter[Any]] = {}
+
 LARGEST_FILE_BYTES = 4 * 1024 * 1024
 
 
@@ -77,10 +78,11 @@
         raise InvalidSettings(source, problems) from error
 
 
-@cache
 def adapter(schema: Any) -> TypeAdapter[Any]:
     """Return the validator of a dataclass, built once."""
-    return TypeAdapter(schema)
+    if schema not in _adapters:
+        _adapters[schema] = TypeAdapter(schema)
+    return _adapters[schema]
 
 
 def _single(path: Path, sentence: str) -> InvalidSettings:
--- /dev/null
+++ b/fulmarhold/tests/consensus/test_core_cases.py
@@ -0,0 +1,188 @@
+"""Directed cases of the decision core: each fails once the rule it is about is taken out."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from fulmarhold.consensus.core import (
+    HEARTBEAT_PERIOD,
+    LEADER_LEASE,
+    SHORTEST_ELECTION_TIMEOUT,
+    Core,
+    HardState,
+    MembershipRefused,
+    NotLeader,
+)
+from fulmarhold.consensus.memory import MemoryLog, pack_members
+from fulmarhold.consensus.messages import (
+    KIND_COMMAND,
+    KIND_MEMBERS,
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    Members,
+    TakeOver,
+    VoteReply,
+    VoteRequest,
+)
+from fulmarhold.consensus.storage import EMPTY_SNAPSHOT
+
+NAMES = ("a", "b", "c")
+MEMBERS = Members({name: name for name in NAMES}, {})
+FIRST = LogEntry(1, 1, KIND_MEMBERS, pack_members(MEMBERS))
+
+
+def make(name="a", entries=(FIRST,), hard_state=HardState(1), now=0.0):
+    return Core(name, "c", MemoryLog(EMPTY_SNAPSHOT, entries), hard_state, Random(1), now)
+
+
+def vote_request(term=2, *, trial=False, transfer=False, last=(1, 1), sender="b"):
+    last_term, last_index = last
+    return VoteRequest("c", sender, "a", term, last_index, last_term, trial, transfer)
+
+
+def replies(core, kind):
+    return [item for item in core.take_output().messages if isinstance(item, kind)]
+
+
+def elect(core, now=5_000.0):
+    """Let `a` win an election with the vote of `b`."""
+    core.tick(now)
+    term = core.term + 1
+    core.receive(VoteReply("c", "b", "a", term, True, True), now)
+    core.receive(VoteReply("c", "b", "a", term, False, True), now)
+    assert core.is_leader
+    core.take_output()
+
+
+def acknowledge(core, index, sent_at, sender="b"):
+    core.receive(AppendReply("c", sender, "a", core.term, True, index, sent_at), sent_at)
+
+
+@pytest.mark.parametrize(
+    ("after", "granted"),
+    [(SHORTEST_ELECTION_TIMEOUT - 1, False), (SHORTEST_ELECTION_TIMEOUT + 1, True)],
+)
+def test_a_restarted_member_keeps_the_patience_it_may_have_promised(after, granted):
+    core = make(now=100.0)
+    core.receive(vote_request(), 100.0 + after)
+    assert [reply.granted for reply in replies(core, VoteReply)] == [granted]
+
+
+@pytest.mark.parametrize("trial", [True, False])
+def test_a_member_that_hears_a_leader_votes_for_nobody_else(trial):
+    core = make()
+    core.receive(AppendRequest("c", "c", "a", 1, 1, 1, (), 1, 5_000.0), 5_000.0)
+    core.take_output()
+    core.receive(vote_request(trial=trial), 5_000.0 + SHORTEST_ELECTION_TIMEOUT - 1)
+    assert [reply.granted for reply in replies(core, VoteReply)] == [False]
+    assert core.term == 1, "a member that was cut off does not raise the term of the others"
+
+
+def test_a_handover_is_not_held_up_by_patience():
+    core = make()
+    core.receive(AppendRequest("c", "c", "a", 1, 1, 1, (), 1, 5_000.0), 5_000.0)
+    core.receive(vote_request(transfer=True), 5_001.0)
+    assert replies(core, VoteReply)[-1].granted
+
+
+@pytest.mark.parametrize(
+    ("last", "granted"), [((1, 1), False), ((1, 2), True), ((2, 1), True), ((0, 9), False)]
+)
+def test_a_vote_goes_only_to_a_log_at_least_as_far(last, granted):
+    core = make(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"x")))
+    core.receive(vote_request(last=last), 5_000.0)
+    assert replies(core, VoteReply)[-1].granted is granted
+
+
+def test_a_vote_is_written_before_it_is_sent_and_given_once_a_term():
+    core = make()
+    core.receive(vote_request(sender="b"), 5_000.0)
+    output = core.take_output()
+    assert output.hard_state == HardState(2, "b")
+    core.receive(vote_request(sender="c"), 5_000.0)
+    assert not replies(core, VoteReply)[-1].granted
+
+
+def test_an_entry_of_an_older_term_commits_only_with_one_of_the_present_term():
+    older = LogEntry(2, 1, KIND_COMMAND, b"x")
+    core = make(entries=(FIRST, older))
+    elect(core)
+    acknowledge(core, 2, 5_000.0)
+    assert core.commit_index == 0
+    acknowledge(core, 3, 5_000.0)
+    assert core.commit_index == 3
+
+
+def test_the_lease_runs_from_the_sending_of_what_a_majority_acknowledged():
+    core = make()
+    elect(core)
+    acknowledge(core, 2, sent_at=5_000.0)
+    assert core.may_read(5_000.0 + LEADER_LEASE - 1)
+    assert not core.may_read(5_000.0 + LEADER_LEASE)
+    assert LEADER_LEASE < SHORTEST_ELECTION_TIMEOUT
+
+
+def test_a_leader_that_is_cut_off_steps_down():
+    core = make()
+    elect(core)
+    core.tick(5_000.0 + SHORTEST_ELECTION_TIMEOUT + HEARTBEAT_PERIOD)
+    assert not core.is_leader
+    with pytest.raises(NotLeader):
+        core.propose(KIND_COMMAND, b"x", 7_000.0)
+
+
+def test_a_leader_that_hands_over_gives_up_its_lease_first():
+    core = make()
+    elect(core)
+    acknowledge(core, 2, 5_000.0)
+    assert core.hand_over(5_001.0)
+    assert not core.may_read(5_001.0)
+    assert replies(core, TakeOver)
+
+
+def test_entries_that_conflict_are_removed_and_replaced():
+    core = make(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"old")))
+    new = LogEntry(2, 2, KIND_COMMAND, b"new")
+    core.receive(AppendRequest("c", "b", "a", 2, 1, 1, (new,), 0, 0.0), 0.0)
+    output = core.take_output()
+    assert (output.truncate_from, output.entries) == (2, [new])
+
+
+def test_entries_that_do_not_follow_the_log_are_refused():
+    core = make(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"old")))
+    new = LogEntry(3, 2, KIND_COMMAND, b"new")
+    core.receive(AppendRequest("c", "b", "a", 2, 2, 2, (new,), 0, 0.0), 0.0)
+    assert [reply.success for reply in replies(core, AppendReply)] == [False]
+    assert core.log.last_index == 2
+
+
+@pytest.mark.parametrize(
+    ("cluster", "recipient"), [("other", "a"), ("c", "an identity that this disk had before")]
+)
+def test_messages_for_another_cluster_or_identity_change_nothing(cluster, recipient):
+    core = make()
+    core.receive(VoteRequest(cluster, "b", recipient, 9, 9, 9, False, False), 5_000.0)
+    output = core.take_output()
+    assert not output.messages
+    assert not output.writes
+
+
+def test_members_change_one_voter_at_a_time_and_only_after_catching_up():
+    core = make()
+    elect(core)
+    with pytest.raises(MembershipRefused, match="not committed yet"):
+        core.propose_members(MEMBERS, 5_000.0)
+    acknowledge(core, 2, 5_000.0)
+    with pytest.raises(MembershipRefused, match="one voter"):
+        core.propose_members(Members({"a": "a"}, {}), 5_000.0)
+    core.propose_members(Members(MEMBERS.voters, {"d": "d"}), 5_000.0)
+    acknowledge(core, 3, 5_000.0)
+    with pytest.raises(MembershipRefused, match="caught up"):
+        core.propose_members(Members({**MEMBERS.voters, "d": "d"}, {}), 5_000.0)
+    acknowledge(core, 3, 5_000.0, sender="d")
+    core.propose_members(Members({**MEMBERS.voters, "d": "d"}, {}), 5_000.0)
+    with pytest.raises(MembershipRefused, match="not committed yet"):
+        core.propose_members(MEMBERS, 5_000.0)
--- /dev/null
+++ b/fulmarhold/tests/control/test_machine.py
@@ -0,0 +1,170 @@
+"""The replicated state: outcomes of commands, claims, retention, snapshots."""
+
+from __future__ import annotations
+
+import uuid
+
+import pytest
+
+from fulmarhold.clock import HOUR, MINUTE, SECOND
+from fulmarhold.control.machine import (
+    CLAIM_RETENTION,
+    COMMAND_RETENTION,
+    LARGEST_CLOCK_SKEW,
+    ControlMachine,
+    encode_command,
+)
+from fulmarhold.control.messages import (
+    AcceptConfiguration,
+    Accepted,
+    AdmitEntry,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimKey,
+    ClaimRefused,
+    CommandRefused,
+    RemoveEntry,
+    RosterEntry,
+    SettleKey,
+    Superseded,
+)
+
+START = 1_800_000_000_000.0
+
+
+def identifier(made_at=START, number=1):
+    """Return the UUID version 7 of a moment."""
+    return str(uuid.UUID(int=(int(made_at) << 80) | (7 << 76) | (2 << 62) | number))
+
+
+def accept(command_id, base, operator="anna", document=None, at=START):
+    return AcceptConfiguration(command_id, operator, base, document or {"a": 1}, at)
+
+
+def claim(key, attempt, entry="e1", digest="d", at=START):
+    return ClaimKey(key, digest, attempt, entry, at)
+
+
+@pytest.fixture
+def apply():
+    """Return a function that applies a command, with a save and restore after each."""
+    machine = ControlMachine()
+
+    def run(command):
+        outcome = machine.apply(encode_command(command))
+        saved = machine.save()
+        machine.restore(saved)
+        assert machine.save() == saved
+        return outcome
+
+    run.machine = machine
+    return run
+
+
+def test_of_two_operators_at_equal_revision_one_wins_and_the_other_is_told_by_whom(apply):
+    assert apply(accept(identifier(number=1), 0, "anna")) == Accepted(1, 1)
+    assert apply(accept(identifier(number=2), 0, "bert")) == Superseded(1, "anna", START)
+
+
+def test_a_resent_command_gets_the_first_outcome(apply):
+    first, second = identifier(number=1), identifier(number=2)
+    assert apply(accept(first, 0)) == Accepted(1, 1)
+    assert apply(accept(second, 1)) == Accepted(2, 2)
+    assert apply(accept(first, 0)) == Accepted(1, 1)
+    assert apply.machine.state.revision == 2
+
+
+def test_a_command_id_serves_one_command_only(apply):
+    apply(accept(identifier(), 0))
+    outcome = apply(accept(identifier(), 0, document={"b": 2}))
+    assert outcome == CommandRefused("the command id was used for another command")
+
+
+@pytest.mark.parametrize(
+    ("made_at", "reason"),
+    [
+        (START - COMMAND_RETENTION - SECOND, "the command id is too old"),
+        (START + LARGEST_CLOCK_SKEW + SECOND, "the command id is invalid"),
+    ],
+)
+def test_a_command_id_outside_of_the_retention_is_refused(apply, made_at, reason):
+    assert apply(accept(identifier(made_at), 0)) == CommandRefused(reason)
+
+
+def test_after_the_retention_a_resent_command_is_refused_not_run_again(apply):
+    apply(accept(identifier(), 0))
+    later = START + COMMAND_RETENTION + HOUR
+    apply(AdmitEntry(RosterEntry("e1", "a", "x", "y"), later))
+    assert not apply.machine.state.commands
+    outcome = apply(accept(identifier(), 0, at=START))
+    assert outcome == CommandRefused("the command id is too old")
+
+
+def test_time_in_the_log_never_falls(apply):
+    apply(accept(identifier(), 0, at=START + HOUR))
+    apply(accept(identifier(number=2), 1, at=START))
+    assert apply.machine.state.time == START + HOUR
+
+
+def test_a_key_is_granted_to_one_attempt(apply):
+    key = identifier()
+    assert apply(claim(key, "first")) == ClaimGranted()
+    assert apply(claim(key, "first")) == ClaimGranted()
+    assert apply(claim(key, "second", "e2")) == ClaimHeld("e1", False, b"")
+
+
+def test_a_settled_key_gives_its_answer(apply):
+    key = identifier()
+    apply(claim(key, "first"))
+    apply(SettleKey(key, "first", True, b"answer", START))
+    assert apply(claim(key, "second", "e2")) == ClaimHeld("e1", True, b"answer")
+    assert apply(claim(key, "first")) == ClaimHeld("e1", True, b"answer")
+
+
+def test_a_released_key_may_be_claimed_again_but_not_by_a_delayed_claim(apply):
+    key = identifier()
+    apply(claim(key, "first"))
+    apply(SettleKey(key, "first", False, b"", START))
+    assert apply(claim(key, "first")) == ClaimRefused("attempt_over")
+    assert apply(claim(key, "second", "e2")) == ClaimGranted()
+    apply(SettleKey(key, "first", False, b"", START))
+    assert apply(claim(key, "third", "e3")) == ClaimHeld("e2", False, b"")
+
+
+@pytest.mark.parametrize(
+    ("key", "reason"),
+    [
+        ("plain text", "key_invalid"),
+        (str(uuid.UUID(int=4 << 76 | 2 << 62)), "key_invalid"),
+        (identifier(START - CLAIM_RETENTION - SECOND), "key_expired"),
+        (identifier(START + LARGEST_CLOCK_SKEW + SECOND), "key_invalid"),
+    ],
+)
+def test_a_key_that_can_not_be_remembered_is_refused(apply, key, reason):
+    assert apply(claim(key, "first")) == ClaimRefused(reason)
+
+
+def test_a_key_for_another_request_is_refused(apply):
+    apply(claim(identifier(), "first"))
+    assert apply(claim(identifier(), "second", digest="other")) == ClaimRefused("key_reused")
+
+
+def test_a_forgotten_key_is_refused_not_granted_again(apply):
+    key = identifier()
+    apply(claim(key, "first"))
+    late = START + CLAIM_RETENTION + 2 * MINUTE
+    apply(claim(identifier(late, 2), "other", at=late))
+    assert key not in apply.machine.state.claims
+    assert apply(claim(key, "second", at=late)) == ClaimRefused("key_expired")
+
+
+def test_roster_changes_count_only_when_something_changes(apply):
+    entry = RosterEntry("e1", "a", "127.0.0.1:1", "127.0.0.1:2")
+    for expected, command in [
+        (1, AdmitEntry(entry, START)),
+        (1, AdmitEntry(entry, START)),
+        (2, RemoveEntry("e1", START)),
+        (2, RemoveEntry("e1", START)),
+    ]:
+        apply(command)
+        assert apply.machine.state.version == expected
--- a/fulmarhold/wire/messages.py
+++ b/fulmarhold/wire/messages.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
-from functools import cache
 from typing import Any, TypeVar, dataclass_transform
 
-from pydantic import TypeAdapter, ValidationError
+from pydantic import ValidationError
 
 from fulmarhold.errors import MalformedInput
 from fulmarhold.registry import Registry
+from fulmarhold.settings.loading import adapter
 
 Message = TypeVar("Message")
 
@@ -25,7 +25,7 @@
 
 def to_values(value: Any) -> list[Any]:
     """Return the tag and the fields of a message as values for a codec."""
-    return [type(value).__name__, _adapter(type(value)).dump_python(value)]
+    return [type(value).__name__, adapter(type(value)).dump_python(value)]
 
 
 def from_values(values: Any) -> Any:
@@ -36,18 +36,13 @@
     if tag not in message_types:
         raise MalformedInput(f"unknown message {tag!r:.40}", step="decoding")
     try:
-        return _adapter(message_types.find(tag)).validate_python(fields)
+        return adapter(message_types.find(tag)).validate_python(fields)
     except ValidationError as error:
         detail = error.errors()[0]
         path = ".".join(str(part) for part in detail["loc"])
         raise MalformedInput(f"{tag}.{path}: {detail['msg']}", step="decoding") from error
 
 
-@cache
-def _adapter(cls: Any) -> TypeAdapter[Any]:
-    return TypeAdapter(cls)
-
-
 @message
 class Failure:
     """The reply to a request that the peer could not serve."""
