--- a/fulmarhold/standin/announcer.py
+++ b/fulmarhold/standin/announcer.py
@@ -68,7 +68,7 @@
         """Announce until killed."""
         while True:
             self._now.clear()
-            if self._upstream.behaviour.announces:
+            if self._upstream.is_running and self._upstream.behaviour.announces:
                 tellings = [gevent.spawn(self._tell, endpoint) for endpoint in self._homes()]
                 gevent.joinall(tellings)
             self._now.wait(ANNOUNCEMENT_PERIOD / SECOND)
--- a/fulmarhold/standin/upstream.py
+++ b/fulmarhold/standin/upstream.py
@@ -68,6 +68,10 @@
         busy = self.record.slots - self._slots.counter
         return (busy + self._waiting) / self.record.slots
 
+    @property
+    def is_running(self) -> bool:
+        return self._server is not None
+
     def start(self) -> None:
         """Begin to listen."""
         address, _, port = self.record.address.rpartition(":")
@@ -81,6 +85,7 @@
         """Stop without notice, as a lost server does."""
         if self._server is not None:
             self._server.stop(timeout=0)
+            self._server = None
 
     def restart(self) -> None:
         """Come up again, cold, as a new incarnation."""
@@ -222,4 +227,5 @@
     def stop(self, timeout: float | None = None) -> None:
         super().stop(timeout=timeout)
         for connection in list(self._sockets):
-            connection.close()
+            # A handler holds files on the socket, so that closing alone would not end it.
+            connection.shutdown(socket.SHUT_RDWR)
--- a/fulmarhold/tests/consensus/test_core_cases.py
+++ b/fulmarhold/tests/consensus/test_core_cases.py
@@ -34,8 +34,8 @@
 FIRST = LogEntry(1, 1, KIND_MEMBERS, pack_members(MEMBERS))
 
 
-def make(name="a", entries=(FIRST,), hard_state=HardState(1), now=0.0):
-    return Core(name, "c", MemoryLog(EMPTY_SNAPSHOT, entries), hard_state, Random(1), now)
+def make(name="a", entries=(FIRST,), now=0.0):
+    return Core(name, "c", MemoryLog(EMPTY_SNAPSHOT, entries), HardState(1), Random(1), now)
 
 
 def vote_request(term=2, *, trial=False, transfer=False, last=(1, 1), sender="b"):
--- a/fulmarhold/tests/consensus/test_storage.py
+++ b/fulmarhold/tests/consensus/test_storage.py
@@ -144,7 +144,7 @@
 def test_without_any_snapshot_the_error_names_the_one_that_is_missing(tmp_path):
     for path in make_snapshots(tmp_path):
         path.unlink()
-    with pytest.raises(CorruptFile, match="snapshot-0000000000000002.bin"):
+    with pytest.raises(CorruptFile, match=r"snapshot-0000000000000002\.bin"):
         load(tmp_path)
 
 
--- a/fulmarhold/tests/control/test_machine.py
+++ b/fulmarhold/tests/control/test_machine.py
@@ -46,9 +46,14 @@
 
 
 @pytest.fixture
-def apply():
+def machine():
+    """Return an empty state machine."""
+    return ControlMachine()
+
+
+@pytest.fixture
+def apply(machine):
     """Return a function that applies a command, with a save and restore after each."""
-    machine = ControlMachine()
 
     def run(command):
         outcome = machine.apply(encode_command(command))
@@ -57,7 +62,6 @@
         assert machine.save() == saved
         return outcome
 
-    run.machine = machine
     return run
 
 
@@ -66,12 +70,12 @@
     assert apply(accept(identifier(number=2), 0, "bert")) == Superseded(1, "anna", START)
 
 
-def test_a_resent_command_gets_the_first_outcome(apply):
+def test_a_resent_command_gets_the_first_outcome(apply, machine):
     first, second = identifier(number=1), identifier(number=2)
     assert apply(accept(first, 0)) == Accepted(1, 1)
     assert apply(accept(second, 1)) == Accepted(2, 2)
     assert apply(accept(first, 0)) == Accepted(1, 1)
-    assert apply.machine.state.revision == 2
+    assert machine.state.revision == 2
 
 
 def test_a_command_id_serves_one_command_only(apply):
@@ -91,19 +95,19 @@
     assert apply(accept(identifier(made_at), 0)) == CommandRefused(reason)
 
 
-def test_after_the_retention_a_resent_command_is_refused_not_run_again(apply):
+def test_after_the_retention_a_resent_command_is_refused_not_run_again(apply, machine):
     apply(accept(identifier(), 0))
     later = START + COMMAND_RETENTION + HOUR
     apply(AdmitEntry(RosterEntry("e1", "a", "x", "y"), later))
-    assert not apply.machine.state.commands
+    assert not machine.state.commands
     outcome = apply(accept(identifier(), 0, at=START))
     assert outcome == CommandRefused("the command id is too old")
 
 
-def test_time_in_the_log_never_falls(apply):
+def test_time_in_the_log_never_falls(apply, machine):
     apply(accept(identifier(), 0, at=START + HOUR))
     apply(accept(identifier(number=2), 1, at=START))
-    assert apply.machine.state.time == START + HOUR
+    assert machine.state.time == START + HOUR
 
 
 def test_a_key_is_granted_to_one_attempt(apply):
@@ -149,16 +153,16 @@
     assert apply(claim(identifier(), "second", digest="other")) == ClaimRefused("key_reused")
 
 
-def test_a_forgotten_key_is_refused_not_granted_again(apply):
+def test_a_forgotten_key_is_refused_not_granted_again(apply, machine):
     key = identifier()
     apply(claim(key, "first"))
     late = START + CLAIM_RETENTION + 2 * MINUTE
     apply(claim(identifier(late, 2), "other", at=late))
-    assert key not in apply.machine.state.claims
+    assert key not in machine.state.claims
     assert apply(claim(key, "second", at=late)) == ClaimRefused("key_expired")
 
 
-def test_roster_changes_count_only_when_something_changes(apply):
+def test_roster_changes_count_only_when_something_changes(apply, machine):
     entry = RosterEntry("e1", "a", "127.0.0.1:1", "127.0.0.1:2")
     for expected, command in [
         (1, AdmitEntry(entry, START)),
@@ -167,4 +171,4 @@
         (2, RemoveEntry("e1", START)),
     ]:
         apply(command)
-        assert apply.machine.state.version == expected
+        assert machine.state.version == expected
