Add contract tests for each interface, the bench, and the documentation

Cause: interfaces had no tables of cases, policies no measurement, users no pages. Ruled out: a period above 700 ms, since one lost announcement would then end a lease.

--- /dev/null
+++ b/fulmarhold/bench/load.py
@@ -0,0 +1,97 @@
+"""Open load: requests arrive when they are due, whether or not earlier ones have been answered."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING
+
+import gevent
+
+from fulmarhold.clock import SECOND, Clock, Milliseconds
+from fulmarhold.demo.caller import Caller
+from fulmarhold.demo.judge import broken_promises
+from fulmarhold.errors import PeerUnavailable
+from fulmarhold.observe.latency import LatencyHistogram
+
+if TYPE_CHECKING:
+    from fulmarhold.configuration import ServiceConfiguration
+    from fulmarhold.fleet.fleet import Fleet
+
+
+@dataclass
+class LoadResult:
+    """What callers saw."""
+
+    latency: LatencyHistogram = field(default_factory=LatencyHistogram)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    broken: list[str] = field(default_factory=list)
+    asked: int = 0
+    answered: int = 0
+    whole: int = 0
+    covered: int = 0
+    total: int = 0
+
+    @property
+    def whole_share(self) -> float:
+        return self.whole / self.answered if self.answered else 0.0
+
+    @property
+    def coverage(self) -> float:
+        return self.covered / self.total if self.total else 0.0
+
+
+def run_load(
+    fleet: Fleet, service: ServiceConfiguration, rate: float, duration: Milliseconds, seed: int
+) -> LoadResult:
+    """Ask `service` for `duration` ms at `rate` requests a second with random gaps."""
+    random = Random(seed)
+    clock = Clock()
+    request_type = next(item.name for item in service.requests.values() if item.idempotent)
+    centres = fleet.plan.questionnaire.data_centres
+    callers = [
+        Caller(fleet.entry_endpoints, centre, Random(seed + number))
+        for number, centre in enumerate(centres)
+    ]
+    result = LoadResult()
+    tasks = []
+    due = clock.now()
+    until = due + duration
+    while due < until:
+        gevent.sleep(max(0.0, due - clock.now()) / SECOND)
+        caller = callers[result.asked % len(callers)]
+        result.asked += 1
+        tasks.append(gevent.spawn(_ask, caller, service, request_type, due, clock, result))
+        due += random.expovariate(rate) * SECOND
+    gevent.joinall(tasks, raise_error=True)
+    for caller in callers:
+        caller.close()
+    return result
+
+
+def _ask(
+    caller: Caller,
+    service: ServiceConfiguration,
+    request_type: str,
+    due: Milliseconds,
+    clock: Clock,
+    result: LoadResult,
+) -> None:
+    try:
+        answer = caller.ask(service.name, request_type, deadline=service.deadline_ms)
+    except PeerUnavailable:
+        result.outcomes["connection lost"] += 1
+        return
+    document = answer.document
+    result.broken.extend(broken_promises(service.name, document))
+    if answer.outcome != "answered":
+        result.outcomes[f"{answer.outcome}: {document['reason']}"] += 1
+        return
+    result.outcomes["answered"] += 1
+    result.latency.record(clock.now() - due)
+    coverage = document["coverage"]
+    result.answered += 1
+    result.whole += not coverage["missing"]
+    result.covered += coverage["covered"]
+    result.total += coverage["total"]
--- /dev/null
+++ b/fulmarhold/bench/micro.py
@@ -0,0 +1,102 @@
+"""Sizes of messages and costs of single steps, measured inside one process."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from fulmarhold.clock import Clock
+from fulmarhold.consensus.messages import AppendRequest, MemberMessage
+from fulmarhold.control.machine import Claim, ControlMachine
+from fulmarhold.control.messages import EntrySync, RosterEntry, SyncReply
+from fulmarhold.membership.announced import AnnouncedSet
+from fulmarhold.membership.directory import Directory
+from fulmarhold.membership.records import Announcement, PeerPoll, PeerReply, UpstreamRecord
+from fulmarhold.observe.counters import Counters
+from fulmarhold.wire.frames import FrameDecoder, encode_frame
+from fulmarhold.wire.messages import to_values
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+REPEATS = 2_000
+UPSTREAMS = 2_000
+CLAIMS = 20_000
+LEASE = 60_000.0
+SHORT_NAME = "entry-100"
+SOURCE = "0" * 32
+
+Measurement = tuple[str, float, str]
+
+
+def micro_measurements() -> list[Measurement]:
+    """Return sizes in bytes and costs in microseconds."""
+    own = RosterEntry(SHORT_NAME, "centre-a", "10.0.0.1:8100", "10.0.0.1:8200")
+    records = tuple(make_record(number) for number in range(UPSTREAMS))
+    messages: dict[str, Any] = {
+        "poll of a peer": PeerPoll(SHORT_NAME, SOURCE, 100),
+        "reply to a poll, nothing changed": PeerReply(SOURCE, 100, None, "serving", 100),
+        "sync with control": EntrySync(own, 1.0, 100, "serving"),
+        "reply to a sync, nothing changed": SyncReply(100, 100, None, None),
+        "heartbeat of the leader": MemberMessage(
+            "10.0.0.1:8200",
+            to_values(AppendRequest("c" * 12, SOURCE, SOURCE, 1, 1, 1, (), 1, 1.0)),
+        ),
+    }
+    rows: list[Measurement] = []
+    for name, message in messages.items():
+        rows.append((f"{name}, size", len(encode_frame(1, message)), "bytes"))
+        rows.append((f"{name}, encode and decode", _cost(_round_trip(message)), "us"))
+    full = PeerReply(SOURCE, 100, records, "serving", 100)
+    rows.append(("record of an upstream in a reply", _size_per(full, UPSTREAMS), "bytes"))
+    rows.append(("directory, merge of one upstream", _merge_cost(records), "us"))
+    rows.append(("claim, bytes in a snapshot", _claim_bytes(), "bytes"))
+    return rows
+
+
+def make_record(number: int) -> UpstreamRecord:
+    """Return the record of one of many upstreams."""
+    address = f"10.{number // 65_536}.{number // 256 % 256}.{number % 256}:9000"
+    return UpstreamRecord(
+        "service", number % 240, "layout-1", 240, (1, 2), address, 1, 1, 8, 40, "serving"
+    )
+
+
+def _round_trip(message: Any) -> Callable[[], None]:
+    decoder = FrameDecoder()
+
+    def run() -> None:
+        list(decoder.feed(encode_frame(1, message)))
+
+    return run
+
+
+def _cost(step: Callable[[], object], repeats: int = REPEATS) -> float:
+    step()
+    start = time.process_time_ns()
+    for _ in range(repeats):
+        step()
+    return (time.process_time_ns() - start) / repeats / 1_000
+
+
+def _size_per(message: Any, count: int) -> float:
+    return len(encode_frame(1, message)) / count
+
+
+def _merge_cost(records: tuple[UpstreamRecord, ...]) -> float:
+    clock = Clock()
+    announced = AnnouncedSet(clock, Counters())
+    token = announced.issue_token()
+    for record in records:
+        announced.take(Announcement(record, token), LEASE)
+    directory = Directory(announced, clock)
+    return _cost(directory.known, repeats=20) / len(records)
+
+
+def _claim_bytes() -> float:
+    machine = ControlMachine()
+    empty = len(machine.save())
+    for number in range(CLAIMS):
+        machine.state.claims[f"{number:036d}"] = Claim(SOURCE, SOURCE, SHORT_NAME, True, b"x" * 120)
+    return (len(machine.save()) - empty) / CLAIMS
--- /dev/null
+++ b/fulmarhold/bench/plot.py
@@ -0,0 +1,41 @@
+"""A plot of the policy bench: the 99th percentile of each scenario, policy sets side by side."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import matplotlib
+from matplotlib import pyplot
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from fulmarhold.bench.policy import Row
+
+BAR_HEIGHT = 0.38
+FIGURE_INCHES = (9.0, 7.0)
+
+
+def plot_rows(rows: Sequence[Row], path: Path) -> None:
+    """Write the plot as SVG."""
+    matplotlib.use("svg")
+    matplotlib.rcParams["svg.hashsalt"] = "fulmarhold"
+    deployments = sorted({row.deployment for row in rows})
+    policies = list(dict.fromkeys(row.policy for row in rows))
+    figure, axes = pyplot.subplots(len(deployments), 1, figsize=FIGURE_INCHES, squeeze=False)
+    for axis, deployment in zip(axes[:, 0], deployments, strict=True):
+        own = [row for row in rows if row.deployment == deployment]
+        names = list(dict.fromkeys(row.scenario for row in own))
+        for number, policy in enumerate(policies):
+            values = {row.scenario: row.p99 for row in own if row.policy == policy}
+            places = [place + number * BAR_HEIGHT for place in range(len(names))]
+            axis.barh(places, [values.get(name, 0) for name in names], BAR_HEIGHT, label=policy)
+        axis.set_yticks([place + BAR_HEIGHT / 2 for place in range(len(names))], names)
+        axis.invert_yaxis()
+        axis.set_xlabel("p99 in ms")
+        axis.set_title(deployment)
+        axis.legend()
+    figure.tight_layout()
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(path, metadata={"Date": None})
--- /dev/null
+++ b/fulmarhold/bench/policy.py
@@ -0,0 +1,240 @@
+"""The policy bench: scenarios under the product's policies and under a plain baseline."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import gevent
+
+from fulmarhold.bench.load import LoadResult, run_load
+from fulmarhold.bench.scenarios import Scenario, scenarios
+from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.demo.run import EXAMPLES
+from fulmarhold.fleet.fleet import FIRST_VERSION, Fleet, FleetPlan, read_metrics, settle
+from fulmarhold.operators.queries.questionnaires import load_questionnaire
+from fulmarhold.operators.queries.status import format_table
+from fulmarhold.standin.behaviour import Behaviour
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+SERVICES = {"lysvik": "configurator", "registry": "attendant-lookup"}
+BASELINE = "baseline"
+PRODUCT = "product"
+SEED = 20261204
+SERVICE_TIME: Milliseconds = 4.0
+RATE = 60.0
+WARM_UP: Milliseconds = 1_500.0
+DURATION: Milliseconds = 6_000.0
+OVERLOAD_SERVICE_TIME: Milliseconds = 120.0
+# From the stated limits: extra load is a twentieth of the first tries, besides the tokens that
+# every entry's budget begins with.
+EXTRA_LOAD_SHARE = 0.05
+FIRST_TOKENS_PER_ENTRY = 20
+RESULTS_FILE = Path(__file__).parents[2] / "docs" / "bench" / "policy.json"
+
+
+@dataclass(frozen=True)
+class Row:
+    """The figures of one scenario under one policy set; latencies in milliseconds."""
+
+    deployment: str
+    scenario: str
+    policy: str
+    asked: int
+    p50: float
+    p99: float
+    p999: float
+    whole: float
+    coverage: float
+    extra: float
+    first_tries: int
+    refused: dict[str, int]
+    broken: int
+
+
+def run_policy_bench(
+    deployments: Sequence[str], policies: Sequence[str], names: Sequence[str]
+) -> list[Row]:
+    """Run every scenario under every policy set; returns the rows and prints progress."""
+    rows: list[Row] = []
+    for deployment in deployments:
+        for policy in policies:
+            with tempfile.TemporaryDirectory(prefix="fulmarhold-bench-") as folder:
+                rows.extend(_run_fleet(Path(folder), deployment, policy, names))
+    return rows
+
+
+def _run_fleet(folder: Path, deployment: str, policy: str, names: Sequence[str]) -> list[Row]:
+    questionnaire = load_questionnaire(EXAMPLES / f"{deployment}.yml")
+    service = SERVICES[deployment]
+    plan = FleetPlan(
+        questionnaire,
+        services=(service,),
+        standin_processes=2,
+        behaviour=_normal(),
+        seed=SEED,
+        log_level="error",
+        entry_module="fulmarhold.bench.entry",
+        entry_options={"policy": policy},
+    )
+    fleet = Fleet(folder, plan)
+    rows = []
+    try:
+        fleet.start()
+        for name in names:
+            row = _run_scenario(fleet, deployment, policy, scenarios.find(name))
+            print(f"  {deployment:9} {policy:9} {name:26} p99 {row.p99:7.1f} ms", flush=True)
+            rows.append(row)
+    finally:
+        fleet.kill()
+    return rows
+
+
+def _run_scenario(fleet: Fleet, deployment: str, policy: str, scenario: Scenario) -> Row:
+    service = fleet.configuration.services[SERVICES[deployment]]
+    addresses = fleet.upstreams[service.name]
+    scenario.prepare(fleet, addresses)
+    rate = RATE
+    if scenario.load_factor > 1:
+        slots = service.slots * len(addresses)
+        capacity = slots / service.shards / (OVERLOAD_SERVICE_TIME / SECOND)
+        rate = capacity * scenario.load_factor
+        slow = {"service_ms": OVERLOAD_SERVICE_TIME, "spread_ms": 0.0}
+        fleet.command("behave", addresses, **slow)
+    run_load(fleet, service, rate, WARM_UP, SEED)
+    before = _subrequests(fleet, service.name)
+    disturbance = gevent.spawn(scenario.disturb, fleet, addresses)
+    result = run_load(fleet, service, rate, DURATION, SEED + 1)
+    disturbance.get()
+    after = _subrequests(fleet, service.name)
+    _restore(fleet, addresses)
+    first = after[0] - before[0]
+    extra = (after[1] - before[1]) / first if first else 0.0
+    return _row(deployment, scenario.name, policy, result, extra, first)
+
+
+def _row(
+    deployment: str, scenario: str, policy: str, result: LoadResult, extra: float, first: float
+) -> Row:
+    refused = {name: count for name, count in result.outcomes.items() if name != "answered"}
+    return Row(
+        deployment,
+        scenario,
+        policy,
+        result.asked,
+        result.latency.quantile(0.5),
+        result.latency.quantile(0.99),
+        result.latency.quantile(0.999),
+        result.whole_share,
+        result.coverage,
+        extra,
+        int(first),
+        refused,
+        len(result.broken),
+    )
+
+
+def _normal() -> Behaviour:
+    return Behaviour(service_ms=SERVICE_TIME)
+
+
+def _restore(fleet: Fleet, addresses: list[str]) -> None:
+    fleet.command("behave", addresses, **asdict(_normal()))
+    stopped = [
+        address
+        for address, report in fleet.report().items()
+        if address in addresses and not report["is_running"]
+    ]
+    if stopped:
+        fleet.command("restart", stopped)
+    fleet.command("announce", addresses, versions=[FIRST_VERSION])
+    settle(WARM_UP)
+    fleet.await_ready()
+
+
+def _subrequests(fleet: Fleet, service: str) -> tuple[float, float]:
+    """Return how many first tries and how many extra requests all entries have sent."""
+    first = extra = 0.0
+    for endpoint in fleet.entry_endpoints:
+        for name, value in read_metrics(endpoint).items():
+            if f'service="{service}"' not in name:
+                continue
+            if name.startswith("fulmarhold_subrequests_total"):
+                first += value
+            elif name.startswith("fulmarhold_extra_load_total") and _was_sent(name):
+                extra += value
+    return first, extra
+
+
+def _was_sent(name: str) -> bool:
+    return "refused" not in name and "hedge_won" not in name
+
+
+def compare_rows(rows: Sequence[Row]) -> list[str]:
+    """Return a sentence for each bound that the product's rows break."""
+    problems = []
+    baseline = {(row.deployment, row.scenario): row for row in rows if row.policy == BASELINE}
+    for row in rows:
+        where = f"{row.deployment}, {row.scenario}"
+        if row.broken:
+            problems.append(f"{where}: {row.broken} answers broke a promise")
+        if row.policy != PRODUCT:
+            continue
+        allowed = EXTRA_LOAD_SHARE + FIRST_TOKENS_PER_ENTRY * 6 / max(1, row.first_tries)
+        if row.extra > allowed:
+            problems.append(f"{where}: extra load {row.extra:.3f} is above {allowed:.3f}")
+        plain = baseline.get((row.deployment, row.scenario))
+        if plain is None:
+            continue
+        if row.scenario == "healthy" and row.coverage < 1.0:
+            problems.append(f"{where}: coverage {row.coverage:.4f} without any fault")
+        if row.deployment == "registry" and row.coverage < plain.coverage:
+            problems.append(f"{where}: coverage {row.coverage:.4f} below {plain.coverage:.4f}")
+        if row.scenario in ("stragglers", "one slow replica a shard") and row.p99 > plain.p99:
+            problems.append(f"{where}: p99 {row.p99:.1f} ms above the baseline's {plain.p99:.1f}")
+    return problems
+
+
+def format_rows(rows: Sequence[Row]) -> str:
+    """Return the rows as a table, the policy sets side by side."""
+    header = ("deployment", "scenario", "policy", "asked", "p50", "p99", "p99.9", "whole",
+              "coverage", "extra", "refused")  # fmt: skip
+    order = sorted(rows, key=lambda row: (row.deployment, list(scenarios).index(row.scenario)))
+    return format_table(header, [_cells(row) for row in order])
+
+
+def _cells(row: Row) -> tuple[str, ...]:
+    refused = ", ".join(f"{count} {name}" for name, count in row.refused.items()) or "-"
+    return (
+        row.deployment,
+        row.scenario,
+        row.policy,
+        str(row.asked),
+        f"{row.p50:.1f}",
+        f"{row.p99:.1f}",
+        f"{row.p999:.1f}",
+        f"{row.whole:.4f}",
+        f"{row.coverage:.4f}",
+        f"{row.extra:.4f}",
+        refused,
+    )
+
+
+def write_rows(rows: Sequence[Row]) -> None:
+    """Write the figures that the next run is compared with."""
+    RESULTS_FILE.parent.mkdir(parents=True, exist_ok=True)
+    RESULTS_FILE.write_text(
+        json.dumps([asdict(row) for row in rows], indent=1) + "\n", encoding="utf-8"
+    )
+
+
+def read_rows() -> list[Row]:
+    """Return the last committed figures, none if there are none."""
+    if not RESULTS_FILE.exists():
+        return []
+    return [Row(**item) for item in json.loads(RESULTS_FILE.read_text(encoding="utf-8"))]
--- a/fulmarhold/demo/caller.py
+++ b/fulmarhold/demo/caller.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from geventhttpclient import HTTPClient
-
-from fulmarhold.clock import SECOND, Clock, Milliseconds
-from fulmarhold.errors import PeerUnavailable
+from fulmarhold.clock import Clock, Milliseconds
 from fulmarhold.standin.announcer import EntryFinder
+from fulmarhold.web.client import JsonClient
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 CONNECTIONS_PER_ENTRY = 16
-TRANSPORT_MARGIN: Milliseconds = 2_000.0
+LONGEST_ANSWER: Milliseconds = 62_000.0
 
 
 @dataclass(frozen=True)
@@ -41,7 +38,7 @@
         self._clock = Clock()
         self._finder = EntryFinder(seeds, data_centre, self._clock)
         self._random = random
-        self._clients: dict[str, HTTPClient] = {}
+        self._clients: dict[str, JsonClient] = {}
 
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses in force, asking again only when the answer has run out."""
@@ -66,33 +63,19 @@
         if shard_key:
             headers["Fulmarhold-Shard-Key"] = shard_key
         started_at = self._clock.now()
-        try:
-            response = self._client(entry).post(
-                f"/query/{service}/{request_type}", json.dumps(body or {}), headers
-            )
-            document = json.loads(response.read())
-        except Exception as error:
-            # The library raises its own errors, those of sockets and, for a bad body, ValueError.
-            raise PeerUnavailable(str(error), step="asking", peer=entry) from error
+        path = f"/query/{service}/{request_type}"
+        response = self._client(entry).request("POST", path, body=body or {}, headers=headers)
         latency = self._clock.now() - started_at
-        return CallerAnswer(response.status_code, document, entry, latency)
+        return CallerAnswer(response.status, response.body, entry, latency)
 
     def close(self) -> None:
         """Close every connection."""
         for client in self._clients.values():
             client.close()
 
-    def _client(self, endpoint: str) -> HTTPClient:
+    def _client(self, endpoint: str) -> JsonClient:
         client = self._clients.get(endpoint)
         if client is None:
-            address, _, port = endpoint.rpartition(":")
-            timeout = (60 * SECOND + TRANSPORT_MARGIN) / SECOND
-            client = HTTPClient(
-                address,
-                port=int(port),
-                concurrency=CONNECTIONS_PER_ENTRY,
-                connection_timeout=2.0,
-                network_timeout=timeout,
-            )
+            client = JsonClient(endpoint, LONGEST_ANSWER, CONNECTIONS_PER_ENTRY)
             self._clients[endpoint] = client
         return client
--- a/fulmarhold/questionnaire/derive.py
+++ b/fulmarhold/questionnaire/derive.py
@@ -56,8 +56,8 @@
 
 @_timing("announcement_period_ms")
 def _announcement_period(_: Questionnaire) -> float:
-    """Three announcements fit into one announcement lease, so two may be lost."""
-    return LEAVING_BOUND_MS / 2 / 3 - NETWORK_MARGIN_MS
+    """Two announcements fit into one announcement lease, so one may be lost."""
+    return LEAVING_BOUND_MS / 5
 
 
 @_timing("announcement_lease_ms")
--- a/fulmarhold/standin/announcer.py
+++ b/fulmarhold/standin/announcer.py
@@ -12,7 +12,7 @@
 from fulmarhold.clock import SECOND, Clock, Milliseconds
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.observe.logs import part_log
-from fulmarhold.web.client import request_json
+from fulmarhold.web.client import JsonClient, request_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -21,7 +21,7 @@
 
 log = part_log("standin")
 
-ANNOUNCEMENT_PERIOD: Milliseconds = 400.0
+ANNOUNCEMENT_PERIOD: Milliseconds = 600.0
 ENTRIES_TOLD = 2
 REQUEST_TIMEOUT: Milliseconds = 400.0
 
@@ -62,6 +62,7 @@
         self._upstream = upstream
         self._finder = finder
         self._tokens: dict[str, str] = {}
+        self._clients: dict[str, JsonClient] = {}
         self._now = Event()
 
     def run(self) -> None:
@@ -86,14 +87,17 @@
         )
         return ranked[:ENTRIES_TOLD]
 
+    def _client(self, endpoint: str) -> JsonClient:
+        if endpoint not in self._clients:
+            self._clients[endpoint] = JsonClient(endpoint, REQUEST_TIMEOUT)
+        return self._clients[endpoint]
+
     def _tell(self, endpoint: str) -> None:
         for _ in range(2):
             record = replace(self._upstream.record, load=self._upstream.load)
             body = {"upstream": asdict(record), "token": self._tokens.get(endpoint, "")}
             try:
-                answer = request_json(
-                    endpoint, "POST", "/announce", body=body, timeout=REQUEST_TIMEOUT
-                )
+                answer = self._client(endpoint).request("POST", "/announce", body=body)
             except PeerUnavailable:
                 return
             if answer.status != 200:
--- a/fulmarhold/standin/upstream.py
+++ b/fulmarhold/standin/upstream.py
@@ -39,6 +39,7 @@
     503: "503 Service Unavailable",
 }
 QUEUE_PER_SLOT = 8
+OTHER_BODY = b'{"held": "another request", "key": ""}'
 DEFAULT_DEADLINE_MS = 1_000.0
 
 
@@ -105,6 +106,7 @@
             "effects": dict(self.effects),
             "runs": dict(self.runs),
             "last_run_at": self.last_run_at,
+            "is_running": self.is_running,
         }
 
     def _serve(
@@ -121,8 +123,10 @@
         status, outcome, body = self._run(environ, part)
         if self._draw(self.behaviour.lose_response_share):
             raise gevent.GreenletExit
-        echoed = f"other-{part}" if self._draw(self.behaviour.wrong_echo_share) else part
-        return self._respond(start_response, status, echoed, outcome, body)
+        if self._draw(self.behaviour.wrong_echo_share):
+            # As a crossed response does, it carries somebody else's part.
+            return self._respond(start_response, 200, f"other-{part}", "", OTHER_BODY)
+        return self._respond(start_response, status, part, outcome, body)
 
     def _run(self, environ: dict[str, Any], part: str) -> tuple[int, str, bytes]:
         arrived_at = self._clock.now()
--- /dev/null
+++ b/fulmarhold/tests/limits/test_limits.py
@@ -0,0 +1,83 @@
+"""Budgets and admission."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarhold.clock import Clock
+from fulmarhold.gather.outcome import NotRunReason, Refused
+from fulmarhold.limits.admission import QUERIES_AT_ONCE, Admission
+from fulmarhold.limits.budget import ExtraLoadBudget
+
+
+@given(st.lists(st.tuples(st.integers(0, 300), st.integers(0, 30)), max_size=60))
+def test_extra_requests_never_exceed_the_share_and_what_the_budget_began_with(steps):
+    budget = ExtraLoadBudget(0.05, 10)
+    first = extra = 0
+    for tries, wanted in steps:
+        budget.earn(tries)
+        first += tries
+        extra += wanted if budget.take(wanted) else 0
+        assert extra <= 0.05 * first + 20 + 1e-6
+
+
+@pytest.fixture
+def admission():
+    admission = Admission(Clock())
+    admission.configure("s", "background", 1)
+    return admission
+
+
+def test_work_that_can_not_finish_is_refused_at_once(admission):
+    with (
+        pytest.raises(Refused) as caught,
+        admission.admitted("s", Clock().now() + 5, needed=50),
+    ):
+        pytest.fail("must not be admitted")
+    assert caught.value.reason is NotRunReason.DEADLINE_TOO_SHORT
+
+
+def test_a_query_waits_for_a_place_while_there_is_time(admission):
+    order = []
+
+    def hold():
+        with admission.admitted("s", Clock().now() + 1_000, 1):
+            order.append("first")
+            gevent.sleep(0.02)
+
+    holder = gevent.spawn(hold)
+    gevent.sleep(0)
+    with admission.admitted("s", Clock().now() + 1_000, 1):
+        order.append("second")
+    holder.get()
+    assert order == ["first", "second"]
+    assert admission.running == 0
+
+
+def test_without_a_place_in_time_it_is_refused_and_the_place_is_not_lost(admission):
+    with (
+        admission.admitted("s", Clock().now() + 1_000, 1),
+        pytest.raises(Refused) as caught,
+        admission.admitted("s", Clock().now() + 20, 1),
+    ):
+        pytest.fail("must not be admitted")
+    assert caught.value.reason is NotRunReason.OVERLOADED
+    with admission.admitted("s", Clock().now() + 20, 1):
+        assert admission.running == 1
+
+
+def test_less_urgent_work_gives_way_first():
+    admission = Admission(Clock())
+    for urgency in ("urgent", "background"):
+        admission.configure(urgency, urgency, QUERIES_AT_ONCE)
+    admission._running = QUERIES_AT_ONCE // 2
+    with (
+        pytest.raises(Refused, match="too many"),
+        admission.admitted("background", Clock().now() + 1_000, 1),
+    ):
+        pytest.fail("must not be admitted")
+    with admission.admitted("urgent", Clock().now() + 1_000, 1):
+        pass
--- /dev/null
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -0,0 +1,87 @@
+"""Choice of replicas, ejection with a floor, slow start."""
+
+from __future__ import annotations
+
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+
+from fulmarhold.routing.choice import candidates, choosers
+from fulmarhold.routing.estimates import QuantileEstimate
+from fulmarhold.routing.replica import FAILURES_BEFORE_EJECTION, Replica
+
+EJECTION = 1_000.0
+SLOW_START = 2_000.0
+WARM = 10_000.0
+
+
+def make(address="a", load=0, live=True):
+    record = SimpleNamespace(address=address, incarnation=1, slots=2)
+    upstream = SimpleNamespace(record=record, is_live=lambda _: live)
+    return Replica(upstream, SimpleNamespace(load=load), EJECTION, SLOW_START, now=0.0)
+
+
+def eject(replica, now=WARM):
+    for _ in range(FAILURES_BEFORE_EJECTION):
+        replica.note_failure(now)
+
+
+@pytest.mark.parametrize("name", ["two_choices", "least_expected"])
+def test_load_and_own_latency_decide(name):
+    fast, slow = make("fast"), make("slow")
+    slow.note_success(100.0)
+    choose = choosers.find(name)
+    assert choose([fast, slow], Random(1), WARM) is fast
+    fast.pool.load = 50
+    assert choose([fast, slow], Random(1), WARM) is slow
+
+
+def test_a_chooser_that_does_not_exist_gets_a_hint():
+    with pytest.raises(Exception, match="did you mean 'two_choices'"):
+        choosers.find("two_choises")
+
+
+def test_ejection_comes_after_repeated_failures_and_lasts_longer_each_time():
+    replica = make()
+    eject(replica)
+    assert replica.is_ejected(WARM + EJECTION - 1)
+    assert not replica.is_ejected(WARM + EJECTION)
+    replica.note_failure(WARM + EJECTION)
+    assert replica.is_ejected(WARM + EJECTION + 2 * EJECTION - 1)
+    replica.note_success(1.0)
+    replica.note_failure(WARM * 2)
+    assert not replica.is_ejected(WARM * 2)
+
+
+def test_ejected_replicas_are_passed_over_but_a_shard_never_loses_its_last_one():
+    one, other = make("one"), make("other")
+    eject(one)
+    assert candidates([one, other], [], WARM) == [other]
+    eject(other)
+    assert candidates([one, other], [], WARM) == [one, other]
+    assert candidates([one, other], [one], WARM) == [other]
+
+
+def test_replicas_without_a_lease_are_never_candidates():
+    assert candidates([make(live=False)], [], WARM) == []
+
+
+def test_a_cold_replica_gets_little_at_first():
+    cold, warm = make("cold"), make("warm")
+    cold._started_at = WARM - 100
+    assert choosers.find("least_expected")([cold, warm], Random(1), WARM) is warm
+    assert cold.expected_latency(WARM) > 5 * warm.expected_latency(WARM)
+
+
+@pytest.mark.parametrize("quantile", [0.5, 0.95])
+def test_the_estimate_settles_near_its_quantile(quantile):
+    random = Random(7)
+    estimate = QuantileEstimate(quantile, 50.0)
+    below = 0
+    for number in range(20_000):
+        latency = random.expovariate(0.1)
+        estimate.update(latency)
+        if number >= 10_000:
+            below += latency <= estimate.value
+    assert below / 10_000 == pytest.approx(quantile, abs=0.05)
--- /dev/null
+++ b/fulmarhold/tests/upstreams/test_connections.py
@@ -0,0 +1,206 @@
+"""Connections to upstreams that answer wrongly, late, or not at all."""
+
+from __future__ import annotations
+
+import gevent
+import gevent.event
+import gevent.socket
+import pytest
+
+from fulmarhold.clock import Clock
+from fulmarhold.fleet.ports import PortSupply
+from fulmarhold.observe.counters import Counters
+from fulmarhold.upstreams.pool import ConnectionPool
+from fulmarhold.upstreams.protocol import LARGEST_RESPONSE_BYTES, RequestTemplate
+
+OK = b"HTTP/1.1 200 OK\r\nFulmarhold-Part: p\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class Upstream:
+    """A server that sends given bytes for each request and then keeps or closes the connection."""
+
+    def __init__(self, answers, close=False, late=b""):
+        self.endpoint = PortSupply().take_endpoint()
+        self.connections = 0
+        self.requests = 0
+        self._answers = answers
+        self._close = close
+        self._late = late
+        self.late_sent = gevent.event.Event()
+        address, _, port = self.endpoint.rpartition(":")
+        self._listener = gevent.socket.socket()
+        self._listener.bind((address, int(port)))
+        self._listener.listen()
+        self._accepting = gevent.spawn(self._accept)
+
+    def stop(self):
+        self._accepting.kill()
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            connection, _ = self._listener.accept()
+            self.connections += 1
+            gevent.spawn(self._serve, connection)
+
+    def _serve(self, connection):
+        while connection.recv(65_536):
+            answer = self._answers[min(self.requests, len(self._answers) - 1)]
+            self.requests += 1
+            connection.sendall(answer)
+            if self._late:
+                gevent.sleep(0.01)
+                connection.sendall(self._late)
+                self.late_sent.set()
+            if self._close:
+                break
+        connection.close()
+
+
+class Request:
+    """An exchange that notes how it ended."""
+
+    def __init__(self, trusts=True, wanted=True):
+        self.ended = gevent.event.AsyncResult()
+        self._trusts = trusts
+        self._wanted = wanted
+
+    def may_send(self):
+        return self._wanted
+
+    def encode(self):
+        return RequestTemplate("s", "t", b"{}").encode("127.0.0.1:1", "p", 100.0)
+
+    def completed(self, response):
+        self.ended.set(response)
+        return self._trusts
+
+    def failed(self, reason, *, sent):
+        if not self.ended.ready():
+            self.ended.set((reason, sent))
+
+    def outcome(self):
+        return self.ended.get(timeout=5)
+
+
+@pytest.fixture
+def make(request):
+    """Return a function that makes an upstream with a pool to it."""
+
+    def make(answers, limit=1, close=False, late=b""):
+        upstream = Upstream(answers, close, late)
+        pool = ConnectionPool(upstream.endpoint, limit, 0, Clock(), Counters())
+        request.addfinalizer(upstream.stop)
+        request.addfinalizer(pool.close)
+        return upstream, pool
+
+    return make
+
+
+def ask(pool, **options):
+    request = Request(**options)
+    pool.submit(request)
+    return request.outcome()
+
+
+def test_a_connection_is_used_again(make):
+    upstream, pool = make([OK])
+    for _ in range(5):
+        response = ask(pool)
+        assert (response.status, response.part, response.body) == (200, "p", b"{}")
+    assert (upstream.connections, pool.connections) == (1, 1)
+
+
+def test_a_response_that_is_not_trusted_costs_its_connection(make):
+    upstream, pool = make([OK])
+    ask(pool, trusts=False)
+    ask(pool)
+    assert upstream.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        (b"no HTTP at all\r\n\r\n", "malformed response"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: nonsense\r\n\r\n", "malformed response"),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"
+            + b"x" * (LARGEST_RESPONSE_BYTES + 1),
+            "response too large",
+        ),
+    ],
+    ids=["no HTTP", "bad length", "too large"],
+)
+def test_an_unusable_response_fails_as_sent(make, answer, reason):
+    _, pool = make([answer])
+    assert ask(pool) == (reason, True)
+
+
+def test_more_than_one_response_costs_the_connection(make):
+    upstream, pool = make([OK + OK, OK])
+    assert ask(pool).body == b"{}"
+    assert ask(pool).body == b"{}"
+    assert upstream.connections == 2
+
+
+def test_a_late_second_response_is_never_taken_for_the_next_one(make):
+    upstream, pool = make([OK], late=OK.replace(b"{}", b"[]"))
+    assert ask(pool).body == b"{}"
+    upstream.late_sent.wait(timeout=5)
+    gevent.sleep(0.01)
+    assert ask(pool).body == b"{}"
+    assert upstream.connections == 2
+
+
+@pytest.mark.parametrize("answer", [b"", OK[:30]], ids=["nothing", "a part"])
+def test_a_connection_lost_before_the_whole_response_fails_as_sent(make, answer):
+    _, pool = make([answer], close=True)
+    assert ask(pool) == ("closed by upstream", True)
+
+
+def test_a_connection_that_closes_while_idle_is_replaced(make):
+    upstream, pool = make([OK], close=True)
+    for _ in range(3):
+        assert ask(pool).status == 200
+        gevent.sleep(0.02)
+    assert upstream.connections == 3
+
+
+def test_a_refused_connection_fails_as_not_sent():
+    pool = ConnectionPool(PortSupply().take_endpoint(), 2, 0, Clock(), Counters())
+    reason, sent = ask(pool)
+    assert not sent
+    assert reason == "connect refused"
+
+
+def test_requests_beyond_the_share_wait_in_order_and_unwanted_ones_are_not_sent(make):
+    upstream, pool = make([OK])
+    requests = [Request(wanted=number != 2) for number in range(6)]
+    for request in requests:
+        pool.submit(request)
+    outcomes = [request.outcome() for request in requests]
+    assert outcomes.pop(2) == ("not sent in time", False)
+    assert all(outcome.status == 200 for outcome in outcomes)
+    assert (upstream.connections, upstream.requests) == (1, 5)
+
+
+def test_an_overdue_response_costs_its_connection(make):
+    _, pool = make([b""])
+    request = Request()
+    pool.submit(request)
+    gevent.sleep(0.05)
+    pool.maintain(longest_exchange=10.0)
+    assert request.outcome() == ("response overdue", True)
+    assert pool.connections == 0
+
+
+def test_a_pool_closed_by_leaving_ends_what_was_sent_and_takes_nothing_new(make):
+    _, pool = make([OK])
+    sent, waiting = Request(), Request()
+    pool.submit(sent)
+    gevent.sleep(0)
+    pool.submit(waiting)
+    gevent.sleep(0.05)
+    pool.close_when_idle()
+    assert sent.outcome().status == 200
+    assert ask(pool) == ("pool closed", False)
--- /dev/null
+++ b/fulmarhold/tests/wire/test_wire.py
@@ -0,0 +1,142 @@
+"""Contract of the msgpack streams: typed messages, bounds, garbage, lost peers."""
+
+from __future__ import annotations
+
+import gevent
+import gevent.socket
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarhold.consensus.messages import AppendReply
+from fulmarhold.control.messages import EntrySync, RosterEntry
+from fulmarhold.errors import FulmarholdError, MalformedInput, PeerUnavailable
+from fulmarhold.fleet.ports import PortSupply
+from fulmarhold.membership.records import PeerPoll, PeerReply
+from fulmarhold.observe.counters import Counters
+from fulmarhold.wire.client import CallFailed, Link
+from fulmarhold.wire.frames import FrameDecoder, encode_frame
+from fulmarhold.wire.messages import Done
+from fulmarhold.wire.server import MessageServer
+
+POLL = PeerPoll("entry-1", "source", 3)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        POLL,
+        PeerReply("source", 3, None, "serving", 4),
+        EntrySync(RosterEntry("e", "a", "127.0.0.1:1", "127.0.0.1:2"), 1.0, 2, "leaving"),
+        AppendReply("c", "a", "b", 1, True, 2, 3.0),
+    ],
+)
+def test_messages_arrive_as_they_were_sent_however_they_are_split(message):
+    data = encode_frame(5, message)
+    decoder = FrameDecoder()
+    arrived = [item for byte in data for item in decoder.feed(bytes([byte]))]
+    assert arrived == [(5, message)]
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        b"\xc1",
+        msgpack.packb("text"),
+        msgpack.packb([1, 2]),
+        msgpack.packb([-1, "PeerPoll", {}]),
+        msgpack.packb([True, "PeerPoll", {}]),
+        msgpack.packb([1, 7, {}]),
+        msgpack.packb([1, "NoSuchMessage", {}]),
+        msgpack.packb([1, "PeerPoll", {"sender": "a"}]),
+        msgpack.packb([1, "PeerPoll", {"sender": "a", "source": "b", "set_version": "many"}]),
+        msgpack.packb([1, "PeerPoll", ["a", "b", 3]]),
+        b"\x91" * 5_000,
+    ],
+    ids=lambda frame: frame[:24].hex(),
+)
+def test_a_malformed_frame_is_refused(frame):
+    with pytest.raises(MalformedInput):
+        list(FrameDecoder().feed(frame))
+
+
+def test_a_frame_above_the_bound_is_refused():
+    with pytest.raises(MalformedInput, match="larger"):
+        list(FrameDecoder(largest_frame=100).feed(msgpack.packb([1, "x", "y" * 200])))
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_refused_or_waits_for_more(data):
+    try:
+        for _, message in FrameDecoder().feed(data):
+            assert message is not None
+    except MalformedInput:
+        pass
+
+
+@pytest.fixture
+def server():
+    """A server that answers polls, fails on syncs, and its counters."""
+    counters = Counters()
+    server = MessageServer(PortSupply().take_endpoint(), counters)
+    server.handle(PeerPoll, lambda poll: PeerReply(poll.source, poll.set_version, None, "left", 0))
+
+    def fail(_):
+        raise FulmarholdError("it went wrong", step="testing")
+
+    server.handle(EntrySync, fail)
+    server.start()
+    yield server, counters
+    server.stop()
+
+
+def test_a_call_gets_its_reply(server):
+    link = Link(server[0]._endpoint)
+    assert link.call(POLL, 1_000).set_version == 3
+    link.close()
+
+
+def test_a_failed_handler_is_reported_and_the_server_lives(server):
+    link = Link(server[0]._endpoint)
+    with pytest.raises(CallFailed, match="it went wrong"):
+        link.call(EntrySync(RosterEntry("e", "a", "x", "y"), 1.0, 2, "left"), 1_000)
+    with pytest.raises(CallFailed, match="unexpected_message"):
+        link.call(Done(), 1_000)
+    assert link.call(POLL, 1_000).set_version == 3
+    link.close()
+
+
+def test_garbage_ends_its_connection_is_counted_and_the_server_lives(server):
+    endpoint = server[0]._endpoint
+    address, _, port = endpoint.rpartition(":")
+    with gevent.socket.create_connection((address, int(port))) as garbage:
+        garbage.sendall(b"\xc1 garbage")
+        assert garbage.recv(10) == b""
+    assert server[1].value("wire_refusals", reason="malformed_frame") == 1
+    link = Link(endpoint)
+    assert link.call(POLL, 1_000).set_version == 3
+    link.close()
+
+
+def test_a_peer_that_is_not_there_is_unavailable_with_step_and_peer():
+    link = Link(PortSupply().take_endpoint())
+    with pytest.raises(PeerUnavailable) as caught:
+        link.call(POLL, 500)
+    assert (caught.value.step, caught.value.peer) == ("PeerPoll", link.endpoint)
+
+
+def test_a_silent_peer_is_unavailable_after_the_timeout():
+    endpoint = PortSupply().take_endpoint()
+    address, _, port = endpoint.rpartition(":")
+    with gevent.socket.create_server((address, int(port))):
+        link = Link(endpoint)
+        with pytest.raises(PeerUnavailable, match="no reply in time"):
+            link.call(POLL, 100)
+        link.close()
+
+
+def test_a_port_in_use_is_a_clear_error(server):
+    address, _, port = server[0]._endpoint.rpartition(":")
+    with pytest.raises(FulmarholdError, match=f"port {port} of {address} is in use"):
+        MessageServer(server[0]._endpoint, Counters()).start()
--- a/fulmarhold/web/client.py
+++ b/fulmarhold/web/client.py
@@ -25,6 +25,40 @@
     body: Any
 
 
+class JsonClient:
+    """Kept connections to one endpoint (IP:port)."""
+
+    def __init__(
+        self, endpoint: str, timeout: Milliseconds = DEFAULT_TIMEOUT, connections: int = 1
+    ) -> None:
+        address, _, port = endpoint.rpartition(":")
+        self._endpoint = endpoint
+        self._client = HTTPClient(
+            address,
+            port=int(port),
+            concurrency=connections,
+            connection_timeout=timeout / SECOND,
+            network_timeout=timeout / SECOND,
+        )
+
+    def request(
+        self, method: str, path: str, *, body: Any = None, headers: dict[str, str] | None = None
+    ) -> JsonResponse:
+        """Send one request; raises `PeerUnavailable` without an answer."""
+        data = json.dumps(body).encode() if body is not None else b""
+        try:
+            response = self._client.request(method, path, body=data, headers=headers or {})
+            return JsonResponse(response.status_code, json.loads(response.read() or b"null"))
+        except Exception as error:
+            # The library raises its own errors, those of sockets and, for a bad body, ValueError.
+            step = f"{method} {path}"
+            raise PeerUnavailable(str(error), step=step, peer=self._endpoint) from error
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+
 def request_json(
     endpoint: str,
     method: str,
@@ -34,20 +68,9 @@
     headers: dict[str, str] | None = None,
     timeout: Milliseconds = DEFAULT_TIMEOUT,
 ) -> JsonResponse:
-    """Send one request to `endpoint` (IP:port); raises `PeerUnavailable` without an answer."""
-    address, _, port = endpoint.rpartition(":")
-    client = HTTPClient(
-        address,
-        port=int(port),
-        connection_timeout=timeout / SECOND,
-        network_timeout=timeout / SECOND,
-    )
-    data = json.dumps(body).encode() if body is not None else b""
+    """Send one request over a connection of its own; raises `PeerUnavailable`."""
+    client = JsonClient(endpoint, timeout)
     try:
-        response = client.request(method, path, body=data, headers=headers or {})
-        return JsonResponse(response.status_code, json.loads(response.read() or b"null"))
-    except Exception as error:
-        # The library raises its own errors, those of sockets and, for a bad body, ValueError.
-        raise PeerUnavailable(str(error), step=f"{method} {path}", peer=endpoint) from error
+        return client.request(method, path, body=body, headers=headers)
     finally:
         client.close()
