--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -4,6 +4,7 @@
 
 from random import Random
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -18,8 +19,9 @@
 
 def make(address="a", load=0, live=True):
     record = SimpleNamespace(address=address, incarnation=1, slots=2)
-    upstream = SimpleNamespace(record=record, is_live=lambda _: live)
-    return Replica(upstream, SimpleNamespace(load=load), EJECTION, SLOW_START, now=0.0)
+    upstream: Any = SimpleNamespace(record=record, is_live=lambda _: live)
+    pool: Any = SimpleNamespace(load=load)
+    return Replica(upstream, pool, EJECTION, SLOW_START, now=0.0)
 
 
 def eject(replica, now=WARM):
@@ -33,8 +35,8 @@
     slow.note_success(100.0)
     choose = choosers.find(name)
     assert choose([fast, slow], Random(1), WARM) is fast
-    fast.pool.load = 50
-    assert choose([fast, slow], Random(1), WARM) is slow
+    busy = make("busy", load=50)
+    assert choose([busy, slow], Random(1), WARM) is slow
 
 
 def test_a_chooser_that_does_not_exist_gets_a_hint():
