Let no scatter wait past its deadline for the hedge delay

The wait for the hedge was bounded by the hedge delay alone, and the delay's estimate grows past the deadline under overload. Change: every wait of a scatter ends at the deadline. Dispatch of non-idempotent requests also checks the deadline after the claim, and says not_run if nothing was sent; it no longer reads its runner's privates.

--- a/fulmarhold/control/service.py
+++ b/fulmarhold/control/service.py
@@ -28,6 +28,7 @@
     SyncReply,
 )
 from fulmarhold.errors import FulmarholdError
+from fulmarhold.membership.running import CONFIRMATION_LEASE
 from fulmarhold.observe.logs import part_log
 from fulmarhold.wire.messages import Done, Failure, from_values
 
@@ -45,7 +46,6 @@
 IN_FORCE_CHECK_PERIOD: Milliseconds = 20.0
 SILENT_ENTRY_REMOVED_AFTER: Milliseconds = 10 * MINUTE
 HOUSEKEEPING_PERIOD: Milliseconds = 250.0
-LEAST_CONFIRMATION_LEASE: Milliseconds = 2_500.0
 
 
 @dataclass(frozen=True)
@@ -223,7 +223,7 @@
             if majority_at is None and self._presence.has_majority(version, roster):
                 majority_at = self._clock.now()
             if majority_at is not None:
-                lease_is_over = self._clock.now() > majority_at + LEAST_CONFIRMATION_LEASE
+                lease_is_over = self._clock.now() > majority_at + CONFIRMATION_LEASE
                 if not behind or lease_is_over:
                     return True, behind
             gevent.sleep(IN_FORCE_CHECK_PERIOD / SECOND)
--- a/fulmarhold/effects/dispatch.py
+++ b/fulmarhold/effects/dispatch.py
@@ -8,6 +8,7 @@
 
 import json
 import uuid
+from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -41,7 +42,7 @@
 from fulmarhold.gather.subrequest import Attempt, AttemptKind
 from fulmarhold.observe.logs import part_log
 from fulmarhold.routing.choice import candidates
-from fulmarhold.upstreams.protocol import RequestTemplate
+from fulmarhold.upstreams.protocol import Part, RequestTemplate
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Clock, Milliseconds
@@ -73,11 +74,10 @@
     ) -> None:
         self._name = name
         self._table = table
-        self._directory = directory
         self._control = control
         self._clock = clock
         self._counters = counters
-        self._random = Random()
+        self._tools = _Tools(clock, counters, directory, Random())
         self._settling: set[gevent.Greenlet] = set()
 
     @property
@@ -107,7 +107,9 @@
         if held is not None:
             return _earlier_outcome(held)
         template = RequestTemplate(service, request_type, body, key)
-        outcome = _Dispatch(self, template, snapshot, shard, attempt_id, policy, deadline_at).run()
+        outcome = _Dispatch(
+            self._tools, template, snapshot, shard, attempt_id, policy, deadline_at
+        ).run()
         self._settle_in_background(key, attempt_id, outcome)
         return outcome
 
@@ -163,12 +165,22 @@
             log.warning("outcome of key {} was not recorded: {}", command.key, error)
 
 
+@dataclass(frozen=True)
+class _Tools:
+    """What every dispatch of an entry works with."""
+
+    clock: Clock
+    counters: Counters
+    directory: Directory
+    random: Random
+
+
 class _Dispatch:
     """Sends a claimed request to one replica, and to another one only if it was not run."""
 
     def __init__(
         self,
-        runner: EffectRunner,
+        tools: _Tools,
         template: RequestTemplate,
         snapshot: SnapshotReplicas,
         shard: int,
@@ -176,10 +188,10 @@
         policy: Policy,
         deadline_at: Milliseconds,
     ) -> None:
-        self.clock = runner._clock
+        self.clock = tools.clock
         self.template = template
         self.deadline_at = deadline_at
-        self._runner = runner
+        self._tools = tools
         self._snapshot = snapshot
         self._shard = shard
         self._attempt_id = attempt_id
@@ -189,11 +201,13 @@
         self._current: Attempt | None = None
 
     def run(self) -> Outcome:
-        policy = self._policy
-        policy.budget.earn(1)
-        self._runner._counters.add("subrequests", service=policy.service.name, kind="first")
+        """Send the request and wait for its end, to the deadline at the most."""
+        left = self.deadline_at - self.clock.now()
+        if left <= 0:
+            return NotRun(NotRunReason.DEADLINE_TOO_SHORT, "the claim took all the time")
+        self._policy.budget.earn(1)
+        self._tools.counters.add("subrequests", service=self._policy.service.name, kind="first")
         self._send(AttemptKind.FIRST)
-        left = max(0.0, self.deadline_at - self.clock.now())
         try:
             outcome: Outcome = self._result.get(timeout=left / SECOND)
         except gevent.Timeout:
@@ -203,6 +217,7 @@
     # Called by attempts
 
     def part_arrived(self, attempt: Attempt, body: bytes) -> None:
+        """Take the answer."""
         snapshot = Snapshot(self._snapshot.layout, self._snapshot.version)
         coverage = Coverage(1, {})
         self._result.set(Answered(snapshot, coverage, {attempt.shard: body}, True))
@@ -210,21 +225,21 @@
     def attempt_failed(
         self, attempt: Attempt, reason: MissingReason, detail: str, *, may_have_run: bool
     ) -> None:
-        self._runner._counters.add(
-            "attempts_failed", service=self._policy.service.name, reason=reason.value
-        )
+        """End as unknown if it may have run, else try another replica within the budget."""
+        service = self._policy.service.name
+        self._tools.counters.add("attempts_failed", service=service, reason=reason.value)
         if may_have_run:
             self._result.set(Unknown(_unknown_reason(reason), detail))
         elif len(self._tried) > MOST_SHED_RETRIES or not self._policy.budget.take(1):
             self._result.set(NotRun(_not_run_reason(reason), detail))
         else:
-            self._runner._counters.add(
-                "extra_load", service=self._policy.service.name, kind=f"retry_{reason.value}"
-            )
+            kind = f"retry_{reason.value}"
+            self._tools.counters.add("extra_load", service=service, kind=kind)
             self._send(AttemptKind.RETRY)
 
     def replica_left(self, replica: Replica) -> None:
-        self._runner._directory.note_left(*replica.key)
+        """Pass on that an upstream says it is leaving."""
+        self._tools.directory.note_left(*replica.key)
 
     def _send(self, kind: AttemptKind) -> None:
         now = self.clock.now()
@@ -233,11 +248,11 @@
         if not left:
             self._result.set(NotRun(NotRunReason.NO_LIVE_REPLICA, f"shard {self._shard}"))
             return
-        replica = self._policy.choose(left, self._runner._random, now)
+        replica = self._policy.choose(left, self._tools.random, now)
         self._tried.append(replica)
         version, layout = self._snapshot.version, self._snapshot.layout
-        part = f"{self._attempt_id};{self._shard};{version};{layout}"
-        self._current = Attempt(self, self._shard, replica, part, kind)
+        part = Part(self._attempt_id, self._shard, version, layout)
+        self._current = Attempt(self, self._shard, replica, str(part), kind)
         replica.pool.submit(self._current)
 
     def _give_up(self) -> Outcome:
--- a/fulmarhold/fleet/fleet.py
+++ b/fulmarhold/fleet/fleet.py
@@ -8,7 +8,7 @@
 import gevent
 from geventhttpclient import HTTPClient
 
-from fulmarhold.clock import SECOND, Clock
+from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.fleet.ports import LOOPBACK, PortSupply
 from fulmarhold.fleet.processes import START_PATIENCE, FleetProcess, await_condition
 from fulmarhold.operators.commands.clusters import form_cluster
@@ -233,9 +233,6 @@
     return {name: float(value) for name, _, value in lines}
 
 
-def settle(duration: float) -> None:
+def settle(duration: Milliseconds) -> None:
     """Let the fleet run for `duration` milliseconds."""
-    clock = Clock()
-    until = clock.now() + duration
-    while clock.now() < until:
-        gevent.sleep(min(50.0, until - clock.now()) / SECOND)
+    gevent.sleep(duration / SECOND)
--- a/fulmarhold/gather/scatter.py
+++ b/fulmarhold/gather/scatter.py
@@ -12,6 +12,7 @@
 from fulmarhold.gather.outcome import Answered, Coverage, MissingReason, Snapshot
 from fulmarhold.gather.subrequest import Attempt, AttemptKind
 from fulmarhold.routing.choice import candidates
+from fulmarhold.upstreams.protocol import Part
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -166,8 +167,8 @@
 
     def _send(self, number: int, replicas: list[Replica], kind: AttemptKind) -> None:
         replica = self._policy.choose(replicas, self._random, self.clock.now())
-        part = f"{self._request_id};{number};{self._snapshot.version};{self._snapshot.layout}"
-        attempt = Attempt(self, number, replica, part, kind)
+        part = Part(self._request_id, number, self._snapshot.version, self._snapshot.layout)
+        attempt = Attempt(self, number, replica, str(part), kind)
         self._shards[number].attempts.append(attempt)
         replica.pool.submit(attempt)
 
@@ -193,6 +194,7 @@
 
     def _wait_until(self, moment: Milliseconds) -> bool:
         """Wait for the end of the scatter; returns whether it still goes on at `moment`."""
+        moment = min(moment, self.deadline_at)
         while not self._is_finished():
             now = self.clock.now()
             if now >= moment:
--- a/fulmarhold/membership/exchange.py
+++ b/fulmarhold/membership/exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.event import Event
@@ -153,7 +153,13 @@
         self._running.confirm_by_control(reply.version, asked_at)
         return False
 
-    def _move_on(self, version, revision, document, roster) -> bool:  # type: ignore[no-untyped-def]
+    def _move_on(
+        self,
+        version: int,
+        revision: int,
+        document: dict[str, Any] | None,
+        roster: tuple[RosterEntry, ...],
+    ) -> bool:
         before = self._running.revision
         if not self._running.apply(version, revision, document, roster):
             return False
--- a/fulmarhold/membership/running.py
+++ b/fulmarhold/membership/running.py
@@ -25,7 +25,7 @@
     from fulmarhold.configuration import Configuration
     from fulmarhold.control.messages import RosterEntry
 
-# An entry that has no configuration yet uses this lease; control waits for no shorter one.
+# The longest that any entry serves on one confirmation; control waits for as long.
 CONFIRMATION_LEASE: Milliseconds = 2_500.0
 
 
--- /dev/null
+++ b/fulmarhold/tests/gather/test_scatter.py
@@ -0,0 +1,163 @@
+"""The scatter's decisions with upstreams that a test answers for."""
+
+from __future__ import annotations
+
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import gevent
+import pytest
+
+from fulmarhold.clock import Clock
+from fulmarhold.conftest import small_questionnaire
+from fulmarhold.gather.outcome import MissingReason
+from fulmarhold.gather.scatter import RETURN_RESERVE, Policy, Scatter
+from fulmarhold.limits.budget import ExtraLoadBudget
+from fulmarhold.observe.counters import Counters
+from fulmarhold.questionnaire.derive import derive_configuration
+from fulmarhold.routing.choice import choosers
+from fulmarhold.routing.estimates import QuantileEstimate
+from fulmarhold.routing.replica import Replica
+from fulmarhold.routing.table import SnapshotReplicas
+from fulmarhold.upstreams.protocol import RequestTemplate, UpstreamResponse
+
+DEADLINE = 600.0
+SLACK = 3_000.0
+
+
+class FakePool:
+    """Takes requests and answers them as `answer` says, after `delay` ms."""
+
+    def __init__(self, answer="ok", delay=0.0):
+        self.address = "127.0.0.1:1"
+        self.load = 0
+        self.sent: list[Any] = []
+        self._answer = answer
+        self._delay = delay
+
+    def submit(self, request):
+        request.encode()
+        self.sent.append(request)
+        if self._answer is not None:
+            gevent.spawn_later(self._delay / 1_000, self._respond, request)
+
+    def send_aside(self, request):
+        return False
+
+    def _respond(self, request):
+        if self._answer == "lost":
+            request.failed("closed", sent=True)
+            return
+        status, outcome = {
+            "ok": (200, ""),
+            "shed": (503, "not_run"),
+            "gone": (409, "snapshot_gone"),
+        }[self._answer]
+        request.completed(UpstreamResponse(status, request.part, outcome, "", b"{}", True))
+
+
+def run(*shards, hedge_after=1_000.0, early=False, budget=20, hedges=True):
+    """Scatter over shards, each a list of pools; returns the answer and how long it took."""
+    replicas = {}
+    for number, pools in enumerate(shards):
+        record = SimpleNamespace(address=f"a{number}", incarnation=1, slots=4)
+        upstream: Any = SimpleNamespace(record=record, is_live=lambda _: True)
+        replicas[number] = tuple(Replica(upstream, pool, 100.0, 0.0, 0.0) for pool in pools)
+    service = derive_configuration(small_questionnaire()).services["lookup"]
+    extra = ExtraLoadBudget(0.0, 1)
+    extra._tokens = budget
+    policy = Policy(
+        service,
+        choosers.find("least_expected"),
+        hedges,
+        early,
+        extra,
+        QuantileEstimate(0.95, hedge_after),
+    )
+    clock = Clock()
+    started_at = clock.now()
+    scatter = Scatter(
+        "id",
+        RequestTemplate("lookup", "search", b""),
+        SnapshotReplicas("l", 1, len(shards), replicas),
+        policy,
+        started_at + DEADLINE,
+        clock,
+        Random(1),
+        Counters(),
+        lambda address, incarnation: None,
+    )
+    return scatter.run(), clock.now() - started_at
+
+
+def reasons(answer):
+    return {shard: reason.value for shard, reason in answer.coverage.missing.items()}
+
+
+@pytest.mark.parametrize("hedge_after", [1.0, 20.0, 10_000.0])
+def test_no_answer_comes_after_the_deadline_whatever_the_hedge_delay(hedge_after):
+    answer, took = run([FakePool()], [FakePool(answer=None)], hedge_after=hedge_after)
+    assert reasons(answer) == {1: "deadline"}
+    assert DEADLINE - RETURN_RESERVE - 1 <= took < DEADLINE + SLACK
+
+
+def test_a_late_part_is_hedged_at_another_replica_once():
+    slow, fast = FakePool(answer=None), FakePool(delay=1.0)
+    fast.load = 100
+    answer, took = run([slow, fast], [FakePool()], hedge_after=10.0)
+    assert not answer.coverage.missing
+    assert (len(slow.sent), len(fast.sent)) == (1, 1)
+    assert took < DEADLINE / 2
+
+
+def test_without_budget_there_is_no_hedge():
+    slow, fast = FakePool(answer=None), FakePool()
+    fast.load = 100
+    answer, _ = run([slow, fast], hedge_after=5.0, budget=0)
+    assert reasons(answer) == {0: "deadline"}
+    assert not fast.sent
+
+
+@pytest.mark.parametrize("wrong", ["lost", "shed", "gone"])
+def test_a_failed_part_is_tried_at_another_replica(wrong):
+    bad, good = FakePool(answer=wrong), FakePool()
+    good.load = 100
+    answer, _ = run([bad, good])
+    assert not answer.coverage.missing
+    assert (len(bad.sent), len(good.sent)) == (1, 1)
+
+
+@pytest.mark.parametrize(
+    ("pools", "budget", "reason"),
+    [
+        ([], 5, MissingReason.NO_LIVE_REPLICA),
+        (["shed"], 5, MissingReason.SHED),
+        (["lost"], 5, MissingReason.CONNECTION_LOST),
+        (["gone", "gone"], 5, MissingReason.SNAPSHOT_GONE),
+        (["shed", "ok"], 0, MissingReason.BUDGET_SPENT),
+    ],
+)
+def test_a_missing_part_has_its_reason(pools, budget, reason):
+    made = [FakePool(answer=name) for name in pools]
+    for place, pool in enumerate(made):
+        pool.load = place * 100
+    answer, took = run([FakePool()], made, budget=budget)
+    assert answer.coverage.missing == {1: reason}
+    assert (answer.coverage.covered, answer.coverage.total) == (1, 2)
+    assert took < DEADLINE / 2
+
+
+def test_a_latency_first_service_returns_once_enough_is_there_and_the_rest_is_late():
+    shards = [[FakePool()], [FakePool(answer=None)]]
+    answer, took = run(*shards, early=True, hedge_after=5.0)
+    assert reasons(answer) == {1: "late"}
+    assert answer.sufficient
+    assert took < DEADLINE / 2
+
+
+def test_a_latency_first_service_waits_while_there_is_not_enough():
+    shards = [[FakePool()], [FakePool(answer=None)], [FakePool(answer=None)]]
+    answer, took = run(*shards, early=True, hedge_after=5.0)
+    assert not answer.sufficient
+    assert took > DEADLINE / 2
