Let the number of queries at once follow what the upstreams can do

Cause: at 1.5 times the slots every query was admitted; nearly all ran past the deadline in the upstreams' queues, and 1 answer in 4 was whole. Ruled out: a fixed lower limit, since 6 queries at once fill the slots when a part takes 120 ms and a hundred when it takes 4. Change: the bound on queries at once falls when parts miss the deadline or answers take twice as long as usual while it is reached, and grows slowly; a query that needs more time than it has is refused at once. Whole answers' latency is exposed by service.

--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 from typing import TYPE_CHECKING, Any, Protocol
@@ -18,6 +19,10 @@
     from pathlib import Path
 
 EXIT_FAILED = 1
+# Objects made before a collection of the young ones, and collections before the next older.
+YOUNG_OBJECTS = 20_000
+YOUNG_COLLECTIONS = 20
+MIDDLE_COLLECTIONS = 20
 
 
 class Daemon(Protocol):
@@ -37,6 +42,7 @@
         start_logging(settings.log.level)
         daemon = make(settings)
         daemon.start()
+        _calm_collector()
     except FulmarholdError as error:
         print(error, file=sys.stderr)
         return EXIT_FAILED
@@ -50,3 +56,10 @@
         return EXIT_FAILED
     daemon.stop()
     return 0
+
+
+def _calm_collector() -> None:
+    """Keep the garbage collector from walking all that the start has made, again and again."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, YOUNG_COLLECTIONS, MIDDLE_COLLECTIONS)
--- a/fulmarhold/entry/answering.py
+++ b/fulmarhold/entry/answering.py
@@ -5,19 +5,30 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from fulmarhold.gather.outcome import Answered, NotRun, NotRunReason, Outcome, Refused, Unknown
+from fulmarhold.gather.outcome import (
+    Answered,
+    MissingReason,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Refused,
+    Unknown,
+)
+from fulmarhold.observe.latency import LatencyHistogram
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.configuration import Configuration, RequestType, ServiceConfiguration
     from fulmarhold.effects.dispatch import EffectRunner
     from fulmarhold.gather.query import QueryRunner
     from fulmarhold.gather.services import ServicePolicies
-    from fulmarhold.limits.admission import Admission
+    from fulmarhold.limits.admission import Admission, ServiceGate
     from fulmarhold.membership.running import RunningState
-    from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.counters import Counters, Gauge
 
-LEAST_NEEDED: Milliseconds = 1.0
+QUANTILES = (0.5, 0.99, 0.999)
 
 
 @dataclass(frozen=True)
@@ -53,6 +64,7 @@
         self._effects = effects
         self._clock = clock
         self._counters = counters
+        self._latencies: dict[str, LatencyHistogram] = {}
 
     def answer(self, request: CallerRequest) -> Outcome:
         """Return the outcome of a request."""
@@ -63,6 +75,17 @@
         self.count(request.service, outcome)
         return outcome
 
+    def latency(self, service: str) -> LatencyHistogram:
+        """Return the histogram of a service's whole answers."""
+        return self._latencies.setdefault(service, LatencyHistogram())
+
+    def gauges(self) -> Iterable[Gauge]:
+        """Yield the quantiles of whole answers."""
+        for service, histogram in self._latencies.items():
+            for quantile in QUANTILES:
+                labels = {"service": service, "quantile": f"{quantile}"}
+                yield "query_latency_ms", labels, histogram.quantile(quantile)
+
     def count(self, service: str, outcome: Outcome) -> None:
         """Count an outcome; a service that does not exist shares one label."""
         configuration = self._running.configuration
@@ -86,25 +109,42 @@
         deadline_at = min(request.deadline_at, self._clock.now() + service.longest_deadline_ms)
         if not request_type.idempotent and not request.key:
             raise Refused(NotRunReason.KEY_MISSING, "Idempotency-Key is required for this type")
-        policy = self._policies.find(service)
-        self._admission.configure(service.name, service.urgency, service.admission_limit)
-        with self._admission.admitted(service.name, deadline_at, LEAST_NEEDED):
+        gate = self._admission.configure(service.name, service.urgency, service.admission_limit)
+        with self._admission.admitted(gate, deadline_at):
             # Waiting for a place may have outlived the confirmation.
-            self._confirmed_configuration()
+            configuration = self._confirmed_configuration()
             if request_type.idempotent:
-                return self._queries.run(
-                    request.request_id, request_type.name, request.body, policy, deadline_at
-                )
+                return self._query(request, service, gate, deadline_at)
             return self._effects.run(
                 request_type.name,
                 request.key,
                 request.shard_key,
                 request.body,
-                policy,
+                self._policies.find(service),
                 deadline_at,
                 configuration.timings.claim_timeout_ms,
             )
 
+    def _query(
+        self,
+        request: CallerRequest,
+        service: ServiceConfiguration,
+        gate: ServiceGate,
+        deadline_at: Milliseconds,
+    ) -> Outcome:
+        started_at = self._clock.now()
+        policy = self._policies.find(service)
+        answer = self._queries.run(
+            request.request_id, request.request_type, request.body, policy, deadline_at
+        )
+        duration = self._clock.now() - started_at
+        if not answer.coverage.missing:
+            gate.note_whole(duration)
+            self.latency(service.name).record(duration)
+        elif MissingReason.DEADLINE in answer.coverage.missing.values():
+            gate.note_late()
+        return answer
+
     def _confirmed_configuration(self) -> Configuration:
         configuration = self._running.configuration
         if configuration is None:
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -161,6 +161,7 @@
         yield "entry_version", {}, float(self.running.version)
         yield "entry_confirmed", {}, float(self.running.is_confirmed)
         yield "entry_in_flight", {}, float(self._in_flight)
+        yield from self.answering.gauges()
         replicas = list(self.table.replicas)
         yield "entry_upstreams", {}, float(len(replicas))
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/limits/admission.py
+++ b/fulmarhold/limits/admission.py
@@ -9,35 +9,81 @@
 import gevent
 from gevent.event import AsyncResult
 
-from fulmarhold.clock import SECOND
+from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.gather.outcome import NotRunReason, Refused
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.clock import Clock
     from fulmarhold.configuration import Urgency
 
 # An entry runs this many queries at once; less urgent ones may use only a part of that.
 QUERIES_AT_ONCE = 192
 URGENCY_SHARES: dict[Urgency, float] = {"urgent": 1.0, "normal": 0.75, "background": 0.5}
 LONGEST_QUEUE = 256
+LEAST_BOUND = 1.0
+LEAST_NEEDED: Milliseconds = 1.0
+LOWER_FACTOR = 0.7
+RAISE_STEP = 0.2
+# A whole answer that took this many times the usual time has waited in queues of upstreams.
+QUEUEING_FACTOR = 2.0
+# The time a query needs follows fast answers at once and slow ones, which may have queued, slowly.
+FASTER_WEIGHT = 0.3
+SLOWER_WEIGHT = 0.02
 
 
 class ServiceGate:
-    """Lets a bounded number of queries of one service run; others wait while there is time."""
+    """Lets a bounded number of queries of one service run; others wait while there is time.
 
-    def __init__(self, service: str, urgency: Urgency, limit: int, clock: Clock) -> None:
-        self.service = service
+    The bound follows what the upstreams can do: it falls when parts miss the deadline or whole
+    answers take far longer than usual while it is reached, once for each round of queries, and
+    grows slowly while answers are whole, up to the configured limit.
+    """
+
+    def __init__(self, urgency: Urgency, limit: int, clock: Clock) -> None:
         self.urgency = urgency
-        self.limit = limit
+        self._most = limit
+        self._bound = float(limit)
         self._clock = clock
         self._running = 0
+        self._duration: Milliseconds = 0.0
+        self._lowered_at: Milliseconds = float("-inf")
         self._waiting: deque[AsyncResult] = deque()
 
     @property
-    def running(self) -> int:
-        return self._running
+    def limit(self) -> int:
+        """How many queries may run now."""
+        return max(1, int(self._bound))
+
+    @property
+    def needed(self) -> Milliseconds:
+        """How long a whole answer has taken lately."""
+        return self._duration
+
+    def configure(self, urgency: Urgency, limit: int) -> None:
+        """Change the configured limit, keeping what runs."""
+        self.urgency = urgency
+        if limit != self._most:
+            self._most, self._bound = limit, float(limit)
+
+    def note_whole(self, duration: Milliseconds) -> None:
+        """Take in a whole answer that took `duration` ms."""
+        if not self._duration:
+            self._duration = duration
+        if duration > QUEUEING_FACTOR * self._duration and self._running >= self.limit:
+            self.note_late()
+            return
+        weight = FASTER_WEIGHT if duration < self._duration else SLOWER_WEIGHT
+        self._duration += weight * (duration - self._duration)
+        self._bound = min(float(self._most), self._bound + RAISE_STEP / self._bound)
+
+    def note_late(self) -> None:
+        """Take in an answer that lacks parts because the deadline came."""
+        now = self._clock.now()
+        if now >= self._lowered_at + self._duration:
+            self._lowered_at = now
+            self._bound = max(LEAST_BOUND, LOWER_FACTOR * self._bound)
 
     def enter(self, wait_until: Milliseconds) -> None:
         """Take a place, waiting for one until `wait_until`; raises `Refused`."""
@@ -58,8 +104,8 @@
             raise Refused(NotRunReason.OVERLOADED, "no place came free in time") from None
 
     def leave(self) -> None:
-        """Give a place back, to the first that waits."""
-        if self._waiting:
+        """Give a place back, to the first that waits unless the bound has fallen."""
+        if self._waiting and self._running <= self.limit:
             self._waiting.popleft().set()
         else:
             self._running -= 1
@@ -78,20 +124,18 @@
         """Queries that run now."""
         return self._running
 
-    def configure(self, service: str, urgency: Urgency, limit: int) -> None:
-        """Set the limit of a service, keeping what runs."""
+    def configure(self, service: str, urgency: Urgency, limit: int) -> ServiceGate:
+        """Return the gate of a service, with its limit set."""
         gate = self._gates.get(service)
         if gate is None:
-            self._gates[service] = ServiceGate(service, urgency, limit, self._clock)
-        else:
-            gate.urgency, gate.limit = urgency, limit
+            gate = self._gates[service] = ServiceGate(urgency, limit, self._clock)
+        gate.configure(urgency, limit)
+        return gate
 
     @contextmanager
-    def admitted(
-        self, service: str, deadline_at: Milliseconds, needed: Milliseconds
-    ) -> Iterator[None]:
-        """Hold a place for one query that needs `needed` ms; raises `Refused` without one."""
-        gate = self._gates[service]
+    def admitted(self, gate: ServiceGate, deadline_at: Milliseconds) -> Iterator[None]:
+        """Hold a place for one query; raises `Refused` without one or without enough time."""
+        needed = max(LEAST_NEEDED, gate.needed)
         if self._clock.now() + needed > deadline_at:
             raise Refused(NotRunReason.DEADLINE_TOO_SHORT, f"it takes about {needed:.0f} ms")
         if self._running >= QUERIES_AT_ONCE * URGENCY_SHARES[gate.urgency]:
