--- a/fulmarhold/bench/policy.py
+++ b/fulmarhold/bench/policy.py
@@ -172,7 +172,7 @@
 
 
 def _was_sent(name: str) -> bool:
-    return "refused" not in name and "hedge_won" not in name
+    return not any(kind in name for kind in ("refused", "hedge_won", "hedge_pointless"))
 
 
 def compare_rows(rows: Sequence[Row]) -> list[str]:
--- a/fulmarhold/gather/scatter.py
+++ b/fulmarhold/gather/scatter.py
@@ -179,8 +179,10 @@
         for number, shard in enumerate(self._shards):
             if shard.body is not None or shard.reason is not None or shard.hedged:
                 continue
-            left = self._candidates(number)
+            # A replica that has work of ours to do already would only be late as well.
+            left = [item for item in self._candidates(number) if item.pool.load == 0]
             if not left:
+                self._count_extra("hedge_pointless")
                 continue
             if not self._policy.budget.take_spare(1):
                 self._count_extra("hedge_refused")
--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -98,7 +98,7 @@
 def _answer_error(
     _: falcon.Request, response: falcon.Response, error: FulmarholdError, __: Any
 ) -> None:
-    response.status = falcon.HTTP_400 if isinstance(error, MalformedInput) else falcon.HTTP_500
+    response.status = falcon.HTTP_400 if isinstance(error, MalformedInput) else falcon.HTTP_409
     if isinstance(error, BodyTooLarge):
         response.status = falcon.HTTP_413
     response.media = {"error": error.message, "step": error.step, "peer": error.peer}
