--- a/fulmarhold/gather/outcome.py
+++ b/fulmarhold/gather/outcome.py
@@ -52,7 +52,6 @@
     SNAPSHOT_GONE = "snapshot_gone"
     WRONG_ECHO = "wrong_echo"
     UPSTREAM_ERROR = "upstream_error"
-    MALFORMED_PART = "malformed_part"
     DEADLINE = "deadline"
     LATE = "late"
     BUDGET_SPENT = "budget_spent"
--- a/fulmarhold/tests/control/test_failures.py
+++ b/fulmarhold/tests/control/test_failures.py
@@ -218,8 +218,13 @@
     first, others = leader(fleet)
     for process in others:
         process.kill()
+    command = new_identifier()
     with pytest.raises(FulmarholdError):
-        accept_configuration([first.endpoint], fleet.configuration, 0, "anna", patience=3_000.0)
+        accept_configuration(
+            [first.endpoint], fleet.configuration, 0, "anna", command, patience=3_000.0
+        )
+    assert read_instance(first.endpoint, "configuration")["revision"] == 0
     others[0].start()
     others[0].await_answer()
-    assert revision(fleet) <= 1
+    assert accept(fleet, 0, command_id=command) == 1
+    assert revision(fleet) == 1
