Bound queries by queueing rather than by lateness, and let old estimates fade

The bound on queries at once learned from missed deadlines only: the usual time, which "slow" was measured against, crept up with the overload. Queries also waited in the gate until just the average time was left, oldest first, so that half of those let in last were late.

Change: a whole answer counts as queued past a third of the way from the fast answers' time to the deadline; then the bound falls by a tenth, for lateness by three tenths as before. A query waits as long as leaves it what nearly all answers take (98th percentile); the newest come first once more wait than run; a place given back lets in all that fit. An estimate halves in 3 s of silence while nothing is owed; the next response confirms it, the faded one, or what lies between.

--- a/fulmarhold/entry/answering.py
+++ b/fulmarhold/entry/answering.py
@@ -139,7 +139,7 @@
         )
         duration = self._clock.now() - started_at
         if not answer.coverage.missing:
-            gate.note_whole(duration)
+            gate.note_whole(duration, service.deadline_ms)
             self.latency(service.name).record(duration)
         elif MissingReason.DEADLINE in answer.coverage.missing.values():
             gate.note_late()
--- a/fulmarhold/gather/subrequest.py
+++ b/fulmarhold/gather/subrequest.py
@@ -84,7 +84,8 @@
             return
         self._is_over = True
         if self.sent_at is not None:
-            self.replica.note_slow(self.owner.clock.now() - self.sent_at)
+            now = self.owner.clock.now()
+            self.replica.note_slow(now - self.sent_at, now)
             self.replica.pool.send_aside(_Cancel(self.replica.pool.address, self.part))
 
     def completed(self, response: UpstreamResponse) -> bool:
@@ -116,8 +117,8 @@
                 self, MissingReason.WRONG_ECHO, f"echoed {response.part!r}", may_have_run=True
             )
         elif response.status == STATUS_OK and not response.outcome:
-            sent_at = self.sent_at if self.sent_at is not None else owner.clock.now()
-            self.replica.note_success(owner.clock.now() - sent_at)
+            now = owner.clock.now()
+            self.replica.note_success(now - (self.sent_at or now), now)
             owner.part_arrived(self, response.body)
         elif response.outcome == OUTCOME_NOT_RUN:
             owner.attempt_failed(self, MissingReason.SHED, "shed", may_have_run=False)
--- a/fulmarhold/limits/admission.py
+++ b/fulmarhold/limits/admission.py
@@ -11,6 +11,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.gather.outcome import NotRunReason, Refused
+from fulmarhold.routing.estimates import LatencyAverage, QuantileEstimate
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,21 +25,22 @@
 LONGEST_QUEUE = 256
 LEAST_BOUND = 1.0
 LEAST_NEEDED: Milliseconds = 1.0
-LOWER_FACTOR = 0.7
+LATE_FACTOR = 0.7
+SLOW_FACTOR = 0.9
 RAISE_STEP = 0.2
-# A whole answer that took this many times the usual time has waited in queues of upstreams.
-QUEUEING_FACTOR = 2.0
-# The time a query needs follows fast answers at once and slow ones, which may have queued, slowly.
-FASTER_WEIGHT = 0.3
-SLOWER_WEIGHT = 0.05
+# A whole answer has queued at upstreams once it took this share of the way from the time of the
+# fastest answers to the deadline.
+QUEUEING_SHARE = 1 / 3
+FAST_QUANTILE = 0.1
+LONG_QUANTILE = 0.98
 
 
 class ServiceGate:
     """Lets a bounded number of queries of one service run; others wait while there is time.
 
-    The bound follows what the upstreams can do: it falls when parts miss the deadline or whole
-    answers take far longer than usual while it is reached, once for each round of queries, and
-    grows slowly while answers are whole, up to the configured limit.
+    The bound follows what the upstreams can do: it falls when parts miss the deadline, or when
+    whole answers take so long that they must have queued while it is reached, once for each round
+    of queries, and grows slowly while answers are whole, up to the configured limit.
     """
 
     def __init__(self, urgency: Urgency, limit: int, clock: Clock) -> None:
@@ -47,7 +49,9 @@
         self._bound = float(limit)
         self._clock = clock
         self._running = 0
-        self._duration: Milliseconds = 0.0
+        self._usual: LatencyAverage | None = None
+        self._fast = QuantileEstimate(FAST_QUANTILE, LEAST_NEEDED)
+        self._long = QuantileEstimate(LONG_QUANTILE, LEAST_NEEDED)
         self._lowered_at: Milliseconds = float("-inf")
         self._waiting: deque[AsyncResult] = deque()
 
@@ -59,7 +63,12 @@
     @property
     def needed(self) -> Milliseconds:
         """How long a whole answer has taken lately."""
-        return self._duration
+        return max(LEAST_NEEDED, self._usual.value) if self._usual else LEAST_NEEDED
+
+    @property
+    def needed_at_most(self) -> Milliseconds:
+        """How long nearly all whole answers have taken lately at most."""
+        return max(self.needed, self._long.value)
 
     def configure(self, urgency: Urgency, limit: int) -> None:
         """Change the configured limit, keeping what runs."""
@@ -67,24 +76,22 @@
         if limit != self._most:
             self._most, self._bound = limit, float(limit)
 
-    def note_whole(self, duration: Milliseconds) -> None:
-        """Take in a whole answer that took `duration` ms."""
-        if not self._duration:
-            self._duration = duration
-        has_queued = duration > QUEUEING_FACTOR * self._duration
-        weight = FASTER_WEIGHT if duration < self._duration else SLOWER_WEIGHT
-        self._duration += weight * (duration - self._duration)
-        if has_queued and self._running >= self.limit:
-            self.note_late()
-            return
-        self._bound = min(float(self._most), self._bound + RAISE_STEP / self._bound)
+    def note_whole(self, duration: Milliseconds, allowed: Milliseconds) -> None:
+        """Take in a whole answer that took `duration` ms of the `allowed` ms."""
+        if self._usual is None:
+            self._usual = LatencyAverage(duration)
+            self._fast.value = self._long.value = duration
+        for estimate in (self._usual, self._fast, self._long):
+            estimate.update(duration)
+        fast = self._fast.value
+        if duration > fast + QUEUEING_SHARE * (allowed - fast) and self._running >= self.limit:
+            self._lower(SLOW_FACTOR)
+        else:
+            self._bound = min(float(self._most), self._bound + RAISE_STEP / self._bound)
 
     def note_late(self) -> None:
         """Take in an answer that lacks parts because the deadline came."""
-        now = self._clock.now()
-        if now >= self._lowered_at + self._duration:
-            self._lowered_at = now
-            self._bound = max(LEAST_BOUND, LOWER_FACTOR * self._bound)
+        self._lower(LATE_FACTOR)
 
     def enter(self, wait_until: Milliseconds) -> None:
         """Take a place, waiting for one until `wait_until`; raises `Refused`."""
@@ -105,11 +112,23 @@
             raise Refused(NotRunReason.OVERLOADED, "no place came free in time") from None
 
     def leave(self) -> None:
-        """Give a place back, to the first that waits unless the bound has fallen."""
-        if self._waiting and self._running <= self.limit:
-            self._waiting.popleft().set()
-        else:
-            self._running -= 1
+        """Give a place back, and let in as many of those that wait as the bound allows now."""
+        self._running -= 1
+        while self._waiting and self._running < self.limit:
+            self._running += 1
+            self._next().set()
+
+    def _next(self) -> AsyncResult:
+        # Once more wait than run, the oldest have too little time left to be worth a place.
+        if len(self._waiting) > self.limit:
+            return self._waiting.pop()
+        return self._waiting.popleft()
+
+    def _lower(self, factor: float) -> None:
+        now = self._clock.now()
+        if now >= self._lowered_at + self.needed:
+            self._lowered_at = now
+            self._bound = max(LEAST_BOUND, factor * self._bound)
 
 
 class Admission:
@@ -136,12 +155,11 @@
     @contextmanager
     def admitted(self, gate: ServiceGate, deadline_at: Milliseconds) -> Iterator[None]:
         """Hold a place for one query; raises `Refused` without one or without enough time."""
-        needed = max(LEAST_NEEDED, gate.needed)
-        if self._clock.now() + needed > deadline_at:
-            raise Refused(NotRunReason.DEADLINE_TOO_SHORT, f"it takes about {needed:.0f} ms")
+        if self._clock.now() + gate.needed > deadline_at:
+            raise Refused(NotRunReason.DEADLINE_TOO_SHORT, f"it takes about {gate.needed:.0f} ms")
         if self._running >= QUERIES_AT_ONCE * URGENCY_SHARES[gate.urgency]:
             raise Refused(NotRunReason.OVERLOADED, "the entry runs too many queries")
-        gate.enter(deadline_at - needed)
+        gate.enter(deadline_at - gate.needed_at_most)
         self._running += 1
         try:
             yield
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -15,6 +15,8 @@
 FAILURES_BEFORE_EJECTION = 3
 MOST_EJECTION_DOUBLINGS = 4
 SLOW_START_FLOOR = 0.1
+# An estimate that nothing renews fades, so that a replica that was slow is tried again.
+ESTIMATE_HALF_LIFE: Milliseconds = 3_000.0
 
 
 class Replica:
@@ -35,6 +37,7 @@
         self._ejection = ejection
         self._slow_start = slow_start
         self._started_at = now
+        self._heard_at = now
         self._failures = 0
         self._ejections = 0
 
@@ -57,16 +60,22 @@
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
         """Return the latency a new request may expect, queueing included."""
         slots = self.upstream.record.slots
-        return self.latency.value * (1 + self.pool.load / slots) / self._warmth(now)
+        if self.pool.load:
+            return self.latency.value * (1 + self.pool.load / slots) / self._warmth(now)
+        return self._faded(now) / self._warmth(now)
 
-    def note_success(self, latency: Milliseconds) -> None:
+    def note_success(self, latency: Milliseconds, now: Milliseconds) -> None:
         """Take in a good response."""
+        # A response after a silence confirms the old estimate or the faded one, or lies between.
+        self.latency.value = max(self._faded(now), min(self.latency.value, latency))
         self.latency.update(latency)
+        self._heard_at = now
         self._failures = 0
         self._ejections = 0
 
-    def note_slow(self, elapsed: Milliseconds) -> None:
+    def note_slow(self, elapsed: Milliseconds, now: Milliseconds) -> None:
         """Take in that a request was given up after `elapsed` ms without a response."""
+        self._heard_at = now
         if elapsed > self.latency.value:
             self.latency.update(elapsed)
 
@@ -86,6 +95,9 @@
         """Take in that nobody listens at its address: it is passed over at once."""
         self.ejected_until = max(self.ejected_until, now + self._ejection)
 
+    def _faded(self, now: Milliseconds) -> Milliseconds:
+        return self.latency.value * 0.5 ** ((now - self._heard_at) / ESTIMATE_HALF_LIFE)
+
     def _warmth(self, now: Milliseconds) -> float:
         if self._slow_start <= 0:
             return 1.0
--- a/fulmarhold/tests/limits/test_limits.py
+++ b/fulmarhold/tests/limits/test_limits.py
@@ -12,6 +12,8 @@
 from fulmarhold.limits.admission import QUERIES_AT_ONCE, Admission, ServiceGate
 from fulmarhold.limits.budget import ExtraLoadBudget
 
+ALLOWED = 400.0
+
 
 @given(st.lists(st.tuples(st.integers(0, 300), st.integers(0, 30)), max_size=60))
 def test_extra_requests_never_exceed_the_share_and_what_the_budget_began_with(steps):
@@ -35,7 +37,7 @@
 
 
 def test_work_that_can_not_finish_is_refused_at_once(admission, gate):
-    gate.note_whole(50.0)
+    gate.note_whole(50.0, ALLOWED)
     with pytest.raises(Refused) as caught, admission.admitted(gate, Clock().now() + 5):
         pytest.fail("must not be admitted")
     assert caught.value.reason is NotRunReason.DEADLINE_TOO_SHORT
@@ -86,7 +88,7 @@
 def test_the_bound_falls_once_a_round_and_grows_back_to_the_configured_limit():
     clock = ManualClock()
     gate = ServiceGate("urgent", 20, clock)
-    gate.note_whole(100.0)
+    gate.note_whole(100.0, ALLOWED)
     for _ in range(5):
         gate.note_late()
     assert gate.limit == 14
@@ -98,5 +100,70 @@
         gate.note_late()
     assert gate.limit == 1
     for _ in range(2_000):
-        gate.note_whole(100.0)
+        gate.note_whole(100.0, ALLOWED)
     assert gate.limit == 20
+
+
+@pytest.mark.parametrize(
+    ("usual", "duration", "running", "lowers"),
+    [
+        (50.0, 180.0, 4, True),
+        (50.0, 180.0, 3, False),
+        (50.0, 150.0, 4, False),
+        (300.0, 320.0, 4, False),
+        (300.0, 390.0, 4, True),
+    ],
+)
+def test_whole_answers_that_queued_lower_the_bound_before_any_part_is_late(
+    usual, duration, running, lowers
+):
+    gate = ServiceGate("urgent", 4, ManualClock())
+    for _ in range(50):
+        gate.note_whole(usual, ALLOWED)
+    for _ in range(running):
+        gate.enter(0.0)
+    gate.note_whole(duration, ALLOWED)
+    assert (gate.limit < 4) is lowers
+
+
+def wait_in(gate, order, name):
+    gate.enter(Clock().now() + 5_000)
+    order.append(name)
+
+
+@pytest.mark.parametrize(
+    ("limit", "waiting", "expected"),
+    [(3, 3, ["1", "2", "3"]), (1, 4, ["4", "3", "2", "1"])],
+)
+def test_the_newest_comes_first_once_more_wait_than_run(limit, waiting, expected):
+    gate = ServiceGate("urgent", limit, Clock())
+    order: list[str] = []
+    for _ in range(limit):
+        gate.enter(0.0)
+    tasks = [gevent.spawn(wait_in, gate, order, str(number)) for number in range(1, waiting + 1)]
+    gevent.sleep(0)
+    for _ in range(waiting):
+        gate.leave()
+        gevent.sleep(0)
+    gevent.joinall(tasks, raise_error=True)
+    assert order == expected
+
+
+def test_a_bound_that_has_grown_lets_in_all_that_fit():
+    gate = ServiceGate("urgent", 1, Clock())
+    order: list[int] = []
+    gate.enter(0.0)
+    tasks = [gevent.spawn(wait_in, gate, order, number) for number in range(3)]
+    gevent.sleep(0)
+    gate.configure("urgent", 4)
+    gate.leave()
+    gevent.joinall(tasks, raise_error=True)
+    assert len(order) == 3
+
+
+def test_a_query_waits_no_longer_than_leaves_nearly_every_answer_enough_time(admission):
+    gate = admission.configure("s", "urgent", 4)
+    for number in range(400):
+        gate.note_whole(80.0 if number % 5 == 0 else 10.0, ALLOWED)
+    assert gate.needed < 40.0
+    assert 70.0 < gate.needed_at_most < 100.0
--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -10,7 +10,7 @@
 
 from fulmarhold.routing.choice import candidates, choosers
 from fulmarhold.routing.estimates import QuantileEstimate
-from fulmarhold.routing.replica import FAILURES_BEFORE_EJECTION, Replica
+from fulmarhold.routing.replica import ESTIMATE_HALF_LIFE, FAILURES_BEFORE_EJECTION, Replica
 
 EJECTION = 1_000.0
 SLOW_START = 2_000.0
@@ -32,13 +32,48 @@
 @pytest.mark.parametrize("name", ["two_choices", "least_expected"])
 def test_load_and_own_latency_decide(name):
     fast, slow = make("fast"), make("slow")
-    slow.note_success(100.0)
+    slow.note_success(100.0, WARM)
+    fast.note_success(5.0, WARM)
     choose = choosers.find(name)
     assert choose([fast, slow], Random(1), WARM) is fast
     busy = make("busy", load=50)
     assert choose([busy, slow], Random(1), WARM) is slow
 
 
+@pytest.mark.parametrize("name", ["two_choices", "least_expected"])
+def test_a_replica_that_was_slow_is_tried_again_although_the_other_stays_fast(name):
+    fast, recovered = make("fast"), make("recovered")
+    recovered.note_success(100.0, WARM)
+    tried_at = []
+    for step in range(1, 400):
+        now = WARM + 100.0 * step
+        chosen = choosers.find(name)([fast, recovered], Random(step), now)
+        if chosen is recovered:
+            tried_at.append(now - WARM)
+        chosen.note_success(5.0, now)
+    assert ESTIMATE_HALF_LIFE < tried_at[0] < 5 * ESTIMATE_HALF_LIFE
+    assert len(tried_at) > 100
+
+
+@pytest.mark.parametrize("name", ["two_choices", "least_expected"])
+def test_a_replica_that_stays_slow_is_tried_once_in_some_seconds_only(name):
+    fast, slow = make("fast"), make("slow")
+    tries = 0
+    for step in range(600):
+        now = WARM + 100.0 * step
+        chosen = choosers.find(name)([fast, slow], Random(step), now)
+        chosen.note_success(40.0 if chosen is slow else 5.0, now)
+        tries += chosen is slow
+    assert 3 < tries < 15
+
+
+def test_a_replica_that_owes_a_response_is_not_thought_faster_for_its_silence():
+    frozen = make("frozen", load=1)
+    frozen.note_success(5.0, WARM)
+    later = WARM + 10 * ESTIMATE_HALF_LIFE
+    assert frozen.expected_latency(later) == frozen.expected_latency(WARM)
+
+
 def test_a_chooser_that_does_not_exist_gets_a_hint():
     with pytest.raises(Exception, match="did you mean 'two_choices'"):
         choosers.find("two_choises")
@@ -51,7 +86,7 @@
     assert not replica.is_ejected(WARM + EJECTION)
     replica.note_failure(WARM + EJECTION)
     assert replica.is_ejected(WARM + EJECTION + 2 * EJECTION - 1)
-    replica.note_success(1.0)
+    replica.note_success(1.0, WARM)
     replica.note_failure(WARM * 2)
     assert not replica.is_ejected(WARM * 2)
 
