--- a/fulmarhold/bench/micro.py
+++ b/fulmarhold/bench/micro.py
@@ -55,6 +55,8 @@
         rows.append((f"{name}, encode and decode", _cost(_round_trip(message)), "us"))
     full = PeerReply(SOURCE, 100, records, "serving", 100)
     rows.append(("record of an upstream in a reply", _size_per(full, UPSTREAMS), "bytes"))
+    roster = SyncReply(100, 100, None, (own,) * UPSTREAMS)
+    rows.append(("entry in a roster", _size_per(roster, UPSTREAMS), "bytes"))
     rows.append(("directory, merge of one upstream", _merge_cost(records), "us"))
     rows.append(("configuration, each service", _configuration_bytes(), "bytes"))
     rows.append(("claim, bytes in a snapshot", _claim_bytes(), "bytes"))
