Tell a caller that finds no entry so, instead of an IndexError

Cause: the slopes ended with an IndexError: the one entry, busy on a machine with 0.3 of its user time stolen, named no instance within the caller's 400 ms, and the caller chose from nothing. Change: PeerUnavailable with the step and the entries that were asked; the slopes count it as a refusal and go on. The slopes were not run yet.

--- a/fulmarhold/bench/slopes.py
+++ b/fulmarhold/bench/slopes.py
@@ -16,6 +16,7 @@
 from fulmarhold.callers.caller import Caller
 from fulmarhold.clock import SECOND, Clock, Milliseconds
 from fulmarhold.control.identifiers import new_identifier
+from fulmarhold.errors import PeerUnavailable
 from fulmarhold.fleet.fleet import Fleet, FleetPlan, settle
 from fulmarhold.operators.commands.configurations import accept_configuration
 from fulmarhold.operators.queries.status import format_table
@@ -184,7 +185,11 @@
 
     def run(caller: Caller) -> None:
         for _ in range(queries // len(callers)):
-            answer = caller.ask(f"s{shards}", "search", deadline=5_000.0)
+            try:
+                answer = caller.ask(f"s{shards}", "search", deadline=5_000.0)
+            except PeerUnavailable as error:
+                refusals.append(str(error))
+                continue
             if answer.outcome == "answered":
                 parts.append(answer.document["coverage"]["covered"])
             else:
--- a/fulmarhold/callers/caller.py
+++ b/fulmarhold/callers/caller.py
@@ -8,6 +8,7 @@
 
 from fulmarhold.callers.finder import EntryFinder
 from fulmarhold.clock import Clock, Milliseconds
+from fulmarhold.errors import PeerUnavailable
 from fulmarhold.web.client import JsonClient
 
 if TYPE_CHECKING:
@@ -55,8 +56,8 @@
         shard_key: str = "",
         entry: str = "",
     ) -> CallerAnswer:
-        """Send one request; raises `PeerUnavailable` when the connection failed."""
-        entry = entry or self._random.choice(self.addresses())
+        """Send one request; raises `PeerUnavailable` without an entry or a connection."""
+        entry = entry or self._choose_entry()
         headers = {"Fulmarhold-Deadline-Ms": f"{deadline:.0f}"}
         if key:
             headers["Idempotency-Key"] = key
@@ -73,6 +74,13 @@
         for client in self._clients.values():
             client.close()
 
+    def _choose_entry(self) -> str:
+        addresses = self.addresses()
+        if not addresses:
+            peers = ", ".join(self._finder.seeds)
+            raise PeerUnavailable("no entry names any", step="finding an entry", peer=peers)
+        return self._random.choice(addresses)
+
     def _client(self, endpoint: str) -> JsonClient:
         client = self._clients.get(endpoint)
         if client is None:
--- a/fulmarhold/callers/finder.py
+++ b/fulmarhold/callers/finder.py
@@ -26,6 +26,11 @@
         self._addresses: tuple[str, ...] = ()
         self._keep_until: Milliseconds = float("-inf")
 
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """The entries that are asked at first."""
+        return self._seeds
+
     def find(self) -> tuple[str, ...]:
         """Return the addresses in order of preference, empty when no entry answers."""
         if self._clock.now() < self._keep_until and self._addresses:
