--- a/fulmarhold/tests/observe/test_lag.py
+++ b/fulmarhold/tests/observe/test_lag.py
@@ -9,6 +9,8 @@
 from fulmarhold.clock import Clock
 from fulmarhold.observe.lag import LoopLag
 
+PASSING_BOUND_S = 20.0
+
 
 def test_the_lag_is_seen_while_something_holds_the_loop_and_passes_after_it():
     lag = LoopLag(Clock())
@@ -18,7 +20,8 @@
         time.sleep(0.06)
         gevent.sleep(0)
     held = lag.value
-    while lag.value > held / 4:
-        gevent.sleep(0.02)
+    with gevent.Timeout(PASSING_BOUND_S):
+        while lag.value > held / 4:
+            gevent.sleep(0.02)
     task.kill()
     assert held > 10.0
