Keep running estimates of latency beside the histograms, where admission and lag need them too

Routing, limits and observe all use them; they stood in routing, so that observe depended on it. Nothing else changed.

--- a/fulmarhold/gather/scatter.py
+++ b/fulmarhold/gather/scatter.py
@@ -22,8 +22,8 @@
     from fulmarhold.configuration import ServiceConfiguration
     from fulmarhold.limits.budget import ExtraLoadBudget
     from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.estimates import QuantileEstimate
     from fulmarhold.routing.choice import Chooser
-    from fulmarhold.routing.estimates import QuantileEstimate
     from fulmarhold.routing.replica import Replica
     from fulmarhold.routing.table import SnapshotReplicas
     from fulmarhold.upstreams.protocol import RequestTemplate
--- a/fulmarhold/gather/services.py
+++ b/fulmarhold/gather/services.py
@@ -6,8 +6,8 @@
 
 from fulmarhold.gather.scatter import Policy
 from fulmarhold.limits.budget import ExtraLoadBudget
+from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.routing.choice import DEFAULT_CHOICE, choosers
-from fulmarhold.routing.estimates import QuantileEstimate
 
 if TYPE_CHECKING:
     from fulmarhold.configuration import ServiceConfiguration
--- a/fulmarhold/limits/admission.py
+++ b/fulmarhold/limits/admission.py
@@ -11,7 +11,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.gather.outcome import NotRunReason, Refused
-from fulmarhold.routing.estimates import LatencyAverage, QuantileEstimate
+from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/fulmarhold/observe/lag.py
+++ b/fulmarhold/observe/lag.py
@@ -7,7 +7,7 @@
 import gevent
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.routing.estimates import LatencyAverage
+from fulmarhold.observe.estimates import LatencyAverage
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Clock
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fulmarhold.routing.estimates import LatencyAverage
+from fulmarhold.observe.estimates import LatencyAverage
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
--- a/fulmarhold/tests/gather/test_scatter.py
+++ b/fulmarhold/tests/gather/test_scatter.py
@@ -16,9 +16,9 @@
 from fulmarhold.gather.subrequest import AttemptKind
 from fulmarhold.limits.budget import ExtraLoadBudget
 from fulmarhold.observe.counters import Counters
+from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.questionnaire.derive import derive_configuration
 from fulmarhold.routing.choice import choosers
-from fulmarhold.routing.estimates import QuantileEstimate
 from fulmarhold.routing.replica import Replica
 from fulmarhold.routing.table import SnapshotReplicas
 from fulmarhold.upstreams.pool import CONNECT_REFUSED
--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.routing.choice import candidates, choosers
-from fulmarhold.routing.estimates import QuantileEstimate
 from fulmarhold.routing.replica import ESTIMATE_HALF_LIFE, FAILURES_BEFORE_EJECTION, Replica
 
 EJECTION = 1_000.0
