Fade estimates in one place, and check that waiting leaves nearly every answer its time

Read as a newcomer: the fading stood twice, in replicas and in the gate, with a half-life each; the test of the gate's patience looked at two estimates and not at what the gate does with them. Now one function with an example, and the test asks a full gate: with the average time in place of the 98th percentile (scratch copy) it fails.

--- a/fulmarhold/limits/admission.py
+++ b/fulmarhold/limits/admission.py
@@ -11,7 +11,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.gather.outcome import NotRunReason, Refused
-from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate
+from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, fade
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -25,8 +25,6 @@
 LONGEST_QUEUE = 256
 LEAST_BOUND = 1.0
 LEAST_NEEDED: Milliseconds = 1.0
-# Queries that are refused renew nothing; without this a single slow answer could refuse them all.
-NEEDED_HALF_LIFE: Milliseconds = 3_000.0
 LATE_FACTOR = 0.7
 SLOW_FACTOR = 0.9
 RAISE_STEP = 0.2
@@ -68,8 +66,8 @@
         """How long a whole answer has taken lately; fades while nothing renews it."""
         if self._usual is None:
             return LEAST_NEEDED
-        silence = self._clock.now() - self._renewed_at
-        return max(LEAST_NEEDED, self._usual.value * 0.5 ** (silence / NEEDED_HALF_LIFE))
+        # Queries that are refused renew nothing: one slow answer could refuse all that follow.
+        return max(LEAST_NEEDED, fade(self._usual.value, self._clock.now() - self._renewed_at))
 
     @property
     def needed_at_most(self) -> Milliseconds:
--- a/fulmarhold/observe/estimates.py
+++ b/fulmarhold/observe/estimates.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from fulmarhold.clock import Milliseconds
+from fulmarhold.clock import Milliseconds
 
 AVERAGE_WEIGHT = 0.15
 QUANTILE_STEP_SHARE = 0.05
 LEAST_QUANTILE: Milliseconds = 0.5
+# Without this an upstream or a service that was slow once would be avoided or refused for ever.
+ESTIMATE_HALF_LIFE: Milliseconds = 3_000.0
+
+
+def fade(value: Milliseconds, silence: Milliseconds) -> Milliseconds:
+    """Return what an estimate is still worth that nothing has renewed for `silence` ms.
+
+    >>> fade(80.0, 6_000.0)
+    20.0
+    """
+    return value * 0.5 ** (silence / ESTIMATE_HALF_LIFE)
 
 
 class LatencyAverage:
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fulmarhold.observe.estimates import LatencyAverage
+from fulmarhold.observe.estimates import LatencyAverage, fade
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
@@ -15,8 +15,6 @@
 FAILURES_BEFORE_EJECTION = 3
 MOST_EJECTION_DOUBLINGS = 4
 SLOW_START_FLOOR = 0.1
-# An estimate that nothing renews fades, so that a replica that was slow is tried again.
-ESTIMATE_HALF_LIFE: Milliseconds = 3_000.0
 
 
 class Replica:
@@ -96,7 +94,7 @@
         self.ejected_until = max(self.ejected_until, now + self._ejection)
 
     def _faded(self, now: Milliseconds) -> Milliseconds:
-        return self.latency.value * 0.5 ** ((now - self._heard_at) / ESTIMATE_HALF_LIFE)
+        return fade(self.latency.value, now - self._heard_at)
 
     def _warmth(self, now: Milliseconds) -> float:
         if self._slow_start <= 0:
--- a/fulmarhold/tests/limits/test_limits.py
+++ b/fulmarhold/tests/limits/test_limits.py
@@ -167,6 +167,10 @@
         gate.note_whole(80.0 if number % 5 == 0 else 10.0, ALLOWED)
     assert gate.needed < 40.0
     assert 70.0 < gate.needed_at_most < 100.0
+    for _ in range(gate.limit):
+        gate.enter(0.0)
+    with pytest.raises(Refused, match="run already"), admission.admitted(gate, Clock().now() + 60):
+        pytest.fail("must not wait for what leaves it only the average time")
 
 
 def test_one_answer_that_took_longer_than_the_deadline_does_not_shut_the_gate_for_ever():
--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from fulmarhold.observe.estimates import QuantileEstimate
+from fulmarhold.observe.estimates import ESTIMATE_HALF_LIFE, QuantileEstimate
 from fulmarhold.routing.choice import candidates, choosers
-from fulmarhold.routing.replica import ESTIMATE_HALF_LIFE, FAILURES_BEFORE_EJECTION, Replica
+from fulmarhold.routing.replica import FAILURES_BEFORE_EJECTION, Replica
 
 EJECTION = 1_000.0
 SLOW_START = 2_000.0
