--- a/fulmarhold/clock.py
+++ b/fulmarhold/clock.py
@@ -15,8 +15,9 @@
     """Reads the machine's clocks in milliseconds."""
 
     def now(self) -> Milliseconds:
-        """Return a monotonic time; only differences between readings mean something."""
-        return time.monotonic() * SECOND
+        """Return a steady time that also counts suspensions; only differences mean something."""
+        # The monotonic clock stands still while a machine is suspended: leases would outlive it.
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * SECOND
 
     def wall(self) -> Milliseconds:
         """Return the time since the Unix epoch, as far as this machine knows it."""
--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -97,6 +97,8 @@
         self._followers = Followers(identity)
         self._first_of_term = 0
         self._handing_over_until: Milliseconds | None = None
+        self._caught_up_at = float("-inf")
+        self.leads_since: Milliseconds = float("-inf")
         self._output = Output()
         self._reset_election(now)
 
@@ -131,6 +133,28 @@
         """Whether what this leader has applied is the newest there is."""
         return self.has_settled and now < self.lease_until(now)
 
+    def confirmed_at(self, now: Milliseconds) -> Milliseconds:
+        """Return when this member last knew that it had committed all that its leader had."""
+        if self.is_leader:
+            return self.quorum_heard_at(now) if self.has_settled else float("-inf")
+        return self._caught_up_at
+
+    def quorum_heard_at(self, now: Milliseconds) -> Milliseconds:
+        """Return since when a quorum is known to have followed this leader."""
+        if not self.is_leader:
+            return float("-inf")
+        return self._followers.heard_by_quorum(self.members, now)
+
+    def heard_at(self, identity: str) -> Milliseconds:
+        """Return when the leader sent what a member last acknowledged."""
+        follower = self._followers.find(identity)
+        return follower.acknowledged_at if follower else float("-inf")
+
+    def ask_followers(self, now: Milliseconds) -> None:
+        """Send to every member at once, as a leader that wants to know whether it still leads."""
+        if self.is_leader:
+            self._replicate(now)
+
     def match_index(self, identity: str) -> int:
         """Return up to where a member's synced log is known to equal this leader's."""
         return self._followers.match_index(identity)
@@ -300,6 +324,7 @@
 
     def _become_leader(self, now: Milliseconds) -> None:
         self.role = Role.LEADER
+        self.leads_since = now
         self.leader = self.identity
         self._handing_over_until = None
         self._followers.begin(self.members.everyone, self.log.last_index + 1)
@@ -389,8 +414,13 @@
         if not self.is_leader or message.term < self.term or follower is None:
             return
         follower.note_reply(message.sent_at, message.match_index, success=message.success)
+        committed = self.commit_index
         if message.success:
             self._advance_commit()
+        if self.commit_index > committed and self.is_leader:
+            # Followers pass on what is committed to entries; they need not wait for a heartbeat.
+            self._replicate(now)
+            return
         if self.is_leader and follower.next_index <= self.log.last_index:
             self._replicate_to(message.sender, now)
 
@@ -415,6 +445,7 @@
         self._follow(message.sender, message.term, now)
         if message.previous_index < self.commit_index:
             self._merge_committed_prefix(message)
+            self._note_caught_up(message.commit, now)
             return
         if self.log.term_at(message.previous_index) != message.previous_term:
             hint = min(self.log.last_index, message.previous_index - 1)
@@ -423,8 +454,13 @@
         self._merge(message.entries)
         match_index = message.previous_index + len(message.entries)
         self._follow_commit(min(message.commit, match_index))
+        self._note_caught_up(message.commit, now)
         self._reply_append(message.sender, message.sent_at, True, match_index)
 
+    def _note_caught_up(self, leader_commit: int, now: Milliseconds) -> None:
+        if self.commit_index >= leader_commit:
+            self._caught_up_at = now
+
     def _merge_committed_prefix(self, message: AppendRequest) -> None:
         newer = [entry for entry in message.entries if entry.index > self.commit_index]
         self._merge(tuple(newer))
--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 import gevent
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 from gevent.queue import Empty, Queue
 
 from fulmarhold.clock import SECOND
@@ -17,6 +17,7 @@
     KIND_COMMAND,
     KIND_MEMBERS,
     LogEntry,
+    MemberMessage,
     Members,
     PeerMessage,
     Snapshot,
@@ -25,6 +26,7 @@
 from fulmarhold.consensus.storage import EMPTY_SNAPSHOT, Storage, StorageFailed
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.observe.logs import part_log
+from fulmarhold.wire.messages import from_values
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -60,6 +62,11 @@
     """This instance belongs to no cluster yet."""
 
 
+def receive_member_message(node: Node) -> Callable[[MemberMessage], None]:
+    """Return the handler of messages between members."""
+    return lambda envelope: node.receive(envelope.endpoint, from_values(envelope.content))
+
+
 @dataclass(frozen=True)
 class _Proposal:
     term: int
@@ -82,9 +89,11 @@
         # A member that has just joined does not know the others from its log yet.
         self._sender_endpoints: dict[str, str] = {}
         self._applied = 0
+        self._stepped = Event()
         self._core: Core | None = None
         self._greenlet: gevent.Greenlet | None = None
         self.failure: AsyncResult = AsyncResult()
+        self.on_applied: Callable[[], None] = lambda: None
 
     @property
     def identity(self) -> str:
@@ -178,6 +187,29 @@
             and self._applied >= self._core.commit_index
         )
 
+    def confirmed_age(self) -> Milliseconds:
+        """Return how long ago the applied state was known to be the newest there is."""
+        if self._core is None or self._applied < self._core.commit_index:
+            return float("inf")
+        now = self._clock.now()
+        return now - self._core.confirmed_at(now)
+
+    def confirm_leadership(self, timeout: Milliseconds) -> None:
+        """Wait until a majority has followed this leader after the call, and all is applied.
+
+        Raises `NotLeader` when this member does not lead, or no majority answered in time.
+        """
+        core = self.core
+        asked_at = self._clock.now()
+        self._events.put(lambda core: core.ask_followers(self._clock.now()))
+        while core.is_leader and self._clock.now() < asked_at + timeout:
+            is_confirmed = core.has_settled and core.quorum_heard_at(self._clock.now()) >= asked_at
+            if is_confirmed and self._applied >= core.commit_index:
+                return
+            self._stepped.clear()
+            self._stepped.wait(TICK_PERIOD / SECOND)
+        raise NotLeader(core.leader if not core.is_leader else None)
+
     def hand_over(self) -> None:
         """Give leadership to another voter, as far as one is ready within the patience."""
         until = self._clock.now() + HANDOVER_PATIENCE
@@ -251,11 +283,14 @@
             self._applied = output.installed.index
         for entry in output.committed:
             self._apply(entry)
+        if output.committed or output.installed is not None:
+            self.on_applied()
         if was_leader and (not core.is_leader or core.term != term):
             self._fail_proposals()
         if core.is_leader and not was_leader:
             log.info("leads in term {}", core.term)
         self._compact_if_due(core)
+        self._stepped.set()
 
     def _sync(self, output: Output, memory: MemoryLog) -> None:
         pool = gevent.get_hub().threadpool
--- /dev/null
+++ b/fulmarhold/control/feeds.py
@@ -0,0 +1,428 @@
+"""What control instances know of upstreams and entries, shared among them and fed to entries.
+
+All of it is soft state that its subjects repeat, except that an upstream leaves: it says so once,
+so that this is handed to the other instances and to the replicated log before it is acknowledged.
+"""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent.event import Event
+
+from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.control.machine import encode_command
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.membership.feed import (
+    AllStatements,
+    AskStatements,
+    FeedReply,
+    ReportHeard,
+    RetireUpstream,
+    ShareStatements,
+    WatchFeed,
+)
+from fulmarhold.membership.statements import (
+    DRAINING,
+    LEFT,
+    READY,
+    SILENT,
+    InstanceStatement,
+    Ledger,
+    UpstreamStatement,
+)
+from fulmarhold.observe.logs import part_log
+from fulmarhold.wire.client import Link
+from fulmarhold.wire.messages import Done, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Clock
+    from fulmarhold.consensus.node import Node
+    from fulmarhold.control.machine import ControlMachine
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.wire.server import MessageServer
+
+log = part_log("feeds")
+
+# An unchanged feed is answered this often, which tells the entry that its source is in touch.
+FEED_PERIOD: Milliseconds = 400.0
+HOUSEKEEPING_PERIOD: Milliseconds = 200.0
+# Upstreams wait one second for an acknowledgement; handing it over may use part of that.
+HANDOVER_TIMEOUT: Milliseconds = 400.0
+SHARE_TIMEOUT: Milliseconds = 500.0
+# Three unanswered feeds of an entry, each of at most FEED_PERIOD and the trip.
+ENTRY_SILENCE: Milliseconds = 1_500.0
+# Heartbeats that may be missed before an upstream counts as silent: entries notice a crash by
+# their own connections long before, and one that merely reports late must not be dropped.
+MISSED_HEARTBEATS = 6
+REPORT_PERIOD: Milliseconds = 1_000.0
+# How long a started instance waits for one that knows the statements before it serves without.
+LONGEST_CATCH_UP: Milliseconds = 1_500.0
+
+
+@dataclass
+class _Watched:
+    """When an entry last asked, and what sequence it gave."""
+
+    at: Milliseconds
+    sequence: int
+
+
+@dataclass
+class _Owed:
+    """Names of subjects whose newest statements a peer still has to be told."""
+
+    upstreams: set[str] = field(default_factory=set)
+    instances: set[str] = field(default_factory=set)
+
+
+class Feeds:
+    """The statements that this control instance holds."""
+
+    def __init__(
+        self,
+        own: InstanceStatement,
+        node: Node,
+        machine: ControlMachine,
+        seeds: Callable[[], tuple[str, ...]],
+        heartbeat_period: Milliseconds,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self.upstreams: Ledger[UpstreamStatement] = Ledger()
+        self.instances: Ledger[InstanceStatement] = Ledger()
+        self._own = own
+        self._node = node
+        self._machine = machine
+        self._seeds = seeds
+        self._upstream_silence = MISSED_HEARTBEATS * heartbeat_period
+        self._clock = clock
+        self._counters = counters
+        self._source = uuid.uuid4().hex[:12]
+        self._changed = Event()
+        self._links: dict[str, Link] = {}
+        self._heard: dict[str, Milliseconds] = {}
+        self._fresh: dict[str, tuple[int, int]] = {}
+        self._watched: dict[str, _Watched] = {}
+        # What a peer could not be told yet, by name: it must learn that after a partition.
+        self._owed: dict[str, _Owed] = {}
+        self._is_ready = False
+        self._version = 0
+        self.instances.take(own, clock.now())
+
+    def register(self, server: MessageServer) -> None:
+        """File the handlers of feeds and of what other control instances share."""
+        server.handle(WatchFeed, self.watch)
+        server.handle(ShareStatements, self._take_shared)
+        server.handle(AskStatements, self._tell_all)
+        server.handle(ReportHeard, self._take_heard)
+        server.handle(RetireUpstream, self.retire_here)
+
+    # Upstreams
+
+    def take_upstream(self, statement: UpstreamStatement) -> bool:
+        """Take in what an upstream says of itself; returns whether it may be acknowledged.
+
+        A statement that it leaves is acknowledged once it is where no single loss can undo it.
+        """
+        statement = self._with_retirement(statement)
+        is_change = self._take_upstreams((statement,), "own word")
+        if statement.state not in (DRAINING, LEFT):
+            if is_change:
+                self._share((statement,), ())
+            return True
+        return self._retire(statement)
+
+    def leave_upstream(self, name: str) -> bool:
+        """Take in that an upstream goes without having said so before."""
+        known = self.upstreams.find(name)
+        if known is None:
+            return True
+        return self.take_upstream(replace(known, state=LEFT))
+
+    def _with_retirement(self, statement: UpstreamStatement) -> UpstreamStatement:
+        """Return the statement, corrected by what the log remembers of this incarnation."""
+        born = self._machine.state.retired.get(statement.name)
+        if born is not None and statement.born <= born and statement.state not in (DRAINING, LEFT):
+            return replace(statement, state=DRAINING)
+        return statement
+
+    def _retire(self, statement: UpstreamStatement) -> bool:
+        others = self._peers()
+        shared = ShareStatements((statement,), ())
+        replies = [gevent.spawn(self._tell, peer, shared) for peer in others]
+        command = RetireUpstream(statement.name, statement.born, self._clock.wall())
+        logged = gevent.spawn(self._log_retirement, command)
+        gevent.joinall([logged, *replies], timeout=HANDOVER_TIMEOUT / SECOND)
+        is_logged = bool(logged.ready() and logged.value)
+        told = sum(1 for reply in replies if reply.ready() and reply.value)
+        log.info(
+            "{} leaves: in the log {}, told {} of {} control instances",
+            statement.name,
+            is_logged,
+            told,
+            len(others),
+        )
+        return is_logged or told > 0 or not others
+
+    def _log_retirement(self, command: RetireUpstream) -> bool:
+        if self._machine.state.retired.get(command.name, -1) >= command.born:
+            return True
+        if not (self._node.is_formed and self._node.core.is_leader):
+            leader = self._node.leader_endpoint
+            return leader is not None and bool(self._call(leader, command))
+        try:
+            self._node.propose(encode_command(command))
+        except FulmarholdError as error:
+            log.warning("could not log that {} leaves: {}", command.name, error)
+            return False
+        return True
+
+    def retire_here(self, command: RetireUpstream) -> Any:
+        """Log a retirement that another control instance passes on."""
+        return Done() if self._log_retirement(command) else Failure("not_logged")
+
+    def _take_upstreams(self, statements: tuple[UpstreamStatement, ...], by: str) -> bool:
+        now = self._clock.now()
+        is_change = False
+        for statement in statements:
+            before = self.upstreams.find(statement.name)
+            if self.upstreams.take(statement, now):
+                is_change = True
+                log.info(
+                    "upstream {} of {} at {} is {} (born {}, sequence {}), was {}: {}",
+                    statement.name,
+                    statement.service,
+                    statement.address,
+                    statement.state,
+                    statement.born,
+                    statement.sequence,
+                    before.state if before else "unknown",
+                    by,
+                )
+            if self.upstreams.find(statement.name) == statement and statement.state != SILENT:
+                self._heard[statement.name] = now
+                self._fresh[statement.name] = (statement.born, statement.sequence)
+        if is_change:
+            self._notify()
+        return is_change
+
+    # Entries
+
+    def watch(self, request: WatchFeed) -> Any:
+        """Answer an entry as soon as something changed, or after a period at the latest."""
+        now = self._clock.now()
+        is_new = request.watcher.name not in self._watched
+        if self._take_instances((request.watcher,)) or is_new:
+            self._share((), (request.watcher,))
+        self._watched[request.watcher.name] = _Watched(now, request.watcher.sequence)
+        if not self._is_ready:
+            return Failure("catching_up")
+        is_whole = request.source != self._source
+        if not is_whole:
+            self._await_change(request, now + FEED_PERIOD)
+        upstream_position = 0 if is_whole else request.upstream_position
+        instance_position = 0 if is_whole else request.instance_position
+        self._watched[request.watcher.name] = _Watched(self._clock.now(), request.watcher.sequence)
+        state = self._machine.state
+        is_newer = state.routes_version > request.version
+        return FeedReply(
+            self._source,
+            is_whole,
+            min(self._node.confirmed_age(), 1e9),
+            self.upstreams.position,
+            self.instances.position,
+            tuple(self.upstreams.since(upstream_position)),
+            tuple(self.instances.since(instance_position)),
+            state.routes_version,
+            state.routes_document if is_newer else None,
+        )
+
+    def _await_change(self, request: WatchFeed, until: Milliseconds) -> None:
+        while not self._has_news(request):
+            left = until - self._clock.now()
+            if left <= 0:
+                return
+            self._changed.wait(left / SECOND)
+
+    def _has_news(self, request: WatchFeed) -> bool:
+        return (
+            self.upstreams.position > request.upstream_position
+            or self.instances.position > request.instance_position
+            or self._machine.state.routes_version > request.version
+        )
+
+    def _take_instances(self, statements: tuple[InstanceStatement, ...]) -> bool:
+        now = self._clock.now()
+        is_change = False
+        for statement in statements:
+            if statement.name == self._own.name and statement.born > self._own.born:
+                # The time of day went back between two lives of this instance.
+                self._own = replace(self._own, born=statement.born + 1)
+                self.instances.take(self._own, now)
+                self._share((), (self._own,))
+                continue
+            if self.instances.take(statement, now):
+                is_change = True
+                log.info("{} {} is {}", statement.role, statement.name, statement.state)
+        if is_change:
+            self._notify()
+        return is_change
+
+    # Other control instances
+
+    def _peers(self) -> list[str]:
+        known = self._node.core.members.everyone.values() if self._node.is_formed else ()
+        endpoints = dict.fromkeys((*known, *self._seeds()))
+        return [endpoint for endpoint in endpoints if endpoint != self._own.endpoint]
+
+    def _share(
+        self,
+        upstreams: tuple[UpstreamStatement, ...],
+        instances: tuple[InstanceStatement, ...],
+    ) -> None:
+        for peer in self._peers():
+            gevent.spawn(self._tell, peer, ShareStatements(upstreams, instances))
+
+    def _tell(self, peer: str, shared: ShareStatements) -> bool:
+        """Tell a peer; what it does not acknowledge stays owed to it."""
+        if self._call(peer, shared) is not None:
+            return True
+        owed = self._owed.setdefault(peer, _Owed())
+        owed.upstreams.update(item.name for item in shared.upstreams)
+        owed.instances.update(item.name for item in shared.instances)
+        return False
+
+    def _pay_owed(self) -> None:
+        for peer, owed in list(self._owed.items()):
+            del self._owed[peer]
+            upstreams = (self.upstreams.find(name) for name in owed.upstreams)
+            instances = (self.instances.find(name) for name in owed.instances)
+            shared = ShareStatements(
+                tuple(item for item in upstreams if item is not None),
+                tuple(item for item in instances if item is not None),
+            )
+            if peer in self._peers():
+                gevent.spawn(self._tell, peer, shared)
+
+    def _take_shared(self, shared: ShareStatements) -> Done:
+        self._take_upstreams(shared.upstreams, "shared")
+        self._take_instances(shared.instances)
+        return Done()
+
+    def _tell_all(self, _: AskStatements) -> AllStatements:
+        return AllStatements(
+            self._is_ready, tuple(self.upstreams.all()), tuple(self.instances.all())
+        )
+
+    def _take_heard(self, report: ReportHeard) -> None:
+        now = self._clock.now()
+        for name, born, sequence in report.heard:
+            known = self.upstreams.find(name)
+            if known is not None and (born, sequence) >= (known.born, known.sequence):
+                self._heard[name] = now
+
+    def _call(self, endpoint: str, request: Any) -> Any:
+        link = self._links.get(endpoint)
+        if link is None:
+            link = self._links[endpoint] = Link(endpoint)
+        try:
+            return link.call(request, SHARE_TIMEOUT)
+        except FulmarholdError as error:
+            self._counters.add("share_failures", message=type(request).__name__)
+            log.debug("{} did not take {}: {}", endpoint, type(request).__name__, error)
+            return None
+
+    def _notify(self) -> None:
+        # Every waiting watcher looks again; a new event serves those that wait later.
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    # Housekeeping
+
+    def catch_up(self) -> None:
+        """Ask the others for what they hold, before this instance feeds any entry."""
+        until = self._clock.now() + LONGEST_CATCH_UP
+        while not self._is_ready and self._clock.now() < until:
+            answers = [gevent.spawn(self._call, peer, AskStatements("")) for peer in self._peers()]
+            gevent.joinall(answers)
+            for answer in answers:
+                if isinstance(answer.value, AllStatements):
+                    self._take_upstreams(answer.value.upstreams, "told at start")
+                    self._take_instances(answer.value.instances)
+                    self._is_ready = self._is_ready or answer.value.is_ready
+            gevent.sleep(HOUSEKEEPING_PERIOD / SECOND)
+        self._is_ready = True
+        self._share((), (self._own,))
+        log.info("feeds entries with {} upstreams known", len(self.upstreams))
+
+    def run(self) -> None:
+        """Notice silence and new configurations, until killed."""
+        self.catch_up()
+        reported_at = self._clock.now()
+        while True:
+            gevent.sleep(HOUSEKEEPING_PERIOD / SECOND)
+            now = self._clock.now()
+            self._end_silent_entries(now)
+            if now >= reported_at + REPORT_PERIOD:
+                reported_at = now
+                self._pay_owed()
+                self._report_heard()
+                self.upstreams.forget_ended(now)
+                self.instances.forget_ended(now)
+            if self._node.is_formed and self._node.core.is_leader:
+                self._end_silent_upstreams(now)
+
+    def note_applied(self) -> None:
+        """Wake the watchers when the applied configuration is newer; called at each change."""
+        if self._machine.state.routes_version > self._version:
+            self._version = self._machine.state.routes_version
+            self._notify()
+
+    def _end_silent_entries(self, now: Milliseconds) -> None:
+        overdue = [
+            (name, watched.sequence)
+            for name, watched in self._watched.items()
+            if now > watched.at + ENTRY_SILENCE
+        ]
+        for name, sequence in overdue:
+            del self._watched[name]
+            known = self.instances.find(name)
+            # A higher sequence means that it watches another control instance by now.
+            is_last_word = known is not None and known.sequence == sequence
+            if known is not None and is_last_word and known.state not in (LEFT, SILENT):
+                silent = replace(known, state=SILENT)
+                if self._take_instances((silent,)):
+                    self._share((), (silent,))
+
+    def _report_heard(self) -> None:
+        leader = self._node.leader_endpoint
+        heard = tuple((name, born, sequence) for name, (born, sequence) in self._fresh.items())
+        self._fresh.clear()
+        if leader is not None and leader != self._own.endpoint and heard:
+            gevent.spawn(self._report, leader, ReportHeard(heard))
+
+    def _report(self, leader: str, report: ReportHeard) -> None:
+        link = self._links.get(leader)
+        if link is None:
+            link = self._links[leader] = Link(leader)
+        try:
+            link.send(report)
+        except FulmarholdError as error:
+            log.debug("{} did not take what was heard: {}", leader, error)
+
+    def _end_silent_upstreams(self, now: Milliseconds) -> None:
+        earliest = self._node.core.leads_since
+        if self._node.confirmed_age() > HOUSEKEEPING_PERIOD * 2:
+            return
+        for known in self.upstreams.all():
+            heard_at = max(self._heard.get(known.name, earliest), earliest)
+            if known.state == READY and now > heard_at + self._upstream_silence:
+                silent = replace(known, state=SILENT)
+                if self._take_upstreams((silent,), f"unheard for {now - heard_at:.0f} ms"):
+                    self._share((silent,), ())
--- a/fulmarhold/control/machine.py
+++ b/fulmarhold/control/machine.py
@@ -28,6 +28,7 @@
     SettleKey,
     Superseded,
 )
+from fulmarhold.membership.feed import AcceptVersion, RetireUpstream
 from fulmarhold.registry import Registry
 from fulmarhold.wire.messages import from_values, to_values
 
@@ -42,6 +43,9 @@
 PRUNE_PERIOD: Milliseconds = MINUTE
 MOST_CLAIMS = 100_000
 LARGEST_KEPT_ANSWER_BYTES = 4_096
+# Upstreams that leave are remembered until this many others left after them: many times what an
+# hour of releases retires, at about 60 bytes each.
+MOST_RETIRED = 4_096
 
 Outcome = Accepted | Superseded | CommandRefused
 
@@ -80,6 +84,9 @@
     roster: dict[str, RosterEntry] = field(default_factory=dict)
     commands: dict[str, Remembered] = field(default_factory=dict)
     claims: dict[str, Claim] = field(default_factory=dict)
+    routes_version: int = 0
+    routes_document: bytes = b""
+    retired: dict[str, int] = field(default_factory=dict)
 
 
 appliers: Registry[Callable[[ControlState, Any], Any]] = Registry("command")
@@ -139,6 +146,8 @@
                     ]
                     for key, item in state.claims.items()
                 ],
+                "routes": [state.routes_version, state.routes_document],
+                "retired": list(state.retired.items()),
             }
         )
         return packed
@@ -147,6 +156,8 @@
         """Replace the state by what `save` returned once."""
         values = msgpack.unpackb(data)
         revision, version, document, accepted_by, accepted_at, time, pruned_at = values["scalars"]
+        # Snapshots of earlier releases know neither routes nor retired upstreams.
+        routes_version, routes_document = values.get("routes", (0, b""))
         self.state = ControlState(
             revision,
             version,
@@ -164,6 +175,9 @@
                 key: Claim(digest, attempt, entry, settled, answer, tuple(over))
                 for key, digest, attempt, entry, settled, answer, over in values["claims"]
             },
+            routes_version=routes_version,
+            routes_document=routes_document,
+            retired=dict(values.get("retired", ())),
         )
 
 
@@ -244,6 +258,23 @@
         state.claims[command.key] = replace(claim, attempt="", entry="", over=over)
 
 
+@appliers.register(AcceptVersion.__name__)
+def _accept_version(state: ControlState, command: AcceptVersion) -> int:
+    """Keep the configuration with the highest version; returns the version held."""
+    if command.version > state.routes_version:
+        state.routes_version = command.version
+        state.routes_document = command.document
+    return state.routes_version
+
+
+@appliers.register(RetireUpstream.__name__)
+def _retire(state: ControlState, command: RetireUpstream) -> None:
+    state.retired.pop(command.name, None)
+    state.retired[command.name] = command.born
+    while len(state.retired) > MOST_RETIRED:
+        del state.retired[next(iter(state.retired))]
+
+
 def _identifier_refusal(
     state: ControlState, identifier: str, retention: Milliseconds
 ) -> str | None:
--- a/fulmarhold/control/service.py
+++ b/fulmarhold/control/service.py
@@ -12,7 +12,7 @@
 from fulmarhold.configuration import configuration_from_document
 from fulmarhold.consensus.core import MembershipRefused, NotLeader
 from fulmarhold.consensus.messages import MemberMessage, Members
-from fulmarhold.consensus.node import NotFormed, OutcomeUnknown
+from fulmarhold.consensus.node import NotFormed, OutcomeUnknown, receive_member_message
 from fulmarhold.control.machine import encode_command
 from fulmarhold.control.messages import (
     AcceptConfiguration,
@@ -30,7 +30,7 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.running import CONFIRMATION_LEASE
 from fulmarhold.observe.logs import part_log
-from fulmarhold.wire.messages import Done, Failure, from_values
+from fulmarhold.wire.messages import Done, Failure
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Clock, Milliseconds
@@ -78,15 +78,11 @@
 
     def register(self, server: MessageServer) -> None:
         """File the handlers of every message that control serves."""
-        server.handle(MemberMessage, self.receive_member_message)
+        server.handle(MemberMessage, receive_member_message(self._node))
         server.handle(EntrySync, self.sync_entry)
         server.handle(ClaimKey, self.claim)
         server.handle(SettleKey, self.settle)
 
-    def receive_member_message(self, envelope: MemberMessage) -> None:
-        """Give a message between members to the replicated log."""
-        self._node.receive(envelope.endpoint, from_values(envelope.content))
-
     def sync_entry(self, sync: EntrySync) -> Any:
         """Tell an entry the accepted state, as a linearizable read."""
         if not self._node.may_read():
--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -60,6 +60,18 @@
         settings: Any = load_file(settings_file, schema)
         start_logging(settings.log.level)
         daemon = make(settings)
+    except FulmarholdError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+    return serve_until_stopped(daemon)
+
+
+def serve_until_stopped(daemon: Daemon, flush: Callable[[], None] | None = None) -> int:
+    """Start a daemon, stop it at SIGTERM or SIGINT, and return the exit code.
+
+    `flush` is called before the reason of a failure is printed.
+    """
+    try:
         daemon.start()
         _calm_collector()
     except FulmarholdError as error:
@@ -71,6 +83,8 @@
     daemon.failure.rawlink(lambda _: ended.set())
     ended.wait()
     if daemon.failure.ready():
+        if flush is not None:
+            flush()
         print(daemon.failure.exception, file=sys.stderr)
         return EXIT_FAILED
     daemon.stop()
--- /dev/null
+++ b/fulmarhold/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards requests of callers to one upstream or to every shard."""
--- /dev/null
+++ b/fulmarhold/forwarding/call.py
@@ -0,0 +1,301 @@
+"""The call of one service for one request: first attempt, hedge and retries at its upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from fulmarhold.forwarding.request import FailedReason, RefusedReason, Verdict
+from fulmarhold.routing.choice import candidates
+from fulmarhold.upstreams.pool import CONNECT_REFUSED
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.forwarding.dialect import UpstreamDialect
+    from fulmarhold.forwarding.request import ForwardRequest, Reply
+    from fulmarhold.limits.budget import ExtraLoadBudget
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.estimates import QuantileEstimate
+    from fulmarhold.observe.events import EventLog
+    from fulmarhold.routing.choice import Chooser
+    from fulmarhold.routing.replica import Replica
+    from fulmarhold.upstreams.protocol import UpstreamResponse
+
+FIRST, HEDGE, RETRY = "first", "hedge", "retry"
+
+
+class CallContext:
+    """What the calls of one request share."""
+
+    def __init__(
+        self,
+        request: ForwardRequest,
+        dialect: UpstreamDialect,
+        deadline_at: Milliseconds,
+        may_repeat: bool,
+        most_attempts: int,
+        choose: Chooser,
+        latency: QuantileEstimate,
+        clock: Clock,
+        random: Random,
+        counters: Counters,
+        events: EventLog,
+    ) -> None:
+        self.request = request
+        self.dialect = dialect
+        self.prepared = dialect.prepare(request)
+        self.deadline_at = deadline_at
+        self.may_repeat = may_repeat
+        self.most_attempts = most_attempts
+        self.choose = choose
+        self.latency = latency
+        self.clock = clock
+        self.random = random
+        self.counters = counters
+        self.events = events
+
+
+class CallOwner(Protocol):
+    """What a call reports to."""
+
+    def call_over(self, call: ServiceCall) -> None: ...
+
+
+class ServiceCall:
+    """Brings one reply of a service, from as few upstreams as it takes."""
+
+    __slots__ = ("_attempts", "_budget", "_context", "_owner", "_replicas", "failure",
+                 "may_have_run", "refusal", "reply", "service")  # fmt: skip
+
+    def __init__(
+        self,
+        service: str,
+        replicas: list[Replica],
+        budget: ExtraLoadBudget,
+        context: CallContext,
+        owner: CallOwner,
+    ) -> None:
+        self.service = service
+        self.reply: Reply | None = None
+        self.failure: FailedReason | None = None
+        self.refusal: RefusedReason | None = None
+        self.may_have_run = False
+        self._replicas = replicas
+        self._budget = budget
+        self._context = context
+        self._owner = owner
+        self._attempts: list[CallAttempt] = []
+
+    @property
+    def is_over(self) -> bool:
+        return self.reply is not None or self.failure is not None or self.refusal is not None
+
+    @property
+    def was_offered(self) -> bool:
+        """Whether any upstream was sent the request."""
+        return any(attempt.sent_at is not None for attempt in self._attempts)
+
+    def start(self) -> None:
+        """Send the first attempt."""
+        self._budget.earn(1)
+        if not self._replicas:
+            self._refuse(RefusedReason.NO_UPSTREAM)
+        else:
+            self._send(self._left(), FIRST)
+
+    def hedge(self) -> None:
+        """Send a second attempt beside an unanswered first one, where the budget allows."""
+        context = self._context
+        if self.is_over or not context.may_repeat or self._ran() >= context.most_attempts:
+            return
+        left = [item for item in self._left() if not item.is_stalled(context.clock.now())]
+        if not left:
+            self._count(HEDGE, "no_replica")
+        elif not self._budget.take_spare(1):
+            self._count(HEDGE, "no_budget")
+        else:
+            self._send(left, HEDGE)
+
+    def abandon(self) -> None:
+        """Stop the work at upstreams: nobody waits for it any more."""
+        for attempt in self._attempts:
+            attempt.abandon()
+
+    # Called by attempts
+
+    def attempt_replied(self, attempt: CallAttempt, reply: Reply) -> None:
+        """Take a whole response that belongs to this request."""
+        if self.is_over:
+            return
+        match reply.verdict:
+            case Verdict.SUCCESS:
+                self.reply = reply
+                if attempt.kind != FIRST:
+                    self._count(attempt.kind, "won")
+                self._owner.call_over(self)
+            case Verdict.NOT_RUN | Verdict.OTHER_OWNER:
+                attempt.may_have_run = False
+                self._go_on(RefusedReason.UPSTREAMS_FULL, None, reply)
+            case _:
+                self.may_have_run = True
+                self._go_on(None, FailedReason.UPSTREAM_ERROR, reply)
+
+    def attempt_failed(self, attempt: CallAttempt, reason: str) -> None:
+        """Take the loss of an attempt."""
+        if self.is_over:
+            return
+        if attempt.may_have_run:
+            self.may_have_run = True
+            self._go_on(None, FailedReason.CONNECTION_LOST, None)
+        else:
+            self._go_on(RefusedReason.UNREACHABLE, None, None)
+
+    def _go_on(
+        self, refusal: RefusedReason | None, failure: FailedReason | None, reply: Reply | None
+    ) -> None:
+        """Try another upstream if that is allowed and useful; otherwise the call is over."""
+        context = self._context
+        if any(not attempt.is_over for attempt in self._attempts):
+            return
+        is_passed_on = reply is not None and reply.verdict is Verdict.FAILURE and reply.status < 500
+        may_repeat = context.may_repeat or not self.may_have_run
+        if may_repeat and not is_passed_on and context.clock.now() < context.deadline_at:
+            left = self._left()
+            is_extra = any(attempt.sent_at is not None for attempt in self._attempts)
+            if left and self._ran() < context.most_attempts:
+                if not is_extra or self._budget.take(1):
+                    self._send(left, RETRY)
+                    return
+                self._count(RETRY, "no_budget")
+        if self.may_have_run:
+            if reply is not None and reply.verdict is Verdict.FAILURE:
+                self.reply = reply
+            else:
+                self.failure = failure or FailedReason.CONNECTION_LOST
+            self._owner.call_over(self)
+        else:
+            self._refuse(refusal or RefusedReason.UNREACHABLE)
+
+    def _refuse(self, reason: RefusedReason) -> None:
+        self.refusal = reason
+        self._owner.call_over(self)
+
+    def _ran(self) -> int:
+        return sum(1 for attempt in self._attempts if attempt.may_have_run)
+
+    def _left(self) -> list[Replica]:
+        tried = [attempt.replica for attempt in self._attempts]
+        return candidates(self._replicas, tried, self._context.clock.now())
+
+    def _send(self, replicas: list[Replica], kind: str) -> None:
+        context = self._context
+        now = context.clock.now()
+        flowing = [item for item in replicas if not item.is_stalled(now)]
+        replica = context.choose(flowing or replicas, context.random, now)
+        attempt = CallAttempt(self, context, replica, kind)
+        self._attempts.append(attempt)
+        if kind != FIRST:
+            self._count(kind, "sent")
+            context.events.note(
+                kind,
+                request=context.request.request_id,
+                service=self.service,
+                upstream=replica.upstream.record.name,
+                after_ms=now - context.request.received_at,
+            )
+        replica.pool.submit(attempt)
+
+    def _count(self, kind: str, result: str) -> None:
+        self._context.counters.add("extra_attempts", kind=kind, result=result)
+
+
+class CallAttempt:
+    """One attempt of a call at one upstream; an exchange of its connection pool."""
+
+    __slots__ = ("_call", "_context", "is_over", "kind", "may_have_run", "replica", "sent_at")
+
+    def __init__(
+        self, call: ServiceCall, context: CallContext, replica: Replica, kind: str
+    ) -> None:
+        self._call = call
+        self._context = context
+        self.replica = replica
+        self.kind = kind
+        self.sent_at: Milliseconds | None = None
+        self.is_over = False
+        self.may_have_run = False
+
+    def may_send(self) -> bool:
+        """Whether it is still wanted and there is time left."""
+        context = self._context
+        return not self.is_over and context.clock.now() < context.deadline_at
+
+    def encode(self) -> bytes:
+        """Return the request's bytes; called at the moment of sending."""
+        context = self._context
+        self.sent_at = context.clock.now()
+        self.may_have_run = True
+        left = context.deadline_at - self.sent_at
+        return context.dialect.encode(context.prepared, self.replica.upstream.record.name, left)
+
+    def abandon(self) -> None:
+        """Give the attempt up and close its connection, which tells the upstream to stop."""
+        if not self.is_over:
+            self.is_over = True
+            self.replica.pool.withdraw(self)
+
+    def completed(self, response: UpstreamResponse) -> bool:
+        """Take the response; returns whether the connection may be used further."""
+        context = self._context
+        now = context.clock.now()
+        reply = context.dialect.read(response, context.request.request_id)
+        if reply.verdict is Verdict.WRONG_ECHO:
+            self._note("wrong_echo", response.status, now)
+            self.replica.note_failure(now)
+            self._fail("wrong_echo")
+            return False
+        elapsed = now - (self.sent_at or now)
+        if reply.verdict is Verdict.SUCCESS:
+            self.replica.note_success(elapsed, now)
+            context.latency.update(elapsed)
+        elif reply.verdict is Verdict.OTHER_OWNER:
+            self.replica.note_unreachable(now)
+        elif reply.status >= 500 or reply.verdict is Verdict.NOT_RUN:
+            self.replica.note_failure(now)
+        if reply.verdict is not Verdict.SUCCESS:
+            self._note(reply.verdict.value, response.status, now)
+        if not self.is_over:
+            self.is_over = True
+            self._call.attempt_replied(self, reply)
+        return True
+
+    def failed(self, reason: str, *, sent: bool) -> None:
+        """Take the loss of the request."""
+        now = self._context.clock.now()
+        if reason == CONNECT_REFUSED:
+            self.replica.note_unreachable(now)
+        elif sent and not self.is_over:
+            self.replica.note_failure(now)
+        if not self.is_over:
+            self._note(reason, 0, now)
+        self._fail(reason)
+
+    def _fail(self, reason: str) -> None:
+        if not self.is_over:
+            self.is_over = True
+            self._call.attempt_failed(self, reason)
+
+    def _note(self, result: str, status: int, now: Milliseconds) -> None:
+        self._context.counters.add("attempts_failed", reason=result)
+        self._context.events.note(
+            "attempt_failed",
+            request=self._context.request.request_id,
+            service=self._call.service,
+            upstream=self.replica.upstream.record.name,
+            kind=self.kind,
+            result=result,
+            status=status,
+            sent=self.sent_at is not None,
+            elapsed_ms=now - (self.sent_at or now),
+        )
--- /dev/null
+++ b/fulmarhold/forwarding/forwarder.py
@@ -0,0 +1,190 @@
+"""Takes a caller's request from its route to its outcome."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from fulmarhold.forwarding.call import CallContext, CallOwner, ServiceCall
+from fulmarhold.forwarding.request import (
+    Failed,
+    ForwardRequest,
+    Gathered,
+    NoRoute,
+    Outcome,
+    Passed,
+    Refused,
+    RefusedReason,
+)
+from fulmarhold.forwarding.scatter import ShardQuery
+from fulmarhold.forwarding.single import SingleForward
+from fulmarhold.limits.budget import ExtraLoadBudget
+from fulmarhold.observe.estimates import QuantileEstimate
+from fulmarhold.observe.latency import LatencyHistogram
+from fulmarhold.routing.choice import choosers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.forwarding.dialect import UpstreamDialect
+    from fulmarhold.forwarding.upstreams import UpstreamTable
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.events import EventLog
+    from fulmarhold.routes.configuration import Route
+    from fulmarhold.routes.table import RouteTable
+
+# Replies slower than this share of all are hedged; the budget bounds what that may cost.
+HEDGE_QUANTILE = 0.93
+FIRST_HEDGE: Milliseconds = 40.0
+# A request to one upstream is hedged after this many times the latency of most replies: it has
+# more time than a query over shards, and a second run costs more.
+SINGLE_HEDGE_FACTOR = 2.0
+# Callers come back between these after a refusal, so that they do not return as one wave.
+SHORTEST_RETURN: Milliseconds = 40.0
+LONGEST_RETURN: Milliseconds = 160.0
+# The final answer leaves this long before the deadline, for the way to the caller.
+DEADLINE_RESERVE: Milliseconds = 5.0
+
+
+class Forwarder:
+    """Forwards requests by the route table in force."""
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        dialect: UpstreamDialect,
+        extra_share: float,
+        clock: Clock,
+        counters: Counters,
+        events: EventLog,
+    ) -> None:
+        self._table = table
+        self._dialect = dialect
+        self._extra_share = extra_share
+        self._clock = clock
+        self._counters = counters
+        self._events = events
+        self._random = Random()
+        self._choose = choosers.find("least_expected")
+        self._routes: RouteTable | None = None
+        self._burst = 1.0
+        self._budgets: dict[str, ExtraLoadBudget] = {}
+        self._latencies: dict[str, QuantileEstimate] = {}
+        self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
+
+    @property
+    def routes(self) -> RouteTable | None:
+        return self._routes
+
+    def use(self, routes: RouteTable) -> None:
+        """Put a newer configuration in force; requests under way keep theirs."""
+        self._routes = routes
+
+    def set_burst(self, burst: float) -> None:
+        """Set how many extra attempts a service may get at once from this entry."""
+        self._burst = burst
+        for budget in self._budgets.values():
+            budget.resize(burst)
+
+    def forward(
+        self, request: ForwardRequest, on_gone: Callable[[Callable[[], None]], None]
+    ) -> Outcome:
+        """Return the outcome of a request.
+
+        `on_gone` is given the function that is to be called when the caller leaves.
+        """
+        if self._routes is None:
+            return self._finish(
+                request, None, Refused(RefusedReason.NO_CONFIGURATION, self._retry_after())
+            )
+        route = self._routes.find(request.host, request.path)
+        if route is None:
+            return self._finish(request, None, NoRoute(self._routes.configuration.version))
+        deadline_at = (
+            min(request.deadline_at, request.received_at + route.timeout) - DEADLINE_RESERVE
+        )
+        operation = self._operation(request, route, deadline_at)
+        on_gone(operation.caller_gone)
+        return self._finish(request, route, operation.run())
+
+    def _operation(self, request: ForwardRequest, route: Route, deadline_at: float) -> Any:
+        latency = self._latencies.setdefault(
+            route.name, QuantileEstimate(HEDGE_QUANTILE, FIRST_HEDGE)
+        )
+        context = CallContext(
+            request,
+            self._dialect,
+            deadline_at,
+            route.is_idempotent,
+            route.most_attempts,
+            self._choose,
+            latency,
+            self._clock,
+            self._random,
+            self._counters,
+            self._events,
+        )
+        if route.shards:
+            return ShardQuery(
+                context,
+                route,
+                lambda service, owner: self._call(service, context, owner),
+                latency.value,
+                self._retry_after,
+            )
+        service = self._draw_service(route)
+        return SingleForward(
+            context,
+            lambda owner: self._call(service, context, owner),
+            SINGLE_HEDGE_FACTOR * latency.value,
+            self._retry_after,
+        )
+
+    def _call(self, service: str, context: CallContext, owner: CallOwner) -> ServiceCall:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = ExtraLoadBudget(self._extra_share, 1, self._burst)
+            self._budgets[service] = budget
+        return ServiceCall(service, self._table.of_service(service), budget, context, owner)
+
+    def _draw_service(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [item.weight for item in route.services]
+        return self._random.choices(route.services, weights)[0].service
+
+    def _retry_after(self) -> Milliseconds:
+        return self._random.uniform(SHORTEST_RETURN, LONGEST_RETURN)
+
+    def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
+        elapsed = self._clock.now() - request.received_at
+        name, reason = _describe(outcome)
+        self._counters.add("requests", outcome=name, reason=reason)
+        self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
+        if name != "answered":
+            self._events.note(
+                "request",
+                request=request.request_id,
+                route=route.name if route else "",
+                version=self._routes.configuration.version if self._routes else 0,
+                outcome=name,
+                reason=reason,
+                elapsed_ms=elapsed,
+                left_ms=request.deadline_at - self._clock.now(),
+            )
+        return outcome
+
+
+def _describe(outcome: Outcome) -> tuple[str, str]:
+    match outcome:
+        case Passed(reply):
+            return ("answered" if reply.status < 400 else "passed_failure"), str(reply.status)
+        case Gathered(missing=missing):
+            return ("partial", "late_parts") if missing else ("answered", "whole")
+        case Refused(reason=refused):
+            return "refused", refused.value
+        case Failed(reason=failed):
+            return "failed", failed.value
+        case NoRoute():
+            return "no_route", "no_route"
--- /dev/null
+++ b/fulmarhold/forwarding/scatter.py
@@ -0,0 +1,121 @@
+"""Forwards a request to one upstream of every shard and gathers the parts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent.event import Event
+
+from fulmarhold.clock import SECOND
+from fulmarhold.forwarding.patience import least_parts, partial_answer_at
+from fulmarhold.forwarding.records import greatest_records
+from fulmarhold.forwarding.request import (
+    Failed,
+    FailedReason,
+    Gathered,
+    Refused,
+    RefusedReason,
+    Verdict,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Milliseconds
+    from fulmarhold.forwarding.call import CallContext, CallOwner, ServiceCall
+    from fulmarhold.forwarding.request import Outcome, Reply
+    from fulmarhold.routes.configuration import Route
+
+
+class ShardQuery:
+    """One query over the shards that one version of the configuration names."""
+
+    def __init__(
+        self,
+        context: CallContext,
+        route: Route,
+        make_call: Callable[[str, CallOwner], ServiceCall],
+        hedge_after: Milliseconds,
+        retry_after: Callable[[], Milliseconds],
+    ) -> None:
+        self._context = context
+        self._route = route
+        self._hedge_after = hedge_after
+        self._retry_after = retry_after
+        self._needed = least_parts(route.least_share, len(route.shards))
+        self._partial_at = partial_answer_at(context.request.received_at, route.target_latency)
+        self._wake = Event()
+        self._is_gone = False
+        self._open = len(route.shards)
+        self._calls = [make_call(service, self) for service in route.shards]
+
+    def run(self) -> Outcome:
+        """Scatter, wait as long as patience says and return what there is."""
+        started_at = self._context.clock.now()
+        for call in self._calls:
+            call.start()
+        if self._wait_until(started_at + self._hedge_after):
+            for call in self._calls:
+                call.hedge()
+            self._wait_until(self._context.deadline_at)
+        return self._outcome()
+
+    def caller_gone(self) -> None:
+        """Stop: the caller has closed its connection."""
+        self._is_gone = True
+        self._abandon()
+        self._wake.set()
+
+    def call_over(self, _: ServiceCall) -> None:
+        """Note that a shard has its part, or that none will come."""
+        self._open -= 1
+        if self._is_finished():
+            self._wake.set()
+
+    def _parts(self) -> list[Reply]:
+        return [
+            call.reply
+            for call in self._calls
+            if call.reply is not None and call.reply.verdict is Verdict.SUCCESS
+        ]
+
+    def _is_finished(self) -> bool:
+        if self._open == 0 or self._is_gone:
+            return True
+        parts = len(self._parts())
+        if parts + self._open < self._needed:
+            # The least share can't be reached any more.
+            return True
+        return parts >= self._needed and self._context.clock.now() >= self._partial_at
+
+    def _wait_until(self, moment: Milliseconds) -> bool:
+        """Wait for the end; returns whether the query still goes on at `moment`."""
+        moment = min(moment, self._context.deadline_at)
+        while not self._is_finished():
+            now = self._context.clock.now()
+            if now >= moment:
+                return True
+            look_at = min(moment, self._partial_at) if now < self._partial_at else moment
+            self._wake.clear()
+            self._wake.wait((look_at - now) / SECOND)
+        return False
+
+    def _outcome(self) -> Outcome:
+        if self._is_gone:
+            return Failed(FailedReason.CALLER_GONE)
+        parts = self._parts()
+        if len(parts) >= self._needed:
+            records = greatest_records((part.body for part in parts), self._route.top_records)
+            signatures = tuple(part.signature for part in parts)
+            return Gathered(signatures, len(self._calls) - len(parts), records)
+        if not any(call.was_offered or call.may_have_run for call in self._calls):
+            self._abandon()
+            return Refused(RefusedReason.NO_UPSTREAM, self._retry_after())
+        if self._open and self._context.clock.now() >= self._context.deadline_at:
+            return Failed(FailedReason.DEADLINE, f"{len(parts)} of {self._needed} parts")
+        self._abandon()
+        return Failed(FailedReason.PARTS_MISSING, f"{len(parts)} of {self._needed} parts")
+
+    def _abandon(self) -> None:
+        for call in self._calls:
+            call.abandon()
--- /dev/null
+++ b/fulmarhold/forwarding/single.py
@@ -0,0 +1,82 @@
+"""Forwards a request to one upstream of one service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent.event import Event
+
+from fulmarhold.clock import SECOND
+from fulmarhold.forwarding.request import (
+    Failed,
+    FailedReason,
+    Passed,
+    Refused,
+    RefusedReason,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Milliseconds
+    from fulmarhold.forwarding.call import CallContext, CallOwner, ServiceCall
+    from fulmarhold.forwarding.request import Outcome
+
+
+class SingleForward:
+    """One request on its way to one service."""
+
+    def __init__(
+        self,
+        context: CallContext,
+        make_call: Callable[[CallOwner], ServiceCall],
+        hedge_after: Milliseconds,
+        retry_after: Callable[[], Milliseconds],
+    ) -> None:
+        self._context = context
+        self._hedge_after = hedge_after
+        self._retry_after = retry_after
+        self._wake = Event()
+        self._is_gone = False
+        self._call = make_call(self)
+
+    def run(self) -> Outcome:
+        """Forward, wait for the reply and return the outcome."""
+        started_at = self._context.clock.now()
+        self._call.start()
+        if self._wait_until(started_at + self._hedge_after):
+            self._call.hedge()
+            self._wait_until(self._context.deadline_at)
+        return self._outcome()
+
+    def caller_gone(self) -> None:
+        """Stop: the caller has closed its connection."""
+        self._is_gone = True
+        self._call.abandon()
+        self._wake.set()
+
+    def call_over(self, _: ServiceCall) -> None:
+        """Wake up: the call has its reply or none will come."""
+        self._wake.set()
+
+    def _wait_until(self, moment: Milliseconds) -> bool:
+        """Wait for the end; returns whether the call still goes on at `moment`."""
+        left = min(moment, self._context.deadline_at) - self._context.clock.now()
+        if not self._wake.is_set() and left > 0:
+            self._wake.wait(left / SECOND)
+        return not self._wake.is_set()
+
+    def _outcome(self) -> Outcome:
+        call = self._call
+        if self._is_gone:
+            return Failed(FailedReason.CALLER_GONE)
+        if call.reply is not None:
+            return Passed(call.reply)
+        if call.refusal is not None:
+            return Refused(call.refusal, self._retry_after())
+        if call.failure is not None:
+            return Failed(call.failure)
+        if not call.was_offered:
+            call.abandon()
+            return Refused(RefusedReason.NO_TIME, self._retry_after())
+        return Failed(FailedReason.DEADLINE)
--- /dev/null
+++ b/fulmarhold/forwarding/upstreams.py
@@ -0,0 +1,101 @@
+"""The upstreams of every service as targets, kept up with configuration and membership."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fulmarhold.clock import Milliseconds
+from fulmarhold.routing.replica import Replica
+from fulmarhold.upstreams.pool import ConnectionPool
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarhold.clock import Clock
+    from fulmarhold.membership.statements import UpstreamStatement
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.routes.configuration import RouteConfiguration
+
+# Connections of one upstream that stay unused, so that entries that come or go do not pass its
+# limit while their shares change.
+CONNECTION_RESERVE = 0.1
+# After the passing-over of an upstream that failed three times: about two of its restarts.
+EJECTION: Milliseconds = 1_000.0
+LEAVING_EXCHANGE: Milliseconds = 60_000.0
+LONGEST_EXCHANGE: Milliseconds = 60_000.0
+
+
+@dataclass(frozen=True)
+class ServingUpstream:
+    """An upstream that takes work until the table is told otherwise."""
+
+    record: UpstreamStatement
+
+    def is_live(self, _: Milliseconds) -> bool:
+        """Membership ends by statements here, not by leases."""
+        return True
+
+
+class UpstreamTable:
+    """Replicas by service; one lives as long as its incarnation is known to serve."""
+
+    def __init__(self, clock: Clock, counters: Counters) -> None:
+        self._clock = clock
+        self._counters = counters
+        self._replicas: dict[tuple[str, int], Replica] = {}
+        self._by_service: dict[str, list[Replica]] = {}
+        self._leaving: list[ConnectionPool] = []
+
+    @property
+    def replicas(self) -> Iterable[Replica]:
+        return self._replicas.values()
+
+    def of_service(self, service: str) -> list[Replica]:
+        """Return the replicas of a service."""
+        return self._by_service.get(service, [])
+
+    def update(
+        self, upstreams: list[UpstreamStatement], configuration: RouteConfiguration, entries: int
+    ) -> None:
+        """Take over which upstreams serve, and how many entries share their connections."""
+        before, self._replicas, self._by_service = self._replicas, {}, {}
+        for statement in upstreams:
+            service = configuration.services.get(statement.service)
+            if service is None:
+                continue
+            key = (statement.name, statement.born)
+            limit = _connection_share(service.connection_limit, entries)
+            replica = before.pop(key, None)
+            if replica is None or replica.address != statement.address:
+                replica = self._make_replica(statement, limit)
+            replica.upstream = ServingUpstream(statement)
+            replica.pool.limit = limit
+            self._replicas[key] = replica
+            self._by_service.setdefault(statement.service, []).append(replica)
+        for replica in before.values():
+            replica.pool.close_when_idle()
+            self._leaving.append(replica.pool)
+
+    def maintain(self) -> None:
+        """Close connections that idle or wait too long; called regularly."""
+        for replica in self._replicas.values():
+            replica.pool.maintain(LONGEST_EXCHANGE)
+        self._leaving = [pool for pool in self._leaving if pool.connections]
+        for pool in self._leaving:
+            pool.maintain(LEAVING_EXCHANGE)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for pool in [*(replica.pool for replica in self._replicas.values()), *self._leaving]:
+            pool.close()
+
+    def _make_replica(self, statement: UpstreamStatement, limit: int) -> Replica:
+        pool = ConnectionPool(statement.address, limit, 0, self._clock, self._counters)
+        return Replica(
+            ServingUpstream(statement), pool, EJECTION, statement.warm_up, self._clock.now()
+        )
+
+
+def _connection_share(limit: int, entries: int) -> int:
+    return max(1, int(limit * (1 - CONNECTION_RESERVE)) // max(1, entries))
--- a/fulmarhold/limits/budget.py
+++ b/fulmarhold/limits/budget.py
@@ -5,6 +5,7 @@
 LEAST_CAPACITY = 10.0
 CAPACITY_IN_SCATTERS = 2.0
 SHARE_FOR_RETRIES = 0.5
+SHARE_AT_START = 0.25
 
 
 class ExtraLoadBudget:
@@ -18,10 +19,16 @@
     True
     """
 
-    def __init__(self, share: float, shards: int) -> None:
+    def __init__(self, share: float, shards: int, capacity: float | None = None) -> None:
         self._share = share
-        self._capacity = max(LEAST_CAPACITY, CAPACITY_IN_SCATTERS * shards)
-        self._tokens = self._capacity
+        self._capacity = capacity or max(LEAST_CAPACITY, CAPACITY_IN_SCATTERS * shards)
+        # Where instances share a bound, one that starts again must not spend its part twice.
+        self._tokens = self._capacity if capacity is None else capacity * SHARE_AT_START
+
+    def resize(self, capacity: float) -> None:
+        """Change how many tokens may be saved up."""
+        self._capacity = capacity
+        self._tokens = min(self._tokens, capacity)
 
     def earn(self, first_tries: int) -> None:
         """Note first tries that were sent."""
--- /dev/null
+++ b/fulmarhold/membership/watcher.py
@@ -0,0 +1,193 @@
+"""Keeps an entry's view of configuration, upstreams and instances up with control."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import gevent
+
+from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.membership.feed import FeedReply, WatchFeed
+from fulmarhold.membership.statements import (
+    LEFT,
+    READY,
+    SILENT,
+    InstanceStatement,
+    Ledger,
+    State,
+    UpstreamStatement,
+    owners,
+)
+from fulmarhold.observe.logs import part_log
+from fulmarhold.wire.client import Link
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Clock
+    from fulmarhold.observe.counters import Counters
+
+log = part_log("watcher")
+
+# An idle feed is answered every 400 ms; past this the source counts as lost.
+FEED_TIMEOUT: Milliseconds = 900.0
+# A source whose leader was confirmed longer ago may be cut off from newer configurations.
+OLDEST_CONFIRMATION: Milliseconds = 1_200.0
+RETRY_PAUSE: Milliseconds = 60.0
+
+
+class FleetWatcher:
+    """Follows one control instance at a time; what it learnt stays when the source is lost."""
+
+    def __init__(
+        self,
+        own: InstanceStatement,
+        seeds: Callable[[], tuple[str, ...]],
+        take_configuration: Callable[[int, bytes], None],
+        on_change: Callable[[], None],
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self.upstreams: Ledger[UpstreamStatement] = Ledger()
+        self.instances: Ledger[InstanceStatement] = Ledger()
+        self._own = own
+        self._seeds = seeds
+        self._take_configuration = take_configuration
+        self._on_change = on_change
+        self._clock = clock
+        self._counters = counters
+        self._version = 0
+        self._source = ""
+        self._positions = (0, 0)
+        self._endpoint = ""
+        self._failed: dict[str, Milliseconds] = {}
+        self._confirmed_at: Milliseconds = float("-inf")
+
+    @property
+    def own(self) -> InstanceStatement:
+        return self._own
+
+    @property
+    def feed_age(self) -> Milliseconds:
+        """How long ago a majority of control stood behind what this entry knows."""
+        return self._clock.now() - self._confirmed_at
+
+    def announce(self, state: State) -> None:
+        """Change what this instance says of itself; it is told with the next watch."""
+        self._own = replace(self._own, state=state, sequence=self._own.sequence + 1)
+        self.instances.take(self._own, self._clock.now())
+        if self._endpoint:
+            gevent.spawn(self._tell_now)
+
+    def serving_upstreams(self) -> list[UpstreamStatement]:
+        """Return the upstreams that take work, by the newest word of whoever owns the address."""
+        return [
+            statement
+            for statement in owners(self.upstreams.all()).values()
+            if statement.state == READY
+        ]
+
+    def entries(self) -> list[InstanceStatement]:
+        """Return the entries that serve callers now."""
+        return [
+            item for item in self.instances.all() if item.role == "entry" and item.state == READY
+        ]
+
+    def run(self) -> None:
+        """Follow a source, and another when it is lost or cut off, until killed."""
+        while True:
+            endpoint = self._choose_source()
+            link = Link(endpoint)
+            self._endpoint = endpoint
+            try:
+                self._follow(link)
+            except FulmarholdError as error:
+                self._counters.add("feed_losses", reason=type(error).__name__)
+                log.warning("lost the feed of {}: {}", endpoint, error)
+            finally:
+                link.close()
+            self._failed[endpoint] = self._clock.now()
+            gevent.sleep(RETRY_PAUSE / SECOND)
+
+    def _choose_source(self) -> str:
+        """Return the source that failed longest ago, preferring the own data centre."""
+        at_home: dict[str, bool] = dict.fromkeys(self._seeds(), False)
+        for item in self.instances.all():
+            if item.role == "control" and item.state not in (SILENT, LEFT):
+                at_home[item.endpoint] = item.data_centre == self._own.data_centre
+        never = float("-inf")
+        return min(at_home, key=lambda item: (self._failed.get(item, never), not at_home[item]))
+
+    def _follow(self, link: Link) -> None:
+        is_first = True
+        while True:
+            # Another life of this entry may be known under an older sequence.
+            self._own = replace(self._own, sequence=self._own.sequence + 1)
+            asked_at = self._clock.now()
+            reply = link.call(
+                WatchFeed(self._own, self._source, *self._positions, self._version), FEED_TIMEOUT
+            )
+            if not isinstance(reply, FeedReply):
+                raise FulmarholdError("unexpected reply", step="watching", peer=link.endpoint)
+            self._take(reply, asked_at)
+            if reply.confirmed_age > OLDEST_CONFIRMATION:
+                raise FulmarholdError(
+                    f"its leader was confirmed {reply.confirmed_age:.0f} ms ago",
+                    step="watching",
+                    peer=link.endpoint,
+                )
+            if is_first:
+                log.info("follows {} at version {}", link.endpoint, self._version)
+                is_first = False
+
+    def _take(self, reply: FeedReply, asked_at: Milliseconds) -> None:
+        now = self._clock.now()
+        before_all = self._state()
+        for upstream in reply.upstreams:
+            before = self.upstreams.find(upstream.name)
+            if self.upstreams.take(upstream, now):
+                log.info(
+                    "upstream {} of {} at {} is {}, was {}",
+                    upstream.name,
+                    upstream.service,
+                    upstream.address,
+                    upstream.state,
+                    before.state if before else "unknown",
+                )
+        for instance in reply.instances:
+            if instance.name != self._own.name:
+                self.instances.take(instance, now)
+            elif instance.born > self._own.born:
+                # The time of day went back between two lives of this instance.
+                self._own = replace(self._own, born=instance.born + 1)
+        self._source = reply.source
+        self._positions = (reply.upstream_position, reply.instance_position)
+        is_confirmed = reply.confirmed_age <= OLDEST_CONFIRMATION
+        # A first configuration must be the newest; later ones only need to be newer.
+        may_take = is_confirmed or self._version > 0
+        if may_take and reply.configuration is not None and reply.version > self._version:
+            self._version = reply.version
+            self._take_configuration(reply.version, reply.configuration)
+        if is_confirmed:
+            self._confirmed_at = max(self._confirmed_at, asked_at - reply.confirmed_age)
+        if self._state() != before_all:
+            self._on_change()
+        self.upstreams.forget_ended(now)
+        self.instances.forget_ended(now)
+
+    def _state(self) -> tuple[int, int, int]:
+        return self.upstreams.position, self.instances.position, self._version
+
+    def _tell_now(self) -> None:
+        """Tell the source of a new state without waiting for the open watch to be answered."""
+        link = Link(self._endpoint)
+        try:
+            link.call(
+                WatchFeed(self._own, self._source, *self._positions, self._version), FEED_TIMEOUT
+            )
+        except FulmarholdError as error:
+            log.warning("could not tell {} of the new state: {}", self._endpoint, error)
+        finally:
+            link.close()
--- a/fulmarhold/observe/logs.py
+++ b/fulmarhold/observe/logs.py
@@ -1,11 +1,15 @@
-"""Log set-up: short sentences on standard error, with a fixed prefix for each part."""
+"""Log set-up: short sentences with a fixed prefix for each part."""
 
 from __future__ import annotations
 
 import sys
+from typing import TYPE_CHECKING
 
 import logbook
 
+if TYPE_CHECKING:
+    from fulmarhold.observe.events import EventLog
+
 LINE_FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name:<7} "
     "{record.channel}: {record.message}"
@@ -22,3 +26,20 @@
     """Send log lines of `level` and above to standard error for the whole process."""
     handler = logbook.StreamHandler(sys.stderr, level=level.upper(), format_string=LINE_FORMAT)
     handler.push_application()
+
+
+def log_to_events(events: EventLog, level: str = "info") -> None:
+    """Send log lines of `level` and above to the structured log of the whole process."""
+    _EventHandler(events, level.upper()).push_application()
+
+
+class _EventHandler(logbook.Handler):
+    def __init__(self, events: EventLog, level: str) -> None:
+        super().__init__(level=level)
+        self._events = events
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        fields = {"part": record.channel, "message": record.message}
+        if record.formatted_exception:
+            fields["exception"] = record.formatted_exception
+        self._events.note(record.level_name.lower(), **fields)
--- /dev/null
+++ b/fulmarhold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter: translates the users' platform to our own types, and starts the daemons there."""
--- /dev/null
+++ b/fulmarhold/platform/interfaces.py
@@ -0,0 +1,142 @@
+"""The platform's HTTP calls to control and to the directory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import falcon
+
+from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.errors import FulmarholdError, MalformedInput
+from fulmarhold.platform.documents import (
+    LARGEST_DOCUMENT_BYTES,
+    decode_configuration,
+    decode_heartbeat,
+    pack_document,
+    unpack_document,
+)
+from fulmarhold.settings.loading import InvalidSettings
+from fulmarhold.web.serving import read_body
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.control.feeds import Feeds
+    from fulmarhold.control.versions import VersionService
+    from fulmarhold.observe.counters import Counters
+
+# Callers keep an answer for this long, some three times as long: an entry that leaves serves on
+# until then, within the time that it is given to stop.
+ANSWER_KEPT: Milliseconds = 1_500.0
+MOST_ADDRESSES = 64
+
+
+class ConfigurationResource:
+    """The configuration that operators send and read back."""
+
+    def __init__(self, versions: VersionService, counters: Counters) -> None:
+        self._versions = versions
+        self._counters = counters
+
+    def on_put(self, request: falcon.Request, response: falcon.Response) -> None:
+        body = read_body(request, LARGEST_DOCUMENT_BYTES)
+        version = decode_configuration(body).version
+        self._versions.store(version, pack_document(body))
+        response.media = {"version": version}
+
+    def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
+        newest = self._versions.read()
+        if not newest.document:
+            response.status = falcon.HTTP_503
+            response.media = {"error": "no configuration is stored yet"}
+            return
+        response.content_type = falcon.MEDIA_JSON
+        response.data = unpack_document(newest.document)
+
+
+class HeartbeatResource:
+    """What upstreams say of themselves."""
+
+    def __init__(self, feeds: Feeds, counters: Counters) -> None:
+        self._feeds = feeds
+        self._counters = counters
+
+    def on_put(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
+        try:
+            statement = decode_heartbeat(name, read_body(request))
+        except FulmarholdError:
+            self._counters.add("heartbeat_refusals", reason="malformed")
+            raise
+        self._answer(response, self._feeds.take_upstream(statement))
+
+    def on_delete(self, _: falcon.Request, response: falcon.Response, name: str) -> None:
+        self._answer(response, self._feeds.leave_upstream(name))
+
+    def _answer(self, response: falcon.Response, is_safe: bool) -> None:
+        if is_safe:
+            response.media = {}
+        else:
+            self._counters.add("heartbeat_refusals", reason="not_handed_over")
+            response.status = falcon.HTTP_503
+            response.media = {"error": "no other control instance could be told"}
+
+
+class DirectoryResource:
+    """Which entries a caller may use."""
+
+    def __init__(self, addresses: Callable[[], list[str]]) -> None:
+        self._addresses = addresses
+
+    def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
+        addresses = self._addresses()
+        if not addresses:
+            response.status = falcon.HTTP_503
+            response.media = {"error": "no entry is known to serve"}
+            return
+        response.media = {"addrs": addresses[:MOST_ADDRESSES], "ttl_s": ANSWER_KEPT / SECOND}
+
+
+class ReadinessResource:
+    """Whether this entry serves."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
+        response.status = falcon.HTTP_200 if self._is_ready() else falcon.HTTP_503
+
+
+def control_application(versions: VersionService, feeds: Feeds, counters: Counters) -> falcon.App:
+    """Return the calls of operators and upstreams."""
+    application = _application()
+    application.add_route("/api/config", ConfigurationResource(versions, counters))
+    application.add_route("/api/instances/{name}", HeartbeatResource(feeds, counters))
+    return application
+
+
+def directory_application(addresses: Callable[[], list[str]]) -> falcon.App:
+    """Return the calls of callers that look for an entry."""
+    application = _application()
+    application.add_route("/api/lookup", DirectoryResource(addresses))
+    return application
+
+
+def readiness_application(is_ready: Callable[[], bool]) -> falcon.App:
+    """Return the call that asks whether this entry serves."""
+    application = _application()
+    application.add_route("/api/readiness", ReadinessResource(is_ready))
+    return application
+
+
+def _application() -> falcon.App:
+    application = falcon.App()
+    application.add_error_handler(FulmarholdError, _answer_error)
+    return application
+
+
+def _answer_error(
+    _: falcon.Request, response: falcon.Response, error: FulmarholdError, __: object
+) -> None:
+    is_invalid = isinstance(error, MalformedInput | InvalidSettings)
+    response.status = falcon.HTTP_400 if is_invalid else falcon.HTTP_503
+    response.media = {"error": error.message, "step": error.step}
--- /dev/null
+++ b/fulmarhold/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Configurations of routes and their look-up."""
--- /dev/null
+++ b/fulmarhold/routes/configuration.py
@@ -0,0 +1,116 @@
+"""A version of the routes: where each request goes, and within which bounds.
+
+Versions only grow: a later version replaces an earlier one as a whole.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fulmarhold.settings.loading import InvalidSettings, Problem
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarhold.clock import Milliseconds
+
+# Used where a configuration names no limits; the usual defaults of HTTP servers.
+DEFAULT_HEADER_BYTES = 16_384
+DEFAULT_BODY_BYTES = 262_144
+DEFAULT_HEADER_TIMEOUT: Milliseconds = 3_000.0
+DEFAULT_IDLE_TIMEOUT: Milliseconds = 15_000.0
+
+
+@dataclass(frozen=True)
+class WeightedService:
+    """A service that takes a share of a route's requests in proportion to its weight."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Requests to `host` whose path begins with `path_prefix`; durations in milliseconds.
+
+    Either `services` or `shards` is filled: one of several services takes the request, or one
+    upstream of every shard does.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    is_idempotent: bool
+    timeout: Milliseconds
+    target_latency: Milliseconds
+    rank: int
+    most_attempts: int
+    services: tuple[WeightedService, ...] = ()
+    shards: tuple[str, ...] = ()
+    top_records: int = 0
+    least_share: float = 0.0
+
+    @property
+    def service_names(self) -> tuple[str, ...]:
+        """The names of all services that a request may reach."""
+        return self.shards or tuple(item.service for item in self.services)
+
+
+@dataclass(frozen=True)
+class UpstreamService:
+    """A service; each of its upstreams takes `connection_limit` connections of all entries."""
+
+    name: str
+    connection_limit: int
+    health_path: str = "/health"
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send, in bytes, and how long it may take, in milliseconds."""
+
+    header_bytes: int = DEFAULT_HEADER_BYTES
+    body_bytes: int = DEFAULT_BODY_BYTES
+    header_timeout: Milliseconds = DEFAULT_HEADER_TIMEOUT
+    idle_timeout: Milliseconds = DEFAULT_IDLE_TIMEOUT
+
+
+@dataclass(frozen=True)
+class RouteConfiguration:
+    """All routes and services of one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, UpstreamService]
+    limits: CallerLimits = CallerLimits()
+
+
+def check_configuration(configuration: RouteConfiguration) -> None:
+    """Raise `InvalidSettings` with every reason why a configuration can't be accepted."""
+    problems = [*_place_problems(configuration.routes)]
+    for route in configuration.routes:
+        problems.extend(_route_problems(route, configuration.services))
+    if problems:
+        raise InvalidSettings(f"configuration {configuration.version}", problems)
+
+
+def _place_problems(routes: Iterable[Route]) -> Iterable[Problem]:
+    places = Counter((route.host, route.path_prefix) for route in routes)
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield Problem(f"routes.{host}{prefix}", f"is given {count} times")
+
+
+def _route_problems(route: Route, services: dict[str, UpstreamService]) -> Iterable[Problem]:
+    path = f"routes.{route.name}"
+    for name in route.service_names:
+        if name not in services:
+            yield Problem(path, f"names the unknown service {name!r:.60}")
+    if not route.service_names:
+        yield Problem(path, "names no service")
+    if route.services and sum(item.weight for item in route.services) <= 0:
+        yield Problem(path, "has weights that add up to nothing")
+    if route.timeout <= 0:
+        yield Problem(path, f"has the timeout {route.timeout:g} ms, which must be above 0")
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -2,27 +2,52 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from fulmarhold.observe.estimates import LatencyAverage, fade
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
-    from fulmarhold.membership.directory import KnownUpstream
     from fulmarhold.upstreams.pool import ConnectionPool
 
 INITIAL_LATENCY: Milliseconds = 5.0
 FAILURES_BEFORE_EJECTION = 3
 MOST_EJECTION_DOUBLINGS = 4
 SLOW_START_FLOOR = 0.1
+# A reply that takes this many times the usual, and this long at least, points at a stall.
+STALL_FACTOR = 3.0
+LEAST_STALL: Milliseconds = 20.0
 
 
-class Replica:
+class UpstreamRecord(Protocol):
+    """What routing needs to know of an upstream."""
+
+    @property
+    def address(self) -> str: ...
+    @property
+    def incarnation(self) -> int: ...
+    @property
+    def slots(self) -> int: ...
+
+
+class RoutedUpstream(Protocol):
+    """An upstream that work may be sent to while it is live."""
+
+    @property
+    def record(self) -> UpstreamRecord: ...
+
+    def is_live(self, now: Milliseconds) -> bool: ...
+
+
+Upstream = TypeVar("Upstream", bound=RoutedUpstream)
+
+
+class Replica(Generic[Upstream]):
     """What this entry itself saw of one incarnation of an upstream."""
 
     def __init__(
         self,
-        upstream: KnownUpstream,
+        upstream: Upstream,
         pool: ConnectionPool,
         ejection: Milliseconds,
         slow_start: Milliseconds,
@@ -55,6 +80,13 @@
         """Whether it is passed over for now because it failed repeatedly."""
         return now < self.ejected_until
 
+    def is_stalled(self, now: Milliseconds) -> bool:
+        """Whether a request waits there for much longer than replies usually take.
+
+        It then hangs, pauses or is cut off, and further requests would only wait as well.
+        """
+        return self.pool.longest_wait(now) > max(LEAST_STALL, STALL_FACTOR * self.latency.value)
+
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
         """Return the latency a new request may expect, queueing included."""
         slots = self.upstream.record.slots
--- a/fulmarhold/tests/gather/test_scatter.py
+++ b/fulmarhold/tests/gather/test_scatter.py
@@ -22,7 +22,12 @@
 from fulmarhold.routing.replica import Replica
 from fulmarhold.routing.table import SnapshotReplicas
 from fulmarhold.upstreams.pool import CONNECT_REFUSED
-from fulmarhold.upstreams.protocol import RequestTemplate, UpstreamResponse
+from fulmarhold.upstreams.protocol import (
+    OUTCOME_HEADER,
+    PART_HEADER,
+    RequestTemplate,
+    UpstreamResponse,
+)
 
 DEADLINE = 600.0
 SLACK = 3_000.0
@@ -59,7 +64,11 @@
             "shed": (503, "not_run"),
             "gone": (409, "snapshot_gone"),
         }[self._answer]
-        request.completed(UpstreamResponse(status, request.part, outcome, "", b"{}", True))
+        request.completed(
+            UpstreamResponse(
+                status, ((PART_HEADER, request.part), (OUTCOME_HEADER, outcome)), b"{}", True
+            )
+        )
 
 
 def run(*shards, hedge_after=1_000.0, early=False, budget=20, chosen=None):
--- a/fulmarhold/upstreams/channel.py
+++ b/fulmarhold/upstreams/channel.py
@@ -11,6 +11,7 @@
 from geventhttpclient.response import HTTPParseError
 
 from fulmarhold.upstreams.protocol import ResponseReader, UpstreamResponse
+from fulmarhold.wire.sockets import prepare_connection
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
@@ -18,6 +19,9 @@
 READABLE = 1
 WRITABLE = 2
 READ_BYTES = 65_536
+# An idle connection is given up this long before its upstream would close it, so that no request
+# meets that close on its way.
+KEEP_ALIVE_RESERVE: Milliseconds = 700.0
 
 
 class Exchange(Protocol):
@@ -55,8 +59,8 @@
 class Channel:
     """A connection that carries one exchange at a time."""
 
-    __slots__ = ("_exchange", "_fd", "_owner", "_pending", "_reader", "_socket", "_watchers",
-                 "busy_since", "state")  # fmt: skip
+    __slots__ = ("_exchange", "_fd", "_keep_alive", "_owner", "_pending", "_reader", "_socket",
+                 "_watchers", "busy_since", "state", "usable_until")  # fmt: skip
 
     def __init__(self, address: str, owner: ChannelOwner) -> None:
         host, _, port = address.rpartition(":")
@@ -66,9 +70,11 @@
         self._reader = ResponseReader()
         self.state = ChannelState.CONNECTING
         self.busy_since: Milliseconds = 0.0
+        self.usable_until: Milliseconds = float("inf")
+        self._keep_alive: Milliseconds = float("inf")
         self._socket = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         self._socket.setblocking(False)
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        prepare_connection(self._socket)
         loop = gevent.get_hub().loop
         self._fd = self._socket.fileno()
         self._watchers: dict[int, Any] = {
@@ -98,6 +104,14 @@
             self._pending = data[sent:]
             self._watchers[WRITABLE].start(self._on_writable)
 
+    def carries(self, exchange: Exchange) -> bool:
+        """Whether an exchange is open on this connection."""
+        return self._exchange is exchange
+
+    def note_idle(self, now: Milliseconds) -> None:
+        """Start the time for which the upstream keeps an idle connection open."""
+        self.usable_until = now + self._keep_alive
+
     def close(self, reason: str) -> None:
         """Close the connection; an open exchange fails as sent."""
         if self.state is ChannelState.CLOSED:
@@ -142,6 +156,9 @@
         except OSError:
             self.close("connection lost")
             return
+        if not data and self._exchange is not None and self._reader.end_of_stream():
+            self._finish(self._exchange)
+            return
         if not data or self._exchange is None:
             # An idle connection that becomes readable was closed or holds what nobody asked for.
             self.close("closed by upstream" if not data else "unexpected data")
@@ -158,6 +175,8 @@
 
     def _finish(self, exchange: Exchange) -> None:
         response = self._reader.take()
+        if response.keep_alive is not None:
+            self._keep_alive = max(0.0, response.keep_alive - KEEP_ALIVE_RESERVE)
         self._exchange = None
         is_trusted = exchange.completed(response)
         # A response before the whole request was written leaves the stream undefined.
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -52,13 +52,33 @@
     def connections(self) -> int:
         return len(self._channels)
 
+    def longest_wait(self, now: Milliseconds) -> Milliseconds:
+        """Return for how long the oldest unanswered request or connection attempt has waited."""
+        longest = 0.0
+        for channel, opened_at in self._channels.items():
+            if channel.state is ChannelState.BUSY:
+                longest = max(longest, now - channel.busy_since)
+            elif channel.state is ChannelState.CONNECTING:
+                longest = max(longest, now - opened_at)
+        return longest
+
+    def withdraw(self, request: Request) -> None:
+        """Give up a request: forget it, or close the connection that carries it."""
+        if request in self._waiting:
+            self._waiting.remove(request)
+            return
+        for channel in list(self._channels):
+            if channel.carries(request):
+                channel.close("request withdrawn")
+                return
+
     def submit(self, request: Request) -> None:
         """Send a request, at once or when a connection is free; never blocks."""
         now = self._clock.now()
         if self._closed:
             request.failed("pool closed", sent=False)
-        elif self._free:
-            self._free.pop().send(request, now)
+        elif channel := self._take_free(now):
+            channel.send(request, now)
         elif len(self._waiting) >= LONGEST_QUEUE:
             request.failed("queue full", sent=False)
         elif now < self._connect_after and not self._channels:
@@ -68,16 +88,31 @@
             if len(self._connecting) < len(self._waiting) and len(self._channels) < self.limit:
                 self._open(now)
 
+    def _take_free(self, now: Milliseconds) -> Channel | None:
+        """Return the connection used last, closing those that their upstream is about to close."""
+        while self._free:
+            channel = self._free.pop()
+            if now < channel.usable_until:
+                return channel
+            self._counters.add("connections_closed", reason="idle")
+            channel.close("idle")
+        return None
+
     def send_aside(self, request: Request) -> bool:
         """Send a request of lesser weight if a connection is free; returns whether it was."""
-        if not self._free:
+        now = self._clock.now()
+        channel = self._take_free(now)
+        if channel is None:
             return False
-        self._free.pop().send(request, self._clock.now())
+        channel.send(request, now)
         return True
 
     def maintain(self, longest_exchange: Milliseconds) -> None:
         """Close what takes too long and keep the warm connections open; called regularly."""
         now = self._clock.now()
+        for channel in [item for item in self._free if now >= item.usable_until]:
+            self._counters.add("connections_closed", reason="idle")
+            channel.close("idle")
         for channel, opened_at in list(self._channels.items()):
             if channel.state is ChannelState.CONNECTING and now > opened_at + LONGEST_CONNECT:
                 channel.close("connect timed out")
@@ -122,6 +157,7 @@
                 channel.send(request, self._clock.now())
                 return
             request.failed("not sent in time", sent=False)
+        channel.note_idle(self._clock.now())
         self._free.append(channel)
 
     def channel_closed(self, channel: Channel, reason: str) -> None:
--- a/fulmarhold/upstreams/protocol.py
+++ b/fulmarhold/upstreams/protocol.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 from geventhttpclient.response import HTTPResponseParser
 
+from fulmarhold.clock import SECOND, Milliseconds
+
 # Header names are compared in lower case.
 PART_HEADER = "fulmarhold-part"
 OUTCOME_HEADER = "fulmarhold-outcome"
@@ -20,6 +23,8 @@
 
 STATUS_OK = 200
 LARGEST_RESPONSE_BYTES = 4 * 1024 * 1024
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+LENGTH_HEADERS = ("content-length", "transfer-encoding")
 
 
 @dataclass(frozen=True)
@@ -37,15 +42,36 @@
 
 @dataclass(frozen=True)
 class UpstreamResponse:
-    """A whole response; empty strings stand for headers that were not sent."""
+    """A whole response; header names are as they came, in the order in which they came."""
 
     status: int
-    part: str
-    outcome: str
-    state: str
+    headers: tuple[tuple[str, str], ...]
     body: bytes
     keep_open: bool
 
+    @property
+    def part(self) -> str:
+        return self.header(PART_HEADER)
+
+    @property
+    def outcome(self) -> str:
+        return self.header(OUTCOME_HEADER)
+
+    @property
+    def state(self) -> str:
+        return self.header(STATE_HEADER)
+
+    @property
+    def keep_alive(self) -> Milliseconds | None:
+        """For how long the upstream says it keeps the connection open while idle."""
+        match = KEEP_ALIVE_TIMEOUT.search(self.header("keep-alive"))
+        return float(match[1]) * SECOND if match else None
+
+    def header(self, name: str) -> str:
+        """Return the last value of a header by its lower-case name, or an empty string."""
+        values = [value for field, value in self.headers if field.lower() == name]
+        return values[-1] if values else ""
+
 
 class RequestTemplate:
     """What is the same in every sub-request of a scatter, encoded once."""
@@ -74,7 +100,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._headers: dict[str, str] = {}
+        self._headers: list[tuple[str, str]] = []
+        self._has_head = False
         self._field = ""
         self._value = ""
         self._in_value = False
@@ -94,25 +121,34 @@
 
     def take(self) -> UpstreamResponse:
         """Return the complete response and make ready for the next one."""
-        headers = self._headers
         response = UpstreamResponse(
             self.get_code(),
-            headers.get(PART_HEADER, ""),
-            headers.get(OUTCOME_HEADER, ""),
-            headers.get(STATE_HEADER, ""),
+            tuple(self._headers),
             b"".join(self._body),
             self.should_keep_alive() and not self._overrun,
         )
         self._complete = False
+        self._has_head = False
         return response
 
+    def end_of_stream(self) -> bool:
+        """Take the end of the connection; returns whether it completes a response.
+
+        A response without a length ends with its connection.
+        """
+        has_length = any(name.lower() in LENGTH_HEADERS for name, _ in self._headers)
+        if self._has_head and not self._complete and not has_length:
+            self._complete = self._overrun = True
+        return self._complete
+
     # The hooks that the library's parser calls.
 
     def _on_message_begin(self) -> None:
         if self._complete:
             self._overrun = True
             return
-        self._headers = {}
+        self._headers = []
+        self._has_head = False
         self._field = self._value = ""
         self._in_value = False
         self._body = []
@@ -132,6 +168,7 @@
 
     def _on_headers_complete(self) -> bool:
         self._flush_header()
+        self._has_head = True
         return False
 
     def _on_body(self, data: bytes) -> None:
@@ -144,6 +181,6 @@
 
     def _flush_header(self) -> None:
         if self._field and not self._overrun:
-            self._headers[self._field.lower()] = self._value
+            self._headers.append((self._field, self._value))
         self._field = self._value = ""
         self._in_value = False
--- /dev/null
+++ b/fulmarhold/web/front.py
@@ -0,0 +1,373 @@
+"""The HTTP/1.1 server that callers' requests come in by, with path, headers and body as sent.
+
+Frameworks decode the path and merge headers, which would change what is forwarded. This server
+keeps both, notices at once that a caller leaves, and holds callers to the limits in force.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import gevent.socket
+import httptools
+from gevent.server import StreamServer
+
+from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.observe.logs import part_log
+from fulmarhold.wire.server import listen
+from fulmarhold.wire.sockets import prepare_connection
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.clock import Clock
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.routes.configuration import CallerLimits
+
+log = part_log("front")
+
+READ_BYTES = 65_536
+# What a caller may send ahead of the answer that it waits for.
+LONGEST_BACKLOG_BYTES = 64 * 1024
+READABLE = 1
+# A caller that does not read its answer for this long is given up.
+SEND_TIMEOUT: Milliseconds = 5_000.0
+# After a refusal with unread bytes the connection stays open this long, so that the caller can
+# read the answer before it meets a reset.
+LINGER: Milliseconds = 300.0
+BACKLOG = 4_096
+
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
+    413: "Content Too Large", 421: "Misdirected Request", 429: "Too Many Requests",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Gateway Timeout",
+}  # fmt: skip
+
+
+@dataclass(frozen=True)
+class RawRequest:
+    """A request as it came; `target` is the path with the query, undecoded."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    received_at: Milliseconds
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header by its lower-case name, or an empty string."""
+        return next((value for key, value in self.headers if key.lower() == name), "")
+
+
+@dataclass(frozen=True)
+class RawResponse:
+    """A response to write; length and connection headers are added by the server."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class BadRequest(Exception):
+    """The request breaks the protocol or a limit; `status` says which."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+GoneCallback = "Callable[[Callable[[], None]], None]"
+
+
+class FrontServer:
+    """Serves callers; `handle` gets a request and a function that takes what to call on a loss."""
+
+    def __init__(
+        self,
+        endpoint: str,
+        handle: Callable[[RawRequest, Any], RawResponse],
+        limits: Callable[[], CallerLimits],
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._endpoint = endpoint
+        self.handle = handle
+        self.limits = limits
+        self.clock = clock
+        self.counters = counters
+        self.is_closing = False
+        self.in_flight = 0
+        self._connections: set[_Connection] = set()
+        self._server: StreamServer | None = None
+
+    @property
+    def connections(self) -> int:
+        return len(self._connections)
+
+    def start(self) -> None:
+        """Start to listen; raises `FulmarholdError` when the port can't be had."""
+        address, _, port = self._endpoint.rpartition(":")
+        listener = listen(address, int(port), BACKLOG)
+        self._server = StreamServer(listener, self._serve)
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.stop_accepting()
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def _serve(self, connection: Any, _: Any) -> None:
+        served = _Connection(self, connection)
+        self._connections.add(served)
+        try:
+            served.run()
+        except OSError as error:
+            self.counters.add("caller_connections_lost", reason=type(error).__name__)
+        finally:
+            self._connections.discard(served)
+            connection.close()
+
+
+@dataclass
+class _Partial:
+    """A request that is still being read."""
+
+    started_at: Milliseconds
+    target: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+    body_bytes: int = 0
+    has_head: bool = False
+
+
+class _Connection:
+    """One caller's connection; the callbacks of the parser fill a queue of whole requests."""
+
+    def __init__(self, server: FrontServer, connection: Any) -> None:
+        self._server = server
+        self._socket = connection
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: deque[tuple[RawRequest, bool]] = deque()
+        self._partial: _Partial | None = None
+        self._head_bytes = 0
+        self._backlog = b""
+        self._limits = server.limits()
+        self._expects_continue = False
+        self._is_waiting = False
+        self._on_gone: Callable[[], None] | None = None
+        self._is_gone = False
+        prepare_connection(connection)
+
+    def run(self) -> None:
+        """Serve requests one after the other until either side closes."""
+        while True:
+            try:
+                request = self._next_request()
+            except BadRequest as error:
+                self._server.counters.add("caller_requests_malformed", reason=error.reason)
+                self._send(RawResponse(error.status, body=error.reason.encode()), "", close=True)
+                self._linger()
+                return
+            if request is None:
+                return
+            raw, keep_open = request
+            response = self._handle(raw)
+            if self._is_gone:
+                return
+            close = not keep_open or self._server.is_closing
+            self._send(response, raw.method, close=close)
+            if close:
+                self._linger()
+                return
+
+    def close_if_idle(self) -> None:
+        """Close the connection if it waits for a request."""
+        if self._is_waiting and self._partial is None:
+            self._socket.shutdown(gevent.socket.SHUT_RDWR)
+
+    # Reading
+
+    def _next_request(self) -> tuple[RawRequest, bool] | None:
+        self._limits = self._server.limits()
+        while not self._requests:
+            data, self._backlog = self._backlog, b""
+            if not data:
+                data = self._receive()
+                if not data:
+                    return None
+            self._feed(data)
+            if self._expects_continue and not self._requests:
+                self._expects_continue = False
+                self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return self._requests.popleft()
+
+    def _receive(self) -> bytes:
+        limits, partial = self._limits, self._partial
+        if partial is None or partial.has_head:
+            timeout = limits.idle_timeout
+        else:
+            age = self._server.clock.now() - partial.started_at
+            timeout = max(1.0, limits.header_timeout - age)
+        self._is_waiting = True
+        try:
+            self._socket.settimeout(timeout / SECOND)
+            data: bytes = self._socket.recv(READ_BYTES)
+            return data
+        except TimeoutError:
+            if partial is None:
+                return b""
+            raise BadRequest(408, "the request was not sent in time") from None
+        finally:
+            self._is_waiting = False
+
+    def _feed(self, data: bytes) -> None:
+        if self._partial is None and not self._requests:
+            self._partial = _Partial(self._server.clock.now())
+        if self._partial is not None and not self._partial.has_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise BadRequest(400, "upgrades are not served") from None
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, BadRequest):
+                raise error.__context__ from None
+            raise BadRequest(400, "malformed request") from None
+        except httptools.HttpParserError:
+            raise BadRequest(400, "malformed request") from None
+        partial = self._partial
+        if partial is not None and not partial.has_head:
+            self._check_head_size()
+
+    def _check_head_size(self) -> None:
+        if self._head_bytes > self._limits.header_bytes:
+            raise BadRequest(431, "the headers are too large")
+
+    # Called by the parser
+
+    def on_message_begin(self) -> None:
+        if self._partial is None:
+            self._partial = _Partial(self._server.clock.now())
+
+    def on_url(self, url: bytes) -> None:
+        if self._partial is not None:
+            self._partial.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._partial is not None and not self._partial.has_head:
+            self._partial.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        partial = self._partial
+        if partial is None:
+            return
+        partial.has_head = True
+        size = len(partial.target) + sum(
+            len(key) + len(value) + 4 for key, value in partial.headers
+        )
+        self._head_bytes = 0
+        if size > self._limits.header_bytes:
+            raise BadRequest(431, "the headers are too large")
+        fields = {key.lower(): value for key, value in partial.headers}
+        if "content-length" in fields and "transfer-encoding" in fields:
+            raise BadRequest(400, "both a length and a transfer encoding")
+        length = fields.get("content-length", "0")
+        if length.isdigit() and int(length) > self._limits.body_bytes:
+            raise BadRequest(413, "the body is too large")
+        self._expects_continue = fields.get("expect", "").lower() == "100-continue"
+
+    def on_body(self, data: bytes) -> None:
+        partial = self._partial
+        if partial is None:
+            return
+        partial.body.append(data)
+        partial.body_bytes += len(data)
+        if partial.body_bytes > self._limits.body_bytes:
+            raise BadRequest(413, "the body is too large")
+
+    def on_message_complete(self) -> None:
+        partial, self._partial = self._partial, None
+        if partial is None:
+            return
+        request = RawRequest(
+            self._parser.get_method().decode("latin-1"),
+            partial.target.decode("latin-1"),
+            tuple(partial.headers),
+            b"".join(partial.body),
+            partial.started_at,
+        )
+        self._requests.append((request, self._parser.should_keep_alive()))
+
+    # Answering
+
+    def _handle(self, request: RawRequest) -> RawResponse:
+        watcher = gevent.get_hub().loop.io(self._socket.fileno(), READABLE)
+        self._on_gone = None
+        self._server.in_flight += 1
+        watcher.start(self._on_readable, watcher)
+        try:
+            return self._server.handle(request, self._set_on_gone)
+        except Exception as error:
+            log.exception("answering {} {} failed: {}", request.method, request.target, error)
+            return RawResponse(502, body=b"internal error")
+        finally:
+            self._server.in_flight -= 1
+            watcher.stop()
+            watcher.close()
+
+    def _set_on_gone(self, callback: Callable[[], None]) -> None:
+        self._on_gone = callback
+
+    def _on_readable(self, watcher: Any) -> None:
+        """Notice that the caller leaves, and keep what it sends ahead."""
+        try:
+            data = os.read(self._socket.fileno(), READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        self._backlog += data
+        if data and len(self._backlog) < LONGEST_BACKLOG_BYTES:
+            return
+        watcher.stop()
+        if not data:
+            self._is_gone = True
+            self._server.counters.add("callers_gone")
+            if self._on_gone is not None:
+                self._on_gone()
+
+    def _send(self, response: RawResponse, method: str, *, close: bool) -> None:
+        reason = REASONS.get(response.status, "Status")
+        lines = [f"HTTP/1.1 {response.status} {reason}"]
+        lines += [f"{key}: {value}" for key, value in response.headers]
+        lines.append(f"Content-Length: {len(response.body)}")
+        if close:
+            lines.append("Connection: close")
+        else:
+            idle_seconds = int(self._limits.idle_timeout / SECOND)
+            lines.append(f"Keep-Alive: timeout={idle_seconds}")
+        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        self._socket.settimeout(SEND_TIMEOUT / SECOND)
+        self._socket.sendall(head if method == "HEAD" else head + response.body)
+
+    def _linger(self) -> None:
+        """End the stream, and read what is on its way so that the answer is not reset."""
+        try:
+            self._socket.shutdown(gevent.socket.SHUT_WR)
+            self._socket.settimeout(LINGER / SECOND)
+            while self._socket.recv(READ_BYTES):
+                pass
+        except (OSError, TimeoutError):
+            self._server.counters.add("caller_connections_lost", reason="while_closing")
--- a/fulmarhold/wire/client.py
+++ b/fulmarhold/wire/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import socket
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -16,6 +15,7 @@
 from fulmarhold.wire.frames import ONE_WAY, FrameDecoder, encode_frame
 from fulmarhold.wire.messages import Failure
 from fulmarhold.wire.server import READ_BYTES
+from fulmarhold.wire.sockets import prepare_connection
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
@@ -97,7 +97,7 @@
                 (address, int(port)), timeout=CONNECT_TIMEOUT / SECOND
             )
             connection.settimeout(None)
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            prepare_connection(connection)
         except OSError as error:
             raise PeerUnavailable(str(error), step=step, peer=self.endpoint) from error
         self._socket = connection
--- a/fulmarhold/wire/server.py
+++ b/fulmarhold/wire/server.py
@@ -15,6 +15,7 @@
 from fulmarhold.observe.logs import part_log
 from fulmarhold.wire.frames import ONE_WAY, FrameDecoder, encode_frame
 from fulmarhold.wire.messages import Failure
+from fulmarhold.wire.sockets import prepare_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -60,7 +61,7 @@
         decoder = FrameDecoder()
         write_lock = RLock()
         try:
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            prepare_connection(connection)
             while data := connection.recv(READ_BYTES):
                 for request_id, value in decoder.feed(data):
                     self._requests.spawn(self._answer, connection, write_lock, request_id, value)
