--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -35,11 +35,16 @@
     from fulmarhold.clock import Milliseconds
     from fulmarhold.consensus.followers import Follower
 
-HEARTBEAT_PERIOD: Milliseconds = 150.0
-SHORTEST_ELECTION_TIMEOUT: Milliseconds = 1_000.0
-LONGEST_ELECTION_TIMEOUT: Milliseconds = 2_000.0
+# Far above a round trip between data centres (9 ms) and a sync of a slow disk (125 ms); without a
+# leader nothing is accepted and no started entry learns what to serve, so no longer than needed.
+HEARTBEAT_PERIOD: Milliseconds = 100.0
+SHORTEST_ELECTION_TIMEOUT: Milliseconds = 450.0
+LONGEST_ELECTION_TIMEOUT: Milliseconds = 900.0
 # Shorter than the shortest election timeout, so that clocks that drift apart do no harm.
-LEADER_LEASE: Milliseconds = 800.0
+LEADER_LEASE: Milliseconds = 360.0
+# After a start a member asks within this whether all voters have just started, and again after
+# that long: about ten trips between data centres, so that two seldom ask at the same time.
+RESTART_VOTE_SPREAD: Milliseconds = 100.0
 SNAPSHOT_RESEND_PERIOD: Milliseconds = 2_000.0
 HANDOVER_TIMEOUT: Milliseconds = 1_000.0
 ENTRIES_PER_REQUEST = 256
@@ -98,6 +103,10 @@
         self._first_of_term = 0
         self._handing_over_until: Milliseconds | None = None
         self._caught_up_at = float("-inf")
+        # No leader can be left, nor a promise to one, once every voter has started anew.
+        self._restarted_until = now + SHORTEST_ELECTION_TIMEOUT if has_history else float("-inf")
+        self._restart_vote_at = now + random.uniform(0.0, RESTART_VOTE_SPREAD)
+        self._restarted_votes: set[str] = set()
         self.leads_since: Milliseconds = float("-inf")
         self._output = Output()
         self._reset_election(now)
@@ -170,6 +179,8 @@
             self._tick_leader(now)
         elif now >= self._election_at:
             self._campaign(now, trial=True, transfer=False)
+        elif self._has_restarted(now) and now >= self._restart_vote_at:
+            self._ask_restarted(now)
 
     def propose(self, kind: str, data: bytes, now: Milliseconds) -> int:
         """Append an entry as the leader and return its index; raises `NotLeader`."""
@@ -264,16 +275,67 @@
                 )
         self._count_votes(now)
 
+    def _has_restarted(self, now: Milliseconds) -> bool:
+        return now < self._restarted_until and self.leader is None
+
+    def _ask_restarted(self, now: Milliseconds) -> None:
+        """Ask the voters whether all of them have just started, without becoming a candidate."""
+        self._restart_vote_at = now + self._random.uniform(1.0, 2.0) * RESTART_VOTE_SPREAD
+        self._restarted_votes = {self.identity}
+        if self.identity not in self.members.voters:
+            return
+        for voter in self.members.voters:
+            if voter != self.identity:
+                self._send(
+                    VoteRequest(
+                        self.cluster,
+                        self.identity,
+                        voter,
+                        self.term + 1,
+                        self.log.last_index,
+                        self.log.last_term,
+                        trial=True,
+                        transfer=False,
+                        restarted=True,
+                    )
+                )
+
+    def _answer_restarted(self, message: VoteRequest, now: Milliseconds) -> None:
+        up_to_date = self._is_up_to_date(message)
+        granted = self._has_restarted(now) and up_to_date and message.term > self.term
+        if granted:
+            # Two that ask at the same time would split the votes.
+            self._restart_vote_at = now + 2 * RESTART_VOTE_SPREAD
+        self._send(
+            VoteReply(
+                self.cluster,
+                self.identity,
+                message.sender,
+                message.term,
+                trial=True,
+                granted=granted,
+                restarted=True,
+            )
+        )
+
+    def _count_restarted(self, message: VoteReply, now: Milliseconds) -> None:
+        is_current = message.granted and message.term == self.term + 1
+        if not is_current or not self._has_restarted(now):
+            return
+        self._restarted_votes.add(message.sender)
+        if self._restarted_votes >= set(self.members.voters):
+            self._campaign(now, trial=False, transfer=True)
+
     def _on_vote_request(self, message: VoteRequest, now: Milliseconds) -> None:
+        if message.restarted:
+            self._answer_restarted(message, now)
+            return
         if not message.transfer and self._is_loyal(now):
             self._reply_vote(message, granted=False)
             return
         if not message.trial and message.term > self.term:
             self._become_follower(message.term, None)
-        up_to_date = (message.last_term, message.last_index) >= (
-            self.log.last_term,
-            self.log.last_index,
-        )
+        up_to_date = self._is_up_to_date(message)
         if message.trial:
             self._reply_vote(message, granted=up_to_date and message.term > self.term)
             return
@@ -284,6 +346,10 @@
             self._reset_election(now)
         self._reply_vote(message, granted=granted)
 
+    def _is_up_to_date(self, message: VoteRequest) -> bool:
+        own = (self.log.last_term, self.log.last_index)
+        return (message.last_term, message.last_index) >= own
+
     def _is_loyal(self, now: Milliseconds) -> bool:
         if self.is_leader:
             return now < self.lease_until(now)
@@ -296,6 +362,9 @@
         )
 
     def _on_vote_reply(self, message: VoteReply, now: Milliseconds) -> None:
+        if message.restarted:
+            self._count_restarted(message, now)
+            return
         if not message.granted:
             if message.term > self.term:
                 self._become_follower(message.term, None)
--- a/fulmarhold/consensus/messages.py
+++ b/fulmarhold/consensus/messages.py
@@ -50,7 +50,10 @@
 
 @message
 class VoteRequest:
-    """Asks for a vote; `trial` asks only whether one would be given (pre-vote)."""
+    """Asks for a vote; `trial` asks only whether one would be given (pre-vote).
+
+    `restarted` tells that the sender has started lately and knows no leader since.
+    """
 
     cluster: str
     sender: str
@@ -60,11 +63,12 @@
     last_term: int
     trial: bool
     transfer: bool
+    restarted: bool = False
 
 
 @message
 class VoteReply:
-    """Grants or denies a vote."""
+    """Grants or denies a vote; `restarted` as in the request."""
 
     cluster: str
     sender: str
@@ -72,6 +76,7 @@
     term: int
     trial: bool
     granted: bool
+    restarted: bool = False
 
 
 @message
--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -21,6 +21,8 @@
     Members,
     PeerMessage,
     Snapshot,
+    VoteReply,
+    VoteRequest,
 )
 from fulmarhold.consensus.output import HardState, Output
 from fulmarhold.consensus.storage import EMPTY_SNAPSHOT, Storage, StorageFailed
@@ -159,6 +161,7 @@
     def receive(self, endpoint: str, message: PeerMessage) -> None:
         """Take in a message of the member that listens at `endpoint`."""
         if message.recipient != self.identity:
+            self._answer_for_lost_identity(endpoint, message)
             return
         self._sender_endpoints[message.sender] = endpoint
         if not self.cluster:
@@ -168,6 +171,23 @@
             log.info("joined cluster {}", message.cluster)
         self._events.put(lambda core: core.receive(message, self._clock.now()))
 
+    def _answer_for_lost_identity(self, endpoint: str, message: PeerMessage) -> None:
+        """Tell a voter that has restarted that a member at this endpoint lost its disk.
+
+        Such a member leads nobody and holds no promise, so that no leader need be waited for.
+        """
+        if isinstance(message, VoteRequest) and message.restarted:
+            reply = VoteReply(
+                message.cluster,
+                message.recipient,
+                message.sender,
+                message.term,
+                trial=True,
+                granted=True,
+                restarted=True,
+            )
+            self._transport.send(endpoint, reply)
+
     def propose(self, data: bytes) -> Any:
         """Replicate a command and return what applying it gave.
 
--- a/fulmarhold/consensus/storage.py
+++ b/fulmarhold/consensus/storage.py
@@ -234,11 +234,16 @@
         self._sync_folder()
 
     def _sync_folder(self) -> None:
-        descriptor = os.open(self._folder, os.O_RDONLY)
-        try:
-            self._sync(descriptor)
-        finally:
-            os.close(descriptor)
+        sync_folder(self._folder, self._sync)
+
+
+def sync_folder(folder: Path, sync: Callable[[int], None] = os.fsync) -> None:
+    """Make new, renamed and removed names of a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        sync(descriptor)
+    finally:
+        os.close(descriptor)
 
 
 def _snapshot_name(index: int) -> str:
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -32,6 +32,7 @@
     SILENT,
     InstanceStatement,
     Ledger,
+    Statement,
     UpstreamStatement,
 )
 from fulmarhold.observe.logs import part_log
@@ -44,6 +45,7 @@
     from fulmarhold.clock import Clock
     from fulmarhold.consensus.node import Node
     from fulmarhold.control.machine import ControlMachine
+    from fulmarhold.control.statement_file import StatementFile
     from fulmarhold.observe.counters import Counters
     from fulmarhold.wire.server import MessageServer
 
@@ -59,10 +61,11 @@
 ENTRY_SILENCE: Milliseconds = 1_500.0
 # Heartbeats that may be missed before an upstream counts as silent: entries notice a crash by
 # their own connections long before, and one that merely reports late must not be dropped.
-MISSED_HEARTBEATS = 6
+MISSED_HEARTBEATS = 8
 REPORT_PERIOD: Milliseconds = 1_000.0
 # How long a started instance waits for one that knows the statements before it serves without.
-LONGEST_CATCH_UP: Milliseconds = 1_500.0
+LONGEST_CATCH_UP: Milliseconds = 1_000.0
+CATCH_UP_PERIOD: Milliseconds = 50.0
 
 
 @dataclass
@@ -91,6 +94,7 @@
         machine: ControlMachine,
         seeds: Callable[[], tuple[str, ...]],
         heartbeat_period: Milliseconds,
+        keep: StatementFile,
         clock: Clock,
         counters: Counters,
     ) -> None:
@@ -101,6 +105,8 @@
         self._machine = machine
         self._seeds = seeds
         self._upstream_silence = MISSED_HEARTBEATS * heartbeat_period
+        self._keep = keep
+        self._kept_position = 0
         self._clock = clock
         self._counters = counters
         self._source = uuid.uuid4().hex[:12]
@@ -187,24 +193,17 @@
         """Log a retirement that another control instance passes on."""
         return Done() if self._log_retirement(command) else Failure("not_logged")
 
-    def _take_upstreams(self, statements: tuple[UpstreamStatement, ...], by: str) -> bool:
+    def _take_upstreams(
+        self, statements: tuple[UpstreamStatement, ...], by: str, *, tell: bool = True
+    ) -> bool:
         now = self._clock.now()
         is_change = False
         for statement in statements:
             before = self.upstreams.find(statement.name)
             if self.upstreams.take(statement, now):
                 is_change = True
-                log.info(
-                    "upstream {} of {} at {} is {} (born {}, sequence {}), was {}: {}",
-                    statement.name,
-                    statement.service,
-                    statement.address,
-                    statement.state,
-                    statement.born,
-                    statement.sequence,
-                    before.state if before else "unknown",
-                    by,
-                )
+                if tell:
+                    _tell_upstream(statement, before, by)
             if self.upstreams.find(statement.name) == statement and statement.state != SILENT:
                 self._heard[statement.name] = now
                 self._fresh[statement.name] = (statement.born, statement.sequence)
@@ -313,8 +312,16 @@
     def _take_shared(self, shared: ShareStatements) -> Done:
         self._take_upstreams(shared.upstreams, "shared")
         self._take_instances(shared.instances)
+        self._refute(shared)
         return Done()
 
+    def _refute(self, shared: ShareStatements) -> None:
+        """Share what is known here to be newer than what another instance has just told."""
+        upstreams = _differing(self.upstreams, shared.upstreams)
+        instances = _differing(self.instances, shared.instances)
+        if upstreams or instances:
+            self._share(upstreams, instances)
+
     def _tell_all(self, _: AskStatements) -> AllStatements:
         return AllStatements(
             self._is_ready, tuple(self.upstreams.all()), tuple(self.instances.all())
@@ -347,16 +354,24 @@
 
     def catch_up(self) -> None:
         """Ask the others for what they hold, before this instance feeds any entry."""
+        self._take_upstreams(
+            tuple(self._with_retirement(item) for item in self._keep.load()),
+            "kept from before",
+            tell=False,
+        )
         until = self._clock.now() + LONGEST_CATCH_UP
         while not self._is_ready and self._clock.now() < until:
             answers = [gevent.spawn(self._call, peer, AskStatements("")) for peer in self._peers()]
             gevent.joinall(answers)
+            # When all have started at once nobody knows more than what is merged now.
+            self._is_ready = all(isinstance(answer.value, AllStatements) for answer in answers)
             for answer in answers:
                 if isinstance(answer.value, AllStatements):
-                    self._take_upstreams(answer.value.upstreams, "told at start")
+                    self._take_upstreams(answer.value.upstreams, "told at start", tell=False)
                     self._take_instances(answer.value.instances)
                     self._is_ready = self._is_ready or answer.value.is_ready
-            gevent.sleep(HOUSEKEEPING_PERIOD / SECOND)
+            if not self._is_ready:
+                gevent.sleep(CATCH_UP_PERIOD / SECOND)
         self._is_ready = True
         self._share((), (self._own,))
         log.info("feeds entries with {} upstreams known", len(self.upstreams))
@@ -372,6 +387,9 @@
             if now >= reported_at + REPORT_PERIOD:
                 reported_at = now
                 self._pay_owed()
+                if self.upstreams.position != self._kept_position:
+                    self._kept_position = self.upstreams.position
+                    self._keep.save(self.upstreams.all())
                 self._report_heard()
                 self.upstreams.forget_ended(now)
                 self.instances.forget_ended(now)
@@ -426,3 +444,23 @@
                 silent = replace(known, state=SILENT)
                 if self._take_upstreams((silent,), f"unheard for {now - heard_at:.0f} ms"):
                     self._share((silent,), ())
+
+
+def _differing(ledger: Ledger[Statement], told: tuple[Statement, ...]) -> tuple[Statement, ...]:
+    """Return what the ledger holds of the subjects that are in another state there."""
+    held = ((ledger.find(item.name), item.state) for item in told)
+    return tuple(known for known, state in held if known is not None and known.state != state)
+
+
+def _tell_upstream(statement: UpstreamStatement, before: UpstreamStatement | None, by: str) -> None:
+    log.info(
+        "upstream {} of {} at {} is {} (born {}, sequence {}), was {}: {}",
+        statement.name,
+        statement.service,
+        statement.address,
+        statement.state,
+        statement.born,
+        statement.sequence,
+        before.state if before else "unknown",
+        by,
+    )
--- a/fulmarhold/control/identifiers.py
+++ b/fulmarhold/control/identifiers.py
@@ -5,8 +5,6 @@
 import uuid
 from typing import TYPE_CHECKING
 
-import uuid6
-
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
 
@@ -16,6 +14,9 @@
 
 def new_identifier() -> str:
     """Return a new identifier that carries the present time."""
+    # Only operators make identifiers; control, which reads them, starts faster without this.
+    import uuid6  # noqa: PLC0415
+
     return str(uuid6.uuid7())
 
 
--- /dev/null
+++ b/fulmarhold/control/statement_file.py
@@ -0,0 +1,64 @@
+"""Keeps the statements of upstreams in a file, so that a restart of control needs no heartbeats.
+
+The file is a cache: it may be old, cut short or missing. What is read from it is as old as anything
+that arrives late, and superseded in the same way. It is synced, so that it outlives power losses.
+"""
+
+from __future__ import annotations
+
+import os
+from dataclasses import astuple
+from typing import TYPE_CHECKING
+
+import gevent
+
+from fulmarhold.consensus.records import CorruptFile, decode_records, encode_record
+from fulmarhold.consensus.storage import sync_folder
+from fulmarhold.membership.statements import UpstreamStatement
+from fulmarhold.observe.logs import part_log
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from fulmarhold.observe.counters import Counters
+
+log = part_log("statements")
+
+FILE_NAME = "upstreams.bin"
+
+
+class StatementFile:
+    """The file under the data folder of a control instance."""
+
+    def __init__(self, folder: Path, counters: Counters) -> None:
+        self._path = folder / FILE_NAME
+        self._counters = counters
+
+    def load(self) -> list[UpstreamStatement]:
+        """Return what was kept; nothing if the file is missing or does not check."""
+        try:
+            records = decode_records(self._path, self._path.read_bytes())
+            return [UpstreamStatement(*fields) for value in records.values for fields in value]
+        except FileNotFoundError:
+            return []
+        except (OSError, CorruptFile, TypeError) as error:
+            self._counters.add("statement_file_failures", step="loading")
+            log.warning("starts without kept statements: {}", error)
+            return []
+
+    def save(self, statements: list[UpstreamStatement]) -> None:
+        """Replace the file in a thread, since a faulty disk may hold it up."""
+        data = encode_record([astuple(statement) for statement in statements])
+        gevent.get_hub().threadpool.apply_async(self._write, (data,))
+
+    def _write(self, data: bytes) -> None:
+        temporary = self._path.with_suffix(".tmp")
+        try:
+            with temporary.open("wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.replace(self._path)
+            sync_folder(self._path.parent)
+        except OSError:
+            self._counters.add("statement_file_failures", step="saving")
--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Protocol
 
-import cyclopts
 import gevent
 from gevent.event import AsyncResult, Event
 
@@ -38,6 +37,9 @@
 
 def run_program(name: str, summary: str, schema: type, make: Callable[[Any], Daemon]) -> None:
     """Run a daemon's program, whose one argument is its settings file, and exit."""
+    # Not needed by daemons that are started in another way, where it would delay a restart.
+    import cyclopts  # noqa: PLC0415
+
     application = cyclopts.App(name=name, help=summary)
 
     @application.default
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -96,6 +96,11 @@
         """Whether any upstream was sent the request."""
         return any(attempt.sent_at is not None for attempt in self._attempts)
 
+    @property
+    def expected_latency(self) -> Milliseconds:
+        """What the upstream of the first attempt usually takes; zero before one is chosen."""
+        return self._attempts[0].replica.latency.value if self._attempts else 0.0
+
     def start(self) -> None:
         """Send the first attempt."""
         self._budget.earn(1)
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -43,6 +43,9 @@
 # Callers come back between these after a refusal, so that they do not return as one wave.
 SHORTEST_RETURN: Milliseconds = 40.0
 LONGEST_RETURN: Milliseconds = 160.0
+# What an entry that has just started takes to learn the configuration: an election at most.
+SHORTEST_START: Milliseconds = 300.0
+LONGEST_START: Milliseconds = 600.0
 # The final answer leaves this long before the deadline, for the way to the caller.
 DEADLINE_RESERVE: Milliseconds = 5.0
 
@@ -68,6 +71,7 @@
         self._random = Random()
         self._choose = choosers.find("least_expected")
         self._routes: RouteTable | None = None
+        self._is_stopping = False
         self._burst = 1.0
         self._budgets: dict[str, ExtraLoadBudget] = {}
         self._latencies: dict[str, QuantileEstimate] = {}
@@ -81,6 +85,10 @@
         """Put a newer configuration in force; requests under way keep theirs."""
         self._routes = routes
 
+    def refuse_all(self) -> None:
+        """Refuse what comes from now on: this entry is about to stop."""
+        self._is_stopping = True
+
     def set_burst(self, burst: float) -> None:
         """Set how many extra attempts a service may get at once from this entry."""
         self._burst = burst
@@ -94,10 +102,11 @@
 
         `on_gone` is given the function that is to be called when the caller leaves.
         """
+        if self._is_stopping:
+            return self._finish(request, None, Refused(RefusedReason.STOPPING, self._retry_after()))
         if self._routes is None:
-            return self._finish(
-                request, None, Refused(RefusedReason.NO_CONFIGURATION, self._retry_after())
-            )
+            pause = self._random.uniform(SHORTEST_START, LONGEST_START)
+            return self._finish(request, None, Refused(RefusedReason.NO_CONFIGURATION, pause))
         route = self._routes.find(request.host, request.path)
         if route is None:
             return self._finish(request, None, NoRoute(self._routes.configuration.version))
--- a/fulmarhold/forwarding/patience.py
+++ b/fulmarhold/forwarding/patience.py
@@ -12,16 +12,46 @@
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
 
-# The way of the answer to the caller and of the request from it, one of them over a new
-# connection (three trips of 3 ms), with some more for the wake-up of this process.
-TARGET_RESERVE: Milliseconds = 14.0
+# The way from the caller and back, 3 ms each, and the wake-ups of this process.
+TARGET_RESERVE: Milliseconds = 10.0
+# What a caller has spent before its first request on a connection: it connected (6 ms), and may
+# have asked the directory before (6 ms to connect and 6 ms for the answer).
+CONNECTING_RESERVE: Milliseconds = 14.0
 # However short the target, the first replies are given this long.
 LEAST_PATIENCE: Milliseconds = 10.0
+# Once this share of the parts is in, the others are stragglers: a request takes about the same
+# time at every shard.
+STRAGGLER_SHARE = 0.7
+# How much later than the others a part may come before it counts as late: a fixed part for the
+# network and the event loop, and a share of the time so far for upstreams that differ in speed.
+STRAGGLER_MARGIN: Milliseconds = 4.0
+STRAGGLER_FACTOR = 0.1
 
 
-def partial_answer_at(received_at: Milliseconds, target: Milliseconds) -> Milliseconds:
-    """Return from when on an answer with the least share of parts is better than a later one."""
-    return received_at + max(LEAST_PATIENCE, target - TARGET_RESERVE)
+def partial_answer_at(
+    received_at: Milliseconds, target: Milliseconds, is_first: bool
+) -> Milliseconds:
+    """Return from when on an answer with the least share of parts is better than a later one.
+
+    `is_first` tells that the caller had to connect for this request.
+    """
+    reserve = TARGET_RESERVE + (CONNECTING_RESERVE if is_first else 0.0)
+    return received_at + max(LEAST_PATIENCE, target - reserve)
+
+
+def straggler_hedge_delay(
+    elapsed: Milliseconds, expected: Milliseconds, expected_of_others: Milliseconds
+) -> Milliseconds:
+    """Return how much longer to wait for a part before it is asked of another upstream.
+
+    Most parts are in after `elapsed`; the expected latencies are those of the upstream in question
+    and of those that have replied, which may be nearer.
+
+    >>> straggler_hedge_delay(14.0, expected=20.0, expected_of_others=11.0)
+    14.4
+    """
+    distance = max(0.0, expected - expected_of_others)
+    return round(distance + STRAGGLER_MARGIN + STRAGGLER_FACTOR * elapsed, 3)
 
 
 def least_parts(share: float, total: int) -> int:
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -14,7 +14,8 @@
 class ForwardRequest:
     """One request; method, target, headers and body go on as they came.
 
-    `request_id` names this attempt of the caller, `deadline_at` is on this entry's clock.
+    `request_id` names this attempt of the caller, `deadline_at` is on this entry's clock;
+    `is_first` tells that the caller had to connect for it.
     """
 
     request_id: str
@@ -25,6 +26,7 @@
     body: bytes
     received_at: Milliseconds
     deadline_at: Milliseconds
+    is_first: bool = False
 
     @property
     def path(self) -> str:
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import math
+from statistics import median
 from typing import TYPE_CHECKING
 
 from gevent.event import Event
 
 from fulmarhold.clock import SECOND
-from fulmarhold.forwarding.patience import least_parts, partial_answer_at
+from fulmarhold.forwarding.patience import (
+    STRAGGLER_SHARE,
+    least_parts,
+    partial_answer_at,
+    straggler_hedge_delay,
+)
 from fulmarhold.forwarding.records import greatest_records
 from fulmarhold.forwarding.request import (
     Failed,
@@ -43,21 +50,30 @@
         self._hedge_after = hedge_after
         self._retry_after = retry_after
         self._needed = least_parts(route.least_share, len(route.shards))
-        self._partial_at = partial_answer_at(context.request.received_at, route.target_latency)
+        self._partial_at = partial_answer_at(
+            context.request.received_at, route.target_latency, context.request.is_first
+        )
+        self._started_at = context.clock.now()
+        # When each open call is hedged; found anew once most parts are in.
+        self._hedge_at: dict[ServiceCall, Milliseconds] = {}
         self._wake = Event()
         self._is_gone = False
-        self._open = len(route.shards)
+        self._total = self._open = len(route.shards)
+        self._straggling_from = max(1, math.ceil(STRAGGLER_SHARE * self._total))
         self._calls = [make_call(service, self) for service in route.shards]
 
     def run(self) -> Outcome:
         """Scatter, wait as long as patience says and return what there is."""
-        started_at = self._context.clock.now()
+        self._hedge_at = dict.fromkeys(self._calls, self._started_at + self._hedge_after)
         for call in self._calls:
             call.start()
-        if self._wait_until(started_at + self._hedge_after):
-            for call in self._calls:
+        while self._wait_until(min(self._hedge_at.values(), default=self._context.deadline_at)):
+            now = self._context.clock.now()
+            if now >= self._context.deadline_at:
+                break
+            for call in [item for item, due in self._hedge_at.items() if due <= now]:
+                del self._hedge_at[call]
                 call.hedge()
-            self._wait_until(self._context.deadline_at)
         return self._outcome()
 
     def caller_gone(self) -> None:
@@ -66,12 +82,24 @@
         self._abandon()
         self._wake.set()
 
-    def call_over(self, _: ServiceCall) -> None:
+    def call_over(self, call: ServiceCall) -> None:
         """Note that a shard has its part, or that none will come."""
         self._open -= 1
+        self._hedge_at.pop(call, None)
+        if self._total - self._open == self._straggling_from:
+            self._hedge_stragglers()
+            self._wake.set()
         if self._is_finished():
             self._wake.set()
 
+    def _hedge_stragglers(self) -> None:
+        """Hedge what is still open as soon as it is later than the parts that are in."""
+        now = self._context.clock.now()
+        usual = median(call.expected_latency for call in self._calls if call.is_over)
+        for call, due in self._hedge_at.items():
+            delay = straggler_hedge_delay(now - self._started_at, call.expected_latency, usual)
+            self._hedge_at[call] = min(due, now + delay)
+
     def _parts(self) -> list[Reply]:
         return [
             call.reply
@@ -89,16 +117,17 @@
         return parts >= self._needed and self._context.clock.now() >= self._partial_at
 
     def _wait_until(self, moment: Milliseconds) -> bool:
-        """Wait for the end; returns whether the query still goes on at `moment`."""
-        moment = min(moment, self._context.deadline_at)
-        while not self._is_finished():
-            now = self._context.clock.now()
-            if now >= moment:
-                return True
-            look_at = min(moment, self._partial_at) if now < self._partial_at else moment
-            self._wake.clear()
+        """Wait once, until `moment` at the latest; returns whether the query still goes on."""
+        if self._is_finished():
+            return False
+        now = self._context.clock.now()
+        look_at = min(moment, self._context.deadline_at)
+        if now < self._partial_at:
+            look_at = min(look_at, self._partial_at)
+        self._wake.clear()
+        if look_at > now:
             self._wake.wait((look_at - now) / SECOND)
-        return False
+        return not self._is_finished()
 
     def _outcome(self) -> Outcome:
         if self._is_gone:
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -20,6 +20,9 @@
 # Connections of one upstream that stay unused, so that entries that come or go do not pass its
 # limit while their shares change.
 CONNECTION_RESERVE = 0.1
+# Connections kept open to each upstream: a hedge that first had to connect would come a trip and
+# the upstream's handshake later.
+WARM_CONNECTIONS = 1
 # After the passing-over of an upstream that failed three times: about two of its restarts.
 EJECTION: Milliseconds = 1_000.0
 LEAVING_EXCHANGE: Milliseconds = 60_000.0
@@ -76,6 +79,7 @@
         for replica in before.values():
             replica.pool.close_when_idle()
             self._leaving.append(replica.pool)
+        self.maintain()
 
     def maintain(self) -> None:
         """Close connections that idle or wait too long; called regularly."""
@@ -91,7 +95,8 @@
             pool.close()
 
     def _make_replica(self, statement: UpstreamStatement, limit: int) -> Replica:
-        pool = ConnectionPool(statement.address, limit, 0, self._clock, self._counters)
+        warm = min(limit, WARM_CONNECTIONS)
+        pool = ConnectionPool(statement.address, limit, warm, self._clock, self._counters)
         return Replica(
             ServingUpstream(statement), pool, EJECTION, statement.warm_up, self._clock.now()
         )
--- a/fulmarhold/observe/counters.py
+++ b/fulmarhold/observe/counters.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from prometheus_client import CollectorRegistry, Counter, generate_latest
-from prometheus_client.core import GaugeMetricFamily
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
 Gauge = tuple[str, dict[str, str], float]
+PREFIX = "fulmarhold_"
 
 
 class Counters:
@@ -23,48 +21,52 @@
     """
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
-        self._counters: dict[str, Counter] = {}
-        self._children: dict[tuple[str, tuple[tuple[str, str], ...]], Counter] = {}
+        self._values: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
+        self._gauges: list[Callable[[], Iterable[Gauge]]] = []
 
     def add(self, name: str, amount: float = 1.0, **labels: str) -> None:
         """Add `amount` to the counter of that name and labels, creating it at first use."""
-        self._child(name, labels).inc(amount)
+        key = (name, tuple(labels.items()))
+        self._values[key] = self._values.get(key, 0.0) + amount
 
     def value(self, name: str, **labels: str) -> float:
         """Return the present value, zero for a counter that was never added to."""
-        sample = f"fulmarhold_{name}_total"
-        return self._registry.get_sample_value(sample, labels) or 0.0
+        return self._values.get((name, tuple(labels.items())), 0.0)
 
     def expose(self) -> bytes:
-        """Return every counter in the Prometheus text format."""
-        return generate_latest(self._registry)
+        """Return every counter and gauge in the Prometheus text format."""
+        # Imported at the first scrape: daemons that start again must serve as soon as they can.
+        from prometheus_client import CollectorRegistry, generate_latest  # noqa: PLC0415
+
+        registry = CollectorRegistry()
+        registry.register(self)  # type: ignore[arg-type]
+        return generate_latest(registry)
 
     def register_gauges(self, collect: Callable[[], Iterable[Gauge]]) -> None:
         """Expose values that are read at the time of the scrape."""
-        self._registry.register(_GaugeCollector(collect))  # type: ignore[arg-type]
-
-    def _child(self, name: str, labels: dict[str, str]) -> Counter:
-        key = (name, tuple(labels.items()))
-        child = self._children.get(key)
-        if child is None:
-            counter = self._counters.get(name)
-            if counter is None:
-                counter = Counter(
-                    f"fulmarhold_{name}", name, sorted(labels), registry=self._registry
-                )
-                self._counters[name] = counter
-            child = counter.labels(**labels) if labels else counter
-            self._children[key] = child
-        return child
-
-
-class _GaugeCollector:
-    def __init__(self, collect: Callable[[], Iterable[Gauge]]) -> None:
-        self._collect = collect
-
-    def collect(self) -> Iterable[GaugeMetricFamily]:
-        for name, labels, value in self._collect():
-            family = GaugeMetricFamily(f"fulmarhold_{name}", name, labels=sorted(labels))
-            family.add_metric([labels[key] for key in sorted(labels)], value)
-            yield family
+        self._gauges.append(collect)
+
+    def collect(self) -> Iterable[Any]:
+        """Yield the families of metrics, as the Prometheus client asks for them."""
+        from prometheus_client.core import (  # noqa: PLC0415
+            CounterMetricFamily,
+            GaugeMetricFamily,
+        )
+
+        counters: dict[str, Any] = {}
+        for (name, pairs), amount in list(self._values.items()):
+            family = counters.get(name)
+            labels = dict(sorted(pairs))
+            if family is None:
+                family = CounterMetricFamily(PREFIX + name, name, labels=list(labels))
+                counters[name] = family
+            family.add_metric(list(labels.values()), amount)
+        yield from counters.values()
+        for source in self._gauges:
+            gauges: dict[str, Any] = {}
+            for name, pairs_by_name, value in source():
+                labels = dict(sorted(pairs_by_name.items()))
+                if name not in gauges:
+                    gauges[name] = GaugeMetricFamily(PREFIX + name, name, labels=list(labels))
+                gauges[name].add_metric(list(labels.values()), value)
+            yield from gauges.values()
--- a/fulmarhold/platform/__main__.py
+++ b/fulmarhold/platform/__main__.py
@@ -2,34 +2,32 @@
 
 from __future__ import annotations
 
+import argparse
 import signal
 import sys
-from typing import Literal
 
-import cyclopts
 import gevent
 
 from fulmarhold.clock import Clock
-from fulmarhold.daemons import EXIT_FAILED, serve_until_stopped
+from fulmarhold.daemons import EXIT_FAILED, Daemon, serve_until_stopped
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.events import EventLog
 from fulmarhold.observe.logs import log_to_events
-from fulmarhold.platform.daemons import PlatformControl, PlatformEntry, SettingsWatch
 from fulmarhold.platform.settings import load_settings, settings_path
+from fulmarhold.platform.settings_watch import SettingsWatch
 
-application = cyclopts.App(name="fulmarhold-platform", help="Daemons on the users' platform.")
 
+def main() -> int:
+    """Run the daemon that the command line names until SIGTERM, and return the exit code."""
+    # The house's library for command lines takes as long to import as all the rest of an entry.
+    parser = argparse.ArgumentParser(prog="fulmarhold.platform", description=__doc__)
+    parser.add_argument("role", choices=("entry", "control"), help="what this instance does")
+    return run(parser.parse_args().role)
 
-@application.default
-def run(role: Literal["entry", "control"]) -> int:
-    """Run a daemon until SIGTERM.
 
-    Parameters
-    ----------
-    role
-        What this instance does.
-    """
+def run(role: str) -> int:
+    """Run a daemon until SIGTERM and return the exit code."""
     clock, counters = Clock(), Counters()
     try:
         path = settings_path()
@@ -41,11 +39,7 @@
     log_to_events(events)
     gevent.spawn(events.run)
     watch = SettingsWatch(path, settings)
-    daemon = (
-        PlatformEntry(watch, clock, counters, events)
-        if role == "entry"
-        else PlatformControl(watch, clock, counters)
-    )
+    daemon = _make_daemon(role, watch, clock, counters, events)
     gevent.signal_handler(signal.SIGHUP, watch.reload)
     events.note("started", role=role, seeds=settings.seeds, first_start=settings.is_first_start)
     code = serve_until_stopped(daemon, events.flush)
@@ -54,5 +48,18 @@
     return code
 
 
+def _make_daemon(
+    role: str, watch: SettingsWatch, clock: Clock, counters: Counters, events: EventLog
+) -> Daemon:
+    # Each role imports only what it runs, since every import delays a restart.
+    if role == "entry":
+        from fulmarhold.platform.entry import PlatformEntry  # noqa: PLC0415
+
+        return PlatformEntry(watch, clock, counters, events)
+    from fulmarhold.platform.control import PlatformControl  # noqa: PLC0415
+
+    return PlatformControl(watch, clock, counters)
+
+
 if __name__ == "__main__":
-    sys.exit(application())
+    sys.exit(main())
--- /dev/null
+++ b/fulmarhold/platform/control.py
@@ -0,0 +1,95 @@
+"""The control daemon on the users' platform."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import gevent
+
+from fulmarhold.consensus.messages import MemberMessage
+from fulmarhold.consensus.node import Node, receive_member_message
+from fulmarhold.consensus.storage import Storage
+from fulmarhold.consensus.transport import Transport
+from fulmarhold.control.feeds import Feeds
+from fulmarhold.control.formation import Formation
+from fulmarhold.control.machine import ControlMachine
+from fulmarhold.control.statement_file import StatementFile
+from fulmarhold.control.versions import VersionService
+from fulmarhold.membership.statements import READY, InstanceStatement
+from fulmarhold.platform.settings_watch import serve_application
+from fulmarhold.wire.server import MessageServer
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Clock
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.platform.settings_watch import SettingsWatch
+
+
+class PlatformControl:
+    """A control instance."""
+
+    def __init__(self, watch: SettingsWatch, clock: Clock, counters: Counters) -> None:
+        settings = self._settings = watch.settings
+        self._watch = watch
+        machine = ControlMachine()
+        self.node = Node(
+            Storage(Path(settings.data_folder)), Transport(settings.peer_endpoint), machine, clock
+        )
+        self.failure = self.node.failure
+        own = InstanceStatement(
+            settings.name,
+            int(clock.wall()),
+            1,
+            READY,
+            "control",
+            settings.data_centre,
+            settings.peer_endpoint,
+        )
+        self._feeds = Feeds(
+            own,
+            self.node,
+            machine,
+            watch.seeds,
+            settings.heartbeat_period,
+            StatementFile(Path(settings.data_folder), counters),
+            clock,
+            counters,
+        )
+        self.node.on_applied = self._feeds.note_applied
+        self._formation = Formation(
+            self.node,
+            settings.peer_endpoint,
+            watch.seeds,
+            settings.is_first_start,
+            settings.voters,
+            clock,
+        )
+        self._versions = VersionService(self.node, machine, clock, counters)
+        self._counters = counters
+        self._messages = MessageServer(settings.peer_endpoint, counters)
+        self._messages.handle(MemberMessage, receive_member_message(self.node))
+        for part in (self._feeds, self._formation, self._versions):
+            part.register(self._messages)
+
+    def start(self) -> None:
+        """Load the synced state, listen and take part."""
+        self.node.start()
+        self._messages.start()
+        self._greenlets = [
+            gevent.spawn(part.run) for part in (self._formation, self._feeds, self._watch)
+        ]
+        gevent.sleep(0)
+        # Peers come first: importing the web framework takes as long as an election.
+        from fulmarhold.platform.interfaces import control_application  # noqa: PLC0415
+
+        application = control_application(self._versions, self._feeds, self._counters)
+        self._http = serve_application(application, self._settings.control_endpoint)
+
+    def stop(self) -> None:
+        """Hand leadership over and stop."""
+        self.node.hand_over()
+        self._http.stop(timeout=1)
+        gevent.killall(self._greenlets)
+        self.node.stop()
+        self._messages.stop()
--- /dev/null
+++ b/fulmarhold/platform/entry.py
@@ -0,0 +1,149 @@
+"""The entry daemon on the users' platform."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent.event import AsyncResult
+
+from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.forwarding.forwarder import Forwarder
+from fulmarhold.forwarding.upstreams import UpstreamTable
+from fulmarhold.membership.statements import DRAINING, READY, STARTING, InstanceStatement
+from fulmarhold.membership.watcher import FleetWatcher
+from fulmarhold.observe.logs import part_log
+from fulmarhold.platform.documents import decode_configuration, unpack_document
+from fulmarhold.platform.headers import PlatformDialect, read_request, write_outcome
+from fulmarhold.platform.settings import ANSWER_KEPT
+from fulmarhold.platform.settings_watch import serve_application
+from fulmarhold.routes.configuration import CallerLimits
+from fulmarhold.routes.table import RouteTable
+from fulmarhold.web.front import FrontServer, RawRequest, RawResponse
+
+if TYPE_CHECKING:
+    from fulmarhold.clock import Clock
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.events import EventLog
+    from fulmarhold.platform.settings_watch import SettingsWatch
+
+log = part_log("entry")
+
+MAINTENANCE_PERIOD: Milliseconds = 100.0
+# How long after the last directory answer that names it an entry may still be called: answers on
+# their way, and callers that open a connection just then.
+LAST_CALLERS: Milliseconds = 600.0
+# The end of the time to stop that remains for exiting.
+STOP_RESERVE: Milliseconds = 400.0
+# The part of the time to stop in which only requests under way are ended.
+ENDING_SHARE = 0.3
+# The part of the slack for extra attempts that entries may have saved up all together.
+BURST_SHARE = 0.5
+
+
+class PlatformEntry:
+    """An entry instance."""
+
+    def __init__(
+        self, watch: SettingsWatch, clock: Clock, counters: Counters, events: EventLog
+    ) -> None:
+        settings = self._settings = watch.settings
+        self._watch = watch
+        self._clock = clock
+        self.failure: AsyncResult = AsyncResult()
+        self._table = UpstreamTable(clock, counters)
+        self.forwarder = Forwarder(
+            self._table, PlatformDialect(), settings.extra_share, clock, counters, events
+        )
+        own = InstanceStatement(
+            settings.name,
+            int(clock.wall()),
+            1,
+            STARTING,
+            "entry",
+            settings.data_centre,
+            settings.caller_endpoint,
+        )
+        self.watcher = FleetWatcher(
+            own, watch.seeds, self._take_configuration, self._update_table, clock, counters
+        )
+        self._front = FrontServer(
+            settings.caller_endpoint, self._answer, self._limits, clock, counters
+        )
+
+    def start(self) -> None:
+        """Listen, follow control and serve once a configuration is confirmed."""
+        self._front.start()
+        self._greenlets = [
+            gevent.spawn(self.watcher.run),
+            gevent.spawn(self._watch.run),
+            gevent.spawn(self._maintain),
+        ]
+        gevent.sleep(0)
+        # Callers come first: importing the web framework takes as long as learning what to serve.
+        from fulmarhold.platform.interfaces import (  # noqa: PLC0415
+            directory_application,
+            readiness_application,
+        )
+
+        self._readiness = serve_application(
+            readiness_application(self._is_ready), self._settings.readiness_endpoint
+        )
+        self._directory = serve_application(
+            directory_application(self._addresses), self._settings.directory_endpoint
+        )
+
+    def stop(self) -> None:
+        """Leave the directory, serve while callers may still come, then end what is open."""
+        started_at = self._clock.now()
+        exit_at = started_at + self._settings.grace - STOP_RESERVE
+        self.watcher.announce(DRAINING)
+        self._front.is_closing = True
+        last_call = min(ANSWER_KEPT + LAST_CALLERS, (1 - ENDING_SHARE) * self._settings.grace)
+        gevent.sleep((started_at + last_call - self._clock.now()) / SECOND)
+        self._front.stop_accepting()
+        self.forwarder.refuse_all()
+        self._front.close_idle()
+        while self._front.in_flight and self._clock.now() < exit_at:
+            gevent.sleep(MAINTENANCE_PERIOD / 10 / SECOND)
+        self._front.close_idle()
+        gevent.killall(self._greenlets)
+        self._readiness.stop(timeout=0)
+        self._directory.stop(timeout=0)
+        self._table.close()
+
+    def _answer(self, raw: RawRequest, on_gone: Any) -> RawResponse:
+        return write_outcome(self.forwarder.forward(read_request(raw), on_gone))
+
+    def _limits(self) -> CallerLimits:
+        routes = self.forwarder.routes
+        return routes.configuration.limits if routes else CallerLimits()
+
+    def _is_ready(self) -> bool:
+        return self.watcher.own.state == READY
+
+    def _addresses(self) -> list[str]:
+        addresses = [item.endpoint for item in self.watcher.entries()]
+        random.shuffle(addresses)
+        return addresses
+
+    def _take_configuration(self, version: int, document: bytes) -> None:
+        routes = RouteTable(decode_configuration(unpack_document(document)))
+        self.forwarder.use(routes)
+        log.info("version {} is in force with {} routes", version, len(routes))
+        if self.watcher.own.state == STARTING:
+            self.watcher.announce(READY)
+
+    def _update_table(self) -> None:
+        routes = self.forwarder.routes
+        if routes is None:
+            return
+        entries = max(1, len(self.watcher.entries()))
+        self.forwarder.set_burst(BURST_SHARE * self._settings.extra_slack / entries)
+        self._table.update(self.watcher.serving_upstreams(), routes.configuration, entries)
+
+    def _maintain(self) -> None:
+        while True:
+            gevent.sleep(MAINTENANCE_PERIOD / SECOND)
+            self._table.maintain()
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -90,6 +90,7 @@
         raw.body,
         raw.received_at,
         raw.received_at + allowed,
+        raw.is_first,
     )
 
 
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -6,7 +6,7 @@
 
 import falcon
 
-from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.clock import SECOND
 from fulmarhold.errors import FulmarholdError, MalformedInput
 from fulmarhold.platform.documents import (
     LARGEST_DOCUMENT_BYTES,
@@ -15,6 +15,7 @@
     pack_document,
     unpack_document,
 )
+from fulmarhold.platform.settings import ANSWER_KEPT
 from fulmarhold.settings.loading import InvalidSettings
 from fulmarhold.web.serving import read_body
 
@@ -25,9 +26,6 @@
     from fulmarhold.control.versions import VersionService
     from fulmarhold.observe.counters import Counters
 
-# Callers keep an answer for this long, some three times as long: an entry that leaves serves on
-# until then, within the time that it is given to stop.
-ANSWER_KEPT: Milliseconds = 1_500.0
 MOST_ADDRESSES = 64
 
 
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -15,6 +15,10 @@
 from fulmarhold.settings.loading import LARGEST_FILE_BYTES, InvalidSettings, Problem, load_document
 from fulmarhold.settings.processes import Endpoint
 
+# Callers keep a directory answer for this long, a few of them three times as long. Shorter answers
+# cost a look-up (two trips) for each request of a caller that asks seldom; longer ones lead more
+# callers to an entry that has gone dark. An entry that leaves serves on for as long.
+ANSWER_KEPT: Milliseconds = 3_000.0
 SETTINGS_VARIABLE = "FULMARHOLD_SETTINGS"
 
 
--- a/fulmarhold/settings/loading.py
+++ b/fulmarhold/settings/loading.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
 
-import yaml
 from pydantic import TypeAdapter, ValidationError
 
 from fulmarhold.errors import FulmarholdError
@@ -54,6 +53,9 @@
 
 def read_yaml(path: Path) -> Any:
     """Read a YAML file as plain values; raises `InvalidSettings` when that fails."""
+    # Daemons whose settings come in another format start faster without it.
+    import yaml  # noqa: PLC0415
+
     try:
         if path.stat().st_size > LARGEST_FILE_BYTES:
             raise _single(path, f"is larger than {LARGEST_FILE_BYTES} bytes")
--- /dev/null
+++ b/fulmarhold/tests/control/test_statement_file.py
@@ -0,0 +1,59 @@
+"""What a control instance keeps of upstreams survives restarts, and nothing else is believed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from fulmarhold.control.statement_file import FILE_NAME, StatementFile
+from fulmarhold.membership.statements import READY, UpstreamStatement
+from fulmarhold.observe.counters import Counters
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+KEPT = [
+    UpstreamStatement(f"u{n}", 100 + n, n, READY, "parts", f"10.0.0.{n}:80", "a", 2) for n in (1, 2)
+]
+
+# The examples share one folder on purpose: each damages the same file anew.
+ONE_FOLDER = [HealthCheck.function_scoped_fixture]
+
+
+def save(folder: Path) -> StatementFile:
+    kept = StatementFile(folder, Counters())
+    kept.save(KEPT)
+    with gevent.Timeout(5):
+        while not (folder / FILE_NAME).exists():
+            gevent.sleep(0.002)
+    return kept
+
+
+def test_what_was_kept_is_read_again(tmp_path):
+    save(tmp_path)
+    assert StatementFile(tmp_path, Counters()).load() == KEPT
+
+
+def test_a_missing_file_is_no_failure(tmp_path):
+    counters = Counters()
+    assert StatementFile(tmp_path, counters).load() == []
+    assert counters.value("statement_file_failures", step="loading") == 0
+
+
+@settings(max_examples=300, deadline=None, suppress_health_check=ONE_FOLDER)
+@given(data=st.data())
+def test_a_damaged_file_is_counted_and_read_as_nothing_or_as_it_was(tmp_path, data):
+    path = tmp_path / FILE_NAME
+    if not path.exists():
+        save(tmp_path)
+        (tmp_path / "whole").write_bytes(path.read_bytes())
+    whole = (tmp_path / "whole").read_bytes()
+    at = data.draw(st.integers(0, len(whole) - 1))
+    if data.draw(st.booleans()):
+        path.write_bytes(whole[:at])
+    else:
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x5A]) + whole[at + 1 :])
+    assert StatementFile(tmp_path, Counters()).load() in ([], KEPT)
--- /dev/null
+++ b/fulmarhold/tests/forwarding/test_scatter.py
@@ -0,0 +1,233 @@
+"""Load pattern: requests to every shard, of which some pause, fail, shed or are gone.
+
+No network: upstreams are scripted exchanges on a virtual hub of greenlets.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+import gevent
+import pytest
+
+from fulmarhold.clock import Clock
+from fulmarhold.forwarding.call import CallContext, ServiceCall
+from fulmarhold.forwarding.request import (
+    Failed,
+    FailedReason,
+    ForwardRequest,
+    Gathered,
+    Passed,
+    Refused,
+    RefusedReason,
+    Reply,
+    Verdict,
+)
+from fulmarhold.forwarding.scatter import ShardQuery
+from fulmarhold.forwarding.single import SingleForward
+from fulmarhold.forwarding.upstreams import EJECTION, ServingUpstream
+from fulmarhold.limits.budget import ExtraLoadBudget
+from fulmarhold.membership.statements import READY, UpstreamStatement
+from fulmarhold.observe.counters import Counters
+from fulmarhold.observe.estimates import QuantileEstimate
+from fulmarhold.observe.events import EventLog
+from fulmarhold.routes.configuration import Route
+from fulmarhold.routing.choice import choosers
+from fulmarhold.routing.replica import Replica
+
+FAST_MS = 4.0
+PAUSE_MS = 150.0
+
+
+class ScriptedPool:
+    """Answers each exchange after a delay with a verdict, or never."""
+
+    def __init__(self, address, delay=FAST_MS, verdict=Verdict.SUCCESS, status=200):
+        self.address, self.delay, self.verdict, self.status = address, delay, verdict, status
+        self.load, self.connections, self.limit = 0, 1, 4
+        self.sent, self.withdrawn = [], []
+
+    def submit(self, exchange):
+        if self.verdict == "refused":
+            exchange.failed("connect refused", sent=False)
+            return
+        exchange.encode()
+        self.sent.append(exchange)
+        if self.verdict == "lost":
+            gevent.spawn_later(self.delay / 1e3, exchange.failed, "connection lost", sent=True)
+        elif self.delay is not None:
+            gevent.spawn_later(self.delay / 1e3, exchange.completed, self)
+
+    def withdraw(self, exchange):
+        self.withdrawn.append(exchange)
+
+    def longest_wait(self, now):
+        return 0.0
+
+
+class ScriptedDialect:
+    def prepare(self, request):
+        return b"", b""
+
+    def encode(self, prepared, upstream, left):
+        return b""
+
+    def read(self, response, request_id):
+        body = response.address.encode().ljust(16, b"0")
+        return Reply(response.verdict, response.status, (), body, f"stamp-{response.address}")
+
+
+def make_replica(pool):
+    statement = UpstreamStatement(pool.address, 1, 1, READY, "s", pool.address, "a", 2)
+    replica = Replica(ServingUpstream(statement), pool, EJECTION, 0.0, 0.0)
+    replica.latency.value = FAST_MS
+    return replica
+
+
+class Fixture:
+    def __init__(self, *, idempotent=True, attempts=2, deadline=400.0, budget=None):
+        self.clock, self.counters = Clock(), Counters()
+        now = self.clock.now()
+        self.request = ForwardRequest("id", "GET", "/", "h", (), b"", now, now + deadline)
+        self.context = CallContext(
+            self.request,
+            ScriptedDialect(),
+            now + deadline,
+            idempotent,
+            attempts,
+            choosers.find("least_expected"),
+            QuantileEstimate(0.93, 20.0),
+            self.clock,
+            Random(1),
+            self.counters,
+            EventLog("test", self.clock, self.counters),
+        )
+        self.budget = budget or ExtraLoadBudget(0.2, 1, 100.0)
+        self.budget.earn(1_000)
+
+    def call(self, service, pools, owner):
+        replicas = [make_replica(pool) for pool in pools]
+        return ServiceCall(service, replicas, self.budget, self.context, owner)
+
+    def scatter(self, shards, *, target=100.0, share=0.75, top=3):
+        names = tuple(shards)
+        route = Route("r", "h", "/", True, 400.0, target, 1, 2, (), names, top, share)
+        return ShardQuery(
+            self.context, route, lambda name, owner: self.call(name, shards[name], owner),
+            20.0, lambda: 50.0,
+        )  # fmt: skip
+
+    def single(self, pools, hedge_after=1_000.0):
+        return SingleForward(
+            self.context, lambda owner: self.call("s", pools, owner), hedge_after, lambda: 50.0
+        )
+
+
+def shards(count, **special):
+    made = {}
+    for number in range(count):
+        pools = [ScriptedPool(f"{number}-0"), ScriptedPool(f"{number}-1")]
+        made[f"s{number}"] = special.get(f"s{number}", pools)
+    return made
+
+
+def elapsed_ms(fixture):
+    return fixture.clock.now() - fixture.request.received_at
+
+
+def test_all_parts_make_a_whole_answer_with_the_greatest_records():
+    outcome = Fixture().scatter(shards(4)).run()
+    assert isinstance(outcome, Gathered)
+    assert (len(outcome.signatures), outcome.missing) == (4, 0)
+    assert outcome.records == b"".join(f"{n}-0".encode().ljust(16, b"0") for n in (3, 2, 1))
+
+
+def test_a_pausing_upstream_is_hedged_soon_after_the_other_parts_are_in():
+    pausing = [ScriptedPool("2-0", PAUSE_MS), ScriptedPool("2-1")]
+    fixture = Fixture()
+    outcome = fixture.scatter(shards(4, s2=pausing)).run()
+    assert outcome.missing == 0
+    assert len(pausing[1].sent) == 1
+    assert elapsed_ms(fixture) < PAUSE_MS / 2
+
+
+def test_a_partial_answer_leaves_in_time_for_the_target():
+    silent = [ScriptedPool("2-0", None), ScriptedPool("2-1", None)]
+    fixture = Fixture()
+    outcome = fixture.scatter(shards(4, s2=silent), target=60.0).run()
+    assert (len(outcome.signatures), outcome.missing) == (3, 1)
+    assert elapsed_ms(fixture) <= 60.0
+
+
+def test_below_the_least_share_it_waits_on_past_the_target():
+    late = {f"s{n}": [ScriptedPool(f"{n}-0", 90.0), ScriptedPool(f"{n}-1", 90.0)] for n in (1, 2)}
+    outcome = Fixture().scatter(shards(4, **late), target=40.0).run()
+    assert isinstance(outcome, Gathered) and len(outcome.signatures) >= 3
+
+
+def test_a_shard_without_upstreams_counts_as_missing():
+    outcome = Fixture().scatter(shards(4, s1=[])).run()
+    assert (len(outcome.signatures), outcome.missing) == (3, 1)
+
+
+def test_too_few_parts_fail_at_once_and_not_at_the_deadline():
+    gone = {f"s{n}": [ScriptedPool(f"{n}-0", verdict="lost")] for n in (0, 1)}
+    fixture = Fixture()
+    outcome = fixture.scatter(shards(4, **gone)).run()
+    assert isinstance(outcome, Failed) and outcome.reason is FailedReason.PARTS_MISSING
+    assert elapsed_ms(fixture) < 100.0
+
+
+def test_nothing_is_offered_and_refused_as_not_run_without_any_upstream():
+    outcome = Fixture().scatter({"s0": [], "s1": []}).run()
+    assert outcome == Refused(RefusedReason.NO_UPSTREAM, 50.0)
+
+
+def test_a_caller_that_leaves_ends_the_work_at_every_shard():
+    made = shards(3, **{f"s{n}": [ScriptedPool(f"{n}-0", None)] for n in range(3)})
+    query = Fixture().scatter(made)
+    gevent.spawn_later(0.01, query.caller_gone)
+    assert query.run() == Failed(FailedReason.CALLER_GONE)
+    assert all(pools[0].withdrawn for pools in made.values())
+
+
+@pytest.mark.parametrize("verdict", [Verdict.NOT_RUN, Verdict.OTHER_OWNER])
+def test_what_was_not_run_goes_to_another_upstream_even_when_not_idempotent(verdict):
+    pools = [ScriptedPool("0", verdict=verdict, status=503), ScriptedPool("1", 8.0)]
+    outcome = Fixture(idempotent=False).single(pools).run()
+    assert isinstance(outcome, Passed) and outcome.reply.signature == "stamp-1"
+
+
+@pytest.mark.parametrize("verdict", ["lost", Verdict.FAILURE, Verdict.WRONG_ECHO])
+def test_what_may_have_run_is_never_repeated_when_not_idempotent(verdict):
+    pools = [ScriptedPool("0", verdict=verdict, status=500), ScriptedPool("1", 8.0)]
+    outcome = Fixture(idempotent=False).single(pools, hedge_after=1.0).run()
+    assert not pools[1].sent
+    assert not isinstance(outcome, Refused)
+
+
+def test_a_lost_idempotent_request_is_tried_again_within_the_attempts():
+    pools = [ScriptedPool(str(n), verdict="lost") for n in range(3)]
+    outcome = Fixture(attempts=2).single(pools).run()
+    assert outcome == Failed(FailedReason.CONNECTION_LOST)
+    assert sum(len(pool.sent) for pool in pools) == 2
+
+
+def test_without_budget_nothing_is_tried_again():
+    budget = ExtraLoadBudget(0.0, 1, 1.0)
+    pools = [ScriptedPool(str(n), verdict="lost") for n in range(2)]
+    outcome = Fixture(budget=budget).single(pools).run()
+    assert outcome == Failed(FailedReason.CONNECTION_LOST)
+    assert sum(len(pool.sent) for pool in pools) == 1
+
+
+def test_refused_connections_cost_no_attempt_and_end_as_not_run():
+    pools = [ScriptedPool("0", verdict="refused"), ScriptedPool("1", verdict="refused")]
+    assert Fixture(idempotent=False).single(pools).run() == Refused(RefusedReason.UNREACHABLE, 50.0)
+
+
+def test_no_answer_by_the_deadline_is_a_timeout_not_a_refusal():
+    fixture = Fixture(deadline=60.0)
+    outcome = fixture.single([ScriptedPool("0", None)]).run()
+    assert outcome == Failed(FailedReason.DEADLINE)
+    assert elapsed_ms(fixture) < 120.0
--- /dev/null
+++ b/fulmarhold/tests/platform/test_documents.py
@@ -0,0 +1,201 @@
+"""What comes in from the platform is decoded whole or not believed at all."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.membership.statements import DRAINING, READY
+from fulmarhold.platform.documents import (
+    decode_configuration,
+    decode_heartbeat,
+    pack_document,
+    unpack_document,
+)
+from fulmarhold.platform.settings import decode_settings
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "h.example",
+            "pathPrefix": "/a/",
+            "routeType": "idempotent",
+            "timeoutMs": 1200,
+            "targetLatencyMs": 112,
+            "priority": 1,
+            "shardServices": ["s1", "s2"],
+            "maxAttempts": 2,
+            "topK": 10,
+            "minShardShare": 0.89,
+        },
+        {
+            "name": "r2",
+            "host": "h.example",
+            "pathPrefix": "/b/",
+            "routeType": "non_idempotent",
+            "timeoutMs": 4000,
+            "trafficSplit": [{"service": "s1", "weight": 3}, {"service": "s2", "weight": 1}],
+        },
+    ],
+    "services": [
+        {"name": "s1", "healthPath": "/health", "maxConnections": 25, "protocol": "h1"},
+        {"name": "s2", "healthPath": "/health", "maxConnections": 41, "tls": False},
+    ],
+    "limits": {"maxHeaderBytes": 1, "maxBodyBytes": 2, "headerTimeoutMs": 3, "idleTimeoutMs": 4},
+}
+HEARTBEAT = {
+    "service": "s1",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmupLeftMs": 100,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+SETTINGS = {
+    "nodeName": "edge-a-1",
+    "ip": "10.1.0.39",
+    "zone": "a",
+    "bindAddresses": {"front": "10.1.0.39:8226", "readinessAddress": "10.1.0.39:8227"},
+    "internalPortRange": [7740, 7755],
+    "seeds": ["10.1.0.41:8224", "10.2.0.35:8224"],
+    "bootstrap": True,
+    "faultTolerance": {"machines": 2},
+    "somethingNew": {"x": 1},
+}
+
+
+def encode(document, **changes):
+    return json.dumps({**document, **changes}).encode()
+
+
+def without(document, name):
+    return json.dumps({key: value for key, value in document.items() if key != name}).encode()
+
+
+def test_a_configuration_is_decoded_into_our_own_terms():
+    configuration = decode_configuration(encode(CONFIGURATION))
+    scatter, split = configuration.routes
+    assert scatter.shards == ("s1", "s2") and scatter.is_idempotent
+    assert (scatter.top_records, scatter.least_share) == (10, 0.89)
+    assert [(item.service, item.weight) for item in split.services] == [("s1", 3), ("s2", 1)]
+    assert not split.is_idempotent and split.most_attempts == 1
+    assert configuration.services["s2"].connection_limit == 41
+    assert configuration.limits.idle_timeout == 4
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        encode(CONFIGURATION)[:-40],
+        without(CONFIGURATION, "version"),
+        without(CONFIGURATION, "routes"),
+        encode(CONFIGURATION, version="7"),
+        encode(CONFIGURATION, services=[]),
+        encode(CONFIGURATION, routes=[{**CONFIGURATION["routes"][0], "timeoutMs": 0}]),
+        encode(CONFIGURATION, routes=[CONFIGURATION["routes"][0]] * 2),
+    ],
+)
+def test_an_invalid_configuration_is_refused(body):
+    with pytest.raises(FulmarholdError):
+        decode_configuration(body)
+
+
+def test_a_document_is_unpacked_as_it_was_sent():
+    body = encode(CONFIGURATION)
+    assert unpack_document(pack_document(body)) == body
+
+
+def test_a_heartbeat_is_decoded_into_a_statement():
+    statement = decode_heartbeat("i-1", encode(HEARTBEAT))
+    assert (statement.name, statement.state, statement.data_centre) == ("i-1", READY, "a")
+    assert statement.warm_up == 100
+    assert decode_heartbeat("i-1", encode(HEARTBEAT, state="draining")).state == DRAINING
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"service": 5},
+        {"service": ""},
+        {"address": "nowhere"},
+        {"address": "10.0.0.9"},
+        {"slots": "2"},
+        {"slots": 0},
+        {"sequence": 1.5},
+        {"sequence": "4"},
+        {"zone": 3},
+        {"born": "then"},
+        {"born": 1.5},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_upstream(changes):
+    with pytest.raises(FulmarholdError):
+        decode_heartbeat("i-1", encode(HEARTBEAT, **changes))
+
+
+@pytest.mark.parametrize("name", sorted(set(HEARTBEAT) - {"born"}))
+def test_a_heartbeat_with_a_field_missing_names_no_upstream(name):
+    with pytest.raises(FulmarholdError):
+        decode_heartbeat("i-1", without(HEARTBEAT, name))
+
+
+values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=6,
+)
+
+
+@settings(max_examples=2_000, deadline=None)
+@given(st.sampled_from(sorted(CONFIGURATION)), values)
+def test_any_value_in_a_configuration_is_taken_or_refused(name, value):
+    try:
+        decode_configuration(encode(CONFIGURATION, **{name: value}))
+    except FulmarholdError as error:
+        assert str(error)
+
+
+@settings(max_examples=2_000, deadline=None)
+@given(st.binary(max_size=60) | st.builds(lambda n, v: encode(HEARTBEAT, **{n: v}),
+       st.sampled_from(sorted(HEARTBEAT)), values))  # fmt: skip
+def test_any_heartbeat_is_taken_or_refused(body):
+    try:
+        statement = decode_heartbeat("i-1", body)
+    except FulmarholdError:
+        return
+    assert statement.state in (READY, DRAINING) and statement.slots > 0
+
+
+def test_settings_are_decoded_and_unknown_fields_left_alone():
+    decoded = decode_settings(SETTINGS, "settings")
+    assert decoded.peer_endpoint == "10.1.0.39:7740"
+    assert decoded.seeds == ("10.1.0.41:7740", "10.2.0.35:7740")
+    assert decoded.voters == 5 and decoded.is_first_start
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"seeds": "10.0.0.1:1"}, "seeds"),
+        ({"internalPortRange": [1]}, "internalPortRange"),
+        ({"bindAddresses": {"front": "x"}}, "front"),
+        ({"faultTolerance": {"machines": -1}}, "machines"),
+    ],
+)
+def test_a_wrong_setting_is_named(changes, named):
+    with pytest.raises(FulmarholdError, match=named):
+        decode_settings({**SETTINGS, **changes}, "settings")
--- /dev/null
+++ b/fulmarhold/tests/platform/test_headers.py
@@ -0,0 +1,107 @@
+"""Requests go on unchanged, and responses mean what their headers prove."""
+
+from __future__ import annotations
+
+import pytest
+
+from fulmarhold.forwarding.request import (
+    Failed,
+    FailedReason,
+    Gathered,
+    NoRoute,
+    Passed,
+    Refused,
+    RefusedReason,
+    Verdict,
+)
+from fulmarhold.platform.headers import PlatformDialect, read_request, write_outcome
+from fulmarhold.upstreams.protocol import UpstreamResponse
+from fulmarhold.web.front import RawRequest
+
+ECHO = ("X-Fulmarhold-Attempt-Id", "id-1")
+STAMP = ("X-Fulmarhold-Server-Stamp", "stamp")
+
+
+def raw(*headers, body=b"", method="GET"):
+    return RawRequest(method, "/a%20b?q=%2f", (("Host", "h.example"), ECHO, *headers), body, 100.0)
+
+
+def response(status, *headers, body=b"x"):
+    return UpstreamResponse(status, headers, body, True)
+
+
+def test_a_request_goes_on_as_it_came():
+    request = read_request(
+        raw(
+            ("X-Fulmarhold-Request-Deadline", "1200"),
+            ("X-Fulmarhold-Target-Instance", "smuggled"),
+            ("Connection", "keep-alive, X-Hop"),
+            ("X-Hop", "1"),
+            ("X-Two", "1"),
+            ("X-Two", "2"),
+            ("Transfer-Encoding", "chunked"),
+            body=b"abc",
+            method="POST",
+        )
+    )
+    assert (request.request_id, request.deadline_at) == ("id-1", 1_300.0)
+    dialect = PlatformDialect()
+    lines = dialect.encode(dialect.prepare(request), "i-7", 250.9).split(b"\r\n")
+    assert lines == [
+        b"POST /a%20b?q=%2f HTTP/1.1",
+        b"Host: h.example",
+        b"X-Fulmarhold-Attempt-Id: id-1",
+        b"X-Two: 1",
+        b"X-Two: 2",
+        b"Content-Length: 3",
+        b"X-Fulmarhold-Request-Deadline: 250",
+        b"X-Fulmarhold-Target-Instance: i-7",
+        b"",
+        b"abc",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("given", "verdict"),
+    [
+        (response(200, ECHO, STAMP), Verdict.SUCCESS),
+        (response(200, ECHO), Verdict.WRONG_ECHO),
+        (response(200, ECHO, STAMP, ("Content-Encoding", "gzip")), Verdict.WRONG_ECHO),
+        (response(200, ("x-fulmarhold-attempt-id", "id-0"), STAMP), Verdict.WRONG_ECHO),
+        (response(500, ECHO, STAMP), Verdict.FAILURE),
+        (response(503, ECHO, ("X-Fulmarhold-Not-Executed", "1")), Verdict.NOT_RUN),
+        (response(503, ECHO), Verdict.FAILURE),
+        (response(421, ("X-Fulmarhold-Instance-Id", "i-2")), Verdict.OTHER_OWNER),
+        (response(404, ECHO, STAMP), Verdict.FAILURE),
+    ],
+)
+def test_what_a_response_means(given, verdict):
+    assert PlatformDialect().read(given, "id-1").verdict is verdict
+
+
+def test_a_response_is_passed_on_without_what_concerns_the_connection():
+    given = response(200, ECHO, STAMP, ("Keep-Alive", "timeout=3"), ("X-Own", "1"))
+    reply = PlatformDialect().read(given, "id-1")
+    written = write_outcome(Passed(reply))
+    assert (written.status, written.body) == (200, b"x")
+    assert written.headers == (ECHO, STAMP, ("X-Own", "1"))
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status", "headers"),
+    [
+        (
+            Gathered(("s1", "s2"), 1, b"r"),
+            200,
+            (("X-Fulmarhold-Part-Stamps", "s1, s2"), ("X-Fulmarhold-Missing-Parts", "1")),
+        ),
+        (Refused(RefusedReason.NO_UPSTREAM, 250.0), 503, (("Retry-After", "0.250"),)),
+        (NoRoute(3), 404, ()),
+        (Failed(FailedReason.DEADLINE), 504, ()),
+        (Failed(FailedReason.CONNECTION_LOST), 502, ()),
+        (Failed(FailedReason.PARTS_MISSING), 502, ()),
+    ],
+)
+def test_what_callers_are_told(outcome, status, headers):
+    written = write_outcome(outcome)
+    assert (written.status, written.headers) == (status, headers)
--- /dev/null
+++ b/fulmarhold/tests/routes/test_routes.py
@@ -0,0 +1,71 @@
+"""Routes are found by host and longest prefix, and configurations that can't hold are refused."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from fulmarhold.routes.configuration import (
+    Route,
+    RouteConfiguration,
+    UpstreamService,
+    WeightedService,
+    check_configuration,
+)
+from fulmarhold.routes.table import RouteTable
+from fulmarhold.settings.loading import InvalidSettings
+
+ROUTE = Route(
+    name="r",
+    host="shop.example",
+    path_prefix="/a/",
+    is_idempotent=True,
+    timeout=1_000.0,
+    target_latency=100.0,
+    rank=1,
+    most_attempts=2,
+    services=(WeightedService("parts", 1.0),),
+)
+
+
+def configuration(*routes: Route) -> RouteConfiguration:
+    return RouteConfiguration(1, routes, {"parts": UpstreamService("parts", 10)})
+
+
+def test_longest_prefix_of_the_host_wins():
+    inner = replace(ROUTE, name="inner", path_prefix="/a/b/")
+    elsewhere = replace(ROUTE, name="elsewhere", host="other.example", path_prefix="/a/b/c/")
+    table = RouteTable(configuration(ROUTE, inner, elsewhere))
+    cases = {
+        ("shop.example", "/a/x"): "r",
+        ("shop.example", "/a/b/c/d"): "inner",
+        ("SHOP.example:8080", "/a/b/"): "inner",
+        ("other.example", "/a/b/c/"): "elsewhere",
+    }
+    for (host, path), name in cases.items():
+        route = table.find(host, path)
+        assert route is not None and route.name == name, (host, path)
+
+
+@pytest.mark.parametrize(
+    ("host", "path"),
+    [("shop.example", "/"), ("shop.example", "/ab"), ("shop.example", "/a"), ("", "/a/x")],
+)
+def test_what_no_prefix_begins_has_no_route(host, path):
+    assert RouteTable(configuration(ROUTE)).find(host, path) is None
+
+
+@pytest.mark.parametrize(
+    ("routes", "problem"),
+    [
+        ((replace(ROUTE, timeout=0.0),), "timeout"),
+        ((ROUTE, replace(ROUTE, name="again")), "given 2 times"),
+        ((replace(ROUTE, services=(WeightedService("nobody", 1.0),)),), "unknown service"),
+        ((replace(ROUTE, shards=("parts", "nobody")),), "unknown service"),
+        ((replace(ROUTE, services=(WeightedService("parts", 0.0),)),), "add up to nothing"),
+    ],
+)
+def test_configurations_that_cannot_hold_are_refused(routes, problem):
+    with pytest.raises(InvalidSettings, match=problem):
+        check_configuration(configuration(*routes))
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -51,13 +51,17 @@
 
 @dataclass(frozen=True)
 class RawRequest:
-    """A request as it came; `target` is the path with the query, undecoded."""
+    """A request as it came; `target` is the path with the query, undecoded.
+
+    `is_first` tells that the caller had to connect for it.
+    """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
     received_at: Milliseconds
+    is_first: bool = False
 
     def header(self, name: str) -> str:
         """Return the first value of a header by its lower-case name, or an empty string."""
@@ -166,6 +170,7 @@
         self._limits = server.limits()
         self._expects_continue = False
         self._is_waiting = False
+        self._is_first = True
         self._on_gone: Callable[[], None] | None = None
         self._is_gone = False
         prepare_connection(connection)
@@ -307,7 +312,9 @@
             tuple(partial.headers),
             b"".join(partial.body),
             partial.started_at,
+            self._is_first,
         )
+        self._is_first = False
         self._requests.append((request, self._parser.should_keep_alive()))
 
     # Answering
