Send callers to entries at home, do not wait for dark shards, avoid upstreams that fail

Change: the directory names entries of the caller's data centre, two at least; an upstream that has not replied for 300 ms is dark, gets one probe a second, and a query ends without it once the rest is in; the share of failures counts in the choice; once a request has its outcome nothing more is sent for it (a late failure could start another attempt).

--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -65,8 +65,8 @@
 class ServiceCall:
     """Brings one reply of a service, from as few upstreams as it takes."""
 
-    __slots__ = ("_attempts", "_budget", "_context", "_owner", "_replicas", "failure",
-                 "may_have_run", "refusal", "reply", "service")  # fmt: skip
+    __slots__ = ("_attempts", "_budget", "_context", "_is_closed", "_owner", "_replicas",
+                 "failure", "may_have_run", "refusal", "reply", "service")  # fmt: skip
 
     def __init__(
         self,
@@ -86,6 +86,11 @@
         self._context = context
         self._owner = owner
         self._attempts: list[CallAttempt] = []
+        self._is_closed = False
+
+    @property
+    def replicas(self) -> list[Replica]:
+        return self._replicas
 
     @property
     def is_over(self) -> bool:
@@ -114,7 +119,7 @@
         context = self._context
         if self.is_over or not context.may_repeat or self._ran() >= context.most_attempts:
             return
-        left = [item for item in self._left() if not item.is_stalled(context.clock.now())]
+        left = [item for item in self._left() if item.is_flowing(context.clock.now())]
         if not left:
             self._count(HEDGE, "no_replica")
         elif not self._budget.take_spare(1):
@@ -122,8 +127,25 @@
         else:
             self._send(left, HEDGE)
 
+    def is_hopeless(self, now: Milliseconds) -> bool:
+        """Whether only upstreams are left to wait for that have long not replied to anything."""
+        if self.is_over or any(
+            not attempt.is_over and not attempt.replica.is_dark(now) for attempt in self._attempts
+        ):
+            return False
+        may_send = self._ran() < self._context.most_attempts
+        return not (may_send and any(not item.is_dark(now) for item in self._left()))
+
+    def close(self) -> None:
+        """Send nothing more: the request has its outcome. What upstreams work on may finish."""
+        self._is_closed = True
+        for attempt in self._attempts:
+            if attempt.sent_at is None:
+                attempt.abandon()
+
     def abandon(self) -> None:
         """Stop the work at upstreams: nobody waits for it any more."""
+        self._is_closed = True
         for attempt in self._attempts:
             attempt.abandon()
 
@@ -131,7 +153,7 @@
 
     def attempt_replied(self, attempt: CallAttempt, reply: Reply) -> None:
         """Take a whole response that belongs to this request."""
-        if self.is_over:
+        if self.is_over or self._is_closed:
             return
         match reply.verdict:
             case Verdict.SUCCESS:
@@ -148,7 +170,7 @@
 
     def attempt_failed(self, attempt: CallAttempt, reason: str) -> None:
         """Take the loss of an attempt."""
-        if self.is_over:
+        if self.is_over or self._is_closed:
             return
         if attempt.may_have_run:
             self.may_have_run = True
@@ -196,7 +218,7 @@
     def _send(self, replicas: list[Replica], kind: str) -> None:
         context = self._context
         now = context.clock.now()
-        flowing = [item for item in replicas if not item.is_stalled(now)]
+        flowing = [item for item in replicas if item.is_flowing(now)]
         replica = context.choose(flowing or replicas, context.random, now)
         attempt = CallAttempt(self, context, replica, kind)
         self._attempts.append(attempt)
@@ -209,6 +231,7 @@
                 upstream=replica.upstream.record.name,
                 after_ms=now - context.request.received_at,
             )
+        replica.note_sent(now)
         replica.pool.submit(attempt)
 
     def _count(self, kind: str, result: str) -> None:
@@ -255,6 +278,7 @@
         context = self._context
         now = context.clock.now()
         reply = context.dialect.read(response, context.request.request_id)
+        self.replica.note_reply()
         if reply.verdict is Verdict.WRONG_ECHO:
             self._note("wrong_echo", response.status, now)
             self.replica.note_failure(now)
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -62,6 +62,11 @@
         self._straggling_from = max(1, math.ceil(STRAGGLER_SHARE * self._total))
         self._calls = [make_call(service, self) for service in route.shards]
 
+    @property
+    def calls(self) -> list[ServiceCall]:
+        """The calls of the shards, in the order in which the route names them."""
+        return self._calls
+
     def run(self) -> Outcome:
         """Scatter, wait as long as patience says and return what there is."""
         self._hedge_at = dict.fromkeys(self._calls, self._started_at + self._hedge_after)
@@ -114,7 +119,13 @@
         if parts + self._open < self._needed:
             # The least share can't be reached any more.
             return True
-        return parts >= self._needed and self._context.clock.now() >= self._partial_at
+        if parts < self._needed:
+            return False
+        now = self._context.clock.now()
+        # Shards that are dark as a whole are not waited for once all others have replied.
+        return now >= self._partial_at or all(
+            call.is_hopeless(now) for call in self._calls if not call.is_over
+        )
 
     def _wait_until(self, moment: Milliseconds) -> bool:
         """Wait once, until `moment` at the latest; returns whether the query still goes on."""
@@ -132,6 +143,8 @@
     def _outcome(self) -> Outcome:
         if self._is_gone:
             return Failed(FailedReason.CALLER_GONE)
+        for call in self._calls:
+            call.close()
         parts = self._parts()
         if len(parts) >= self._needed:
             records = greatest_records((part.body for part in parts), self._route.top_records)
--- a/fulmarhold/forwarding/single.py
+++ b/fulmarhold/forwarding/single.py
@@ -68,6 +68,7 @@
 
     def _outcome(self) -> Outcome:
         call = self._call
+        call.close()
         if self._is_gone:
             return Failed(FailedReason.CALLER_GONE)
         if call.reply is not None:
@@ -77,6 +78,5 @@
         if call.failure is not None:
             return Failed(call.failure)
         if not call.was_offered:
-            call.abandon()
             return Refused(RefusedReason.NO_TIME, self._retry_after())
         return Failed(FailedReason.DEADLINE)
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import random
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -11,6 +11,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.upstreams import UpstreamTable
+from fulmarhold.membership.preference import preferred_entries
 from fulmarhold.membership.statements import DRAINING, READY, STARTING, InstanceStatement
 from fulmarhold.membership.watcher import FleetWatcher
 from fulmarhold.observe.logs import part_log
@@ -30,6 +31,8 @@
 
 log = part_log("entry")
 
+# What a caller takes of an answer.
+MOST_ADDRESSES = 64
 MAINTENANCE_PERIOD: Milliseconds = 100.0
 # How long after the last directory answer that names it an entry may still be called: answers on
 # their way, and callers that open a connection just then.
@@ -51,6 +54,7 @@
         settings = self._settings = watch.settings
         self._watch = watch
         self._clock = clock
+        self._random = Random()
         self.failure: AsyncResult = AsyncResult()
         self._table = UpstreamTable(clock, counters)
         self.forwarder = Forwarder(
@@ -123,10 +127,8 @@
     def _is_ready(self) -> bool:
         return self.watcher.own.state == READY
 
-    def _addresses(self) -> list[str]:
-        addresses = [item.endpoint for item in self.watcher.entries()]
-        random.shuffle(addresses)
-        return addresses
+    def _addresses(self, data_centre: str) -> list[str]:
+        return preferred_entries(self.watcher.entries(), data_centre, MOST_ADDRESSES, self._random)
 
     def _take_configuration(self, version: int, document: bytes) -> None:
         routes = RouteTable(decode_configuration(unpack_document(document)))
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -26,8 +26,6 @@
     from fulmarhold.control.versions import VersionService
     from fulmarhold.observe.counters import Counters
 
-MOST_ADDRESSES = 64
-
 
 class ConfigurationResource:
     """The configuration that operators send and read back."""
@@ -82,16 +80,17 @@
 class DirectoryResource:
     """Which entries a caller may use."""
 
-    def __init__(self, addresses: Callable[[], list[str]]) -> None:
+    def __init__(self, addresses: Callable[[str], list[str]]) -> None:
         self._addresses = addresses
 
-    def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
-        addresses = self._addresses()
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        # Called a zone there.
+        addresses = self._addresses(request.get_param("zone", default=""))
         if not addresses:
             response.status = falcon.HTTP_503
             response.media = {"error": "no entry is known to serve"}
             return
-        response.media = {"addrs": addresses[:MOST_ADDRESSES], "ttl_s": ANSWER_KEPT / SECOND}
+        response.media = {"addrs": addresses, "ttl_s": ANSWER_KEPT / SECOND}
 
 
 class ReadinessResource:
@@ -112,7 +111,7 @@
     return application
 
 
-def directory_application(addresses: Callable[[], list[str]]) -> falcon.App:
+def directory_application(addresses: Callable[[str], list[str]]) -> falcon.App:
     """Return the calls of callers that look for an entry."""
     application = _application()
     application.add_route("/api/lookup", DirectoryResource(addresses))
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -17,6 +17,16 @@
 # A reply that takes this many times the usual, and this long at least, points at a stall.
 STALL_FACTOR = 3.0
 LEAST_STALL: Milliseconds = 20.0
+# Longer than the pauses that upstreams take now and then (up to 250 ms): what does not reply for
+# that long hangs or is cut off, whether its connections say so or not.
+DARK_AFTER: Milliseconds = 300.0
+# One request in this time finds out whether a dark upstream is back; a hedge covers for it.
+PROBE_PERIOD: Milliseconds = 1_000.0
+# The share of failures follows the last ten or so, and is forgotten by half in this time.
+FAILURE_WEIGHT = 0.15
+FAILURE_HALF_LIFE: Milliseconds = 2_000.0
+# What a failed attempt costs: its own time, that of another attempt, and a part of the budget.
+FAILURE_COST: Milliseconds = 100.0
 
 
 class UpstreamRecord(Protocol):
@@ -63,6 +73,10 @@
         self._heard_at = now
         self._failures = 0
         self._ejections = 0
+        self._failure_share = 0.0
+        self._failure_noted_at = now
+        self._sent_at: Milliseconds = float("-inf")
+        self._unanswered_since: Milliseconds | None = None
 
     @property
     def address(self) -> str:
@@ -87,12 +101,35 @@
         """
         return self.pool.longest_wait(now) > max(LEAST_STALL, STALL_FACTOR * self.latency.value)
 
+    def is_dark(self, now: Milliseconds) -> bool:
+        """Whether it has replied to nothing since a request that was sent long ago."""
+        since = self._unanswered_since
+        return since is not None and now - since > DARK_AFTER
+
+    def is_flowing(self, now: Milliseconds) -> bool:
+        """Whether a request sent now is likely to be replied to soon, or is due as a probe."""
+        if self.is_dark(now):
+            return now > self._sent_at + PROBE_PERIOD
+        return not self.is_stalled(now)
+
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
-        """Return the latency a new request may expect, queueing included."""
+        """Return the latency a new request may expect, queueing and failures included."""
         slots = self.upstream.record.slots
+        failing = FAILURE_COST * self._faded_failures(now)
         if self.pool.load:
-            return self.latency.value * (1 + self.pool.load / slots) / self._warmth(now)
-        return self._faded(now) / self._warmth(now)
+            loaded = self.latency.value * (1 + self.pool.load / slots)
+            return loaded / self._warmth(now) + failing
+        return self._faded(now) / self._warmth(now) + failing
+
+    def note_sent(self, now: Milliseconds) -> None:
+        """Take in that a request was sent."""
+        self._sent_at = now
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+
+    def note_reply(self) -> None:
+        """Take in that any response came."""
+        self._unanswered_since = None
 
     def note_success(self, latency: Milliseconds, now: Milliseconds) -> None:
         """Take in a good response."""
@@ -102,6 +139,7 @@
         self._heard_at = now
         self._failures = 0
         self._ejections = 0
+        self._update_failures(0.0, now)
 
     def note_slow(self, elapsed: Milliseconds, now: Milliseconds) -> None:
         """Take in that a request was given up after `elapsed` ms without a response."""
@@ -112,6 +150,7 @@
     def note_failure(self, now: Milliseconds) -> bool:
         """Take in a failure; returns whether the replica is ejected by it."""
         self._failures += 1
+        self._update_failures(1.0, now)
         if self._failures < FAILURES_BEFORE_EJECTION or self.is_ejected(now):
             return False
         doublings = min(self._ejections, MOST_EJECTION_DOUBLINGS)
@@ -125,6 +164,15 @@
         """Take in that nobody listens at its address: it is passed over at once."""
         self.ejected_until = max(self.ejected_until, now + self._ejection)
 
+    def _update_failures(self, failed: float, now: Milliseconds) -> None:
+        share = self._faded_failures(now)
+        self._failure_share = share + FAILURE_WEIGHT * (failed - share)
+        self._failure_noted_at = now
+
+    def _faded_failures(self, now: Milliseconds) -> float:
+        silence = now - self._failure_noted_at
+        return float(self._failure_share * 0.5 ** (silence / FAILURE_HALF_LIFE))
+
     def _faded(self, now: Milliseconds) -> Milliseconds:
         return fade(self.latency.value, now - self._heard_at)
 
--- a/fulmarhold/tests/forwarding/test_scatter.py
+++ b/fulmarhold/tests/forwarding/test_scatter.py
@@ -33,7 +33,7 @@
 from fulmarhold.observe.events import EventLog
 from fulmarhold.routes.configuration import Route
 from fulmarhold.routing.choice import choosers
-from fulmarhold.routing.replica import Replica
+from fulmarhold.routing.replica import DARK_AFTER, FAILURE_HALF_LIFE, Replica
 
 FAST_MS = 4.0
 PAUSE_MS = 150.0
@@ -183,6 +183,40 @@
     assert outcome == Refused(RefusedReason.NO_UPSTREAM, 50.0)
 
 
+def test_a_shard_that_is_dark_as_a_whole_is_not_waited_for():
+    dark = [ScriptedPool("2-0", None), ScriptedPool("2-1", None)]
+    fixture = Fixture()
+    query = fixture.scatter(shards(4, s2=dark), target=200.0)
+    long_ago = fixture.clock.now() - 2 * DARK_AFTER
+    for replica in query.calls[2].replicas:
+        replica.note_sent(long_ago)
+    outcome = query.run()
+    assert (len(outcome.signatures), outcome.missing) == (3, 1)
+    assert elapsed_ms(fixture) < 100.0
+    assert len(dark[0].sent) + len(dark[1].sent) == 1
+
+
+def test_after_the_answer_a_late_failure_is_not_tried_again():
+    pools = [ScriptedPool("2-0", 80.0, "lost"), ScriptedPool("2-1", None)]
+    fixture = Fixture(attempts=3)
+    fixture.scatter(shards(4, s2=pools), target=40.0).run()
+    sent = len(pools[0].sent) + len(pools[1].sent)
+    gevent.sleep(0.1)
+    assert len(pools[0].sent) + len(pools[1].sent) == sent
+
+
+def test_an_upstream_that_sheds_often_is_chosen_less_and_tried_again_later():
+    shedding, sound = make_replica(ScriptedPool("0")), make_replica(ScriptedPool("1"))
+    sound.latency.value = 3 * FAST_MS
+    for _ in range(4):
+        shedding.note_failure(0.0)
+        shedding.note_success(FAST_MS, 0.0)
+    assert shedding.expected_latency(0.0) > sound.expected_latency(0.0)
+    later = 5 * FAILURE_HALF_LIFE
+    sound.note_success(3 * FAST_MS, later)
+    assert shedding.expected_latency(later) < sound.expected_latency(later)
+
+
 def test_a_caller_that_leaves_ends_the_work_at_every_shard():
     made = shards(3, **{f"s{n}": [ScriptedPool(f"{n}-0", None)] for n in range(3)})
     query = Fixture().scatter(made)
--- a/fulmarhold/tests/membership/test_statements.py
+++ b/fulmarhold/tests/membership/test_statements.py
@@ -23,7 +23,7 @@
 
 
 def ledger_of(*statements):
-    ledger = Ledger()
+    ledger: Ledger[UpstreamStatement] = Ledger()
     for statement in statements:
         ledger.take(statement, 0.0)
     return ledger
--- a/fulmarhold/tests/platform/test_documents.py
+++ b/fulmarhold/tests/platform/test_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -18,7 +19,7 @@
 )
 from fulmarhold.platform.settings import decode_settings
 
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     "version": 7,
     "routes": [
         {
