Let entries stand by where connections are scarce; serve metrics; tell which parts were missing

Ruled out: fewer warm connections alone (the estimates stay as old, and most requests connect). Change: callers are sent to as many entries of each data centre as can have five connections to an upstream, chosen alike everywhere, and to all while a quarter of these are busy; parts without which a daemon is of no use end it with their error; counters and latencies are served on port 9464; the log tells which parts were missing and why; `fulmarhold trace` finds a request in logs.

--- a/fulmarhold/__main__.py
+++ b/fulmarhold/__main__.py
@@ -17,6 +17,7 @@
 from fulmarhold.operators.control import read_query
 from fulmarhold.operators.queries import questionnaires as reading
 from fulmarhold.operators.queries.status import format_status
+from fulmarhold.operators.queries.stories import format_story, read_log_lines, trace_request
 from fulmarhold.questionnaire.explain import explain_setting
 
 EXIT_FAILED = 1
@@ -98,6 +99,14 @@
         print(f"not in force yet; waiting for {', '.join(acceptance.waiting_for) or 'entries'}")
 
 
+@application.command
+def trace(request: str, *files: Path) -> int:
+    """Tell the story of one request from structured logs, given as files or standard input."""
+    story = trace_request(request, read_log_lines(files))
+    print(format_story(request, story))
+    return 0 if story else EXIT_FAILED
+
+
 @application.command
 def status(*, control: Control) -> None:
     """Show the accepted revision, the control cluster and what each entry runs."""
--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -35,6 +35,13 @@
     def stop(self) -> None: ...
 
 
+def spawn_essential(failure: AsyncResult, run: Callable[[], None]) -> gevent.Greenlet:
+    """Run a part without which the daemon is of no use; its error ends the daemon."""
+    greenlet = gevent.spawn(run)
+    greenlet.link_exception(lambda failed: failure.set_exception(failed.exception))
+    return greenlet
+
+
 def run_program(name: str, summary: str, schema: type, make: Callable[[Any], Daemon]) -> None:
     """Run a daemon's program, whose one argument is its settings file, and exit."""
     # Not needed by daemons that are started in another way, where it would delay a restart.
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -136,6 +136,16 @@
         may_send = self._ran() < self._context.most_attempts
         return not (may_send and any(not item.is_dark(now) for item in self._left()))
 
+    def describe(self, now: Milliseconds) -> str:
+        """Return why there is no reply, for the log: `service: upstream dark, upstream 40 ms`."""
+        if self.is_over:
+            reason = self.failure or self.refusal
+            return f"{self.service}: {reason.value if reason else 'failed'}"
+        waiting = ", ".join(
+            attempt.describe(now) for attempt in self._attempts if not attempt.is_over
+        )
+        return f"{self.service}: {waiting or 'abandoned'}"
+
     def close(self) -> None:
         """Send nothing more: the request has its outcome. What upstreams work on may finish."""
         self._is_closed = True
@@ -267,6 +277,13 @@
         left = context.deadline_at - self.sent_at
         return context.dialect.encode(context.prepared, self.replica.upstream.record.name, left)
 
+    def describe(self, now: Milliseconds) -> str:
+        """Return the upstream and for how long it has not replied, or that it is dark."""
+        name = self.replica.upstream.record.name
+        if self.replica.is_dark(now):
+            return f"{name} dark"
+        return f"{name} {now - self.sent_at:.0f} ms" if self.sent_at else f"{name} not sent"
+
     def abandon(self) -> None:
         """Give the attempt up and close its connection, which tells the upstream to stop."""
         if not self.is_over:
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -24,16 +24,17 @@
 from fulmarhold.routing.choice import choosers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.forwarding.dialect import UpstreamDialect
     from fulmarhold.forwarding.upstreams import UpstreamTable
-    from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routes.configuration import Route
     from fulmarhold.routes.table import RouteTable
 
+QUANTILES = (0.5, 0.99, 0.999)
 # Replies slower than this share of all are hedged; the budget bounds what that may cost.
 HEDGE_QUANTILE = 0.93
 FIRST_HEDGE: Milliseconds = 40.0
@@ -117,6 +118,13 @@
         on_gone(operation.caller_gone)
         return self._finish(request, route, operation.run())
 
+    def gauges(self) -> Iterable[Gauge]:
+        """Yield the quantiles of the time from a request to its outcome, by outcome and reason."""
+        for (outcome, reason), histogram in self._histograms.items():
+            for quantile in QUANTILES:
+                labels = {"outcome": outcome, "reason": reason, "quantile": f"{quantile}"}
+                yield "request_latency_ms", labels, histogram.quantile(quantile)
+
     def _operation(self, request: ForwardRequest, route: Route, deadline_at: float) -> Any:
         latency = self._latencies.setdefault(
             route.name, QuantileEstimate(HEDGE_QUANTILE, FIRST_HEDGE)
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -149,6 +149,8 @@
         if len(parts) >= self._needed:
             records = greatest_records((part.body for part in parts), self._route.top_records)
             signatures = tuple(part.signature for part in parts)
+            if len(parts) < len(self._calls):
+                self._tell_missing()
             return Gathered(signatures, len(self._calls) - len(parts), records)
         if not any(call.was_offered or call.may_have_run for call in self._calls):
             self._abandon()
@@ -158,6 +160,15 @@
         self._abandon()
         return Failed(FailedReason.PARTS_MISSING, f"{len(parts)} of {self._needed} parts")
 
+    def _tell_missing(self) -> None:
+        context = self._context
+        now = context.clock.now()
+        context.events.note(
+            "parts_missing",
+            request=context.request.request_id,
+            missing=[call.describe(now) for call in self._calls if call.reply is None],
+        )
+
     def _abandon(self) -> None:
         for call in self._calls:
             call.abandon()
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -59,9 +59,17 @@
         return self._by_service.get(service, [])
 
     def update(
-        self, upstreams: list[UpstreamStatement], configuration: RouteConfiguration, entries: int
+        self,
+        upstreams: list[UpstreamStatement],
+        configuration: RouteConfiguration,
+        entries: int,
+        *,
+        is_active: bool,
     ) -> None:
-        """Take over which upstreams serve, and how many entries share their connections."""
+        """Take over which upstreams serve, and how many entries share their connections.
+
+        An entry that is not active stands by and keeps no connections open.
+        """
         before, self._replicas, self._by_service = self._replicas, {}, {}
         for statement in upstreams:
             service = configuration.services.get(statement.service)
@@ -73,7 +81,7 @@
             if replica is None or replica.address != statement.address:
                 replica = self._make_replica(statement, limit)
             replica.upstream = ServingUpstream(statement)
-            replica.pool.limit = limit
+            replica.pool.resize(limit, WARM_CONNECTIONS if is_active else 0)
             self._replicas[key] = replica
             self._by_service.setdefault(statement.service, []).append(replica)
         for replica in before.values():
@@ -95,8 +103,7 @@
             pool.close()
 
     def _make_replica(self, statement: UpstreamStatement, limit: int) -> Replica:
-        warm = min(limit, WARM_CONNECTIONS)
-        pool = ConnectionPool(statement.address, limit, warm, self._clock, self._counters)
+        pool = ConnectionPool(statement.address, limit, 0, self._clock, self._counters)
         return Replica(
             ServingUpstream(statement), pool, EJECTION, statement.warm_up, self._clock.now()
         )
--- a/fulmarhold/membership/preference.py
+++ b/fulmarhold/membership/preference.py
@@ -1,9 +1,17 @@
-"""Which entries a caller is told to use: near ones first, with a way out when they fail."""
+"""Which entries a caller is told to use: near ones first, with a way out when they fail.
+
+The connections of an upstream are shared by all entries that callers use. Where there are more
+entries than can have enough of them, some stand by: an entry with few connections, each seldom
+used, connects anew for most requests and knows little of its upstreams.
+"""
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+import xxhash
+
 if TYPE_CHECKING:
     from random import Random
 
@@ -14,6 +22,37 @@
 LEAST_ADDRESSES = 2
 
 
+# Connections to each upstream with which an entry seldom has to open one for a request.
+CONNECTIONS_WANTED = 5
+# Fewer in a data centre would leave its callers without an entry at home when one dies.
+LEAST_ACTIVE_AT_HOME = 2
+# Once this share of a data centre's active entries is busy, those that stand by are named too.
+BUSY_SHARE = 0.25
+
+
+def active_entries(
+    entries: list[InstanceStatement], connection_limit: int
+) -> list[InstanceStatement]:
+    """Return the entries that callers are to use; all instances come to the same choice.
+
+    `connection_limit` is what an upstream accepts from all entries together.
+    """
+    places = sorted({item.data_centre for item in entries})
+    wanted = connection_limit // CONNECTIONS_WANTED
+    at_home = max(LEAST_ACTIVE_AT_HOME, math.ceil(wanted / max(1, len(places))))
+    chosen: list[InstanceStatement] = []
+    for place in places:
+        # The order by hash does not favour the first machines of each rack or release.
+        there = sorted(
+            (item for item in entries if item.data_centre == place),
+            key=lambda item: xxhash.xxh64_intdigest(item.name.encode()),
+        )
+        active = there[:at_home]
+        is_busy = sum(item.is_busy for item in active) > BUSY_SHARE * len(active)
+        chosen += there if is_busy else active
+    return chosen
+
+
 def preferred_entries(
     entries: list[InstanceStatement], data_centre: str, most: int, random: Random
 ) -> list[str]:
--- a/fulmarhold/membership/statements.py
+++ b/fulmarhold/membership/statements.py
@@ -48,7 +48,10 @@
 
 @dataclass(frozen=True)
 class InstanceStatement:
-    """One entry or control instance; `endpoint` is where callers or peers reach it."""
+    """One entry or control instance; `endpoint` is where callers or peers reach it.
+
+    `is_busy` tells that requests wait for the processor of an entry.
+    """
 
     name: str
     born: int
@@ -57,6 +60,7 @@
     role: Role
     data_centre: str
     endpoint: str
+    is_busy: bool = False
 
 
 class _Statement(Protocol):
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -74,9 +74,10 @@
         """How long ago a majority of control stood behind what this entry knows."""
         return self._clock.now() - self._confirmed_at
 
-    def announce(self, state: State) -> None:
-        """Change what this instance says of itself; it is told with the next watch."""
-        self._own = replace(self._own, state=state, sequence=self._own.sequence + 1)
+    def announce(self, state: State, is_busy: bool = False) -> None:
+        """Change what this instance says of itself, and tell it at once."""
+        sequence = self._own.sequence + 1
+        self._own = replace(self._own, state=state, is_busy=is_busy, sequence=sequence)
         self.instances.take(self._own, self._clock.now())
         if self._endpoint:
             gevent.spawn(self._tell_now)
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -16,13 +16,16 @@
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.control.versions import VersionService
+from fulmarhold.daemons import spawn_essential
 from fulmarhold.membership.statements import READY, InstanceStatement
-from fulmarhold.platform.settings_watch import serve_application
+from fulmarhold.platform.settings_watch import serve_application, serve_metrics
 from fulmarhold.wire.server import MessageServer
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from fulmarhold.clock import Clock
-    from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.platform.settings_watch import SettingsWatch
 
 
@@ -77,7 +80,8 @@
         self.node.start()
         self._messages.start()
         self._greenlets = [
-            gevent.spawn(part.run) for part in (self._formation, self._feeds, self._watch)
+            spawn_essential(self.failure, part.run)
+            for part in (self._formation, self._feeds, self._watch)
         ]
         gevent.sleep(0)
         # Peers come first: importing the web framework takes as long as an election.
@@ -85,11 +89,25 @@
 
         application = control_application(self._versions, self._feeds, self._counters)
         self._http = serve_application(application, self._settings.control_endpoint)
+        self._counters.register_gauges(self._gauges)
+        self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
 
     def stop(self) -> None:
         """Hand leadership over and stop."""
         self.node.hand_over()
         self._http.stop(timeout=1)
+        self._metrics.stop(timeout=0)
         gevent.killall(self._greenlets)
         self.node.stop()
         self._messages.stop()
+
+    def _gauges(self) -> Iterable[Gauge]:
+        yield "control_upstreams_known", {}, float(len(self._feeds.upstreams))
+        yield "control_instances_known", {}, float(len(self._feeds.instances))
+        if self.node.is_formed:
+            core = self.node.core
+            yield "control_leads", {}, float(core.is_leader)
+            yield "control_term", {}, float(core.term)
+            yield "control_commit_index", {}, float(core.commit_index)
+            yield "control_confirmed_age_ms", {}, self.node.confirmed_age()
+            yield "control_voters", {}, float(len(core.members.voters))
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -9,23 +9,27 @@
 from gevent.event import AsyncResult
 
 from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.daemons import spawn_essential
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.upstreams import UpstreamTable
-from fulmarhold.membership.preference import preferred_entries
+from fulmarhold.membership.preference import active_entries, preferred_entries
 from fulmarhold.membership.statements import DRAINING, READY, STARTING, InstanceStatement
 from fulmarhold.membership.watcher import FleetWatcher
+from fulmarhold.observe.lag import LoopLag
 from fulmarhold.observe.logs import part_log
 from fulmarhold.platform.documents import decode_configuration, unpack_document
 from fulmarhold.platform.headers import PlatformDialect, read_request, write_outcome
 from fulmarhold.platform.settings import ANSWER_KEPT
-from fulmarhold.platform.settings_watch import serve_application
+from fulmarhold.platform.settings_watch import serve_application, serve_metrics
 from fulmarhold.routes.configuration import CallerLimits
 from fulmarhold.routes.table import RouteTable
 from fulmarhold.web.front import FrontServer, RawRequest, RawResponse
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from fulmarhold.clock import Clock
-    from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.observe.events import EventLog
     from fulmarhold.platform.settings_watch import SettingsWatch
 
@@ -41,6 +45,10 @@
 STOP_RESERVE: Milliseconds = 400.0
 # The part of the time to stop in which only requests under way are ended.
 ENDING_SHARE = 0.3
+# The average wait of ready work for the processor at which an entry counts as busy, and as no
+# longer busy: a part of the shortest target (64 ms), and far above what an idle entry shows.
+BUSY_LAG: Milliseconds = 12.0
+IDLE_LAG: Milliseconds = 4.0
 # The part of the slack for extra attempts that entries may have saved up all together.
 BURST_SHARE = 0.5
 
@@ -54,7 +62,9 @@
         settings = self._settings = watch.settings
         self._watch = watch
         self._clock = clock
+        self._counters = counters
         self._random = Random()
+        self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
         self._table = UpstreamTable(clock, counters)
         self.forwarder = Forwarder(
@@ -80,9 +90,10 @@
         """Listen, follow control and serve once a configuration is confirmed."""
         self._front.start()
         self._greenlets = [
-            gevent.spawn(self.watcher.run),
-            gevent.spawn(self._watch.run),
-            gevent.spawn(self._maintain),
+            spawn_essential(self.failure, self.watcher.run),
+            spawn_essential(self.failure, self._watch.run),
+            spawn_essential(self.failure, self._maintain),
+            spawn_essential(self.failure, self._lag.run),
         ]
         gevent.sleep(0)
         # Callers come first: importing the web framework takes as long as learning what to serve.
@@ -97,6 +108,8 @@
         self._directory = serve_application(
             directory_application(self._addresses), self._settings.directory_endpoint
         )
+        self._counters.register_gauges(self._gauges)
+        self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
 
     def stop(self) -> None:
         """Leave the directory, serve while callers may still come, then end what is open."""
@@ -115,6 +128,7 @@
         gevent.killall(self._greenlets)
         self._readiness.stop(timeout=0)
         self._directory.stop(timeout=0)
+        self._metrics.stop(timeout=0)
         self._table.close()
 
     def _answer(self, raw: RawRequest, on_gone: Any) -> RawResponse:
@@ -128,7 +142,7 @@
         return self.watcher.own.state == READY
 
     def _addresses(self, data_centre: str) -> list[str]:
-        return preferred_entries(self.watcher.entries(), data_centre, MOST_ADDRESSES, self._random)
+        return preferred_entries(self._active_entries(), data_centre, MOST_ADDRESSES, self._random)
 
     def _take_configuration(self, version: int, document: bytes) -> None:
         routes = RouteTable(decode_configuration(unpack_document(document)))
@@ -141,11 +155,48 @@
         routes = self.forwarder.routes
         if routes is None:
             return
-        entries = max(1, len(self.watcher.entries()))
+        active = self._active_entries()
+        entries = max(1, len(active))
         self.forwarder.set_burst(BURST_SHARE * self._settings.extra_slack / entries)
-        self._table.update(self.watcher.serving_upstreams(), routes.configuration, entries)
+        self._table.update(
+            self.watcher.serving_upstreams(),
+            routes.configuration,
+            entries,
+            is_active=any(item.name == self._settings.name for item in active),
+        )
+
+    def _active_entries(self) -> list[InstanceStatement]:
+        entries = self.watcher.entries()
+        routes = self.forwarder.routes
+        services = routes.configuration.services.values() if routes else ()
+        limits = [item.connection_limit for item in services]
+        return active_entries(entries, min(limits)) if limits else entries
 
     def _maintain(self) -> None:
         while True:
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
             self._table.maintain()
+            self._note_business()
+
+    def _note_business(self) -> None:
+        """Tell the others once requests wait for this processor, and once they no longer do."""
+        own = self.watcher.own
+        if own.state != READY:
+            return
+        if not own.is_busy and self._lag.value > BUSY_LAG:
+            self.watcher.announce(READY, is_busy=True)
+        elif own.is_busy and self._lag.value < IDLE_LAG:
+            self.watcher.announce(READY)
+
+    def _gauges(self) -> Iterable[Gauge]:
+        routes = self.forwarder.routes
+        replicas = list(self._table.replicas)
+        yield "entry_version", {}, float(routes.configuration.version if routes else 0)
+        yield "entry_ready", {}, float(self._is_ready())
+        yield "entry_feed_age_ms", {}, self.watcher.feed_age
+        yield "entry_loop_lag_ms", {}, self._lag.value
+        yield "entry_in_flight", {}, float(self._front.in_flight)
+        yield "entry_caller_connections", {}, float(self._front.connections)
+        yield "entry_upstreams", {}, float(len(replicas))
+        yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
+        yield from self.forwarder.gauges()
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -19,6 +19,8 @@
 # cost a look-up (two trips) for each request of a caller that asks seldom; longer ones lead more
 # callers to an entry that has gone dark. An entry that leaves serves on for as long.
 ANSWER_KEPT: Milliseconds = 3_000.0
+# Named in the deploy file too; the platform fetches the metrics of every instance there.
+METRICS_PORT = 9_464
 SETTINGS_VARIABLE = "FULMARHOLD_SETTINGS"
 
 
@@ -111,7 +113,7 @@
 def decode_settings(document: Any, source: str) -> PlatformSettings:
     """Decode the values of a settings file; unknown fields are left alone."""
     values = load_document(document, _SettingsFile, source)
-    peer_port, last_port = values.internal_ports
+    peer_port, _ = values.internal_ports
     return PlatformSettings(
         name=values.name,
         data_centre=values.data_centre,
@@ -120,7 +122,7 @@
         control_endpoint=values.addresses.control or "",
         directory_endpoint=values.addresses.directory or "",
         peer_endpoint=f"{values.address}:{peer_port}",
-        metrics_endpoint=f"{values.address}:{last_port}",
+        metrics_endpoint=f"{values.address}:{METRICS_PORT}",
         seeds=tuple(f"{seed.rpartition(':')[0]}:{peer_port}" for seed in values.seeds),
         is_first_start=values.is_first_start,
         data_folder=values.data_folder or "",
--- a/fulmarhold/platform/settings_watch.py
+++ b/fulmarhold/platform/settings_watch.py
@@ -16,6 +16,7 @@
 
     import falcon
 
+    from fulmarhold.observe.counters import Counters
     from fulmarhold.platform.settings import PlatformSettings
 
 log = part_log("settings")
@@ -54,8 +55,15 @@
 
 
 def serve_application(application: falcon.App, endpoint: str) -> Any:
-    """Serve an application at IP:port."""
+    """Serve an application at IP:port; raises `FulmarholdError` when the port can't be had."""
     from fulmarhold.web.serving import start_server  # noqa: PLC0415
 
     address, _, port = endpoint.rpartition(":")
     return start_server(application, address, int(port))
+
+
+def serve_metrics(counters: Counters, endpoint: str) -> Any:
+    """Serve the counters and gauges at IP:port."""
+    from fulmarhold.web.serving import metrics_application  # noqa: PLC0415
+
+    return serve_application(metrics_application(counters), endpoint)
--- a/fulmarhold/tests/membership/test_preference.py
+++ b/fulmarhold/tests/membership/test_preference.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
-from fulmarhold.membership.preference import preferred_entries
+from fulmarhold.membership.preference import active_entries, preferred_entries
 from fulmarhold.membership.statements import READY, InstanceStatement
 
 
@@ -36,3 +37,26 @@
 
 def test_an_answer_is_bounded():
     assert len(preferred_entries(entries(a=100), "a", 64, Random(1))) == 64
+
+
+def test_as_many_are_active_as_have_enough_connections():
+    everyone = entries(a=13, b=13, c=13, d=13, e=13)
+    active = active_entries(everyone, 64)
+    assert len(active) == 15
+    assert active_entries(list(reversed(everyone)), 64) == active
+    assert len(active_entries(entries(a=2, b=2, c=1, d=1), 25)) == 6
+
+
+def test_one_that_goes_is_replaced_and_the_others_stay():
+    everyone = entries(a=13, b=13)
+    before = active_entries(everyone, 30)
+    after = active_entries([item for item in everyone if item != before[0]], 30)
+    assert set(before[1:]) < set(after) and len(after) == len(before)
+
+
+def test_those_that_stand_by_are_named_while_the_active_are_busy():
+    everyone = entries(a=13, b=13)
+    active = active_entries(everyone, 30)
+    busy = [replace(item, is_busy=item in active[:2]) for item in everyone]
+    assert places(item.endpoint for item in active_entries(busy, 30)).count("a") == 13
+    assert places(item.endpoint for item in active_entries(busy, 30)).count("b") == 3
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -52,6 +52,11 @@
     def connections(self) -> int:
         return len(self._channels)
 
+    def resize(self, limit: int, warm: int) -> None:
+        """Change how many connections there may be, and how many are kept open."""
+        self.limit = limit
+        self._warm = min(warm, limit)
+
     def longest_wait(self, now: Milliseconds) -> Milliseconds:
         """Return for how long the oldest unanswered request or connection attempt has waited."""
         longest = 0.0
--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -61,6 +61,13 @@
     return application
 
 
+def metrics_application(counters: Counters) -> falcon.App:
+    """Return an application that serves the counters alone."""
+    application = falcon.App()
+    application.add_route("/metrics", MetricsResource(counters))
+    return application
+
+
 def start_server(application: falcon.App, address: str, port: int) -> WSGIServer:
     """Serve an application; raises `FulmarholdError` when the port can't be had."""
     server = _Server(
