Prove the daemons on loopback; share statements in a module of their own; documents of the platform

Cause: the adapter and control's soft state had no test without the bench, and feeds.py held two jobs; three parts kept links alike. Change: a fleet of the platform's daemons as processes on loopback addresses, through acceptance, a change over shards, a kill of all control, a drain, a late heartbeat and a planned stop; tests of feeds, refutation, owed statements; Sharing and Links; votes are asked for in one place; a voter that follows a leader no longer counts as just started.

--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -259,6 +259,10 @@
         term = self.term + 1
         if not trial:
             self._set_hard_state(HardState(term, self.identity))
+        self._request_votes(term, trial=trial, transfer=transfer, restarted=False)
+        self._count_votes(now)
+
+    def _request_votes(self, term: int, *, trial: bool, transfer: bool, restarted: bool) -> None:
         for voter in self.members.voters:
             if voter != self.identity:
                 self._send(
@@ -271,9 +275,9 @@
                         self.log.last_term,
                         trial,
                         transfer,
+                        restarted,
                     )
                 )
-        self._count_votes(now)
 
     def _has_restarted(self, now: Milliseconds) -> bool:
         return now < self._restarted_until and self.leader is None
@@ -282,23 +286,8 @@
         """Ask the voters whether all of them have just started, without becoming a candidate."""
         self._restart_vote_at = now + self._random.uniform(1.0, 2.0) * RESTART_VOTE_SPREAD
         self._restarted_votes = {self.identity}
-        if self.identity not in self.members.voters:
-            return
-        for voter in self.members.voters:
-            if voter != self.identity:
-                self._send(
-                    VoteRequest(
-                        self.cluster,
-                        self.identity,
-                        voter,
-                        self.term + 1,
-                        self.log.last_index,
-                        self.log.last_term,
-                        trial=True,
-                        transfer=False,
-                        restarted=True,
-                    )
-                )
+        if self.identity in self.members.voters:
+            self._request_votes(self.term + 1, trial=True, transfer=False, restarted=True)
 
     def _answer_restarted(self, message: VoteRequest, now: Milliseconds) -> None:
         up_to_date = self._is_up_to_date(message)
@@ -563,6 +552,8 @@
             self._become_follower(term, leader)
         self.leader = leader
         self._heard_at = now
+        # From now on this leader may count on its patience.
+        self._restarted_until = float("-inf")
         self._reset_election(now)
 
     def _follow_commit(self, index: int) -> None:
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import uuid
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -15,6 +15,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.control.machine import encode_command
+from fulmarhold.control.sharing import Sharing
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import (
     AllStatements,
@@ -36,7 +37,6 @@
     UpstreamStatement,
 )
 from fulmarhold.observe.logs import part_log
-from fulmarhold.wire.client import Link
 from fulmarhold.wire.messages import Done, Failure
 
 if TYPE_CHECKING:
@@ -56,7 +56,6 @@
 HOUSEKEEPING_PERIOD: Milliseconds = 200.0
 # Upstreams wait one second for an acknowledgement; handing it over may use part of that.
 HANDOVER_TIMEOUT: Milliseconds = 400.0
-SHARE_TIMEOUT: Milliseconds = 500.0
 # Three unanswered feeds of an entry, each of at most FEED_PERIOD and the trip.
 ENTRY_SILENCE: Milliseconds = 1_500.0
 # Heartbeats that may be missed before an upstream counts as silent: entries notice a crash by
@@ -76,14 +75,6 @@
     sequence: int
 
 
-@dataclass
-class _Owed:
-    """Names of subjects whose newest statements a peer still has to be told."""
-
-    upstreams: set[str] = field(default_factory=set)
-    instances: set[str] = field(default_factory=set)
-
-
 class Feeds:
     """The statements that this control instance holds."""
 
@@ -101,9 +92,9 @@
         self.upstreams: Ledger[UpstreamStatement] = Ledger()
         self.instances: Ledger[InstanceStatement] = Ledger()
         self._own = own
+        self._sharing = Sharing(node, own.endpoint, seeds, self.upstreams, self.instances, counters)
         self._node = node
         self._machine = machine
-        self._seeds = seeds
         self._upstream_silence = MISSED_HEARTBEATS * heartbeat_period
         self._keep = keep
         self._kept_position = 0
@@ -111,12 +102,9 @@
         self._counters = counters
         self._source = uuid.uuid4().hex[:12]
         self._changed = Event()
-        self._links: dict[str, Link] = {}
         self._heard: dict[str, Milliseconds] = {}
         self._fresh: dict[str, tuple[int, int]] = {}
         self._watched: dict[str, _Watched] = {}
-        # What a peer could not be told yet, by name: it must learn that after a partition.
-        self._owed: dict[str, _Owed] = {}
         self._is_ready = False
         self._version = 0
         self.instances.take(own, clock.now())
@@ -140,7 +128,7 @@
         is_change = self._take_upstreams((statement,), "own word")
         if statement.state not in (DRAINING, LEFT):
             if is_change:
-                self._share((statement,), ())
+                self._sharing.share((statement,))
             return True
         return self._retire(statement)
 
@@ -159,9 +147,7 @@
         return statement
 
     def _retire(self, statement: UpstreamStatement) -> bool:
-        others = self._peers()
-        shared = ShareStatements((statement,), ())
-        replies = [gevent.spawn(self._tell, peer, shared) for peer in others]
+        replies = self._sharing.share((statement,))
         command = RetireUpstream(statement.name, statement.born, self._clock.wall())
         logged = gevent.spawn(self._log_retirement, command)
         gevent.joinall([logged, *replies], timeout=HANDOVER_TIMEOUT / SECOND)
@@ -172,16 +158,16 @@
             statement.name,
             is_logged,
             told,
-            len(others),
+            len(replies),
         )
-        return is_logged or told > 0 or not others
+        return is_logged or told > 0 or not replies
 
     def _log_retirement(self, command: RetireUpstream) -> bool:
         if self._machine.state.retired.get(command.name, -1) >= command.born:
             return True
         if not (self._node.is_formed and self._node.core.is_leader):
             leader = self._node.leader_endpoint
-            return leader is not None and bool(self._call(leader, command))
+            return leader is not None and bool(self._sharing.call(leader, command))
         try:
             self._node.propose(encode_command(command))
         except FulmarholdError as error:
@@ -218,7 +204,7 @@
         now = self._clock.now()
         is_new = request.watcher.name not in self._watched
         if self._take_instances((request.watcher,)) or is_new:
-            self._share((), (request.watcher,))
+            self._sharing.share(instances=(request.watcher,))
         self._watched[request.watcher.name] = _Watched(now, request.watcher.sequence)
         if not self._is_ready:
             return Failure("catching_up")
@@ -264,7 +250,7 @@
                 # The time of day went back between two lives of this instance.
                 self._own = replace(self._own, born=statement.born + 1)
                 self.instances.take(self._own, now)
-                self._share((), (self._own,))
+                self._sharing.share(instances=(self._own,))
                 continue
             if self.instances.take(statement, now):
                 is_change = True
@@ -275,40 +261,6 @@
 
     # Other control instances
 
-    def _peers(self) -> list[str]:
-        known = self._node.core.members.everyone.values() if self._node.is_formed else ()
-        endpoints = dict.fromkeys((*known, *self._seeds()))
-        return [endpoint for endpoint in endpoints if endpoint != self._own.endpoint]
-
-    def _share(
-        self,
-        upstreams: tuple[UpstreamStatement, ...],
-        instances: tuple[InstanceStatement, ...],
-    ) -> None:
-        for peer in self._peers():
-            gevent.spawn(self._tell, peer, ShareStatements(upstreams, instances))
-
-    def _tell(self, peer: str, shared: ShareStatements) -> bool:
-        """Tell a peer; what it does not acknowledge stays owed to it."""
-        if self._call(peer, shared) is not None:
-            return True
-        owed = self._owed.setdefault(peer, _Owed())
-        owed.upstreams.update(item.name for item in shared.upstreams)
-        owed.instances.update(item.name for item in shared.instances)
-        return False
-
-    def _pay_owed(self) -> None:
-        for peer, owed in list(self._owed.items()):
-            del self._owed[peer]
-            upstreams = (self.upstreams.find(name) for name in owed.upstreams)
-            instances = (self.instances.find(name) for name in owed.instances)
-            shared = ShareStatements(
-                tuple(item for item in upstreams if item is not None),
-                tuple(item for item in instances if item is not None),
-            )
-            if peer in self._peers():
-                gevent.spawn(self._tell, peer, shared)
-
     def _take_shared(self, shared: ShareStatements) -> Done:
         self._take_upstreams(shared.upstreams, "shared")
         self._take_instances(shared.instances)
@@ -320,7 +272,7 @@
         upstreams = _differing(self.upstreams, shared.upstreams)
         instances = _differing(self.instances, shared.instances)
         if upstreams or instances:
-            self._share(upstreams, instances)
+            self._sharing.share(upstreams, instances)
 
     def _tell_all(self, _: AskStatements) -> AllStatements:
         return AllStatements(
@@ -334,17 +286,6 @@
             if known is not None and (born, sequence) >= (known.born, known.sequence):
                 self._heard[name] = now
 
-    def _call(self, endpoint: str, request: Any) -> Any:
-        link = self._links.get(endpoint)
-        if link is None:
-            link = self._links[endpoint] = Link(endpoint)
-        try:
-            return link.call(request, SHARE_TIMEOUT)
-        except FulmarholdError as error:
-            self._counters.add("share_failures", message=type(request).__name__)
-            log.debug("{} did not take {}: {}", endpoint, type(request).__name__, error)
-            return None
-
     def _notify(self) -> None:
         # Every waiting watcher looks again; a new event serves those that wait later.
         changed, self._changed = self._changed, Event()
@@ -361,7 +302,10 @@
         )
         until = self._clock.now() + LONGEST_CATCH_UP
         while not self._is_ready and self._clock.now() < until:
-            answers = [gevent.spawn(self._call, peer, AskStatements("")) for peer in self._peers()]
+            answers = [
+                gevent.spawn(self._sharing.call, peer, AskStatements(""))
+                for peer in self._sharing.peers()
+            ]
             gevent.joinall(answers)
             # When all have started at once nobody knows more than what is merged now.
             self._is_ready = all(isinstance(answer.value, AllStatements) for answer in answers)
@@ -373,7 +317,7 @@
             if not self._is_ready:
                 gevent.sleep(CATCH_UP_PERIOD / SECOND)
         self._is_ready = True
-        self._share((), (self._own,))
+        self._sharing.share(instances=(self._own,))
         log.info("feeds entries with {} upstreams known", len(self.upstreams))
 
     def run(self) -> None:
@@ -384,12 +328,12 @@
             gevent.sleep(HOUSEKEEPING_PERIOD / SECOND)
             now = self._clock.now()
             self._end_silent_entries(now)
+            if self.upstreams.position != self._kept_position:
+                self._kept_position = self.upstreams.position
+                self._keep.save(self.upstreams.all())
             if now >= reported_at + REPORT_PERIOD:
                 reported_at = now
-                self._pay_owed()
-                if self.upstreams.position != self._kept_position:
-                    self._kept_position = self.upstreams.position
-                    self._keep.save(self.upstreams.all())
+                self._sharing.pay_owed()
                 self._report_heard()
                 self.upstreams.forget_ended(now)
                 self.instances.forget_ended(now)
@@ -416,23 +360,14 @@
             if known is not None and is_last_word and known.state not in (LEFT, SILENT):
                 silent = replace(known, state=SILENT)
                 if self._take_instances((silent,)):
-                    self._share((), (silent,))
+                    self._sharing.share(instances=(silent,))
 
     def _report_heard(self) -> None:
         leader = self._node.leader_endpoint
         heard = tuple((name, born, sequence) for name, (born, sequence) in self._fresh.items())
         self._fresh.clear()
         if leader is not None and leader != self._own.endpoint and heard:
-            gevent.spawn(self._report, leader, ReportHeard(heard))
-
-    def _report(self, leader: str, report: ReportHeard) -> None:
-        link = self._links.get(leader)
-        if link is None:
-            link = self._links[leader] = Link(leader)
-        try:
-            link.send(report)
-        except FulmarholdError as error:
-            log.debug("{} did not take what was heard: {}", leader, error)
+            gevent.spawn(self._sharing.send, leader, ReportHeard(heard))
 
     def _end_silent_upstreams(self, now: Milliseconds) -> None:
         earliest = self._node.core.leads_since
@@ -443,7 +378,7 @@
             if known.state == READY and now > heard_at + self._upstream_silence:
                 silent = replace(known, state=SILENT)
                 if self._take_upstreams((silent,), f"unheard for {now - heard_at:.0f} ms"):
-                    self._share((silent,), ())
+                    self._sharing.share((silent,))
 
 
 def _differing(ledger: Ledger[Statement], told: tuple[Statement, ...]) -> tuple[Statement, ...]:
--- a/fulmarhold/control/formation.py
+++ b/fulmarhold/control/formation.py
@@ -14,7 +14,7 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import IdentityReply, IdentityRequest, JoinCluster
 from fulmarhold.observe.logs import part_log
-from fulmarhold.wire.client import Link
+from fulmarhold.wire.links import Links
 from fulmarhold.wire.messages import Done, Failure
 
 if TYPE_CHECKING:
@@ -53,7 +53,7 @@
         self._is_first_start = is_first_start
         self._voters_wanted = voters_wanted
         self._clock = clock
-        self._links: dict[str, Link] = {}
+        self._links = Links()
 
     def register(self, server: MessageServer) -> None:
         """File the handlers of the messages by which instances find each other."""
@@ -147,7 +147,4 @@
             self._node.change_members(change)
 
     def _call(self, endpoint: str, request: Any) -> Any:
-        link = self._links.get(endpoint)
-        if link is None:
-            link = self._links[endpoint] = Link(endpoint)
-        return link.call(request, CALL_TIMEOUT)
+        return self._links.to(endpoint).call(request, CALL_TIMEOUT)
--- a/fulmarhold/control/versions.py
+++ b/fulmarhold/control/versions.py
@@ -19,7 +19,7 @@
     VersionStored,
 )
 from fulmarhold.observe.logs import part_log
-from fulmarhold.wire.client import Link
+from fulmarhold.wire.links import Links
 from fulmarhold.wire.messages import Failure
 
 if TYPE_CHECKING:
@@ -49,7 +49,7 @@
         self._machine = machine
         self._clock = clock
         self._counters = counters
-        self._links: dict[str, Link] = {}
+        self._links = Links()
 
     def register(self, server: MessageServer) -> None:
         """File the handlers of what other control instances pass on."""
@@ -83,10 +83,7 @@
             elif leader is None:
                 raise Undecided("knows no leader", step=type(request).__name__)
             else:
-                link = self._links.get(leader)
-                if link is None:
-                    link = self._links[leader] = Link(leader)
-                reply = link.call(request, DECISION_TIMEOUT)
+                reply = self._links.to(leader).call(request, DECISION_TIMEOUT)
         except PeerUnavailable as error:
             self._counters.add("version_refusals", reason="leader_unavailable")
             raise Undecided(str(error), step="asking the leader", peer=leader or "") from error
