--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -23,7 +23,7 @@
 # Connections kept open to each upstream: a hedge that first had to connect would come a trip and
 # the upstream's handshake later.
 WARM_CONNECTIONS = 1
-# After the passing-over of an upstream that failed three times: about two of its restarts.
+# How long an upstream that failed three times in a row is passed over at first.
 EJECTION: Milliseconds = 1_000.0
 LEAVING_EXCHANGE: Milliseconds = 60_000.0
 LONGEST_EXCHANGE: Milliseconds = 60_000.0
