Answer partially by the caller's own round trip

Change: the front reads the round-trip time that the kernel measured for the connection, and patience keeps that time and 6 ms, three times it where the caller had to connect. Unknown (counted): 6 ms.

--- a/fulmarhold/forwarding/patience.py
+++ b/fulmarhold/forwarding/patience.py
@@ -12,11 +12,13 @@
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
 
-# The way from the caller and back, 3 ms each, and the wake-ups of this process.
-TARGET_RESERVE: Milliseconds = 10.0
-# What a caller has spent before its first request on a connection: it connected (6 ms), and may
-# have asked the directory before (6 ms to connect and 6 ms for the answer).
-CONNECTING_RESERVE: Milliseconds = 14.0
+# Wake-ups of both sides and what the trip to the caller and back varies by.
+TARGET_RESERVE: Milliseconds = 6.0
+# Trips that a caller has made before its first request on a connection: one to connect, and one
+# more on average for those that had to ask the directory first (two trips) and those that had not.
+TRIPS_TO_CONNECT = 2
+# A caller in the same region, where the kernel does not tell.
+USUAL_ROUND_TRIP: Milliseconds = 6.0
 # However short the target, the first replies are given this long.
 LEAST_PATIENCE: Milliseconds = 10.0
 # Once this share of the parts is in, the others are stragglers: a request takes about the same
@@ -29,13 +31,21 @@
 
 
 def partial_answer_at(
-    received_at: Milliseconds, target: Milliseconds, is_first: bool
+    received_at: Milliseconds,
+    target: Milliseconds,
+    round_trip: Milliseconds,
+    is_first: bool,
 ) -> Milliseconds:
     """Return from when on an answer with the least share of parts is better than a later one.
 
-    `is_first` tells that the caller had to connect for this request.
+    `round_trip` is that to the caller, zero where unknown; `is_first` tells that the caller had to
+    connect for this request.
+
+    >>> partial_answer_at(0.0, 112.0, 6.0, False), partial_answer_at(0.0, 112.0, 14.0, True)
+    (100.0, 64.0)
     """
-    reserve = TARGET_RESERVE + (CONNECTING_RESERVE if is_first else 0.0)
+    trips = 1 + (TRIPS_TO_CONNECT if is_first else 0)
+    reserve = TARGET_RESERVE + trips * (round_trip or USUAL_ROUND_TRIP)
     return received_at + max(LEAST_PATIENCE, target - reserve)
 
 
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -15,7 +15,8 @@
     """One request; method, target, headers and body go on as they came.
 
     `request_id` names this attempt of the caller, `deadline_at` is on this entry's clock;
-    `is_first` tells that the caller had to connect for it.
+    `is_first` tells that the caller had to connect for it; `round_trip` is the time from here to
+    the caller and back, zero where it is not known.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     received_at: Milliseconds
     deadline_at: Milliseconds
     is_first: bool = False
+    round_trip: Milliseconds = 0.0
 
     @property
     def path(self) -> str:
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -50,8 +50,9 @@
         self._hedge_after = hedge_after
         self._retry_after = retry_after
         self._needed = least_parts(route.least_share, len(route.shards))
+        request = context.request
         self._partial_at = partial_answer_at(
-            context.request.received_at, route.target_latency, context.request.is_first
+            request.received_at, route.target_latency, request.round_trip, request.is_first
         )
         self._started_at = context.clock.now()
         # When each open call is hedged; found anew once most parts are in.
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -91,6 +91,7 @@
         raw.received_at,
         raw.received_at + allowed,
         raw.is_first,
+        raw.round_trip,
     )
 
 
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -19,7 +19,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.observe.logs import part_log
 from fulmarhold.wire.server import listen
-from fulmarhold.wire.sockets import prepare_connection
+from fulmarhold.wire.sockets import prepare_connection, round_trip
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,7 +53,8 @@
 class RawRequest:
     """A request as it came; `target` is the path with the query, undecoded.
 
-    `is_first` tells that the caller had to connect for it.
+    `is_first` tells that the caller had to connect for it; `round_trip` is the time from here to
+    the caller and back, zero where it is not known.
     """
 
     method: str
@@ -62,6 +63,7 @@
     body: bytes
     received_at: Milliseconds
     is_first: bool = False
+    round_trip: Milliseconds = 0.0
 
     def header(self, name: str) -> str:
         """Return the first value of a header by its lower-case name, or an empty string."""
@@ -174,6 +176,7 @@
         self._on_gone: Callable[[], None] | None = None
         self._is_gone = False
         prepare_connection(connection)
+        self._round_trip = self._measure_round_trip()
 
     def run(self) -> None:
         """Serve requests one after the other until either side closes."""
@@ -202,6 +205,13 @@
         if self._is_waiting and self._partial is None:
             self._socket.shutdown(gevent.socket.SHUT_RDWR)
 
+    def _measure_round_trip(self) -> Milliseconds:
+        try:
+            return round_trip(self._socket)
+        except OSError as error:
+            self._server.counters.add("round_trips_unknown", reason=type(error).__name__)
+            return 0.0
+
     # Reading
 
     def _next_request(self) -> tuple[RawRequest, bool] | None:
@@ -313,6 +323,7 @@
             b"".join(partial.body),
             partial.started_at,
             self._is_first,
+            self._round_trip,
         )
         self._is_first = False
         self._requests.append((request, self._parser.should_keep_alive()))
