--- a/fulmarhold/bench/__main__.py
+++ b/fulmarhold/bench/__main__.py
@@ -6,6 +6,7 @@
 
 import cyclopts
 
+from fulmarhold.bench.forwarding import print_forwarding
 from fulmarhold.bench.plot import plot_rows
 from fulmarhold.bench.policy import (
     BASELINE,
@@ -81,5 +82,20 @@
     return 0
 
 
+@application.command
+def forwarding(shards: int = 36, *, profile: bool = False) -> int:
+    """Measure the processor time of forwarding a query over shards, for each part.
+
+    Parameters
+    ----------
+    shards
+        Shards of the query.
+    profile
+        Print where the time goes; the figure is then too high.
+    """
+    print_forwarding(shards, profile=profile)
+    return 0
+
+
 if __name__ == "__main__":
     sys.exit(application())
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -61,7 +61,10 @@
 # Heartbeats that may be missed before an upstream counts as silent: entries notice a crash by
 # their own connections long before, and one that merely reports late must not be dropped.
 MISSED_HEARTBEATS = 8
+NEVER_CONFIRMED: Milliseconds = 1e9
 REPORT_PERIOD: Milliseconds = 1_000.0
+# Two reports that may be late; upstreams are not sent to a control instance silent for longer.
+REPORTS_LATE: Milliseconds = 2_500.0
 # How long a started instance waits for one that knows the statements before it serves without.
 LONGEST_CATCH_UP: Milliseconds = 1_000.0
 CATCH_UP_PERIOD: Milliseconds = 50.0
@@ -105,10 +108,17 @@
         self._heard: dict[str, Milliseconds] = {}
         self._fresh: dict[str, tuple[int, int]] = {}
         self._watched: dict[str, _Watched] = {}
+        self._reported: dict[str, Milliseconds] = {}
         self._is_ready = False
+        self._fed_at: Milliseconds | None = None
         self._version = 0
         self.instances.take(own, clock.now())
 
+    @property
+    def fed_for(self) -> Milliseconds:
+        """How long ago an entry was first given a configuration that a majority stands behind."""
+        return self._clock.now() - self._fed_at if self._fed_at is not None else 0.0
+
     def register(self, server: MessageServer) -> None:
         """File the handlers of feeds and of what other control instances share."""
         server.handle(WatchFeed, self.watch)
@@ -139,6 +149,17 @@
             return True
         return self.take_upstream(replace(known, state=LEFT))
 
+    def control_at_home(self, data_centre: str) -> str | None:
+        """Return the endpoint of a control instance that runs in a data centre, if any does."""
+        if data_centre == self._own.data_centre:
+            return self._own.endpoint
+        earliest = self._clock.now() - REPORTS_LATE
+        for item in self.instances.all():
+            is_there = item.role == "control" and item.data_centre == data_centre
+            if is_there and self._reported.get(item.endpoint, earliest) > earliest:
+                return item.endpoint
+        return None
+
     def _with_retirement(self, statement: UpstreamStatement) -> UpstreamStatement:
         """Return the statement, corrected by what the log remembers of this incarnation."""
         born = self._machine.state.retired.get(statement.name)
@@ -216,10 +237,13 @@
         self._watched[request.watcher.name] = _Watched(self._clock.now(), request.watcher.sequence)
         state = self._machine.state
         is_newer = state.routes_version > request.version
+        confirmed_age = min(self._node.confirmed_age(), NEVER_CONFIRMED)
+        if self._fed_at is None and is_newer and confirmed_age < FEED_PERIOD:
+            self._fed_at = self._clock.now()
         return FeedReply(
             self._source,
             is_whole,
-            min(self._node.confirmed_age(), 1e9),
+            confirmed_age,
             self.upstreams.position,
             self.instances.position,
             tuple(self.upstreams.since(upstream_position)),
@@ -281,6 +305,7 @@
 
     def _take_heard(self, report: ReportHeard) -> None:
         now = self._clock.now()
+        self._reported[report.sender] = now
         for name, born, sequence in report.heard:
             known = self.upstreams.find(name)
             if known is not None and (born, sequence) >= (known.born, known.sequence):
@@ -366,8 +391,9 @@
         leader = self._node.leader_endpoint
         heard = tuple((name, born, sequence) for name, (born, sequence) in self._fresh.items())
         self._fresh.clear()
-        if leader is not None and leader != self._own.endpoint and heard:
-            gevent.spawn(self._sharing.send, leader, ReportHeard(heard))
+        for peer in self._sharing.peers():
+            report = ReportHeard(self._own.endpoint, heard if peer == leader else ())
+            gevent.spawn(self._sharing.send, peer, report)
 
     def _end_silent_upstreams(self, now: Milliseconds) -> None:
         earliest = self._node.core.leads_since
--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -13,7 +13,6 @@
 
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.observe.logs import start_logging
-from fulmarhold.settings.loading import load_file
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,6 +64,9 @@
 
 def run_daemon(settings_file: Path, schema: type, make: Callable[[Any], Daemon]) -> int:
     """Run a daemon until SIGTERM, SIGINT or its failure, and return the exit code."""
+    # Daemons whose settings come in another format start faster without it.
+    from fulmarhold.settings.loading import load_file  # noqa: PLC0415
+
     try:
         settings: Any = load_file(settings_file, schema)
         start_logging(settings.log.level)
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -18,7 +18,8 @@
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.single import SingleForward
-from fulmarhold.limits.budget import ExtraLoadBudget
+from fulmarhold.limits.budget import SlackBudget
+from fulmarhold.limits.returning import pause_after_refusal, pause_while_starting
 from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.observe.latency import LatencyHistogram
 from fulmarhold.routing.choice import choosers
@@ -29,6 +30,7 @@
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.forwarding.dialect import UpstreamDialect
     from fulmarhold.forwarding.upstreams import UpstreamTable
+    from fulmarhold.limits.budget import ExtraLoadBound
     from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routes.configuration import Route
@@ -41,12 +43,6 @@
 # A request to one upstream is hedged after this many times the latency of most replies: it has
 # more time than a query over shards, and a second run costs more.
 SINGLE_HEDGE_FACTOR = 2.0
-# Callers come back between these after a refusal, so that they do not return as one wave.
-SHORTEST_RETURN: Milliseconds = 40.0
-LONGEST_RETURN: Milliseconds = 160.0
-# What an entry that has just started takes to learn the configuration: an election at most.
-SHORTEST_START: Milliseconds = 300.0
-LONGEST_START: Milliseconds = 600.0
 # The final answer leaves this long before the deadline, for the way to the caller.
 DEADLINE_RESERVE: Milliseconds = 5.0
 
@@ -58,23 +54,26 @@
         self,
         table: UpstreamTable,
         dialect: UpstreamDialect,
-        extra_share: float,
+        bound: ExtraLoadBound,
         clock: Clock,
         counters: Counters,
         events: EventLog,
     ) -> None:
         self._table = table
         self._dialect = dialect
-        self._extra_share = extra_share
+        self._bound = bound
         self._clock = clock
         self._counters = counters
         self._events = events
         self._random = Random()
+        self._started_at = clock.now()
         self._choose = choosers.find("least_expected")
         self._routes: RouteTable | None = None
         self._is_stopping = False
-        self._burst = 1.0
-        self._budgets: dict[str, ExtraLoadBudget] = {}
+        # No extra attempts before it is known how many entries share the slack.
+        self._slack = 0.0
+        self._refilled_at = clock.now()
+        self._budgets: dict[str, SlackBudget] = {}
         self._latencies: dict[str, QuantileEstimate] = {}
         self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
 
@@ -90,11 +89,19 @@
         """Refuse what comes from now on: this entry is about to stop."""
         self._is_stopping = True
 
-    def set_burst(self, burst: float) -> None:
-        """Set how many extra attempts a service may get at once from this entry."""
-        self._burst = burst
+    def share_slack(self, entries: int) -> None:
+        """Set how many entries share the slack of extra attempts of each service."""
+        self._slack = self._bound.slack / max(1, entries)
         for budget in self._budgets.values():
-            budget.resize(burst)
+            budget.resize(self._slack)
+
+    def refill_budgets(self) -> None:
+        """Regain slack by the time that has passed; called regularly."""
+        now = self._clock.now()
+        windows = (now - self._refilled_at) / self._bound.window
+        self._refilled_at = now
+        for budget in self._budgets.values():
+            budget.refill(windows)
 
     def forward(
         self, request: ForwardRequest, on_gone: Callable[[Callable[[], None]], None]
@@ -106,7 +113,7 @@
         if self._is_stopping:
             return self._finish(request, None, Refused(RefusedReason.STOPPING, self._retry_after()))
         if self._routes is None:
-            pause = self._random.uniform(SHORTEST_START, LONGEST_START)
+            pause = pause_while_starting(self._clock.now() - self._started_at, self._random)
             return self._finish(request, None, Refused(RefusedReason.NO_CONFIGURATION, pause))
         route = self._routes.find(request.host, request.path)
         if route is None:
@@ -161,8 +168,7 @@
     def _call(self, service: str, context: CallContext, owner: CallOwner) -> ServiceCall:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = ExtraLoadBudget(self._extra_share, 1, self._burst)
-            self._budgets[service] = budget
+            budget = self._budgets[service] = SlackBudget(self._bound.share, self._slack)
         return ServiceCall(service, self._table.of_service(service), budget, context, owner)
 
     def _draw_service(self, route: Route) -> str:
@@ -172,7 +178,7 @@
         return self._random.choices(route.services, weights)[0].service
 
     def _retry_after(self) -> Milliseconds:
-        return self._random.uniform(SHORTEST_RETURN, LONGEST_RETURN)
+        return pause_after_refusal(self._random)
 
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
         elapsed = self._clock.now() - request.received_at
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -43,7 +43,8 @@
 class UpstreamTable:
     """Replicas by service; one lives as long as its incarnation is known to serve."""
 
-    def __init__(self, clock: Clock, counters: Counters) -> None:
+    def __init__(self, data_centre: str, clock: Clock, counters: Counters) -> None:
+        self._data_centre = data_centre
         self._clock = clock
         self._counters = counters
         self._replicas: dict[tuple[str, int], Replica] = {}
@@ -64,11 +65,11 @@
         configuration: RouteConfiguration,
         entries: int,
         *,
-        is_active: bool,
+        keep_warm: bool,
     ) -> None:
         """Take over which upstreams serve, and how many entries share their connections.
 
-        An entry that is not active stands by and keeps no connections open.
+        With `keep_warm` connections are open before any request needs them.
         """
         before, self._replicas, self._by_service = self._replicas, {}, {}
         for statement in upstreams:
@@ -81,7 +82,7 @@
             if replica is None or replica.address != statement.address:
                 replica = self._make_replica(statement, limit)
             replica.upstream = ServingUpstream(statement)
-            replica.pool.resize(limit, WARM_CONNECTIONS if is_active else 0)
+            replica.pool.resize(limit, WARM_CONNECTIONS if keep_warm else 0)
             self._replicas[key] = replica
             self._by_service.setdefault(statement.service, []).append(replica)
         for replica in before.values():
@@ -105,7 +106,12 @@
     def _make_replica(self, statement: UpstreamStatement, limit: int) -> Replica:
         pool = ConnectionPool(statement.address, limit, 0, self._clock, self._counters)
         return Replica(
-            ServingUpstream(statement), pool, EJECTION, statement.warm_up, self._clock.now()
+            ServingUpstream(statement),
+            pool,
+            EJECTION,
+            statement.warm_up,
+            self._clock.now(),
+            is_near=statement.data_centre == self._data_centre,
         )
 
 
--- a/fulmarhold/limits/budget.py
+++ b/fulmarhold/limits/budget.py
@@ -1,11 +1,27 @@
-"""One budget per service for all extra load: hedges, retries and reruns."""
+"""One budget per service for all extra load: hedges, retries and reruns.
+
+Where entries share a bound on extra requests within a window (a share of first tries and a fixed
+slack), each takes its part of the slack: half may be spent at once, a fifth comes back over a
+window, and a started entry begins with half of what may be spent at once. So entries that all
+start again within one window spend 0.5 + 0.2 + 0.25 of the slack at most.
+"""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
+from fulmarhold.clock import Milliseconds
+
 LEAST_CAPACITY = 10.0
 CAPACITY_IN_SCATTERS = 2.0
 SHARE_FOR_RETRIES = 0.5
-SHARE_AT_START = 0.25
+# Of an entry's part of the slack.
+BURST_SHARE = 0.5
+REFILL_SHARE = 0.2
+# Of what may be spent at once: one that starts again may have spent its part before.
+SHARE_AT_START = 0.5
+# A hedge saves the same time as a retry and often its need; with few tokens, half would leave none.
+SLACK_SHARE_FOR_RETRIES = 0.25
 
 
 class ExtraLoadBudget:
@@ -19,16 +35,11 @@
     True
     """
 
-    def __init__(self, share: float, shards: int, capacity: float | None = None) -> None:
+    def __init__(self, share: float, shards: int) -> None:
         self._share = share
-        self._capacity = capacity or max(LEAST_CAPACITY, CAPACITY_IN_SCATTERS * shards)
-        # Where instances share a bound, one that starts again must not spend its part twice.
-        self._tokens = self._capacity if capacity is None else capacity * SHARE_AT_START
-
-    def resize(self, capacity: float) -> None:
-        """Change how many tokens may be saved up."""
-        self._capacity = capacity
-        self._tokens = min(self._tokens, capacity)
+        self._capacity = max(LEAST_CAPACITY, CAPACITY_IN_SCATTERS * shards)
+        self._reserve = SHARE_FOR_RETRIES * self._capacity
+        self._tokens = self._capacity
 
     def earn(self, first_tries: int) -> None:
         """Note first tries that were sent."""
@@ -43,6 +54,47 @@
 
     def take_spare(self, requests: int) -> bool:
         """Spend tokens only from what is above the half kept for retries."""
-        if self._tokens < self._capacity * SHARE_FOR_RETRIES + requests:
+        if self._tokens < self._reserve + requests:
             return False
         return self.take(requests)
+
+
+@dataclass(frozen=True)
+class ExtraLoadBound:
+    """How many extra attempts a service may get from all entries within `window` ms.
+
+    It is `share` of the requests for it, and `slack` attempts beside them.
+    """
+
+    share: float
+    slack: float
+    window: Milliseconds
+
+
+class SlackBudget(ExtraLoadBudget):
+    """The part of one entry where several share a bound on extra requests in a window.
+
+    >>> budget = SlackBudget(share=0.2, slack=40.0)
+    >>> budget.take(10), budget.take(1)
+    (True, False)
+    >>> budget.refill(0.5)
+    >>> budget.take(4), budget.take(1)
+    (True, False)
+    """
+
+    def __init__(self, share: float, slack: float) -> None:
+        super().__init__(share, 1)
+        self._slack = slack
+        self.resize(slack)
+        self._tokens = SHARE_AT_START * self._capacity
+
+    def resize(self, slack: float) -> None:
+        """Change this entry's part of the slack."""
+        self._slack = slack
+        self._capacity = BURST_SHARE * slack
+        self._reserve = SLACK_SHARE_FOR_RETRIES * self._capacity
+        self._tokens = min(self._tokens, self._capacity)
+
+    def refill(self, windows: float) -> None:
+        """Regain a part of the slack; `windows` is the time since the last call in windows."""
+        self._tokens = min(self._capacity, self._tokens + REFILL_SHARE * self._slack * windows)
--- a/fulmarhold/membership/feed.py
+++ b/fulmarhold/membership/feed.py
@@ -66,8 +66,12 @@
 
 @message
 class ReportHeard:
-    """Tells the leader which upstreams were heard: `(name, born, sequence)` each."""
+    """Tells another control instance that `sender` runs and which upstreams it has heard.
 
+    Only the leader, which judges silence, is told of upstreams: `(name, born, sequence)` each.
+    """
+
+    sender: str
     heard: tuple[tuple[str, int, int], ...]
 
 
--- a/fulmarhold/membership/records.py
+++ b/fulmarhold/membership/records.py
@@ -9,7 +9,7 @@
 
 from fulmarhold.control.messages import EntryState, RosterEntry
 from fulmarhold.settings.processes import Endpoint, Name
-from fulmarhold.wire.messages import message
+from fulmarhold.wire.messages import checked_message
 
 STRICT = ConfigDict(extra="forbid")
 
@@ -53,7 +53,7 @@
     token: Annotated[str, Field(max_length=64)] = ""
 
 
-@message
+@checked_message
 class PeerPoll:
     """Asks another entry for the upstreams it vouches for, if they changed since `set_version`."""
 
@@ -62,7 +62,7 @@
     set_version: int
 
 
-@message
+@checked_message
 class PeerReply:
     """What an entry vouches for at the moment of the reply.
 
@@ -77,14 +77,14 @@
     version: int
 
 
-@message
+@checked_message
 class ConfigurationRequest:
     """Asks another entry for what it runs; `revision` is the configuration the asker has."""
 
     revision: int
 
 
-@message
+@checked_message
 class ConfigurationReply:
     """What an entry runs; `document` is left out where the asker has that revision."""
 
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -36,6 +36,9 @@
 # A source whose leader was confirmed longer ago may be cut off from newer configurations.
 OLDEST_CONFIRMATION: Milliseconds = 1_200.0
 RETRY_PAUSE: Milliseconds = 60.0
+# A source that failed is not asked again for this long unless all have failed: a restart of one
+# takes half a second, and an election not much longer.
+FAILURE_REMEMBERED: Milliseconds = 3_000.0
 
 
 class FleetWatcher:
@@ -79,6 +82,7 @@
         sequence = self._own.sequence + 1
         self._own = replace(self._own, state=state, is_busy=is_busy, sequence=sequence)
         self.instances.take(self._own, self._clock.now())
+        self._on_change()
         if self._endpoint:
             gevent.spawn(self._tell_now)
 
@@ -104,6 +108,8 @@
             self._endpoint = endpoint
             try:
                 self._follow(link)
+                log.info("leaves the feed of {} for one at home", endpoint)
+                continue
             except FulmarholdError as error:
                 self._counters.add("feed_losses", reason=type(error).__name__)
                 log.warning("lost the feed of {}: {}", endpoint, error)
@@ -113,15 +119,43 @@
             gevent.sleep(RETRY_PAUSE / SECOND)
 
     def _choose_source(self) -> str:
-        """Return the source that failed longest ago, preferring the own data centre."""
-        at_home: dict[str, bool] = dict.fromkeys(self._seeds(), False)
-        for item in self.instances.all():
-            if item.role == "control" and item.state not in (SILENT, LEFT):
-                at_home[item.endpoint] = item.data_centre == self._own.data_centre
+        """Return a source that has not just failed, preferring the own data centre."""
+        sources = dict.fromkeys((*self._seeds(), *self._control_instances()))
+        at_home = self._sources_at_home()
+        earliest = self._clock.now() - FAILURE_REMEMBERED
         never = float("-inf")
-        return min(at_home, key=lambda item: (self._failed.get(item, never), not at_home[item]))
+
+        def order(endpoint: str) -> tuple[bool, bool, Milliseconds]:
+            failed_at = self._failed.get(endpoint, never)
+            has_failed = failed_at > earliest
+            return has_failed, not has_failed and endpoint not in at_home, failed_at
+
+        return min(sources, key=order)
+
+    def _control_instances(self) -> dict[str, InstanceStatement]:
+        return {
+            item.endpoint: item
+            for item in self.instances.all()
+            if item.role == "control" and item.state not in (SILENT, LEFT)
+        }
+
+    def _sources_at_home(self) -> set[str]:
+        return {
+            endpoint
+            for endpoint, item in self._control_instances().items()
+            if item.data_centre == self._own.data_centre
+        }
+
+    def _is_better_at_home(self, endpoint: str) -> bool:
+        """Whether a source of this data centre, whose traffic costs less, may be followed."""
+        at_home = self._sources_at_home()
+        earliest = self._clock.now() - FAILURE_REMEMBERED
+        return endpoint not in at_home and any(
+            self._failed.get(item, earliest) <= earliest for item in at_home
+        )
 
     def _follow(self, link: Link) -> None:
+        """Follow a source until it is lost, or until one at home can take its place."""
         is_first = True
         while True:
             # Another life of this entry may be known under an older sequence.
@@ -142,6 +176,8 @@
             if is_first:
                 log.info("follows {} at version {}", link.endpoint, self._version)
                 is_first = False
+            elif self._is_better_at_home(link.endpoint):
+                return
 
     def _take(self, reply: FeedReply, asked_at: Milliseconds) -> None:
         now = self._clock.now()
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
 
+from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.consensus.messages import MemberMessage
 from fulmarhold.consensus.node import Node, receive_member_message
 from fulmarhold.consensus.storage import Storage
@@ -28,6 +29,12 @@
     from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.platform.settings_watch import SettingsWatch
 
+# Once all instances have started, an election takes less; operators and upstreams ask again later.
+LONGEST_PEERS_FIRST: Milliseconds = 400.0
+# Every entry asks again within this time: 60 ms of pause, and the trips.
+OTHER_ENTRIES: Milliseconds = 100.0
+LOOK_PERIOD: Milliseconds = 20.0
+
 
 class PlatformControl:
     """A control instance."""
@@ -69,7 +76,9 @@
             clock,
         )
         self._versions = VersionService(self.node, machine, clock, counters)
+        self._clock = clock
         self._counters = counters
+        self._servers: list[Any] = []
         self._messages = MessageServer(settings.peer_endpoint, counters)
         self._messages.handle(MemberMessage, receive_member_message(self.node))
         for part in (self._feeds, self._formation, self._versions):
@@ -83,20 +92,33 @@
             spawn_essential(self.failure, part.run)
             for part in (self._formation, self._feeds, self._watch)
         ]
-        gevent.sleep(0)
-        # Peers come first: importing the web framework takes as long as an election.
+        self._counters.register_gauges(self._gauges)
+        self._greenlets.append(spawn_essential(self.failure, self._serve_operators))
+
+    def _serve_operators(self) -> None:
+        """Serve operators and upstreams once entries are fed.
+
+        Importing the web framework takes as long as an election, and after a loss of all
+        instances no query is served until there is a leader and entries have heard from it.
+        """
+        until = self._clock.now() + LONGEST_PEERS_FIRST
+        while self._feeds.fed_for < OTHER_ENTRIES and self._clock.now() < until:
+            gevent.sleep(LOOK_PERIOD / SECOND)
         from fulmarhold.platform.interfaces import control_application  # noqa: PLC0415
 
-        application = control_application(self._versions, self._feeds, self._counters)
-        self._http = serve_application(application, self._settings.control_endpoint)
-        self._counters.register_gauges(self._gauges)
-        self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
+        application = control_application(
+            self._versions, self._feeds, self._settings.control_endpoint, self._counters
+        )
+        self._servers = [
+            serve_application(application, self._settings.control_endpoint),
+            serve_metrics(self._counters, self._settings.metrics_endpoint),
+        ]
 
     def stop(self) -> None:
         """Hand leadership over and stop."""
         self.node.hand_over()
-        self._http.stop(timeout=1)
-        self._metrics.stop(timeout=0)
+        for server in self._servers:
+            server.stop(timeout=1)
         gevent.killall(self._greenlets)
         self.node.stop()
         self._messages.stop()
--- a/fulmarhold/platform/documents.py
+++ b/fulmarhold/platform/documents.py
@@ -4,10 +4,9 @@
 
 import json
 import zlib
-from dataclasses import dataclass, field
 from typing import Annotated, Any, Literal
 
-from pydantic import Field, StrictInt, StrictStr
+from msgspec import Meta, Struct, field
 
 from fulmarhold.clock import Milliseconds
 from fulmarhold.errors import MalformedInput
@@ -20,78 +19,72 @@
     WeightedService,
     check_configuration,
 )
-from fulmarhold.settings.loading import load_document
-from fulmarhold.settings.processes import Endpoint
+from fulmarhold.settings.structs import decode_struct, require_endpoint
 
 # A document is inflated only up to this size, whatever its bytes claim.
 LARGEST_DOCUMENT_BYTES = 16 * 1024 * 1024
 
-Count = Annotated[int, Field(ge=0)]
+Count = Annotated[int, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
 
 
-@dataclass(frozen=True)
-class _Weighted:
+class _Weighted(Struct, frozen=True):
     service: str
-    weight: Annotated[float, Field(ge=0)]
+    weight: Annotated[float, Meta(ge=0)]
 
 
-@dataclass(frozen=True)
-class _Route:
+class _Route(Struct, frozen=True):
     name: str
     host: str
-    path_prefix: Annotated[str, Field(alias="pathPrefix")]
+    path_prefix: str = field(name="pathPrefix")
     # Whether a request may run more than once; called the type of the route there.
-    repetition: Annotated[Literal["idempotent", "non_idempotent"], Field(alias="routeType")]
-    timeout: Annotated[Milliseconds, Field(alias="timeoutMs")]
-    target_latency: Annotated[Milliseconds, Field(alias="targetLatencyMs")] = 0.0
+    repetition: Literal["idempotent", "non_idempotent"] = field(name="routeType")
+    timeout: Milliseconds = field(name="timeoutMs")
+    target_latency: Milliseconds = field(default=0.0, name="targetLatencyMs")
     # Zero is the most urgent; called a priority there.
-    rank: Annotated[int, Field(alias="priority")] = 0
-    most_attempts: Annotated[Count, Field(alias="maxAttempts")] = 1
+    rank: int = field(default=0, name="priority")
+    most_attempts: Count = field(default=1, name="maxAttempts")
     service: str | None = None
-    split: Annotated[tuple[_Weighted, ...], Field(alias="trafficSplit")] = ()
-    shards: Annotated[tuple[str, ...], Field(alias="shardServices")] = ()
-    top_records: Annotated[Count, Field(alias="topK")] = 0
-    least_share: Annotated[float, Field(alias="minShardShare", ge=0, le=1)] = 0.0
+    split: tuple[_Weighted, ...] = field(default=(), name="trafficSplit")
+    shards: tuple[str, ...] = field(default=(), name="shardServices")
+    top_records: Count = field(default=0, name="topK")
+    least_share: Share = field(default=0.0, name="minShardShare")
 
 
-@dataclass(frozen=True)
-class _Service:
+class _Service(Struct, frozen=True):
     name: str
-    health_path: Annotated[str, Field(alias="healthPath")] = "/health"
-    connection_limit: Annotated[int, Field(alias="maxConnections", ge=1)] = 1
+    health_path: str = field(default="/health", name="healthPath")
+    connection_limit: Annotated[int, Meta(ge=1)] = field(default=1, name="maxConnections")
 
 
-@dataclass(frozen=True)
-class _Limits:
-    header_bytes: Annotated[int, Field(alias="maxHeaderBytes")] = CallerLimits.header_bytes
-    body_bytes: Annotated[int, Field(alias="maxBodyBytes")] = CallerLimits.body_bytes
-    header_timeout: Annotated[float, Field(alias="headerTimeoutMs")] = CallerLimits.header_timeout
-    idle_timeout: Annotated[float, Field(alias="idleTimeoutMs")] = CallerLimits.idle_timeout
+class _Limits(Struct, frozen=True):
+    header_bytes: int = field(default=CallerLimits.header_bytes, name="maxHeaderBytes")
+    body_bytes: int = field(default=CallerLimits.body_bytes, name="maxBodyBytes")
+    header_timeout: float = field(default=CallerLimits.header_timeout, name="headerTimeoutMs")
+    idle_timeout: float = field(default=CallerLimits.idle_timeout, name="idleTimeoutMs")
 
 
-@dataclass(frozen=True)
-class _Configuration:
-    version: StrictInt
+class _Configuration(Struct, frozen=True):
+    version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
-    limits: _Limits = field(default_factory=_Limits)
+    limits: _Limits = _Limits()
 
 
-@dataclass(frozen=True)
-class _Heartbeat:
-    service: Annotated[StrictStr, Field(min_length=1)]
-    address: Endpoint
+class _Heartbeat(Struct, frozen=True):
+    service: Annotated[str, Meta(min_length=1)]
+    address: str
     # Called a zone there.
-    data_centre: Annotated[StrictStr, Field(alias="zone")]
+    data_centre: str = field(name="zone")
     state: Literal["ready", "draining"]
-    slots: Annotated[StrictInt, Field(ge=1)]
-    sequence: Annotated[StrictInt, Field(ge=0)]
+    slots: Annotated[int, Meta(ge=1)]
+    sequence: Count
     # How much longer the upstream is slow after its start, in milliseconds.
-    warm_up: Annotated[float, Field(alias="warmupLeftMs", ge=0)]
+    warm_up: Annotated[float, Meta(ge=0)] = field(name="warmupLeftMs")
     # Version of the software there; read only to check that it is given.
-    software: Annotated[StrictStr, Field(alias="version")]
+    software: str = field(name="version")
     # Unix time of the start in milliseconds.
-    born: Annotated[StrictInt, Field(ge=0)] = 0
+    born: Count = 0
 
 
 def read_json_object(body: bytes) -> dict[str, Any]:
@@ -110,7 +103,7 @@
 
     Raises `MalformedInput` when it can't be read and `InvalidSettings` when it can't hold.
     """
-    values = load_document(read_json_object(body), _Configuration, "configuration")
+    values = decode_struct(read_json_object(body), _Configuration, "configuration")
     configuration = RouteConfiguration(
         values.version,
         tuple(_route(item) for item in values.routes),
@@ -146,7 +139,7 @@
 def decode_heartbeat(name: str, body: bytes) -> UpstreamStatement:
     """Decode what the upstream `name` says of itself; raises `MalformedInput` or
     `InvalidSettings` when it can't be relied on."""
-    values = load_document(read_json_object(body), _Heartbeat, "heartbeat")
+    values = decode_struct(read_json_object(body), _Heartbeat, "heartbeat")
     state: State = DRAINING if values.state == "draining" else READY
     return UpstreamStatement(
         name,
@@ -154,7 +147,7 @@
         values.sequence,
         state,
         values.service,
-        values.address,
+        require_endpoint(values.address, "address", "heartbeat"),
         values.data_centre,
         values.slots,
         values.warm_up,
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -12,7 +12,11 @@
 from fulmarhold.daemons import spawn_essential
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.upstreams import UpstreamTable
-from fulmarhold.membership.preference import active_entries, preferred_entries
+from fulmarhold.membership.preference import (
+    active_entries,
+    hosting_data_centres,
+    preferred_entries,
+)
 from fulmarhold.membership.statements import DRAINING, READY, STARTING, InstanceStatement
 from fulmarhold.membership.watcher import FleetWatcher
 from fulmarhold.observe.lag import LoopLag
@@ -29,6 +33,7 @@
     from collections.abc import Iterable
 
     from fulmarhold.clock import Clock
+    from fulmarhold.membership.statements import UpstreamStatement
     from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.observe.events import EventLog
     from fulmarhold.platform.settings_watch import SettingsWatch
@@ -49,8 +54,10 @@
 # longer busy: a part of the shortest target (64 ms), and far above what an idle entry shows.
 BUSY_LAG: Milliseconds = 12.0
 IDLE_LAG: Milliseconds = 4.0
-# The part of the slack for extra attempts that entries may have saved up all together.
-BURST_SHARE = 0.5
+# How long the set of active entries must stay the same before this one opens connections that no
+# request has asked for: while a fleet starts, each entry knows few others and would count as one
+# of few, and all of them together would pass what upstreams accept.
+SETTLING_TIME: Milliseconds = 600.0
 
 
 class PlatformEntry:
@@ -66,9 +73,12 @@
         self._random = Random()
         self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
-        self._table = UpstreamTable(clock, counters)
+        self._table = UpstreamTable(settings.data_centre, clock, counters)
+        self._active: list[InstanceStatement] = []
+        self._active_since = clock.now()
+        self._is_settled = False
         self.forwarder = Forwarder(
-            self._table, PlatformDialect(), settings.extra_share, clock, counters, events
+            self._table, PlatformDialect(), settings.extra_load, clock, counters, events
         )
         own = InstanceStatement(
             settings.name,
@@ -142,7 +152,7 @@
         return self.watcher.own.state == READY
 
     def _addresses(self, data_centre: str) -> list[str]:
-        return preferred_entries(self._active_entries(), data_centre, MOST_ADDRESSES, self._random)
+        return preferred_entries(self._active, data_centre, MOST_ADDRESSES, self._random)
 
     def _take_configuration(self, version: int, document: bytes) -> None:
         routes = RouteTable(decode_configuration(unpack_document(document)))
@@ -152,30 +162,44 @@
             self.watcher.announce(READY)
 
     def _update_table(self) -> None:
+        """Take over what the watcher has learnt."""
+        before = {item.name for item in self._active}
+        upstreams = self.watcher.serving_upstreams()
+        self._active = self._active_entries(upstreams)
+        if {item.name for item in self._active} != before:
+            self._active_since = self._clock.now()
+            self._is_settled = False
+        self._share_upstreams(upstreams)
+
+    def _share_upstreams(self, upstreams: list[UpstreamStatement]) -> None:
         routes = self.forwarder.routes
         if routes is None:
             return
-        active = self._active_entries()
-        entries = max(1, len(active))
-        self.forwarder.set_burst(BURST_SHARE * self._settings.extra_slack / entries)
+        entries = max(1, len(self._active))
+        self.forwarder.share_slack(entries)
+        is_active = any(item.name == self._settings.name for item in self._active)
         self._table.update(
-            self.watcher.serving_upstreams(),
-            routes.configuration,
-            entries,
-            is_active=any(item.name == self._settings.name for item in active),
+            upstreams, routes.configuration, entries, keep_warm=is_active and self._is_settled
         )
 
-    def _active_entries(self) -> list[InstanceStatement]:
+    def _active_entries(self, upstreams: list[UpstreamStatement]) -> list[InstanceStatement]:
         entries = self.watcher.entries()
         routes = self.forwarder.routes
-        services = routes.configuration.services.values() if routes else ()
-        limits = [item.connection_limit for item in services]
-        return active_entries(entries, min(limits)) if limits else entries
+        if routes is None or not routes.configuration.services:
+            return entries
+        configuration = routes.configuration
+        shards = {name for route in configuration.routes for name in route.shards}
+        limit = min(item.connection_limit for item in configuration.services.values())
+        return active_entries(entries, limit, hosting_data_centres(upstreams, shards))
 
     def _maintain(self) -> None:
         while True:
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
+            if not self._is_settled and self._clock.now() > self._active_since + SETTLING_TIME:
+                self._is_settled = True
+                self._share_upstreams(self.watcher.serving_upstreams())
             self._table.maintain()
+            self.forwarder.refill_budgets()
             self._note_business()
 
     def _note_business(self) -> None:
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -16,7 +16,7 @@
     unpack_document,
 )
 from fulmarhold.platform.settings import ANSWER_KEPT
-from fulmarhold.settings.loading import InvalidSettings
+from fulmarhold.settings.problems import InvalidSettings
 from fulmarhold.web.serving import read_body
 
 if TYPE_CHECKING:
@@ -53,8 +53,10 @@
 class HeartbeatResource:
     """What upstreams say of themselves."""
 
-    def __init__(self, feeds: Feeds, counters: Counters) -> None:
+    def __init__(self, feeds: Feeds, own_endpoint: str, counters: Counters) -> None:
         self._feeds = feeds
+        # The port is the same on every instance.
+        self._port = own_endpoint.rpartition(":")[2]
         self._counters = counters
 
     def on_put(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
@@ -63,14 +65,19 @@
         except FulmarholdError:
             self._counters.add("heartbeat_refusals", reason="malformed")
             raise
-        self._answer(response, self._feeds.take_upstream(statement))
+        self._answer(response, self._feeds.take_upstream(statement), statement.data_centre)
 
     def on_delete(self, _: falcon.Request, response: falcon.Response, name: str) -> None:
         self._answer(response, self._feeds.leave_upstream(name))
 
-    def _answer(self, response: falcon.Response, is_safe: bool) -> None:
+    def _answer(
+        self, response: falcon.Response, is_safe: bool, data_centre: str | None = None
+    ) -> None:
         if is_safe:
-            response.media = {}
+            # Heartbeats between data centres cost as much as queries do.
+            peer = self._feeds.control_at_home(data_centre) if data_centre else None
+            address = f"{peer.rpartition(':')[0]}:{self._port}" if peer else None
+            response.media = {"heartbeatAddress": address} if address else {}
         else:
             self._counters.add("heartbeat_refusals", reason="not_handed_over")
             response.status = falcon.HTTP_503
@@ -103,11 +110,13 @@
         response.status = falcon.HTTP_200 if self._is_ready() else falcon.HTTP_503
 
 
-def control_application(versions: VersionService, feeds: Feeds, counters: Counters) -> falcon.App:
+def control_application(
+    versions: VersionService, feeds: Feeds, own_endpoint: str, counters: Counters
+) -> falcon.App:
     """Return the calls of operators and upstreams."""
     application = _application()
     application.add_route("/api/config", ConfigurationResource(versions, counters))
-    application.add_route("/api/instances/{name}", HeartbeatResource(feeds, counters))
+    application.add_route("/api/instances/{name}", HeartbeatResource(feeds, own_endpoint, counters))
     return application
 
 
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -4,16 +4,17 @@
 
 import json
 import os
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import Field
+from msgspec import Meta, Struct, field
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.settings.loading import LARGEST_FILE_BYTES, InvalidSettings, Problem, load_document
-from fulmarhold.settings.processes import Endpoint
+from fulmarhold.limits.budget import ExtraLoadBound
+from fulmarhold.settings.problems import LARGEST_FILE_BYTES, InvalidSettings, Problem
+from fulmarhold.settings.structs import decode_struct, require_endpoint
 
 # Callers keep a directory answer for this long, a few of them three times as long. Shorter answers
 # cost a look-up (two trips) for each request of a caller that asks seldom; longer ones lead more
@@ -24,47 +25,45 @@
 SETTINGS_VARIABLE = "FULMARHOLD_SETTINGS"
 
 
-@dataclass(frozen=True)
-class _Tolerance:
-    machines: Annotated[int, Field(ge=0)] = 1
+Count = Annotated[int, Meta(ge=0)]
 
 
-@dataclass(frozen=True)
-class _Bounds:
-    retry_ratio: Annotated[float, Field(alias="retryBudgetRatio")] = 0.2
-    retry_slack: Annotated[float, Field(alias="retrySlack")] = 50
-    grace_seconds: Annotated[float, Field(alias="graceS")] = 6
-    longest_answer_seconds: Annotated[float, Field(alias="ttl_max_s")] = 5
+class _Tolerance(Struct, frozen=True):
+    machines: Count = 1
 
 
-@dataclass(frozen=True)
-class _Addresses:
+class _Bounds(Struct, frozen=True):
+    retry_ratio: float = field(default=0.2, name="retryBudgetRatio")
+    retry_slack: float = field(default=50.0, name="retrySlack")
+    retry_window_seconds: Annotated[float, Meta(gt=0)] = field(default=10.0, name="retryWindowS")
+    grace_seconds: float = field(default=6.0, name="graceS")
+    longest_answer_seconds: float = field(default=5.0, name="ttl_max_s")
+
+
+class _Addresses(Struct, frozen=True):
     # Where callers connect.
-    callers: Annotated[Endpoint | None, Field(alias="front")] = None
-    readiness: Annotated[Endpoint | None, Field(alias="readinessAddress")] = None
+    callers: str | None = field(default=None, name="front")
+    readiness: str | None = field(default=None, name="readinessAddress")
     # Serves operators and the heartbeats of upstreams.
-    control: Endpoint | None = None
-    directory: Endpoint | None = None
+    control: str | None = None
+    directory: str | None = None
 
 
-@dataclass(frozen=True)
-class _SettingsFile:
-    name: Annotated[str, Field(alias="nodeName")]
+class _SettingsFile(Struct, frozen=True):
+    name: str = field(name="nodeName")
     # The address of the instance, which peers use too.
-    address: Annotated[str, Field(alias="ip")]
+    address: str = field(name="ip")
     # Called a zone there.
-    data_centre: Annotated[str, Field(alias="zone")]
-    addresses: Annotated[_Addresses, Field(alias="bindAddresses")]
-    internal_ports: Annotated[tuple[int, int], Field(alias="internalPortRange")]
+    data_centre: str = field(name="zone")
+    addresses: _Addresses = field(name="bindAddresses")
+    internal_ports: tuple[int, int] = field(name="internalPortRange")
     # The public addresses of control instances, not their internal ones.
-    seeds: tuple[Endpoint, ...]
-    is_first_start: Annotated[bool, Field(alias="bootstrap")] = False
-    data_folder: Annotated[str | None, Field(alias="dataDir")] = None
-    heartbeat_period: Annotated[Milliseconds, Field(alias="heartbeatMs")] = 1_200.0
-    tolerance: Annotated[_Tolerance, Field(alias="faultTolerance")] = field(
-        default_factory=_Tolerance
-    )
-    bounds: _Bounds = field(default_factory=_Bounds)
+    seeds: tuple[str, ...]
+    is_first_start: bool = field(default=False, name="bootstrap")
+    data_folder: str | None = field(default=None, name="dataDir")
+    heartbeat_period: Milliseconds = field(default=1_200.0, name="heartbeatMs")
+    tolerance: _Tolerance = field(default=_Tolerance(), name="faultTolerance")
+    bounds: _Bounds = _Bounds()
 
 
 @dataclass(frozen=True)
@@ -84,8 +83,7 @@
     data_folder: str
     heartbeat_period: Milliseconds
     voters: int
-    extra_share: float
-    extra_slack: float
+    extra_load: ExtraLoadBound
     grace: Milliseconds
 
 
@@ -112,15 +110,26 @@
 
 def decode_settings(document: Any, source: str) -> PlatformSettings:
     """Decode the values of a settings file; unknown fields are left alone."""
-    values = load_document(document, _SettingsFile, source)
+    values = decode_struct(document, _SettingsFile, source)
+    bound = values.addresses
+    named = {
+        "bindAddresses.front": bound.callers,
+        "bindAddresses.readinessAddress": bound.readiness,
+        "bindAddresses.control": bound.control,
+        "bindAddresses.directory": bound.directory,
+        **{f"seeds[{number}]": seed for number, seed in enumerate(values.seeds)},
+    }
+    for path, endpoint in named.items():
+        if endpoint is not None:
+            require_endpoint(endpoint, path, source)
     peer_port, _ = values.internal_ports
     return PlatformSettings(
         name=values.name,
         data_centre=values.data_centre,
-        caller_endpoint=values.addresses.callers or "",
-        readiness_endpoint=values.addresses.readiness or "",
-        control_endpoint=values.addresses.control or "",
-        directory_endpoint=values.addresses.directory or "",
+        caller_endpoint=bound.callers or "",
+        readiness_endpoint=bound.readiness or "",
+        control_endpoint=bound.control or "",
+        directory_endpoint=bound.directory or "",
         peer_endpoint=f"{values.address}:{peer_port}",
         metrics_endpoint=f"{values.address}:{METRICS_PORT}",
         seeds=tuple(f"{seed.rpartition(':')[0]}:{peer_port}" for seed in values.seeds),
@@ -128,7 +137,10 @@
         data_folder=values.data_folder or "",
         heartbeat_period=values.heartbeat_period,
         voters=2 * values.tolerance.machines + 1,
-        extra_share=values.bounds.retry_ratio,
-        extra_slack=values.bounds.retry_slack,
+        extra_load=ExtraLoadBound(
+            values.bounds.retry_ratio,
+            values.bounds.retry_slack,
+            values.bounds.retry_window_seconds * SECOND,
+        ),
         grace=values.bounds.grace_seconds * SECOND,
     )
--- a/fulmarhold/routes/configuration.py
+++ b/fulmarhold/routes/configuration.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from fulmarhold.settings.loading import InvalidSettings, Problem
+from fulmarhold.settings.problems import InvalidSettings, Problem
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -27,6 +27,9 @@
 FAILURE_HALF_LIFE: Milliseconds = 2_000.0
 # What a failed attempt costs: its own time, that of another attempt, and a part of the budget.
 FAILURE_COST: Milliseconds = 100.0
+# What a replica in another data centre must be faster by: its traffic is dear, and one that was
+# not asked for a while must not look near because its estimate has faded.
+OTHER_DATA_CENTRE_COST: Milliseconds = 15.0
 
 
 class UpstreamRecord(Protocol):
@@ -62,6 +65,8 @@
         ejection: Milliseconds,
         slow_start: Milliseconds,
         now: Milliseconds,
+        *,
+        is_near: bool = True,
     ) -> None:
         self.upstream = upstream
         self.pool = pool
@@ -69,6 +74,7 @@
         self.ejected_until: Milliseconds = float("-inf")
         self._ejection = ejection
         self._slow_start = slow_start
+        self._distance_cost = 0.0 if is_near else OTHER_DATA_CENTRE_COST
         self._started_at = now
         self._heard_at = now
         self._failures = 0
@@ -113,13 +119,13 @@
         return not self.is_stalled(now)
 
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
-        """Return the latency a new request may expect, queueing and failures included."""
+        """Return the latency a new request may expect, with queueing, failures and distance."""
         slots = self.upstream.record.slots
-        failing = FAILURE_COST * self._faded_failures(now)
+        extra = FAILURE_COST * self._faded_failures(now) + self._distance_cost
         if self.pool.load:
             loaded = self.latency.value * (1 + self.pool.load / slots)
-            return loaded / self._warmth(now) + failing
-        return self._faded(now) / self._warmth(now) + failing
+            return loaded / self._warmth(now) + extra
+        return self._faded(now) / self._warmth(now) + extra
 
     def note_sent(self, now: Milliseconds) -> None:
         """Take in that a request was sent."""
--- /dev/null
+++ b/fulmarhold/settings/endpoints.py
@@ -0,0 +1,32 @@
+"""IP numbers and endpoints (IP:port) as they stand in settings and messages."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+
+HIGHEST_PORT = 65_535
+
+
+def check_address(value: str) -> str:
+    """Return an IP number in its usual form; raises `ValueError` when it is none.
+
+    >>> check_address("10.0.0.1")
+    '10.0.0.1'
+    """
+    try:
+        return str(ip_address(value))
+    except ValueError:
+        raise ValueError(f"must be an IP number, got {value!r}") from None
+
+
+def check_endpoint(value: str) -> str:
+    """Return an endpoint; raises `ValueError` when it is no IP:port.
+
+    >>> check_endpoint("10.0.0.1:80")
+    '10.0.0.1:80'
+    """
+    address, _, port = value.rpartition(":")
+    check_address(address)
+    if not port.isdigit() or not 1 <= int(port) <= HIGHEST_PORT:
+        raise ValueError(f"must be IP:port with a port from 1 to {HIGHEST_PORT}, got {value!r}")
+    return value
--- a/fulmarhold/settings/loading.py
+++ b/fulmarhold/settings/loading.py
@@ -5,43 +5,17 @@
 import dataclasses
 import typing
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import Any, TypeVar
 
 from pydantic import TypeAdapter, ValidationError
 
-from fulmarhold.errors import FulmarholdError
 from fulmarhold.registry import nearest_hint
-
-if TYPE_CHECKING:
-    from collections.abc import Sequence
+from fulmarhold.settings.problems import LARGEST_FILE_BYTES, InvalidSettings, Problem
 
 Schema = TypeVar("Schema")
 
 _adapters: dict[Any, TypeAdapter[Any]] = {}
 
-LARGEST_FILE_BYTES = 4 * 1024 * 1024
-
-
-@dataclasses.dataclass(frozen=True)
-class Problem:
-    """One thing that is wrong: the option's path and a sentence about it."""
-
-    path: str
-    sentence: str
-
-    def __str__(self) -> str:
-        return f"{self.path or 'file'}: {self.sentence}"
-
-
-class InvalidSettings(FulmarholdError):
-    """A file or document has problems; all of them are listed."""
-
-    def __init__(self, source: str, problems: Sequence[Problem]) -> None:
-        lines = "\n".join(f"  {problem}" for problem in problems)
-        noun = "problem" if len(problems) == 1 else "problems"
-        super().__init__(f"{source} has {len(problems)} {noun}:\n{lines}", step="checking settings")
-        self.problems = tuple(problems)
-
 
 def load_file(path: Path, schema: type[Schema]) -> Schema:
     """Read the YAML file at `path` as `schema`.
--- a/fulmarhold/settings/processes.py
+++ b/fulmarhold/settings/processes.py
@@ -3,34 +3,20 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from ipaddress import ip_address
 from typing import Annotated, Literal
 
 from pydantic import AfterValidator, ConfigDict, Field
 
+from fulmarhold.settings.endpoints import check_address, check_endpoint
+
 STRICT = ConfigDict(extra="forbid")
 
 Port = Annotated[int, Field(ge=1, le=65_535)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
-def _check_address(value: str) -> str:
-    try:
-        return str(ip_address(value))
-    except ValueError:
-        raise ValueError(f"must be an IP number, got {value!r}") from None
-
-
-def _check_endpoint(value: str) -> str:
-    address, _, port = value.rpartition(":")
-    _check_address(address)
-    if not port.isdigit() or not 1 <= int(port) <= 65_535:
-        raise ValueError(f"must be IP:port with a port from 1 to 65535, got {value!r}")
-    return value
-
-
-Address = Annotated[str, AfterValidator(_check_address)]
-Endpoint = Annotated[str, AfterValidator(_check_endpoint)]
+Address = Annotated[str, AfterValidator(check_address)]
+Endpoint = Annotated[str, AfterValidator(check_endpoint)]
 
 
 @dataclass(frozen=True)
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -10,11 +10,17 @@
 import pytest
 
 from fulmarhold.clock import Clock
-from fulmarhold.control.feeds import Feeds
+from fulmarhold.control.feeds import REPORTS_LATE, Feeds
 from fulmarhold.control.machine import ControlMachine, encode_command
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.errors import PeerUnavailable
-from fulmarhold.membership.feed import FeedReply, RetireUpstream, ShareStatements, WatchFeed
+from fulmarhold.membership.feed import (
+    FeedReply,
+    ReportHeard,
+    RetireUpstream,
+    ShareStatements,
+    WatchFeed,
+)
 from fulmarhold.membership.statements import (
     DRAINING,
     LEFT,
@@ -166,3 +172,17 @@
     feeds._is_ready = False
     assert isinstance(feeds.watch(WatchFeed(ENTRY, "", 0, 0, 0)), Failure)
     assert feeds.instances.find("e") == ENTRY
+
+
+def test_upstreams_are_sent_to_a_control_instance_at_home_only_while_it_reports(make, monkeypatch):
+    feeds, _, _ = make()
+    other = InstanceStatement("o", 5, 1, READY, "control", "b", "other:1")
+    feeds._take_shared(ShareStatements((), (other,)))
+    assert feeds.control_at_home("a") == "own:1"
+    assert feeds.control_at_home("b") is None
+    feeds._take_heard(ReportHeard("other:1", ()))
+    assert feeds.control_at_home("b") == "other:1"
+    assert feeds.control_at_home("c") is None
+    later = feeds._clock.now() + REPORTS_LATE
+    monkeypatch.setattr(feeds._clock, "now", lambda: later)
+    assert feeds.control_at_home("b") is None
--- a/fulmarhold/tests/forwarding/test_scatter.py
+++ b/fulmarhold/tests/forwarding/test_scatter.py
@@ -26,7 +26,7 @@
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.single import SingleForward
 from fulmarhold.forwarding.upstreams import EJECTION, ServingUpstream
-from fulmarhold.limits.budget import ExtraLoadBudget
+from fulmarhold.limits.budget import SlackBudget
 from fulmarhold.membership.statements import READY, UpstreamStatement
 from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.estimates import QuantileEstimate
@@ -102,7 +102,7 @@
             self.counters,
             EventLog("test", self.clock, self.counters),
         )
-        self.budget = budget or ExtraLoadBudget(0.2, 1, 100.0)
+        self.budget = budget or SlackBudget(0.2, 200.0)
         self.budget.earn(1_000)
 
     def call(self, service, pools, owner):
@@ -248,7 +248,7 @@
 
 
 def test_without_budget_nothing_is_tried_again():
-    budget = ExtraLoadBudget(0.0, 1, 1.0)
+    budget = SlackBudget(0.0, 2.0)
     pools = [ScriptedPool(str(n), verdict="lost") for n in range(2)]
     outcome = Fixture(budget=budget).single(pools).run()
     assert outcome == Failed(FailedReason.CONNECTION_LOST)
--- a/fulmarhold/tests/limits/test_limits.py
+++ b/fulmarhold/tests/limits/test_limits.py
@@ -10,7 +10,7 @@
 from fulmarhold.clock import Clock, ManualClock
 from fulmarhold.gather.outcome import NotRunReason, Refused
 from fulmarhold.limits.admission import QUERIES_AT_ONCE, Admission, ServiceGate
-from fulmarhold.limits.budget import ExtraLoadBudget
+from fulmarhold.limits.budget import ExtraLoadBudget, SlackBudget
 
 ALLOWED = 400.0
 
@@ -26,6 +26,46 @@
         assert extra <= 0.05 * first + 20 + 1e-6
 
 
+# Load pattern: all entries start again within one window and spend all that they may at once.
+@given(
+    slack=st.floats(10, 400),
+    entries=st.integers(1, 80),
+    steps=st.lists(st.tuples(st.floats(0, 0.2), st.integers(0, 40), st.booleans()), max_size=40),
+)
+def test_entries_that_share_a_slack_keep_its_bound_in_a_window_also_if_all_start_again_once(
+    slack, entries, steps
+):
+    share = 0.2
+    budgets = [SlackBudget(share, slack / entries) for _ in range(min(entries, 3))]
+    scale = entries / len(budgets)
+    for budget in budgets:
+        budget.refill(10.0)
+    spent = first = passed = 0.0
+    restarted = set()
+    for windows, tries, restarts in steps:
+        passed += windows
+        if passed > 1:
+            break
+        for number, budget in enumerate(budgets):
+            budget.refill(windows)
+            budget.earn(tries)
+            first += scale * tries
+            while budget.take(1):
+                spent += scale
+            if restarts and number not in restarted:
+                restarted.add(number)
+                budgets[number] = SlackBudget(share, slack / entries)
+    assert spent <= share * first + slack + 1e-6
+
+
+def test_a_started_entry_may_hedge_a_shard_that_is_slow_at_its_first_query():
+    # Load pattern: fifteen entries start while some upstreams are slow; each shard has its own
+    # budget, and one hedge is what it takes to learn which upstream to avoid.
+    budget = SlackBudget(0.2, 170 / 15)
+    budget.earn(1)
+    assert budget.take_spare(1)
+
+
 @pytest.fixture
 def admission():
     return Admission(Clock())
--- /dev/null
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -0,0 +1,97 @@
+"""Which control instance an entry follows."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import gevent
+import pytest
+
+from fulmarhold.clock import ManualClock
+from fulmarhold.errors import PeerUnavailable
+from fulmarhold.membership import watcher as watching
+from fulmarhold.membership.feed import FeedReply
+from fulmarhold.membership.statements import READY, STARTING, InstanceStatement
+from fulmarhold.membership.watcher import FAILURE_REMEMBERED, FleetWatcher
+from fulmarhold.observe.counters import Counters
+
+SEEDS = ("far:1", "farther:1")
+OWN = InstanceStatement("e", 1, 1, STARTING, "entry", "home", "e:80")
+CONTROL = tuple(
+    InstanceStatement(name, 1, 1, READY, "control", place, f"{name}:1")
+    for name, place in (("far", "b"), ("farther", "c"), ("near", "home"))
+)
+LEADING, UNCONFIRMED = 10.0, 5_000.0
+
+
+class Fleet:
+    """Replies of control instances; every call takes one step of the clock."""
+
+    def __init__(self, clock):
+        self.clock, self.asked, self.down, self.ages = clock, [], set(), {}
+        self.steps = deque()
+
+    def link(self, endpoint):
+        fleet = self
+
+        class Link:
+            def __init__(self):
+                self.endpoint = endpoint
+
+            def call(self, request, timeout):
+                fleet.asked.append(endpoint)
+                fleet.clock.advance(400.0)
+                if not fleet.steps:
+                    raise gevent.GreenletExit
+                fleet.steps.popleft()()
+                if endpoint in fleet.down:
+                    raise PeerUnavailable("down", step="WatchFeed", peer=endpoint)
+                age = fleet.ages.get(endpoint, LEADING)
+                return FeedReply("s", False, age, 1, 1, (), CONTROL, 0, None)
+
+            def close(self):
+                pass
+
+        return Link()
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    made = Fleet(ManualClock())
+    monkeypatch.setattr(watching, "Link", made.link)
+    monkeypatch.setattr(watching, "RETRY_PAUSE", 0.0)
+    return made
+
+
+def follow(fleet, steps):
+    fleet.steps = deque(steps)
+    watcher = FleetWatcher(
+        OWN, lambda: SEEDS, lambda *_: None, lambda: None, fleet.clock, Counters()
+    )
+    gevent.spawn(watcher.run).join(timeout=5)
+    return fleet.asked
+
+
+def nothing():
+    pass
+
+
+def test_an_entry_goes_over_to_the_control_instance_of_its_data_centre(fleet):
+    assert follow(fleet, [nothing] * 4) == ["far:1", "far:1", "near:1", "near:1", "near:1"]
+
+
+def test_a_lost_source_at_home_is_followed_again_when_it_is_back(fleet):
+    asked = follow(
+        fleet,
+        [nothing] * 3 + [lambda: fleet.down.add("near:1"), fleet.down.clear] + [nothing] * 12,
+    )
+    lost = len(asked) - 1 - asked[::-1].index("far:1")
+    away = [endpoint for endpoint in asked[4 : lost + 1]]
+    assert set(away) <= {"far:1", "farther:1"} and len(away) * 400.0 >= FAILURE_REMEMBERED - 400
+    assert asked[-1] == "near:1"
+
+
+def test_a_source_without_a_confirmed_leader_is_left_even_at_home(fleet):
+    fleet.ages["near:1"] = UNCONFIRMED
+    asked = follow(fleet, [nothing] * 8)
+    assert asked.count("near:1") <= 2 and asked[-1] != "near:1"
--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -17,11 +17,11 @@
 WARM = 10_000.0
 
 
-def make(address="a", load=0, live=True):
+def make(address="a", load=0, live=True, is_near=True):
     record = SimpleNamespace(address=address, incarnation=1, slots=2)
     upstream: Any = SimpleNamespace(record=record, is_live=lambda _: live)
     pool: Any = SimpleNamespace(load=load)
-    return Replica(upstream, pool, EJECTION, SLOW_START, now=0.0)
+    return Replica(upstream, pool, EJECTION, SLOW_START, now=0.0, is_near=is_near)
 
 
 def eject(replica, now=WARM):
@@ -122,3 +122,15 @@
         if number >= 10_000:
             below += latency <= estimate.value
     assert below / 10_000 == pytest.approx(quantile, abs=0.05)
+
+
+def test_another_data_centre_is_used_when_the_near_replica_is_loaded_but_not_to_explore():
+    # Load pattern: few queries an entry, so that what is known of far replicas is always old.
+    near, far = make("near"), make("far", is_near=False)
+    near.note_success(20.0, WARM)
+    far.note_success(28.0, WARM)
+    choose = choosers.find("least_expected")
+    assert choose([near, far], Random(1), WARM + 1_000) is near
+    loaded = make("near", load=5)
+    loaded.note_success(20.0, WARM)
+    assert choose([loaded, far], Random(1), WARM + 1_000) is far
--- a/fulmarhold/tests/standin/test_announcer.py
+++ b/fulmarhold/tests/standin/test_announcer.py
@@ -14,10 +14,10 @@
 from fulmarhold.membership.records import Announcement, UpstreamRecord
 from fulmarhold.observe.counters import Counters
 from fulmarhold.questionnaire.derive import derive_configuration
+from fulmarhold.settings.loading import adapter
 from fulmarhold.standin.announcer import Announcer
 from fulmarhold.standin.behaviour import Behaviour
 from fulmarhold.web.serving import make_application, read_json, start_server
-from fulmarhold.wire.messages import adapter
 
 TIMINGS = derive_configuration(small_questionnaire()).timings
 LEASE = TIMINGS.announcement_lease_ms
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -99,7 +99,6 @@
             channel = self._free.pop()
             if now < channel.usable_until:
                 return channel
-            self._counters.add("connections_closed", reason="idle")
             channel.close("idle")
         return None
 
@@ -116,13 +115,11 @@
         """Close what takes too long and keep the warm connections open; called regularly."""
         now = self._clock.now()
         for channel in [item for item in self._free if now >= item.usable_until]:
-            self._counters.add("connections_closed", reason="idle")
             channel.close("idle")
         for channel, opened_at in list(self._channels.items()):
             if channel.state is ChannelState.CONNECTING and now > opened_at + LONGEST_CONNECT:
                 channel.close("connect timed out")
             elif channel.state is ChannelState.BUSY and now > channel.busy_since + longest_exchange:
-                self._counters.add("connections_closed", reason="late_response")
                 channel.close("response overdue")
         if len(self._channels) < self._warm and now >= self._connect_after and not self._closed:
             self._open(now)
@@ -168,11 +165,11 @@
     def channel_closed(self, channel: Channel, reason: str) -> None:
         """Forget a closed connection and replace it if requests wait."""
         opened_at = self._channels.pop(channel, None)
+        self._counters.add("connections_closed", reason=reason)
         self._connecting.discard(channel)
         if channel in self._free:
             self._free.remove(channel)
         if opened_at is not None and reason.startswith(("E", "connect")):
-            self._counters.add("connections_closed", reason="connect_failed")
             self._connect_after = self._clock.now() + RECONNECT_PAUSE
             if not self._channels:
                 self._fail_waiting(CONNECT_REFUSED)
