Add a randomized soak of the real daemons

Change: fulmarhold/soak starts control and entries as processes, with stand-in upstreams that speak the platform's protocol, callers that keep their connections, and an operator. A registry of faults kills, wipes, tears logs, fills disks (by a file size limit of the process), stops, freezes and reloads processes, harms connections through loopback proxies (delay, reset, cut one way, silence), lets upstreams crash, leave, lose answers, shed, hang and swap addresses, and changes configurations alone, raced, in storms and invalid. A registry of twelve promises is checked while it runs and at the end. platform/writing.py writes the documents of the platform's side.

--- /dev/null
+++ b/fulmarhold/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak: what it checks, and a short run."""
--- /dev/null
+++ b/fulmarhold/tests/soak/test_run.py
@@ -0,0 +1,51 @@
+"""A short soak with a fixed seed: the real daemons, faults from outside, every promise checked."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from fulmarhold.errors import MalformedInput
+from fulmarhold.membership.statements import READY, UpstreamStatement
+from fulmarhold.platform.documents import decode_configuration, decode_heartbeat
+from fulmarhold.platform.settings import decode_settings
+from fulmarhold.platform.writing import write_configuration, write_heartbeat, write_settings
+from fulmarhold.routes.configuration import (
+    Route,
+    RouteConfiguration,
+    UpstreamService,
+    WeightedService,
+)
+from fulmarhold.soak.run import run_soak
+
+SECONDS = 8_000.0
+
+
+@pytest.mark.parametrize("seed", [11])
+def test_a_short_soak_breaks_no_promise(seed, tmp_path):
+    result = run_soak(seed, SECONDS, folder=tmp_path)
+    assert result.broken == (), str(result)
+    assert result.requests > 200 and sum(result.faults.values()) > 3
+
+
+def test_what_stand_ins_write_is_read_as_it_was_meant():
+    statement = UpstreamStatement("i", 7, 3, READY, "s1", "127.0.0.1:80", "a", 4)
+    services = {"s1": UpstreamService("s1", 9), "s2": UpstreamService("s2", 9)}
+    one = (WeightedService("s1", 1.0),)
+    split = (WeightedService("s1", 1.0), WeightedService("s2", 2.0))
+    routes = (
+        Route("r1", "h", "/one/", True, 10.0, 5.0, 1, 2, one),
+        Route("r2", "h", "/two/", False, 10.0, 5.0, 1, 1, split),
+        Route("r3", "h", "/all/", True, 10.0, 5.0, 0, 2, (), ("s1", "s2"), 5, 0.5),
+    )
+    configuration = RouteConfiguration(4, routes, services)
+    assert decode_heartbeat("i", json.dumps(write_heartbeat(statement)).encode()) == statement
+    document = json.dumps(write_configuration(configuration)).encode()
+    assert decode_configuration(document) == configuration
+    settings = write_settings(
+        "n", "entry", "127.0.0.1", "a", ("127.0.0.2",), "/d", 300.0, is_first_start=True
+    )
+    assert decode_settings(settings, "settings").caller_endpoint == "127.0.0.1:8226"
+    with pytest.raises(MalformedInput):
+        decode_heartbeat("i", document[:-1])
