Leave congested shards out, ask all sources at a start, and tell every outcome and belief

Power loss of all: entries wait 0.9 s for a first seed that has no power (started 35.40, followed at 36.44). Replicas elsewhere were chosen for requests of 220 ms, whose latency varies by far more than 15 ms. A request that was answered whole and late left no line, nor did an upstream that was passed over or stopped replying; latencies were quantiles, not histograms.

Ruled out: refusing whole queries under that overload: a late answer serves a user better than a second refusal; limits that fall with the first late reply, which pauses of upstreams cause as well.

Changes: limits/concurrency.py, a limit per upstream that falls after late rounds and rises with replies in time; a query leaves out shards whose upstreams are all at their limit, as many as may be missing, asks them after all when others fail, and less urgent routes give way first. A starting entry asks all sources at once and follows the first that answers; a starting control instance waits for no peer once one has told it all. Replicas elsewhere count a quarter slower as well. Every outcome is a line, punctual whole ones dropped first; ejections and upstreams that stop replying are lines; request_latency_ms is a histogram.

--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -19,7 +19,9 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import (
     AllStatements,
+    AskConfirmation,
     AskStatements,
+    Confirmation,
     FeedReply,
     ReportHeard,
     RetireUpstream,
@@ -122,6 +124,7 @@
     def register(self, server: MessageServer) -> None:
         """File the handlers of feeds and of what other control instances share."""
         server.handle(WatchFeed, self.watch)
+        server.handle(AskConfirmation, self._confirm)
         server.handle(ShareStatements, self._take_shared)
         server.handle(AskStatements, self._tell_all)
         server.handle(ReportHeard, self._take_heard)
@@ -252,6 +255,9 @@
             state.routes_document if is_newer else None,
         )
 
+    def _confirm(self, _: AskConfirmation) -> Confirmation:
+        return Confirmation(self._is_ready, min(self._node.confirmed_age(), NEVER_CONFIRMED))
+
     def _await_change(self, request: WatchFeed, until: Milliseconds) -> None:
         while not self._has_news(request):
             left = until - self._clock.now()
@@ -331,14 +337,18 @@
                 gevent.spawn(self._sharing.call, peer, AskStatements(""))
                 for peer in self._sharing.peers()
             ]
-            gevent.joinall(answers)
-            # When all have started at once nobody knows more than what is merged now.
-            self._is_ready = all(isinstance(answer.value, AllStatements) for answer in answers)
-            for answer in answers:
+            told = 0
+            for answer in gevent.iwait(answers):
                 if isinstance(answer.value, AllStatements):
+                    told += 1
                     self._take_upstreams(answer.value.upstreams, "told at start", tell=False)
                     self._take_instances(answer.value.instances)
-                    self._is_ready = self._is_ready or answer.value.is_ready
+                    if answer.value.is_ready:
+                        # It knows what the others know; one of them may never answer.
+                        self._is_ready = True
+                        break
+            # When all have started at once nobody knows more than what is merged now.
+            self._is_ready = self._is_ready or told == len(answers)
             if not self._is_ready:
                 gevent.sleep(CATCH_UP_PERIOD / SECOND)
         self._is_ready = True
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -41,8 +41,14 @@
         random: Random,
         counters: Counters,
         events: EventLog,
+        *,
+        useful_until: Milliseconds,
+        is_urgent: bool = True,
     ) -> None:
         self.request = request
+        # From when on a reply is late, and whether no route is more urgent.
+        self.useful_until = useful_until
+        self.is_urgent = is_urgent
         self.dialect = dialect
         self.prepared = dialect.prepare(request)
         self.deadline_at = deadline_at
@@ -114,6 +120,18 @@
         else:
             self._send(self._left(), FIRST)
 
+    def is_congested(self, now: Milliseconds) -> bool:
+        """Whether every upstream that replies has as much work as it does in time."""
+        flowing = [item for item in self._left() if item.is_flowing(now)]
+        is_urgent = self._context.is_urgent
+        return bool(flowing) and not any(
+            item.may_send(now, is_urgent=is_urgent) for item in flowing
+        )
+
+    def note_left_out(self) -> None:
+        """Count that nothing is sent for now, since the part would not come in time."""
+        self._context.counters.add("shards_left_out", reason=RefusedReason.OVERLOADED.value)
+
     def hedge(self) -> None:
         """Send a second attempt beside an unanswered first one, where the budget allows."""
         context = self._context
@@ -144,7 +162,7 @@
         waiting = ", ".join(
             attempt.describe(now) for attempt in self._attempts if not attempt.is_over
         )
-        return f"{self.service}: {waiting or 'abandoned'}"
+        return f"{self.service}: {waiting or ('abandoned' if self._attempts else 'left out')}"
 
     def close(self) -> None:
         """Send nothing more: the request has its outcome. What upstreams work on may finish."""
@@ -228,8 +246,9 @@
     def _send(self, replicas: list[Replica], kind: str) -> None:
         context = self._context
         now = context.clock.now()
-        flowing = [item for item in replicas if item.is_flowing(now)]
-        replica = context.choose(flowing or replicas, context.random, now)
+        flowing = [item for item in replicas if item.is_flowing(now)] or replicas
+        free = [item for item in flowing if item.may_send(now, is_urgent=context.is_urgent)]
+        replica = context.choose(free or flowing, context.random, now)
         attempt = CallAttempt(self, context, replica, kind)
         self._attempts.append(attempt)
         if kind != FIRST:
@@ -298,17 +317,22 @@
         self.replica.note_reply()
         if reply.verdict is Verdict.WRONG_ECHO:
             self._note("wrong_echo", response.status, now)
-            self.replica.note_failure(now)
+            self._note_failure(now)
             self._fail("wrong_echo")
             return False
         elapsed = now - (self.sent_at or now)
+        if self.kind == FIRST and self.sent_at is not None:
+            useful_for = context.useful_until - self.sent_at
+            # One that is full counts as late, however soon it says so.
+            waited = useful_for + elapsed if reply.verdict is Verdict.NOT_RUN else elapsed
+            self.replica.concurrency.note_reply(waited, useful_for, self.replica.pool.load + 1, now)
         if reply.verdict is Verdict.SUCCESS:
             self.replica.note_success(elapsed, now)
             context.latency.update(elapsed)
         elif reply.verdict is Verdict.OTHER_OWNER:
             self.replica.note_unreachable(now)
         elif reply.status >= 500 or reply.verdict is Verdict.NOT_RUN:
-            self.replica.note_failure(now)
+            self._note_failure(now)
         if reply.verdict is not Verdict.SUCCESS:
             self._note(reply.verdict.value, response.status, now)
         if not self.is_over:
@@ -322,7 +346,7 @@
         if reason == CONNECT_REFUSED:
             self.replica.note_unreachable(now)
         elif sent and not self.is_over:
-            self.replica.note_failure(now)
+            self._note_failure(now)
         if not self.is_over:
             self._note(reason, 0, now)
         self._fail(reason)
@@ -332,6 +356,16 @@
             self.is_over = True
             self._call.attempt_failed(self, reason)
 
+    def _note_failure(self, now: Milliseconds) -> None:
+        if self.replica.note_failure(now):
+            self._context.events.note(
+                "upstream_ejected",
+                request=self._context.request.request_id,
+                service=self._call.service,
+                upstream=self.replica.upstream.record.name,
+                for_ms=self.replica.ejected_until - now,
+            )
+
     def _note(self, result: str, status: int, now: Milliseconds) -> None:
         self._context.counters.add("attempts_failed", reason=result)
         self._context.events.note(
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from fulmarhold.forwarding.call import CallContext, CallOwner, ServiceCall
+from fulmarhold.forwarding.patience import partial_answer_at
 from fulmarhold.forwarding.request import (
     Failed,
     ForwardRequest,
@@ -31,12 +32,11 @@
     from fulmarhold.forwarding.dialect import UpstreamDialect
     from fulmarhold.forwarding.upstreams import UpstreamTable
     from fulmarhold.limits.budget import ExtraLoadBound
-    from fulmarhold.observe.counters import Counters, Gauge
+    from fulmarhold.observe.counters import Counters, Histogram
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routes.configuration import Route
     from fulmarhold.routes.table import RouteTable
 
-QUANTILES = (0.5, 0.99, 0.999)
 # Replies slower than this share of all are hedged; the budget bounds what that may cost.
 HEDGE_QUANTILE = 0.93
 FIRST_HEDGE: Milliseconds = 40.0
@@ -69,6 +69,7 @@
         self._started_at = clock.now()
         self._choose = choosers.find("least_expected")
         self._routes: RouteTable | None = None
+        self._most_urgent = 0
         self._is_stopping = False
         # No extra attempts before it is known how many entries share the slack.
         self._slack = 0.0
@@ -84,6 +85,7 @@
     def use(self, routes: RouteTable) -> None:
         """Put a newer configuration in force; requests under way keep theirs."""
         self._routes = routes
+        self._most_urgent = min((item.rank for item in routes.configuration.routes), default=0)
 
     def refuse_all(self) -> None:
         """Refuse what comes from now on: this entry is about to stop."""
@@ -125,12 +127,10 @@
         on_gone(operation.caller_gone)
         return self._finish(request, route, operation.run())
 
-    def gauges(self) -> Iterable[Gauge]:
-        """Yield the quantiles of the time from a request to its outcome, by outcome and reason."""
+    def histograms(self) -> Iterable[Histogram]:
+        """Yield the times from a request to its outcome, by outcome and reason."""
         for (outcome, reason), histogram in self._histograms.items():
-            for quantile in QUANTILES:
-                labels = {"outcome": outcome, "reason": reason, "quantile": f"{quantile}"}
-                yield "request_latency_ms", labels, histogram.quantile(quantile)
+            yield "request_latency_ms", {"outcome": outcome, "reason": reason}, histogram
 
     def _operation(self, request: ForwardRequest, route: Route, deadline_at: float) -> Any:
         latency = self._latencies.setdefault(
@@ -148,6 +148,10 @@
             self._random,
             self._counters,
             self._events,
+            useful_until=partial_answer_at(
+                request.received_at, route.target_latency, request.round_trip, request.is_first
+            ),
+            is_urgent=route.rank <= self._most_urgent,
         )
         if route.shards:
             return ShardQuery(
@@ -185,17 +189,21 @@
         name, reason = _describe(outcome)
         self._counters.add("requests", outcome=name, reason=reason)
         self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
-        if name != "answered":
-            self._events.note(
-                "request",
-                request=request.request_id,
-                route=route.name if route else "",
-                version=self._routes.configuration.version if self._routes else 0,
-                outcome=name,
-                reason=reason,
-                elapsed_ms=elapsed,
-                left_ms=request.deadline_at - self._clock.now(),
-            )
+        # Late answers are asked about too; punctual whole ones are dropped first.
+        is_ordinary = name == "answered" and (route is None or elapsed <= route.target_latency)
+        tell = self._events.note_ordinary if is_ordinary else self._events.note
+        tell(
+            "request",
+            request=request.request_id,
+            route=route.name if route else "",
+            version=self._routes.configuration.version if self._routes else 0,
+            outcome=name,
+            reason=reason,
+            elapsed_ms=elapsed,
+            target_ms=route.target_latency if route else 0.0,
+            left_ms=request.deadline_at - self._clock.now(),
+            round_trip_ms=request.round_trip,
+        )
         return outcome
 
 
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -12,7 +12,6 @@
 from fulmarhold.forwarding.patience import (
     STRAGGLER_SHARE,
     least_parts,
-    partial_answer_at,
     straggler_hedge_delay,
 )
 from fulmarhold.forwarding.records import greatest_records
@@ -50,10 +49,7 @@
         self._hedge_after = hedge_after
         self._retry_after = retry_after
         self._needed = least_parts(route.least_share, len(route.shards))
-        request = context.request
-        self._partial_at = partial_answer_at(
-            request.received_at, route.target_latency, request.round_trip, request.is_first
-        )
+        self._partial_at = context.useful_until
         self._started_at = context.clock.now()
         # When each open call is hedged; found anew once most parts are in.
         self._hedge_at: dict[ServiceCall, Milliseconds] = {}
@@ -61,6 +57,7 @@
         self._is_gone = False
         self._total = self._open = len(route.shards)
         self._straggling_from = max(1, math.ceil(STRAGGLER_SHARE * self._total))
+        self._left_out: list[ServiceCall] = []
         self._calls = [make_call(service, self) for service in route.shards]
 
     @property
@@ -71,8 +68,10 @@
     def run(self) -> Outcome:
         """Scatter, wait as long as patience says and return what there is."""
         self._hedge_at = dict.fromkeys(self._calls, self._started_at + self._hedge_after)
+        self._leave_out_congested()
         for call in self._calls:
-            call.start()
+            if call not in self._left_out:
+                call.start()
         while self._wait_until(min(self._hedge_at.values(), default=self._context.deadline_at)):
             now = self._context.clock.now()
             if now >= self._context.deadline_at:
@@ -82,6 +81,21 @@
                 call.hedge()
         return self._outcome()
 
+    def _leave_out_congested(self) -> None:
+        """Leave out shards that can't reply in time, as many as may be missing."""
+        congested = [call for call in self._calls if call.is_congested(self._started_at)]
+        self._left_out = congested[: self._total - self._needed]
+        self._open -= len(self._left_out)
+        for call in self._left_out:
+            self._hedge_at.pop(call)
+            call.note_left_out()
+
+    def _make_up(self) -> None:
+        """Ask shards that were left out once the others are too few."""
+        while self._left_out and len(self._parts()) + self._open < self._needed:
+            self._open += 1
+            self._left_out.pop(0).start()
+
     def caller_gone(self) -> None:
         """Stop: the caller has closed its connection."""
         self._is_gone = True
@@ -92,6 +106,7 @@
         """Note that a shard has its part, or that none will come."""
         self._open -= 1
         self._hedge_at.pop(call, None)
+        self._make_up()
         if self._total - self._open == self._straggling_from:
             self._hedge_stragglers()
             self._wake.set()
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import Milliseconds
+from fulmarhold.observe.logs import part_log
 from fulmarhold.routing.replica import Replica
 from fulmarhold.upstreams.pool import ConnectionPool
 
@@ -17,6 +18,8 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.routes.configuration import RouteConfiguration
 
+log = part_log("upstreams")
+
 # Connections of one upstream that stay unused, so that entries that come or go do not pass its
 # limit while their shares change.
 CONNECTION_RESERVE = 0.1
@@ -50,6 +53,7 @@
         self._replicas: dict[tuple[str, int], Replica] = {}
         self._by_service: dict[str, list[Replica]] = {}
         self._leaving: list[ConnectionPool] = []
+        self._dark: set[tuple[str, int]] = set()
 
     @property
     def replicas(self) -> Iterable[Replica]:
@@ -86,18 +90,33 @@
             self._replicas[key] = replica
             self._by_service.setdefault(statement.service, []).append(replica)
         for replica in before.values():
+            self._dark.discard(replica.key)
             replica.pool.close_when_idle()
             self._leaving.append(replica.pool)
         self.maintain()
 
     def maintain(self) -> None:
         """Close connections that idle or wait too long; called regularly."""
+        now = self._clock.now()
         for replica in self._replicas.values():
             replica.pool.maintain(LONGEST_EXCHANGE)
+            self._tell_darkness(replica, now)
         self._leaving = [pool for pool in self._leaving if pool.connections]
         for pool in self._leaving:
             pool.maintain(LEAVING_EXCHANGE)
 
+    def _tell_darkness(self, replica: Replica, now: Milliseconds) -> None:
+        is_dark = replica.is_dark(now)
+        if is_dark == (replica.key in self._dark):
+            return
+        record = replica.upstream.record
+        if is_dark:
+            self._dark.add(replica.key)
+            log.info("upstream {} of {} has stopped replying", record.name, record.service)
+        else:
+            self._dark.discard(replica.key)
+            log.info("upstream {} of {} replies again", record.name, record.service)
+
     def close(self) -> None:
         """Close every connection."""
         for pool in [*(replica.pool for replica in self._replicas.values()), *self._leaving]:
--- a/fulmarhold/membership/feed.py
+++ b/fulmarhold/membership/feed.py
@@ -40,6 +40,19 @@
     configuration: bytes | None
 
 
+@message
+class AskConfirmation:
+    """Asks a control instance whether it may be followed."""
+
+
+@message
+class Confirmation:
+    """Tells whether entries are fed, and how long ago a majority stood behind the leader."""
+
+    is_ready: bool
+    confirmed_age: float
+
+
 @message
 class ShareStatements:
     """Passes statements on to another control instance."""
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -9,7 +9,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.membership.feed import FeedReply, WatchFeed
+from fulmarhold.membership.feed import AskConfirmation, Confirmation, FeedReply, WatchFeed
 from fulmarhold.membership.statements import (
     LEFT,
     READY,
@@ -22,6 +22,7 @@
 )
 from fulmarhold.observe.logs import part_log
 from fulmarhold.wire.client import Link
+from fulmarhold.wire.links import Links
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,6 +36,12 @@
 FEED_TIMEOUT: Milliseconds = 900.0
 # A source whose leader was confirmed longer ago may be cut off from newer configurations.
 OLDEST_CONFIRMATION: Milliseconds = 1_200.0
+# A starting entry asks all sources at once, since one that has no power never answers; two trips
+# between data centres and a busy control instance fit.
+ASK_TIMEOUT: Milliseconds = 150.0
+# Between two rounds of that, at first and while no control instance can be followed for long.
+SHORTEST_ROUND: Milliseconds = 30.0
+LONGEST_ROUND: Milliseconds = 250.0
 RETRY_PAUSE: Milliseconds = 60.0
 # A source that failed is not asked again for this long unless all have failed: a restart of one
 # takes half a second, and an election not much longer.
@@ -102,13 +109,14 @@
 
     def run(self) -> None:
         """Follow a source, and another when it is lost or cut off, until killed."""
+        endpoint = self._first_source()
         while True:
-            endpoint = self._choose_source()
             link = Link(endpoint)
             self._endpoint = endpoint
             try:
                 self._follow(link)
                 log.info("leaves the feed of {} for one at home", endpoint)
+                endpoint = self._choose_source()
                 continue
             except FulmarholdError as error:
                 self._counters.add("feed_losses", reason=type(error).__name__)
@@ -117,6 +125,38 @@
                 link.close()
             self._failed[endpoint] = self._clock.now()
             gevent.sleep(RETRY_PAUSE / SECOND)
+            endpoint = self._choose_source() if self._version else self._first_source()
+
+    def _first_source(self) -> str:
+        """Return the first control instance that answers that it may be followed."""
+        links = Links()
+        pause = SHORTEST_ROUND
+        try:
+            while True:
+                sources = dict.fromkeys((*self._seeds(), *self._control_instances()))
+                asked = {
+                    gevent.spawn(self._may_follow, links.to(endpoint)): endpoint
+                    for endpoint in sources
+                }
+                for answered in gevent.iwait(asked):
+                    if answered.value:
+                        return asked[answered]
+                gevent.sleep(pause / SECOND)
+                pause = min(LONGEST_ROUND, 1.2 * pause)
+        finally:
+            links.close()
+
+    def _may_follow(self, link: Link) -> bool:
+        try:
+            reply = link.call(AskConfirmation(), ASK_TIMEOUT)
+        except FulmarholdError as error:
+            self._counters.add("feed_losses", reason=type(error).__name__)
+            return False
+        return (
+            isinstance(reply, Confirmation)
+            and reply.is_ready
+            and reply.confirmed_age <= OLDEST_CONFIRMATION
+        )
 
     def _choose_source(self) -> str:
         """Return a source that has not just failed, preferring the own data centre."""
--- a/fulmarhold/observe/counters.py
+++ b/fulmarhold/observe/counters.py
@@ -7,7 +7,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from fulmarhold.observe.latency import LatencyHistogram
+
 Gauge = tuple[str, dict[str, str], float]
+Histogram = tuple[str, dict[str, str], "LatencyHistogram"]
+# Bounds of the exposed buckets in milliseconds: the targets of today lie between 60 and 800.
+BUCKETS = (2, 5, 10, 20, 40, 60, 80, 100, 150, 200, 300, 500, 800, 1_200, 2_000, 5_000, 15_000)
 PREFIX = "fulmarhold_"
 
 
@@ -23,6 +28,7 @@
     def __init__(self) -> None:
         self._values: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
         self._gauges: list[Callable[[], Iterable[Gauge]]] = []
+        self._histograms: list[Callable[[], Iterable[Histogram]]] = []
 
     def add(self, name: str, amount: float = 1.0, **labels: str) -> None:
         """Add `amount` to the counter of that name and labels, creating it at first use."""
@@ -46,11 +52,16 @@
         """Expose values that are read at the time of the scrape."""
         self._gauges.append(collect)
 
+    def register_histograms(self, collect: Callable[[], Iterable[Histogram]]) -> None:
+        """Expose latency histograms as they are at the time of the scrape."""
+        self._histograms.append(collect)
+
     def collect(self) -> Iterable[Any]:
         """Yield the families of metrics, as the Prometheus client asks for them."""
         from prometheus_client.core import (  # noqa: PLC0415
             CounterMetricFamily,
             GaugeMetricFamily,
+            HistogramMetricFamily,
         )
 
         counters: dict[str, Any] = {}
@@ -70,3 +81,18 @@
                     gauges[name] = GaugeMetricFamily(PREFIX + name, name, labels=list(labels))
                 gauges[name].add_metric(list(labels.values()), value)
             yield from gauges.values()
+        for histogram_source in self._histograms:
+            histograms: dict[str, Any] = {}
+            for name, pairs_by_name, histogram in histogram_source():
+                labels = dict(sorted(pairs_by_name.items()))
+                if name not in histograms:
+                    histograms[name] = HistogramMetricFamily(
+                        PREFIX + name, name, labels=list(labels)
+                    )
+                counts = histogram.counts_up_to(BUCKETS)
+                buckets = [
+                    (str(bound), count) for bound, count in zip(BUCKETS, counts, strict=True)
+                ]
+                buckets.append(("+Inf", histogram.count))
+                histograms[name].add_metric(list(labels.values()), buckets, histogram.total)
+            yield from histograms.values()
--- a/fulmarhold/observe/events.py
+++ b/fulmarhold/observe/events.py
@@ -20,8 +20,10 @@
 
 # About a second of a busy entry's lines.
 LONGEST_BUFFER_LINES = 2_000
-# Lines a second that an entry may write; failures keep a part of it free of ordinary lines.
+# Lines a second that a process may write.
 LINES_PER_SECOND = 400.0
+# Ordinary lines leave this share of the budget to failures and changed beliefs.
+SHARE_FOR_FAILURES = 0.5
 FLUSH_PERIOD: Milliseconds = 20.0
 WRITE_BYTES = 65_536
 STANDARD_OUTPUT = 1
@@ -45,7 +47,14 @@
 
     def note(self, event: str, **fields: Any) -> None:
         """Log one event; durations in its fields are milliseconds and their names end in `_ms`."""
-        if not self._take_token() or len(self._lines) >= LONGEST_BUFFER_LINES:
+        self._note(event, fields, reserve=0.0)
+
+    def note_ordinary(self, event: str, **fields: Any) -> None:
+        """Log an event that is dropped first where there are too many."""
+        self._note(event, fields, reserve=SHARE_FOR_FAILURES * LINES_PER_SECOND)
+
+    def _note(self, event: str, fields: dict[str, Any], reserve: float) -> None:
+        if not self._take_token(reserve) or len(self._lines) >= LONGEST_BUFFER_LINES:
             self._dropped[event] += 1
             self._counters.add("log_lines_dropped", event=event)
             return
@@ -80,12 +89,12 @@
                 return
             self._rest = self._rest[written:]
 
-    def _take_token(self) -> bool:
+    def _take_token(self, reserve: float = 0.0) -> bool:
         now = self._clock.now()
         earned = (now - self._refilled_at) / SECOND * LINES_PER_SECOND
         self._tokens = min(LINES_PER_SECOND, self._tokens + earned)
         self._refilled_at = now
-        if self._tokens < 1:
+        if self._tokens < reserve + 1:
             return False
         self._tokens -= 1
         return True
--- a/fulmarhold/observe/latency.py
+++ b/fulmarhold/observe/latency.py
@@ -7,6 +7,8 @@
 from hdrh.histogram import HdrHistogram
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from fulmarhold.clock import Milliseconds
 
 LOWEST_MICROSECONDS = 10
@@ -29,6 +31,12 @@
         self._histogram = HdrHistogram(
             LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
         )
+        self._total: Milliseconds = 0.0
+
+    @property
+    def total(self) -> Milliseconds:
+        """The sum of all recorded latencies."""
+        return self._total
 
     @property
     def count(self) -> int:
@@ -36,6 +44,7 @@
 
     def record(self, latency: Milliseconds) -> None:
         """Record one latency; values past the range count at its end."""
+        self._total += latency
         microseconds = int(latency * MICROSECONDS_PER_MILLISECOND)
         self._histogram.record_value(
             min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
@@ -49,3 +58,21 @@
     def reset(self) -> None:
         """Forget every recorded value."""
         self._histogram.reset()
+        self._total = 0.0
+
+    def counts_up_to(self, bounds: Sequence[Milliseconds]) -> list[int]:
+        """Return how many latencies were recorded up to each of the rising bounds.
+
+        >>> histogram = LatencyHistogram()
+        >>> for latency in (1.0, 2.0, 40.0):
+        ...     histogram.record(latency)
+        >>> histogram.counts_up_to([1.5, 20.0, 50.0])
+        [1, 2, 3]
+        """
+        counts = [0] * len(bounds)
+        for item in self._histogram.get_recorded_iterator():
+            latency = item.value_iterated_to / MICROSECONDS_PER_MILLISECOND
+            for place, bound in enumerate(bounds):
+                if latency <= bound:
+                    counts[place] += item.count_at_value_iterated_to
+        return counts
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -119,6 +119,7 @@
             directory_application(self._addresses), self._settings.directory_endpoint
         )
         self._counters.register_gauges(self._gauges)
+        self._counters.register_histograms(self.forwarder.histograms)
         self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
 
     def stop(self) -> None:
@@ -223,4 +224,3 @@
         yield "entry_caller_connections", {}, float(self._front.connections)
         yield "entry_upstreams", {}, float(len(replicas))
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
-        yield from self.forwarder.gauges()
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
+from fulmarhold.limits.concurrency import ConcurrencyLimit
 from fulmarhold.observe.estimates import LatencyAverage, fade
 
 if TYPE_CHECKING:
@@ -28,8 +29,10 @@
 # What a failed attempt costs: its own time, that of another attempt, and a part of the budget.
 FAILURE_COST: Milliseconds = 100.0
 # What a replica in another data centre must be faster by: its traffic is dear, and one that was
-# not asked for a while must not look near because its estimate has faded.
+# not asked for a while must not look near because its estimate has faded. The factor holds for
+# long requests, whose latency varies by more than the fixed part.
 OTHER_DATA_CENTRE_COST: Milliseconds = 15.0
+OTHER_DATA_CENTRE_FACTOR = 1.25
 
 
 class UpstreamRecord(Protocol):
@@ -71,10 +74,12 @@
         self.upstream = upstream
         self.pool = pool
         self.latency = LatencyAverage(INITIAL_LATENCY)
+        self.concurrency = ConcurrencyLimit()
         self.ejected_until: Milliseconds = float("-inf")
         self._ejection = ejection
         self._slow_start = slow_start
         self._distance_cost = 0.0 if is_near else OTHER_DATA_CENTRE_COST
+        self._distance_factor = 1.0 if is_near else OTHER_DATA_CENTRE_FACTOR
         self._started_at = now
         self._heard_at = now
         self._failures = 0
@@ -118,14 +123,19 @@
             return now > self._sent_at + PROBE_PERIOD
         return not self.is_stalled(now)
 
+    def may_send(self, now: Milliseconds, *, is_urgent: bool) -> bool:
+        """Whether one more request sent now is likely to be answered in time."""
+        return self.concurrency.may_send(self.pool.load, now, is_urgent=is_urgent)
+
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
         """Return the latency a new request may expect, with queueing, failures and distance."""
         slots = self.upstream.record.slots
         extra = FAILURE_COST * self._faded_failures(now) + self._distance_cost
         if self.pool.load:
-            loaded = self.latency.value * (1 + self.pool.load / slots)
-            return loaded / self._warmth(now) + extra
-        return self._faded(now) / self._warmth(now) + extra
+            usual = self.latency.value * (1 + self.pool.load / slots)
+        else:
+            usual = self._faded(now)
+        return self._distance_factor * usual / self._warmth(now) + extra
 
     def note_sent(self, now: Milliseconds) -> None:
         """Take in that a request was sent."""
--- a/fulmarhold/tests/forwarding/test_scatter.py
+++ b/fulmarhold/tests/forwarding/test_scatter.py
@@ -12,6 +12,7 @@
 
 from fulmarhold.clock import Clock
 from fulmarhold.forwarding.call import CallContext, ServiceCall
+from fulmarhold.forwarding.patience import partial_answer_at
 from fulmarhold.forwarding.request import (
     Failed,
     FailedReason,
@@ -101,6 +102,7 @@
             Random(1),
             self.counters,
             EventLog("test", self.clock, self.counters),
+            useful_until=now + 88.0,
         )
         self.budget = budget or SlackBudget(0.2, 200.0)
         self.budget.earn(1_000)
@@ -111,6 +113,9 @@
 
     def scatter(self, shards, *, target=100.0, share=0.75, top=3):
         names = tuple(shards)
+        self.context.useful_until = partial_answer_at(
+            self.request.received_at, target, 0.0, is_first=False
+        )
         route = Route("r", "h", "/", True, 400.0, target, 1, 2, (), names, top, share)
         return ShardQuery(
             self.context, route, lambda name, owner: self.call(name, shards[name], owner),
@@ -265,3 +270,40 @@
     outcome = fixture.single([ScriptedPool("0", None)]).run()
     assert outcome == Failed(FailedReason.DEADLINE)
     assert elapsed_ms(fixture) < 120.0
+
+
+def congest(replica, now):
+    for moment in range(8):
+        replica.concurrency.note_reply(400.0, 80.0, 1, now + 1_000.0 * moment)
+
+
+def test_a_shard_that_can_not_reply_in_time_is_left_out_at_once():
+    # Load pattern: one upstream is left of a shard, and all queries would wait for it in vain.
+    fixture = Fixture()
+    query = fixture.scatter(shards(4, s2=[ScriptedPool("2-0", 400.0)]))
+    for replica in query.calls[2].replicas:
+        congest(replica, fixture.clock.now())
+    outcome = query.run()
+    assert (len(outcome.signatures), outcome.missing) == (3, 1)
+    assert elapsed_ms(fixture) < 40.0
+    assert fixture.counters.value("shards_left_out", reason="overloaded") == 1
+
+
+def test_no_more_shards_are_left_out_than_may_be_missing():
+    fixture = Fixture()
+    query = fixture.scatter(shards(4))
+    for call in query.calls[1:]:
+        for replica in call.replicas:
+            congest(replica, fixture.clock.now())
+    outcome = query.run()
+    assert (len(outcome.signatures), outcome.missing) == (3, 1)
+
+
+def test_a_shard_that_was_left_out_is_asked_when_another_fails():
+    fixture = Fixture(attempts=1)
+    query = fixture.scatter(shards(4, s1=[ScriptedPool("1-0", verdict="lost")]))
+    for replica in query.calls[2].replicas:
+        congest(replica, fixture.clock.now())
+    outcome = query.run()
+    assert (len(outcome.signatures), outcome.missing) == (3, 1)
+    assert query.calls[2].reply is not None
--- a/fulmarhold/tests/membership/test_watcher.py
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -10,7 +12,7 @@
 from fulmarhold.clock import ManualClock
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.membership import watcher as watching
-from fulmarhold.membership.feed import FeedReply
+from fulmarhold.membership.feed import AskConfirmation, Confirmation, FeedReply
 from fulmarhold.membership.statements import READY, STARTING, InstanceStatement
 from fulmarhold.membership.watcher import FAILURE_REMEMBERED, FleetWatcher
 from fulmarhold.observe.counters import Counters
@@ -29,7 +31,8 @@
 
     def __init__(self, clock):
         self.clock, self.asked, self.down, self.ages = clock, [], set(), {}
-        self.steps = deque()
+        self.silent = set()
+        self.steps: deque = deque()
 
     def link(self, endpoint):
         fleet = self
@@ -39,6 +42,13 @@
                 self.endpoint = endpoint
 
             def call(self, request, timeout):
+                age = fleet.ages.get(endpoint, LEADING)
+                if isinstance(request, AskConfirmation):
+                    if endpoint in fleet.silent:
+                        gevent.sleep(timeout / 1_000)
+                    if endpoint in fleet.silent | fleet.down:
+                        raise PeerUnavailable("no reply", step="asking", peer=endpoint)
+                    return Confirmation(True, age)
                 fleet.asked.append(endpoint)
                 fleet.clock.advance(400.0)
                 if not fleet.steps:
@@ -46,7 +56,6 @@
                 fleet.steps.popleft()()
                 if endpoint in fleet.down:
                     raise PeerUnavailable("down", step="WatchFeed", peer=endpoint)
-                age = fleet.ages.get(endpoint, LEADING)
                 return FeedReply("s", False, age, 1, 1, (), CONTROL, 0, None)
 
             def close(self):
@@ -59,6 +68,7 @@
 def fleet(monkeypatch):
     made = Fleet(ManualClock())
     monkeypatch.setattr(watching, "Link", made.link)
+    monkeypatch.setattr(watching, "Links", lambda: SimpleNamespace(to=made.link, close=nothing))
     monkeypatch.setattr(watching, "RETRY_PAUSE", 0.0)
     return made
 
@@ -95,3 +105,10 @@
     fleet.ages["near:1"] = UNCONFIRMED
     asked = follow(fleet, [nothing] * 8)
     assert asked.count("near:1") <= 2 and asked[-1] != "near:1"
+
+
+def test_a_starting_entry_does_not_wait_for_a_source_that_never_answers(fleet):
+    fleet.silent.add("far:1")
+    started = time.monotonic()
+    assert follow(fleet, [nothing])[0] == "farther:1"
+    assert time.monotonic() - started < 0.1
--- a/fulmarhold/wire/links.py
+++ b/fulmarhold/wire/links.py
@@ -17,3 +17,8 @@
         if link is None:
             link = self._links[endpoint] = Link(endpoint)
         return link
+
+    def close(self) -> None:
+        """Close every link; calls that wait fail."""
+        for link in self._links.values():
+            link.close()
