Let one of several voters that have all restarted go on, instead of splitting the votes

Ruled out: messages that the lost identities do not answer (they did), differing terms and logs (they were equal); on a local fleet with staggered starts the same case elected in 0.1 s.

Change: who grants a voter with a lower identity gives up its own question; the wait after a grant is random.

The soak starts processes again that end by themselves, as the platform does, and calls that broken unless a fault of that process explains it.

--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -293,8 +293,10 @@
         up_to_date = self._is_up_to_date(message)
         granted = self._has_restarted(now) and up_to_date and message.term > self.term
         if granted:
-            # Two that ask at the same time would split the votes.
-            self._restart_vote_at = now + 2 * RESTART_VOTE_SPREAD
+            self._restart_vote_at = now + self._random.uniform(2.0, 4.0) * RESTART_VOTE_SPREAD
+            if message.sender < self.identity:
+                # Of several that ask at the same time one goes on, or they would split the votes.
+                self._restarted_votes.clear()
         self._send(
             VoteReply(
                 self.cluster,
@@ -309,7 +311,8 @@
 
     def _count_restarted(self, message: VoteReply, now: Milliseconds) -> None:
         is_current = message.granted and message.term == self.term + 1
-        if not is_current or not self._has_restarted(now):
+        has_given_way = self.identity not in self._restarted_votes
+        if not is_current or has_given_way or not self._has_restarted(now):
             return
         self._restarted_votes.add(message.sender)
         if self._restarted_votes >= set(self.members.voters):
--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -109,8 +109,6 @@
                 instance.refuse_writes(is_full=True)
                 _sleep(_between(world, 500.0, 2_000.0))
                 instance.refuse_writes(is_full=False)
-                if not instance.is_running:
-                    instance.start()
 
 
 @faults.register("kill_all")
--- a/fulmarhold/soak/processes.py
+++ b/fulmarhold/soak/processes.py
@@ -42,6 +42,8 @@
         self.folder = folder / self.name
         # Counts the lives of the process: what one life has seen binds that life alone.
         self.life = 0
+        # Whether it is meant to run; one that ends all the same has ended by itself.
+        self.is_wanted = False
         self._seeds = seeds
         self._heartbeat_period = heartbeat_period
         self._process: subprocess.Popen[bytes] | None = None
@@ -64,6 +66,7 @@
         self.data_folder.mkdir(parents=True, exist_ok=True)
         self.write_settings(is_first=is_first)
         self.life += 1
+        self.is_wanted = True
         with (self.folder / "log").open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "fulmarhold.platform", self.role],
@@ -92,6 +95,8 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to this process alone, if it still runs."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self.is_wanted = False
         if self._process is not None and self.is_running:
             self._process.send_signal(number)
 
--- a/fulmarhold/soak/world.py
+++ b/fulmarhold/soak/world.py
@@ -32,6 +32,9 @@
 FIRST_NETWORK, NETWORKS = 60, 190
 START_PATIENCE: Milliseconds = 30_000.0
 LOOK: Milliseconds = 100.0
+RESTART_DELAY: Milliseconds = 300.0
+# A process may end by itself after a fault of its own, such as a full disk, for this long.
+EXPLAINED: Milliseconds = 3_000.0
 
 
 @dataclass(frozen=True)
@@ -120,6 +123,7 @@
         self._greenlets = [gevent.spawn(caller.run) for caller in callers]
         self._greenlets.append(gevent.spawn(self.operator.run))
         self._greenlets += [gevent.spawn(self._probe, entry) for entry in self.entries]
+        self._greenlets.append(gevent.spawn(self._supervise))
 
     def await_whole(self, patience: Milliseconds) -> None:
         """Wait until every entry answers whole and every control instance names the newest version.
@@ -196,6 +200,23 @@
             return f"status {answer.status}"
         return f"{answer.missing} parts missing" if answer.missing else ""
 
+    def _supervise(self) -> None:
+        """Start processes again that end by themselves, as the platform does."""
+        while True:
+            gevent.sleep(LOOK / SECOND)
+            for instance in (*self.control, *self.entries):
+                if not instance.is_wanted or instance.is_running:
+                    continue
+                now = self.clock.now()
+                if self.seen.was_calm(now - EXPLAINED, now, (instance.name,), plans_count=False):
+                    self.seen.broken.append(
+                        f"{instance.name} ended by itself with {instance.exit_code}"
+                    )
+                with self.seen.disturbing("ended by itself", instance.name):
+                    gevent.sleep(RESTART_DELAY / SECOND)
+                    if instance.is_wanted:
+                        instance.start()
+
     def _probe(self, entry: Instance) -> None:
         """Ask an entry directly for the newest versions' own routes, over and over."""
         while True:
--- a/fulmarhold/tests/consensus/test_restart_votes.py
+++ b/fulmarhold/tests/consensus/test_restart_votes.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fulmarhold.consensus import core as core_module
 from fulmarhold.consensus.core import RESTART_VOTE_SPREAD, SHORTEST_ELECTION_TIMEOUT, Core
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
@@ -102,3 +103,32 @@
     assert (core.term, core.take_output().messages) == (1, [])
     core.receive(VoteReply("c", "c", "a", 2, True, True, True), now)
     assert core.term == 2
+
+
+FIVE = ("a", "b", "c", "d", "e")
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_voters_that_ask_at_the_same_moment_do_not_split_the_votes(seed, monkeypatch):
+    """Load pattern: all lose power, two of five their disks; the other three must agree."""
+    members = pack_members(Members({name: name for name in FIVE}, {}))
+    first = LogEntry(1, 1, KIND_MEMBERS, members)
+    monkeypatch.setattr(core_module, "RESTART_VOTE_SPREAD", 0.0)
+    cores = {name: restarted(name, seed * 3 + n, (first,)) for n, name in enumerate(NAMES)}
+    monkeypatch.undo()
+    now = STARTED_AT
+    while now < STARTED_AT + RESTART_VOTE_SPREAD:
+        now += 5.0
+        for core in cores.values():
+            core.tick(now)
+        # Everything that was sent in one step crosses on its way.
+        sent = [item for core in cores.values() for item in core.take_output().messages]
+        for message in sent:
+            if message.recipient in cores:
+                cores[message.recipient].receive(message, now)
+            elif isinstance(message, VoteRequest) and message.restarted:
+                granted = VoteReply(
+                    "c", message.recipient, message.sender, message.term, True, True, True
+                )
+                cores[message.sender].receive(granted, now)
+    assert sum(core.is_leader for core in cores.values()) == 1
