Name the sources of a feed in one place; write the fleet test's settings with the adapter's writer

Read as a newcomer: the list of control instances stood twice, a growth factor had no name, and the fleet test wrote the platform's settings a second time. No change of behaviour; the fleet and watcher tests passed.

--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -42,6 +42,7 @@
 # Between two rounds of that, at first and while no control instance can be followed for long.
 SHORTEST_ROUND: Milliseconds = 30.0
 LONGEST_ROUND: Milliseconds = 250.0
+ROUND_GROWTH = 1.2
 RETRY_PAUSE: Milliseconds = 60.0
 # A source that failed is not asked again for this long unless all have failed: a restart of one
 # takes half a second, and an election not much longer.
@@ -133,16 +134,15 @@
         pause = SHORTEST_ROUND
         try:
             while True:
-                sources = dict.fromkeys((*self._seeds(), *self._control_instances()))
                 asked = {
                     gevent.spawn(self._may_follow, links.to(endpoint)): endpoint
-                    for endpoint in sources
+                    for endpoint in self._sources()
                 }
                 for answered in gevent.iwait(asked):
                     if answered.value:
                         return asked[answered]
                 gevent.sleep(pause / SECOND)
-                pause = min(LONGEST_ROUND, 1.2 * pause)
+                pause = min(LONGEST_ROUND, ROUND_GROWTH * pause)
         finally:
             links.close()
 
@@ -160,7 +160,6 @@
 
     def _choose_source(self) -> str:
         """Return a source that has not just failed, preferring the own data centre."""
-        sources = dict.fromkeys((*self._seeds(), *self._control_instances()))
         at_home = self._sources_at_home()
         earliest = self._clock.now() - FAILURE_REMEMBERED
         never = float("-inf")
@@ -170,7 +169,10 @@
             has_failed = failed_at > earliest
             return has_failed, not has_failed and endpoint not in at_home, failed_at
 
-        return min(sources, key=order)
+        return min(self._sources(), key=order)
+
+    def _sources(self) -> list[str]:
+        return list(dict.fromkeys((*self._seeds(), *self._control_instances())))
 
     def _control_instances(self) -> dict[str, InstanceStatement]:
         return {
--- a/fulmarhold/tests/platform/test_fleet.py
+++ b/fulmarhold/tests/platform/test_fleet.py
@@ -21,13 +21,18 @@
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.observe.counters import Counters
+from fulmarhold.platform.writing import (
+    CALLER_PORT,
+    CONTROL_PORT,
+    DIRECTORY_PORT,
+    write_settings,
+)
 from fulmarhold.web.client import request_json
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 PATIENCE_SECONDS = 20.0
-CONTROL_PORT, CALLER_PORT, READY_PORT, DIRECTORY_PORT = 8224, 8226, 8227, 8225
 CONTROL = ("127.0.31.1", "127.0.31.2", "127.0.31.3")
 ENTRIES = ("127.0.32.1", "127.0.32.2")
 UPSTREAM_PORT = 8300
@@ -98,32 +103,12 @@
         role = "control" if address in CONTROL else "entry"
         folder = self._folder / address
         folder.mkdir(exist_ok=True)
-        bound = (
-            {"control": f"{address}:{CONTROL_PORT}"}
-            if role == "control"
-            else {
-                "front": f"{address}:{CALLER_PORT}",
-                "readinessAddress": f"{address}:{READY_PORT}",
-                "directory": f"{address}:{DIRECTORY_PORT}",
-            }
-        )
         settings = folder / "settings.json"
-        settings.write_text(
-            json.dumps(
-                {
-                    "nodeName": f"{role}-{address}",
-                    "ip": address,
-                    "zone": "a",
-                    "bindAddresses": bound,
-                    "internalPortRange": [7740, 7755],
-                    "seeds": [f"{seed}:{CONTROL_PORT}" for seed in CONTROL],
-                    "bootstrap": first,
-                    "dataDir": str(folder),
-                    "heartbeatMs": 1200,
-                    "faultTolerance": {"machines": 1},
-                }
-            )
-        )
+        document = write_settings(
+            f"{role}-{address}", role, address, "a", CONTROL, str(folder), 1_200.0,
+            is_first_start=first,
+        )  # fmt: skip
+        settings.write_text(json.dumps(document))
         with (folder / "log").open("ab") as log:
             self._processes[address] = subprocess.Popen(
                 [sys.executable, "-m", "fulmarhold.platform", role],
