Do not ask a silent leader of control again because others still name it

Cause: a call to control waits up to 700 ms for a leader that hangs. The next instance still names that leader until its election timeout (450 to 900 ms) is over, so the call went back and waited 700 ms again: 1.43 s and more, of the 1.5 s that a claim may take. Ruled out: a longer claim timeout, which would hide the second wait; avoiding endpoints whose connection failed, since a reset says nothing of the leader. Change: an endpoint that did not reply in time is passed over for two of the longest election timeouts less that wait, unless nobody else is left. The client uses the shared set of links instead of one of its own. Before and after: tests/control/test_client.py plays elections at 450, 701, 900 and 1,200 ms on a fake clock. Conclusion: one change of leader fits into a claim's time.

--- a/fulmarhold/control/client.py
+++ b/fulmarhold/control/client.py
@@ -7,9 +7,11 @@
 import gevent
 
 from fulmarhold.clock import SECOND
+from fulmarhold.consensus.core import LONGEST_ELECTION_TIMEOUT
 from fulmarhold.control.messages import NotLeading
-from fulmarhold.errors import PeerUnavailable
-from fulmarhold.wire.client import CallFailed, Link
+from fulmarhold.errors import PeerUnavailable, ReplyTimeout
+from fulmarhold.wire.client import CallFailed
+from fulmarhold.wire.links import Links
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -19,6 +21,9 @@
 
 CALL_TIMEOUT: Milliseconds = 700.0
 RETRY_PAUSE: Milliseconds = 30.0
+# A leader that hangs has been replaced by then: two of the longest election timeouts, less what
+# the call waited for it. Until then the others may still name it.
+SILENT_LEADER_AVOIDED: Milliseconds = 2 * LONGEST_ELECTION_TIMEOUT - CALL_TIMEOUT
 
 
 class ControlClient:
@@ -28,8 +33,9 @@
         self._endpoints = list(endpoints)
         self._clock = clock
         self._counters = counters
-        self._links = {endpoint: Link(endpoint) for endpoint in endpoints}
+        self._links = Links()
         self._leader = self._endpoints[0]
+        self._avoided_until: dict[str, Milliseconds] = {}
 
     def call(self, request: Any, timeout: Milliseconds) -> Any:
         """Return the leader's reply; raises `PeerUnavailable` when none came in `timeout` ms."""
@@ -38,9 +44,11 @@
         while (left := until - self._clock.now()) > 0:
             endpoint = self._leader
             try:
-                reply = self._link(endpoint).call(request, min(left, CALL_TIMEOUT))
+                reply = self._links.to(endpoint).call(request, min(left, CALL_TIMEOUT))
             except (PeerUnavailable, CallFailed) as error:
                 problem = error
+                if isinstance(error, ReplyTimeout):
+                    self._avoided_until[endpoint] = self._clock.now() + SILENT_LEADER_AVOIDED
                 self._counters.add("control_call_retries", reason=_retry_reason(error))
                 self._turn_to(None, endpoint)
             else:
@@ -57,22 +65,23 @@
 
     def close(self) -> None:
         """Close every connection."""
-        for link in self._links.values():
-            link.close()
-
-    def _link(self, endpoint: str) -> Link:
-        if endpoint not in self._links:
-            self._links[endpoint] = Link(endpoint)
-        return self._links[endpoint]
+        self._links.close()
 
     def _turn_to(self, leader: str | None, tried: str) -> None:
         if self._leader != tried:
             return
-        if leader is not None and leader != tried:
+        if leader is not None and leader != tried and not self._is_avoided(leader):
             self._leader = leader
         else:
-            position = self._endpoints.index(tried) if tried in self._endpoints else -1
-            self._leader = self._endpoints[(position + 1) % len(self._endpoints)]
+            self._leader = self._next_after(tried)
+
+    def _next_after(self, tried: str) -> str:
+        position = self._endpoints.index(tried) + 1 if tried in self._endpoints else 0
+        others = self._endpoints[position:] + self._endpoints[:position]
+        return next((item for item in others if not self._is_avoided(item)), others[0])
+
+    def _is_avoided(self, endpoint: str) -> bool:
+        return self._clock.now() < self._avoided_until.get(endpoint, float("-inf"))
 
 
 def _retry_reason(error: Exception) -> str:
--- a/fulmarhold/errors.py
+++ b/fulmarhold/errors.py
@@ -25,5 +25,9 @@
     """The peer refused the connection, closed it or did not reply in time."""
 
 
+class ReplyTimeout(PeerUnavailable):
+    """The peer took the request, as far as is known, and did not reply in time."""
+
+
 class MalformedInput(FulmarholdError):
     """Input from outside does not have the shape that its interface requires."""
--- /dev/null
+++ b/fulmarhold/tests/control/test_client.py
@@ -0,0 +1,79 @@
+"""A caller of control while its leader hangs and the others have not noticed yet."""
+
+from __future__ import annotations
+
+import pytest
+
+from fulmarhold.clock import ManualClock
+from fulmarhold.consensus.core import LONGEST_ELECTION_TIMEOUT
+from fulmarhold.control import client
+from fulmarhold.control.client import ControlClient
+from fulmarhold.control.messages import ClaimGranted, ClaimKey, NotLeading
+from fulmarhold.errors import PeerUnavailable, ReplyTimeout
+from fulmarhold.observe.counters import Counters
+from fulmarhold.questionnaire.derive import SHORTEST_CLAIM_TIMEOUT_MS
+
+OLD, FOLLOWER, NEW = ENDPOINTS = ("old:1", "follower:1", "new:1")
+CLAIM = ClaimKey("key", "digest", "attempt", "entry", 0.0)
+REPLY_AFTER = 1.0
+
+
+class Members:
+    """Three control instances; the old leader hangs, the others name it until the election."""
+
+    def __init__(self, clock, elected_at):
+        self.clock = clock
+        self.elected_at = elected_at
+        self.hangs = True
+        self.called = []
+
+    def to(self, endpoint):
+        return Member(self, endpoint)
+
+
+class Member:
+    def __init__(self, members, endpoint):
+        self._members = members
+        self._endpoint = endpoint
+
+    def call(self, _, timeout):
+        members = self._members
+        members.called.append(self._endpoint)
+        if self._endpoint == OLD and members.hangs:
+            members.clock.advance(timeout)
+            raise ReplyTimeout("no reply in time")
+        members.clock.advance(REPLY_AFTER)
+        leader = NEW if members.clock.now() >= members.elected_at else OLD
+        return ClaimGranted() if self._endpoint == leader else NotLeading(leader)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = ManualClock()
+    monkeypatch.setattr(client.gevent, "sleep", lambda seconds: clock.advance(1_000 * seconds))
+    return clock
+
+
+def called(monkeypatch, clock, members):
+    monkeypatch.setattr(client, "Links", lambda: members)
+    return ControlClient(ENDPOINTS, clock, Counters())
+
+
+@pytest.mark.parametrize("elected_at", [450.0, 701.0, 900.0, 1_200.0])
+def test_a_hanging_leader_is_not_asked_again_because_others_still_name_it(
+    monkeypatch, clock, elected_at
+):
+    members = Members(clock, elected_at)
+    control = called(monkeypatch, clock, members)
+    assert control.call(CLAIM, SHORTEST_CLAIM_TIMEOUT_MS) == ClaimGranted()
+    assert members.called.count(OLD) == 1
+    assert clock.now() < max(client.CALL_TIMEOUT, elected_at) + 4 * client.RETRY_PAUSE
+
+
+def test_a_leader_that_hung_briefly_is_asked_again_when_no_other_was_elected(monkeypatch, clock):
+    members = Members(clock, elected_at=float("inf"))
+    control = called(monkeypatch, clock, members)
+    with pytest.raises(PeerUnavailable):
+        control.call(CLAIM, LONGEST_ELECTION_TIMEOUT)
+    members.hangs = False
+    assert control.call(CLAIM, client.SILENT_LEADER_AVOIDED + SHORTEST_CLAIM_TIMEOUT_MS)
--- a/fulmarhold/wire/client.py
+++ b/fulmarhold/wire/client.py
@@ -11,7 +11,7 @@
 from gevent.lock import RLock
 
 from fulmarhold.clock import SECOND
-from fulmarhold.errors import FulmarholdError, MalformedInput, PeerUnavailable
+from fulmarhold.errors import FulmarholdError, MalformedInput, PeerUnavailable, ReplyTimeout
 from fulmarhold.wire.frames import ONE_WAY, FrameDecoder, encode_frame
 from fulmarhold.wire.messages import Failure
 from fulmarhold.wire.server import READ_BYTES
@@ -45,15 +45,15 @@
     def call(self, request: Any, timeout: Milliseconds) -> Any:
         """Send a request and return its reply.
 
-        Raises `PeerUnavailable` without a reply in `timeout` milliseconds, and `CallFailed` when
-        the peer replied with a failure.
+        Raises `PeerUnavailable` when the connection failed, its kind `ReplyTimeout` without a
+        reply in `timeout` milliseconds, and `CallFailed` when the peer replied with a failure.
         """
         step = type(request).__name__
         request_id = next(self._ids)
         result: AsyncResult = AsyncResult()
         self._waiting[request_id] = result
         try:
-            with gevent.Timeout(timeout / SECOND, PeerUnavailable("no reply in time", step=step)):
+            with gevent.Timeout(timeout / SECOND, ReplyTimeout("no reply in time", step=step)):
                 self._write(encode_frame(request_id, request), step)
                 reply = result.get()
         except PeerUnavailable as error:
