Keep leaders and claims through a disk that stalls

Beside a probe that syncs 100 bytes again and again, the failures came when syncs took 0.2 to 0.8 s (16:01:36 to 16:01:45, three fleets at once) and control changed its leader two to four times: a leader sends no heartbeat while its disk syncs, so its followers elect another.

Change: a leader sends heartbeats without entries while its disk syncs, for 2.5 s at most. A claim may take 3 s, two changes of leader, within its request's deadline; once no leader has answered for that long, claims are refused at once. The log tells when a member no longer leads.

--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -435,6 +435,18 @@
             if identity != self.identity:
                 self._replicate_to(identity, now)
 
+    def heartbeats(self, now: Milliseconds) -> list[AppendRequest]:
+        """Return requests without entries that rest on nothing this leader still has to sync."""
+        requests = []
+        for identity in self.members.everyone if self.is_leader else ():
+            if identity == self.identity:
+                continue
+            index = self._followers.match_index(identity)
+            term = self.log.term_at(index)
+            if term is not None:
+                requests.append(self._append_request(identity, index, term, (), now))
+        return requests
+
     def _replicate_to(self, identity: str, now: Milliseconds) -> None:
         follower = self._followers.follower(identity)
         if follower.next_index < self.log.first_index:
@@ -443,18 +455,27 @@
         previous = follower.next_index - 1
         entries = self.log.batch(follower.next_index, ENTRIES_PER_REQUEST, BYTES_PER_REQUEST)
         follower.next_index += len(entries)
-        self._send(
-            AppendRequest(
-                self.cluster,
-                self.identity,
-                identity,
-                self.term,
-                previous,
-                self.log.term_at(previous) or 0,
-                entries,
-                self.commit_index,
-                now,
-            )
+        term = self.log.term_at(previous) or 0
+        self._send(self._append_request(identity, previous, term, entries, now))
+
+    def _append_request(
+        self,
+        identity: str,
+        previous: int,
+        previous_term: int,
+        entries: tuple[LogEntry, ...],
+        now: Milliseconds,
+    ) -> AppendRequest:
+        return AppendRequest(
+            self.cluster,
+            self.identity,
+            identity,
+            self.term,
+            previous,
+            previous_term,
+            entries,
+            self.commit_index,
+            now,
         )
 
     def _send_snapshot(self, identity: str, follower: Follower, now: Milliseconds) -> None:
--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -11,7 +11,7 @@
 from gevent.queue import Empty, Queue
 
 from fulmarhold.clock import SECOND
-from fulmarhold.consensus.core import Core, NotLeader
+from fulmarhold.consensus.core import HEARTBEAT_PERIOD, Core, NotLeader
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
     KIND_COMMAND,
@@ -31,7 +31,7 @@
 from fulmarhold.wire.messages import from_values
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.consensus.transport import Transport
@@ -41,6 +41,9 @@
 TICK_PERIOD: Milliseconds = 40.0
 FIRST_TERM = 1
 HANDOVER_PATIENCE: Milliseconds = 2_000.0
+# A leader whose disk takes longer stops its heartbeats, so that another one is elected: several
+# times the slowest sync seen on a disk that others keep busy (0.8 s).
+LONGEST_SYNC: Milliseconds = 2_500.0
 
 
 class Machine(Protocol):
@@ -291,13 +294,8 @@
         core.tick(self._clock.now())
         output = core.take_output()
         if output.writes or output.installed:
-            self._sync(output, core.log)
-        for message in output.messages:
-            endpoint = core.members.everyone.get(
-                message.recipient, self._sender_endpoints.get(message.recipient)
-            )
-            if endpoint is not None:
-                self._transport.send(endpoint, message)
+            self._sync(output, core)
+        self._send(core, output.messages)
         if output.installed is not None:
             self._machine.restore(output.installed.state)
             self._applied = output.installed.index
@@ -306,15 +304,31 @@
         if output.committed or output.installed is not None:
             self.on_applied()
         if was_leader and (not core.is_leader or core.term != term):
+            log.info("no longer leads in term {}; follows {}", term, core.leader or "nobody")
             self._fail_proposals()
         if core.is_leader and not was_leader:
             log.info("leads in term {}", core.term)
         self._compact_if_due(core)
         self._stepped.set()
 
-    def _sync(self, output: Output, memory: MemoryLog) -> None:
-        pool = gevent.get_hub().threadpool
-        pool.apply(self._storage.write, (output, memory))
+    def _send(self, core: Core, messages: Iterable[PeerMessage]) -> None:
+        for message in messages:
+            endpoint = core.members.everyone.get(
+                message.recipient, self._sender_endpoints.get(message.recipient)
+            )
+            if endpoint is not None:
+                self._transport.send(endpoint, message)
+
+    def _sync(self, output: Output, core: Core) -> None:
+        """Sync the writes; a leader whose disk is slow is not replaced for that alone."""
+        write = gevent.get_hub().threadpool.spawn(self._storage.write, output, core.log)
+        until = self._clock.now() + LONGEST_SYNC
+        while self._clock.now() < until:
+            write.wait(HEARTBEAT_PERIOD / SECOND)
+            if write.ready():
+                break
+            self._send(core, core.heartbeats(self._clock.now()))
+        write.get()
 
     def _apply(self, entry: LogEntry) -> None:
         result = None
--- a/fulmarhold/consensus/storage.py
+++ b/fulmarhold/consensus/storage.py
@@ -57,7 +57,8 @@
         self._sync = sync
         self._hard_state = HardState()
         self._log_file: Any = None
-        self._log_bytes = 0
+        # Appended since the newest snapshot; the log also keeps what the one before needs.
+        self._appended_bytes = 0
         self._snapshot_bytes = 0
         self._lock = self._take_lock()
         self.identity = self._load_identity()
@@ -65,7 +66,8 @@
     @property
     def is_compaction_due(self) -> bool:
         """Whether the log has outgrown the snapshot enough to pay for a new one."""
-        return self._log_bytes > max(LEAST_LOG_BYTES, LOG_TO_SNAPSHOT_RATIO * self._snapshot_bytes)
+        least = max(LEAST_LOG_BYTES, LOG_TO_SNAPSHOT_RATIO * self._snapshot_bytes)
+        return self._appended_bytes > least
 
     def join_cluster(self, cluster: str) -> None:
         """Record the cluster that this member belongs to from now on."""
@@ -82,8 +84,9 @@
             with path.open("r+b") as file:
                 file.truncate(records.length)
                 self._sync(file.fileno())
-        self._log_bytes = records.length
         hard_state, memory = self._replay(path, records.values)
+        later = memory.slice(memory.snapshot.index + 1, memory.last_index)
+        self._appended_bytes = sum(len(_entry_record(entry)) for entry in later)
         self._log_file = path.open("ab")
         self._sync_folder()
         return hard_state, memory
@@ -196,7 +199,7 @@
         self._log_file.write(data)
         self._log_file.flush()
         self._sync(self._log_file.fileno())
-        self._log_bytes += len(data)
+        self._appended_bytes += len(data)
 
     def _rewrite(self, hard_state: HardState, memory: MemoryLog) -> None:
         """Replace the log by one that begins where `memory` begins."""
@@ -207,13 +210,13 @@
         self._replace(LOG_FILE, data)
         self._log_file.close()
         self._log_file = (self._folder / LOG_FILE).open("ab")
-        self._log_bytes = len(data)
 
     def _save_snapshot(self, snapshot: Snapshot) -> None:
         members = [snapshot.members.voters, snapshot.members.learners]
         record = encode_record([snapshot.index, snapshot.term, members, snapshot.state])
         self._replace(_snapshot_name(snapshot.index), record)
         self._snapshot_bytes = len(snapshot.state)
+        self._appended_bytes = 0
         for path in sorted(self._snapshot_paths())[:-SNAPSHOTS_KEPT]:
             path.unlink()
 
--- a/fulmarhold/control/client.py
+++ b/fulmarhold/control/client.py
@@ -36,10 +36,18 @@
         self._links = Links()
         self._leader = self._endpoints[0]
         self._avoided_until: dict[str, Milliseconds] = {}
+        self._unanswered_since: Milliseconds | None = None
+
+    @property
+    def unanswered_for(self) -> Milliseconds:
+        """How long ago the first of the calls began that no leader has answered, 0 if one did."""
+        since = self._unanswered_since
+        return self._clock.now() - since if since is not None else 0.0
 
     def call(self, request: Any, timeout: Milliseconds) -> Any:
         """Return the leader's reply; raises `PeerUnavailable` when none came in `timeout` ms."""
-        until = self._clock.now() + timeout
+        asked_at = self._clock.now()
+        until = asked_at + timeout
         problem: Exception | None = None
         while (left := until - self._clock.now()) > 0:
             endpoint = self._leader
@@ -53,9 +61,12 @@
                 self._turn_to(None, endpoint)
             else:
                 if not isinstance(reply, NotLeading):
+                    self._unanswered_since = None
                     return reply
                 self._counters.add("control_call_retries", reason="not_leading")
                 self._turn_to(reply.leader, endpoint)
+            if self._unanswered_since is None:
+                self._unanswered_since = asked_at
             gevent.sleep(RETRY_PAUSE / SECOND)
         raise PeerUnavailable(
             f"control did not answer in time: {problem or 'no leader'}",
--- a/fulmarhold/effects/dispatch.py
+++ b/fulmarhold/effects/dispatch.py
@@ -126,6 +126,12 @@
         claim_timeout: Milliseconds,
     ) -> ClaimHeld | None:
         """Claim the key; returns the earlier attempt that holds it, or `None` if it is ours."""
+        unanswered = self._control.unanswered_for
+        if unanswered > claim_timeout:
+            # The syncs with control find out when it answers again.
+            raise Refused(
+                NotRunReason.CLAIM_UNAVAILABLE, f"no leader has answered for {unanswered:.0f} ms"
+            )
         left = deadline_at - RESERVED_FOR_DISPATCH - self._clock.now()
         request = ClaimKey(key, digest, attempt_id, self._name, 0.0)
         try:
--- a/fulmarhold/questionnaire/derive.py
+++ b/fulmarhold/questionnaire/derive.py
@@ -19,7 +19,7 @@
 ANNOUNCEMENT_PART = 0.6
 EXTRA_LOAD_SHARE = 0.05
 ROUND_TRIPS_PER_CLAIM = 2
-SHORTEST_CLAIM_TIMEOUT_MS = 1_500.0
+SHORTEST_CLAIM_TIMEOUT_MS = 3_000.0
 QUEUE_DEPTH_PER_SLOT = 2
 
 
@@ -93,7 +93,11 @@
 
 @_timing("claim_timeout_ms", "distances.between_data_centres_ms")
 def _claim_timeout(questionnaire: Questionnaire) -> float:
-    """Two round trips between data centres and a sync, with room for one change of leader."""
+    """Two round trips between data centres and a sync, with room for two changes of leader.
+
+    Each takes a call that waits 700 ms for a leader that hangs, and the rest of an election timeout
+    of 900 ms; the second is for a vote that split, or a disk that stalls again.
+    """
     round_trip = 2 * questionnaire.distances.between_data_centres_ms
     return max(SHORTEST_CLAIM_TIMEOUT_MS, 20 * ROUND_TRIPS_PER_CLAIM * round_trip)
 
--- a/fulmarhold/tests/consensus/test_storage.py
+++ b/fulmarhold/tests/consensus/test_storage.py
@@ -13,6 +13,7 @@
 from fulmarhold.consensus.storage import (
     EMPTY_SNAPSHOT,
     IDENTITY_FILE,
+    LEAST_LOG_BYTES,
     LOG_FILE,
     Storage,
     StorageFailed,
@@ -196,3 +197,33 @@
 def test_nothing_written_is_an_empty_log(tmp_path):
     hard_state, memory = load(tmp_path)
     assert (hard_state, memory.snapshot, memory.last_index) == (HardState(), EMPTY_SNAPSHOT, 0)
+
+
+def append_until_due(storage, memory):
+    """Append commands until a snapshot is due, one more than that at most; returns how many."""
+    data = bytes(LEAST_LOG_BYTES // 8)
+    for count in range(1, 20):
+        memory.append(entry(memory.last_index + 1, data))
+        storage.write(
+            Output(entries=[memory.slice(memory.last_index, memory.last_index)[0]]), memory
+        )
+        if storage.is_compaction_due:
+            return count
+    raise AssertionError("no snapshot is ever due")
+
+
+def test_a_snapshot_is_due_once_and_again_when_as_much_was_appended(tmp_path):
+    storage = Storage(tmp_path)
+    _, memory = storage.load()
+    counts = []
+    for _ in range(4):
+        counts.append(append_until_due(storage, memory))
+        storage.compact(Snapshot(memory.last_index, 1, MEMBERS, b"state"), memory)
+        assert not storage.is_compaction_due
+    assert len(set(counts)) == 1
+    append_until_due(storage, memory)
+    storage.close()
+    storage = Storage(tmp_path)
+    storage.load()
+    assert storage.is_compaction_due, "what was appended before a restart counts"
+    storage.close()
--- a/fulmarhold/tests/control/test_client.py
+++ b/fulmarhold/tests/control/test_client.py
@@ -77,3 +77,16 @@
         control.call(CLAIM, LONGEST_ELECTION_TIMEOUT)
     members.hangs = False
     assert control.call(CLAIM, client.SILENT_LEADER_AVOIDED + SHORTEST_CLAIM_TIMEOUT_MS)
+
+
+def test_it_knows_for_how_long_no_leader_has_answered(monkeypatch, clock):
+    members = Members(clock, elected_at=float("inf"))
+    control = called(monkeypatch, clock, members)
+    for _ in range(2):
+        with pytest.raises(PeerUnavailable):
+            control.call(CLAIM, 500.0)
+    assert control.unanswered_for == clock.now()
+    members.hangs = False
+    clock.advance(client.SILENT_LEADER_AVOIDED)
+    control.call(CLAIM, SHORTEST_CLAIM_TIMEOUT_MS)
+    assert control.unanswered_for == 0.0
--- /dev/null
+++ b/fulmarhold/tests/effects/test_claims.py
@@ -0,0 +1,56 @@
+"""What an entry does with a redemption whose claim control does not decide."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from fulmarhold.clock import ManualClock
+from fulmarhold.control.identifiers import new_identifier
+from fulmarhold.effects.dispatch import RESERVED_FOR_DISPATCH, EffectRunner
+from fulmarhold.errors import PeerUnavailable
+from fulmarhold.gather.outcome import NotRunReason, Refused
+from fulmarhold.observe.counters import Counters
+from fulmarhold.routing.table import SnapshotReplicas
+
+CLAIM_TIMEOUT = 3_000.0
+DEADLINE = 2_500.0
+
+
+class Control:
+    """Control without a leader; remembers how long each call was to wait."""
+
+    def __init__(self, unanswered_for):
+        self.unanswered_for = unanswered_for
+        self.waits = []
+
+    def call(self, _, timeout):
+        self.waits.append(timeout)
+        raise PeerUnavailable("no leader")
+
+
+def run(control):
+    clock = ManualClock()
+    snapshot = SnapshotReplicas("l", 1, 4, {})
+    table: Any = SimpleNamespace(snapshots=lambda _: (snapshot,))
+    policy: Any = SimpleNamespace(service=SimpleNamespace(name="s"))
+    directory: Any = None
+    runner = EffectRunner("entry", table, directory, control, clock, Counters())
+    key = new_identifier()
+    with pytest.raises(Refused) as refused:
+        runner.run("redeem", key, "", b"", policy, clock.now() + DEADLINE, CLAIM_TIMEOUT)
+    assert refused.value.reason is NotRunReason.CLAIM_UNAVAILABLE
+
+
+def test_it_waits_for_a_new_leader_while_the_deadline_allows():
+    control = Control(unanswered_for=700.0)
+    run(control)
+    assert control.waits[0] == DEADLINE - RESERVED_FOR_DISPATCH
+
+
+def test_it_is_refused_at_once_when_there_has_long_been_no_leader():
+    control = Control(unanswered_for=CLAIM_TIMEOUT + 1)
+    run(control)
+    assert control.waits == []
