Take a replica that was not heard of for as fast as its kind, so that far ones are not tried for nothing

A replica that was never asked, or not for long, was taken for 5 ms or ever less, so each entry tried every far one (72 for 36 shards) and tried them again after some seconds. An estimate that begins with 5 ms also needs ten replies to show that an upstream at home is slow. Ruled out: never trying far replicas (a slow one at home must be left), a higher charge for distance (hides slow upstreams at home for longer). Change: the services of a route share a running median of their replies. A replica not heard of counts as 0.8 of it, and silence brings no estimate below that. The first few replies count as in a plain average.

--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import Milliseconds
+from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.observe.logs import part_log
-from fulmarhold.routing.replica import Replica
+from fulmarhold.routing.replica import INITIAL_LATENCY, Replica
 from fulmarhold.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -54,6 +55,7 @@
         self._by_service: dict[str, list[Replica]] = {}
         self._leaving: list[ConnectionPool] = []
         self._dark: set[tuple[str, int]] = set()
+        self._usual: dict[tuple[str, ...], QuantileEstimate] = {}
 
     @property
     def replicas(self) -> Iterable[Replica]:
@@ -76,6 +78,7 @@
         With `keep_warm` connections are open before any request needs them.
         """
         before, self._replicas, self._by_service = self._replicas, {}, {}
+        usual_before, self._usual = self._usual, {}
         for statement in upstreams:
             service = configuration.services.get(statement.service)
             if service is None:
@@ -83,8 +86,10 @@
             key = (statement.name, statement.born)
             limit = _connection_share(service.connection_limit, entries)
             replica = before.pop(key, None)
+            usual = self._usual_latency(statement.service, configuration, usual_before)
             if replica is None or replica.address != statement.address:
                 replica = self._make_replica(statement, limit)
+            replica.usual = usual
             replica.upstream = ServingUpstream(statement)
             replica.pool.resize(limit, WARM_CONNECTIONS if keep_warm else 0)
             self._replicas[key] = replica
@@ -122,6 +127,21 @@
         for pool in [*(replica.pool for replica in self._replicas.values()), *self._leaving]:
             pool.close()
 
+    def _usual_latency(
+        self,
+        service: str,
+        configuration: RouteConfiguration,
+        before: dict[tuple[str, ...], QuantileEstimate],
+    ) -> QuantileEstimate:
+        """Return the estimate that the services of a route share, since they do the same work."""
+        kind = next(
+            (route.service_names for route in configuration.routes if service in route.shards),
+            (service,),
+        )
+        if kind not in self._usual:
+            self._usual[kind] = before.get(kind) or QuantileEstimate(0.5, INITIAL_LATENCY)
+        return self._usual[kind]
+
     def _make_replica(self, statement: UpstreamStatement, limit: int) -> Replica:
         pool = ConnectionPool(statement.address, limit, 0, self._clock, self._counters)
         return Replica(
--- a/fulmarhold/observe/estimates.py
+++ b/fulmarhold/observe/estimates.py
@@ -21,22 +21,29 @@
 
 
 class LatencyAverage:
-    """An exponentially weighted average.
+    """An exponentially weighted average; where it starts from a guess, that counts as one latency.
 
     >>> average = LatencyAverage(10.0)
     >>> average.update(20.0)
     >>> average.value
     11.5
+    >>> guessed = LatencyAverage(10.0, is_guess=True)
+    >>> guessed.update(20.0)
+    >>> guessed.value
+    15.0
     """
 
-    __slots__ = ("value",)
+    __slots__ = ("_weight", "value")
 
-    def __init__(self, initial: Milliseconds) -> None:
+    def __init__(self, initial: Milliseconds, *, is_guess: bool = False) -> None:
         self.value = initial
+        self._weight = 0.5 if is_guess else AVERAGE_WEIGHT
 
     def update(self, latency: Milliseconds) -> None:
         """Take in one latency."""
-        self.value += AVERAGE_WEIGHT * (latency - self.value)
+        self.value += self._weight * (latency - self.value)
+        # 1/2, 1/3, 1/4 and so on: the plain average of the guess and the first few latencies.
+        self._weight = max(AVERAGE_WEIGHT, self._weight / (1 + self._weight))
 
 
 class QuantileEstimate:
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from fulmarhold.limits.concurrency import ConcurrencyLimit
-from fulmarhold.observe.estimates import LatencyAverage, fade
+from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, fade
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
@@ -33,6 +33,10 @@
 # long requests, whose latency varies by more than the fixed part.
 OTHER_DATA_CENTRE_COST: Milliseconds = 15.0
 OTHER_DATA_CENTRE_FACTOR = 1.25
+# A replica that was not heard of for long is taken for this much of what is usual for its kind, so
+# that it is tried again beside one that is as fast as usual; with the factor above it just offsets
+# the distance, and the fixed part keeps replicas elsewhere from being tried for nothing.
+SILENT_SHARE_OF_USUAL = 0.8
 
 
 class UpstreamRecord(Protocol):
@@ -59,7 +63,10 @@
 
 
 class Replica(Generic[Upstream]):
-    """What this entry itself saw of one incarnation of an upstream."""
+    """What this entry itself saw of one incarnation of an upstream.
+
+    `usual` is the latency that replicas of its kind usually have, if that is known.
+    """
 
     def __init__(
         self,
@@ -73,7 +80,10 @@
     ) -> None:
         self.upstream = upstream
         self.pool = pool
-        self.latency = LatencyAverage(INITIAL_LATENCY)
+        self.latency = LatencyAverage(INITIAL_LATENCY, is_guess=True)
+        # Set where there are others of the same kind.
+        self.usual: QuantileEstimate | None = None
+        self._is_known = False
         self.concurrency = ConcurrencyLimit()
         self.ejected_until: Milliseconds = float("-inf")
         self._ejection = ejection
@@ -110,7 +120,7 @@
 
         It then hangs, pauses or is cut off, and further requests would only wait as well.
         """
-        return self.pool.longest_wait(now) > max(LEAST_STALL, STALL_FACTOR * self.latency.value)
+        return self.pool.longest_wait(now) > max(LEAST_STALL, STALL_FACTOR * self._believed)
 
     def is_dark(self, now: Milliseconds) -> bool:
         """Whether it has replied to nothing since a request that was sent long ago."""
@@ -132,7 +142,7 @@
         slots = self.upstream.record.slots
         extra = FAILURE_COST * self._faded_failures(now) + self._distance_cost
         if self.pool.load:
-            usual = self.latency.value * (1 + self.pool.load / slots)
+            usual = self._believed * (1 + self.pool.load / slots)
         else:
             usual = self._faded(now)
         return self._distance_factor * usual / self._warmth(now) + extra
@@ -150,8 +160,11 @@
     def note_success(self, latency: Milliseconds, now: Milliseconds) -> None:
         """Take in a good response."""
         # A response after a silence confirms the old estimate or the faded one, or lies between.
-        self.latency.value = max(self._faded(now), min(self.latency.value, latency))
+        self.latency.value = max(self._faded(now), min(self._believed, latency))
         self.latency.update(latency)
+        if self.usual is not None:
+            self.usual.update(latency)
+        self._is_known = True
         self._heard_at = now
         self._failures = 0
         self._ejections = 0
@@ -159,6 +172,8 @@
 
     def note_slow(self, elapsed: Milliseconds, now: Milliseconds) -> None:
         """Take in that a request was given up after `elapsed` ms without a response."""
+        self.latency.value = self._believed
+        self._is_known = True
         self._heard_at = now
         if elapsed > self.latency.value:
             self.latency.update(elapsed)
@@ -189,8 +204,20 @@
         silence = now - self._failure_noted_at
         return float(self._failure_share * 0.5 ** (silence / FAILURE_HALF_LIFE))
 
+    @property
+    def _believed(self) -> Milliseconds:
+        """The latency of its last replies, or of replicas of its kind while it has sent none."""
+        if self._is_known or self.usual is None:
+            return self.latency.value
+        return SILENT_SHARE_OF_USUAL * self.usual.value
+
     def _faded(self, now: Milliseconds) -> Milliseconds:
-        return fade(self.latency.value, now - self._heard_at)
+        believed = self._believed
+        faded = fade(believed, now - self._heard_at)
+        if self.usual is None:
+            return faded
+        # Silence makes a slow replica look like any other, and none look better than that.
+        return max(faded, min(believed, SILENT_SHARE_OF_USUAL * self.usual.value))
 
     def _warmth(self, now: Milliseconds) -> float:
         if self._slow_start <= 0:
--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -17,11 +17,13 @@
 WARM = 10_000.0
 
 
-def make(address="a", load=0, live=True, is_near=True):
+def make(address="a", load=0, live=True, is_near=True, usual=None):
     record = SimpleNamespace(address=address, incarnation=1, slots=2)
     upstream: Any = SimpleNamespace(record=record, is_live=lambda _: live)
     pool: Any = SimpleNamespace(load=load)
-    return Replica(upstream, pool, EJECTION, SLOW_START, now=0.0, is_near=is_near)
+    replica = Replica(upstream, pool, EJECTION, SLOW_START, now=0.0, is_near=is_near)
+    replica.usual = usual
+    return replica
 
 
 def eject(replica, now=WARM):
@@ -134,3 +136,56 @@
     loaded = make("near", load=5)
     loaded.note_success(20.0, WARM)
     assert choose([loaded, far], Random(1), WARM + 1_000) is far
+
+
+def usual_of(latency):
+    return QuantileEstimate(0.5, latency)
+
+
+def played(replicas, latencies, steps=400, period=100.0):
+    """Return which replica each request went to; `latencies` give those of the replicas."""
+    chosen = []
+    for step in range(1, steps):
+        now = WARM + period * step
+        replica = choosers.find("least_expected")(replicas, Random(step), now)
+        replica.note_success(latencies(replica, now), now)
+        chosen.append(replica.address)
+    return chosen
+
+
+def test_replicas_elsewhere_get_nothing_while_the_one_at_home_is_as_fast_as_usual():
+    """Load: every entry asks 36 shards, each with a replica at home and two elsewhere."""
+    usual = usual_of(28.0)
+    home = make("home", usual=usual)
+    elsewhere = [make(name, is_near=False, usual=usual) for name in ("b", "c")]
+    random = Random(7)
+    chosen = played([home, *elsewhere], lambda *_: random.lognormvariate(3.3, 0.35))
+    assert chosen.count("home") >= 0.99 * len(chosen)
+
+
+def test_a_replica_elsewhere_takes_over_within_a_few_replies_of_a_slow_one_at_home():
+    usual = usual_of(28.0)
+    home, other = make("home", usual=usual), make("b", is_near=False, usual=usual)
+    chosen = played([home, other], lambda item, _: 140.0 if item is home else 36.0)
+    assert "b" in chosen[:3]
+    assert chosen.count("b") >= 0.9 * len(chosen)
+
+
+def test_the_one_at_home_is_tried_again_and_kept_once_it_has_recovered():
+    usual = usual_of(28.0)
+    home, other = make("home", usual=usual), make("b", is_near=False, usual=usual)
+    recovers_at = WARM + 10_000.0
+
+    def latency(replica, now):
+        return 140.0 if replica is home and now < recovers_at else 28.0
+
+    chosen = played([home, other], latency)
+    assert set(chosen[-200:]) == {"home"}
+
+
+def test_one_of_two_at_home_that_was_slow_is_tried_again_beside_one_that_is_as_usual():
+    usual = usual_of(28.0)
+    fast, recovered = make("fast", usual=usual), make("recovered", usual=usual)
+    recovered.note_success(140.0, WARM)
+    chosen = played([fast, recovered], lambda *_: 28.0)
+    assert chosen.count("recovered") > 20
