Open connections of a fresh pool one by one, as the upstream accepts them

After a loss of power of all entries their old connections still count at the upstreams. The started entries open their whole shares at once, pass what an upstream accepts, and lose the requests on the connections that are reset. Ruled out: a larger reserve of connections (what is dead is not known, and may be all of the shares). Change: a pool may have one connection more than have brought a reply, or were open for 50 ms; a loss takes that back to what is open.

--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -14,7 +14,12 @@
 LONGEST_CONNECT: Milliseconds = 1_000.0
 RECONNECT_PAUSE: Milliseconds = 200.0
 LONGEST_QUEUE = 256
+# An upstream that has no room resets a connection as soon as it was accepted; three trips between
+# data centres and its handshake.
+ACCEPTED_AFTER: Milliseconds = 50.0
 CONNECT_REFUSED = "connect refused"
+# How a connection ends that its upstream resets.
+LOST = ("connection lost", "closed by upstream")
 
 
 class Request(Exchange, Protocol):
@@ -41,6 +46,8 @@
         self._waiting: deque[Request] = deque()
         self._closed = False
         self._connect_after: Milliseconds = float("-inf")
+        # How many connections replies have shown to be accepted; one more may be tried.
+        self._proven = 0
 
     @property
     def load(self) -> int:
@@ -52,6 +59,17 @@
     def connections(self) -> int:
         return len(self._channels)
 
+    @property
+    def _may_open(self) -> bool:
+        """Whether one more connection is wanted and likely to be accepted.
+
+        After a loss of power of all entries their old connections still count at the upstreams, so
+        that an entry's whole share at once would pass what an upstream accepts, and be reset with
+        the requests that were sent on it.
+        """
+        is_wanted = len(self._connecting) < len(self._waiting)
+        return is_wanted and len(self._channels) < min(self.limit, self._proven + 1)
+
     def resize(self, limit: int, warm: int) -> None:
         """Change how many connections there may be, and how many are kept open."""
         self.limit = limit
@@ -90,7 +108,7 @@
             request.failed(CONNECT_REFUSED, sent=False)
         else:
             self._waiting.append(request)
-            if len(self._connecting) < len(self._waiting) and len(self._channels) < self.limit:
+            if self._may_open:
                 self._open(now)
 
     def _take_free(self, now: Milliseconds) -> Channel | None:
@@ -121,6 +139,8 @@
                 channel.close("connect timed out")
             elif channel.state is ChannelState.BUSY and now > channel.busy_since + longest_exchange:
                 channel.close("response overdue")
+        accepted = sum(1 for at in self._channels.values() if now > at + ACCEPTED_AFTER)
+        self._proven = max(self._proven, accepted)
         if len(self._channels) < self._warm and now >= self._connect_after and not self._closed:
             self._open(now)
 
@@ -144,9 +164,16 @@
         """Take a connection that was just established."""
         self._connecting.discard(channel)
         self._counters.add("connections_opened")
-        self.channel_free(channel)
+        self._use(channel)
 
     def channel_free(self, channel: Channel) -> None:
+        """Take a connection that has brought a response."""
+        self._proven = min(self.limit, max(self._proven, len(self._channels)) + 1)
+        self._use(channel)
+        if self._may_open and not self._closed:
+            self._open(self._clock.now())
+
+    def _use(self, channel: Channel) -> None:
         """Use a free connection for the next waiting request, or keep it."""
         if channel.state is not ChannelState.FREE:
             return
@@ -169,11 +196,13 @@
         self._connecting.discard(channel)
         if channel in self._free:
             self._free.remove(channel)
+        if reason in LOST:
+            self._proven = min(self._proven, len(self._channels))
         if opened_at is not None and reason.startswith(("E", "connect")):
             self._connect_after = self._clock.now() + RECONNECT_PAUSE
             if not self._channels:
                 self._fail_waiting(CONNECT_REFUSED)
-        elif self._waiting and not self._closed and len(self._channels) < self.limit:
+        elif self._may_open and not self._closed:
             self._open(self._clock.now())
 
     def _open(self, now: Milliseconds) -> None:
