Refuse what makes no sense in callers' numbers and members' messages

Cause, found by new fuzz tests (hypothesis): a caller's time left of "²" (a digit to Python, and no number) raised a ValueError in the adapter, as would a content length and a port; an append request whose entries do not follow its index raised one in the core, which ends the member. Ruled out: catching the errors around the handlers, which would hide others. Change: only decimal digits count as numbers; messages of members that no protocol would send are passed over with a log line that names the peer. Two leaders that disagree on what was committed still end the member.

--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -25,6 +25,7 @@
     TakeOver,
     VoteReply,
     VoteRequest,
+    inconsistency,
 )
 from fulmarhold.consensus.output import HardState, Output
 from fulmarhold.errors import FulmarholdError
@@ -225,8 +226,9 @@
         return True
 
     def receive(self, message: PeerMessage, now: Milliseconds) -> None:
-        """Handle a message; one for another cluster or identity is passed over."""
-        if message.cluster != self.cluster or message.recipient != self.identity:
+        """Handle a message; one for someone else, or without sense, changes nothing."""
+        is_own = message.cluster == self.cluster and message.recipient == self.identity
+        if not is_own or inconsistency(message):
             return
         match message:
             case VoteRequest():
--- a/fulmarhold/consensus/messages.py
+++ b/fulmarhold/consensus/messages.py
@@ -138,3 +138,31 @@
 
     endpoint: str
     content: list[Any]
+
+
+def inconsistency(message: PeerMessage) -> str:
+    """Return what no member that follows the protocol would send, empty if there is nothing.
+
+    >>> inconsistency(AppendRequest("c", "a", "b", 1, 4, 1, (LogEntry(6, 1, "", b""),), 4, 0.0))
+    'entry 6 does not follow 4'
+    """
+    if message.term < 0:
+        return f"term {message.term}"
+    if isinstance(message, SnapshotRequest) and message.snapshot.index < 0:
+        return f"a snapshot up to {message.snapshot.index}"
+    if isinstance(message, AppendRequest):
+        return _append_inconsistency(message)
+    return ""
+
+
+def _append_inconsistency(message: AppendRequest) -> str:
+    if message.previous_index < 0:
+        return f"entries after {message.previous_index}"
+    last = message.previous_index
+    for entry in message.entries:
+        if entry.index != last + 1:
+            return f"entry {entry.index} does not follow {last}"
+        if not 0 <= entry.term <= message.term:
+            return f"entry {entry.index} of term {entry.term} in term {message.term}"
+        last = entry.index
+    return ""
--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -23,6 +23,7 @@
     Snapshot,
     VoteReply,
     VoteRequest,
+    inconsistency,
 )
 from fulmarhold.consensus.output import HardState, Output
 from fulmarhold.consensus.storage import EMPTY_SNAPSHOT, Storage, StorageFailed
@@ -166,6 +167,9 @@
         if message.recipient != self.identity:
             self._answer_for_lost_identity(endpoint, message)
             return
+        if problem := inconsistency(message):
+            log.warning("passed over a message of {}: {}", endpoint, problem)
+            return
         self._sender_endpoints[message.sender] = endpoint
         if not self.cluster:
             # Only an instance that knows this new identity can have admitted it.
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -77,7 +77,7 @@
 def read_request(raw: RawRequest) -> ForwardRequest:
     """Return a caller's request in our own terms."""
     left = raw.header(TIME_LEFT.lower())
-    allowed = float(left) if left.isdigit() else UNBOUNDED
+    allowed = float(left) if left.isdecimal() else UNBOUNDED
     headers = tuple(
         (key, value) for key, value in _end_to_end(raw.headers) if key.lower() not in _REPLACED
     )
--- a/fulmarhold/settings/endpoints.py
+++ b/fulmarhold/settings/endpoints.py
@@ -27,6 +27,6 @@
     """
     address, _, port = value.rpartition(":")
     check_address(address)
-    if not port.isdigit() or not 1 <= int(port) <= HIGHEST_PORT:
+    if not port.isdecimal() or not 1 <= int(port) <= HIGHEST_PORT:
         raise ValueError(f"must be IP:port with a port from 1 to {HIGHEST_PORT}, got {value!r}")
     return value
--- /dev/null
+++ b/fulmarhold/tests/upstreams/test_fuzz.py
@@ -0,0 +1,83 @@
+"""Responses of upstreams that hold anything, in pieces of any size."""
+
+from __future__ import annotations
+
+import itertools
+
+from geventhttpclient.response import HTTPParseError
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarhold.forwarding.records import greatest_records
+from fulmarhold.forwarding.request import Verdict
+from fulmarhold.platform.headers import PlatformDialect
+from fulmarhold.upstreams.protocol import ResponseReader
+
+CASES = 1_000
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\nKeep-Alive: timeout=5\r\n\r\n"
+WHOLE = HEAD + b"b" * 20
+header_text = st.text(st.characters(min_codepoint=32, max_codepoint=255, exclude_characters="\x7f"))
+
+
+def read(pieces):
+    """Return the response that the pieces make, `None` where they make none."""
+    reader = ResponseReader()
+    try:
+        for piece in pieces:
+            reader.feed(piece)
+            if reader.is_complete:
+                return reader.take()
+    except HTTPParseError:
+        return None
+    return reader.take() if reader.end_of_stream() else None
+
+
+def pieces_of(data, cuts):
+    edges = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
+    return [data[start:end] for start, end in itertools.pairwise(edges)]
+
+
+@settings(max_examples=CASES, deadline=None)
+@given(st.binary(max_size=300), st.lists(st.integers(0, 300), max_size=4))
+def test_any_bytes_make_a_response_or_none(data, cuts):
+    response = read(pieces_of(data, cuts))
+    assert response is None or isinstance(response.body, bytes)
+
+
+@settings(max_examples=CASES, deadline=None)
+@given(st.lists(st.integers(0, 300), max_size=8))
+def test_a_response_is_the_same_however_it_is_cut(cuts):
+    response = read(pieces_of(WHOLE, cuts))
+    assert (response.status, response.body, response.keep_alive) == (200, b"b" * 20, 5_000.0)
+
+
+@settings(max_examples=CASES, deadline=None)
+@given(st.integers(0, len(WHOLE) - 1), st.integers(0, 255), st.integers(0, len(WHOLE)))
+def test_a_response_cut_short_or_changed_is_never_taken_for_a_longer_one(position, byte, end):
+    changed = bytearray(WHOLE)
+    changed[position] = byte
+    response = read([bytes(changed[:end])])
+    assert response is None or len(response.body) <= max(0, end - len(HEAD) + 64)
+
+
+@settings(max_examples=CASES, deadline=None)
+@given(
+    st.integers(100, 599),
+    st.dictionaries(
+        st.sampled_from(
+            ["X-Fulmarhold-Request-Id", "Connection", "Content-Encoding", "Retry-After", "A"]
+        )
+        | st.text("abcX-", min_size=1, max_size=6),
+        header_text,
+        max_size=5,
+    ),
+    st.binary(max_size=100),
+)
+def test_any_response_has_a_meaning(status, headers, body):
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    head = f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode("latin-1")
+    response = read([head + body])
+    if response is not None:
+        reply = PlatformDialect().read(response, "id")
+        assert isinstance(reply.verdict, Verdict)
+        assert len(greatest_records([reply.body], 5)) % 16 == 0
--- /dev/null
+++ b/fulmarhold/tests/wire/test_fuzz.py
@@ -0,0 +1,58 @@
+"""Messages of peers whose fields hold anything."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgpack
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from fulmarhold.errors import MalformedInput
+from fulmarhold.wire import messages
+from fulmarhold.wire.frames import FrameDecoder, encode_frame
+
+CASES = 1_000
+scalars = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**63)
+    | st.floats()
+    | st.text(max_size=8)
+    | st.binary(max_size=8)
+)
+values = st.recursive(
+    scalars,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=6,
+)
+message_names = st.sampled_from(sorted(messages.message_types))
+
+
+@settings(max_examples=CASES, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(message_names, st.data())
+def test_any_fields_of_any_message_are_taken_or_refused(name, data):
+    fields = dataclasses.fields(messages.message_types.find(name))
+    content = {field.name: data.draw(values, field.name) for field in fields}
+    try:
+        frame = msgpack.packb([1, name, content])
+    except (OverflowError, ValueError, UnicodeEncodeError):
+        return
+    try:
+        [(_, message)] = FrameDecoder().feed(frame)
+    except MalformedInput:
+        return
+    # What was taken is whole: it can be passed on and is the same again.
+    [(_, again)] = FrameDecoder().feed(encode_frame(1, message))
+    assert repr(again) == repr(message)
+
+
+@pytest.mark.parametrize("cut", range(1, 40, 3))
+def test_a_frame_in_pieces_is_read_once_it_is_whole(cut):
+    frame = encode_frame(3, messages.Failure("reason", "a longer detail of the failure"))
+    decoder = FrameDecoder()
+    assert list(decoder.feed(frame[:cut])) == []
+    assert list(decoder.feed(frame[cut:])) == [
+        (3, messages.Failure("reason", "a longer detail of the failure"))
+    ]
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -299,7 +299,7 @@
         if "content-length" in fields and "transfer-encoding" in fields:
             raise BadRequest(400, "both a length and a transfer encoding")
         length = fields.get("content-length", "0")
-        if length.isdigit() and int(length) > self._limits.body_bytes:
+        if length.isdecimal() and int(length) > self._limits.body_bytes:
             raise BadRequest(413, "the body is too large")
         self._expects_continue = fields.get("expect", "").lower() == "100-continue"
 
