Let a member whose disk is full end also when its standard error lies there

The old leader kept its term, took no part and did not end. gevent prints what escapes from a thread to standard error before it hands it to the waiting greenlet; the full disk (a limit on file sizes) held the log as well, the print failed, and the greenlet waited for ever. Ruled out: a blocked transport (it drops what does not fit), the supervisor (the process had not ended). Change: writes in threads return their failure, which is raised by the waiting greenlet; the failure is set before it is logged. Before and after: tests/consensus/test_slow_disk.py, a full standard error: "it neither takes part nor ends" before, ends now.

--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -279,8 +279,8 @@
                 if self._core is not None:
                     self._step(self._core, events)
         except Exception as error:
-            log.exception("stopped taking part: {}", error)
             self.failure.set_exception(error)
+            log.exception("stopped taking part: {}", error)
 
     def _next_events(self) -> list[Callable[[Core], None]]:
         events = []
@@ -325,14 +325,16 @@
 
     def _sync(self, output: Output, core: Core) -> None:
         """Sync the writes; a leader whose disk is slow is not replaced for that alone."""
-        write = gevent.get_hub().threadpool.spawn(self._storage.write, output, core.log)
+        write = gevent.get_hub().threadpool.spawn(
+            _outcome_of, self._storage.write, output, core.log
+        )
         until = self._clock.now() + LONGEST_SYNC
         while self._clock.now() < until:
             write.wait(HEARTBEAT_PERIOD / SECOND)
             if write.ready():
                 break
             self._send(core, core.heartbeats(self._clock.now()))
-        write.get()
+        _raise_failure(write.get())
 
     def _apply(self, entry: LogEntry) -> None:
         result = None
@@ -360,5 +362,24 @@
             raise StorageFailed(f"entry {self._applied} is not held", step="compacting")
         members = core.log.members_at(self._applied)
         snapshot = Snapshot(self._applied, term, members, self._machine.save())
-        gevent.get_hub().threadpool.apply(self._storage.compact, (snapshot, core.log))
+        pool = gevent.get_hub().threadpool
+        _raise_failure(pool.apply(_outcome_of, (self._storage.compact, snapshot, core.log)))
         log.info("saved a snapshot up to entry {}", snapshot.index)
+
+
+def _outcome_of(write: Callable[..., None], *arguments: Any) -> StorageFailed | None:
+    """Write in a thread and return the failure, if any.
+
+    What escapes there is printed to standard error before the waiting greenlet hears of it; when
+    that is on the full disk too, the greenlet would wait for ever.
+    """
+    try:
+        write(*arguments)
+    except StorageFailed as error:
+        return error
+    return None
+
+
+def _raise_failure(failure: StorageFailed | None) -> None:
+    if failure is not None:
+        raise failure
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import sys
 import threading
 from types import SimpleNamespace
 from typing import Any
@@ -26,7 +27,7 @@
 )
 from fulmarhold.consensus.node import Node
 from fulmarhold.consensus.output import HardState
-from fulmarhold.consensus.storage import EMPTY_SNAPSHOT
+from fulmarhold.consensus.storage import EMPTY_SNAPSHOT, StorageFailed
 
 CLUSTER = "c"
 MEMBERS = Members({name: f"{name}:1" for name in "abc"}, {})
@@ -126,3 +127,27 @@
     followers.heartbeats.clear()
     gevent.sleep(SHORTEST_ELECTION_TIMEOUT / SECOND)
     assert followers.heartbeats == []
+
+
+class FullDevice:
+    """A standard error whose disk is full as well."""
+
+    def write(self, _):
+        raise OSError("File too large")
+
+    def flush(self):
+        raise OSError("File too large")
+
+
+def test_a_member_whose_disk_is_full_ends_though_it_can_not_say_so(leader, monkeypatch):
+    node, disk, _ = leader
+
+    def refuse(output, memory):
+        raise StorageFailed("can't sync the log", step="syncing")
+
+    monkeypatch.setattr(sys, "stderr", FullDevice())
+    disk.write = refuse
+    gevent.spawn(node.propose, b"command")
+    with gevent.Timeout(PATIENCE_S, AssertionError("it neither takes part nor ends")):
+        node.failure.wait()
+    assert isinstance(node.failure.exception, StorageFailed)
