Name the feed service and its methods after what they do

Renames only: Feeds, its methods that platform calls, and Presence.note. Tests were not run on this commit.

--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -79,7 +79,7 @@
     sequence: int
 
 
-class Feeds:
+class FeedService:
     """The statements that this control instance holds."""
 
     def __init__(
@@ -122,7 +122,7 @@
         self.instances.take(own, clock.now())
 
     @property
-    def fed_for(self) -> Milliseconds:
+    def time_since_first_feed(self) -> Milliseconds:
         """How long ago an entry was first given a configuration that a majority stands behind."""
         return self._clock.now() - self._fed_at if self._fed_at is not None else 0.0
 
@@ -137,7 +137,7 @@
 
     # Upstreams
 
-    def take_upstream(self, statement: UpstreamStatement) -> bool:
+    def record_upstream(self, statement: UpstreamStatement) -> bool:
         """Take in what an upstream says of itself; returns whether it may be acknowledged.
 
         A statement that it leaves is acknowledged once it is where no single loss can undo it.
@@ -150,14 +150,14 @@
             return True
         return self._retirements.hand_over(statement)
 
-    def leave_upstream(self, name: str) -> bool:
+    def deregister_upstream(self, name: str) -> bool:
         """Take in that an upstream goes without having said so before."""
         known = self.upstreams.find(name)
         if known is None:
             return True
-        return self.take_upstream(replace(known, state=LEFT))
+        return self.record_upstream(replace(known, state=LEFT))
 
-    def control_at_home(self, data_centre: str) -> str | None:
+    def control_endpoint_in(self, data_centre: str) -> str | None:
         """Return the endpoint of a control instance that runs in a data centre, if any does."""
         if data_centre == self._own.data_centre:
             return self._own.endpoint
@@ -355,7 +355,7 @@
         if self._node.is_formed and self._node.core.is_leader:
             self._end_silent_upstreams(now)
 
-    def note_applied(self) -> None:
+    def on_command_applied(self) -> None:
         """Wake the watchers when the applied configuration is newer; called at each change."""
         if self._machine.state.routes_version > self._version:
             self._version = self._machine.state.routes_version
--- a/fulmarhold/control/presence.py
+++ b/fulmarhold/control/presence.py
@@ -34,7 +34,7 @@
         """The names of all entries heard."""
         return tuple(self._entries)
 
-    def note(self, sync: EntrySync) -> None:
+    def record(self, sync: EntrySync) -> None:
         """Take in a sync."""
         self._entries[sync.entry.name] = EntryPresence(
             sync.version, sync.state, sync.incarnation, self._clock.now()
--- a/fulmarhold/control/service.py
+++ b/fulmarhold/control/service.py
@@ -87,7 +87,7 @@
         """Tell an entry the accepted state, as a linearizable read."""
         if not self._node.may_read():
             return self._not_leading()
-        self._presence.note(sync)
+        self._presence.record(sync)
         self._update_roster(sync)
         state = self._machine.state
         if sync.version == state.version:
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -12,7 +12,7 @@
 from fulmarhold.consensus.node import Node, receive_member_message
 from fulmarhold.consensus.storage import Storage
 from fulmarhold.consensus.transport import Transport
-from fulmarhold.control.feeds import Feeds
+from fulmarhold.control.feeds import FeedService
 from fulmarhold.control.formation import Formation
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.statement_file import StatementFile
@@ -57,7 +57,7 @@
             settings.data_centre,
             settings.peer_endpoint,
         )
-        self._feeds = Feeds(
+        self._feeds = FeedService(
             own,
             self.node,
             machine,
@@ -68,7 +68,7 @@
             clock,
             counters,
         )
-        self.node.on_applied = self._feeds.note_applied
+        self.node.on_applied = self._feeds.on_command_applied
         self._formation = Formation(
             self.node,
             settings.peer_endpoint,
@@ -104,7 +104,7 @@
         instances no query is served until there is a leader and entries have heard from it.
         """
         until = self._clock.now() + LONGEST_PEERS_FIRST
-        while self._feeds.fed_for < OTHER_ENTRIES and self._clock.now() < until:
+        while self._feeds.time_since_first_feed < OTHER_ENTRIES and self._clock.now() < until:
             gevent.sleep(LOOK_PERIOD / SECOND)
         from fulmarhold.platform.interfaces import control_application  # noqa: PLC0415
 
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fulmarhold.control.feeds import Feeds
+    from fulmarhold.control.feeds import FeedService
     from fulmarhold.control.versions import VersionService
     from fulmarhold.observe.counters import Counters
 
@@ -53,7 +53,7 @@
 class HeartbeatResource:
     """What upstreams say of themselves."""
 
-    def __init__(self, feeds: Feeds, own_endpoint: str, counters: Counters) -> None:
+    def __init__(self, feeds: FeedService, own_endpoint: str, counters: Counters) -> None:
         self._feeds = feeds
         # The port is the same on every instance.
         self._port = own_endpoint.rpartition(":")[2]
@@ -65,17 +65,17 @@
         except FulmarholdError:
             self._counters.add("heartbeat_refusals", reason="malformed")
             raise
-        self._answer(response, self._feeds.take_upstream(statement), statement.data_centre)
+        self._answer(response, self._feeds.record_upstream(statement), statement.data_centre)
 
     def on_delete(self, _: falcon.Request, response: falcon.Response, name: str) -> None:
-        self._answer(response, self._feeds.leave_upstream(name))
+        self._answer(response, self._feeds.deregister_upstream(name))
 
     def _answer(
         self, response: falcon.Response, is_safe: bool, data_centre: str | None = None
     ) -> None:
         if is_safe:
             # Heartbeats between data centres cost as much as queries do.
-            peer = self._feeds.control_at_home(data_centre) if data_centre else None
+            peer = self._feeds.control_endpoint_in(data_centre) if data_centre else None
             address = f"{peer.rpartition(':')[0]}:{self._port}" if peer else None
             response.media = {"heartbeatAddress": address} if address else {}
         else:
@@ -111,7 +111,7 @@
 
 
 def control_application(
-    versions: VersionService, feeds: Feeds, own_endpoint: str, counters: Counters
+    versions: VersionService, feeds: FeedService, own_endpoint: str, counters: Counters
 ) -> falcon.App:
     """Return the calls of operators and upstreams."""
     application = _application()
--- a/fulmarhold/tests/control/test_drain_model.py
+++ b/fulmarhold/tests/control/test_drain_model.py
@@ -20,7 +20,7 @@
 from fulmarhold.clock import ManualClock
 from fulmarhold.consensus.core import NotLeader
 from fulmarhold.control import feeds as feeds_module
-from fulmarhold.control.feeds import REPORT_PERIOD, Feeds
+from fulmarhold.control.feeds import REPORT_PERIOD, FeedService
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.sharing import SHARE_TIMEOUT
 from fulmarhold.errors import PeerUnavailable
@@ -136,7 +136,7 @@
         self.machines: dict[str, ControlMachine] = {}
         self.applied: dict[str, int] = {}
         self.files = {name: KeptFile() for name in CONTROL}
-        self.feeds: dict[str, Feeds] = {}
+        self.feeds: dict[str, FeedService] = {}
         self.handlers: dict[str, Handlers] = {}
         self.cut: set[frozenset[str]] = set()
         self.late: list[tuple[str, Any]] = []
@@ -168,7 +168,7 @@
         keep: Any = self.files[name]
         counters = Counters()
         self.handlers[name] = Handlers()
-        feeds = Feeds(
+        feeds = FeedService(
             own,
             node,
             self.machines[name],
@@ -181,7 +181,7 @@
         )
         server: Any = self.handlers[name]
         feeds.register(server)
-        self.handlers[name].handle(UpstreamStatement, feeds.take_upstream)
+        self.handlers[name].handle(UpstreamStatement, feeds.record_upstream)
         self.feeds[name] = feeds
         feeds.catch_up()
 
@@ -240,7 +240,7 @@
         if self.random.random() < self.loss:
             self.late.append((name, self.upstream))
             return False
-        return self.feeds[name].take_upstream(self.upstream)
+        return self.feeds[name].record_upstream(self.upstream)
 
     def beat(self):
         """Let the upstream send a heartbeat; one that leaves sends no more of them."""
@@ -255,7 +255,7 @@
         known = feeds.upstreams.find("u")
         if known is None:
             return
-        if feeds.leave_upstream("u"):
+        if feeds.deregister_upstream("u"):
             self.acknowledged = max(self.acknowledged, known.born)
         if known.born == self.upstream.born:
             self.upstream = replace(self.upstream, state=LEFT)
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -10,7 +10,7 @@
 import pytest
 
 from fulmarhold.clock import ManualClock
-from fulmarhold.control.feeds import REPORT_PERIOD, REPORTS_LATE, Feeds
+from fulmarhold.control.feeds import REPORT_PERIOD, REPORTS_LATE, FeedService
 from fulmarhold.control.machine import ControlMachine, encode_command
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.errors import PeerUnavailable
@@ -105,7 +105,7 @@
         keep = StatementFile(tmp_path, counters)
         node: Any = FakeNode(machine, leads)
         peer: Any = Peer()
-        feeds = Feeds(own, node, machine, lambda: (), 1_200.0, keep, peer, clock, counters)
+        feeds = FeedService(own, node, machine, lambda: (), 1_200.0, keep, peer, clock, counters)
         if catches_up:
             feeds.catch_up()
             settle()
@@ -128,8 +128,8 @@
 
 def test_a_leaving_upstream_is_in_the_log_and_told_before_it_is_acknowledged(make):
     feeds, peer, machine = make()
-    feeds.take_upstream(BEAT)
-    assert feeds.take_upstream(replace(BEAT, sequence=2, state=DRAINING))
+    feeds.record_upstream(BEAT)
+    assert feeds.record_upstream(replace(BEAT, sequence=2, state=DRAINING))
     assert machine.state.retired == {"u": 100}
     assert peer.told()[-1].state == DRAINING
 
@@ -137,32 +137,32 @@
 def test_without_a_log_and_without_a_peer_a_leave_is_not_acknowledged(make):
     feeds, peer, _ = make(leads=False)
     peer.is_up = False
-    assert feeds.take_upstream(BEAT)
-    assert not feeds.take_upstream(replace(BEAT, sequence=2, state=DRAINING))
+    assert feeds.record_upstream(BEAT)
+    assert not feeds.record_upstream(replace(BEAT, sequence=2, state=DRAINING))
 
 
 def test_a_delete_without_a_drain_before_ends_the_upstream(make):
     feeds, _, machine = make()
-    feeds.take_upstream(BEAT)
-    assert feeds.leave_upstream("u")
+    feeds.record_upstream(BEAT)
+    assert feeds.deregister_upstream("u")
     assert feeds.upstreams.find("u").state == LEFT and machine.state.retired == {"u": 100}
-    assert feeds.leave_upstream("never-heard-of")
+    assert feeds.deregister_upstream("never-heard-of")
 
 
 def test_after_a_restart_the_log_keeps_a_late_heartbeat_from_reviving_it(make):
     feeds, _, machine = make()
     machine.apply(encode_command(RetireUpstream("u", 100, 0.0)))
-    feeds.take_upstream(replace(BEAT, sequence=9))
+    feeds.record_upstream(replace(BEAT, sequence=9))
     assert feeds.upstreams.find("u").state == DRAINING
-    feeds.take_upstream(replace(BEAT, born=200))
+    feeds.record_upstream(replace(BEAT, born=200))
     assert feeds.upstreams.find("u").state == READY
 
 
 def test_what_a_peer_could_not_be_told_is_told_as_it_is_once_it_can_be(make, clock):
     feeds, peer, _ = make()
     peer.is_up = False
-    feeds.take_upstream(BEAT)
-    feeds.take_upstream(replace(BEAT, sequence=2, state=DRAINING))
+    feeds.record_upstream(BEAT)
+    feeds.record_upstream(replace(BEAT, sequence=2, state=DRAINING))
     settle()
     peer.is_up = True
     clock.advance(REPORT_PERIOD)
@@ -173,7 +173,7 @@
 
 def test_silence_that_another_instance_claims_is_refuted_by_whoever_heard_more(make):
     feeds, peer, _ = make()
-    feeds.take_upstream(replace(BEAT, sequence=20))
+    feeds.record_upstream(replace(BEAT, sequence=20))
     settle()
     peer.taken.clear()
     handlers(feeds).take(ShareStatements((replace(BEAT, sequence=3, state=SILENT),), ()))
@@ -183,7 +183,7 @@
 
 def test_a_watcher_is_answered_with_what_changed_and_nothing_else(make):
     feeds, _, _ = make()
-    feeds.take_upstream(BEAT)
+    feeds.record_upstream(BEAT)
     whole = feeds.watch(WatchFeed(ENTRY, "", 0, 0, 0))
     assert isinstance(whole, FeedReply) and whole.is_whole and whole.upstreams == (BEAT,)
     asked = WatchFeed(
@@ -192,7 +192,7 @@
     answer = gevent.spawn(feeds.watch, asked)
     settle()
     assert not answer.ready()
-    feeds.take_upstream(replace(BEAT, name="v"))
+    feeds.record_upstream(replace(BEAT, name="v"))
     assert [item.name for item in answer.get(timeout=5).upstreams] == ["v"]
 
 
@@ -206,18 +206,18 @@
     feeds, _, _ = make()
     other = InstanceStatement("o", 5, 1, READY, "control", "b", "other:1")
     handlers(feeds).take(ShareStatements((), (other,)))
-    assert feeds.control_at_home("a") == "own:1"
-    assert feeds.control_at_home("b") is None
+    assert feeds.control_endpoint_in("a") == "own:1"
+    assert feeds.control_endpoint_in("b") is None
     handlers(feeds).take(ReportHeard("other:1", ()))
-    assert feeds.control_at_home("b") == "other:1"
-    assert feeds.control_at_home("c") is None
+    assert feeds.control_endpoint_in("b") == "other:1"
+    assert feeds.control_endpoint_in("c") is None
     clock.advance(REPORTS_LATE)
-    assert feeds.control_at_home("b") is None
+    assert feeds.control_endpoint_in("b") is None
 
 
 def test_what_the_log_says_has_left_ends_though_no_instance_is_left_to_tell_so(make, clock):
     feeds, _, machine = make()
-    feeds.take_upstream(BEAT)
+    feeds.record_upstream(BEAT)
     machine.apply(encode_command(RetireUpstream("u", 100, 0.0)))
     clock.advance(REPORT_PERIOD)
     feeds.maintain()
@@ -226,7 +226,7 @@
 
 def test_a_drain_is_not_acknowledged_when_fewer_know_it_than_may_be_lost(make):
     feeds, peer, _ = make(leads=False)
-    feeds.take_upstream(BEAT)
-    assert feeds.take_upstream(replace(BEAT, sequence=2, state=DRAINING))
+    feeds.record_upstream(BEAT)
+    assert feeds.record_upstream(replace(BEAT, sequence=2, state=DRAINING))
     peer.is_up = False
-    assert not feeds.take_upstream(replace(BEAT, sequence=3, state=DRAINING))
+    assert not feeds.record_upstream(replace(BEAT, sequence=3, state=DRAINING))
--- a/fulmarhold/tests/membership/test_version_model.py
+++ b/fulmarhold/tests/membership/test_version_model.py
@@ -67,7 +67,7 @@
         def at_control():
             if name not in self.roster:
                 return
-            self.presence.note(sync)
+            self.presence.record(sync)
             version, roster = self.version, tuple(self.roster.values())
 
             def at_entry():
