--- a/fulmarhold/control/__init__.py
+++ b/fulmarhold/control/__init__.py
@@ -1,1 +1,1 @@
-"""The control daemon: accepted configuration, entry roster and claims."""
+"""The control daemon: accepted configuration, entry roster, idempotency claims and feeds."""
--- a/fulmarhold/control/__main__.py
+++ b/fulmarhold/control/__main__.py
@@ -1,4 +1,4 @@
-"""The program `fulmarhold-control`."""
+"""Command-line entry point of `fulmarhold-control`."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def main() -> None:
-    """Enter the program."""
+    """Run a control instance until it is stopped."""
     run_program("fulmarhold-control", "Run a control instance.", ControlSettings, ControlDaemon)
 
 
--- a/fulmarhold/control/client.py
+++ b/fulmarhold/control/client.py
@@ -1,4 +1,4 @@
-"""Finds the leader among the control instances and calls it."""
+"""Client of the control instances that finds the leader and calls it."""
 
 from __future__ import annotations
 
@@ -21,13 +21,14 @@
 
 CALL_TIMEOUT: Milliseconds = 700.0
 RETRY_PAUSE: Milliseconds = 30.0
-# A leader that hangs has been replaced by then: two of the longest election timeouts, less what
-# the call waited for it. Until then the others may still name it.
-SILENT_LEADER_AVOIDED: Milliseconds = 2 * LONGEST_ELECTION_TIMEOUT - CALL_TIMEOUT
+# How long a leader that did not reply in time is avoided: the others may still name it, until they
+# have elected another. That takes at most two of the longest election timeouts, less the time that
+# the call has already waited.
+LEADER_AVOIDANCE: Milliseconds = 2 * LONGEST_ELECTION_TIMEOUT - CALL_TIMEOUT
 
 
 class ControlClient:
-    """Sends requests to the leader; a request may arrive twice, so it must be idempotent."""
+    """Sends requests to the leader; each must be idempotent, as a retry may deliver it twice."""
 
     def __init__(self, endpoints: Sequence[str], clock: Clock, counters: Counters) -> None:
         self._endpoints = list(endpoints)
@@ -40,7 +41,7 @@
 
     @property
     def unanswered_for(self) -> Milliseconds:
-        """How long ago the first of the calls began that no leader has answered, 0 if one did."""
+        """How long calls have gone unanswered: ms since the first one began, 0 after a reply."""
         since = self._unanswered_since
         return self._clock.now() - since if since is not None else 0.0
 
@@ -56,20 +57,20 @@
             except (PeerUnavailable, CallFailed) as error:
                 problem = error
                 if isinstance(error, ReplyTimeout):
-                    self._avoided_until[endpoint] = self._clock.now() + SILENT_LEADER_AVOIDED
+                    self._avoided_until[endpoint] = self._clock.now() + LEADER_AVOIDANCE
                 self._counters.add("control_call_retries", reason=_retry_reason(error))
-                self._turn_to(None, endpoint)
+                self._select_leader(None, endpoint)
             else:
                 if not isinstance(reply, NotLeading):
                     self._unanswered_since = None
                     return reply
                 self._counters.add("control_call_retries", reason="not_leading")
-                self._turn_to(reply.leader, endpoint)
+                self._select_leader(reply.leader, endpoint)
             if self._unanswered_since is None:
                 self._unanswered_since = asked_at
             gevent.sleep(RETRY_PAUSE / SECOND)
         raise PeerUnavailable(
-            f"control did not answer in time: {problem or 'no leader'}",
+            f"no reply from the control leader in time: {problem or 'no leader'}",
             step=type(request).__name__,
             peer=self._leader,
         )
@@ -78,7 +79,7 @@
         """Close every connection."""
         self._links.close()
 
-    def _turn_to(self, leader: str | None, tried: str) -> None:
+    def _select_leader(self, leader: str | None, tried: str) -> None:
         if self._leader != tried:
             return
         if leader is not None and leader != tried and not self._is_avoided(leader):
--- a/fulmarhold/control/daemon.py
+++ b/fulmarhold/control/daemon.py
@@ -1,4 +1,4 @@
-"""The control daemon: the replicated log with its interfaces to entries and operators."""
+"""The control daemon: a replicated log with interfaces for entries and operators."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 class ControlDaemon:
-    """Everything that one control process runs."""
+    """Wires up and runs the parts of one control process."""
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
@@ -48,20 +48,20 @@
         self._service.register(self._messages)
 
     def start(self) -> None:
-        """Load the synced state, listen and take part."""
+        """Load the durable state, start this member and listen for entries and operators."""
         self.node.start()
         self._messages.start()
         self._http = start_server(
             self._application, self._settings.address, self._settings.operator_port
         )
         self._housekeeping = gevent.spawn(self._service.run_housekeeping)
-        log.info("{} serves {}", self._settings.name, self._settings.peer_endpoint)
+        log.info("{} listening on {}", self._settings.name, self._settings.peer_endpoint)
 
     def stop(self) -> None:
-        """Hand leadership over, end open requests and stop."""
+        """Hand over leadership, end open requests and stop."""
         self._housekeeping.kill()
         self.node.hand_over()
         self._http.stop(timeout=1)
         self.node.stop()
         self._messages.stop()
-        log.info("{} has stopped", self._settings.name)
+        log.info("{} stopped", self._settings.name)
--- a/fulmarhold/control/differences.py
+++ b/fulmarhold/control/differences.py
@@ -1,33 +1,34 @@
-"""Which control instances keep naming other upstreams than this one does.
+"""Detects control instances whose set of serving upstreams persistently differs from the own one.
 
-Statements are passed on as they come, and owed to an instance that could not be told. An instance
-that is lost for good takes what it owed with it; then two others may know different things, and
-nothing that either of them is told later puts that right.
+Statements are passed on once, and again to peers that could not be reached. An instance that is
+lost for good loses the statements that it had yet to resend; two others may then hold different
+statements, and no later message corrects that.
 """
 
 from __future__ import annotations
 
-# Reports in a row that differ: a statement on its way makes one of them differ, seldom two.
-REPORTS_BEFORE_ASKING = 2
+# Consecutive mismatches before the statements are compared: a statement in transit makes one report
+# differ, but rarely two.
+MISMATCHES_BEFORE_SYNC = 2
 
 
-class LastingDifferences:
-    """Counts, for each peer, the reports in a row whose digest is not the own one.
+class DigestMismatches:
+    """Counts, for each peer, the consecutive reports whose digest differs from the own one.
 
-    >>> differences = LastingDifferences()
-    >>> [differences.is_lasting("peer", digest, "own") for digest in ("x", "own", "x", "y")]
+    >>> mismatches = DigestMismatches()
+    >>> [mismatches.record_report("peer", digest, "own") for digest in ("x", "own", "x", "y")]
     [False, False, False, True]
     """
 
     def __init__(self) -> None:
-        self._in_a_row: dict[str, int] = {}
+        self._consecutive: dict[str, int] = {}
 
-    def is_lasting(self, peer: str, digest: str, own: str) -> bool:
-        """Take in a report; returns whether the peer should be asked what it knows."""
+    def record_report(self, peer: str, digest: str, own: str) -> bool:
+        """Record the digest of a report; returns whether to ask the peer for its statements."""
         if not digest or digest == own:
-            self._in_a_row.pop(peer, None)
+            self._consecutive.pop(peer, None)
             return False
-        count = self._in_a_row.get(peer, 0) + 1
-        is_lasting = count >= REPORTS_BEFORE_ASKING
-        self._in_a_row[peer] = 0 if is_lasting else count
-        return is_lasting
+        count = self._consecutive.get(peer, 0) + 1
+        is_persistent = count >= MISMATCHES_BEFORE_SYNC
+        self._consecutive[peer] = 0 if is_persistent else count
+        return is_persistent
--- a/fulmarhold/control/enforcement.py
+++ b/fulmarhold/control/enforcement.py
@@ -1,4 +1,4 @@
-"""From when on no entry can serve by an older version of the configuration."""
+"""Determines when no entry can serve by an older version of the configuration any more."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 
 class Enforcement:
-    """Follows one accepted version until it is in force everywhere.
+    """Tracks one accepted version until it is in force everywhere.
 
-    That is once a majority of the roster runs it, and every entry either runs it or has outlived
-    the longest lease that an older confirmation can give.
+    It is in force once a majority of the roster runs it, and every entry either runs it or has lost
+    its lease: no confirmation of an older version is valid for longer than `CONFIRMATION_LEASE`.
     """
 
     def __init__(self, version: int, presence: Presence) -> None:
@@ -26,11 +26,11 @@
         self._majority_at: Milliseconds | None = None
 
     def behind(self, roster: Collection[str]) -> tuple[str, ...]:
-        """Return the entries of the roster, and others heard, not known to run the version."""
+        """Return the entries, of the roster or that have synced, not known to run the version."""
         return self._presence.behind(self._version, {*roster, *self._presence.names})
 
     def is_complete(self, roster: Collection[str], now: Milliseconds) -> bool:
-        """Whether the version is in force; called regularly until it is."""
+        """Return whether the version is in force; must be called regularly until it is."""
         if self._majority_at is None and self._presence.has_majority(self._version, roster):
             self._majority_at = now
         if self._majority_at is None:
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -1,7 +1,8 @@
-"""What control instances know of upstreams and entries, shared among them and fed to entries.
+"""Collects the statements of upstreams and instances, and feeds them to entries.
 
-All of it is soft state that its subjects repeat, except that an upstream leaves: it says so once,
-so that this is handed to the other instances and to the replicated log before it is acknowledged.
+Statements are soft state that their subjects repeat, with one exception: an upstream announces its
+departure only once. A departure is therefore passed to the other control instances and to the
+replicated log before it is acknowledged.
 """
 
 from __future__ import annotations
@@ -14,9 +15,9 @@
 from gevent.event import Event
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.control.differences import LastingDifferences
+from fulmarhold.control.differences import DigestMismatches
 from fulmarhold.control.retirement import Retirements
-from fulmarhold.control.sharing import Sharing
+from fulmarhold.control.sharing import StatementSharing
 from fulmarhold.membership.feed import (
     AllStatements,
     AskConfirmation,
@@ -54,33 +55,33 @@
 
 log = part_log("feeds")
 
-# An unchanged feed is answered this often, which tells the entry that its source is in touch.
+# An unchanged feed is answered after this time, so that the entry knows that its source is alive.
 FEED_PERIOD: Milliseconds = 400.0
 HOUSEKEEPING_PERIOD: Milliseconds = 200.0
-# Three unanswered feeds of an entry, each of at most FEED_PERIOD and the trip.
-ENTRY_SILENCE: Milliseconds = 1_500.0
-# Heartbeats that may be missed before an upstream counts as silent: entries notice a crash by
-# their own connections long before, and one that merely reports late must not be dropped.
+# Three feed requests of an entry, each of which takes at most FEED_PERIOD and the round trip.
+ENTRY_TIMEOUT: Milliseconds = 1_500.0
+# Heartbeats that may be missed before an upstream counts as silent. Entries detect a crash much
+# earlier on their own connections, and an upstream that merely reports late must not be dropped.
 MISSED_HEARTBEATS = 8
-NEVER_CONFIRMED: Milliseconds = 1e9
+NEVER_CONFIRMED_AGE: Milliseconds = 1e9
 REPORT_PERIOD: Milliseconds = 1_000.0
-# Two reports that may be late; upstreams are not sent to a control instance silent for longer.
-REPORTS_LATE: Milliseconds = 2_500.0
-# How long a started instance waits for one that knows the statements before it serves without.
-LONGEST_CATCH_UP: Milliseconds = 1_000.0
+# Allows for two late reports; upstreams are not referred to a control instance silent for longer.
+REPORT_TIMEOUT: Milliseconds = 2_500.0
+# How long a started instance waits for a peer that knows the statements, before it serves anyway.
+CATCH_UP_TIMEOUT: Milliseconds = 1_000.0
 CATCH_UP_PERIOD: Milliseconds = 50.0
 
 
 @dataclass
-class _Watched:
-    """When an entry last asked, and what sequence it gave."""
+class _Watch:
+    """The time of an entry's last feed request, and the sequence of the statement in it."""
 
     at: Milliseconds
     sequence: int
 
 
 class FeedService:
-    """The statements that this control instance holds."""
+    """Holds the statements known to this control instance and answers the feeds of entries."""
 
     def __init__(
         self,
@@ -89,7 +90,7 @@
         machine: ControlMachine,
         seeds: Callable[[], tuple[str, ...]],
         heartbeat_period: Milliseconds,
-        keep: StatementFile,
+        statement_file: StatementFile,
         links: Links,
         clock: Clock,
         counters: Counters,
@@ -97,79 +98,82 @@
         self.upstreams: Ledger[UpstreamStatement] = Ledger()
         self.instances: Ledger[InstanceStatement] = Ledger()
         self._own = own
-        self._sharing = Sharing(
+        self._sharing = StatementSharing(
             node, own.endpoint, seeds, self.upstreams, self.instances, links, counters
         )
         self._retirements = Retirements(node, machine, self._sharing, clock)
         self._node = node
         self._machine = machine
-        self._upstream_silence = MISSED_HEARTBEATS * heartbeat_period
-        self._keep = keep
-        self._kept_position = 0
+        self._upstream_timeout = MISSED_HEARTBEATS * heartbeat_period
+        self._statement_file = statement_file
+        self._saved_position = 0
         self._clock = clock
         self._counters = counters
         self._source = uuid.uuid4().hex[:12]
         self._changed = Event()
-        self._heard: dict[str, Milliseconds] = {}
-        self._fresh: dict[str, tuple[int, int]] = {}
-        self._watched: dict[str, _Watched] = {}
-        self._reported: dict[str, Milliseconds] = {}
-        self._differences = LastingDifferences()
+        self._heard_at: dict[str, Milliseconds] = {}
+        self._unreported: dict[str, tuple[int, int]] = {}
+        self._watches: dict[str, _Watch] = {}
+        self._peer_reported_at: dict[str, Milliseconds] = {}
+        self._digest_mismatches = DigestMismatches()
         self._is_ready = False
-        self._fed_at: Milliseconds | None = None
+        self._first_feed_at: Milliseconds | None = None
         self._version = 0
-        self._reported_at = clock.now()
+        self._last_report_at = clock.now()
         self.instances.take(own, clock.now())
 
     @property
     def time_since_first_feed(self) -> Milliseconds:
-        """How long ago an entry was first given a configuration that a majority stands behind."""
-        return self._clock.now() - self._fed_at if self._fed_at is not None else 0.0
+        """How long ago an entry first got a newer configuration with recent majority confirmation.
+
+        0 if none has got one yet.
+        """
+        return self._clock.now() - self._first_feed_at if self._first_feed_at is not None else 0.0
 
     def register(self, server: MessageServer) -> None:
-        """File the handlers of feeds and of what other control instances share."""
+        """Register the handlers of feeds and of messages from other control instances."""
         server.handle(WatchFeed, self.watch)
-        server.handle(AskConfirmation, self._confirm)
-        server.handle(ShareStatements, self._take_shared)
-        server.handle(AskStatements, self._tell_all)
-        server.handle(ReportHeard, self._take_heard)
+        server.handle(AskConfirmation, self._handle_confirmation)
+        server.handle(ShareStatements, self._handle_shared)
+        server.handle(AskStatements, self._handle_ask_statements)
+        server.handle(ReportHeard, self._handle_report)
         server.handle(RetireUpstream, self._retirements.log_for_peer)
 
     # Upstreams
 
     def record_upstream(self, statement: UpstreamStatement) -> bool:
-        """Take in what an upstream says of itself; returns whether it may be acknowledged.
+        """Record an upstream's statement about itself; returns whether it may be acknowledged.
 
-        A statement that it leaves is acknowledged once it is where no single loss can undo it.
+        A departure may be acknowledged once it is stored where no single failure can undo it.
         """
-        statement = self._retirements.correct(statement)
-        is_change = self._take_upstreams((statement,), "own word")
+        statement = self._retirements.apply_retirement(statement)
+        is_change = self._merge_upstreams((statement,), "own statement")
         if statement.state not in (DRAINING, LEFT):
             if is_change:
                 self._sharing.share((statement,))
             return True
-        return self._retirements.hand_over(statement)
+        return self._retirements.record_departure(statement)
 
     def deregister_upstream(self, name: str) -> bool:
-        """Take in that an upstream goes without having said so before."""
+        """Record that an upstream has left, whether or not it announced its departure before."""
         known = self.upstreams.find(name)
         if known is None:
             return True
         return self.record_upstream(replace(known, state=LEFT))
 
     def control_endpoint_in(self, data_centre: str) -> str | None:
-        """Return the endpoint of a control instance that runs in a data centre, if any does."""
+        """Return the endpoint of a control instance that runs in a data centre, if there is one."""
         if data_centre == self._own.data_centre:
             return self._own.endpoint
-        earliest = self._clock.now() - REPORTS_LATE
+        earliest = self._clock.now() - REPORT_TIMEOUT
         for item in self.instances.all():
-            is_there = item.role == "control" and item.data_centre == data_centre
-            if is_there and self._reported.get(item.endpoint, earliest) > earliest:
+            is_match = item.role == "control" and item.data_centre == data_centre
+            if is_match and self._peer_reported_at.get(item.endpoint, earliest) > earliest:
                 return item.endpoint
         return None
 
-    def _take_upstreams(
-        self, statements: tuple[UpstreamStatement, ...], by: str, *, tell: bool = True
+    def _merge_upstreams(
+        self, statements: tuple[UpstreamStatement, ...], origin: str, *, log_changes: bool = True
     ) -> bool:
         now = self._clock.now()
         is_change = False
@@ -177,11 +181,11 @@
             before = self.upstreams.find(statement.name)
             if self.upstreams.take(statement, now):
                 is_change = True
-                if tell:
-                    _tell_upstream(statement, before, by)
+                if log_changes:
+                    _log_upstream_change(statement, before, origin)
             if self.upstreams.find(statement.name) == statement and statement.state != SILENT:
-                self._heard[statement.name] = now
-                self._fresh[statement.name] = (statement.born, statement.sequence)
+                self._heard_at[statement.name] = now
+                self._unreported[statement.name] = (statement.born, statement.sequence)
         if is_change:
             self._notify()
         return is_change
@@ -189,12 +193,12 @@
     # Entries
 
     def watch(self, request: WatchFeed) -> Any:
-        """Answer an entry as soon as something changed, or after a period at the latest."""
+        """Answer a feed request as soon as something changed, after `FEED_PERIOD` at the latest."""
         now = self._clock.now()
-        is_new = request.watcher.name not in self._watched
-        if self._take_instances((request.watcher,)) or is_new:
+        is_new = request.watcher.name not in self._watches
+        if self._merge_instances((request.watcher,)) or is_new:
             self._sharing.share(instances=(request.watcher,))
-        self._watched[request.watcher.name] = _Watched(now, request.watcher.sequence)
+        self._watches[request.watcher.name] = _Watch(now, request.watcher.sequence)
         if not self._is_ready:
             return Failure("catching_up")
         is_whole = request.source != self._source
@@ -202,12 +206,12 @@
             self._await_change(request, now + FEED_PERIOD)
         upstream_position = 0 if is_whole else request.upstream_position
         instance_position = 0 if is_whole else request.instance_position
-        self._watched[request.watcher.name] = _Watched(self._clock.now(), request.watcher.sequence)
+        self._watches[request.watcher.name] = _Watch(self._clock.now(), request.watcher.sequence)
         state = self._machine.state
         is_newer = state.routes_version > request.version
-        confirmed_age = min(self._node.confirmed_age(), NEVER_CONFIRMED)
-        if self._fed_at is None and is_newer and confirmed_age < FEED_PERIOD:
-            self._fed_at = self._clock.now()
+        confirmed_age = min(self._node.confirmed_age(), NEVER_CONFIRMED_AGE)
+        if self._first_feed_at is None and is_newer and confirmed_age < FEED_PERIOD:
+            self._first_feed_at = self._clock.now()
         return FeedReply(
             self._source,
             is_whole,
@@ -220,8 +224,8 @@
             state.routes_document if is_newer else None,
         )
 
-    def _confirm(self, _: AskConfirmation) -> Confirmation:
-        return Confirmation(self._is_ready, min(self._node.confirmed_age(), NEVER_CONFIRMED))
+    def _handle_confirmation(self, _: AskConfirmation) -> Confirmation:
+        return Confirmation(self._is_ready, min(self._node.confirmed_age(), NEVER_CONFIRMED_AGE))
 
     def _await_change(self, request: WatchFeed, until: Milliseconds) -> None:
         while not self._has_news(request):
@@ -237,12 +241,12 @@
             or self._machine.state.routes_version > request.version
         )
 
-    def _take_instances(self, statements: tuple[InstanceStatement, ...]) -> bool:
+    def _merge_instances(self, statements: tuple[InstanceStatement, ...]) -> bool:
         now = self._clock.now()
         is_change = False
         for statement in statements:
             if statement.name == self._own.name and statement.born > self._own.born:
-                # The time of day went back between two lives of this instance.
+                # The wall clock went back between two runs of this instance.
                 self._own = replace(self._own, born=statement.born + 1)
                 self.instances.take(self._own, now)
                 self._sharing.share(instances=(self._own,))
@@ -256,161 +260,167 @@
 
     # Other control instances
 
-    def _take_shared(self, shared: ShareStatements) -> Done:
-        self._take_upstreams(shared.upstreams, "shared")
-        self._take_instances(shared.instances)
-        self._refute(shared)
+    def _handle_shared(self, shared: ShareStatements) -> Done:
+        self._merge_upstreams(shared.upstreams, "shared")
+        self._merge_instances(shared.instances)
+        self._share_newer(shared)
         return Done()
 
-    def _refute(self, shared: ShareStatements) -> None:
-        """Share what is known here to be newer than what another instance has just told."""
-        upstreams = _differing(self.upstreams, shared.upstreams)
-        instances = _differing(self.instances, shared.instances)
+    def _share_newer(self, shared: ShareStatements) -> None:
+        """Share the statements held here that supersede those just received."""
+        upstreams = _conflicting(self.upstreams, shared.upstreams)
+        instances = _conflicting(self.instances, shared.instances)
         if upstreams or instances:
             self._sharing.share(upstreams, instances)
 
-    def _tell_all(self, _: AskStatements) -> AllStatements:
+    def _handle_ask_statements(self, _: AskStatements) -> AllStatements:
         return AllStatements(
             self._is_ready, tuple(self.upstreams.all()), tuple(self.instances.all())
         )
 
-    def _take_heard(self, report: ReportHeard) -> None:
+    def _handle_report(self, report: ReportHeard) -> None:
         now = self._clock.now()
-        self._reported[report.sender] = now
+        self._peer_reported_at[report.sender] = now
         for name, born, sequence in report.heard:
             known = self.upstreams.find(name)
             if known is not None and (born, sequence) >= (known.born, known.sequence):
-                self._heard[name] = now
+                self._heard_at[name] = now
         own = self.upstreams.serving_digest()
-        if self._differences.is_lasting(report.sender, report.serving, own):
-            gevent.spawn(self._compare_with, report.sender)
+        if self._digest_mismatches.record_report(report.sender, report.serving, own):
+            gevent.spawn(self._sync_from, report.sender)
 
-    def _compare_with(self, peer: str) -> None:
-        """Take over what another instance knows; it does the same where it knows less."""
+    def _sync_from(self, peer: str) -> None:
+        """Merge the statements of a peer; the peer fetches what it lacks in the same way."""
         answer = self._sharing.call(peer, AskStatements(self._own.endpoint))
         if isinstance(answer, AllStatements):
             log.info("compares its upstreams with those of {}", peer)
             news = (item for item in answer.upstreams if self.upstreams.find(item.name) != item)
-            self._take_upstreams(tuple(map(self._retirements.correct, news)), "compared")
+            self._merge_upstreams(tuple(map(self._retirements.apply_retirement, news)), "compared")
 
     def _notify(self) -> None:
-        # Every waiting watcher looks again; a new event serves those that wait later.
+        # Wakes every waiting watcher; later waits use a new event.
         changed, self._changed = self._changed, Event()
         changed.set()
 
     # Housekeeping
 
     def catch_up(self) -> None:
-        """Ask the others for what they hold, before this instance feeds any entry."""
-        self._take_upstreams(
-            tuple(self._retirements.correct(item) for item in self._keep.load()),
+        """Fetch the statements of the other control instances, before feeding any entry."""
+        self._merge_upstreams(
+            tuple(self._retirements.apply_retirement(item) for item in self._statement_file.load()),
             "kept from before",
-            tell=False,
+            log_changes=False,
         )
-        until = self._clock.now() + LONGEST_CATCH_UP
+        until = self._clock.now() + CATCH_UP_TIMEOUT
         while not self._is_ready and self._clock.now() < until:
             answers = [
                 gevent.spawn(self._sharing.call, peer, AskStatements(""))
                 for peer in self._sharing.peers()
             ]
-            told = 0
+            replies_merged = 0
             for answer in gevent.iwait(answers):
                 if isinstance(answer.value, AllStatements):
-                    told += 1
-                    self._take_upstreams(answer.value.upstreams, "told at start", tell=False)
-                    self._take_instances(answer.value.instances)
+                    replies_merged += 1
+                    self._merge_upstreams(
+                        answer.value.upstreams, "told at start", log_changes=False
+                    )
+                    self._merge_instances(answer.value.instances)
                     if answer.value.is_ready:
-                        # It knows what the others know; one of them may never answer.
+                        # A ready peer knows what the others know, one of which may never answer.
                         self._is_ready = True
                         break
-            # When all have started at once nobody knows more than what is merged now.
-            self._is_ready = self._is_ready or told == len(answers)
+            # If all started at the same time, none of them knows more than what is merged now.
+            self._is_ready = self._is_ready or replies_merged == len(answers)
             if not self._is_ready:
                 gevent.sleep(CATCH_UP_PERIOD / SECOND)
         self._is_ready = True
         self._sharing.share(instances=(self._own,))
-        log.info("feeds entries with {} upstreams known", len(self.upstreams))
+        log.info("ready to feed entries, {} upstreams known", len(self.upstreams))
 
     def run(self) -> None:
-        """Notice silence and new configurations, until killed."""
+        """Catch up with the other instances, then run the housekeeping until killed."""
         self.catch_up()
         while True:
             gevent.sleep(HOUSEKEEPING_PERIOD / SECOND)
             self.maintain()
 
     def maintain(self) -> None:
-        """End what is silent, keep the statements and report to the others; called regularly."""
+        """Expire silent subjects, save the statements and report to peers; called regularly."""
         now = self._clock.now()
-        self._end_silent_entries(now)
-        if self.upstreams.position != self._kept_position:
-            self._kept_position = self.upstreams.position
-            self._keep.save(self.upstreams.all())
-        if now >= self._reported_at + REPORT_PERIOD:
-            self._reported_at = now
-            self._sharing.pay_owed()
-            self._end_retired()
-            self._report_heard()
+        self._expire_entries(now)
+        if self.upstreams.position != self._saved_position:
+            self._saved_position = self.upstreams.position
+            self._statement_file.save(self.upstreams.all())
+        if now >= self._last_report_at + REPORT_PERIOD:
+            self._last_report_at = now
+            self._sharing.resend_undelivered()
+            self._apply_retirements()
+            self._send_reports()
             self.upstreams.forget_ended(now)
             self.instances.forget_ended(now)
         if self._node.is_formed and self._node.core.is_leader:
-            self._end_silent_upstreams(now)
+            self._expire_upstreams(now)
 
     def on_command_applied(self) -> None:
-        """Wake the watchers when the applied configuration is newer; called at each change."""
+        """Wake the watchers if a newer configuration was applied; called after each change."""
         if self._machine.state.routes_version > self._version:
             self._version = self._machine.state.routes_version
             self._notify()
 
-    def _end_silent_entries(self, now: Milliseconds) -> None:
+    def _expire_entries(self, now: Milliseconds) -> None:
         overdue = [
             (name, watched.sequence)
-            for name, watched in self._watched.items()
-            if now > watched.at + ENTRY_SILENCE
+            for name, watched in self._watches.items()
+            if now > watched.at + ENTRY_TIMEOUT
         ]
         for name, sequence in overdue:
-            del self._watched[name]
+            del self._watches[name]
             known = self.instances.find(name)
-            # A higher sequence means that it watches another control instance by now.
-            is_last_word = known is not None and known.sequence == sequence
-            if known is not None and is_last_word and known.state not in (LEFT, SILENT):
+            # A higher sequence means that the entry watches another control instance by now.
+            is_latest = known is not None and known.sequence == sequence
+            if known is not None and is_latest and known.state not in (LEFT, SILENT):
                 silent = replace(known, state=SILENT)
-                if self._take_instances((silent,)):
+                if self._merge_instances((silent,)):
                     self._sharing.share(instances=(silent,))
 
-    def _end_retired(self) -> None:
-        """End what the log says has left, where no other instance was left to tell so."""
+    def _apply_retirements(self) -> None:
+        """Apply departures from the log that no other instance was left to report."""
         known = self.upstreams.all()
-        corrected = ((item, self._retirements.correct(item)) for item in known)
-        self._take_upstreams(tuple(new for old, new in corrected if new != old), "the log")
+        updated = ((item, self._retirements.apply_retirement(item)) for item in known)
+        self._merge_upstreams(tuple(new for old, new in updated if new != old), "the log")
 
-    def _report_heard(self) -> None:
+    def _send_reports(self) -> None:
         leader = self._node.leader_endpoint
-        heard = tuple((name, born, sequence) for name, (born, sequence) in self._fresh.items())
-        self._fresh.clear()
+        heard = tuple((name, born, sequence) for name, (born, sequence) in self._unreported.items())
+        self._unreported.clear()
         for peer in self._sharing.peers():
-            told = heard if peer == leader else ()
-            report = ReportHeard(self._own.endpoint, told, self.upstreams.serving_digest())
+            reported = heard if peer == leader else ()
+            report = ReportHeard(self._own.endpoint, reported, self.upstreams.serving_digest())
             gevent.spawn(self._sharing.send, peer, report)
 
-    def _end_silent_upstreams(self, now: Milliseconds) -> None:
+    def _expire_upstreams(self, now: Milliseconds) -> None:
         earliest = self._node.core.leads_since
         if self._node.confirmed_age() > HOUSEKEEPING_PERIOD * 2:
             return
         for known in self.upstreams.all():
-            heard_at = max(self._heard.get(known.name, earliest), earliest)
-            if known.state == READY and now > heard_at + self._upstream_silence:
+            heard_at = max(self._heard_at.get(known.name, earliest), earliest)
+            if known.state == READY and now > heard_at + self._upstream_timeout:
                 silent = replace(known, state=SILENT)
-                if self._take_upstreams((silent,), f"unheard for {now - heard_at:.0f} ms"):
+                if self._merge_upstreams((silent,), f"silent for {now - heard_at:.0f} ms"):
                     self._sharing.share((silent,))
 
 
-def _differing(ledger: Ledger[Statement], told: tuple[Statement, ...]) -> tuple[Statement, ...]:
-    """Return what the ledger holds of the subjects that are in another state there."""
-    held = ((ledger.find(item.name), item.state) for item in told)
+def _conflicting(
+    ledger: Ledger[Statement], received: tuple[Statement, ...]
+) -> tuple[Statement, ...]:
+    """Return the ledger's statements on subjects that are in another state there than received."""
+    held = ((ledger.find(item.name), item.state) for item in received)
     return tuple(known for known, state in held if known is not None and known.state != state)
 
 
-def _tell_upstream(statement: UpstreamStatement, before: UpstreamStatement | None, by: str) -> None:
+def _log_upstream_change(
+    statement: UpstreamStatement, before: UpstreamStatement | None, origin: str
+) -> None:
     log.info(
         "upstream {} of {} at {} is {} (born {}, sequence {}), was {}: {}",
         statement.name,
@@ -420,5 +430,5 @@
         statement.born,
         statement.sequence,
         before.state if before else "unknown",
-        by,
+        origin,
     )
--- a/fulmarhold/control/formation.py
+++ b/fulmarhold/control/formation.py
@@ -1,4 +1,4 @@
-"""Forms the cluster from the first seeds, and brings later or returning instances into it."""
+"""Forms the cluster from the first seeds, joins it later, and keeps its voters complete."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.consensus.core import NotLeader
-from fulmarhold.control.succession import MemberHealth, admit, next_members
+from fulmarhold.control.voter_changes import MemberHealth, admit, next_members
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import IdentityReply, IdentityRequest, JoinCluster
 from fulmarhold.observe.logs import part_log
@@ -29,14 +29,15 @@
 ATTEMPT_PERIOD: Milliseconds = 150.0
 HOUSEKEEPING_PERIOD: Milliseconds = 200.0
 CALL_TIMEOUT: Milliseconds = 500.0
-# A member that its leader has dropped hears nothing any more; heartbeats come every 150 ms.
-UNHEARD_BEFORE_JOINING: Milliseconds = 1_500.0
-# Two syncs of a slow disk and the trips between data centres; then the next round tries again.
-LONGEST_CHANGE: Milliseconds = 2_000.0
+# A member that the leader has removed gets no more heartbeats, which otherwise come every 150 ms.
+REJOIN_TIMEOUT: Milliseconds = 1_500.0
+# Allows for two syncs of a slow disk and the round trips between data centres; after a timeout the
+# next step tries again.
+MEMBERSHIP_CHANGE_TIMEOUT: Milliseconds = 2_000.0
 
 
 class Formation:
-    """Keeps this control instance in its cluster, and the cluster's voters complete."""
+    """Keeps this control instance in its cluster and, while it leads, the voters complete."""
 
     def __init__(
         self,
@@ -44,29 +45,29 @@
         own_endpoint: str,
         seeds: Callable[[], tuple[str, ...]],
         is_first_start: bool,
-        voters_wanted: int,
+        target_voters: int,
         clock: Clock,
     ) -> None:
         self._node = node
         self._own_endpoint = own_endpoint
         self._seeds = seeds
         self._is_first_start = is_first_start
-        self._voters_wanted = voters_wanted
+        self._target_voters = target_voters
         self._clock = clock
         self._links = Links()
 
     def register(self, server: MessageServer) -> None:
-        """File the handlers of the messages by which instances find each other."""
-        server.handle(IdentityRequest, self._tell_identity)
-        server.handle(JoinCluster, self._take_in)
+        """Register the handlers of the messages that form and join a cluster."""
+        server.handle(IdentityRequest, self._handle_identity)
+        server.handle(JoinCluster, self._handle_join)
 
     def run(self) -> None:
-        """Form or join the cluster, return to it after a loss, and lead its changes."""
+        """Form or join the cluster, rejoin it after a removal, and change its voters if leading."""
         while True:
             try:
                 self._step()
             except FulmarholdError as error:
-                log.info("not settled in the cluster yet: {}", error)
+                log.info("cluster membership not settled yet: {}", error)
             gevent.sleep((HOUSEKEEPING_PERIOD if self._node.is_formed else ATTEMPT_PERIOD) / SECOND)
 
     def _step(self) -> None:
@@ -77,8 +78,8 @@
             else:
                 self._ask_to_join()
         elif self._node.core.is_leader:
-            self._complete_voters()
-        elif self._node.confirmed_age() > UNHEARD_BEFORE_JOINING:
+            self._reconcile_members()
+        elif self._node.confirmed_age() > REJOIN_TIMEOUT:
             self._ask_to_join()
 
     def _form(self, seeds: tuple[str, ...]) -> None:
@@ -88,7 +89,7 @@
                 continue
             reply = self._call(endpoint, IdentityRequest())
             if reply.cluster:
-                log.info("{} belongs to a cluster already; asks to join it", endpoint)
+                log.info("{} already belongs to a cluster; asking to join it", endpoint)
                 self._is_first_start = False
                 return
             voters[reply.identity] = endpoint
@@ -104,12 +105,12 @@
                 self._call(endpoint, request)
                 return
             except FulmarholdError as error:
-                log.debug("{} did not take this instance in: {}", endpoint, error)
+                log.debug("{} did not admit this instance: {}", endpoint, error)
 
-    def _tell_identity(self, _: IdentityRequest) -> IdentityReply:
+    def _handle_identity(self, _: IdentityRequest) -> IdentityReply:
         return IdentityReply(self._node.identity, self._node.cluster)
 
-    def _take_in(self, request: JoinCluster) -> Any:
+    def _handle_join(self, request: JoinCluster) -> Any:
         if not self._node.is_formed:
             return Failure("not_formed")
         core = self._node.core
@@ -120,11 +121,11 @@
             return self._call(leader, request)
         members = core.members
         if admit(members, request.identity, request.endpoint) != members:
-            log.info("takes in {} at {}", request.identity, request.endpoint)
+            log.info("admitting {} at {}", request.identity, request.endpoint)
             self._change(partial(admit, identity=request.identity, endpoint=request.endpoint))
         return Done()
 
-    def _complete_voters(self) -> None:
+    def _reconcile_members(self) -> None:
         core = self._node.core
         now = self._clock.now()
         health = {
@@ -134,16 +135,16 @@
             )
             for identity in core.members.everyone
         }
-        wanted = next_members(core.members, core.identity, health, self._voters_wanted)
-        if wanted is None:
+        changed = next_members(core.members, core.identity, health, self._target_voters)
+        if changed is None:
             return
         log.info(
-            "changes the voters from {} to {}", sorted(core.members.voters), sorted(wanted.voters)
+            "changing the voters from {} to {}", sorted(core.members.voters), sorted(changed.voters)
         )
-        self._change(lambda _: wanted)
+        self._change(lambda _: changed)
 
     def _change(self, change: Any) -> None:
-        with gevent.Timeout(LONGEST_CHANGE / SECOND, NotLeader(None)):
+        with gevent.Timeout(MEMBERSHIP_CHANGE_TIMEOUT / SECOND, NotLeader(None)):
             self._node.change_members(change)
 
     def _call(self, endpoint: str, request: Any) -> Any:
--- a/fulmarhold/control/http.py
+++ b/fulmarhold/control/http.py
@@ -1,4 +1,4 @@
-"""The operators' HTTP interface of a control instance; commands and queries apart."""
+"""The operators' HTTP interface of a control instance, split into commands and queries."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
     from fulmarhold.control.service import AcceptResult, ControlService
     from fulmarhold.observe.counters import Counters
 
-LARGEST_CONFIGURATION_BYTES = 2 * 1024 * 1024
+MAX_CONFIGURATION_BYTES = 2 * 1024 * 1024
 
 
 class CommandResource:
@@ -41,7 +41,7 @@
     def on_post(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
         if name not in self._commands:
             raise MalformedInput(f"unknown command {name!r}", step="commands")
-        body = read_json(request, LARGEST_CONFIGURATION_BYTES)
+        body = read_json(request, MAX_CONFIGURATION_BYTES)
         response.status, response.media = self._commands[name](body)
 
     def _accept(self, body: dict[str, Any]) -> tuple[str, dict[str, Any]]:
--- a/fulmarhold/control/identifiers.py
+++ b/fulmarhold/control/identifiers.py
@@ -13,15 +13,15 @@
 
 
 def new_identifier() -> str:
-    """Return a new identifier that carries the present time."""
-    # Only operators make identifiers; control, which reads them, starts faster without this.
+    """Return a new identifier that contains the current time."""
+    # Imported here because only operators create identifiers; control starts faster without it.
     import uuid6  # noqa: PLC0415
 
     return str(uuid6.uuid7())
 
 
 def identifier_time(identifier: str) -> Milliseconds | None:
-    """Return when an identifier was made, or `None` when it is no UUID version 7.
+    """Return when an identifier was created, or `None` if it is not a UUID version 7.
 
     >>> identifier_time("018bcfe5-6800-7000-8000-000000000000")
     1700000000000.0
--- a/fulmarhold/control/machine.py
+++ b/fulmarhold/control/machine.py
@@ -1,7 +1,7 @@
-"""The replicated state: accepted configuration, roster, outcomes of commands and claims.
+"""The replicated state machine: accepted configuration, entry roster, command outcomes and claims.
 
-Applying a command depends on the state and the command alone, never on a clock, so that every
-member comes to the same state.
+Applying a command depends only on the state and the command, never on a clock, so that every
+member reaches the same state.
 """
 
 from __future__ import annotations
@@ -39,20 +39,20 @@
 
 COMMAND_RETENTION: Milliseconds = 24 * HOUR
 CLAIM_RETENTION: Milliseconds = 2 * HOUR
-LARGEST_CLOCK_SKEW: Milliseconds = 5 * MINUTE
+MAX_CLOCK_SKEW: Milliseconds = 5 * MINUTE
 PRUNE_PERIOD: Milliseconds = MINUTE
-MOST_CLAIMS = 100_000
-LARGEST_KEPT_ANSWER_BYTES = 4_096
-# Upstreams that leave are remembered until this many others left after them: many times what an
-# hour of releases retires, at about 60 bytes each.
-MOST_RETIRED = 4_096
+MAX_CLAIMS = 100_000
+MAX_STORED_ANSWER_BYTES = 4_096
+# Retired upstreams that are kept; beyond this number the oldest are dropped. It is many times what
+# an hour of releases retires, at about 60 bytes each.
+MAX_RETIRED_UPSTREAMS = 4_096
 
 Outcome = Accepted | Superseded | CommandRefused
 
 
 @dataclass(frozen=True)
-class Remembered:
-    """The first outcome of a command, with a digest of the command itself."""
+class RecordedOutcome:
+    """The first outcome of a command id, with a digest of the command that had it."""
 
     digest: str
     outcome: Outcome
@@ -60,19 +60,22 @@
 
 @dataclass(frozen=True)
 class Claim:
-    """One idempotency key: the attempt that holds it and how that ended, if it has."""
+    """The claim of an idempotency key: the attempt that holds it, and its answer once settled.
+
+    `ended_attempts` were not run; a delayed claim of one of them is refused.
+    """
 
     digest: str
     attempt: str
     entry: str
     settled: bool = False
     answer: bytes = b""
-    over: tuple[str, ...] = ()
+    ended_attempts: tuple[str, ...] = ()
 
 
 @dataclass
 class ControlState:
-    """Everything that is replicated."""
+    """The state that every control member replicates."""
 
     revision: int = 0
     version: int = 0
@@ -82,7 +85,7 @@
     time: Milliseconds = 0.0
     pruned_at: Milliseconds = 0.0
     roster: dict[str, RosterEntry] = field(default_factory=dict)
-    commands: dict[str, Remembered] = field(default_factory=dict)
+    commands: dict[str, RecordedOutcome] = field(default_factory=dict)
     claims: dict[str, Claim] = field(default_factory=dict)
     routes_version: int = 0
     routes_document: bytes = b""
@@ -93,13 +96,13 @@
 
 
 def encode_command(command: Any) -> bytes:
-    """Return the log data of a command."""
+    """Serialize a command for the replicated log."""
     packed: bytes = msgpack.packb(to_values(command))
     return packed
 
 
 class ControlMachine:
-    """Applies committed commands to the state."""
+    """Applies committed commands to the replicated state."""
 
     def __init__(self) -> None:
         self.state = ControlState()
@@ -113,7 +116,7 @@
         return outcome
 
     def save(self) -> bytes:
-        """Return the whole state as bytes."""
+        """Serialize the whole state into a snapshot."""
         state = self.state
         packed: bytes = msgpack.packb(
             {
@@ -142,7 +145,7 @@
                         item.entry,
                         item.settled,
                         item.answer,
-                        item.over,
+                        item.ended_attempts,
                     ]
                     for key, item in state.claims.items()
                 ],
@@ -153,10 +156,10 @@
         return packed
 
     def restore(self, data: bytes) -> None:
-        """Replace the state by what `save` returned once."""
+        """Replace the state by a snapshot that `save` returned."""
         values = msgpack.unpackb(data)
         revision, version, document, accepted_by, accepted_at, time, pruned_at = values["scalars"]
-        # Snapshots of earlier releases know neither routes nor retired upstreams.
+        # Snapshots of earlier releases contain neither routes nor retired upstreams.
         routes_version, routes_document = values.get("routes", (0, b""))
         self.state = ControlState(
             revision,
@@ -168,12 +171,12 @@
             pruned_at,
             roster={item[0]: RosterEntry(*item) for item in values["roster"]},
             commands={
-                command_id: Remembered(digest, from_values(outcome))
+                command_id: RecordedOutcome(digest, from_values(outcome))
                 for command_id, digest, outcome in values["commands"]
             },
             claims={
-                key: Claim(digest, attempt, entry, settled, answer, tuple(over))
-                for key, digest, attempt, entry, settled, answer, over in values["claims"]
+                key: Claim(digest, attempt, entry, settled, answer, tuple(ended_attempts))
+                for key, digest, attempt, entry, settled, answer, ended_attempts in values["claims"]
             },
             routes_version=routes_version,
             routes_document=routes_document,
@@ -184,16 +187,16 @@
 @appliers.register(AcceptConfiguration.__name__)
 def _accept(state: ControlState, command: AcceptConfiguration) -> Outcome:
     digest = _digest([command.operator, command.base_revision, command.document])
-    remembered = state.commands.get(command.command_id)
-    if remembered is not None:
-        if remembered.digest != digest:
+    recorded = state.commands.get(command.command_id)
+    if recorded is not None:
+        if recorded.digest != digest:
             return CommandRefused("the command id was used for another command")
-        return remembered.outcome
+        return recorded.outcome
     refusal = _identifier_refusal(state, command.command_id, COMMAND_RETENTION)
     if refusal is not None:
         return CommandRefused(f"the command id is {refusal}")
     outcome = _decide_accept(state, command)
-    state.commands[command.command_id] = Remembered(digest, outcome)
+    state.commands[command.command_id] = RecordedOutcome(digest, outcome)
     return outcome
 
 
@@ -228,13 +231,13 @@
         refusal = _identifier_refusal(state, command.key, CLAIM_RETENTION)
         if refusal is not None:
             return ClaimRefused("key_invalid" if refusal == "invalid" else "key_expired")
-        if len(state.claims) >= MOST_CLAIMS:
+        if len(state.claims) >= MAX_CLAIMS:
             return ClaimRefused("claims_full")
         state.claims[command.key] = Claim(command.digest, command.attempt, command.entry)
         return ClaimGranted()
     if claim.digest != command.digest:
         return ClaimRefused("key_reused")
-    if command.attempt in claim.over:
+    if command.attempt in claim.ended_attempts:
         return ClaimRefused("attempt_over")
     if claim.attempt == command.attempt and not claim.settled:
         return ClaimGranted()
@@ -250,17 +253,19 @@
     if claim is None or claim.settled or claim.attempt != command.attempt:
         return
     if command.ran:
-        answer = command.answer if len(command.answer) <= LARGEST_KEPT_ANSWER_BYTES else b""
+        answer = command.answer if len(command.answer) <= MAX_STORED_ANSWER_BYTES else b""
         state.claims[command.key] = replace(claim, settled=True, answer=answer)
     else:
-        # The key is free again, but a delayed claim of this attempt must not take it back.
-        over = (*claim.over, command.attempt)
-        state.claims[command.key] = replace(claim, attempt="", entry="", over=over)
+        # Releases the key; a delayed claim of this attempt must not acquire it again.
+        ended_attempts = (*claim.ended_attempts, command.attempt)
+        state.claims[command.key] = replace(
+            claim, attempt="", entry="", ended_attempts=ended_attempts
+        )
 
 
 @appliers.register(AcceptVersion.__name__)
 def _accept_version(state: ControlState, command: AcceptVersion) -> int:
-    """Keep the configuration with the highest version; returns the version held."""
+    """Store the configuration unless a version as high is stored; returns the stored version."""
     if command.version > state.routes_version:
         state.routes_version = command.version
         state.routes_document = command.document
@@ -271,17 +276,17 @@
 def _retire(state: ControlState, command: RetireUpstream) -> None:
     state.retired.pop(command.name, None)
     state.retired[command.name] = command.born
-    while len(state.retired) > MOST_RETIRED:
+    while len(state.retired) > MAX_RETIRED_UPSTREAMS:
         del state.retired[next(iter(state.retired))]
 
 
 def _identifier_refusal(
     state: ControlState, identifier: str, retention: Milliseconds
 ) -> str | None:
-    made_at = identifier_time(identifier)
-    if made_at is None or made_at > state.time + LARGEST_CLOCK_SKEW:
+    created_at = identifier_time(identifier)
+    if created_at is None or created_at > state.time + MAX_CLOCK_SKEW:
         return "invalid"
-    if made_at < state.time - retention:
+    if created_at < state.time - retention:
         return "too old"
     return None
 
--- a/fulmarhold/control/messages.py
+++ b/fulmarhold/control/messages.py
@@ -1,4 +1,4 @@
-"""Commands of the replicated log, and the messages between entries and control."""
+"""Commands of the replicated log, their outcomes, and messages between entries and control."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True)
 class RosterEntry:
-    """An entry instance that takes part, and where it listens."""
+    """An entry instance in the roster, and the endpoints on which it listens."""
 
     name: str
     data_centre: str
@@ -25,7 +25,7 @@
 
 @message
 class AcceptConfiguration:
-    """Make a configuration the accepted one, if it is based on the present revision."""
+    """Accept a configuration, if it is based on the current revision."""
 
     command_id: str
     operator: str
@@ -36,7 +36,7 @@
 
 @message
 class AdmitEntry:
-    """Take an entry instance into the roster, or change where it listens."""
+    """Add an entry instance to the roster, or change its endpoints."""
 
     entry: RosterEntry
     at: float
@@ -44,7 +44,7 @@
 
 @message
 class RemoveEntry:
-    """Take an entry instance out of the roster."""
+    """Remove an entry instance from the roster."""
 
     name: str
     at: float
@@ -52,7 +52,7 @@
 
 @message
 class ClaimKey:
-    """Reserve an idempotency key for one attempt; `digest` is of service and request."""
+    """Reserve an idempotency key for one attempt; `digest` covers service and request."""
 
     key: str
     digest: str
@@ -85,7 +85,7 @@
 
 @message
 class Superseded:
-    """The base revision is not the present one; names who accepted that and when."""
+    """The base revision is outdated; names the current one, who accepted it and when."""
 
     revision: int
     operator: str
@@ -94,7 +94,7 @@
 
 @message
 class CommandRefused:
-    """The command was refused for good, for the reason given."""
+    """The command was permanently refused, for the reason given."""
 
     reason: str
 
@@ -106,7 +106,7 @@
 
 @message
 class ClaimHeld:
-    """Another attempt holds the key; when it has settled, its answer is given."""
+    """Another attempt holds the key; once that has settled, its answer is included."""
 
     entry: str
     settled: bool
@@ -115,7 +115,7 @@
 
 @message
 class ClaimRefused:
-    """The key can't be claimed; the request was not run."""
+    """The key can't be claimed, and the request was not run."""
 
     reason: Literal["key_invalid", "key_expired", "key_reused", "claims_full", "attempt_over"]
 
@@ -125,7 +125,7 @@
 
 @message
 class EntrySync:
-    """An entry tells what it runs, and asks whether that is still the accepted state."""
+    """Reports the state that an entry runs, and asks whether it is still the accepted one."""
 
     entry: RosterEntry
     incarnation: float
@@ -136,10 +136,10 @@
 
 @message
 class SyncReply:
-    """The accepted state at a moment after the request was sent.
+    """The accepted state at some time after the request was sent.
 
-    `document` and `roster` are left out when the entry's version is the present one, `document`
-    also when its revision is: most versions differ in the roster only.
+    `document` and `roster` are omitted if the entry's version is current, `document` also if its
+    revision is current, since most versions differ in the roster only.
     """
 
     version: int
@@ -150,6 +150,6 @@
 
 @message
 class NotLeading:
-    """The asked instance does not lead; names the leader's endpoint if it knows one."""
+    """The instance does not lead; names the leader's endpoint if it knows one."""
 
     leader: str | None
--- a/fulmarhold/control/presence.py
+++ b/fulmarhold/control/presence.py
@@ -1,4 +1,7 @@
-"""What the leader knows of entries from their syncs; lost with leadership and soon known again."""
+"""What the leader knows of entries from their syncs.
+
+It is dropped with the leadership; a new leader learns it again from the next syncs.
+"""
 
 from __future__ import annotations
 
@@ -14,7 +17,7 @@
 
 @dataclass(frozen=True)
 class EntryPresence:
-    """The last sync of one entry."""
+    """What the last sync of one entry reported, and when it arrived."""
 
     version: int
     state: str
@@ -31,17 +34,17 @@
 
     @property
     def names(self) -> tuple[str, ...]:
-        """The names of all entries heard."""
+        """The names of all entries that have synced."""
         return tuple(self._entries)
 
     def record(self, sync: EntrySync) -> None:
-        """Take in a sync."""
+        """Record a sync as the last one of its entry."""
         self._entries[sync.entry.name] = EntryPresence(
             sync.version, sync.state, sync.incarnation, self._clock.now()
         )
 
     def clear(self) -> None:
-        """Forget everything, at the loss of leadership."""
+        """Forget all entries, at the loss of leadership."""
         self._entries.clear()
 
     def find(self, name: str) -> EntryPresence | None:
@@ -53,7 +56,7 @@
         self._entries.pop(name, None)
 
     def silent_since(self, moment: Milliseconds, names: Iterable[str]) -> tuple[str, ...]:
-        """Return the names of entries not heard since `moment`."""
+        """Return the names of those entries that have not synced since `moment`."""
         return tuple(
             name
             for name in names
@@ -61,7 +64,7 @@
         )
 
     def behind(self, version: int, names: Iterable[str]) -> tuple[str, ...]:
-        """Return the names of entries not known to run `version` or a later one."""
+        """Return the names of those entries that are not known to run `version` or a later one."""
         return tuple(
             name
             for name in names
--- a/fulmarhold/control/queries.py
+++ b/fulmarhold/control/queries.py
@@ -1,4 +1,4 @@
-"""What operators read from a control instance."""
+"""Read-only queries of operators to a control instance."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class ControlQueries:
-    """Queries; `stale` in an answer is false only for a linearizable read."""
+    """Answers queries; `stale` in an answer is false only for a linearizable read."""
 
     def __init__(
         self,
@@ -33,7 +33,7 @@
         self._clock = clock
 
     def identity(self) -> dict[str, Any]:
-        """Return who this instance is, for forming a cluster or admitting it to one."""
+        """Return the identity of this instance, which is needed to form a cluster or join one."""
         return {
             "name": self._settings.name,
             "identity": self._node.identity,
@@ -42,7 +42,7 @@
         }
 
     def health(self) -> str:
-        """Return an empty string, or why this instance can't take part."""
+        """Return an empty string if healthy, or why this instance can't serve."""
         if not self._node.is_formed:
             return "belongs to no cluster yet"
         if self._node.leader_endpoint is None:
@@ -61,7 +61,7 @@
         }
 
     def status(self) -> dict[str, Any]:
-        """Return members, roster, and which entry runs which version."""
+        """Return cluster members, roster, and the version that each entry runs."""
         state = self._machine.state
         answer: dict[str, Any] = {
             "stale": not self._node.may_read(),
@@ -84,7 +84,7 @@
         return answer
 
     def gauges(self) -> Iterable[Gauge]:
-        """Yield the values that a scrape reads."""
+        """Yield the gauges that a metrics scrape reads."""
         yield "control_revision", {}, float(self._machine.state.revision)
         yield "control_claims", {}, float(len(self._machine.state.claims))
         yield "control_applied_index", {}, float(self._node.applied_index)
--- a/fulmarhold/control/retirement.py
+++ b/fulmarhold/control/retirement.py
@@ -1,4 +1,4 @@
-"""Upstreams that leave: remembered in the replicated log, and told to other control instances."""
+"""Records departures of upstreams in the replicated log and on other control instances."""
 
 from __future__ import annotations
 
@@ -19,54 +19,56 @@
     from fulmarhold.clock import Clock
     from fulmarhold.consensus.node import Node
     from fulmarhold.control.machine import ControlMachine
-    from fulmarhold.control.sharing import Sharing
+    from fulmarhold.control.sharing import StatementSharing
 
 log = part_log("retirement")
 
-# Upstreams wait one second for an acknowledgement; handing it over may use part of that.
-HANDOVER_TIMEOUT: Milliseconds = 400.0
+# Upstreams wait one second for an acknowledgement; recording a departure may take part of that.
+ACKNOWLEDGEMENT_TIMEOUT: Milliseconds = 400.0
 
 
 class Retirements:
-    """Sees to it that no single loss undoes what an upstream was acknowledged."""
+    """Makes departures durable, so that no single failure undoes an acknowledged one."""
 
-    def __init__(self, node: Node, machine: ControlMachine, sharing: Sharing, clock: Clock) -> None:
+    def __init__(
+        self, node: Node, machine: ControlMachine, sharing: StatementSharing, clock: Clock
+    ) -> None:
         self._node = node
         self._machine = machine
         self._sharing = sharing
         self._clock = clock
 
-    def correct(self, statement: UpstreamStatement) -> UpstreamStatement:
-        """Return the statement, corrected by what the log remembers of this incarnation."""
+    def apply_retirement(self, statement: UpstreamStatement) -> UpstreamStatement:
+        """Return the statement, as draining if the log has this incarnation as retired."""
         born = self._machine.state.retired.get(statement.name)
         if born is not None and statement.born <= born and statement.state not in (DRAINING, LEFT):
             return replace(statement, state=DRAINING)
         return statement
 
-    def hand_over(self, statement: UpstreamStatement) -> bool:
-        """Log and share that an upstream leaves; returns whether it may be acknowledged."""
+    def record_departure(self, statement: UpstreamStatement) -> bool:
+        """Record a departure in the log and on peers; returns whether it may be acknowledged."""
         replies = self._sharing.share((statement,))
         command = RetireUpstream(statement.name, statement.born, self._clock.wall())
         logged = gevent.spawn(self._log, command)
-        gevent.joinall([logged, *replies], timeout=HANDOVER_TIMEOUT / SECOND)
+        gevent.joinall([logged, *replies], timeout=ACKNOWLEDGEMENT_TIMEOUT / SECOND)
         is_logged = bool(logged.ready() and logged.value)
-        told = sum(1 for reply in replies if reply.ready() and reply.value)
+        acknowledged = sum(1 for reply in replies if reply.ready() and reply.value)
         log.info(
-            "{} leaves: in the log {}, told {} of {} control instances",
+            "{} leaves: in the log: {}, acknowledged by {} of {} other control instances",
             statement.name,
             is_logged,
-            told,
+            acknowledged,
             len(replies),
         )
-        return is_logged or told >= self._others_needed()
+        return is_logged or acknowledged >= self._required_peers()
 
-    def _others_needed(self) -> int:
-        """Return how many must know beside this instance, so that a loss to be borne spares one."""
+    def _required_peers(self) -> int:
+        """Return how many peers must also hold a departure, to survive any tolerated loss."""
         voters = len(self._node.core.members.voters) if self._node.is_formed else 1
         return voters // 2
 
     def log_for_peer(self, command: RetireUpstream) -> Any:
-        """Log a retirement that another control instance passes on."""
+        """Log a retirement that another control instance forwards."""
         return Done() if self._log(command) else Failure("not_logged")
 
     def _log(self, command: RetireUpstream) -> bool:
@@ -78,6 +80,6 @@
         try:
             self._node.propose(encode_command(command))
         except FulmarholdError as error:
-            log.warning("could not log that {} leaves: {}", command.name, error)
+            log.warning("could not log the departure of {}: {}", command.name, error)
             return False
         return True
--- a/fulmarhold/control/service.py
+++ b/fulmarhold/control/service.py
@@ -1,4 +1,4 @@
-"""What a control instance does for entries and operators, on top of the replicated log."""
+"""Serves requests of entries and operators on top of the replicated log."""
 
 from __future__ import annotations
 
@@ -42,15 +42,18 @@
 
 log = part_log("control")
 
-IN_FORCE_PATIENCE: Milliseconds = 4_500.0
+IN_FORCE_TIMEOUT: Milliseconds = 4_500.0
 IN_FORCE_CHECK_PERIOD: Milliseconds = 20.0
-SILENT_ENTRY_REMOVED_AFTER: Milliseconds = 10 * MINUTE
+ENTRY_REMOVAL_TIMEOUT: Milliseconds = 10 * MINUTE
 HOUSEKEEPING_PERIOD: Milliseconds = 250.0
 
 
 @dataclass(frozen=True)
 class AcceptResult:
-    """The outcome of an accept, and how far it is in force."""
+    """The outcome of an accept command, and whether the configuration is in force.
+
+    `waiting_for` names the entries that are not known to run the new version yet.
+    """
 
     outcome: Accepted | Superseded | CommandRefused
     in_force: bool
@@ -58,7 +61,7 @@
 
 
 class ControlService:
-    """Handles requests; only the leader with a lease answers, others name the leader."""
+    """Handles requests; only a leader with a valid lease answers, others name it."""
 
     def __init__(
         self,
@@ -73,18 +76,18 @@
         self._presence = presence
         self._clock = clock
         self._counters = counters
-        self._led_since: Milliseconds | None = None
+        self._leader_since: Milliseconds | None = None
         self._roster_change_open = False
 
     def register(self, server: MessageServer) -> None:
-        """File the handlers of every message that control serves."""
+        """Register the handlers of every message that control serves."""
         server.handle(MemberMessage, receive_member_message(self._node))
         server.handle(EntrySync, self.sync_entry)
         server.handle(ClaimKey, self.claim)
         server.handle(SettleKey, self.settle)
 
     def sync_entry(self, sync: EntrySync) -> Any:
-        """Tell an entry the accepted state, as a linearizable read."""
+        """Return the accepted state to an entry, as a linearizable read."""
         if not self._node.may_read():
             return self._not_leading()
         self._presence.record(sync)
@@ -97,7 +100,7 @@
         return SyncReply(state.version, state.revision, document, roster)
 
     def claim(self, command: ClaimKey) -> Any:
-        """Claim an idempotency key through the log."""
+        """Claim an idempotency key through the replicated log."""
         outcome = self._propose_for_entry(
             ClaimKey(
                 command.key, command.digest, command.attempt, command.entry, self._clock.wall()
@@ -107,7 +110,7 @@
         return outcome
 
     def settle(self, command: SettleKey) -> Any:
-        """Record the end of an attempt through the log."""
+        """Record how an attempt ended, through the replicated log."""
         outcome = self._propose_for_entry(
             SettleKey(command.key, command.attempt, command.ran, command.answer, self._clock.wall())
         )
@@ -116,9 +119,9 @@
     def accept(
         self, command_id: str, operator: str, base_revision: int, document: Any
     ) -> AcceptResult:
-        """Accept a configuration and wait until it is in force, as far as patience goes.
+        """Accept a configuration and wait until it is in force, for `IN_FORCE_TIMEOUT` at most.
 
-        Raises `InvalidSettings` for a bad document, `NotLeader` and `OutcomeUnknown`.
+        Raises `InvalidSettings` for an invalid document, `NotLeader` and `OutcomeUnknown`.
         """
         configuration_from_document(document, "configuration")
         command = AcceptConfiguration(
@@ -128,16 +131,16 @@
         self._counters.add("commands", outcome=type(outcome).__name__)
         if not isinstance(outcome, Accepted):
             return AcceptResult(outcome, False, ())
-        log.info("accepted revision {} of {}", outcome.revision, operator)
+        log.info("accepted revision {} from operator {}", outcome.revision, operator)
         in_force, waiting_for = self._await_in_force(outcome.version)
         return AcceptResult(outcome, in_force, waiting_for)
 
     def admit_member(self, identity: str, endpoint: str) -> None:
-        """Start to replicate to a new instance; it becomes a voter once it has caught up."""
+        """Add a new instance as a learner; it becomes a voter once it has caught up."""
 
         def change(members: Members) -> Members:
             if identity in members.everyone:
-                raise MembershipRefused(f"{identity} is a member already")
+                raise MembershipRefused(f"{identity} is already a member")
             return Members(members.voters, {**members.learners, identity: endpoint})
 
         self._node.change_members(change)
@@ -147,21 +150,21 @@
 
         def change(members: Members) -> Members:
             if identity not in members.everyone:
-                raise MembershipRefused(f"{identity} is no member")
+                raise MembershipRefused(f"{identity} is not a member")
             return Members(_without(members.voters, identity), _without(members.learners, identity))
 
         self._node.change_members(change)
 
     def run_housekeeping(self) -> None:
-        """Promote learners and remove entries that have long been silent, until killed."""
+        """Promote learners and remove long-silent entries while leading; runs until killed."""
         while True:
             gevent.sleep(HOUSEKEEPING_PERIOD / SECOND)
             if not self._node.is_formed or not self._node.may_read():
-                self._led_since = None
+                self._leader_since = None
                 self._presence.clear()
                 continue
-            if self._led_since is None:
-                self._led_since = self._clock.now()
+            if self._leader_since is None:
+                self._leader_since = self._clock.now()
             self._promote_learners()
             self._remove_silent_entries()
 
@@ -187,9 +190,9 @@
             self._change_roster(AdmitEntry(sync.entry, self._clock.wall()))
 
     def _change_roster(self, command: AdmitEntry | RemoveEntry) -> None:
-        """Change the roster by one entry, once a majority runs the roster before the change.
+        """Add or remove one entry, once a majority of the roster runs the current version.
 
-        Then the majorities of any two rosters that entries may hold at one time overlap.
+        This way the majorities of any two rosters that entries hold at the same time overlap.
         """
         state = self._machine.state
         if self._roster_change_open or not self._presence.has_majority(state.version, state.roster):
@@ -207,8 +210,8 @@
             self._roster_change_open = False
 
     def _await_in_force(self, version: int) -> tuple[bool, tuple[str, ...]]:
-        """Wait until no entry can serve by an older version, as far as patience goes."""
-        until = self._clock.now() + IN_FORCE_PATIENCE
+        """Wait until no entry can serve by an older version, for `IN_FORCE_TIMEOUT` at most."""
+        until = self._clock.now() + IN_FORCE_TIMEOUT
         enforcement = Enforcement(version, self._presence)
         while self._clock.now() < until:
             if enforcement.is_complete(self._machine.state.roster, self._clock.now()):
@@ -223,18 +226,18 @@
                 continue
             try:
                 self._node.change_members(partial(_promote, identity, endpoint))
-                log.info("{} has caught up and votes from now on", identity)
+                log.info("promoted learner {} to voter", identity)
             except FulmarholdError as error:
-                log.info("{} can't vote yet: {}", identity, error)
+                log.info("could not promote learner {} yet: {}", identity, error)
             return
 
     def _remove_silent_entries(self) -> None:
         now = self._clock.now()
-        if self._led_since is None or now < self._led_since + SILENT_ENTRY_REMOVED_AFTER:
+        if self._leader_since is None or now < self._leader_since + ENTRY_REMOVAL_TIMEOUT:
             return
-        moment = now - SILENT_ENTRY_REMOVED_AFTER
+        moment = now - ENTRY_REMOVAL_TIMEOUT
         for name in self._presence.silent_since(moment, self._machine.state.roster)[:1]:
-            log.info("removes the entry {}, which has long been silent", name)
+            log.info("removing entry {} from the roster after long silence", name)
             self._change_roster(RemoveEntry(name, self._clock.wall()))
 
 
--- a/fulmarhold/control/sharing.py
+++ b/fulmarhold/control/sharing.py
@@ -1,4 +1,4 @@
-"""Passes statements on to the other control instances, and again to those it could not reach."""
+"""Shares statements with the other control instances, and resends those that did not arrive."""
 
 from __future__ import annotations
 
@@ -26,15 +26,15 @@
 
 
 @dataclass
-class _Owed:
-    """Names of subjects whose newest statements a peer still has to be told."""
+class _Undelivered:
+    """Names of the subjects whose newest statements have yet to be delivered to a peer."""
 
     upstreams: set[str] = field(default_factory=set)
     instances: set[str] = field(default_factory=set)
 
 
-class Sharing:
-    """The other control instances: the members of the cluster and the seeds."""
+class StatementSharing:
+    """Sends statements to the other control instances: the cluster's members and the seeds."""
 
     def __init__(
         self,
@@ -53,7 +53,7 @@
         self._instances = instances
         self._counters = counters
         self._links = links
-        self._owed: dict[str, _Owed] = {}
+        self._undelivered: dict[str, _Undelivered] = {}
 
     def peers(self) -> list[str]:
         """Return the endpoints of the other control instances."""
@@ -66,45 +66,45 @@
         upstreams: tuple[UpstreamStatement, ...] = (),
         instances: tuple[InstanceStatement, ...] = (),
     ) -> list[gevent.Greenlet]:
-        """Tell every peer; the greenlets' values say which of them have taken it."""
+        """Send statements to every peer; the value of each greenlet tells whether they arrived."""
         shared = ShareStatements(upstreams, instances)
-        return [gevent.spawn(self._tell, peer, shared) for peer in self.peers()]
+        return [gevent.spawn(self._deliver, peer, shared) for peer in self.peers()]
 
-    def pay_owed(self) -> None:
-        """Tell the peers what they did not take before, as it is now."""
-        owed_before, self._owed = self._owed, {}
+    def resend_undelivered(self) -> None:
+        """Send peers the current statements of the subjects that they have missed."""
+        undelivered, self._undelivered = self._undelivered, {}
         reachable = set(self.peers())
-        for peer, owed in owed_before.items():
-            upstreams = (self._upstreams.find(name) for name in owed.upstreams)
-            instances = (self._instances.find(name) for name in owed.instances)
+        for peer, missed in undelivered.items():
+            upstreams = (self._upstreams.find(name) for name in missed.upstreams)
+            instances = (self._instances.find(name) for name in missed.instances)
             shared = ShareStatements(
                 tuple(item for item in upstreams if item is not None),
                 tuple(item for item in instances if item is not None),
             )
             if peer in reachable:
-                gevent.spawn(self._tell, peer, shared)
+                gevent.spawn(self._deliver, peer, shared)
 
     def call(self, endpoint: str, request: Any) -> Any:
-        """Return a peer's reply, or `None` when it gave none; the failure is counted."""
+        """Return a peer's reply, or `None` after a failure, which is counted."""
         try:
             return self._links.to(endpoint).call(request, SHARE_TIMEOUT)
         except FulmarholdError as error:
             self._counters.add("share_failures", message=type(request).__name__)
-            log.debug("{} did not take {}: {}", endpoint, type(request).__name__, error)
+            log.debug("{} did not accept {}: {}", endpoint, type(request).__name__, error)
             return None
 
     def send(self, endpoint: str, message: Any) -> None:
-        """Send a message that has no reply; the next one makes up for a loss, which is counted."""
+        """Send a one-way message; a loss is counted, and the next message makes up for it."""
         try:
             self._links.to(endpoint).send(message)
         except FulmarholdError as error:
             self._counters.add("share_failures", message=type(message).__name__)
-            log.debug("{} did not take {}: {}", endpoint, type(message).__name__, error)
+            log.debug("{} did not accept {}: {}", endpoint, type(message).__name__, error)
 
-    def _tell(self, peer: str, shared: ShareStatements) -> bool:
+    def _deliver(self, peer: str, shared: ShareStatements) -> bool:
         if self.call(peer, shared) is not None:
             return True
-        owed = self._owed.setdefault(peer, _Owed())
-        owed.upstreams.update(item.name for item in shared.upstreams)
-        owed.instances.update(item.name for item in shared.instances)
+        missed = self._undelivered.setdefault(peer, _Undelivered())
+        missed.upstreams.update(item.name for item in shared.upstreams)
+        missed.instances.update(item.name for item in shared.instances)
         return False
--- a/fulmarhold/control/statement_file.py
+++ b/fulmarhold/control/statement_file.py
@@ -1,7 +1,7 @@
-"""Keeps the statements of upstreams in a file, so that a restart of control needs no heartbeats.
+"""Caches upstream statements in a file, so that control restarts without waiting for heartbeats.
 
-The file is a cache: it may be old, cut short or missing. What is read from it is as old as anything
-that arrives late, and superseded in the same way. It is synced, so that it outlives power losses.
+The file may be outdated, truncated or missing. Statements read from it are superseded by newer ones
+like any statement that arrives late. The file is synced, so that it survives power losses.
 """
 
 from __future__ import annotations
@@ -28,14 +28,14 @@
 
 
 class StatementFile:
-    """The file under the data folder of a control instance."""
+    """The file of cached statements in the data folder of a control instance."""
 
     def __init__(self, folder: Path, counters: Counters) -> None:
         self._path = folder / FILE_NAME
         self._counters = counters
 
     def load(self) -> list[UpstreamStatement]:
-        """Return what was kept; nothing if the file is missing or does not check."""
+        """Return the cached statements; none if the file is missing or corrupt."""
         try:
             records = decode_records(self._path, self._path.read_bytes())
             return [UpstreamStatement(*fields) for value in records.values for fields in value]
@@ -43,11 +43,11 @@
             return []
         except (OSError, CorruptFile, TypeError) as error:
             self._counters.add("statement_file_failures", step="loading")
-            log.warning("starts without kept statements: {}", error)
+            log.warning("starting without cached statements: {}", error)
             return []
 
     def save(self, statements: list[UpstreamStatement]) -> None:
-        """Replace the file in a thread, since a faulty disk may hold it up."""
+        """Replace the file in a thread, since a faulty disk may block the write."""
         data = encode_record([astuple(statement) for statement in statements])
         gevent.get_hub().threadpool.apply_async(self._write, (data,))
 
--- a/fulmarhold/control/versions.py
+++ b/fulmarhold/control/versions.py
@@ -1,4 +1,4 @@
-"""Acceptance of configurations by their version: the highest one holds."""
+"""Stores and reads configurations by version; the highest accepted version is in force."""
 
 from __future__ import annotations
 
@@ -31,16 +31,16 @@
 
 log = part_log("versions")
 
-# Operators give a call up after a second; what is not decided by then is not worth waiting for.
+# Operators' clients give up a call after one second, so that a later decision comes too late.
 DECISION_TIMEOUT: Milliseconds = 850.0
 
 
 class Undecided(FulmarholdError):
-    """No majority decided in time; what was asked may or may not come into force."""
+    """No majority decided in time; a submitted version may or may not come into force."""
 
 
 class VersionService:
-    """Stores and reads configurations, here or at the leader."""
+    """Stores and reads configurations, on this instance if it leads and else on the leader."""
 
     def __init__(
         self, node: Node, machine: ControlMachine, clock: Clock, counters: Counters
@@ -52,20 +52,20 @@
         self._links = Links()
 
     def register(self, server: MessageServer) -> None:
-        """File the handlers of what other control instances pass on."""
+        """Register the handlers of requests that other control instances forward."""
         server.handle(SubmitVersion, self._store_here)
         server.handle(ReadVersion, self._read_here)
 
     def store(self, version: int, document: bytes) -> int:
-        """Store a checked configuration and return the highest version that is stored.
+        """Store a validated configuration and return the highest version that is stored.
 
         Raises `Undecided` when no majority confirmed it in time.
         """
         if self._node.is_formed and 0 < version <= self._machine.state.routes_version:
-            # What this member has applied was committed and stays the least that holds.
+            # An applied version is committed, and the stored version never decreases.
             return self._machine.state.routes_version
         stored = self._ask_leader(SubmitVersion(version, document), self._store_here)
-        log.info("version {} was submitted, version {} is stored", version, stored.version)
+        log.info("submitted version {}, stored version is {}", version, stored.version)
         return int(stored.version)
 
     def read(self) -> VersionRead:
@@ -81,7 +81,7 @@
             if self._node.is_formed and self._node.core.is_leader:
                 reply = serve_here(request)
             elif leader is None:
-                raise Undecided("knows no leader", step=type(request).__name__)
+                raise Undecided("no known leader", step=type(request).__name__)
             else:
                 reply = self._links.to(leader).call(request, DECISION_TIMEOUT)
         except PeerUnavailable as error:
--- a/fulmarhold/control/succession.py
+++ b/fulmarhold/control/voter_changes.py
@@ -1,7 +1,8 @@
-"""Which change of the voters comes next: a pure decision of the leader.
+"""Decides, as pure functions for the leader, which change of the cluster's members comes next.
 
-A voter that lost its disk returns under a new identity, so the old one is removed and the new one
-admitted once it has caught up. A voter that is silent for long is replaced by a member in reserve.
+A voter that lost its disk returns under a new identity: the old identity is removed, and the new
+one is promoted once it has caught up. A voter that is silent for long is replaced by a learner that
+has caught up.
 """
 
 from __future__ import annotations
@@ -16,10 +17,10 @@
     from collections.abc import Mapping
 
 # Longer than a short freeze or a restart (about 0.5 s) and two election timeouts (2 s each), so
-# that neither costs a change of members.
-VOTER_SILENCE: Milliseconds = 2_500.0
-# A learner costs replication only; it may stay away for a repair of its machine.
-LEARNER_SILENCE: Milliseconds = 2 * MINUTE
+# that neither causes a change of members.
+VOTER_SILENCE_LIMIT: Milliseconds = 2_500.0
+# An absent learner costs only replication, so it may stay away while its machine is repaired.
+LEARNER_SILENCE_LIMIT: Milliseconds = 2 * MINUTE
 
 
 @dataclass(frozen=True)
@@ -31,37 +32,37 @@
 
 
 def next_members(
-    members: Members, own: str, health: Mapping[str, MemberHealth], voters_wanted: int
+    members: Members, own: str, health: Mapping[str, MemberHealth], target_voters: int
 ) -> Members | None:
-    """Return the members after the next change, at most one voter at a time, or `None`."""
-    reserve = [
+    """Return the members after the next change, which affects one voter at most, or `None`."""
+    caught_up_learners = [
         identity
         for identity in members.learners
-        if health[identity].has_caught_up and health[identity].silent_for < VOTER_SILENCE
+        if health[identity].has_caught_up and health[identity].silent_for < VOTER_SILENCE_LIMIT
     ]
-    if reserve and len(members.voters) < voters_wanted:
-        return promote(members, reserve[0])
+    if caught_up_learners and len(members.voters) < target_voters:
+        return promote(members, caught_up_learners[0])
     silent = [
         identity
         for identity in members.voters
-        if identity != own and health[identity].silent_for >= VOTER_SILENCE
+        if identity != own and health[identity].silent_for >= VOTER_SILENCE_LIMIT
     ]
-    answering = len(members.voters) - len(silent)
-    if reserve and silent and answering >= members.quorum:
+    responsive_voters = len(members.voters) - len(silent)
+    if caught_up_learners and silent and responsive_voters >= members.quorum:
         return remove(members, max(silent, key=lambda item: health[item].silent_for))
-    if len(members.voters) > voters_wanted:
+    if len(members.voters) > target_voters:
         others = [identity for identity in members.voters if identity != own]
         return remove(members, max(others, key=lambda item: health[item].silent_for))
     for identity in members.learners:
-        if health[identity].silent_for >= LEARNER_SILENCE:
+        if health[identity].silent_for >= LEARNER_SILENCE_LIMIT:
             return remove(members, identity)
     return None
 
 
 def admit(members: Members, identity: str, endpoint: str) -> Members:
-    """Return the members with one more that does not vote yet.
+    """Return the members with one more learner.
 
-    One that holds the endpoint under another identity has lost its disk and goes first.
+    A member with the same endpoint but another identity has lost its disk and is removed first.
     """
     for other, known in members.everyone.items():
         if known == endpoint and other != identity:
@@ -72,13 +73,13 @@
 
 
 def promote(members: Members, identity: str) -> Members:
-    """Return the members with a learner made a voter."""
+    """Return the members with a learner promoted to voter."""
     endpoint = members.learners[identity]
     return Members({**members.voters, identity: endpoint}, _without(members.learners, identity))
 
 
 def remove(members: Members, identity: str) -> Members:
-    """Return the members without one of them."""
+    """Return the members without the given one."""
     return Members(_without(members.voters, identity), _without(members.learners, identity))
 
 
--- a/fulmarhold/tests/control/test_client.py
+++ b/fulmarhold/tests/control/test_client.py
@@ -1,4 +1,4 @@
-"""A caller of control while its leader hangs and the others have not noticed yet."""
+"""The control client while the leader hangs and the other instances still name it."""
 
 from __future__ import annotations
 
@@ -19,13 +19,13 @@
 
 
 class Members:
-    """Three control instances; the old leader hangs, the others name it until the election."""
+    """Three control instances; the old leader hangs and the others name it until the election."""
 
     def __init__(self, clock, elected_at):
         self.clock = clock
         self.elected_at = elected_at
         self.hangs = True
-        self.called = []
+        self.calls = []
 
     def to(self, endpoint):
         return Member(self, endpoint)
@@ -38,7 +38,7 @@
 
     def call(self, _, timeout):
         members = self._members
-        members.called.append(self._endpoint)
+        members.calls.append(self._endpoint)
         if self._endpoint == OLD and members.hangs:
             members.clock.advance(timeout)
             raise ReplyTimeout("no reply in time")
@@ -54,39 +54,39 @@
     return clock
 
 
-def called(monkeypatch, clock, members):
+def make_client(monkeypatch, clock, members):
     monkeypatch.setattr(client, "Links", lambda: members)
     return ControlClient(ENDPOINTS, clock, Counters())
 
 
 @pytest.mark.parametrize("elected_at", [450.0, 701.0, 900.0, 1_200.0])
-def test_a_hanging_leader_is_not_asked_again_because_others_still_name_it(
+def test_a_hanging_leader_is_not_called_again_though_others_still_name_it(
     monkeypatch, clock, elected_at
 ):
     members = Members(clock, elected_at)
-    control = called(monkeypatch, clock, members)
+    control = make_client(monkeypatch, clock, members)
     assert control.call(CLAIM, SHORTEST_CLAIM_TIMEOUT_MS) == ClaimGranted()
-    assert members.called.count(OLD) == 1
+    assert members.calls.count(OLD) == 1
     assert clock.now() < max(client.CALL_TIMEOUT, elected_at) + 4 * client.RETRY_PAUSE
 
 
-def test_a_leader_that_hung_briefly_is_asked_again_when_no_other_was_elected(monkeypatch, clock):
+def test_a_leader_that_hung_briefly_is_called_again_if_no_other_was_elected(monkeypatch, clock):
     members = Members(clock, elected_at=float("inf"))
-    control = called(monkeypatch, clock, members)
+    control = make_client(monkeypatch, clock, members)
     with pytest.raises(PeerUnavailable):
         control.call(CLAIM, LONGEST_ELECTION_TIMEOUT)
     members.hangs = False
-    assert control.call(CLAIM, client.SILENT_LEADER_AVOIDED + SHORTEST_CLAIM_TIMEOUT_MS)
+    assert control.call(CLAIM, client.LEADER_AVOIDANCE + SHORTEST_CLAIM_TIMEOUT_MS)
 
 
-def test_it_knows_for_how_long_no_leader_has_answered(monkeypatch, clock):
+def test_unanswered_for_covers_all_failed_calls_and_is_reset_by_a_reply(monkeypatch, clock):
     members = Members(clock, elected_at=float("inf"))
-    control = called(monkeypatch, clock, members)
+    control = make_client(monkeypatch, clock, members)
     for _ in range(2):
         with pytest.raises(PeerUnavailable):
             control.call(CLAIM, 500.0)
     assert control.unanswered_for == clock.now()
     members.hangs = False
-    clock.advance(client.SILENT_LEADER_AVOIDED)
+    clock.advance(client.LEADER_AVOIDANCE)
     control.call(CLAIM, SHORTEST_CLAIM_TIMEOUT_MS)
     assert control.unanswered_for == 0.0
--- a/fulmarhold/tests/control/test_drain_model.py
+++ b/fulmarhold/tests/control/test_drain_model.py
@@ -1,8 +1,8 @@
-"""Upstreams that leave, under random schedules of loss, late messages, restarts and lost disks.
+"""Departures of upstreams under random schedules of loss, late messages, restarts and lost disks.
 
-The control instances run the real code on a network and a log that the schedule rules over. The
-log itself has its own model (`tests/consensus/test_core.py`); here it is a list of commands that
-each instance applies sooner or later.
+The control instances run the real code on a simulated network and a simulated log, both driven by
+the schedule. The log has a model of its own (`tests/consensus/test_core.py`); here it is a list of
+commands that each instance eventually applies.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 from fulmarhold.observe.counters import Counters
 from fulmarhold.wire.messages import Failure
 
-# By hand 10,000 were run, with this number changed in a scratch copy.
+# 10,000 schedules were run manually, with this number changed in a scratch copy.
 SCHEDULES = 500
 EVENTS = 40
 EVENT_WEIGHTS = {
@@ -61,26 +61,26 @@
 BORN = 100
 
 
-class KeptFile:
-    """The file of statements of one instance, written at once."""
+class InMemoryStatementFile:
+    """In-memory statement file of one instance that saves immediately."""
 
     def __init__(self):
-        self.kept = []
+        self.statements = []
 
     def load(self):
-        return list(self.kept)
+        return list(self.statements)
 
     def save(self, statements):
-        self.kept = list(statements)
+        self.statements = list(statements)
 
 
 class Node:
-    """A member of the log: the first instance that runs leads while a majority runs."""
+    """A simulated cluster member: the first running instance leads while a majority runs."""
 
     is_formed = True
 
-    def __init__(self, world, endpoint):
-        self._world, self._endpoint = world, endpoint
+    def __init__(self, simulation, endpoint):
+        self._simulation, self._endpoint = simulation, endpoint
 
     @property
     def core(self):
@@ -93,40 +93,40 @@
 
     @property
     def leader_endpoint(self):
-        return self._world.leader()
+        return self._simulation.leader()
 
     def propose(self, data):
         if not self.core.is_leader:
             raise NotLeader(self.leader_endpoint)
-        self._world.log.append(data)
-        return self._world.apply(self._endpoint, len(self._world.log))
+        self._simulation.log.append(data)
+        return self._simulation.apply(self._endpoint, len(self._simulation.log))
 
     def confirmed_age(self):
         return 0.0
 
 
 class Links:
-    """The connections of one instance to the others."""
+    """The simulated connections of one instance to the others."""
 
-    def __init__(self, world, sender):
-        self._world, self._sender = world, sender
+    def __init__(self, simulation, sender):
+        self._simulation, self._sender = simulation, sender
 
     def to(self, endpoint):
         return SimpleNamespace(
-            call=lambda request, _: self._world.deliver(self._sender, endpoint, request),
-            send=lambda message: self._world.deliver(self._sender, endpoint, message),
+            call=lambda request, _: self._simulation.deliver(self._sender, endpoint, request),
+            send=lambda message: self._simulation.deliver(self._sender, endpoint, message),
         )
 
 
 class Handlers(dict):
-    """The handlers of one instance by the type of the message."""
+    """The registered handlers of one instance by message type."""
 
     def handle(self, message_type, handler):
         self[message_type] = handler
 
 
-class World:
-    """Three control instances, entries that watch them, and one upstream that lives and leaves."""
+class Simulation:
+    """Simulates three control instances, two entries that watch them, and one upstream."""
 
     def __init__(self, seed, loss):
         self.random = Random(seed)
@@ -135,7 +135,7 @@
         self.log: list[bytes] = []
         self.machines: dict[str, ControlMachine] = {}
         self.applied: dict[str, int] = {}
-        self.files = {name: KeptFile() for name in CONTROL}
+        self.files = {name: InMemoryStatementFile() for name in CONTROL}
         self.feeds: dict[str, FeedService] = {}
         self.handlers: dict[str, Handlers] = {}
         self.cut: set[frozenset[str]] = set()
@@ -160,12 +160,12 @@
 
     def start(self, name):
         self.machines[name], self.applied[name] = ControlMachine(), 0
-        # What a member synced it has at once; the rest reaches it with the leader's messages.
+        # A member has its synced part of the log at once, and gets the rest from the leader later.
         self.apply(name, self.random.randint(0, len(self.log)))
         own = InstanceStatement(name, 5, 1, READY, "control", "a", name)
         node: Any = Node(self, name)
         links: Any = Links(self, name)
-        keep: Any = self.files[name]
+        statement_file: Any = self.files[name]
         counters = Counters()
         self.handlers[name] = Handlers()
         feeds = FeedService(
@@ -174,7 +174,7 @@
             self.machines[name],
             lambda: CONTROL,
             HEARTBEAT_PERIOD,
-            keep,
+            statement_file,
             links,
             self.clock,
             counters,
@@ -189,7 +189,7 @@
         self.feeds.pop(name, None)
         self.handlers.pop(name, None)
         if loses_disk:
-            self.files[name] = KeptFile()
+            self.files[name] = InMemoryStatementFile()
 
     def deliver(self, sender, recipient, message):
         is_cut = frozenset((sender, recipient)) in self.cut
@@ -215,7 +215,7 @@
                 self.handlers[recipient][type(message)](message)
 
     def watch(self, number):
-        """Let an entry take over what a random instance feeds."""
+        """Update an entry from the feed of a random instance; a departure must not be undone."""
         if not self.feeds:
             return
         feeds = self.feeds[self.random.choice(list(self.feeds))]
@@ -231,8 +231,8 @@
             if before is not None and before.state in (DRAINING, LEFT):
                 assert after.state in (DRAINING, LEFT) or after.born > before.born
 
-    def tell(self):
-        """Let the upstream tell its state; returns whether it was acknowledged."""
+    def send_statement(self):
+        """Send the upstream's state to a random instance; returns whether it was acknowledged."""
         self.upstream = replace(self.upstream, sequence=self.upstream.sequence + 1)
         if not self.feeds:
             return False
@@ -242,13 +242,13 @@
             return False
         return self.feeds[name].record_upstream(self.upstream)
 
-    def beat(self):
-        """Let the upstream send a heartbeat; one that leaves sends no more of them."""
+    def send_heartbeat(self):
+        """Send a heartbeat of the upstream, unless it is leaving."""
         if self.upstream.state == READY:
-            self.tell()
+            self.send_statement()
 
-    def delete(self):
-        """Let an operator's call end the upstream, which says nothing more itself."""
+    def deregister(self):
+        """Deregister the upstream by an operator's call; it announces nothing itself."""
         if not self.feeds:
             return
         feeds = self.feeds[self.random.choice(list(self.feeds))]
@@ -260,16 +260,16 @@
         if known.born == self.upstream.born:
             self.upstream = replace(self.upstream, state=LEFT)
 
-    def leave(self):
-        """Let the upstream say that it leaves, until that is acknowledged."""
+    def announce_departure(self):
+        """Announce the upstream's departure until it is acknowledged, in four attempts at most."""
         self.upstream = replace(self.upstream, state=self.random.choice([DRAINING, LEFT]))
         for _ in range(4):
-            if self.tell():
+            if self.send_statement():
                 self.acknowledged = max(self.acknowledged, self.upstream.born)
                 return
 
     def heal(self):
-        """Let everything run and every message through, and wait for a few reports."""
+        """Restore all instances and connections, and wait for a few reports."""
         self.cut.clear()
         self.has_leader = True
         for name in CONTROL:
@@ -282,79 +282,83 @@
             self.clock.advance(REPORT_PERIOD)
             for feeds in self.feeds.values():
                 feeds.maintain()
-            settle()
+            run_pending_greenlets()
 
     def check_serving(self):
-        """Check that a serving upstream is known to all soon after its next heartbeat."""
+        """Check that all instances know a serving upstream soon after its next heartbeat."""
         if self.upstream.state == READY:
-            self.tell()
-            settle()
+            self.send_statement()
+            run_pending_greenlets()
             held = [feeds.upstreams.find("u") for feeds in self.feeds.values()]
             assert {item.state for item in held if item is not None} == {READY}, held
             assert None not in held
 
-    def check_left(self):
+    def check_departures(self):
         for name, feeds in self.feeds.items():
             known = feeds.upstreams.find("u")
             assert (
                 known is None or known.state != READY or known.born > self.acknowledged
-            ), f"{name} still feeds {known}, of which the leaving was acknowledged"
+            ), f"{name} still feeds {known}, whose departure was acknowledged"
 
 
-def settle():
+def run_pending_greenlets():
     for _ in range(6):
         gevent.sleep(0)
 
 
-def misbehave(world):
-    """Let one random thing happen."""
-    random = world.random
+def run_random_event(simulation):
+    """Simulate one random event."""
+    random = simulation.random
     name = random.choice(CONTROL)
-    running = len(world.feeds)
+    running = len(simulation.feeds)
     match random.choices(list(EVENT_WEIGHTS), list(EVENT_WEIGHTS.values()))[0]:
         case "beat":
-            world.beat()
+            simulation.send_heartbeat()
         case "watch":
-            world.watch(random.randrange(len(world.entries)))
+            simulation.watch(random.randrange(len(simulation.entries)))
         case "leave":
-            world.leave()
+            simulation.announce_departure()
         case "return":
-            if world.upstream.state != READY:
-                born = world.upstream.born + 1
-                world.upstream = replace(world.upstream, born=born, sequence=1, state=READY)
+            if simulation.upstream.state != READY:
+                born = simulation.upstream.born + 1
+                simulation.upstream = replace(
+                    simulation.upstream, born=born, sequence=1, state=READY
+                )
         case "stop":
-            # The platform's sheet: one instance with its disk may be lost at a time.
+            # The platform specifies that one instance, with its disk, may be lost at a time.
             if running == len(CONTROL):
-                world.stop(name, loses_disk=random.random() < 0.5)
+                simulation.stop(name, loses_disk=random.random() < 0.5)
         case "start":
-            if name not in world.feeds:
-                world.start(name)
+            if name not in simulation.feeds:
+                simulation.start(name)
         case "cut":
-            world.cut.add(frozenset(random.sample(CONTROL, 2)))
+            simulation.cut.add(frozenset(random.sample(CONTROL, 2)))
         case "join":
-            world.cut.clear()
+            simulation.cut.clear()
         case "lose leader":
-            world.has_leader = False
+            simulation.has_leader = False
         case "elect":
-            world.has_leader = True
+            simulation.has_leader = True
         case "delete":
-            world.delete()
+            simulation.deregister()
         case "maintain":
-            for feeds in world.feeds.values():
+            for feeds in simulation.feeds.values():
                 feeds.maintain()
         case "heal":
-            loss, world.loss = world.loss, 0.0
-            world.heal()
-            world.check_left()
-            world.check_serving()
-            world.loss = loss
+            loss, simulation.loss = simulation.loss, 0.0
+            simulation.heal()
+            simulation.check_departures()
+            simulation.check_serving()
+            simulation.loss = loss
         case "late":
-            world.deliver_late()
+            simulation.deliver_late()
         case "apply":
-            if name in world.feeds:
-                world.apply(name, random.randint(world.applied[name], len(world.log)))
-    settle()
-    world.clock.advance(random.choice([0.0, 10.0, 200.0, 1_000.0]))
+            if name in simulation.feeds:
+                simulation.apply(
+                    name, random.randint(simulation.applied[name], len(simulation.log))
+                )
+    run_pending_greenlets()
+    simulation.clock.advance(random.choice([0.0, 10.0, 200.0, 1_000.0]))
 
 
 @settings(
@@ -364,14 +368,14 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 @given(seed=st.integers(0, 2**32), loss=st.sampled_from([0.0, 0.1, 0.3, 0.5]))
-def test_what_was_acknowledged_to_a_leaving_upstream_holds(seed, loss):
+def test_an_acknowledged_departure_is_never_undone(seed, loss):
     real_sleep = gevent.sleep
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(feeds_module.gevent, "sleep", lambda _: real_sleep(0))
-        world = World(seed, loss)
+        simulation = Simulation(seed, loss)
         for _ in range(EVENTS):
-            misbehave(world)
-        world.loss = 0.0
-        world.heal()
-        world.check_left()
-        world.check_serving()
+            run_random_event(simulation)
+        simulation.loss = 0.0
+        simulation.heal()
+        simulation.check_departures()
+        simulation.check_serving()
--- a/fulmarhold/tests/control/test_failures.py
+++ b/fulmarhold/tests/control/test_failures.py
@@ -1,4 +1,4 @@
-"""Control under kills, freezes, lost disks, races of operators and many changes."""
+"""Control processes under kills, freezes, lost disks, racing operators and many changes."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from fulmarhold.operators.commands.configurations import SupersededError, accept_configuration
 from fulmarhold.operators.control import read_instance, read_query
 
-ELECTION_PATIENCE = 8_000.0
+ELECTION_TIMEOUT = 8_000.0
 RESTART_BOUND = 5_000.0
 CHANGES = 500
 FILES_BOUND_BYTES = 8 * 1024 * 1024
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def fleet(make_fleet):
-    """Control processes alone, formed."""
+    """A fleet of control processes only, which have formed a cluster."""
     fleet = make_fleet()
     for process in fleet.control:
         process.start()
@@ -39,12 +39,12 @@
 
 
 def leader(fleet):
-    """Return the process that leads, and the others."""
+    """Return the leading process and a list of the others."""
     status = read_query(endpoints(fleet), "status")
     for process in fleet.control:
         if process.name == status["name"]:
             return process, [item for item in fleet.control if item is not process]
-    raise AssertionError("the leader is none of the processes")
+    raise AssertionError("the leader is not one of the fleet's processes")
 
 
 def accept(fleet, base, operator="anna", command_id="", where=None):
@@ -61,11 +61,11 @@
     await_condition(
         lambda: read_instance(process.endpoint, "status")["revision"] == expected,
         f"{process.name} to apply revision {expected}",
-        ELECTION_PATIENCE,
+        ELECTION_TIMEOUT,
     )
 
 
-def test_a_killed_leader_loses_nothing_and_a_resent_command_gets_the_first_outcome(fleet):
+def test_a_killed_leader_loses_no_revision_and_a_resent_command_gets_the_first_outcome(fleet):
     command = new_identifier()
     assert accept(fleet, 0, command_id=command) == 1
     first, _ = leader(fleet)
@@ -79,7 +79,7 @@
     assert revision(fleet) == 2
 
 
-def test_a_leader_killed_in_the_middle_of_commands_leaves_one_outcome_each(fleet):
+def test_a_leader_killed_during_commands_leaves_exactly_one_outcome_for_each(fleet):
     outcomes = {}
 
     def submit(number):
@@ -100,7 +100,7 @@
     assert revision(fleet) == 6
 
 
-def test_a_frozen_leader_answers_no_stale_read_and_takes_no_command_after_the_thaw(fleet):
+def test_a_leader_resumed_after_a_freeze_neither_serves_stale_reads_nor_accepts_commands(fleet):
     accept(fleet, 0)
     frozen, others = leader(fleet)
     command = new_identifier()
@@ -108,12 +108,12 @@
     stuck = gevent.spawn(accept, fleet, 1, "late", command, [frozen.endpoint])
     where = [process.endpoint for process in others]
     await_condition(
-        lambda: read_query(where, "status")["name"] != frozen.name, "a leader", ELECTION_PATIENCE
+        lambda: read_query(where, "status")["name"] != frozen.name, "a leader", ELECTION_TIMEOUT
     )
     assert accept(fleet, 1, "bert", where=where) == 2
     frozen.thaw()
-    looks = [read_instance(frozen.endpoint, "configuration") for _ in range(50)]
-    assert all(look["stale"] or look["revision"] == 2 for look in looks)
+    reads = [read_instance(frozen.endpoint, "configuration") for _ in range(50)]
+    assert all(read["stale"] or read["revision"] == 2 for read in reads)
     gevent.wait([stuck], timeout=0.1)
     stuck.kill()
     with pytest.raises(SupersededError, match="bert"):
@@ -121,7 +121,7 @@
     assert revision(fleet) == 2
 
 
-def test_a_voter_cut_off_for_long_catches_up_and_disturbs_nobody(fleet):
+def test_a_voter_frozen_for_long_catches_up_and_causes_no_election(fleet):
     _, others = leader(fleet)
     silent = others[0]
     silent.freeze()
@@ -134,7 +134,7 @@
     assert read_query(endpoints(fleet), "status")["term"] == term
 
 
-def test_two_operators_at_equal_revision_one_wins_and_the_other_is_told(fleet):
+def test_only_one_of_two_racing_operators_succeeds_and_the_other_learns_who_did(fleet):
     def submit(operator):
         try:
             return accept(fleet, 0, operator)
@@ -148,7 +148,7 @@
     assert winner in next(value for value in values if value != 1)
 
 
-def test_a_replaced_disk_is_a_new_voter_and_a_second_loss_right_after_loses_nothing(fleet):
+def test_a_voter_with_a_replaced_disk_preserves_the_state_when_a_second_disk_is_lost(fleet):
     for base in range(3):
         accept(fleet, base)
     _, others = leader(fleet)
@@ -160,13 +160,15 @@
     replaced.await_answer()
     status = read_instance(replaced.endpoint, "identity")
     assert status["identity"] != old_identity
-    assert not status["cluster"], "a new disk takes no part before it was admitted"
+    assert not status[
+        "cluster"
+    ], "an instance with a new disk must not be in the cluster before it is admitted"
     remove_instance(endpoints(fleet), old_identity)
     identity = admit_instance(endpoints(fleet), replaced.endpoint)
     await_condition(
         lambda: identity in read_query(endpoints(fleet), "status")["voters"],
         "the new voter",
-        ELECTION_PATIENCE,
+        ELECTION_TIMEOUT,
     )
     second.kill()
     shutil.rmtree(Path(second.settings["data_folder"]))
@@ -175,7 +177,7 @@
     await_applied(replaced, 4)
 
 
-def test_an_emptied_disk_does_not_help_a_minority_to_elect(fleet):
+def test_an_instance_with_an_empty_disk_does_not_vote_in_an_election(fleet):
     accept(fleet, 0)
     first, others = leader(fleet)
     for process in others:
@@ -185,14 +187,14 @@
     emptied.start()
     emptied.await_answer()
     gevent.sleep(3)
-    looks = [read_instance(p.endpoint, "configuration") for p in (first, emptied)]
-    assert all(look["stale"] for look in looks)
+    reads = [read_instance(p.endpoint, "configuration") for p in (first, emptied)]
+    assert all(read["stale"] for read in reads)
     others[1].start()
     others[1].await_answer()
     assert revision(fleet) == 1
 
 
-def test_many_changes_are_there_after_a_restart_of_all_in_bounded_time_and_files(fleet):
+def test_after_many_changes_a_full_restart_takes_bounded_time_and_disk_space(fleet):
     first_command = new_identifier()
     accept(fleet, 0, command_id=first_command)
     for base in range(1, CHANGES):
@@ -214,7 +216,7 @@
         assert sum(path.stat().st_size for path in folder.iterdir()) < FILES_BOUND_BYTES
 
 
-def test_without_a_majority_nothing_is_accepted(fleet):
+def test_no_command_is_accepted_without_a_majority(fleet):
     first, others = leader(fleet)
     for process in others:
         process.kill()
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -1,4 +1,4 @@
-"""What control instances share: nothing that leaves is lost, and no lost message stays lost."""
+"""Sharing of statements: departures are durable, and lost messages are made up for."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 import pytest
 
 from fulmarhold.clock import ManualClock
-from fulmarhold.control.feeds import REPORT_PERIOD, REPORTS_LATE, FeedService
+from fulmarhold.control.feeds import REPORT_PERIOD, REPORT_TIMEOUT, FeedService
 from fulmarhold.control.machine import ControlMachine, encode_command
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.errors import PeerUnavailable
@@ -35,12 +35,12 @@
 from fulmarhold.observe.counters import Counters
 from fulmarhold.wire.messages import Failure
 
-BEAT = UpstreamStatement("u", 100, 1, READY, "parts", "10.0.0.1:80", "a", 2)
+HEARTBEAT = UpstreamStatement("u", 100, 1, READY, "parts", "10.0.0.1:80", "a", 2)
 ENTRY = InstanceStatement("e", 5, 1, STARTING, "entry", "a", "10.0.1.1:80")
 
 
 class FakeNode:
-    """Leads a cluster of one that commits at once, or none at all."""
+    """A cluster member that leads and commits commands at once, or that knows no leader."""
 
     is_formed = True
 
@@ -58,11 +58,11 @@
         return 0.0
 
 
-class Peer:
-    """The other control instance, as seen through the sharing's links."""
+class FakePeer:
+    """The links to the other control instance, which record the messages sent to it."""
 
     def __init__(self):
-        self.is_up, self.taken = True, []
+        self.is_up, self.received = True, []
 
     def to(self, endpoint):
         return self
@@ -72,23 +72,23 @@
             raise PeerUnavailable("down")
         if isinstance(request, AskStatements):
             return AllStatements(True, (), ())
-        self.taken.append(request)
+        self.received.append(request)
         return True
 
     def send(self, message):
-        self.taken.append(message)
+        self.received.append(message)
 
-    def told(self):
-        return [item for shared in self.taken for item in getattr(shared, "upstreams", ())]
+    def received_upstreams(self):
+        return [item for shared in self.received for item in getattr(shared, "upstreams", ())]
 
 
 class Handlers(dict):
-    """What a message server would call, by the type of the message."""
+    """A fake message server: the registered handlers by message type."""
 
     def handle(self, message_type, handler):
         self[message_type] = handler
 
-    def take(self, message):
+    def dispatch(self, message):
         return self[type(message)](message)
 
 
@@ -98,135 +98,137 @@
 
 
 @pytest.fixture
-def make(tmp_path, clock):
+def make_feeds(tmp_path, clock):
     def build(leads=True, catches_up=True):
         machine, counters = ControlMachine(), Counters()
         own = InstanceStatement("c", 5, 1, READY, "control", "a", "own:1")
-        keep = StatementFile(tmp_path, counters)
+        statement_file = StatementFile(tmp_path, counters)
         node: Any = FakeNode(machine, leads)
-        peer: Any = Peer()
-        feeds = FeedService(own, node, machine, lambda: (), 1_200.0, keep, peer, clock, counters)
+        peer: Any = FakePeer()
+        feeds = FeedService(
+            own, node, machine, lambda: (), 1_200.0, statement_file, peer, clock, counters
+        )
         if catches_up:
             feeds.catch_up()
-            settle()
-            peer.taken.clear()
+            run_pending_greenlets()
+            peer.received.clear()
         return feeds, peer, machine
 
     return build
 
 
 def handlers(feeds):
-    filed: Any = Handlers()
-    feeds.register(filed)
-    return filed
+    registered: Any = Handlers()
+    feeds.register(registered)
+    return registered
 
 
-def settle():
+def run_pending_greenlets():
     gevent.sleep(0)
     gevent.sleep(0)
 
 
-def test_a_leaving_upstream_is_in_the_log_and_told_before_it_is_acknowledged(make):
-    feeds, peer, machine = make()
-    feeds.record_upstream(BEAT)
-    assert feeds.record_upstream(replace(BEAT, sequence=2, state=DRAINING))
+def test_a_departure_is_logged_and_shared_before_it_is_acknowledged(make_feeds):
+    feeds, peer, machine = make_feeds()
+    feeds.record_upstream(HEARTBEAT)
+    assert feeds.record_upstream(replace(HEARTBEAT, sequence=2, state=DRAINING))
     assert machine.state.retired == {"u": 100}
-    assert peer.told()[-1].state == DRAINING
+    assert peer.received_upstreams()[-1].state == DRAINING
 
 
-def test_without_a_log_and_without_a_peer_a_leave_is_not_acknowledged(make):
-    feeds, peer, _ = make(leads=False)
+def test_a_departure_that_neither_the_log_nor_a_peer_has_is_not_acknowledged(make_feeds):
+    feeds, peer, _ = make_feeds(leads=False)
     peer.is_up = False
-    assert feeds.record_upstream(BEAT)
-    assert not feeds.record_upstream(replace(BEAT, sequence=2, state=DRAINING))
+    assert feeds.record_upstream(HEARTBEAT)
+    assert not feeds.record_upstream(replace(HEARTBEAT, sequence=2, state=DRAINING))
 
 
-def test_a_delete_without_a_drain_before_ends_the_upstream(make):
-    feeds, _, machine = make()
-    feeds.record_upstream(BEAT)
+def test_a_deregistration_without_a_drain_before_retires_the_upstream(make_feeds):
+    feeds, _, machine = make_feeds()
+    feeds.record_upstream(HEARTBEAT)
     assert feeds.deregister_upstream("u")
     assert feeds.upstreams.find("u").state == LEFT and machine.state.retired == {"u": 100}
     assert feeds.deregister_upstream("never-heard-of")
 
 
-def test_after_a_restart_the_log_keeps_a_late_heartbeat_from_reviving_it(make):
-    feeds, _, machine = make()
+def test_a_late_heartbeat_after_a_restart_does_not_revive_a_retired_upstream(make_feeds):
+    feeds, _, machine = make_feeds()
     machine.apply(encode_command(RetireUpstream("u", 100, 0.0)))
-    feeds.record_upstream(replace(BEAT, sequence=9))
+    feeds.record_upstream(replace(HEARTBEAT, sequence=9))
     assert feeds.upstreams.find("u").state == DRAINING
-    feeds.record_upstream(replace(BEAT, born=200))
+    feeds.record_upstream(replace(HEARTBEAT, born=200))
     assert feeds.upstreams.find("u").state == READY
 
 
-def test_what_a_peer_could_not_be_told_is_told_as_it_is_once_it_can_be(make, clock):
-    feeds, peer, _ = make()
+def test_a_peer_that_was_unreachable_gets_the_current_statement_once_it_is_back(make_feeds, clock):
+    feeds, peer, _ = make_feeds()
     peer.is_up = False
-    feeds.record_upstream(BEAT)
-    feeds.record_upstream(replace(BEAT, sequence=2, state=DRAINING))
-    settle()
+    feeds.record_upstream(HEARTBEAT)
+    feeds.record_upstream(replace(HEARTBEAT, sequence=2, state=DRAINING))
+    run_pending_greenlets()
     peer.is_up = True
     clock.advance(REPORT_PERIOD)
     feeds.maintain()
-    settle()
-    assert [item.state for item in peer.told()] == [DRAINING]
+    run_pending_greenlets()
+    assert [item.state for item in peer.received_upstreams()] == [DRAINING]
 
 
-def test_silence_that_another_instance_claims_is_refuted_by_whoever_heard_more(make):
-    feeds, peer, _ = make()
-    feeds.record_upstream(replace(BEAT, sequence=20))
-    settle()
-    peer.taken.clear()
-    handlers(feeds).take(ShareStatements((replace(BEAT, sequence=3, state=SILENT),), ()))
-    settle()
-    assert [(item.state, item.sequence) for item in peer.told()] == [(READY, 20)]
+def test_an_outdated_report_of_silence_is_answered_with_the_newer_statement(make_feeds):
+    feeds, peer, _ = make_feeds()
+    feeds.record_upstream(replace(HEARTBEAT, sequence=20))
+    run_pending_greenlets()
+    peer.received.clear()
+    handlers(feeds).dispatch(ShareStatements((replace(HEARTBEAT, sequence=3, state=SILENT),), ()))
+    run_pending_greenlets()
+    assert [(item.state, item.sequence) for item in peer.received_upstreams()] == [(READY, 20)]
 
 
-def test_a_watcher_is_answered_with_what_changed_and_nothing_else(make):
-    feeds, _, _ = make()
-    feeds.record_upstream(BEAT)
+def test_a_watcher_gets_only_what_changed(make_feeds):
+    feeds, _, _ = make_feeds()
+    feeds.record_upstream(HEARTBEAT)
     whole = feeds.watch(WatchFeed(ENTRY, "", 0, 0, 0))
-    assert isinstance(whole, FeedReply) and whole.is_whole and whole.upstreams == (BEAT,)
+    assert isinstance(whole, FeedReply) and whole.is_whole and whole.upstreams == (HEARTBEAT,)
     asked = WatchFeed(
         ENTRY, whole.source, whole.upstream_position, whole.instance_position, whole.version
     )
     answer = gevent.spawn(feeds.watch, asked)
-    settle()
+    run_pending_greenlets()
     assert not answer.ready()
-    feeds.record_upstream(replace(BEAT, name="v"))
+    feeds.record_upstream(replace(HEARTBEAT, name="v"))
     assert [item.name for item in answer.get(timeout=5).upstreams] == ["v"]
 
 
-def test_an_instance_that_is_catching_up_feeds_nobody_but_takes_what_it_is_told(make):
-    feeds, _, _ = make(catches_up=False)
+def test_an_instance_that_is_catching_up_feeds_no_entry_but_records_statements(make_feeds):
+    feeds, _, _ = make_feeds(catches_up=False)
     assert isinstance(feeds.watch(WatchFeed(ENTRY, "", 0, 0, 0)), Failure)
     assert feeds.instances.find("e") == ENTRY
 
 
-def test_upstreams_are_sent_to_a_control_instance_at_home_only_while_it_reports(make, clock):
-    feeds, _, _ = make()
+def test_upstreams_are_referred_to_a_control_instance_only_while_it_reports(make_feeds, clock):
+    feeds, _, _ = make_feeds()
     other = InstanceStatement("o", 5, 1, READY, "control", "b", "other:1")
-    handlers(feeds).take(ShareStatements((), (other,)))
+    handlers(feeds).dispatch(ShareStatements((), (other,)))
     assert feeds.control_endpoint_in("a") == "own:1"
     assert feeds.control_endpoint_in("b") is None
-    handlers(feeds).take(ReportHeard("other:1", ()))
+    handlers(feeds).dispatch(ReportHeard("other:1", ()))
     assert feeds.control_endpoint_in("b") == "other:1"
     assert feeds.control_endpoint_in("c") is None
-    clock.advance(REPORTS_LATE)
+    clock.advance(REPORT_TIMEOUT)
     assert feeds.control_endpoint_in("b") is None
 
 
-def test_what_the_log_says_has_left_ends_though_no_instance_is_left_to_tell_so(make, clock):
-    feeds, _, machine = make()
-    feeds.record_upstream(BEAT)
+def test_a_retirement_in_the_log_is_applied_though_no_instance_reports_it(make_feeds, clock):
+    feeds, _, machine = make_feeds()
+    feeds.record_upstream(HEARTBEAT)
     machine.apply(encode_command(RetireUpstream("u", 100, 0.0)))
     clock.advance(REPORT_PERIOD)
     feeds.maintain()
     assert feeds.upstreams.find("u").state == DRAINING
 
 
-def test_a_drain_is_not_acknowledged_when_fewer_know_it_than_may_be_lost(make):
-    feeds, peer, _ = make(leads=False)
-    feeds.record_upstream(BEAT)
-    assert feeds.record_upstream(replace(BEAT, sequence=2, state=DRAINING))
+def test_a_drain_is_not_acknowledged_when_it_is_on_too_few_instances(make_feeds):
+    feeds, peer, _ = make_feeds(leads=False)
+    feeds.record_upstream(HEARTBEAT)
+    assert feeds.record_upstream(replace(HEARTBEAT, sequence=2, state=DRAINING))
     peer.is_up = False
-    assert not feeds.record_upstream(replace(BEAT, sequence=3, state=DRAINING))
+    assert not feeds.record_upstream(replace(HEARTBEAT, sequence=3, state=DRAINING))
--- a/fulmarhold/tests/control/test_http.py
+++ b/fulmarhold/tests/control/test_http.py
@@ -1,4 +1,4 @@
-"""Contract of the operators' interface: bad input and instances that can't answer."""
+"""The operators' HTTP interface: malformed input, and instances outside of a cluster."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from fulmarhold.configuration import configuration_to_document
 from fulmarhold.conftest import small_questionnaire
 from fulmarhold.control.daemon import ControlDaemon
-from fulmarhold.control.http import LARGEST_CONFIGURATION_BYTES
+from fulmarhold.control.http import MAX_CONFIGURATION_BYTES
 from fulmarhold.control.identifiers import new_identifier
 from fulmarhold.questionnaire.derive import derive_configuration
 from fulmarhold.settings.processes import ControlSettings
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def client(tmp_path):
-    """The interface of an instance that belongs to no cluster and listens nowhere."""
+    """A test client of an instance that belongs to no cluster and opens no sockets."""
     settings = ControlSettings("control-1", "a", "127.0.0.1", 7000, 7001, str(tmp_path))
     return TestClient(ControlDaemon(settings)._application)
 
@@ -43,7 +43,7 @@
         ("/commands/remove", {}, "identity: must be given"),
     ],
 )
-def test_a_malformed_command_is_refused_by_the_name_of_its_field(client, path, body, words):
+def test_a_malformed_command_is_refused_and_the_error_names_its_field(client, path, body, words):
     response = client.simulate_post(path, json=body)
     assert response.status_code == 400
     assert response.json["error"].startswith(words)
@@ -51,14 +51,14 @@
 
 @pytest.mark.parametrize(
     ("body", "status"),
-    [("{", 400), ("[]", 400), ("x" * (LARGEST_CONFIGURATION_BYTES + 1), 413)],
+    [("{", 400), ("[]", 400), ("x" * (MAX_CONFIGURATION_BYTES + 1), 413)],
     ids=["no JSON", "no object", "too large"],
 )
-def test_a_body_that_is_no_command_is_refused(client, body, status):
+def test_a_body_that_is_not_a_command_is_refused(client, body, status):
     assert client.simulate_post("/commands/accept", body=body).status_code == status
 
 
-def test_a_wrong_configuration_is_refused_with_every_problem(client):
+def test_an_invalid_configuration_is_refused_with_every_problem(client):
     document = {**CONFIGURATION, "entris": 3, "entries": 0, "deployment": 5}
     response = client.simulate_post("/commands/accept", json={**ACCEPT, "configuration": document})
     assert response.status_code == 422
@@ -67,20 +67,20 @@
 
 
 @pytest.mark.parametrize("command", ["accept", "admit", "remove"])
-def test_an_instance_of_no_cluster_takes_no_commands(client, command):
+def test_an_instance_outside_of_a_cluster_refuses_commands(client, command):
     body = {**ACCEPT, "identity": "x", "endpoint": "127.0.0.1:1"}
     response = client.simulate_post(f"/commands/{command}", json=body)
     assert (response.status_code, response.json["error"]) == (503, "NotFormed")
 
 
-def test_it_forms_no_cluster_without_itself(client):
+def test_an_instance_does_not_form_a_cluster_that_excludes_it(client):
     body = {"cluster": "c", "voters": {"other": "127.0.0.1:1"}}
     response = client.simulate_post("/commands/form", json=body)
     assert response.status_code == 409
     assert "do not include this instance" in response.json["error"]
 
 
-def test_queries_say_that_they_are_stale(client):
+def test_queries_outside_of_a_cluster_are_marked_as_stale(client):
     for name in ("status", "configuration"):
         assert client.simulate_get(f"/queries/{name}").json["stale"] is True
     assert client.simulate_get("/queries/identity").json["cluster"] == ""
--- a/fulmarhold/tests/control/test_machine.py
+++ b/fulmarhold/tests/control/test_machine.py
@@ -1,4 +1,4 @@
-"""The replicated state: outcomes of commands, claims, retention, snapshots."""
+"""The replicated state machine: outcomes of commands, claims, retention and snapshots."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from fulmarhold.control.machine import (
     CLAIM_RETENTION,
     COMMAND_RETENTION,
-    LARGEST_CLOCK_SKEW,
+    MAX_CLOCK_SKEW,
     ControlMachine,
     encode_command,
 )
@@ -32,9 +32,9 @@
 START = 1_800_000_000_000.0
 
 
-def identifier(made_at=START, number=1):
-    """Return the UUID version 7 of a moment."""
-    return str(uuid.UUID(int=(int(made_at) << 80) | (7 << 76) | (2 << 62) | number))
+def identifier(created_at=START, number=1):
+    """Return a UUID version 7 that was created at the given time."""
+    return str(uuid.UUID(int=(int(created_at) << 80) | (7 << 76) | (2 << 62) | number))
 
 
 def accept(command_id, base, operator="anna", document=None, at=START):
@@ -53,7 +53,7 @@
 
 @pytest.fixture
 def apply(machine):
-    """Return a function that applies a command, with a save and restore after each."""
+    """Return a function that applies a command, and then saves and restores a snapshot."""
 
     def run(command):
         outcome = machine.apply(encode_command(command))
@@ -65,7 +65,7 @@
     return run
 
 
-def test_of_two_operators_at_equal_revision_one_wins_and_the_other_is_told_by_whom(apply):
+def test_only_the_first_of_two_commands_on_one_revision_is_accepted(apply):
     assert apply(accept(identifier(number=1), 0, "anna")) == Accepted(1, 1)
     assert apply(accept(identifier(number=2), 0, "bert")) == Superseded(1, "anna", START)
 
@@ -78,21 +78,21 @@
     assert machine.state.revision == 2
 
 
-def test_a_command_id_serves_one_command_only(apply):
+def test_a_command_id_can_not_be_reused_for_another_command(apply):
     apply(accept(identifier(), 0))
     outcome = apply(accept(identifier(), 0, document={"b": 2}))
     assert outcome == CommandRefused("the command id was used for another command")
 
 
 @pytest.mark.parametrize(
-    ("made_at", "reason"),
+    ("created_at", "reason"),
     [
         (START - COMMAND_RETENTION - SECOND, "the command id is too old"),
-        (START + LARGEST_CLOCK_SKEW + SECOND, "the command id is invalid"),
+        (START + MAX_CLOCK_SKEW + SECOND, "the command id is invalid"),
     ],
 )
-def test_a_command_id_outside_of_the_retention_is_refused(apply, made_at, reason):
-    assert apply(accept(identifier(made_at), 0)) == CommandRefused(reason)
+def test_a_command_id_outside_of_the_retention_is_refused(apply, created_at, reason):
+    assert apply(accept(identifier(created_at), 0)) == CommandRefused(reason)
 
 
 def test_after_the_retention_a_resent_command_is_refused_not_run_again(apply, machine):
@@ -104,7 +104,7 @@
     assert outcome == CommandRefused("the command id is too old")
 
 
-def test_time_in_the_log_never_falls(apply, machine):
+def test_replicated_time_never_decreases(apply, machine):
     apply(accept(identifier(), 0, at=START + HOUR))
     apply(accept(identifier(number=2), 1, at=START))
     assert machine.state.time == START + HOUR
@@ -117,7 +117,7 @@
     assert apply(claim(key, "second", "e2")) == ClaimHeld("e1", False, b"")
 
 
-def test_a_settled_key_gives_its_answer(apply):
+def test_a_settled_key_returns_its_answer(apply):
     key = identifier()
     apply(claim(key, "first"))
     apply(SettleKey(key, "first", True, b"answer", START))
@@ -141,10 +141,10 @@
         ("plain text", "key_invalid"),
         (str(uuid.UUID(int=4 << 76 | 2 << 62)), "key_invalid"),
         (identifier(START - CLAIM_RETENTION - SECOND), "key_expired"),
-        (identifier(START + LARGEST_CLOCK_SKEW + SECOND), "key_invalid"),
+        (identifier(START + MAX_CLOCK_SKEW + SECOND), "key_invalid"),
     ],
 )
-def test_a_key_that_can_not_be_remembered_is_refused(apply, key, reason):
+def test_a_key_outside_the_retention_or_without_a_time_is_refused(apply, key, reason):
     assert apply(claim(key, "first")) == ClaimRefused(reason)
 
 
@@ -153,7 +153,7 @@
     assert apply(claim(identifier(), "second", digest="other")) == ClaimRefused("key_reused")
 
 
-def test_a_forgotten_key_is_refused_not_granted_again(apply, machine):
+def test_an_expired_key_is_refused_not_granted_again(apply, machine):
     key = identifier()
     apply(claim(key, "first"))
     late = START + CLAIM_RETENTION + 2 * MINUTE
@@ -162,7 +162,7 @@
     assert apply(claim(key, "second", at=late)) == ClaimRefused("key_expired")
 
 
-def test_roster_changes_count_only_when_something_changes(apply, machine):
+def test_the_version_increases_only_if_the_roster_changes(apply, machine):
     entry = RosterEntry("e1", "a", "127.0.0.1:1", "127.0.0.1:2")
     for expected, command in [
         (1, AdmitEntry(entry, START)),
--- a/fulmarhold/tests/control/test_service.py
+++ b/fulmarhold/tests/control/test_service.py
@@ -1,4 +1,4 @@
-"""What control tells an entry that syncs, on a fake of the replicated log."""
+"""Replies of control to the syncs of entries, on a fake of the replicated log."""
 
 from __future__ import annotations
 
@@ -35,6 +35,6 @@
         (0, 0, DOCUMENT, (ENTRY,)),
     ],
 )
-def test_an_entry_gets_only_what_it_lacks(service, version, revision, document, roster):
+def test_a_sync_reply_omits_what_is_current(service, version, revision, document, roster):
     reply = service.sync_entry(EntrySync(ENTRY, 1.0, version, revision, "serving"))
     assert reply == SyncReply(7, 3, document, roster)
--- a/fulmarhold/tests/control/test_statement_file.py
+++ b/fulmarhold/tests/control/test_statement_file.py
@@ -1,4 +1,4 @@
-"""What a control instance keeps of upstreams survives restarts, and nothing else is believed."""
+"""The file of cached upstream statements survives restarts, and damage to it is detected."""
 
 from __future__ import annotations
 
@@ -15,29 +15,29 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-KEPT = [
+STATEMENTS = [
     UpstreamStatement(f"u{n}", 100 + n, n, READY, "parts", f"10.0.0.{n}:80", "a", 2) for n in (1, 2)
 ]
 
-# The examples share one folder on purpose: each damages the same file anew.
+# The examples share one folder intentionally: each of them overwrites the same file.
 ONE_FOLDER = [HealthCheck.function_scoped_fixture]
 
 
 def save(folder: Path) -> StatementFile:
-    kept = StatementFile(folder, Counters())
-    kept.save(KEPT)
+    file = StatementFile(folder, Counters())
+    file.save(STATEMENTS)
     with gevent.Timeout(5):
         while not (folder / FILE_NAME).exists():
             gevent.sleep(0.002)
-    return kept
+    return file
 
 
-def test_what_was_kept_is_read_again(tmp_path):
+def test_saved_statements_are_loaded_again(tmp_path):
     save(tmp_path)
-    assert StatementFile(tmp_path, Counters()).load() == KEPT
+    assert StatementFile(tmp_path, Counters()).load() == STATEMENTS
 
 
-def test_a_missing_file_is_no_failure(tmp_path):
+def test_a_missing_file_is_not_counted_as_a_failure(tmp_path):
     counters = Counters()
     assert StatementFile(tmp_path, counters).load() == []
     assert counters.value("statement_file_failures", step="loading") == 0
@@ -45,7 +45,7 @@
 
 @settings(max_examples=300, deadline=None, suppress_health_check=ONE_FOLDER)
 @given(data=st.data())
-def test_a_damaged_file_is_counted_and_read_as_nothing_or_as_it_was(tmp_path, data):
+def test_a_damaged_file_loads_as_empty_or_unchanged(tmp_path, data):
     path = tmp_path / FILE_NAME
     if not path.exists():
         save(tmp_path)
@@ -56,4 +56,4 @@
         path.write_bytes(whole[:at])
     else:
         path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x5A]) + whole[at + 1 :])
-    assert StatementFile(tmp_path, Counters()).load() in ([], KEPT)
+    assert StatementFile(tmp_path, Counters()).load() in ([], STATEMENTS)
--- a/fulmarhold/tests/control/test_succession.py
+++ b/fulmarhold/tests/control/test_voter_changes.py
@@ -1,27 +1,27 @@
-"""Voters that lost their disk or fell silent are replaced, one change at a time."""
+"""Voters that lost their disk or are silent are replaced, one change at a time."""
 
 from __future__ import annotations
 
 from fulmarhold.consensus.messages import Members
-from fulmarhold.control.succession import VOTER_SILENCE, MemberHealth, admit, next_members
+from fulmarhold.control.voter_changes import VOTER_SILENCE_LIMIT, MemberHealth, admit, next_members
 
-WELL = MemberHealth(0.0, True)
-SILENT = MemberHealth(VOTER_SILENCE, True)
+HEALTHY = MemberHealth(0.0, True)
+SILENT = MemberHealth(VOTER_SILENCE_LIMIT, True)
 BEHIND = MemberHealth(0.0, False)
 
 THREE = Members({"a": "1:1", "b": "2:1", "c": "3:1"}, {})
 
 
 def step(members, wanted=3, **health):
-    everyone = {name: health.get(name, WELL) for name in members.everyone}
+    everyone = {name: health.get(name, HEALTHY) for name in members.everyone}
     return next_members(members, "a", everyone, wanted)
 
 
-def test_a_healthy_cluster_is_left_alone():
+def test_a_healthy_cluster_is_not_changed():
     assert step(THREE) is None
 
 
-def test_an_identity_that_lost_its_disk_goes_before_its_successor_comes():
+def test_the_identity_of_a_lost_disk_is_removed_before_its_successor_is_admitted():
     without = admit(THREE, "c2", "3:1")
     assert without == Members({"a": "1:1", "b": "2:1"}, {})
     learner = admit(without, "c2", "3:1")
@@ -35,19 +35,19 @@
     assert admit(once, "d", "4:1") == once
 
 
-def test_a_silent_voter_makes_room_for_a_member_in_reserve():
+def test_a_silent_voter_is_replaced_by_a_learner_that_has_caught_up():
     members = Members(THREE.voters, {"d": "4:1"})
     shrunk = step(members, c=SILENT)
     assert shrunk.voters.keys() == {"a", "b"}
     assert step(shrunk).voters.keys() == {"a", "b", "d"}
 
 
-def test_a_silent_voter_stays_while_nobody_can_take_its_place():
+def test_a_silent_voter_stays_without_a_learner_that_has_caught_up():
     assert step(THREE, c=SILENT) is None
     assert step(Members(THREE.voters, {"d": "4:1"}), c=SILENT, d=BEHIND) is None
 
 
-def test_nothing_changes_without_a_majority_that_answers():
+def test_members_do_not_change_without_a_responsive_majority():
     members = Members(THREE.voters, {"d": "4:1"})
     assert step(members, b=SILENT, c=SILENT) is None
 
