Rename the shared names of the consensus folder to Raft terms

Renames methods, constants and classes such as hand_over -> transfer_leadership, may_read -> can_serve_reads and Core -> RaftCore.

--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -39,8 +39,8 @@
 # Far above a round trip between data centres (9 ms) and a sync of a slow disk (125 ms); without a
 # leader nothing is accepted and no started entry learns what to serve, so no longer than needed.
 HEARTBEAT_PERIOD: Milliseconds = 100.0
-SHORTEST_ELECTION_TIMEOUT: Milliseconds = 450.0
-LONGEST_ELECTION_TIMEOUT: Milliseconds = 900.0
+MIN_ELECTION_TIMEOUT: Milliseconds = 450.0
+MAX_ELECTION_TIMEOUT: Milliseconds = 900.0
 # Shorter than the shortest election timeout, so that clocks that drift apart do no harm.
 LEADER_LEASE: Milliseconds = 360.0
 # After a start a member asks within this whether all voters have just started, and again after
@@ -72,7 +72,7 @@
     """A change of members is not possible now; the message says why."""
 
 
-class Core:
+class RaftCore:
     """One member: follower, candidate or leader."""
 
     def __init__(
@@ -105,10 +105,10 @@
         self._handing_over_until: Milliseconds | None = None
         self._caught_up_at = float("-inf")
         # No leader can be left, nor a promise to one, once every voter has started anew.
-        self._restarted_until = now + SHORTEST_ELECTION_TIMEOUT if has_history else float("-inf")
+        self._restarted_until = now + MIN_ELECTION_TIMEOUT if has_history else float("-inf")
         self._restart_vote_at = now + random.uniform(0.0, RESTART_VOTE_SPREAD)
         self._restarted_votes: set[str] = set()
-        self.leads_since: Milliseconds = float("-inf")
+        self.leader_since: Milliseconds = float("-inf")
         self._output = Output()
         self._reset_election(now)
 
@@ -139,7 +139,7 @@
             return float("-inf")
         return self._followers.heard_by_quorum(self.members, now) + LEADER_LEASE
 
-    def may_read(self, now: Milliseconds) -> bool:
+    def can_serve_reads(self, now: Milliseconds) -> bool:
         """Whether what this leader has applied is the newest there is."""
         return self.has_settled and now < self.lease_until(now)
 
@@ -155,7 +155,7 @@
             return float("-inf")
         return self._followers.heard_by_quorum(self.members, now)
 
-    def heard_at(self, identity: str) -> Milliseconds:
+    def acknowledged_at(self, identity: str) -> Milliseconds:
         """Return when the leader sent what a member last acknowledged."""
         follower = self._followers.find(identity)
         return follower.acknowledged_at if follower else float("-inf")
@@ -212,7 +212,7 @@
                 raise MembershipRefused(f"{identity} has not caught up yet")
         return self.propose(KIND_MEMBERS, pack_members(members), now)
 
-    def hand_over(self, now: Milliseconds) -> bool:
+    def transfer_leadership(self, now: Milliseconds) -> bool:
         """Ask the most advanced voter to take over; returns whether there is one to ask."""
         others = [voter for voter in self.members.voters if voter != self.identity]
         if not self.is_leader or not others:
@@ -347,7 +347,7 @@
     def _is_loyal(self, now: Milliseconds) -> bool:
         if self.is_leader:
             return now < self.lease_until(now)
-        return now < self._heard_at + SHORTEST_ELECTION_TIMEOUT
+        return now < self._heard_at + MIN_ELECTION_TIMEOUT
 
     def _reply_vote(self, message: VoteRequest, *, granted: bool) -> None:
         term = message.term if granted else self.term
@@ -387,10 +387,10 @@
 
     def _become_leader(self, now: Milliseconds) -> None:
         self.role = Role.LEADER
-        self.leads_since = now
+        self.leader_since = now
         self.leader = self.identity
         self._handing_over_until = None
-        self._followers.begin(self.members.everyone, self.log.last_index + 1)
+        self._followers.begin(self.members.all_members, self.log.last_index + 1)
         self._first_of_term = self.log.last_index + 1
         self._append(LogEntry(self._first_of_term, self.term, KIND_NOTHING, b""))
         self._heard_at = now
@@ -406,9 +406,7 @@
         self._followers.clear()
 
     def _reset_election(self, now: Milliseconds) -> None:
-        self._election_at = now + self._random.uniform(
-            SHORTEST_ELECTION_TIMEOUT, LONGEST_ELECTION_TIMEOUT
-        )
+        self._election_at = now + self._random.uniform(MIN_ELECTION_TIMEOUT, MAX_ELECTION_TIMEOUT)
 
     # Replication, as leader
 
@@ -419,7 +417,7 @@
                 self._reset_election(now)
             return
         silent_since = self.lease_until(now) - LEADER_LEASE
-        if now - max(silent_since, self._heard_at) > SHORTEST_ELECTION_TIMEOUT:
+        if now - max(silent_since, self._heard_at) > MIN_ELECTION_TIMEOUT:
             self._become_follower(self.term, None)
             self._reset_election(now)
         elif now >= self._heartbeat_at:
@@ -429,18 +427,18 @@
         self.log.append(entry)
         self._output.entries.append(entry)
         if entry.kind == KIND_MEMBERS and self.is_leader:
-            self._followers.admit(self.members.everyone, self.log.first_index)
+            self._followers.admit(self.members.all_members, self.log.first_index)
 
     def _replicate(self, now: Milliseconds) -> None:
         self._heartbeat_at = now + HEARTBEAT_PERIOD
-        for identity in self.members.everyone:
+        for identity in self.members.all_members:
             if identity != self.identity:
                 self._replicate_to(identity, now)
 
     def heartbeats(self, now: Milliseconds) -> list[AppendRequest]:
         """Return requests without entries that rest on nothing this leader still has to sync."""
         requests = []
-        for identity in self.members.everyone if self.is_leader else ():
+        for identity in self.members.all_members if self.is_leader else ():
             if identity == self.identity:
                 continue
             index = self._followers.match_index(identity)
--- a/fulmarhold/consensus/followers.py
+++ b/fulmarhold/consensus/followers.py
@@ -38,14 +38,14 @@
         self._own = own
         self._followers: dict[str, Follower] = {}
 
-    def begin(self, everyone: Iterable[str], next_index: int) -> None:
+    def begin(self, all_members: Iterable[str], next_index: int) -> None:
         """Start a term as the leader, knowing nothing of the others yet."""
         self._followers = {}
-        self.admit(everyone, next_index)
+        self.admit(all_members, next_index)
 
-    def admit(self, everyone: Iterable[str], next_index: int) -> None:
+    def admit(self, all_members: Iterable[str], next_index: int) -> None:
         """Add the members that are not known yet."""
-        for identity in everyone:
+        for identity in all_members:
             if identity != self._own:
                 self._followers.setdefault(identity, Follower(next_index))
 
--- a/fulmarhold/consensus/messages.py
+++ b/fulmarhold/consensus/messages.py
@@ -20,7 +20,7 @@
     learners: dict[str, str]
 
     @property
-    def everyone(self) -> dict[str, str]:
+    def all_members(self) -> dict[str, str]:
         return {**self.voters, **self.learners}
 
     @property
--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -11,7 +11,7 @@
 from gevent.queue import Empty, Queue
 
 from fulmarhold.clock import SECOND
-from fulmarhold.consensus.core import HEARTBEAT_PERIOD, Core, NotLeader
+from fulmarhold.consensus.core import HEARTBEAT_PERIOD, NotLeader, RaftCore
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
     KIND_COMMAND,
@@ -47,7 +47,7 @@
 LONGEST_SYNC: Milliseconds = 2_500.0
 
 
-class Machine(Protocol):
+class StateMachine(Protocol):
     """The replicated state machine."""
 
     def apply(self, data: bytes) -> Any:
@@ -68,7 +68,7 @@
     """This instance belongs to no cluster yet."""
 
 
-def receive_member_message(node: Node) -> Callable[[MemberMessage], None]:
+def member_message_handler(node: Node) -> Callable[[MemberMessage], None]:
     """Return the handler of messages between members."""
     return lambda envelope: node.receive(envelope.endpoint, from_values(envelope.content))
 
@@ -83,20 +83,20 @@
     """One member with its storage, transport and state machine."""
 
     def __init__(
-        self, storage: Storage, transport: Transport, machine: Machine, clock: Clock
+        self, storage: Storage, transport: Transport, machine: StateMachine, clock: Clock
     ) -> None:
         self._storage = storage
         self._transport = transport
         self._machine = machine
         self._clock = clock
         self._random = Random()
-        self._events: Queue[Callable[[Core], None]] = Queue()
+        self._events: Queue[Callable[[RaftCore], None]] = Queue()
         self._proposals: dict[int, _Proposal] = {}
         # A member that has just joined does not know the others from its log yet.
         self._sender_endpoints: dict[str, str] = {}
         self._applied = 0
         self._stepped = Event()
-        self._core: Core | None = None
+        self._core: RaftCore | None = None
         self._greenlet: gevent.Greenlet | None = None
         self.failure: AsyncResult = AsyncResult()
         self.on_applied: Callable[[], None] = lambda: None
@@ -110,7 +110,7 @@
         return self._storage.identity.cluster
 
     @property
-    def core(self) -> Core:
+    def core(self) -> RaftCore:
         """The core; raises `NotFormed` before the cluster is formed or joined."""
         if self._core is None:
             raise NotFormed("this instance belongs to no cluster yet", step="reading")
@@ -129,7 +129,7 @@
         """The endpoint of the leader that this member knows, if any."""
         if self._core is None or self._core.leader is None:
             return None
-        return self._core.members.everyone.get(self._core.leader)
+        return self._core.members.all_members.get(self._core.leader)
 
     def start(self) -> None:
         """Load what was synced and start to take part."""
@@ -139,7 +139,10 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop taking part; `hand_over` first keeps the others from waiting for an election."""
+        """Stop taking part.
+
+        Calling `transfer_leadership` first saves the other members an election timeout.
+        """
         if self._greenlet is not None:
             self._greenlet.kill()
         self._transport.close()
@@ -206,11 +209,11 @@
         """Replicate a change of the members; raises `MembershipRefused` or `NotLeader`."""
         self._submit(lambda core: core.propose_members(change(core.members), self._clock.now()))
 
-    def may_read(self) -> bool:
+    def can_serve_reads(self) -> bool:
         """Whether the applied state is the newest there is (leader's lease holds)."""
         return (
             self._core is not None
-            and self._core.may_read(self._clock.now())
+            and self._core.can_serve_reads(self._clock.now())
             and self._applied >= self._core.commit_index
         )
 
@@ -237,19 +240,19 @@
             self._stepped.wait(TICK_PERIOD / SECOND)
         raise NotLeader(core.leader if not core.is_leader else None)
 
-    def hand_over(self) -> None:
+    def transfer_leadership(self) -> None:
         """Give leadership to another voter, as far as one is ready within the patience."""
         until = self._clock.now() + HANDOVER_PATIENCE
         while self._core is not None and self._core.is_leader and self._clock.now() < until:
             if len(self._core.members.voters) == 1:
                 return
-            self._events.put(lambda core: core.hand_over(self._clock.now()) and None)
+            self._events.put(lambda core: core.transfer_leadership(self._clock.now()) and None)
             gevent.sleep(TICK_PERIOD / SECOND)
 
-    def _submit(self, action: Callable[[Core], int]) -> Any:
+    def _submit(self, action: Callable[[RaftCore], int]) -> Any:
         result: AsyncResult = AsyncResult()
 
-        def run(core: Core) -> None:
+        def run(core: RaftCore) -> None:
             try:
                 index = action(core)
             except FulmarholdError as error:
@@ -268,7 +271,7 @@
         if memory.snapshot.state:
             self._machine.restore(memory.snapshot.state)
         self._applied = memory.snapshot.index
-        self._core = Core(
+        self._core = RaftCore(
             self.identity, self.cluster, memory, hard_state, self._random, self._clock.now()
         )
 
@@ -282,7 +285,7 @@
             self.failure.set_exception(error)
             log.exception("stopped taking part: {}", error)
 
-    def _next_events(self) -> list[Callable[[Core], None]]:
+    def _next_events(self) -> list[Callable[[RaftCore], None]]:
         events = []
         try:
             events.append(self._events.get(timeout=TICK_PERIOD / SECOND))
@@ -291,7 +294,7 @@
         except Empty:
             return events
 
-    def _step(self, core: Core, events: list[Callable[[Core], None]]) -> None:
+    def _step(self, core: RaftCore, events: list[Callable[[RaftCore], None]]) -> None:
         term, was_leader = core.term, core.is_leader
         for event in events:
             event(core)
@@ -315,15 +318,15 @@
         self._compact_if_due(core)
         self._stepped.set()
 
-    def _send(self, core: Core, messages: Iterable[PeerMessage]) -> None:
+    def _send(self, core: RaftCore, messages: Iterable[PeerMessage]) -> None:
         for message in messages:
-            endpoint = core.members.everyone.get(
+            endpoint = core.members.all_members.get(
                 message.recipient, self._sender_endpoints.get(message.recipient)
             )
             if endpoint is not None:
                 self._transport.send(endpoint, message)
 
-    def _sync(self, output: Output, core: Core) -> None:
+    def _sync(self, output: Output, core: RaftCore) -> None:
         """Sync the writes; a leader whose disk is slow is not replaced for that alone."""
         write = gevent.get_hub().threadpool.spawn(
             _outcome_of, self._storage.write, output, core.log
@@ -354,7 +357,7 @@
         for proposal in proposals.values():
             proposal.result.set_exception(OutcomeUnknown("leadership was lost", step="proposing"))
 
-    def _compact_if_due(self, core: Core) -> None:
+    def _compact_if_due(self, core: RaftCore) -> None:
         if not self._storage.is_compaction_due or self._applied <= core.log.snapshot.index:
             return
         term = core.log.term_at(self._applied)
--- a/fulmarhold/control/client.py
+++ b/fulmarhold/control/client.py
@@ -7,7 +7,7 @@
 import gevent
 
 from fulmarhold.clock import SECOND
-from fulmarhold.consensus.core import LONGEST_ELECTION_TIMEOUT
+from fulmarhold.consensus.core import MAX_ELECTION_TIMEOUT
 from fulmarhold.control.messages import NotLeading
 from fulmarhold.errors import PeerUnavailable, ReplyTimeout
 from fulmarhold.wire.client import CallFailed
@@ -23,7 +23,7 @@
 RETRY_PAUSE: Milliseconds = 30.0
 # A leader that hangs has been replaced by then: two of the longest election timeouts, less what
 # the call waited for it. Until then the others may still name it.
-SILENT_LEADER_AVOIDED: Milliseconds = 2 * LONGEST_ELECTION_TIMEOUT - CALL_TIMEOUT
+SILENT_LEADER_AVOIDED: Milliseconds = 2 * MAX_ELECTION_TIMEOUT - CALL_TIMEOUT
 
 
 class ControlClient:
--- a/fulmarhold/control/daemon.py
+++ b/fulmarhold/control/daemon.py
@@ -60,7 +60,7 @@
     def stop(self) -> None:
         """Hand leadership over, end open requests and stop."""
         self._housekeeping.kill()
-        self.node.hand_over()
+        self.node.transfer_leadership()
         self._http.stop(timeout=1)
         self.node.stop()
         self._messages.stop()
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -393,7 +393,7 @@
             gevent.spawn(self._sharing.send, peer, report)
 
     def _end_silent_upstreams(self, now: Milliseconds) -> None:
-        earliest = self._node.core.leads_since
+        earliest = self._node.core.leader_since
         if self._node.confirmed_age() > HOUSEKEEPING_PERIOD * 2:
             return
         for known in self.upstreams.all():
--- a/fulmarhold/control/formation.py
+++ b/fulmarhold/control/formation.py
@@ -95,7 +95,7 @@
         self._node.form(uuid.uuid4().hex, voters)
 
     def _ask_to_join(self) -> None:
-        known = self._node.core.members.everyone.values() if self._node.is_formed else ()
+        known = self._node.core.members.all_members.values() if self._node.is_formed else ()
         request = JoinCluster(self._node.identity, self._own_endpoint)
         for endpoint in dict.fromkeys((*self._seeds(), *known)):
             if endpoint == self._own_endpoint:
@@ -129,10 +129,10 @@
         now = self._clock.now()
         health = {
             identity: MemberHealth(
-                now - max(core.heard_at(identity), core.leads_since),
+                now - max(core.acknowledged_at(identity), core.leader_since),
                 core.match_index(identity) >= core.commit_index,
             )
-            for identity in core.members.everyone
+            for identity in core.members.all_members
         }
         wanted = next_members(core.members, core.identity, health, self._voters_wanted)
         if wanted is None:
--- a/fulmarhold/control/queries.py
+++ b/fulmarhold/control/queries.py
@@ -53,7 +53,7 @@
         """Return the accepted revision and its configuration."""
         state = self._machine.state
         return {
-            "stale": not self._node.may_read(),
+            "stale": not self._node.can_serve_reads(),
             "revision": state.revision,
             "accepted_by": state.accepted_by,
             "accepted_at": state.accepted_at,
@@ -64,7 +64,7 @@
         """Return members, roster, and which entry runs which version."""
         state = self._machine.state
         answer: dict[str, Any] = {
-            "stale": not self._node.may_read(),
+            "stale": not self._node.can_serve_reads(),
             "name": self._settings.name,
             "revision": state.revision,
             "version": state.version,
--- a/fulmarhold/control/service.py
+++ b/fulmarhold/control/service.py
@@ -12,7 +12,7 @@
 from fulmarhold.configuration import configuration_from_document
 from fulmarhold.consensus.core import MembershipRefused, NotLeader
 from fulmarhold.consensus.messages import MemberMessage, Members
-from fulmarhold.consensus.node import NotFormed, OutcomeUnknown, receive_member_message
+from fulmarhold.consensus.node import NotFormed, OutcomeUnknown, member_message_handler
 from fulmarhold.control.enforcement import Enforcement
 from fulmarhold.control.machine import encode_command
 from fulmarhold.control.messages import (
@@ -78,14 +78,14 @@
 
     def register(self, server: MessageServer) -> None:
         """File the handlers of every message that control serves."""
-        server.handle(MemberMessage, receive_member_message(self._node))
+        server.handle(MemberMessage, member_message_handler(self._node))
         server.handle(EntrySync, self.sync_entry)
         server.handle(ClaimKey, self.claim)
         server.handle(SettleKey, self.settle)
 
     def sync_entry(self, sync: EntrySync) -> Any:
         """Tell an entry the accepted state, as a linearizable read."""
-        if not self._node.may_read():
+        if not self._node.can_serve_reads():
             return self._not_leading()
         self._presence.note(sync)
         self._update_roster(sync)
@@ -136,7 +136,7 @@
         """Start to replicate to a new instance; it becomes a voter once it has caught up."""
 
         def change(members: Members) -> Members:
-            if identity in members.everyone:
+            if identity in members.all_members:
                 raise MembershipRefused(f"{identity} is a member already")
             return Members(members.voters, {**members.learners, identity: endpoint})
 
@@ -146,7 +146,7 @@
         """Remove a voter or learner from the cluster."""
 
         def change(members: Members) -> Members:
-            if identity not in members.everyone:
+            if identity not in members.all_members:
                 raise MembershipRefused(f"{identity} is no member")
             return Members(_without(members.voters, identity), _without(members.learners, identity))
 
@@ -156,7 +156,7 @@
         """Promote learners and remove entries that have long been silent, until killed."""
         while True:
             gevent.sleep(HOUSEKEEPING_PERIOD / SECOND)
-            if not self._node.is_formed or not self._node.may_read():
+            if not self._node.is_formed or not self._node.can_serve_reads():
                 self._led_since = None
                 self._presence.clear()
                 continue
--- a/fulmarhold/control/sharing.py
+++ b/fulmarhold/control/sharing.py
@@ -57,7 +57,7 @@
 
     def peers(self) -> list[str]:
         """Return the endpoints of the other control instances."""
-        known = self._node.core.members.everyone.values() if self._node.is_formed else ()
+        known = self._node.core.members.all_members.values() if self._node.is_formed else ()
         endpoints = dict.fromkeys((*known, *self._seeds()))
         return [endpoint for endpoint in endpoints if endpoint != self._own_endpoint]
 
--- a/fulmarhold/control/succession.py
+++ b/fulmarhold/control/succession.py
@@ -63,10 +63,10 @@
 
     One that holds the endpoint under another identity has lost its disk and goes first.
     """
-    for other, known in members.everyone.items():
+    for other, known in members.all_members.items():
         if known == endpoint and other != identity:
             return remove(members, other)
-    if identity in members.everyone:
+    if identity in members.all_members:
         return members
     return Members(members.voters, {**members.learners, identity: endpoint})
 
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -9,7 +9,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.consensus.messages import MemberMessage
-from fulmarhold.consensus.node import Node, receive_member_message
+from fulmarhold.consensus.node import Node, member_message_handler
 from fulmarhold.consensus.storage import Storage
 from fulmarhold.consensus.transport import Transport
 from fulmarhold.control.feeds import Feeds
@@ -82,7 +82,7 @@
         self._counters = counters
         self._servers: list[Any] = []
         self._messages = MessageServer(settings.peer_endpoint, counters)
-        self._messages.handle(MemberMessage, receive_member_message(self.node))
+        self._messages.handle(MemberMessage, member_message_handler(self.node))
         for part in (self._feeds, self._formation, self._versions):
             part.register(self._messages)
 
@@ -118,7 +118,7 @@
 
     def stop(self) -> None:
         """Hand leadership over and stop."""
-        self.node.hand_over()
+        self.node.transfer_leadership()
         for server in self._servers:
             server.stop(timeout=1)
         gevent.killall(self._greenlets)
--- a/fulmarhold/tests/consensus/test_core.py
+++ b/fulmarhold/tests/consensus/test_core.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from fulmarhold.consensus.core import Core, NotLeader
+from fulmarhold.consensus.core import NotLeader, RaftCore
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
     KIND_COMMAND,
@@ -58,7 +58,7 @@
         self.names = [f"m{number}" for number in range(size)]
         members = Members({name: name for name in self.names}, {})
         self.disks = {name: Disk(members) for name in self.names}
-        self.cores: dict[str, Core] = {}
+        self.cores: dict[str, RaftCore] = {}
         self.wire: list = []
         self.cut: set[frozenset[str]] = set()
         self.committed: dict[int, LogEntry] = {}
@@ -69,7 +69,7 @@
 
     def start(self, name: str) -> None:
         disk = self.disks[name]
-        self.cores[name] = Core(
+        self.cores[name] = RaftCore(
             name, CLUSTER, disk.load(), disk.hard_state, Random(self.random.random()), self.now
         )
         self.delivered[name] = disk.snapshot.index
@@ -123,7 +123,7 @@
         self.pump(message.recipient)
 
     def check_leases(self) -> None:
-        holders = [name for name, core in self.cores.items() if core.may_read(self.now)]
+        holders = [name for name, core in self.cores.items() if core.can_serve_reads(self.now)]
         assert len(holders) <= 1, "two members hold a leader's lease"
         for name in holders:
             newest = max(self.committed, default=0)
--- a/fulmarhold/tests/consensus/test_core_cases.py
+++ b/fulmarhold/tests/consensus/test_core_cases.py
@@ -9,10 +9,10 @@
 from fulmarhold.consensus.core import (
     HEARTBEAT_PERIOD,
     LEADER_LEASE,
-    SHORTEST_ELECTION_TIMEOUT,
-    Core,
+    MIN_ELECTION_TIMEOUT,
     MembershipRefused,
     NotLeader,
+    RaftCore,
 )
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
@@ -35,7 +35,7 @@
 
 
 def make(name="a", entries=(FIRST,), now=0.0):
-    return Core(name, "c", MemoryLog(EMPTY_SNAPSHOT, entries), HardState(1), Random(1), now)
+    return RaftCore(name, "c", MemoryLog(EMPTY_SNAPSHOT, entries), HardState(1), Random(1), now)
 
 
 def vote_request(term=2, *, trial=False, transfer=False, last=(1, 1), sender="b"):
@@ -63,7 +63,7 @@
 
 @pytest.mark.parametrize(
     ("after", "granted"),
-    [(SHORTEST_ELECTION_TIMEOUT - 1, False), (SHORTEST_ELECTION_TIMEOUT + 1, True)],
+    [(MIN_ELECTION_TIMEOUT - 1, False), (MIN_ELECTION_TIMEOUT + 1, True)],
 )
 def test_a_restarted_member_keeps_the_patience_it_may_have_promised(after, granted):
     core = make(now=100.0)
@@ -76,7 +76,7 @@
     core = make()
     core.receive(AppendRequest("c", "c", "a", 1, 1, 1, (), 1, 5_000.0), 5_000.0)
     core.take_output()
-    core.receive(vote_request(trial=trial), 5_000.0 + SHORTEST_ELECTION_TIMEOUT - 1)
+    core.receive(vote_request(trial=trial), 5_000.0 + MIN_ELECTION_TIMEOUT - 1)
     assert [reply.granted for reply in replies(core, VoteReply)] == [False]
     assert core.term == 1, "a member that was cut off does not raise the term of the others"
 
@@ -120,15 +120,15 @@
     core = make()
     elect(core)
     acknowledge(core, 2, sent_at=5_000.0)
-    assert core.may_read(5_000.0 + LEADER_LEASE - 1)
-    assert not core.may_read(5_000.0 + LEADER_LEASE)
-    assert LEADER_LEASE < SHORTEST_ELECTION_TIMEOUT
+    assert core.can_serve_reads(5_000.0 + LEADER_LEASE - 1)
+    assert not core.can_serve_reads(5_000.0 + LEADER_LEASE)
+    assert LEADER_LEASE < MIN_ELECTION_TIMEOUT
 
 
 def test_a_leader_that_is_cut_off_steps_down():
     core = make()
     elect(core)
-    core.tick(5_000.0 + SHORTEST_ELECTION_TIMEOUT + HEARTBEAT_PERIOD)
+    core.tick(5_000.0 + MIN_ELECTION_TIMEOUT + HEARTBEAT_PERIOD)
     assert not core.is_leader
     with pytest.raises(NotLeader):
         core.propose(KIND_COMMAND, b"x", 7_000.0)
@@ -138,8 +138,8 @@
     core = make()
     elect(core)
     acknowledge(core, 2, 5_000.0)
-    assert core.hand_over(5_001.0)
-    assert not core.may_read(5_001.0)
+    assert core.transfer_leadership(5_001.0)
+    assert not core.can_serve_reads(5_001.0)
     assert replies(core, TakeOver)
 
 
--- a/fulmarhold/tests/consensus/test_restart_votes.py
+++ b/fulmarhold/tests/consensus/test_restart_votes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from fulmarhold.consensus import core as core_module
-from fulmarhold.consensus.core import RESTART_VOTE_SPREAD, SHORTEST_ELECTION_TIMEOUT, Core
+from fulmarhold.consensus.core import MIN_ELECTION_TIMEOUT, RESTART_VOTE_SPREAD, RaftCore
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
     KIND_COMMAND,
@@ -28,7 +28,7 @@
 
 def restarted(name, seed=1, entries=(FIRST,)):
     log = MemoryLog(EMPTY_SNAPSHOT, entries)
-    return Core(name, "c", log, HardState(1), Random(seed), STARTED_AT)
+    return RaftCore(name, "c", log, HardState(1), Random(seed), STARTED_AT)
 
 
 def question(sender, recipient, last=(1, 1)):
@@ -62,16 +62,16 @@
 @pytest.mark.parametrize("seed", range(20))
 def test_voters_that_all_restarted_elect_a_leader_before_any_timeout(seed):
     cores = {name: restarted(name, seed * 3 + n) for n, name in enumerate(NAMES)}
-    elected_at = run(cores, STARTED_AT + SHORTEST_ELECTION_TIMEOUT)
+    elected_at = run(cores, STARTED_AT + MIN_ELECTION_TIMEOUT)
     assert [core for core in cores.values() if core.is_leader]
     assert elected_at <= STARTED_AT + 3 * RESTART_VOTE_SPREAD
 
 
 def test_one_voter_that_does_not_answer_is_waited_for():
     cores = {name: restarted(name, n) for n, name in enumerate(NAMES) if name != "c"}
-    run(cores, STARTED_AT + SHORTEST_ELECTION_TIMEOUT - 10.0)
+    run(cores, STARTED_AT + MIN_ELECTION_TIMEOUT - 10.0)
     assert not any(core.is_leader for core in cores.values())
-    run(cores, STARTED_AT + 10 * SHORTEST_ELECTION_TIMEOUT)
+    run(cores, STARTED_AT + 10 * MIN_ELECTION_TIMEOUT)
     assert any(core.is_leader for core in cores.values())
 
 
@@ -85,7 +85,7 @@
 
 def test_a_voter_that_runs_for_longer_does_not_grant_it():
     core = restarted("b")
-    now = STARTED_AT + SHORTEST_ELECTION_TIMEOUT + 1.0
+    now = STARTED_AT + MIN_ELECTION_TIMEOUT + 1.0
     assert answer(core, question("c", "b"), now).granted is False
 
 
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -14,7 +14,7 @@
 
 from fulmarhold.clock import SECOND, Clock
 from fulmarhold.consensus import node as node_module
-from fulmarhold.consensus.core import HEARTBEAT_PERIOD, SHORTEST_ELECTION_TIMEOUT
+from fulmarhold.consensus.core import HEARTBEAT_PERIOD, MIN_ELECTION_TIMEOUT
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
     KIND_MEMBERS,
@@ -109,11 +109,11 @@
 
 def test_a_leader_sends_heartbeats_while_its_disk_syncs_and_goes_on_leading(leader):
     node, disk, followers = leader
-    held_for = 2 * SHORTEST_ELECTION_TIMEOUT
+    held_for = 2 * MIN_ELECTION_TIMEOUT
     followers.heartbeats.clear()
     proposal = hold_up(node, disk, held_for)
     sent = list(followers.heartbeats)
-    assert max(b - a for a, b in itertools.pairwise(sent)) < SHORTEST_ELECTION_TIMEOUT
+    assert max(b - a for a, b in itertools.pairwise(sent)) < MIN_ELECTION_TIMEOUT
     assert len(set(sent)) > held_for / HEARTBEAT_PERIOD / 2
     disk.may_sync.set()
     assert proposal.get(timeout=PATIENCE_S) == b"command"
@@ -125,7 +125,7 @@
     node, disk, followers = leader
     hold_up(node, disk, 6 * HEARTBEAT_PERIOD)
     followers.heartbeats.clear()
-    gevent.sleep(SHORTEST_ELECTION_TIMEOUT / SECOND)
+    gevent.sleep(MIN_ELECTION_TIMEOUT / SECOND)
     assert followers.heartbeats == []
 
 
--- a/fulmarhold/tests/control/test_client.py
+++ b/fulmarhold/tests/control/test_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fulmarhold.clock import ManualClock
-from fulmarhold.consensus.core import LONGEST_ELECTION_TIMEOUT
+from fulmarhold.consensus.core import MAX_ELECTION_TIMEOUT
 from fulmarhold.control import client
 from fulmarhold.control.client import ControlClient
 from fulmarhold.control.messages import ClaimGranted, ClaimKey, NotLeading
@@ -74,7 +74,7 @@
     members = Members(clock, elected_at=float("inf"))
     control = called(monkeypatch, clock, members)
     with pytest.raises(PeerUnavailable):
-        control.call(CLAIM, LONGEST_ELECTION_TIMEOUT)
+        control.call(CLAIM, MAX_ELECTION_TIMEOUT)
     members.hangs = False
     assert control.call(CLAIM, client.SILENT_LEADER_AVOIDED + SHORTEST_CLAIM_TIMEOUT_MS)
 
--- a/fulmarhold/tests/control/test_drain_model.py
+++ b/fulmarhold/tests/control/test_drain_model.py
@@ -84,11 +84,11 @@
 
     @property
     def core(self):
-        everyone = {name: name for name in CONTROL}
+        all_members = {name: name for name in CONTROL}
         return SimpleNamespace(
             is_leader=self.leader_endpoint == self._endpoint,
-            leads_since=0.0,
-            members=SimpleNamespace(everyone=everyone, voters=everyone),
+            leader_since=0.0,
+            members=SimpleNamespace(all_members=all_members, voters=all_members),
         )
 
     @property
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -46,9 +46,9 @@
 
     def __init__(self, machine, leads):
         self._machine, self._leads = machine, leads
-        everyone = {"own": "own:1", "other": "other:1"}
-        members = SimpleNamespace(everyone=everyone, voters=everyone)
-        self.core = SimpleNamespace(is_leader=leads, leads_since=0.0, members=members)
+        all_members = {"own": "own:1", "other": "other:1"}
+        members = SimpleNamespace(all_members=all_members, voters=all_members)
+        self.core = SimpleNamespace(is_leader=leads, leader_since=0.0, members=members)
         self.leader_endpoint = "own:1" if leads else None
 
     def propose(self, data):
--- a/fulmarhold/tests/control/test_service.py
+++ b/fulmarhold/tests/control/test_service.py
@@ -21,7 +21,7 @@
 def service():
     """The service of a leader at version 7 and revision 3, whose roster holds the entry."""
     state = SimpleNamespace(version=7, revision=3, document=DOCUMENT, roster={"e": ENTRY})
-    node: Any = SimpleNamespace(may_read=lambda: True)
+    node: Any = SimpleNamespace(can_serve_reads=lambda: True)
     machine: Any = SimpleNamespace(state=state)
     return ControlService(node, machine, Presence(Clock()), Clock(), Counters())
 
--- a/fulmarhold/tests/control/test_succession.py
+++ b/fulmarhold/tests/control/test_succession.py
@@ -13,7 +13,7 @@
 
 
 def step(members, wanted=3, **health):
-    everyone = {name: health.get(name, WELL) for name in members.everyone}
+    everyone = {name: health.get(name, WELL) for name in members.all_members}
     return next_members(members, "a", everyone, wanted)
 
 
