--- a/fulmarhold/bench/micro.py
+++ b/fulmarhold/bench/micro.py
@@ -97,7 +97,7 @@
     announced = AnnouncedSet(clock, Counters())
     token = announced.issue_token()
     for record in records:
-        announced.take(Announcement(record, token), LEASE)
+        announced.apply(Announcement(record, token), LEASE)
     directory = Directory(announced, clock)
     return _cost(directory.known, repeats=20) / len(records)
 
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -34,8 +34,8 @@
     READY,
     SILENT,
     InstanceStatement,
-    Ledger,
     Statement,
+    StatementStore,
     UpstreamStatement,
 )
 from fulmarhold.observe.logs import part_log
@@ -94,8 +94,8 @@
         clock: Clock,
         counters: Counters,
     ) -> None:
-        self.upstreams: Ledger[UpstreamStatement] = Ledger()
-        self.instances: Ledger[InstanceStatement] = Ledger()
+        self.upstreams: StatementStore[UpstreamStatement] = StatementStore()
+        self.instances: StatementStore[InstanceStatement] = StatementStore()
         self._own = own
         self._sharing = Sharing(
             node, own.endpoint, seeds, self.upstreams, self.instances, links, counters
@@ -119,7 +119,7 @@
         self._fed_at: Milliseconds | None = None
         self._version = 0
         self._reported_at = clock.now()
-        self.instances.take(own, clock.now())
+        self.instances.apply(own, clock.now())
 
     @property
     def fed_for(self) -> Milliseconds:
@@ -175,7 +175,7 @@
         is_change = False
         for statement in statements:
             before = self.upstreams.find(statement.name)
-            if self.upstreams.take(statement, now):
+            if self.upstreams.apply(statement, now):
                 is_change = True
                 if tell:
                     _tell_upstream(statement, before, by)
@@ -244,10 +244,10 @@
             if statement.name == self._own.name and statement.born > self._own.born:
                 # The time of day went back between two lives of this instance.
                 self._own = replace(self._own, born=statement.born + 1)
-                self.instances.take(self._own, now)
+                self.instances.apply(self._own, now)
                 self._sharing.share(instances=(self._own,))
                 continue
-            if self.instances.take(statement, now):
+            if self.instances.apply(statement, now):
                 is_change = True
                 log.info("{} {} is {}", statement.role, statement.name, statement.state)
         if is_change:
@@ -404,7 +404,9 @@
                     self._sharing.share((silent,))
 
 
-def _differing(ledger: Ledger[Statement], told: tuple[Statement, ...]) -> tuple[Statement, ...]:
+def _differing(
+    ledger: StatementStore[Statement], told: tuple[Statement, ...]
+) -> tuple[Statement, ...]:
     """Return what the ledger holds of the subjects that are in another state there."""
     held = ((ledger.find(item.name), item.state) for item in told)
     return tuple(known for known, state in held if known is not None and known.state != state)
--- a/fulmarhold/control/sharing.py
+++ b/fulmarhold/control/sharing.py
@@ -16,7 +16,11 @@
 
     from fulmarhold.clock import Milliseconds
     from fulmarhold.consensus.node import Node
-    from fulmarhold.membership.statements import InstanceStatement, Ledger, UpstreamStatement
+    from fulmarhold.membership.statements import (
+        InstanceStatement,
+        StatementStore,
+        UpstreamStatement,
+    )
     from fulmarhold.observe.counters import Counters
     from fulmarhold.wire.links import Links
 
@@ -41,8 +45,8 @@
         node: Node,
         own_endpoint: str,
         seeds: Callable[[], tuple[str, ...]],
-        upstreams: Ledger[UpstreamStatement],
-        instances: Ledger[InstanceStatement],
+        upstreams: StatementStore[UpstreamStatement],
+        instances: StatementStore[InstanceStatement],
         links: Links,
         counters: Counters,
     ) -> None:
--- a/fulmarhold/entry/addresses.py
+++ b/fulmarhold/entry/addresses.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from fulmarhold.membership.exchange import FIRST_POLL_LEASE
+from fulmarhold.membership.exchange import DEFAULT_POLL_LEASE
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
     from fulmarhold.control.messages import RosterEntry
     from fulmarhold.membership.directory import Directory
-    from fulmarhold.membership.exchange import Exchange
+    from fulmarhold.membership.exchange import MembershipExchange
     from fulmarhold.membership.running import RunningState
 
 # Added to the time that a leaving entry serves on, for an answer that travels slowly.
@@ -31,7 +31,11 @@
     """Answers callers and upstreams that look for entry instances."""
 
     def __init__(
-        self, own: RosterEntry, running: RunningState, directory: Directory, exchange: Exchange
+        self,
+        own: RosterEntry,
+        running: RunningState,
+        directory: Directory,
+        exchange: MembershipExchange,
     ) -> None:
         self._own = own
         self._running = running
@@ -49,7 +53,7 @@
 
         Others may name it until their last poll of it runs out, and callers keep that answer.
         """
-        poll_lease = max(self._exchange.poll_lease, FIRST_POLL_LEASE)
+        poll_lease = max(self._exchange.poll_lease, DEFAULT_POLL_LEASE)
         return poll_lease + self.keep + TRAVEL_MARGIN
 
     def answer(self, data_centre: str) -> AddressAnswer:
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -25,7 +25,7 @@
 from fulmarhold.limits.admission import Admission
 from fulmarhold.membership.announced import AnnouncedSet
 from fulmarhold.membership.directory import Directory
-from fulmarhold.membership.exchange import Exchange
+from fulmarhold.membership.exchange import MembershipExchange
 from fulmarhold.membership.running import RunningState
 from fulmarhold.observe.counters import Counters, Gauge
 from fulmarhold.observe.lag import LoopLag
@@ -64,7 +64,7 @@
         self._announced = AnnouncedSet(clock, counters)
         self.directory = Directory(self._announced, clock)
         control = ControlClient(settings.control, clock, counters)
-        self.exchange = Exchange(
+        self.exchange = MembershipExchange(
             own, self.running, self._announced, self.directory, control, clock, counters
         )
         self.table = RoutingTable(self.directory, self.running, clock, counters)
@@ -129,7 +129,7 @@
 
     def _begin_serving(self) -> None:
         # An entry that names itself before it has asked the others refuses what they can answer.
-        while not (self.running.is_confirmed and self.exchange.has_asked_peers):
+        while not (self.running.is_confirmed and self.exchange.has_polled_peers):
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
         if self.exchange.state == "starting":
             self.exchange.announce_state("serving")
--- a/fulmarhold/entry/http.py
+++ b/fulmarhold/entry/http.py
@@ -14,7 +14,7 @@
 from fulmarhold.entry.answering import Answering, CallerRequest
 from fulmarhold.errors import MalformedInput
 from fulmarhold.gather.outcome import Answered, NotRun, NotRunReason, Outcome, Unknown
-from fulmarhold.membership.announced import FIRST_LEASE, FIRST_PERIOD
+from fulmarhold.membership.announced import DEFAULT_ANNOUNCEMENT_LEASE, DEFAULT_ANNOUNCEMENT_PERIOD
 from fulmarhold.membership.records import Announcement
 from fulmarhold.settings.loading import adapter
 from fulmarhold.web.serving import BodyTooLarge, make_application, read_body, read_json
@@ -153,7 +153,7 @@
             path = ".".join(str(part) for part in detail["loc"])
             raise MalformedInput(f"{path}: {detail['msg']}", step="announcing") from error
         lease, period = self._timings()
-        is_held = self._announced.take(announcement, lease)
+        is_held = self._announced.apply(announcement, lease)
         response.media = {
             "token": self._announced.issue_token(),
             "lease_ms": lease,
@@ -164,7 +164,7 @@
     def _timings(self) -> tuple[Milliseconds, Milliseconds]:
         configuration = self._running.configuration
         if configuration is None:
-            return FIRST_LEASE, FIRST_PERIOD
+            return DEFAULT_ANNOUNCEMENT_LEASE, DEFAULT_ANNOUNCEMENT_PERIOD
         timings = configuration.timings
         return timings.announcement_lease_ms, timings.announcement_period_ms
 
--- a/fulmarhold/membership/announced.py
+++ b/fulmarhold/membership/announced.py
@@ -20,8 +20,8 @@
     from fulmarhold.observe.counters import Counters
 
 # What an entry that knows no configuration yet tells upstreams.
-FIRST_PERIOD: Milliseconds = 500.0
-FIRST_LEASE: Milliseconds = 1_700.0
+DEFAULT_ANNOUNCEMENT_PERIOD: Milliseconds = 500.0
+DEFAULT_ANNOUNCEMENT_LEASE: Milliseconds = 1_700.0
 TOMBSTONE_AGE: Milliseconds = 60_000.0
 MOST_UPSTREAMS = 20_000
 _CHANGING = ("sequence", "load")
@@ -51,7 +51,7 @@
         """Return a token that shows that its bearer heard from this entry now."""
         return f"{self.source}:{self._clock.now():.3f}"
 
-    def take(self, announcement: Announcement, lease: Milliseconds) -> bool:
+    def apply(self, announcement: Announcement, lease: Milliseconds) -> bool:
         """Take in an announcement; returns whether it holds a lease now.
 
         Raises `MalformedInput` when it contradicts the layout that others announced.
--- a/fulmarhold/membership/exchange.py
+++ b/fulmarhold/membership/exchange.py
@@ -32,12 +32,12 @@
 
 log = part_log("membership")
 
-FIRST_POLL_PERIOD: Milliseconds = 300.0
-FIRST_POLL_LEASE: Milliseconds = 1_100.0
+DEFAULT_POLL_PERIOD: Milliseconds = 300.0
+DEFAULT_POLL_LEASE: Milliseconds = 1_100.0
 EXPIRY_PERIOD: Milliseconds = 50.0
 
 
-class Exchange:
+class MembershipExchange:
     """Syncs with control, polls peers, answers their polls and ends leases."""
 
     def __init__(
@@ -68,15 +68,15 @@
     @property
     def poll_period(self) -> Milliseconds:
         configuration = self._running.configuration
-        return configuration.timings.poll_period_ms if configuration else FIRST_POLL_PERIOD
+        return configuration.timings.poll_period_ms if configuration else DEFAULT_POLL_PERIOD
 
     @property
     def poll_lease(self) -> Milliseconds:
         configuration = self._running.configuration
-        return configuration.timings.poll_lease_ms if configuration else FIRST_POLL_LEASE
+        return configuration.timings.poll_lease_ms if configuration else DEFAULT_POLL_LEASE
 
     @property
-    def has_asked_peers(self) -> bool:
+    def has_polled_peers(self) -> bool:
         """Whether every other entry was polled once, with or without success."""
         return self._running.version > 0 and self._pollers.keys() <= self._asked
 
--- a/fulmarhold/membership/statements.py
+++ b/fulmarhold/membership/statements.py
@@ -86,7 +86,7 @@
     changed_at: Milliseconds
 
 
-class Ledger(Generic[Statement]):
+class StatementStore(Generic[Statement]):
     """The newest statement of each subject, with the order in which they changed here."""
 
     def __init__(self) -> None:
@@ -120,7 +120,7 @@
             self._digest = (self.position, xxhash.xxh3_64_hexdigest(repr(serving).encode()))
         return self._digest[1]
 
-    def take(self, statement: Statement, now: Milliseconds) -> bool:
+    def apply(self, statement: Statement, now: Milliseconds) -> bool:
         """Take in a statement; returns whether it changes what is known."""
         held = self._held.get(statement.name)
         if held is not None:
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -15,8 +15,8 @@
     READY,
     SILENT,
     InstanceStatement,
-    Ledger,
     State,
+    StatementStore,
     UpstreamStatement,
     owners,
 )
@@ -61,8 +61,8 @@
         clock: Clock,
         counters: Counters,
     ) -> None:
-        self.upstreams: Ledger[UpstreamStatement] = Ledger()
-        self.instances: Ledger[InstanceStatement] = Ledger()
+        self.upstreams: StatementStore[UpstreamStatement] = StatementStore()
+        self.instances: StatementStore[InstanceStatement] = StatementStore()
         self._own = own
         self._seeds = seeds
         self._take_configuration = take_configuration
@@ -89,7 +89,7 @@
         """Change what this instance says of itself, and tell it at once."""
         sequence = self._own.sequence + 1
         self._own = replace(self._own, state=state, is_busy=is_busy, sequence=sequence)
-        self.instances.take(self._own, self._clock.now())
+        self.instances.apply(self._own, self._clock.now())
         self._on_change()
         if self._endpoint:
             gevent.spawn(self._tell_now)
@@ -226,7 +226,7 @@
         before_all = self._state()
         for upstream in reply.upstreams:
             before = self.upstreams.find(upstream.name)
-            if self.upstreams.take(upstream, now):
+            if self.upstreams.apply(upstream, now):
                 log.info(
                     "upstream {} of {} at {} is {}, was {}",
                     upstream.name,
@@ -237,7 +237,7 @@
                 )
         for instance in reply.instances:
             if instance.name != self._own.name:
-                self.instances.take(instance, now)
+                self.instances.apply(instance, now)
             elif instance.born > self._own.born:
                 # The time of day went back between two lives of this instance.
                 self._own = replace(self._own, born=instance.born + 1)
--- a/fulmarhold/tests/control/test_drain_model.py
+++ b/fulmarhold/tests/control/test_drain_model.py
@@ -30,7 +30,7 @@
     LEFT,
     READY,
     InstanceStatement,
-    Ledger,
+    StatementStore,
     UpstreamStatement,
 )
 from fulmarhold.observe.counters import Counters
@@ -140,7 +140,7 @@
         self.handlers: dict[str, Handlers] = {}
         self.cut: set[frozenset[str]] = set()
         self.late: list[tuple[str, Any]] = []
-        self.entries: list[Ledger[UpstreamStatement]] = [Ledger(), Ledger()]
+        self.entries: list[StatementStore[UpstreamStatement]] = [StatementStore(), StatementStore()]
         self.upstream = UpstreamStatement("u", BORN, 1, READY, "parts", "10.0.0.1:80", "a", 2)
         self.acknowledged = 0
         self.has_leader = True
@@ -226,7 +226,7 @@
         ledger = self.entries[number]
         for statement in reply.upstreams:
             before = ledger.find("u")
-            ledger.take(statement, self.clock.now())
+            ledger.apply(statement, self.clock.now())
             after = ledger.find("u")
             if before is not None and before.state in (DRAINING, LEFT):
                 assert after.state in (DRAINING, LEFT) or after.born > before.born
--- a/fulmarhold/tests/membership/test_exchange.py
+++ b/fulmarhold/tests/membership/test_exchange.py
@@ -15,7 +15,7 @@
 from fulmarhold.fleet.ports import PortSupply
 from fulmarhold.membership.announced import AnnouncedSet
 from fulmarhold.membership.directory import Directory
-from fulmarhold.membership.exchange import Exchange
+from fulmarhold.membership.exchange import MembershipExchange
 from fulmarhold.membership.records import ConfigurationRequest, PeerPoll, PeerReply, UpstreamRecord
 from fulmarhold.membership.running import RunningState
 from fulmarhold.observe.counters import Counters
@@ -64,7 +64,7 @@
         self.directory = Directory(announced, clock)
         self.control = Control((own, peer))
         control = cast("ControlClient", self.control)
-        self.exchange = Exchange(
+        self.exchange = MembershipExchange(
             own, self.running, announced, self.directory, control, clock, counters
         )
 
@@ -74,7 +74,7 @@
 
     def await_asked(self):
         with gevent.Timeout(EVENT_BOUND_S):
-            while not self.exchange.has_asked_peers:
+            while not self.exchange.has_polled_peers:
                 gevent.sleep(0.01)
 
 
@@ -89,11 +89,11 @@
 
 def test_it_is_confirmed_by_control_before_its_peer_answered_and_waits(started):
     started.server.start()
-    assert not started.exchange.has_asked_peers
+    assert not started.exchange.has_polled_peers
     started.exchange.start()
     assert started.control.synced.wait(EVENT_BOUND_S)
     assert started.running.is_confirmed
-    assert not started.exchange.has_asked_peers
+    assert not started.exchange.has_polled_peers
     assert started.directory.known() == []
     started.answers.set()
     started.await_asked()
--- a/fulmarhold/tests/membership/test_leases.py
+++ b/fulmarhold/tests/membership/test_leases.py
@@ -42,18 +42,18 @@
 
 
 def test_without_a_token_nothing_is_held(announced):
-    assert not announced.take(Announcement(RECORD), LEASE)
-    assert announced.take(Announcement(RECORD, announced.issue_token()), LEASE)
+    assert not announced.apply(Announcement(RECORD), LEASE)
+    assert announced.apply(Announcement(RECORD, announced.issue_token()), LEASE)
 
 
 def test_the_lease_runs_from_the_token_however_late_the_announcement_arrives(announced, clock):
     token = announced.issue_token()
     clock.advance(LEASE - 1)
-    assert announced.take(Announcement(RECORD, token), LEASE)
+    assert announced.apply(Announcement(RECORD, token), LEASE)
     clock.advance(1)
     announced.expire()
     assert announced.held() == ()
-    assert not announced.take(Announcement(replace(RECORD, sequence=2), token), LEASE)
+    assert not announced.apply(Announcement(replace(RECORD, sequence=2), token), LEASE)
 
 
 @pytest.mark.parametrize("lost", ["none", "announcement", "answer"])
@@ -68,7 +68,7 @@
         is_lost = number == 4
         if not (is_lost and lost == "announcement"):
             record = replace(RECORD, sequence=number)
-            announced.take(Announcement(record, token), timings.announcement_lease_ms)
+            announced.apply(Announcement(record, token), timings.announcement_lease_ms)
             if not (is_lost and lost == "answer"):
                 token = announced.issue_token()
         clock.advance(timings.announcement_period_ms - (latency if number % 2 else 0.0))
@@ -77,7 +77,7 @@
 
 @pytest.mark.parametrize("token", ["", "x", "other:99999999", "{source}:text", "{source}:99e99"])
 def test_a_made_up_token_gives_no_lease_beyond_now(announced, clock, token):
-    announced.take(Announcement(RECORD, token.format(source=announced.source)), LEASE)
+    announced.apply(Announcement(RECORD, token.format(source=announced.source)), LEASE)
     clock.advance(LEASE)
     announced.expire()
     assert announced.held() == ()
@@ -85,7 +85,7 @@
 
 def test_an_older_statement_or_incarnation_is_refused(announced):
     def say(**changes):
-        return announced.take(
+        return announced.apply(
             Announcement(replace(RECORD, **changes), announced.issue_token()), LEASE
         )
 
@@ -103,9 +103,9 @@
     ],
 )
 def test_a_record_that_contradicts_the_layout_is_refused(announced, changes, words):
-    announced.take(Announcement(RECORD, announced.issue_token()), LEASE)
+    announced.apply(Announcement(RECORD, announced.issue_token()), LEASE)
     with pytest.raises(MalformedInput, match=words):
-        announced.take(Announcement(replace(RECORD, **changes), announced.issue_token()), LEASE)
+        announced.apply(Announcement(replace(RECORD, **changes), announced.issue_token()), LEASE)
 
 
 def reply(version, records):
--- a/fulmarhold/tests/membership/test_statements.py
+++ b/fulmarhold/tests/membership/test_statements.py
@@ -14,7 +14,7 @@
     READY,
     REMEMBERED_AFTER_END,
     SILENT,
-    Ledger,
+    StatementStore,
     UpstreamStatement,
     owners,
 )
@@ -23,9 +23,9 @@
 
 
 def ledger_of(*statements):
-    ledger: Ledger[UpstreamStatement] = Ledger()
+    ledger: StatementStore[UpstreamStatement] = StatementStore()
     for statement in statements:
-        ledger.take(statement, 0.0)
+        ledger.apply(statement, 0.0)
     return ledger
 
 
@@ -52,7 +52,7 @@
 def test_a_mere_repetition_is_no_change():
     ledger = ledger_of(FIRST)
     position = ledger.position
-    assert not ledger.take(replace(FIRST, sequence=7, warm_up=3.0), 1.0)
+    assert not ledger.apply(replace(FIRST, sequence=7, warm_up=3.0), 1.0)
     assert ledger.position == position
     assert ledger.since(position) == []
     assert ledger.find("u").sequence == 7
--- a/fulmarhold/tests/standin/test_announcer.py
+++ b/fulmarhold/tests/standin/test_announcer.py
@@ -55,7 +55,7 @@
     def on_post(self, request, response):
         self._announced.expire()
         announcement = adapter(Announcement).validate_python(read_json(request))
-        is_held = self._announced.take(announcement, LEASE)
+        is_held = self._announced.apply(announcement, LEASE)
         self.heard += is_held
         if self.heard >= ANNOUNCEMENTS:
             self.done.set()
