Rename members of replicas, admission and retry delays that other packages use

Terms of the field for replica health, answers of admission, spare budget and retry delays; limits.returning becomes limits.retry_after.

--- a/fulmarhold/entry/answering.py
+++ b/fulmarhold/entry/answering.py
@@ -139,10 +139,10 @@
         )
         duration = self._clock.now() - started_at
         if not answer.coverage.missing:
-            gate.note_whole(duration, service.deadline_ms)
+            gate.note_complete(duration, service.deadline_ms)
             self.latency(service.name).record(duration)
         elif MissingReason.DEADLINE in answer.coverage.missing.values():
-            gate.note_late()
+            gate.note_partial()
         return answer
 
     def _confirmed_configuration(self) -> Configuration:
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -122,7 +122,7 @@
 
     def is_congested(self, now: Milliseconds) -> bool:
         """Whether every upstream that replies has as much work as it does in time."""
-        flowing = [item for item in self._left() if item.is_flowing(now)]
+        flowing = [item for item in self._left() if item.is_responsive(now)]
         is_urgent = self._context.is_urgent
         return bool(flowing) and not any(
             item.may_send(now, is_urgent=is_urgent) for item in flowing
@@ -137,10 +137,10 @@
         context = self._context
         if self.is_over or not context.may_repeat or self._ran() >= context.most_attempts:
             return
-        left = [item for item in self._left() if item.is_flowing(context.clock.now())]
+        left = [item for item in self._left() if item.is_responsive(context.clock.now())]
         if not left:
             self._count(HEDGE, "no_replica")
-        elif not self._budget.take_spare(1):
+        elif not self._budget.take_unreserved(1):
             self._count(HEDGE, "no_budget")
         else:
             self._send(left, HEDGE)
@@ -148,11 +148,12 @@
     def is_hopeless(self, now: Milliseconds) -> bool:
         """Whether only upstreams are left to wait for that have long not replied to anything."""
         if self.is_over or any(
-            not attempt.is_over and not attempt.replica.is_dark(now) for attempt in self._attempts
+            not attempt.is_over and not attempt.replica.is_unresponsive(now)
+            for attempt in self._attempts
         ):
             return False
         may_send = self._ran() < self._context.most_attempts
-        return not (may_send and any(not item.is_dark(now) for item in self._left()))
+        return not (may_send and any(not item.is_unresponsive(now) for item in self._left()))
 
     def describe(self, now: Milliseconds) -> str:
         """Return why there is no reply, for the log: `service: upstream dark, upstream 40 ms`."""
@@ -246,7 +247,7 @@
     def _send(self, replicas: list[Replica], kind: str) -> None:
         context = self._context
         now = context.clock.now()
-        flowing = [item for item in replicas if item.is_flowing(now)] or replicas
+        flowing = [item for item in replicas if item.is_responsive(now)] or replicas
         free = [item for item in flowing if item.may_send(now, is_urgent=context.is_urgent)]
         replica = context.choose(free or flowing, context.random, now)
         attempt = CallAttempt(self, context, replica, kind)
@@ -299,7 +300,7 @@
     def describe(self, now: Milliseconds) -> str:
         """Return the upstream and for how long it has not replied, or that it is dark."""
         name = self.replica.upstream.record.name
-        if self.replica.is_dark(now):
+        if self.replica.is_unresponsive(now):
             return f"{name} dark"
         return f"{name} {now - self.sent_at:.0f} ms" if self.sent_at else f"{name} not sent"
 
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -20,7 +20,7 @@
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.single import SingleForward
 from fulmarhold.limits.budget import SlackBudget
-from fulmarhold.limits.returning import pause_after_refusal, pause_while_starting
+from fulmarhold.limits.retry_after import retry_delay_after_refusal, retry_delay_while_starting
 from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.observe.latency import LatencyHistogram
 from fulmarhold.routing.choice import choosers
@@ -106,16 +106,16 @@
             budget.refill(windows)
 
     def forward(
-        self, request: ForwardRequest, on_gone: Callable[[Callable[[], None]], None]
+        self, request: ForwardRequest, on_disconnect: Callable[[Callable[[], None]], None]
     ) -> Outcome:
         """Return the outcome of a request.
 
-        `on_gone` is given the function that is to be called when the caller leaves.
+        `on_disconnect` is given the function that is to be called when the caller leaves.
         """
         if self._is_stopping:
             return self._finish(request, None, Refused(RefusedReason.STOPPING, self._retry_after()))
         if self._routes is None:
-            pause = pause_while_starting(self._clock.now() - self._started_at, self._random)
+            pause = retry_delay_while_starting(self._clock.now() - self._started_at, self._random)
             return self._finish(request, None, Refused(RefusedReason.NO_CONFIGURATION, pause))
         route = self._routes.find(request.host, request.path)
         if route is None:
@@ -124,7 +124,7 @@
             min(request.deadline_at, request.received_at + route.timeout) - DEADLINE_RESERVE
         )
         operation = self._operation(request, route, deadline_at)
-        on_gone(operation.caller_gone)
+        on_disconnect(operation.caller_gone)
         return self._finish(request, route, operation.run())
 
     def histograms(self) -> Iterable[Histogram]:
@@ -182,7 +182,7 @@
         return self._random.choices(route.services, weights)[0].service
 
     def _retry_after(self) -> Milliseconds:
-        return pause_after_refusal(self._random)
+        return retry_delay_after_refusal(self._random)
 
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
         elapsed = self._clock.now() - request.received_at
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -89,7 +89,7 @@
             usual = self._usual_latency(statement.service, configuration, usual_before)
             if replica is None or replica.address != statement.address:
                 replica = self._make_replica(statement, limit)
-            replica.usual = usual
+            replica.typical_latency = usual
             replica.upstream = ServingUpstream(statement)
             replica.pool.resize(limit, WARM_CONNECTIONS if keep_warm else 0)
             self._replicas[key] = replica
@@ -111,11 +111,11 @@
             pool.maintain(LEAVING_EXCHANGE)
 
     def _tell_darkness(self, replica: Replica, now: Milliseconds) -> None:
-        is_dark = replica.is_dark(now)
-        if is_dark == (replica.key in self._dark):
+        is_unresponsive = replica.is_unresponsive(now)
+        if is_unresponsive == (replica.key in self._dark):
             return
         record = replica.upstream.record
-        if is_dark:
+        if is_unresponsive:
             self._dark.add(replica.key)
             log.info("upstream {} of {} has stopped replying", record.name, record.service)
         else:
@@ -150,7 +150,7 @@
             EJECTION,
             statement.warm_up,
             self._clock.now(),
-            is_near=statement.data_centre == self._data_centre,
+            is_local=statement.data_centre == self._data_centre,
         )
 
 
--- a/fulmarhold/gather/query.py
+++ b/fulmarhold/gather/query.py
@@ -45,8 +45,8 @@
         service = policy.service
         started_at = self._clock.now()
         snapshot = choose_snapshot(self._table.snapshots(service.name), started_at)
-        if snapshot.coverable(started_at) < service.least_coverage * snapshot.total:
-            live = snapshot.coverable(started_at)
+        if snapshot.live_shard_count(started_at) < service.least_coverage * snapshot.total:
+            live = snapshot.live_shard_count(started_at)
             raise Refused(
                 NotRunReason.COVERAGE_UNREACHABLE, f"{live} of {snapshot.total} shards are live"
             )
@@ -95,7 +95,7 @@
             return None
         best = choose_snapshot(self._table.snapshots(policy.service.name), now)
         is_same = (best.layout, best.version) == (answer.snapshot.layout, answer.snapshot.version)
-        if is_same or best.coverable(now) / best.total <= answer.coverage.share:
+        if is_same or best.live_shard_count(now) / best.total <= answer.coverage.share:
             return None
         return best if policy.budget.take(best.total) else None
 
@@ -107,4 +107,4 @@
     """
     if not snapshots:
         raise Refused(NotRunReason.LAYOUT_UNKNOWN, "no upstream of the service is known")
-    return max(snapshots, key=lambda item: (item.coverable(now) / item.total, item.version))
+    return max(snapshots, key=lambda item: (item.live_shard_count(now) / item.total, item.version))
--- a/fulmarhold/gather/scatter.py
+++ b/fulmarhold/gather/scatter.py
@@ -184,7 +184,7 @@
             if not left:
                 self._count_extra("hedge_pointless")
                 continue
-            if not self._policy.budget.take_spare(1):
+            if not self._policy.budget.take_unreserved(1):
                 self._count_extra("hedge_refused")
                 return
             shard.hedged = True
--- a/fulmarhold/gather/subrequest.py
+++ b/fulmarhold/gather/subrequest.py
@@ -85,7 +85,7 @@
         self._is_over = True
         if self.sent_at is not None:
             now = self.owner.clock.now()
-            self.replica.note_slow(now - self.sent_at, now)
+            self.replica.note_abandoned(now - self.sent_at, now)
             self.replica.pool.send_aside(_Cancel(self.replica.pool.address, self.part))
 
     def completed(self, response: UpstreamResponse) -> bool:
--- a/fulmarhold/limits/admission.py
+++ b/fulmarhold/limits/admission.py
@@ -80,7 +80,7 @@
         if limit != self._most:
             self._most, self._bound = limit, float(limit)
 
-    def note_whole(self, duration: Milliseconds, allowed: Milliseconds) -> None:
+    def note_complete(self, duration: Milliseconds, allowed: Milliseconds) -> None:
         """Take in a whole answer that took `duration` ms of the `allowed` ms."""
         if self._usual is None:
             self._usual = LatencyAverage(duration)
@@ -94,7 +94,7 @@
         else:
             self._bound = min(float(self._most), self._bound + RAISE_STEP / self._bound)
 
-    def note_late(self) -> None:
+    def note_partial(self) -> None:
         """Take in an answer that lacks parts because the deadline came."""
         self._lower(LATE_FACTOR)
 
--- a/fulmarhold/limits/budget.py
+++ b/fulmarhold/limits/budget.py
@@ -52,7 +52,7 @@
         self._tokens -= requests
         return True
 
-    def take_spare(self, requests: int) -> bool:
+    def take_unreserved(self, requests: int) -> bool:
         """Spend tokens only from what is above the half kept for retries."""
         if self._tokens < self._reserve + requests:
             return False
--- a/fulmarhold/limits/returning.py
+++ b/fulmarhold/limits/retry_after.py
@@ -25,17 +25,17 @@
 LONGEST_RETURN: Milliseconds = 160.0
 
 
-def pause_while_starting(running_for: Milliseconds, random: Random) -> Milliseconds:
+def retry_delay_while_starting(running_for: Milliseconds, random: Random) -> Milliseconds:
     """Return for how long to stay away from an entry that does not know a configuration yet.
 
     >>> from random import Random
-    >>> 250 <= pause_while_starting(100.0, Random(1)) <= 370
+    >>> 250 <= retry_delay_while_starting(100.0, Random(1)) <= 370
     True
     """
     expected = USUAL_START - running_for
     return max(OVERDUE_PAUSE, expected) + random.uniform(0.0, START_SPREAD)
 
 
-def pause_after_refusal(random: Random) -> Milliseconds:
+def retry_delay_after_refusal(random: Random) -> Milliseconds:
     """Return for how long to stay away after a refusal of one request."""
     return random.uniform(SHORTEST_RETURN, LONGEST_RETURN)
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -142,8 +142,8 @@
         self._metrics.stop(timeout=0)
         self._table.close()
 
-    def _answer(self, raw: RawRequest, on_gone: Any) -> RawResponse:
-        return write_outcome(self.forwarder.forward(read_request(raw), on_gone))
+    def _answer(self, raw: RawRequest, on_disconnect: Any) -> RawResponse:
+        return write_outcome(self.forwarder.forward(read_request(raw), on_disconnect))
 
     def _limits(self) -> CallerLimits:
         routes = self.forwarder.routes
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -65,7 +65,7 @@
 class Replica(Generic[Upstream]):
     """What this entry itself saw of one incarnation of an upstream.
 
-    `usual` is the latency that replicas of its kind usually have, if that is known.
+    `typical_latency` is the latency that replicas of its kind usually have, if that is known.
     """
 
     def __init__(
@@ -76,20 +76,20 @@
         slow_start: Milliseconds,
         now: Milliseconds,
         *,
-        is_near: bool = True,
+        is_local: bool = True,
     ) -> None:
         self.upstream = upstream
         self.pool = pool
         self.latency = LatencyAverage(INITIAL_LATENCY, is_guess=True)
         # Set where there are others of the same kind.
-        self.usual: QuantileEstimate | None = None
+        self.typical_latency: QuantileEstimate | None = None
         self._is_known = False
         self.concurrency = ConcurrencyLimit()
         self.ejected_until: Milliseconds = float("-inf")
         self._ejection = ejection
         self._slow_start = slow_start
-        self._distance_cost = 0.0 if is_near else OTHER_DATA_CENTRE_COST
-        self._distance_factor = 1.0 if is_near else OTHER_DATA_CENTRE_FACTOR
+        self._distance_cost = 0.0 if is_local else OTHER_DATA_CENTRE_COST
+        self._distance_factor = 1.0 if is_local else OTHER_DATA_CENTRE_FACTOR
         self._started_at = now
         self._heard_at = now
         self._failures = 0
@@ -122,14 +122,14 @@
         """
         return self.pool.longest_wait(now) > max(LEAST_STALL, STALL_FACTOR * self._believed)
 
-    def is_dark(self, now: Milliseconds) -> bool:
+    def is_unresponsive(self, now: Milliseconds) -> bool:
         """Whether it has replied to nothing since a request that was sent long ago."""
         since = self._unanswered_since
         return since is not None and now - since > DARK_AFTER
 
-    def is_flowing(self, now: Milliseconds) -> bool:
+    def is_responsive(self, now: Milliseconds) -> bool:
         """Whether a request sent now is likely to be replied to soon, or is due as a probe."""
-        if self.is_dark(now):
+        if self.is_unresponsive(now):
             return now > self._sent_at + PROBE_PERIOD
         return not self.is_stalled(now)
 
@@ -142,10 +142,10 @@
         slots = self.upstream.record.slots
         extra = FAILURE_COST * self._faded_failures(now) + self._distance_cost
         if self.pool.load:
-            usual = self._believed * (1 + self.pool.load / slots)
+            base_latency = self._believed * (1 + self.pool.load / slots)
         else:
-            usual = self._faded(now)
-        return self._distance_factor * usual / self._warmth(now) + extra
+            base_latency = self._faded(now)
+        return self._distance_factor * base_latency / self._warmth(now) + extra
 
     def note_sent(self, now: Milliseconds) -> None:
         """Take in that a request was sent."""
@@ -162,15 +162,15 @@
         # A response after a silence confirms the old estimate or the faded one, or lies between.
         self.latency.value = max(self._faded(now), min(self._believed, latency))
         self.latency.update(latency)
-        if self.usual is not None:
-            self.usual.update(latency)
+        if self.typical_latency is not None:
+            self.typical_latency.update(latency)
         self._is_known = True
         self._heard_at = now
         self._failures = 0
         self._ejections = 0
         self._update_failures(0.0, now)
 
-    def note_slow(self, elapsed: Milliseconds, now: Milliseconds) -> None:
+    def note_abandoned(self, elapsed: Milliseconds, now: Milliseconds) -> None:
         """Take in that a request was given up after `elapsed` ms without a response."""
         self.latency.value = self._believed
         self._is_known = True
@@ -207,17 +207,17 @@
     @property
     def _believed(self) -> Milliseconds:
         """The latency of its last replies, or of replicas of its kind while it has sent none."""
-        if self._is_known or self.usual is None:
+        if self._is_known or self.typical_latency is None:
             return self.latency.value
-        return SILENT_SHARE_OF_USUAL * self.usual.value
+        return SILENT_SHARE_OF_USUAL * self.typical_latency.value
 
     def _faded(self, now: Milliseconds) -> Milliseconds:
         believed = self._believed
         faded = fade(believed, now - self._heard_at)
-        if self.usual is None:
+        if self.typical_latency is None:
             return faded
         # Silence makes a slow replica look like any other, and none look better than that.
-        return max(faded, min(believed, SILENT_SHARE_OF_USUAL * self.usual.value))
+        return max(faded, min(believed, SILENT_SHARE_OF_USUAL * self.typical_latency.value))
 
     def _warmth(self, now: Milliseconds) -> float:
         if self._slow_start <= 0:
--- a/fulmarhold/routing/table.py
+++ b/fulmarhold/routing/table.py
@@ -30,7 +30,7 @@
     total: int
     shards: dict[int, tuple[Replica, ...]]
 
-    def coverable(self, now: Milliseconds) -> int:
+    def live_shard_count(self, now: Milliseconds) -> int:
         """Return how many shards have a live replica."""
         return sum(
             1
--- a/fulmarhold/tests/gather/test_scatter.py
+++ b/fulmarhold/tests/gather/test_scatter.py
@@ -166,7 +166,7 @@
 
 def test_hedges_leave_half_of_the_budget_to_retries():
     budget = ExtraLoadBudget(0.0, 10)
-    hedges = sum(budget.take_spare(1) for _ in range(100))
+    hedges = sum(budget.take_unreserved(1) for _ in range(100))
     retries = sum(budget.take(1) for _ in range(100))
     assert (hedges, retries) == (10, 10)
 
--- a/fulmarhold/tests/limits/test_limits.py
+++ b/fulmarhold/tests/limits/test_limits.py
@@ -63,7 +63,7 @@
     # budget, and one hedge is what it takes to learn which upstream to avoid.
     budget = SlackBudget(0.2, 170 / 15)
     budget.earn(1)
-    assert budget.take_spare(1)
+    assert budget.take_unreserved(1)
 
 
 @pytest.fixture
@@ -77,7 +77,7 @@
 
 
 def test_work_that_can_not_finish_is_refused_at_once(admission, gate):
-    gate.note_whole(50.0, ALLOWED)
+    gate.note_complete(50.0, ALLOWED)
     with pytest.raises(Refused) as caught, admission.admitted(gate, Clock().now() + 5):
         pytest.fail("must not be admitted")
     assert caught.value.reason is NotRunReason.DEADLINE_TOO_SHORT
@@ -128,19 +128,19 @@
 def test_the_bound_falls_once_a_round_and_grows_back_to_the_configured_limit():
     clock = ManualClock()
     gate = ServiceGate("urgent", 20, clock)
-    gate.note_whole(100.0, ALLOWED)
+    gate.note_complete(100.0, ALLOWED)
     for _ in range(5):
-        gate.note_late()
+        gate.note_partial()
     assert gate.limit == 14
     clock.advance(100)
-    gate.note_late()
+    gate.note_partial()
     assert gate.limit == 9
     for _ in range(40):
         clock.advance(100)
-        gate.note_late()
+        gate.note_partial()
     assert gate.limit == 1
     for _ in range(2_000):
-        gate.note_whole(100.0, ALLOWED)
+        gate.note_complete(100.0, ALLOWED)
     assert gate.limit == 20
 
 
@@ -159,10 +159,10 @@
 ):
     gate = ServiceGate("urgent", 4, ManualClock())
     for _ in range(50):
-        gate.note_whole(usual, ALLOWED)
+        gate.note_complete(usual, ALLOWED)
     for _ in range(running):
         gate.enter(0.0)
-    gate.note_whole(duration, ALLOWED)
+    gate.note_complete(duration, ALLOWED)
     assert (gate.limit < 4) is lowers
 
 
@@ -204,7 +204,7 @@
 def test_a_query_waits_no_longer_than_leaves_nearly_every_answer_enough_time(admission):
     gate = admission.configure("s", "urgent", 4)
     for number in range(400):
-        gate.note_whole(80.0 if number % 5 == 0 else 10.0, ALLOWED)
+        gate.note_complete(80.0 if number % 5 == 0 else 10.0, ALLOWED)
     assert gate.needed < 40.0
     assert 70.0 < gate.needed_at_most < 100.0
     for _ in range(gate.limit):
@@ -217,7 +217,7 @@
     clock = ManualClock()
     admission = Admission(clock)
     gate = admission.configure("s", "urgent", 4)
-    gate.note_whole(1.5 * ALLOWED, ALLOWED)
+    gate.note_complete(1.5 * ALLOWED, ALLOWED)
     admitted_at = []
     for _ in range(100):
         clock.advance(100.0)
--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -17,12 +17,12 @@
 WARM = 10_000.0
 
 
-def make(address="a", load=0, live=True, is_near=True, usual=None):
+def make(address="a", load=0, live=True, is_local=True, usual=None):
     record = SimpleNamespace(address=address, incarnation=1, slots=2)
     upstream: Any = SimpleNamespace(record=record, is_live=lambda _: live)
     pool: Any = SimpleNamespace(load=load)
-    replica = Replica(upstream, pool, EJECTION, SLOW_START, now=0.0, is_near=is_near)
-    replica.usual = usual
+    replica = Replica(upstream, pool, EJECTION, SLOW_START, now=0.0, is_local=is_local)
+    replica.typical_latency = usual
     return replica
 
 
@@ -128,7 +128,7 @@
 
 def test_another_data_centre_is_used_when_the_near_replica_is_loaded_but_not_to_explore():
     # Load pattern: few queries an entry, so that what is known of far replicas is always old.
-    near, far = make("near"), make("far", is_near=False)
+    near, far = make("near"), make("far", is_local=False)
     near.note_success(20.0, WARM)
     far.note_success(28.0, WARM)
     choose = choosers.find("least_expected")
@@ -157,7 +157,7 @@
     """Load: every entry asks 36 shards, each with a replica at home and two elsewhere."""
     usual = usual_of(28.0)
     home = make("home", usual=usual)
-    elsewhere = [make(name, is_near=False, usual=usual) for name in ("b", "c")]
+    elsewhere = [make(name, is_local=False, usual=usual) for name in ("b", "c")]
     random = Random(7)
     chosen = played([home, *elsewhere], lambda *_: random.lognormvariate(3.3, 0.35))
     assert chosen.count("home") >= 0.99 * len(chosen)
@@ -165,7 +165,7 @@
 
 def test_a_replica_elsewhere_takes_over_within_a_few_replies_of_a_slow_one_at_home():
     usual = usual_of(28.0)
-    home, other = make("home", usual=usual), make("b", is_near=False, usual=usual)
+    home, other = make("home", usual=usual), make("b", is_local=False, usual=usual)
     chosen = played([home, other], lambda item, _: 140.0 if item is home else 36.0)
     assert "b" in chosen[:3]
     assert chosen.count("b") >= 0.9 * len(chosen)
@@ -173,7 +173,7 @@
 
 def test_the_one_at_home_is_tried_again_and_kept_once_it_has_recovered():
     usual = usual_of(28.0)
-    home, other = make("home", usual=usual), make("b", is_near=False, usual=usual)
+    home, other = make("home", usual=usual), make("b", is_local=False, usual=usual)
     recovers_at = WARM + 10_000.0
 
     def latency(replica, now):
--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -27,7 +27,7 @@
     def __init__(self):
         self.requests = []
         self.counters = Counters()
-        self.answer = lambda request, on_gone: RawResponse(200, (("X-A", "1"),), request.body)
+        self.answer = lambda request, on_disconnect: RawResponse(200, (("X-A", "1"),), request.body)
         port = PORTS.take()
         self.endpoint = ("127.0.0.1", port)
         self.server = FrontServer(
@@ -35,9 +35,9 @@
         )
         self.server.start()
 
-    def _handle(self, request, on_gone):
+    def _handle(self, request, on_disconnect):
         self.requests.append(request)
-        return self.answer(request, on_gone)
+        return self.answer(request, on_disconnect)
 
     def connect(self):
         return gevent.socket.create_connection(self.endpoint, timeout=PATIENCE_SECONDS)
@@ -100,7 +100,7 @@
 def test_a_second_request_waits_for_the_first_answer(served):
     held = Event()
 
-    def answer(request, on_gone):
+    def answer(request, on_disconnect):
         if request.target == "/1":
             held.wait()
         return RawResponse(200, (), request.target.encode())
@@ -122,8 +122,8 @@
 def test_a_caller_that_leaves_is_noticed_while_its_request_runs(served):
     gone = Event()
 
-    def answer(request, on_gone):
-        on_gone(gone.set)
+    def answer(request, on_disconnect):
+        on_disconnect(gone.set)
         assert gone.wait(PATIENCE_SECONDS)
         return RawResponse(200)
 
@@ -182,7 +182,7 @@
 
 def test_idle_connections_are_closed_and_busy_ones_kept(served):
     held = Event()
-    served.answer = lambda request, on_gone: held.wait() and RawResponse(200)
+    served.answer = lambda request, on_disconnect: held.wait() and RawResponse(200)
     with served.connect() as idle, served.connect() as busy:
         busy.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         while not served.requests or served.server.connections < 2:
