Rename the upstream codec, relayed replies and the pool's non-queueing send

UpstreamDialect -> UpstreamCodec, PlatformDialect -> PlatformCodec, Passed -> Relayed, send_aside -> try_send.

--- a/fulmarhold/bench/forwarding.py
+++ b/fulmarhold/bench/forwarding.py
@@ -22,7 +22,7 @@
 from fulmarhold.membership.statements import READY, UpstreamStatement
 from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.events import EventLog
-from fulmarhold.platform.headers import SIGNATURE, PlatformDialect
+from fulmarhold.platform.headers import SIGNATURE, PlatformCodec
 from fulmarhold.routes.configuration import Route, RouteConfiguration, UpstreamService
 from fulmarhold.routes.table import RouteTable
 
@@ -100,7 +100,7 @@
     table.update(statements, configuration, 1, keep_warm=True)
     bound = ExtraLoadBound(0.2, 100.0, 10 * SECOND)
     events = EventLog("bench", clock, counters)
-    forwarder = Forwarder(table, PlatformDialect(), bound, clock, counters, events)
+    forwarder = Forwarder(table, PlatformCodec(), bound, clock, counters, events)
     forwarder.share_slack(1)
     forwarder.use(RouteTable(configuration))
     gevent.sleep(SETTLING / SECOND)
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -12,7 +12,7 @@
     from random import Random
 
     from fulmarhold.clock import Clock, Milliseconds
-    from fulmarhold.forwarding.dialect import UpstreamDialect
+    from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.forwarding.request import ForwardRequest, Reply
     from fulmarhold.limits.budget import ExtraLoadBudget
     from fulmarhold.observe.counters import Counters
@@ -31,7 +31,7 @@
     def __init__(
         self,
         request: ForwardRequest,
-        dialect: UpstreamDialect,
+        codec: UpstreamCodec,
         deadline_at: Milliseconds,
         may_repeat: bool,
         most_attempts: int,
@@ -49,8 +49,8 @@
         # From when on a reply is late, and whether no route is more urgent.
         self.useful_until = useful_until
         self.is_urgent = is_urgent
-        self.dialect = dialect
-        self.prepared = dialect.prepare(request)
+        self.codec = codec
+        self.prepared = codec.prepare(request)
         self.deadline_at = deadline_at
         self.may_repeat = may_repeat
         self.most_attempts = most_attempts
@@ -294,7 +294,7 @@
         self.sent_at = context.clock.now()
         self.may_have_run = True
         left = context.deadline_at - self.sent_at
-        return context.dialect.encode(context.prepared, self.replica.upstream.record.name, left)
+        return context.codec.encode(context.prepared, self.replica.upstream.record.name, left)
 
     def describe(self, now: Milliseconds) -> str:
         """Return the upstream and for how long it has not replied, or that it is dark."""
@@ -313,7 +313,7 @@
         """Take the response; returns whether the connection may be used further."""
         context = self._context
         now = context.clock.now()
-        reply = context.dialect.read(response, context.request.request_id)
+        reply = context.codec.read(response, context.request.request_id)
         self.replica.note_reply()
         if reply.verdict is Verdict.WRONG_ECHO:
             self._note("wrong_echo", response.status, now)
--- a/fulmarhold/forwarding/dialect.py
+++ b/fulmarhold/forwarding/codec.py
@@ -10,7 +10,7 @@
     from fulmarhold.upstreams.protocol import UpstreamResponse
 
 
-class UpstreamDialect(Protocol):
+class UpstreamCodec(Protocol):
     """Encodes requests to upstreams and reads their responses."""
 
     def prepare(self, request: ForwardRequest) -> tuple[bytes, bytes]:
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -13,9 +13,9 @@
     Gathered,
     NoRoute,
     Outcome,
-    Passed,
     Refused,
     RefusedReason,
+    Relayed,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.single import SingleForward
@@ -29,7 +29,7 @@
     from collections.abc import Callable, Iterable
 
     from fulmarhold.clock import Clock, Milliseconds
-    from fulmarhold.forwarding.dialect import UpstreamDialect
+    from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.forwarding.upstreams import UpstreamTable
     from fulmarhold.limits.budget import ExtraLoadBound
     from fulmarhold.observe.counters import Counters, Histogram
@@ -53,14 +53,14 @@
     def __init__(
         self,
         table: UpstreamTable,
-        dialect: UpstreamDialect,
+        codec: UpstreamCodec,
         bound: ExtraLoadBound,
         clock: Clock,
         counters: Counters,
         events: EventLog,
     ) -> None:
         self._table = table
-        self._dialect = dialect
+        self._codec = codec
         self._bound = bound
         self._clock = clock
         self._counters = counters
@@ -138,7 +138,7 @@
         )
         context = CallContext(
             request,
-            self._dialect,
+            self._codec,
             deadline_at,
             route.is_idempotent,
             route.most_attempts,
@@ -209,7 +209,7 @@
 
 def _describe(outcome: Outcome) -> tuple[str, str]:
     match outcome:
-        case Passed(reply):
+        case Relayed(reply):
             return ("answered" if reply.status < 400 else "passed_failure"), str(reply.status)
         case Gathered(missing=missing):
             return ("partial", "late_parts") if missing else ("answered", "whole")
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -80,7 +80,7 @@
 
 
 @dataclass(frozen=True)
-class Passed:
+class Relayed:
     """The response of one upstream, to be passed on unchanged."""
 
     reply: Reply
@@ -118,4 +118,4 @@
     detail: str = ""
 
 
-Outcome = Passed | Gathered | Refused | NoRoute | Failed
+Outcome = Relayed | Gathered | Refused | NoRoute | Failed
--- a/fulmarhold/forwarding/single.py
+++ b/fulmarhold/forwarding/single.py
@@ -10,9 +10,9 @@
 from fulmarhold.forwarding.request import (
     Failed,
     FailedReason,
-    Passed,
     Refused,
     RefusedReason,
+    Relayed,
 )
 
 if TYPE_CHECKING:
@@ -72,7 +72,7 @@
         if self._is_gone:
             return Failed(FailedReason.CALLER_GONE)
         if call.reply is not None:
-            return Passed(call.reply)
+            return Relayed(call.reply)
         if call.refusal is not None:
             return Refused(call.refusal, self._retry_after())
         if call.failure is not None:
--- a/fulmarhold/gather/subrequest.py
+++ b/fulmarhold/gather/subrequest.py
@@ -86,7 +86,7 @@
         if self.sent_at is not None:
             now = self.owner.clock.now()
             self.replica.note_slow(now - self.sent_at, now)
-            self.replica.pool.send_aside(_Cancel(self.replica.pool.address, self.part))
+            self.replica.pool.try_send(_Cancel(self.replica.pool.address, self.part))
 
     def completed(self, response: UpstreamResponse) -> bool:
         """Take the response; returns whether the connection may be used further."""
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -22,7 +22,7 @@
 from fulmarhold.observe.lag import LoopLag
 from fulmarhold.observe.logs import part_log
 from fulmarhold.platform.documents import decode_configuration, unpack_document
-from fulmarhold.platform.headers import PlatformDialect, read_request, write_outcome
+from fulmarhold.platform.headers import PlatformCodec, read_request, write_outcome
 from fulmarhold.platform.settings import ANSWER_KEPT
 from fulmarhold.platform.settings_watch import serve_application, serve_metrics
 from fulmarhold.routes.configuration import CallerLimits
@@ -78,7 +78,7 @@
         self._active_since = clock.now()
         self._is_settled = False
         self.forwarder = Forwarder(
-            self._table, PlatformDialect(), settings.extra_load, clock, counters, events
+            self._table, PlatformCodec(), settings.extra_load, clock, counters, events
         )
         own = InstanceStatement(
             settings.name,
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -11,8 +11,8 @@
     ForwardRequest,
     Gathered,
     NoRoute,
-    Passed,
     Refused,
+    Relayed,
     Reply,
     Verdict,
 )
@@ -49,7 +49,7 @@
 UNBOUNDED: Milliseconds = 600_000.0
 
 
-class PlatformDialect:
+class PlatformCodec:
     """Requests to upstreams and their responses."""
 
     def prepare(self, request: ForwardRequest) -> tuple[bytes, bytes]:
@@ -98,7 +98,7 @@
 def write_outcome(outcome: Outcome) -> RawResponse:
     """Return the response that tells a caller the outcome."""
     match outcome:
-        case Passed(reply):
+        case Relayed(reply):
             return RawResponse(reply.status, reply.headers, reply.body)
         case Gathered(signatures, missing, records):
             parts = ((PART_SIGNATURES, ", ".join(signatures)), (PARTS_MISSING, str(missing)))
--- a/fulmarhold/tests/forwarding/test_scatter.py
+++ b/fulmarhold/tests/forwarding/test_scatter.py
@@ -18,9 +18,9 @@
     FailedReason,
     ForwardRequest,
     Gathered,
-    Passed,
     Refused,
     RefusedReason,
+    Relayed,
     Reply,
     Verdict,
 )
@@ -66,7 +66,7 @@
         return 0.0
 
 
-class ScriptedDialect:
+class ScriptedCodec:
     def prepare(self, request):
         return b"", b""
 
@@ -92,7 +92,7 @@
         self.request = ForwardRequest("id", "GET", "/", "h", (), b"", now, now + deadline)
         self.context = CallContext(
             self.request,
-            ScriptedDialect(),
+            ScriptedCodec(),
             now + deadline,
             idempotent,
             attempts,
@@ -234,7 +234,7 @@
 def test_what_was_not_run_goes_to_another_upstream_even_when_not_idempotent(verdict):
     pools = [ScriptedPool("0", verdict=verdict, status=503), ScriptedPool("1", 8.0)]
     outcome = Fixture(idempotent=False).single(pools).run()
-    assert isinstance(outcome, Passed) and outcome.reply.signature == "stamp-1"
+    assert isinstance(outcome, Relayed) and outcome.reply.signature == "stamp-1"
 
 
 @pytest.mark.parametrize("verdict", ["lost", Verdict.FAILURE, Verdict.WRONG_ECHO])
--- a/fulmarhold/tests/gather/test_scatter.py
+++ b/fulmarhold/tests/gather/test_scatter.py
@@ -52,7 +52,7 @@
         if self._answer is not None:
             gevent.spawn_later(self._delay / 1_000, self._respond, request)
 
-    def send_aside(self, request):
+    def try_send(self, request):
         return False
 
     def _respond(self, request):
--- a/fulmarhold/tests/platform/test_callers_fuzz.py
+++ b/fulmarhold/tests/platform/test_callers_fuzz.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from fulmarhold.platform import headers as names
-from fulmarhold.platform.headers import PlatformDialect, read_request
+from fulmarhold.platform.headers import PlatformCodec, read_request
 from fulmarhold.web.front import RawRequest
 
 CASES = 1_000
@@ -26,5 +26,5 @@
     fields = tuple(headers.items())
     request = read_request(RawRequest("GET", "/a", fields, body, 5.0, True, 6.0))
     assert request.deadline_at >= request.received_at
-    dialect = PlatformDialect()
-    assert dialect.encode(dialect.prepare(request), "upstream", 10.0).endswith(body)
+    codec = PlatformCodec()
+    assert codec.encode(codec.prepare(request), "upstream", 10.0).endswith(body)
--- a/fulmarhold/tests/platform/test_headers.py
+++ b/fulmarhold/tests/platform/test_headers.py
@@ -9,12 +9,12 @@
     FailedReason,
     Gathered,
     NoRoute,
-    Passed,
     Refused,
     RefusedReason,
+    Relayed,
     Verdict,
 )
-from fulmarhold.platform.headers import PlatformDialect, read_request, write_outcome
+from fulmarhold.platform.headers import PlatformCodec, read_request, write_outcome
 from fulmarhold.upstreams.protocol import UpstreamResponse
 from fulmarhold.web.front import RawRequest
 
@@ -45,8 +45,8 @@
         )
     )
     assert (request.request_id, request.deadline_at) == ("id-1", 1_300.0)
-    dialect = PlatformDialect()
-    lines = dialect.encode(dialect.prepare(request), "i-7", 250.9).split(b"\r\n")
+    codec = PlatformCodec()
+    lines = codec.encode(codec.prepare(request), "i-7", 250.9).split(b"\r\n")
     assert lines == [
         b"POST /a%20b?q=%2f HTTP/1.1",
         b"Host: h.example",
@@ -76,13 +76,13 @@
     ],
 )
 def test_what_a_response_means(given, verdict):
-    assert PlatformDialect().read(given, "id-1").verdict is verdict
+    assert PlatformCodec().read(given, "id-1").verdict is verdict
 
 
 def test_a_response_is_passed_on_without_what_concerns_the_connection():
     given = response(200, ECHO, STAMP, ("Keep-Alive", "timeout=3"), ("X-Own", "1"))
-    reply = PlatformDialect().read(given, "id-1")
-    written = write_outcome(Passed(reply))
+    reply = PlatformCodec().read(given, "id-1")
+    written = write_outcome(Relayed(reply))
     assert (written.status, written.body) == (200, b"x")
     assert written.headers == (ECHO, STAMP, ("X-Own", "1"))
 
--- a/fulmarhold/tests/upstreams/test_fuzz.py
+++ b/fulmarhold/tests/upstreams/test_fuzz.py
@@ -10,7 +10,7 @@
 
 from fulmarhold.forwarding.records import greatest_records
 from fulmarhold.forwarding.request import Verdict
-from fulmarhold.platform.headers import PlatformDialect
+from fulmarhold.platform.headers import PlatformCodec
 from fulmarhold.upstreams.protocol import ResponseReader
 
 CASES = 1_000
@@ -78,6 +78,6 @@
     head = f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode("latin-1")
     response = read([head + body])
     if response is not None:
-        reply = PlatformDialect().read(response, "id")
+        reply = PlatformCodec().read(response, "id")
         assert isinstance(reply.verdict, Verdict)
         assert len(greatest_records([reply.body], 5)) % 16 == 0
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -120,7 +120,7 @@
             channel.close("idle")
         return None
 
-    def send_aside(self, request: Request) -> bool:
+    def try_send(self, request: Request) -> bool:
         """Send a request of lesser weight if a connection is free; returns whether it was."""
         now = self._clock.now()
         channel = self._take_free(now)
