--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -20,7 +20,7 @@
 LEAST_STALL: Milliseconds = 20.0
 # Longer than the pauses that upstreams take now and then (up to 250 ms): what does not reply for
 # that long hangs or is cut off, whether its connections say so or not.
-DARK_AFTER: Milliseconds = 300.0
+UNRESPONSIVE_AFTER: Milliseconds = 300.0
 # One request in this time finds out whether a dark upstream is back; a hedge covers for it.
 PROBE_PERIOD: Milliseconds = 1_000.0
 # The share of failures follows the last ten or so, and is forgotten by half in this time.
@@ -125,7 +125,7 @@
     def is_unresponsive(self, now: Milliseconds) -> bool:
         """Whether it has replied to nothing since a request that was sent long ago."""
         since = self._unanswered_since
-        return since is not None and now - since > DARK_AFTER
+        return since is not None and now - since > UNRESPONSIVE_AFTER
 
     def is_responsive(self, now: Milliseconds) -> bool:
         """Whether a request sent now is likely to be replied to soon, or is due as a probe."""
--- a/fulmarhold/tests/forwarding/test_scatter.py
+++ b/fulmarhold/tests/forwarding/test_scatter.py
@@ -34,7 +34,7 @@
 from fulmarhold.observe.events import EventLog
 from fulmarhold.routes.configuration import Route
 from fulmarhold.routing.choice import choosers
-from fulmarhold.routing.replica import DARK_AFTER, FAILURE_HALF_LIFE, Replica
+from fulmarhold.routing.replica import FAILURE_HALF_LIFE, UNRESPONSIVE_AFTER, Replica
 
 FAST_MS = 4.0
 PAUSE_MS = 150.0
@@ -192,7 +192,7 @@
     dark = [ScriptedPool("2-0", None), ScriptedPool("2-1", None)]
     fixture = Fixture()
     query = fixture.scatter(shards(4, s2=dark), target=200.0)
-    long_ago = fixture.clock.now() - 2 * DARK_AFTER
+    long_ago = fixture.clock.now() - 2 * UNRESPONSIVE_AFTER
     for replica in query.calls[2].replicas:
         replica.note_sent(long_ago)
     outcome = query.run()
