--- a/fulmarhold/tests/upstreams/test_connections.py
+++ b/fulmarhold/tests/upstreams/test_connections.py
@@ -11,7 +11,7 @@
 from fulmarhold.fleet.ports import PortSupply
 from fulmarhold.observe.counters import Counters
 from fulmarhold.upstreams.pool import ConnectionPool
-from fulmarhold.upstreams.protocol import LARGEST_RESPONSE_BYTES, RequestTemplate
+from fulmarhold.upstreams.protocol import MAX_RESPONSE_BYTES, RequestTemplate
 
 OK = b"HTTP/1.1 200 OK\r\nFulmarhold-Part: p\r\nContent-Length: 2\r\n\r\n{}"
 
@@ -125,7 +125,7 @@
         (b"HTTP/1.1 200 OK\r\nContent-Length: nonsense\r\n\r\n", "malformed response"),
         (
             b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"
-            + b"x" * (LARGEST_RESPONSE_BYTES + 1),
+            + b"x" * (MAX_RESPONSE_BYTES + 1),
             "response too large",
         ),
     ],
@@ -189,7 +189,7 @@
     request = Request()
     pool.submit(request)
     gevent.sleep(0.05)
-    pool.maintain(longest_exchange=10.0)
+    pool.maintain(exchange_timeout=10.0)
     assert request.outcome() == ("response overdue", True)
     assert pool.connections == 0
 
--- a/fulmarhold/upstreams/__init__.py
+++ b/fulmarhold/upstreams/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to upstreams and the requests sent over them."""
+"""Connections to upstreams, and the HTTP requests and responses that they carry."""
--- a/fulmarhold/upstreams/channel.py
+++ b/fulmarhold/upstreams/channel.py
@@ -1,4 +1,4 @@
-"""One kept connection to an upstream, driven by the event loop without a greenlet of its own."""
+"""A persistent connection to an upstream, driven by event-loop callbacks without a greenlet."""
 
 from __future__ import annotations
 
@@ -19,26 +19,26 @@
 READABLE = 1
 WRITABLE = 2
 READ_BYTES = 65_536
-# An idle connection is given up this long before its upstream would close it, so that no request
-# meets that close on its way.
-KEEP_ALIVE_RESERVE: Milliseconds = 700.0
+# An idle connection is closed this long before its upstream would close it, so that no request is
+# sent while the upstream is closing.
+KEEP_ALIVE_MARGIN: Milliseconds = 700.0
 
 
 class Exchange(Protocol):
-    """One request with its response, from the point of view of the connection."""
+    """One request and its response, as the connection sees them."""
 
     def encode(self) -> bytes:
-        """Return the bytes of the request, at the moment of sending."""
+        """Return the bytes of the request; called at the moment of sending."""
 
     def completed(self, response: UpstreamResponse) -> bool:
-        """Take the whole response; returns whether the connection may be trusted further."""
+        """Handle the complete response; returns whether the connection may be reused."""
 
     def failed(self, reason: str, *, sent: bool) -> None:
-        """Take the loss of the request; `sent` tells whether any byte may have left."""
+        """Handle the failure of the request; `sent` tells whether any byte may have been sent."""
 
 
 class ChannelOwner(Protocol):
-    """What a channel reports to."""
+    """Receives the state changes of a channel."""
 
     def channel_opened(self, channel: Channel) -> None: ...
 
@@ -48,7 +48,7 @@
 
 
 class ChannelState(Enum):
-    """Where a channel is in its life."""
+    """The lifecycle state of a channel."""
 
     CONNECTING = "connecting"
     FREE = "free"
@@ -57,7 +57,7 @@
 
 
 class Channel:
-    """A connection that carries one exchange at a time."""
+    """A non-blocking connection that carries one exchange at a time."""
 
     __slots__ = ("_exchange", "_fd", "_keep_alive", "_owner", "_pending", "_reader", "_socket",
                  "_watchers", "busy_since", "state", "usable_until")  # fmt: skip
@@ -105,15 +105,15 @@
             self._watchers[WRITABLE].start(self._on_writable)
 
     def carries(self, exchange: Exchange) -> bool:
-        """Whether an exchange is open on this connection."""
+        """Whether an exchange is in progress on this connection."""
         return self._exchange is exchange
 
-    def note_idle(self, now: Milliseconds) -> None:
-        """Start the time for which the upstream keeps an idle connection open."""
+    def mark_idle(self, now: Milliseconds) -> None:
+        """Start the period for which the upstream keeps an idle connection open."""
         self.usable_until = now + self._keep_alive
 
     def close(self, reason: str) -> None:
-        """Close the connection; an open exchange fails as sent."""
+        """Close the connection; an exchange in progress fails with `sent=True`."""
         if self.state is ChannelState.CLOSED:
             return
         self.state = ChannelState.CLOSED
@@ -160,7 +160,7 @@
             self._finish(self._exchange)
             return
         if not data or self._exchange is None:
-            # An idle connection that becomes readable was closed or holds what nobody asked for.
+            # An idle connection becomes readable when it was closed or carries unsolicited data.
             self.close("closed by upstream" if not data else "unexpected data")
             return
         try:
@@ -176,10 +176,10 @@
     def _finish(self, exchange: Exchange) -> None:
         response = self._reader.take()
         if response.keep_alive is not None:
-            self._keep_alive = max(0.0, response.keep_alive - KEEP_ALIVE_RESERVE)
+            self._keep_alive = max(0.0, response.keep_alive - KEEP_ALIVE_MARGIN)
         self._exchange = None
         is_trusted = exchange.completed(response)
-        # A response before the whole request was written leaves the stream undefined.
+        # A response before the whole request was written leaves the stream in an undefined state.
         if is_trusted and response.keep_open and not self._pending:
             self.state = ChannelState.FREE
             self._owner.channel_free(self)
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -1,4 +1,4 @@
-"""The connections of this entry to one upstream: its share, some of them warm, and a queue."""
+"""A pool of this entry's connections to one upstream, with warm connections and a queue."""
 
 from __future__ import annotations
 
@@ -11,26 +11,27 @@
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.observe.counters import Counters
 
-LONGEST_CONNECT: Milliseconds = 1_000.0
-RECONNECT_PAUSE: Milliseconds = 200.0
-LONGEST_QUEUE = 256
-# An upstream that has no room resets a connection as soon as it was accepted; three trips between
-# data centres and its handshake.
+CONNECT_TIMEOUT: Milliseconds = 1_000.0
+RECONNECT_DELAY: Milliseconds = 200.0
+MAX_QUEUE_LENGTH = 256
+# A connection that stays open this long counts as accepted: an upstream at its connection limit
+# resets a connection right after accepting it. Covers three trips between data centres and the
+# upstream's handshake.
 ACCEPTED_AFTER: Milliseconds = 50.0
 CONNECT_REFUSED = "connect refused"
-# How a connection ends that its upstream resets.
-LOST = ("connection lost", "closed by upstream")
+# Reasons with which a channel closes when its upstream resets the connection.
+RESET_REASONS = ("connection lost", "closed by upstream")
 
 
 class Request(Exchange, Protocol):
-    """An exchange that may have become pointless while it waited for a connection."""
+    """An exchange that can expire while it waits for a connection."""
 
     def may_send(self) -> bool:
-        """Whether it may still be sent; if not, it is told that it failed unsent."""
+        """Whether it may still be sent; if not, `failed` is called with `sent=False`."""
 
 
 class ConnectionPool:
-    """At most `limit` connections to `address`; requests beyond that wait in order."""
+    """At most `limit` connections to `address`; further requests wait in FIFO order."""
 
     def __init__(
         self, address: str, limit: int, warm: int, clock: Clock, counters: Counters
@@ -46,13 +47,13 @@
         self._waiting: deque[Request] = deque()
         self._closed = False
         self._connect_after: Milliseconds = float("-inf")
-        # How many connections replies have shown to be accepted; one more may be tried.
-        self._proven = 0
+        # The number of connections that the upstream is known to accept; one more may be tried.
+        self._known_capacity = 0
 
     @property
     def load(self) -> int:
-        """Requests sent and not answered, or waiting."""
-        # Read for every candidate of every sub-request, so it is counted and not searched.
+        """The number of requests that are waiting or sent and unanswered."""
+        # Computed without a search: it is read for every candidate of every sub-request.
         return len(self._channels) - len(self._free) - len(self._connecting) + len(self._waiting)
 
     @property
@@ -60,23 +61,23 @@
         return len(self._channels)
 
     @property
-    def _may_open(self) -> bool:
+    def _should_open(self) -> bool:
         """Whether one more connection is wanted and likely to be accepted.
 
-        After a loss of power of all entries their old connections still count at the upstreams, so
-        that an entry's whole share at once would pass what an upstream accepts, and be reset with
-        the requests that were sent on it.
+        After all entries lost power, upstreams still count their old connections. An entry that
+        opened its whole share at once would then exceed the upstream's connection limit, and the
+        upstream would reset connections that already carry requests.
         """
         is_wanted = len(self._connecting) < len(self._waiting)
-        return is_wanted and len(self._channels) < min(self.limit, self._proven + 1)
+        return is_wanted and len(self._channels) < min(self.limit, self._known_capacity + 1)
 
     def resize(self, limit: int, warm: int) -> None:
-        """Change how many connections there may be, and how many are kept open."""
+        """Change the maximum number of connections and the number of warm ones."""
         self.limit = limit
         self._warm = min(warm, limit)
 
     def longest_wait(self, now: Milliseconds) -> Milliseconds:
-        """Return for how long the oldest unanswered request or connection attempt has waited."""
+        """Return the age of the oldest unanswered request or unfinished connection attempt."""
         longest = 0.0
         for channel, opened_at in self._channels.items():
             if channel.state is ChannelState.BUSY:
@@ -86,7 +87,7 @@
         return longest
 
     def withdraw(self, request: Request) -> None:
-        """Give up a request: forget it, or close the connection that carries it."""
+        """Cancel a request: remove it from the queue, or close the connection that carries it."""
         if request in self._waiting:
             self._waiting.remove(request)
             return
@@ -96,23 +97,23 @@
                 return
 
     def submit(self, request: Request) -> None:
-        """Send a request, at once or when a connection is free; never blocks."""
+        """Send a request now or queue it until a connection is free; never blocks."""
         now = self._clock.now()
         if self._closed:
             request.failed("pool closed", sent=False)
         elif channel := self._take_free(now):
             channel.send(request, now)
-        elif len(self._waiting) >= LONGEST_QUEUE:
+        elif len(self._waiting) >= MAX_QUEUE_LENGTH:
             request.failed("queue full", sent=False)
         elif now < self._connect_after and not self._channels:
             request.failed(CONNECT_REFUSED, sent=False)
         else:
             self._waiting.append(request)
-            if self._may_open:
+            if self._should_open:
                 self._open(now)
 
     def _take_free(self, now: Milliseconds) -> Channel | None:
-        """Return the connection used last, closing those that their upstream is about to close."""
+        """Return the most recently used free connection; close those that are about to expire."""
         while self._free:
             channel = self._free.pop()
             if now < channel.usable_until:
@@ -121,7 +122,7 @@
         return None
 
     def try_send(self, request: Request) -> bool:
-        """Send a request of lesser weight if a connection is free; returns whether it was."""
+        """Send a low-priority request if a connection is free; returns whether it was sent."""
         now = self._clock.now()
         channel = self._take_free(now)
         if channel is None:
@@ -129,30 +130,30 @@
         channel.send(request, now)
         return True
 
-    def maintain(self, longest_exchange: Milliseconds) -> None:
-        """Close what takes too long and keep the warm connections open; called regularly."""
+    def maintain(self, exchange_timeout: Milliseconds) -> None:
+        """Close expired and overdue connections and open warm ones; called periodically."""
         now = self._clock.now()
         for channel in [item for item in self._free if now >= item.usable_until]:
             channel.close("idle")
         for channel, opened_at in list(self._channels.items()):
-            if channel.state is ChannelState.CONNECTING and now > opened_at + LONGEST_CONNECT:
+            if channel.state is ChannelState.CONNECTING and now > opened_at + CONNECT_TIMEOUT:
                 channel.close("connect timed out")
-            elif channel.state is ChannelState.BUSY and now > channel.busy_since + longest_exchange:
+            elif channel.state is ChannelState.BUSY and now > channel.busy_since + exchange_timeout:
                 channel.close("response overdue")
         accepted = sum(1 for at in self._channels.values() if now > at + ACCEPTED_AFTER)
-        self._proven = max(self._proven, accepted)
+        self._known_capacity = max(self._known_capacity, accepted)
         if len(self._channels) < self._warm and now >= self._connect_after and not self._closed:
             self._open(now)
 
     def close(self) -> None:
-        """Close every connection; open requests fail."""
+        """Close every connection; pending requests fail."""
         self._closed = True
         for channel in list(self._channels):
             channel.close("pool closed")
         self._fail_waiting("pool closed")
 
     def close_when_idle(self) -> None:
-        """Close the free connections now and the others once their response has come."""
+        """Close the free connections now and the others after their response."""
         self._closed = True
         for channel in list(self._free):
             channel.close("upstream left")
@@ -161,20 +162,20 @@
     # Called by channels
 
     def channel_opened(self, channel: Channel) -> None:
-        """Take a connection that was just established."""
+        """Handle a newly established connection."""
         self._connecting.discard(channel)
         self._counters.add("connections_opened")
-        self._use(channel)
+        self._assign(channel)
 
     def channel_free(self, channel: Channel) -> None:
-        """Take a connection that has brought a response."""
-        self._proven = min(self.limit, max(self._proven, len(self._channels)) + 1)
-        self._use(channel)
-        if self._may_open and not self._closed:
+        """Handle a connection that is free again after a response."""
+        self._known_capacity = min(self.limit, max(self._known_capacity, len(self._channels)) + 1)
+        self._assign(channel)
+        if self._should_open and not self._closed:
             self._open(self._clock.now())
 
-    def _use(self, channel: Channel) -> None:
-        """Use a free connection for the next waiting request, or keep it."""
+    def _assign(self, channel: Channel) -> None:
+        """Send the next waiting request on a free connection, or add it to the free list."""
         if channel.state is not ChannelState.FREE:
             return
         if self._closed:
@@ -186,23 +187,23 @@
                 channel.send(request, self._clock.now())
                 return
             request.failed("not sent in time", sent=False)
-        channel.note_idle(self._clock.now())
+        channel.mark_idle(self._clock.now())
         self._free.append(channel)
 
     def channel_closed(self, channel: Channel, reason: str) -> None:
-        """Forget a closed connection and replace it if requests wait."""
+        """Remove a closed connection, and open another one if requests are waiting."""
         opened_at = self._channels.pop(channel, None)
         self._counters.add("connections_closed", reason=reason)
         self._connecting.discard(channel)
         if channel in self._free:
             self._free.remove(channel)
-        if reason in LOST:
-            self._proven = min(self._proven, len(self._channels))
+        if reason in RESET_REASONS:
+            self._known_capacity = min(self._known_capacity, len(self._channels))
         if opened_at is not None and reason.startswith(("E", "connect")):
-            self._connect_after = self._clock.now() + RECONNECT_PAUSE
+            self._connect_after = self._clock.now() + RECONNECT_DELAY
             if not self._channels:
                 self._fail_waiting(CONNECT_REFUSED)
-        elif self._may_open and not self._closed:
+        elif self._should_open and not self._closed:
             self._open(self._clock.now())
 
     def _open(self, now: Milliseconds) -> None:
--- a/fulmarhold/upstreams/protocol.py
+++ b/fulmarhold/upstreams/protocol.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of upstreams: header names, encoding of requests, reading of responses."""
+"""The HTTP interface of upstreams: header names, request encoding and response parsing."""
 
 from __future__ import annotations
 
@@ -22,14 +22,14 @@
 STATE_DRAINING = "draining"
 
 STATUS_OK = 200
-LARGEST_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 LENGTH_HEADERS = ("content-length", "transfer-encoding")
 
 
 @dataclass(frozen=True)
 class Part:
-    """Names one shard's part of one request; the upstream echoes it in its response."""
+    """Identifies one shard's part of a request; the upstream echoes it in its response."""
 
     request_id: str
     shard: int
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True)
 class UpstreamResponse:
-    """A whole response; header names are as they came, in the order in which they came."""
+    """A complete response, with the header names and their order as received."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
@@ -63,7 +63,7 @@
 
     @property
     def keep_alive(self) -> Milliseconds | None:
-        """For how long the upstream says it keeps the connection open while idle."""
+        """The idle timeout that the upstream announces in its Keep-Alive header, if any."""
         match = KEEP_ALIVE_TIMEOUT.search(self.header("keep-alive"))
         return float(match[1]) * SECOND if match else None
 
@@ -74,7 +74,7 @@
 
 
 class RequestTemplate:
-    """What is the same in every sub-request of a scatter, encoded once."""
+    """The bytes that all sub-requests of a scatter share, encoded once."""
 
     def __init__(self, service: str, request_type: str, body: bytes, key: str = "") -> None:
         key_line = f"{KEY_HEADER}: {key}\r\n" if key else ""
@@ -82,13 +82,13 @@
         self._tail = f"\r\nContent-Length: {len(body)}\r\n{key_line}\r\n".encode() + body
 
     def encode(self, address: str, part: str, deadline_left: float) -> bytes:
-        """Return the bytes of the request for one upstream; `deadline_left` in milliseconds."""
+        """Return the request bytes for one upstream; `deadline_left` is in milliseconds."""
         middle = f"{address}\r\n{PART_HEADER}: {part}\r\n{DEADLINE_HEADER}: {deadline_left:.1f}"
         return self._head + middle.encode() + self._tail
 
 
 def encode_cancel(address: str, part: str) -> bytes:
-    """Return the bytes of a request that cancels another one."""
+    """Return the bytes of a request that cancels the sub-request `part`."""
     return (
         f"POST /cancel HTTP/1.1\r\nHost: {address}\r\n{PART_HEADER}: {part}\r\n"
         "Content-Length: 0\r\n\r\n"
@@ -96,59 +96,60 @@
 
 
 class ResponseReader(HTTPResponseParser):
-    """Reads the responses of one connection, one at a time, with the library's parser."""
+    """Parses the responses of one connection, one at a time."""
 
     def __init__(self) -> None:
         super().__init__()
         self._headers: list[tuple[str, str]] = []
-        self._has_head = False
+        self._has_headers = False
         self._field = ""
         self._value = ""
         self._in_value = False
         self._body: list[bytes] = []
         self._size = 0
-        self._complete = False
-        # More than one response came for one request: the connection can't be trusted.
-        self._overrun = False
+        self._is_complete = False
+        # Set when a second response follows one request, or the end of the stream ends a response:
+        # the connection can't be reused.
+        self._must_close = False
 
     @property
     def is_complete(self) -> bool:
-        return self._complete
+        return self._is_complete
 
     @property
     def is_too_large(self) -> bool:
-        return self._size > LARGEST_RESPONSE_BYTES
+        return self._size > MAX_RESPONSE_BYTES
 
     def take(self) -> UpstreamResponse:
-        """Return the complete response and make ready for the next one."""
+        """Return the complete response and reset for the next one."""
         response = UpstreamResponse(
             self.get_code(),
             tuple(self._headers),
             b"".join(self._body),
-            self.should_keep_alive() and not self._overrun,
+            self.should_keep_alive() and not self._must_close,
         )
-        self._complete = False
-        self._has_head = False
+        self._is_complete = False
+        self._has_headers = False
         return response
 
     def end_of_stream(self) -> bool:
-        """Take the end of the connection; returns whether it completes a response.
+        """Handle the end of the stream; returns whether a response is complete.
 
-        A response without a length ends with its connection.
+        A response without a length extends to the end of its connection.
         """
         has_length = any(name.lower() in LENGTH_HEADERS for name, _ in self._headers)
-        if self._has_head and not self._complete and not has_length:
-            self._complete = self._overrun = True
-        return self._complete
+        if self._has_headers and not self._is_complete and not has_length:
+            self._is_complete = self._must_close = True
+        return self._is_complete
 
-    # The hooks that the library's parser calls.
+    # Callbacks of HTTPResponseParser.
 
     def _on_message_begin(self) -> None:
-        if self._complete:
-            self._overrun = True
+        if self._is_complete:
+            self._must_close = True
             return
         self._headers = []
-        self._has_head = False
+        self._has_headers = False
         self._field = self._value = ""
         self._in_value = False
         self._body = []
@@ -168,19 +169,19 @@
 
     def _on_headers_complete(self) -> bool:
         self._flush_header()
-        self._has_head = True
+        self._has_headers = True
         return False
 
     def _on_body(self, data: bytes) -> None:
-        if not self._overrun:
+        if not self._must_close:
             self._body.append(bytes(data))
             self._size += len(data)
 
     def _on_message_complete(self) -> None:
-        self._complete = True
+        self._is_complete = True
 
     def _flush_header(self) -> None:
-        if self._field and not self._overrun:
+        if self._field and not self._must_close:
             self._headers.append((self._field, self._value))
         self._field = self._value = ""
         self._in_value = False
