Reword the comments and names of request forwarding

patience -> shard_timing, least_parts -> required_parts, call_over -> call_finished, is_over -> is_done and others.

--- a/fulmarhold/forwarding/__init__.py
+++ b/fulmarhold/forwarding/__init__.py
@@ -1,1 +1,1 @@
-"""Forwards requests of callers to one upstream or to every shard."""
+"""Forwarding of callers' requests to one upstream or to one upstream of every shard."""
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -1,4 +1,4 @@
-"""The call of one service for one request: first attempt, hedge and retries at its upstreams."""
+"""One request's call of a service: the first attempt, hedges and retries at its upstreams."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class CallContext:
-    """What the calls of one request share."""
+    """State that all service calls of one request share."""
 
     def __init__(
         self,
@@ -46,7 +46,7 @@
         is_urgent: bool = True,
     ) -> None:
         self.request = request
-        # From when on a reply is late, and whether no route is more urgent.
+        # When replies start to be late, and whether no route has a higher priority.
         self.useful_until = useful_until
         self.is_urgent = is_urgent
         self.codec = codec
@@ -63,13 +63,13 @@
 
 
 class CallOwner(Protocol):
-    """What a call reports to."""
+    """Is told when a service call ends."""
 
-    def call_over(self, call: ServiceCall) -> None: ...
+    def call_finished(self, call: ServiceCall) -> None: ...
 
 
 class ServiceCall:
-    """Brings one reply of a service, from as few upstreams as it takes."""
+    """Obtains one reply from a service, with as few attempts as necessary."""
 
     __slots__ = ("_attempts", "_budget", "_context", "_is_closed", "_owner", "_replicas",
                  "failure", "may_have_run", "refusal", "reply", "service")  # fmt: skip
@@ -99,17 +99,17 @@
         return self._replicas
 
     @property
-    def is_over(self) -> bool:
+    def is_done(self) -> bool:
         return self.reply is not None or self.failure is not None or self.refusal is not None
 
     @property
-    def was_offered(self) -> bool:
-        """Whether any upstream was sent the request."""
+    def was_sent(self) -> bool:
+        """Whether the request was sent to any upstream."""
         return any(attempt.sent_at is not None for attempt in self._attempts)
 
     @property
     def expected_latency(self) -> Milliseconds:
-        """What the upstream of the first attempt usually takes; zero before one is chosen."""
+        """The usual latency of the first attempt's upstream; zero before an upstream is chosen."""
         return self._attempts[0].replica.latency.value if self._attempts else 0.0
 
     def start(self) -> None:
@@ -118,26 +118,26 @@
         if not self._replicas:
             self._refuse(RefusedReason.NO_UPSTREAM)
         else:
-            self._send(self._left(), FIRST)
+            self._send(self._untried(), FIRST)
 
     def is_congested(self, now: Milliseconds) -> bool:
-        """Whether every upstream that replies has as much work as it does in time."""
-        flowing = [item for item in self._left() if item.is_responsive(now)]
+        """Whether all responsive upstreams already have as much work as they finish in time."""
+        responsive = [item for item in self._untried() if item.is_responsive(now)]
         is_urgent = self._context.is_urgent
-        return bool(flowing) and not any(
-            item.may_send(now, is_urgent=is_urgent) for item in flowing
+        return bool(responsive) and not any(
+            item.may_send(now, is_urgent=is_urgent) for item in responsive
         )
 
-    def note_left_out(self) -> None:
-        """Count that nothing is sent for now, since the part would not come in time."""
+    def count_left_out(self) -> None:
+        """Count that the call was left out because its reply would not arrive in time."""
         self._context.counters.add("shards_left_out", reason=RefusedReason.OVERLOADED.value)
 
     def hedge(self) -> None:
-        """Send a second attempt beside an unanswered first one, where the budget allows."""
+        """Send a second attempt in parallel with an unanswered one, if the budget allows it."""
         context = self._context
-        if self.is_over or not context.may_repeat or self._ran() >= context.most_attempts:
+        if self.is_done or not context.may_repeat or self._possible_runs() >= context.most_attempts:
             return
-        left = [item for item in self._left() if item.is_responsive(context.clock.now())]
+        left = [item for item in self._untried() if item.is_responsive(context.clock.now())]
         if not left:
             self._count(HEDGE, "no_replica")
         elif not self._budget.take_unreserved(1):
@@ -145,81 +145,84 @@
         else:
             self._send(left, HEDGE)
 
-    def is_hopeless(self, now: Milliseconds) -> bool:
-        """Whether only upstreams are left to wait for that have long not replied to anything."""
-        if self.is_over or any(
-            not attempt.is_over and not attempt.replica.is_unresponsive(now)
+    def is_unresponsive(self, now: Milliseconds) -> bool:
+        """Whether every upstream that could still reply has been unresponsive for long."""
+        if self.is_done or any(
+            not attempt.is_done and not attempt.replica.is_unresponsive(now)
             for attempt in self._attempts
         ):
             return False
-        may_send = self._ran() < self._context.most_attempts
-        return not (may_send and any(not item.is_unresponsive(now) for item in self._left()))
+        may_send = self._possible_runs() < self._context.most_attempts
+        return not (may_send and any(not item.is_unresponsive(now) for item in self._untried()))
 
     def describe(self, now: Milliseconds) -> str:
-        """Return why there is no reply, for the log: `service: upstream dark, upstream 40 ms`."""
-        if self.is_over:
+        """Return why there is no reply, for events: `service: upstream dark, upstream 40 ms`.
+
+        `dark` marks an unresponsive upstream.
+        """
+        if self.is_done:
             reason = self.failure or self.refusal
             return f"{self.service}: {reason.value if reason else 'failed'}"
         waiting = ", ".join(
-            attempt.describe(now) for attempt in self._attempts if not attempt.is_over
+            attempt.describe(now) for attempt in self._attempts if not attempt.is_done
         )
         return f"{self.service}: {waiting or ('abandoned' if self._attempts else 'left out')}"
 
     def close(self) -> None:
-        """Send nothing more: the request has its outcome. What upstreams work on may finish."""
+        """Send no more attempts: the request has its outcome. Those already sent may finish."""
         self._is_closed = True
         for attempt in self._attempts:
             if attempt.sent_at is None:
                 attempt.abandon()
 
     def abandon(self) -> None:
-        """Stop the work at upstreams: nobody waits for it any more."""
+        """Abandon all attempts, so that upstreams stop work whose result is no longer needed."""
         self._is_closed = True
         for attempt in self._attempts:
             attempt.abandon()
 
-    # Called by attempts
+    # Callbacks of the attempts
 
     def attempt_replied(self, attempt: CallAttempt, reply: Reply) -> None:
-        """Take a whole response that belongs to this request."""
-        if self.is_over or self._is_closed:
+        """Handle a complete response to this request."""
+        if self.is_done or self._is_closed:
             return
         match reply.verdict:
             case Verdict.SUCCESS:
                 self.reply = reply
                 if attempt.kind != FIRST:
                     self._count(attempt.kind, "won")
-                self._owner.call_over(self)
+                self._owner.call_finished(self)
             case Verdict.NOT_RUN | Verdict.OTHER_OWNER:
                 attempt.may_have_run = False
-                self._go_on(RefusedReason.UPSTREAMS_FULL, None, reply)
+                self._retry_or_finish(RefusedReason.UPSTREAMS_FULL, None, reply)
             case _:
                 self.may_have_run = True
-                self._go_on(None, FailedReason.UPSTREAM_ERROR, reply)
+                self._retry_or_finish(None, FailedReason.UPSTREAM_ERROR, reply)
 
     def attempt_failed(self, attempt: CallAttempt, reason: str) -> None:
-        """Take the loss of an attempt."""
-        if self.is_over or self._is_closed:
+        """Handle an attempt that ended without a response."""
+        if self.is_done or self._is_closed:
             return
         if attempt.may_have_run:
             self.may_have_run = True
-            self._go_on(None, FailedReason.CONNECTION_LOST, None)
+            self._retry_or_finish(None, FailedReason.CONNECTION_LOST, None)
         else:
-            self._go_on(RefusedReason.UNREACHABLE, None, None)
+            self._retry_or_finish(RefusedReason.UNREACHABLE, None, None)
 
-    def _go_on(
+    def _retry_or_finish(
         self, refusal: RefusedReason | None, failure: FailedReason | None, reply: Reply | None
     ) -> None:
-        """Try another upstream if that is allowed and useful; otherwise the call is over."""
+        """Try another upstream if that is allowed and useful; otherwise end the call."""
         context = self._context
-        if any(not attempt.is_over for attempt in self._attempts):
+        if any(not attempt.is_done for attempt in self._attempts):
             return
-        is_passed_on = reply is not None and reply.verdict is Verdict.FAILURE and reply.status < 500
+        is_final = reply is not None and reply.verdict is Verdict.FAILURE and reply.status < 500
         may_repeat = context.may_repeat or not self.may_have_run
-        if may_repeat and not is_passed_on and context.clock.now() < context.deadline_at:
-            left = self._left()
+        if may_repeat and not is_final and context.clock.now() < context.deadline_at:
+            left = self._untried()
             is_extra = any(attempt.sent_at is not None for attempt in self._attempts)
-            if left and self._ran() < context.most_attempts:
+            if left and self._possible_runs() < context.most_attempts:
                 if not is_extra or self._budget.take(1):
                     self._send(left, RETRY)
                     return
@@ -229,27 +232,27 @@
                 self.reply = reply
             else:
                 self.failure = failure or FailedReason.CONNECTION_LOST
-            self._owner.call_over(self)
+            self._owner.call_finished(self)
         else:
             self._refuse(refusal or RefusedReason.UNREACHABLE)
 
     def _refuse(self, reason: RefusedReason) -> None:
         self.refusal = reason
-        self._owner.call_over(self)
+        self._owner.call_finished(self)
 
-    def _ran(self) -> int:
+    def _possible_runs(self) -> int:
         return sum(1 for attempt in self._attempts if attempt.may_have_run)
 
-    def _left(self) -> list[Replica]:
+    def _untried(self) -> list[Replica]:
         tried = [attempt.replica for attempt in self._attempts]
         return candidates(self._replicas, tried, self._context.clock.now())
 
     def _send(self, replicas: list[Replica], kind: str) -> None:
         context = self._context
         now = context.clock.now()
-        flowing = [item for item in replicas if item.is_responsive(now)] or replicas
-        free = [item for item in flowing if item.may_send(now, is_urgent=context.is_urgent)]
-        replica = context.choose(free or flowing, context.random, now)
+        responsive = [item for item in replicas if item.is_responsive(now)] or replicas
+        free = [item for item in responsive if item.may_send(now, is_urgent=context.is_urgent)]
+        replica = context.choose(free or responsive, context.random, now)
         attempt = CallAttempt(self, context, replica, kind)
         self._attempts.append(attempt)
         if kind != FIRST:
@@ -269,9 +272,9 @@
 
 
 class CallAttempt:
-    """One attempt of a call at one upstream; an exchange of its connection pool."""
+    """One attempt of a call at one upstream; implements the exchange of its connection pool."""
 
-    __slots__ = ("_call", "_context", "is_over", "kind", "may_have_run", "replica", "sent_at")
+    __slots__ = ("_call", "_context", "is_done", "kind", "may_have_run", "replica", "sent_at")
 
     def __init__(
         self, call: ServiceCall, context: CallContext, replica: Replica, kind: str
@@ -281,16 +284,16 @@
         self.replica = replica
         self.kind = kind
         self.sent_at: Milliseconds | None = None
-        self.is_over = False
+        self.is_done = False
         self.may_have_run = False
 
     def may_send(self) -> bool:
-        """Whether it is still wanted and there is time left."""
+        """Whether the attempt is still needed and its deadline has not passed."""
         context = self._context
-        return not self.is_over and context.clock.now() < context.deadline_at
+        return not self.is_done and context.clock.now() < context.deadline_at
 
     def encode(self) -> bytes:
-        """Return the request's bytes; called at the moment of sending."""
+        """Return the bytes of the request; called at the moment of sending."""
         context = self._context
         self.sent_at = context.clock.now()
         self.may_have_run = True
@@ -298,33 +301,33 @@
         return context.codec.encode(context.prepared, self.replica.upstream.record.name, left)
 
     def describe(self, now: Milliseconds) -> str:
-        """Return the upstream and for how long it has not replied, or that it is dark."""
+        """Return the upstream and how long its reply is pending, or that it is unresponsive."""
         name = self.replica.upstream.record.name
         if self.replica.is_unresponsive(now):
             return f"{name} dark"
         return f"{name} {now - self.sent_at:.0f} ms" if self.sent_at else f"{name} not sent"
 
     def abandon(self) -> None:
-        """Give the attempt up and close its connection, which tells the upstream to stop."""
-        if not self.is_over:
-            self.is_over = True
+        """Cancel the attempt and close its connection, which tells the upstream to stop."""
+        if not self.is_done:
+            self.is_done = True
             self.replica.pool.withdraw(self)
 
     def completed(self, response: UpstreamResponse) -> bool:
-        """Take the response; returns whether the connection may be used further."""
+        """Handle the response; returns whether the connection may be reused."""
         context = self._context
         now = context.clock.now()
         reply = context.codec.read(response, context.request.request_id)
         self.replica.note_reply()
         if reply.verdict is Verdict.WRONG_ECHO:
-            self._note("wrong_echo", response.status, now)
+            self._report_failure("wrong_echo", response.status, now)
             self._note_failure(now)
             self._fail("wrong_echo")
             return False
         elapsed = now - (self.sent_at or now)
         if self.kind == FIRST and self.sent_at is not None:
             useful_for = context.useful_until - self.sent_at
-            # One that is full counts as late, however soon it says so.
+            # An upstream that refuses requests as full counts as late, however quickly it does.
             waited = useful_for + elapsed if reply.verdict is Verdict.NOT_RUN else elapsed
             self.replica.concurrency.note_reply(waited, useful_for, self.replica.pool.load + 1, now)
         if reply.verdict is Verdict.SUCCESS:
@@ -335,26 +338,26 @@
         elif reply.status >= 500 or reply.verdict is Verdict.NOT_RUN:
             self._note_failure(now)
         if reply.verdict is not Verdict.SUCCESS:
-            self._note(reply.verdict.value, response.status, now)
-        if not self.is_over:
-            self.is_over = True
+            self._report_failure(reply.verdict.value, response.status, now)
+        if not self.is_done:
+            self.is_done = True
             self._call.attempt_replied(self, reply)
         return True
 
     def failed(self, reason: str, *, sent: bool) -> None:
-        """Take the loss of the request."""
+        """Handle the failure of the request."""
         now = self._context.clock.now()
         if reason == CONNECT_REFUSED:
             self.replica.note_unreachable(now)
-        elif sent and not self.is_over:
+        elif sent and not self.is_done:
             self._note_failure(now)
-        if not self.is_over:
-            self._note(reason, 0, now)
+        if not self.is_done:
+            self._report_failure(reason, 0, now)
         self._fail(reason)
 
     def _fail(self, reason: str) -> None:
-        if not self.is_over:
-            self.is_over = True
+        if not self.is_done:
+            self.is_done = True
             self._call.attempt_failed(self, reason)
 
     def _note_failure(self, now: Milliseconds) -> None:
@@ -367,7 +370,7 @@
                 for_ms=self.replica.ejected_until - now,
             )
 
-    def _note(self, result: str, status: int, now: Milliseconds) -> None:
+    def _report_failure(self, result: str, status: int, now: Milliseconds) -> None:
         self._context.counters.add("attempts_failed", reason=result)
         self._context.events.note(
             "attempt_failed",
--- a/fulmarhold/forwarding/codec.py
+++ b/fulmarhold/forwarding/codec.py
@@ -1,4 +1,4 @@
-"""What forwarding needs from the protocol that upstreams speak."""
+"""The interface between forwarding and the protocol of the upstreams."""
 
 from __future__ import annotations
 
@@ -11,13 +11,13 @@
 
 
 class UpstreamCodec(Protocol):
-    """Encodes requests to upstreams and reads their responses."""
+    """Encodes requests to upstreams and interprets their responses."""
 
     def prepare(self, request: ForwardRequest) -> tuple[bytes, bytes]:
-        """Return what goes before and after the headers that differ between upstreams."""
+        """Return the bytes before and after the headers that differ between upstreams."""
 
     def encode(self, prepared: tuple[bytes, bytes], upstream: str, left: Milliseconds) -> bytes:
-        """Return the bytes for the incarnation `upstream`, which has `left` ms to answer."""
+        """Return the request bytes for the incarnation `upstream`, which has `left` ms to reply."""
 
     def read(self, response: UpstreamResponse, request_id: str) -> Reply:
-        """Return what a response to the request `request_id` means."""
+        """Return a response to the request `request_id` with its classification."""
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -1,4 +1,4 @@
-"""Takes a caller's request from its route to its outcome."""
+"""Finds the route of a caller's request, forwards it and reports its outcome."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from fulmarhold.forwarding.call import CallContext, CallOwner, ServiceCall
-from fulmarhold.forwarding.patience import partial_answer_at
 from fulmarhold.forwarding.request import (
     Failed,
     ForwardRequest,
@@ -18,6 +17,7 @@
     Relayed,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
+from fulmarhold.forwarding.shard_timing import partial_answer_at
 from fulmarhold.forwarding.single import SingleForward
 from fulmarhold.limits.budget import SlackBudget
 from fulmarhold.limits.retry_after import retry_delay_after_refusal, retry_delay_while_starting
@@ -37,18 +37,19 @@
     from fulmarhold.routes.configuration import Route
     from fulmarhold.routes.table import RouteTable
 
-# Replies slower than this share of all are hedged; the budget bounds what that may cost.
+# Requests are hedged once they take longer than this share of replies; the budget of extra
+# attempts bounds the cost.
 HEDGE_QUANTILE = 0.93
-FIRST_HEDGE: Milliseconds = 40.0
-# A request to one upstream is hedged after this many times the latency of most replies: it has
-# more time than a query over shards, and a second run costs more.
+INITIAL_HEDGE_DELAY: Milliseconds = 40.0
+# A request to a single upstream is hedged after this multiple of the hedge quantile: it has more
+# time than a query over shards, and running it twice costs more.
 SINGLE_HEDGE_FACTOR = 2.0
-# The final answer leaves this long before the deadline, for the way to the caller.
+# The outcome is decided this long before the deadline, to leave time for its way to the caller.
 DEADLINE_RESERVE: Milliseconds = 5.0
 
 
 class Forwarder:
-    """Forwards requests by the route table in force."""
+    """Forwards requests according to the current route table."""
 
     def __init__(
         self,
@@ -71,7 +72,7 @@
         self._routes: RouteTable | None = None
         self._most_urgent = 0
         self._is_stopping = False
-        # No extra attempts before it is known how many entries share the slack.
+        # Zero until it is known how many entries share the slack: no extra attempts before that.
         self._slack = 0.0
         self._refilled_at = clock.now()
         self._budgets: dict[str, SlackBudget] = {}
@@ -83,12 +84,12 @@
         return self._routes
 
     def use(self, routes: RouteTable) -> None:
-        """Put a newer configuration in force; requests under way keep theirs."""
+        """Switch to a newer configuration; requests in progress keep the previous one."""
         self._routes = routes
         self._most_urgent = min((item.rank for item in routes.configuration.routes), default=0)
 
     def refuse_all(self) -> None:
-        """Refuse what comes from now on: this entry is about to stop."""
+        """Refuse all further requests, because this entry is about to stop."""
         self._is_stopping = True
 
     def share_slack(self, entries: int) -> None:
@@ -98,7 +99,7 @@
             budget.resize(self._slack)
 
     def refill_budgets(self) -> None:
-        """Regain slack by the time that has passed; called regularly."""
+        """Refill the slack of all budgets for the elapsed time; called periodically."""
         now = self._clock.now()
         windows = (now - self._refilled_at) / self._bound.window
         self._refilled_at = now
@@ -110,7 +111,7 @@
     ) -> Outcome:
         """Return the outcome of a request.
 
-        `on_disconnect` is given the function that is to be called when the caller leaves.
+        `on_disconnect` is given the function to call when the caller disconnects.
         """
         if self._is_stopping:
             return self._finish(request, None, Refused(RefusedReason.STOPPING, self._retry_after()))
@@ -128,13 +129,13 @@
         return self._finish(request, route, operation.run())
 
     def histograms(self) -> Iterable[Histogram]:
-        """Yield the times from a request to its outcome, by outcome and reason."""
+        """Yield the histograms of request latency by outcome and reason."""
         for (outcome, reason), histogram in self._histograms.items():
             yield "request_latency_ms", {"outcome": outcome, "reason": reason}, histogram
 
     def _operation(self, request: ForwardRequest, route: Route, deadline_at: float) -> Any:
         latency = self._latencies.setdefault(
-            route.name, QuantileEstimate(HEDGE_QUANTILE, FIRST_HEDGE)
+            route.name, QuantileEstimate(HEDGE_QUANTILE, INITIAL_HEDGE_DELAY)
         )
         context = CallContext(
             request,
@@ -161,7 +162,7 @@
                 latency.value,
                 self._retry_after,
             )
-        service = self._draw_service(route)
+        service = self._choose_service(route)
         return SingleForward(
             context,
             lambda owner: self._call(service, context, owner),
@@ -175,7 +176,7 @@
             budget = self._budgets[service] = SlackBudget(self._bound.share, self._slack)
         return ServiceCall(service, self._table.of_service(service), budget, context, owner)
 
-    def _draw_service(self, route: Route) -> str:
+    def _choose_service(self, route: Route) -> str:
         if len(route.services) == 1:
             return route.services[0].service
         weights = [item.weight for item in route.services]
@@ -186,13 +187,13 @@
 
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
         elapsed = self._clock.now() - request.received_at
-        name, reason = _describe(outcome)
+        name, reason = _outcome_labels(outcome)
         self._counters.add("requests", outcome=name, reason=reason)
         self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
-        # Late answers are asked about too; punctual whole ones are dropped first.
+        # Complete answers within the target are dropped first; operators ask about late ones too.
         is_ordinary = name == "answered" and (route is None or elapsed <= route.target_latency)
-        tell = self._events.note_ordinary if is_ordinary else self._events.note
-        tell(
+        note_event = self._events.note_ordinary if is_ordinary else self._events.note
+        note_event(
             "request",
             request=request.request_id,
             route=route.name if route else "",
@@ -207,7 +208,7 @@
         return outcome
 
 
-def _describe(outcome: Outcome) -> tuple[str, str]:
+def _outcome_labels(outcome: Outcome) -> tuple[str, str]:
     match outcome:
         case Relayed(reply):
             return ("answered" if reply.status < 400 else "passed_failure"), str(reply.status)
--- a/fulmarhold/forwarding/records.py
+++ b/fulmarhold/forwarding/records.py
@@ -1,4 +1,4 @@
-"""Parts of an answer as records of fixed size, and the greatest of all parts."""
+"""Merges the parts of an answer, each a sequence of fixed-size records."""
 
 from __future__ import annotations
 
@@ -12,9 +12,9 @@
 
 
 def greatest_records(parts: Iterable[bytes], count: int) -> bytes:
-    """Return the `count` greatest records of all parts, greatest first; equal ones all count.
+    """Return the `count` greatest records of all parts in descending order, with duplicates.
 
-    A remainder at the end of a part that is shorter than a record is none.
+    Trailing bytes of a part that are shorter than a record are ignored.
 
     >>> greatest_records([b"a" * 16 + b"c" * 16 + b"zz", b"b" * 16], 2) == b"c" * 16 + b"b" * 16
     True
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -1,4 +1,4 @@
-"""Requests of callers as they are forwarded, and the outcomes that they can have."""
+"""Requests to be forwarded, replies of upstreams, and outcomes."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 
 @dataclass(frozen=True)
 class ForwardRequest:
-    """One request; method, target, headers and body go on as they came.
+    """One request of a caller; method, target, headers and body are forwarded unchanged.
 
-    `request_id` names this attempt of the caller, `deadline_at` is on this entry's clock;
-    `is_first` tells that the caller had to connect for it; `round_trip` is the time from here to
-    the caller and back, zero where it is not known.
+    `request_id` identifies this attempt of the caller. `deadline_at` is a time on this entry's
+    clock. `is_first` tells that the caller had to connect for this request. `round_trip` is the
+    round trip time to the caller, zero if unknown.
     """
 
     request_id: str
@@ -48,7 +48,7 @@
 
 
 class FailedReason(Enum):
-    """Why a request that may have run has no answer."""
+    """Why a request that may have been run has no answer."""
 
     CONNECTION_LOST = "connection_lost"
     WRONG_ECHO = "wrong_echo"
@@ -59,7 +59,7 @@
 
 
 class Verdict(Enum):
-    """What an upstream's response says."""
+    """The classification of an upstream's response."""
 
     SUCCESS = "success"
     FAILURE = "failure"
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True)
 class Reply:
-    """An upstream's response, with what it means and the signature that proves it."""
+    """An upstream's response, with its classification and the signature that proves its origin."""
 
     verdict: Verdict
     status: int
@@ -81,14 +81,14 @@
 
 @dataclass(frozen=True)
 class Relayed:
-    """The response of one upstream, to be passed on unchanged."""
+    """The response of one upstream, relayed to the caller unchanged."""
 
     reply: Reply
 
 
 @dataclass(frozen=True)
 class Gathered:
-    """The greatest records of the parts that are in, greatest first."""
+    """The greatest records of the received parts, in descending order."""
 
     signatures: tuple[str, ...]
     missing: int
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True)
 class Refused:
-    """Not run, and never will be; the caller may come back after `retry_after` milliseconds."""
+    """Not run, and never will be; the caller may retry after `retry_after` milliseconds."""
 
     reason: RefusedReason
     retry_after: Milliseconds
@@ -105,14 +105,14 @@
 
 @dataclass(frozen=True)
 class NoRoute:
-    """No route of the configuration in force matches."""
+    """No route of the current configuration matches."""
 
     version: int
 
 
 @dataclass(frozen=True)
 class Failed:
-    """It may have run, and there is no answer."""
+    """The request may have been run, and there is no answer."""
 
     reason: FailedReason
     detail: str = ""
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -1,4 +1,4 @@
-"""Forwards a request to one upstream of every shard and gathers the parts."""
+"""Forwards a request to one upstream of every shard and merges the parts of the answer."""
 
 from __future__ import annotations
 
@@ -9,11 +9,6 @@
 from gevent.event import Event
 
 from fulmarhold.clock import SECOND
-from fulmarhold.forwarding.patience import (
-    STRAGGLER_SHARE,
-    least_parts,
-    straggler_hedge_delay,
-)
 from fulmarhold.forwarding.records import greatest_records
 from fulmarhold.forwarding.request import (
     Failed,
@@ -23,6 +18,11 @@
     RefusedReason,
     Verdict,
 )
+from fulmarhold.forwarding.shard_timing import (
+    STRAGGLER_SHARE,
+    required_parts,
+    straggler_hedge_delay,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,7 +34,7 @@
 
 
 class ShardQuery:
-    """One query over the shards that one version of the configuration names."""
+    """One query over all shards of a route, as one version of the configuration lists them."""
 
     def __init__(
         self,
@@ -48,25 +48,25 @@
         self._route = route
         self._hedge_after = hedge_after
         self._retry_after = retry_after
-        self._needed = least_parts(route.least_share, len(route.shards))
+        self._required = required_parts(route.least_share, len(route.shards))
         self._partial_at = context.useful_until
         self._started_at = context.clock.now()
-        # When each open call is hedged; found anew once most parts are in.
+        # When each pending call is hedged; recalculated once most parts have arrived.
         self._hedge_at: dict[ServiceCall, Milliseconds] = {}
         self._wake = Event()
-        self._is_gone = False
-        self._total = self._open = len(route.shards)
-        self._straggling_from = max(1, math.ceil(STRAGGLER_SHARE * self._total))
+        self._is_caller_gone = False
+        self._total = self._open_count = len(route.shards)
+        self._straggler_threshold = max(1, math.ceil(STRAGGLER_SHARE * self._total))
         self._left_out: list[ServiceCall] = []
         self._calls = [make_call(service, self) for service in route.shards]
 
     @property
     def calls(self) -> list[ServiceCall]:
-        """The calls of the shards, in the order in which the route names them."""
+        """The calls of the shards, in the order of the route's configuration."""
         return self._calls
 
     def run(self) -> Outcome:
-        """Scatter, wait as long as patience says and return what there is."""
+        """Call the shards, wait for their parts, hedge late calls and return the outcome."""
         self._hedge_at = dict.fromkeys(self._calls, self._started_at + self._hedge_after)
         self._leave_out_congested()
         for call in self._calls:
@@ -82,43 +82,43 @@
         return self._outcome()
 
     def _leave_out_congested(self) -> None:
-        """Leave out shards that can't reply in time, as many as may be missing."""
+        """Leave out shards that can't reply in time, up to the number that may be missing."""
         congested = [call for call in self._calls if call.is_congested(self._started_at)]
-        self._left_out = congested[: self._total - self._needed]
-        self._open -= len(self._left_out)
+        self._left_out = congested[: self._total - self._required]
+        self._open_count -= len(self._left_out)
         for call in self._left_out:
             self._hedge_at.pop(call)
-            call.note_left_out()
+            call.count_left_out()
 
-    def _make_up(self) -> None:
-        """Ask shards that were left out once the others are too few."""
-        while self._left_out and len(self._parts()) + self._open < self._needed:
-            self._open += 1
+    def _start_left_out(self) -> None:
+        """Start calls that were left out, once the others can't supply the required parts."""
+        while self._left_out and len(self._parts()) + self._open_count < self._required:
+            self._open_count += 1
             self._left_out.pop(0).start()
 
     def caller_gone(self) -> None:
-        """Stop: the caller has closed its connection."""
-        self._is_gone = True
+        """Abandon the query, because the caller has closed its connection."""
+        self._is_caller_gone = True
         self._abandon()
         self._wake.set()
 
-    def call_over(self, call: ServiceCall) -> None:
-        """Note that a shard has its part, or that none will come."""
-        self._open -= 1
+    def call_finished(self, call: ServiceCall) -> None:
+        """Handle a call that has its part, or will not get one."""
+        self._open_count -= 1
         self._hedge_at.pop(call, None)
-        self._make_up()
-        if self._total - self._open == self._straggling_from:
+        self._start_left_out()
+        if self._total - self._open_count == self._straggler_threshold:
             self._hedge_stragglers()
             self._wake.set()
         if self._is_finished():
             self._wake.set()
 
     def _hedge_stragglers(self) -> None:
-        """Hedge what is still open as soon as it is later than the parts that are in."""
+        """Bring forward the hedges of pending calls, based on the latency of the received parts."""
         now = self._context.clock.now()
-        usual = median(call.expected_latency for call in self._calls if call.is_over)
+        typical = median(call.expected_latency for call in self._calls if call.is_done)
         for call, due in self._hedge_at.items():
-            delay = straggler_hedge_delay(now - self._started_at, call.expected_latency, usual)
+            delay = straggler_hedge_delay(now - self._started_at, call.expected_latency, typical)
             self._hedge_at[call] = min(due, now + delay)
 
     def _parts(self) -> list[Reply]:
@@ -129,54 +129,54 @@
         ]
 
     def _is_finished(self) -> bool:
-        if self._open == 0 or self._is_gone:
+        if self._open_count == 0 or self._is_caller_gone:
             return True
         parts = len(self._parts())
-        if parts + self._open < self._needed:
-            # The least share can't be reached any more.
+        if parts + self._open_count < self._required:
+            # The required share is out of reach.
             return True
-        if parts < self._needed:
+        if parts < self._required:
             return False
         now = self._context.clock.now()
-        # Shards that are dark as a whole are not waited for once all others have replied.
+        # Shards whose upstreams are all unresponsive are not waited for once all others replied.
         return now >= self._partial_at or all(
-            call.is_hopeless(now) for call in self._calls if not call.is_over
+            call.is_unresponsive(now) for call in self._calls if not call.is_done
         )
 
     def _wait_until(self, moment: Milliseconds) -> bool:
-        """Wait once, until `moment` at the latest; returns whether the query still goes on."""
+        """Wait for an event until `moment` at the latest; returns whether the query continues."""
         if self._is_finished():
             return False
         now = self._context.clock.now()
-        look_at = min(moment, self._context.deadline_at)
+        wake_at = min(moment, self._context.deadline_at)
         if now < self._partial_at:
-            look_at = min(look_at, self._partial_at)
+            wake_at = min(wake_at, self._partial_at)
         self._wake.clear()
-        if look_at > now:
-            self._wake.wait((look_at - now) / SECOND)
+        if wake_at > now:
+            self._wake.wait((wake_at - now) / SECOND)
         return not self._is_finished()
 
     def _outcome(self) -> Outcome:
-        if self._is_gone:
+        if self._is_caller_gone:
             return Failed(FailedReason.CALLER_GONE)
         for call in self._calls:
             call.close()
         parts = self._parts()
-        if len(parts) >= self._needed:
+        if len(parts) >= self._required:
             records = greatest_records((part.body for part in parts), self._route.top_records)
             signatures = tuple(part.signature for part in parts)
             if len(parts) < len(self._calls):
-                self._tell_missing()
+                self._note_missing()
             return Gathered(signatures, len(self._calls) - len(parts), records)
-        if not any(call.was_offered or call.may_have_run for call in self._calls):
+        if not any(call.was_sent or call.may_have_run for call in self._calls):
             self._abandon()
             return Refused(RefusedReason.NO_UPSTREAM, self._retry_after())
-        if self._open and self._context.clock.now() >= self._context.deadline_at:
-            return Failed(FailedReason.DEADLINE, f"{len(parts)} of {self._needed} parts")
+        if self._open_count and self._context.clock.now() >= self._context.deadline_at:
+            return Failed(FailedReason.DEADLINE, f"{len(parts)} of {self._required} parts")
         self._abandon()
-        return Failed(FailedReason.PARTS_MISSING, f"{len(parts)} of {self._needed} parts")
+        return Failed(FailedReason.PARTS_MISSING, f"{len(parts)} of {self._required} parts")
 
-    def _tell_missing(self) -> None:
+    def _note_missing(self) -> None:
         context = self._context
         now = context.clock.now()
         context.events.note(
--- a/fulmarhold/forwarding/single.py
+++ b/fulmarhold/forwarding/single.py
@@ -24,7 +24,7 @@
 
 
 class SingleForward:
-    """One request on its way to one service."""
+    """One request that is forwarded to one service."""
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         self._hedge_after = hedge_after
         self._retry_after = retry_after
         self._wake = Event()
-        self._is_gone = False
+        self._is_caller_gone = False
         self._call = make_call(self)
 
     def run(self) -> Outcome:
@@ -50,17 +50,17 @@
         return self._outcome()
 
     def caller_gone(self) -> None:
-        """Stop: the caller has closed its connection."""
-        self._is_gone = True
+        """Abandon the call, because the caller has closed its connection."""
+        self._is_caller_gone = True
         self._call.abandon()
         self._wake.set()
 
-    def call_over(self, _: ServiceCall) -> None:
-        """Wake up: the call has its reply or none will come."""
+    def call_finished(self, _: ServiceCall) -> None:
+        """End the wait: the call has its reply, or will not get one."""
         self._wake.set()
 
     def _wait_until(self, moment: Milliseconds) -> bool:
-        """Wait for the end; returns whether the call still goes on at `moment`."""
+        """Wait for the end of the call; returns whether it is still pending at `moment`."""
         left = min(moment, self._context.deadline_at) - self._context.clock.now()
         if not self._wake.is_set() and left > 0:
             self._wake.wait(left / SECOND)
@@ -69,7 +69,7 @@
     def _outcome(self) -> Outcome:
         call = self._call
         call.close()
-        if self._is_gone:
+        if self._is_caller_gone:
             return Failed(FailedReason.CALLER_GONE)
         if call.reply is not None:
             return Relayed(call.reply)
@@ -77,6 +77,6 @@
             return Refused(call.refusal, self._retry_after())
         if call.failure is not None:
             return Failed(call.failure)
-        if not call.was_offered:
+        if not call.was_sent:
             return Refused(RefusedReason.NO_TIME, self._retry_after())
         return Failed(FailedReason.DEADLINE)
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -1,4 +1,4 @@
-"""The upstreams of every service as targets, kept up with configuration and membership."""
+"""The table of every service's upstreams, updated from configuration and membership."""
 
 from __future__ import annotations
 
@@ -21,31 +21,31 @@
 
 log = part_log("upstreams")
 
-# Connections of one upstream that stay unused, so that entries that come or go do not pass its
-# limit while their shares change.
+# The share of an upstream's connection limit that stays unused, so that entries don't exceed the
+# limit while entries join or leave and the shares change.
 CONNECTION_RESERVE = 0.1
-# Connections kept open to each upstream: a hedge that first had to connect would come a trip and
-# the upstream's handshake later.
+# Connections kept open to each upstream, because a hedge that first had to connect would be late by
+# a round trip and the upstream's handshake.
 WARM_CONNECTIONS = 1
-# How long an upstream that failed three times in a row is passed over at first.
-EJECTION: Milliseconds = 1_000.0
-LEAVING_EXCHANGE: Milliseconds = 60_000.0
-LONGEST_EXCHANGE: Milliseconds = 60_000.0
+# How long an upstream is ejected the first time, after three failures in a row.
+EJECTION_TIME: Milliseconds = 1_000.0
+DRAINING_EXCHANGE_TIMEOUT: Milliseconds = 60_000.0
+EXCHANGE_TIMEOUT: Milliseconds = 60_000.0
 
 
 @dataclass(frozen=True)
 class ServingUpstream:
-    """An upstream that takes work until the table is told otherwise."""
+    """An upstream that accepts requests until the table is updated without it."""
 
     record: UpstreamStatement
 
     def is_live(self, _: Milliseconds) -> bool:
-        """Membership ends by statements here, not by leases."""
+        """Always true: upstreams leave by membership statements here, not by expired leases."""
         return True
 
 
 class UpstreamTable:
-    """Replicas by service; one lives as long as its incarnation is known to serve."""
+    """Replicas by service; each is kept as long as its incarnation is known to serve."""
 
     def __init__(self, data_centre: str, clock: Clock, counters: Counters) -> None:
         self._data_centre = data_centre
@@ -53,9 +53,9 @@
         self._counters = counters
         self._replicas: dict[tuple[str, int], Replica] = {}
         self._by_service: dict[str, list[Replica]] = {}
-        self._leaving: list[ConnectionPool] = []
-        self._dark: set[tuple[str, int]] = set()
-        self._usual: dict[tuple[str, ...], QuantileEstimate] = {}
+        self._draining_pools: list[ConnectionPool] = []
+        self._unresponsive: set[tuple[str, int]] = set()
+        self._typical_latencies: dict[tuple[str, ...], QuantileEstimate] = {}
 
     @property
     def replicas(self) -> Iterable[Replica]:
@@ -73,12 +73,12 @@
         *,
         keep_warm: bool,
     ) -> None:
-        """Take over which upstreams serve, and how many entries share their connections.
+        """Set which upstreams serve, and how many entries share their connections.
 
-        With `keep_warm` connections are open before any request needs them.
+        With `keep_warm`, connections are opened before any request needs them.
         """
         before, self._replicas, self._by_service = self._replicas, {}, {}
-        usual_before, self._usual = self._usual, {}
+        typical_before, self._typical_latencies = self._typical_latencies, {}
         for statement in upstreams:
             service = configuration.services.get(statement.service)
             if service is None:
@@ -86,68 +86,70 @@
             key = (statement.name, statement.born)
             limit = _connection_share(service.connection_limit, entries)
             replica = before.pop(key, None)
-            usual = self._usual_latency(statement.service, configuration, usual_before)
+            typical = self._typical_latency(statement.service, configuration, typical_before)
             if replica is None or replica.address != statement.address:
                 replica = self._make_replica(statement, limit)
-            replica.typical_latency = usual
+            replica.typical_latency = typical
             replica.upstream = ServingUpstream(statement)
             replica.pool.resize(limit, WARM_CONNECTIONS if keep_warm else 0)
             self._replicas[key] = replica
             self._by_service.setdefault(statement.service, []).append(replica)
         for replica in before.values():
-            self._dark.discard(replica.key)
+            self._unresponsive.discard(replica.key)
             replica.pool.close_when_idle()
-            self._leaving.append(replica.pool)
+            self._draining_pools.append(replica.pool)
         self.maintain()
 
     def maintain(self) -> None:
-        """Close connections that idle or wait too long; called regularly."""
+        """Close idle and overdue connections and open warm ones; called periodically."""
         now = self._clock.now()
         for replica in self._replicas.values():
-            replica.pool.maintain(LONGEST_EXCHANGE)
-            self._tell_darkness(replica, now)
-        self._leaving = [pool for pool in self._leaving if pool.connections]
-        for pool in self._leaving:
-            pool.maintain(LEAVING_EXCHANGE)
+            replica.pool.maintain(EXCHANGE_TIMEOUT)
+            self._log_responsiveness(replica, now)
+        self._draining_pools = [pool for pool in self._draining_pools if pool.connections]
+        for pool in self._draining_pools:
+            pool.maintain(DRAINING_EXCHANGE_TIMEOUT)
 
-    def _tell_darkness(self, replica: Replica, now: Milliseconds) -> None:
+    def _log_responsiveness(self, replica: Replica, now: Milliseconds) -> None:
         is_unresponsive = replica.is_unresponsive(now)
-        if is_unresponsive == (replica.key in self._dark):
+        if is_unresponsive == (replica.key in self._unresponsive):
             return
         record = replica.upstream.record
         if is_unresponsive:
-            self._dark.add(replica.key)
+            self._unresponsive.add(replica.key)
             log.info("upstream {} of {} has stopped replying", record.name, record.service)
         else:
-            self._dark.discard(replica.key)
+            self._unresponsive.discard(replica.key)
             log.info("upstream {} of {} replies again", record.name, record.service)
 
     def close(self) -> None:
         """Close every connection."""
-        for pool in [*(replica.pool for replica in self._replicas.values()), *self._leaving]:
+        for pool in [*(replica.pool for replica in self._replicas.values()), *self._draining_pools]:
             pool.close()
 
-    def _usual_latency(
+    def _typical_latency(
         self,
         service: str,
         configuration: RouteConfiguration,
         before: dict[tuple[str, ...], QuantileEstimate],
     ) -> QuantileEstimate:
-        """Return the estimate that the services of a route share, since they do the same work."""
+        """Return the estimate that a route's shard services share, as they do the same work."""
         kind = next(
             (route.service_names for route in configuration.routes if service in route.shards),
             (service,),
         )
-        if kind not in self._usual:
-            self._usual[kind] = before.get(kind) or QuantileEstimate(0.5, INITIAL_LATENCY)
-        return self._usual[kind]
+        if kind not in self._typical_latencies:
+            self._typical_latencies[kind] = before.get(kind) or QuantileEstimate(
+                0.5, INITIAL_LATENCY
+            )
+        return self._typical_latencies[kind]
 
     def _make_replica(self, statement: UpstreamStatement, limit: int) -> Replica:
         pool = ConnectionPool(statement.address, limit, 0, self._clock, self._counters)
         return Replica(
             ServingUpstream(statement),
             pool,
-            EJECTION,
+            EJECTION_TIME,
             statement.warm_up,
             self._clock.now(),
             is_local=statement.data_centre == self._data_centre,
--- a/fulmarhold/tests/forwarding/test_scatter.py
+++ b/fulmarhold/tests/forwarding/test_scatter.py
@@ -12,7 +12,6 @@
 
 from fulmarhold.clock import Clock
 from fulmarhold.forwarding.call import CallContext, ServiceCall
-from fulmarhold.forwarding.patience import partial_answer_at
 from fulmarhold.forwarding.request import (
     Failed,
     FailedReason,
@@ -25,8 +24,9 @@
     Verdict,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
+from fulmarhold.forwarding.shard_timing import partial_answer_at
 from fulmarhold.forwarding.single import SingleForward
-from fulmarhold.forwarding.upstreams import EJECTION, ServingUpstream
+from fulmarhold.forwarding.upstreams import EJECTION_TIME, ServingUpstream
 from fulmarhold.limits.budget import SlackBudget
 from fulmarhold.membership.statements import READY, UpstreamStatement
 from fulmarhold.observe.counters import Counters
@@ -80,7 +80,7 @@
 
 def make_replica(pool):
     statement = UpstreamStatement(pool.address, 1, 1, READY, "s", pool.address, "a", 2)
-    replica = Replica(ServingUpstream(statement), pool, EJECTION, 0.0, 0.0)
+    replica = Replica(ServingUpstream(statement), pool, EJECTION_TIME, 0.0, 0.0)
     replica.latency.value = FAST_MS
     return replica
 
--- a/fulmarhold/tests/forwarding/test_patience.py
+++ b/fulmarhold/tests/forwarding/test_shard_timing.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fulmarhold.forwarding.patience import LEAST_PATIENCE, TARGET_RESERVE, partial_answer_at
+from fulmarhold.forwarding.shard_timing import MIN_WAIT, TARGET_RESERVE, partial_answer_at
 
 TARGET = 112.0
 
@@ -25,4 +25,4 @@
 
 @given(st.floats(0, 200), st.floats(0, 500), st.booleans())
 def test_shards_are_given_some_time_however_far_the_caller(target, round_trip, is_first):
-    assert partial_answer_at(50.0, target, round_trip, is_first) >= 50.0 + LEAST_PATIENCE
+    assert partial_answer_at(50.0, target, round_trip, is_first) >= 50.0 + MIN_WAIT
