--- a/fulmarhold/tests/forwarding/test_scatter.py
+++ b/fulmarhold/tests/forwarding/test_scatter.py
@@ -1,6 +1,6 @@
-"""Load pattern: requests to every shard, of which some pause, fail, shed or are gone.
+"""Queries over all shards whose upstreams pause, fail, shed load or are gone.
 
-No network: upstreams are scripted exchanges on a virtual hub of greenlets.
+No network: scripted connection pools complete the exchanges from greenlets.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 
 
 class ScriptedPool:
-    """Answers each exchange after a delay with a verdict, or never."""
+    """Completes each exchange after a delay with a given verdict, or never."""
 
     def __init__(self, address, delay=FAST_MS, verdict=Verdict.SUCCESS, status=200):
         self.address, self.delay, self.verdict, self.status = address, delay, verdict, status
@@ -85,7 +85,7 @@
     return replica
 
 
-class Fixture:
+class ForwardingFixture:
     def __init__(self, *, idempotent=True, attempts=2, deadline=400.0, budget=None):
         self.clock, self.counters = Clock(), Counters()
         now = self.clock.now()
@@ -141,7 +141,7 @@
 
 
 def test_all_parts_make_a_whole_answer_with_the_greatest_records():
-    outcome = Fixture().scatter(shards(4)).run()
+    outcome = ForwardingFixture().scatter(shards(4)).run()
     assert isinstance(outcome, Gathered)
     assert (len(outcome.signatures), outcome.missing) == (4, 0)
     assert outcome.records == b"".join(f"{n}-0".encode().ljust(16, b"0") for n in (3, 2, 1))
@@ -149,48 +149,48 @@
 
 def test_a_pausing_upstream_is_hedged_soon_after_the_other_parts_are_in():
     pausing = [ScriptedPool("2-0", PAUSE_MS), ScriptedPool("2-1")]
-    fixture = Fixture()
+    fixture = ForwardingFixture()
     outcome = fixture.scatter(shards(4, s2=pausing)).run()
     assert outcome.missing == 0
     assert len(pausing[1].sent) == 1
     assert elapsed_ms(fixture) < PAUSE_MS / 2
 
 
-def test_a_partial_answer_leaves_in_time_for_the_target():
+def test_a_partial_answer_is_sent_in_time_for_the_target():
     silent = [ScriptedPool("2-0", None), ScriptedPool("2-1", None)]
-    fixture = Fixture()
+    fixture = ForwardingFixture()
     outcome = fixture.scatter(shards(4, s2=silent), target=60.0).run()
     assert (len(outcome.signatures), outcome.missing) == (3, 1)
     assert elapsed_ms(fixture) <= 60.0
 
 
-def test_below_the_least_share_it_waits_on_past_the_target():
+def test_a_query_below_the_required_share_waits_past_the_target():
     late = {f"s{n}": [ScriptedPool(f"{n}-0", 90.0), ScriptedPool(f"{n}-1", 90.0)] for n in (1, 2)}
-    outcome = Fixture().scatter(shards(4, **late), target=40.0).run()
+    outcome = ForwardingFixture().scatter(shards(4, **late), target=40.0).run()
     assert isinstance(outcome, Gathered) and len(outcome.signatures) >= 3
 
 
 def test_a_shard_without_upstreams_counts_as_missing():
-    outcome = Fixture().scatter(shards(4, s1=[])).run()
+    outcome = ForwardingFixture().scatter(shards(4, s1=[])).run()
     assert (len(outcome.signatures), outcome.missing) == (3, 1)
 
 
 def test_too_few_parts_fail_at_once_and_not_at_the_deadline():
     gone = {f"s{n}": [ScriptedPool(f"{n}-0", verdict="lost")] for n in (0, 1)}
-    fixture = Fixture()
+    fixture = ForwardingFixture()
     outcome = fixture.scatter(shards(4, **gone)).run()
     assert isinstance(outcome, Failed) and outcome.reason is FailedReason.PARTS_MISSING
     assert elapsed_ms(fixture) < 100.0
 
 
-def test_nothing_is_offered_and_refused_as_not_run_without_any_upstream():
-    outcome = Fixture().scatter({"s0": [], "s1": []}).run()
+def test_a_query_without_any_upstream_is_refused_as_not_run():
+    outcome = ForwardingFixture().scatter({"s0": [], "s1": []}).run()
     assert outcome == Refused(RefusedReason.NO_UPSTREAM, 50.0)
 
 
-def test_a_shard_that_is_dark_as_a_whole_is_not_waited_for():
+def test_a_shard_whose_upstreams_are_all_unresponsive_is_not_waited_for():
     dark = [ScriptedPool("2-0", None), ScriptedPool("2-1", None)]
-    fixture = Fixture()
+    fixture = ForwardingFixture()
     query = fixture.scatter(shards(4, s2=dark), target=200.0)
     long_ago = fixture.clock.now() - 2 * DARK_AFTER
     for replica in query.calls[2].replicas:
@@ -201,72 +201,74 @@
     assert len(dark[0].sent) + len(dark[1].sent) == 1
 
 
-def test_after_the_answer_a_late_failure_is_not_tried_again():
+def test_a_failure_after_the_answer_is_not_retried():
     pools = [ScriptedPool("2-0", 80.0, "lost"), ScriptedPool("2-1", None)]
-    fixture = Fixture(attempts=3)
+    fixture = ForwardingFixture(attempts=3)
     fixture.scatter(shards(4, s2=pools), target=40.0).run()
     sent = len(pools[0].sent) + len(pools[1].sent)
     gevent.sleep(0.1)
     assert len(pools[0].sent) + len(pools[1].sent) == sent
 
 
-def test_an_upstream_that_sheds_often_is_chosen_less_and_tried_again_later():
-    shedding, sound = make_replica(ScriptedPool("0")), make_replica(ScriptedPool("1"))
-    sound.latency.value = 3 * FAST_MS
+def test_an_upstream_that_sheds_load_is_chosen_less_and_tried_again_later():
+    shedding, healthy = make_replica(ScriptedPool("0")), make_replica(ScriptedPool("1"))
+    healthy.latency.value = 3 * FAST_MS
     for _ in range(4):
         shedding.note_failure(0.0)
         shedding.note_success(FAST_MS, 0.0)
-    assert shedding.expected_latency(0.0) > sound.expected_latency(0.0)
+    assert shedding.expected_latency(0.0) > healthy.expected_latency(0.0)
     later = 5 * FAILURE_HALF_LIFE
-    sound.note_success(3 * FAST_MS, later)
-    assert shedding.expected_latency(later) < sound.expected_latency(later)
+    healthy.note_success(3 * FAST_MS, later)
+    assert shedding.expected_latency(later) < healthy.expected_latency(later)
 
 
-def test_a_caller_that_leaves_ends_the_work_at_every_shard():
+def test_the_work_at_every_shard_ends_when_the_caller_disconnects():
     made = shards(3, **{f"s{n}": [ScriptedPool(f"{n}-0", None)] for n in range(3)})
-    query = Fixture().scatter(made)
+    query = ForwardingFixture().scatter(made)
     gevent.spawn_later(0.01, query.caller_gone)
     assert query.run() == Failed(FailedReason.CALLER_GONE)
     assert all(pools[0].withdrawn for pools in made.values())
 
 
 @pytest.mark.parametrize("verdict", [Verdict.NOT_RUN, Verdict.OTHER_OWNER])
-def test_what_was_not_run_goes_to_another_upstream_even_when_not_idempotent(verdict):
+def test_a_request_that_was_not_run_is_retried_even_when_not_idempotent(verdict):
     pools = [ScriptedPool("0", verdict=verdict, status=503), ScriptedPool("1", 8.0)]
-    outcome = Fixture(idempotent=False).single(pools).run()
+    outcome = ForwardingFixture(idempotent=False).single(pools).run()
     assert isinstance(outcome, Relayed) and outcome.reply.signature == "stamp-1"
 
 
 @pytest.mark.parametrize("verdict", ["lost", Verdict.FAILURE, Verdict.WRONG_ECHO])
-def test_what_may_have_run_is_never_repeated_when_not_idempotent(verdict):
+def test_a_request_that_may_have_run_is_never_retried_when_not_idempotent(verdict):
     pools = [ScriptedPool("0", verdict=verdict, status=500), ScriptedPool("1", 8.0)]
-    outcome = Fixture(idempotent=False).single(pools, hedge_after=1.0).run()
+    outcome = ForwardingFixture(idempotent=False).single(pools, hedge_after=1.0).run()
     assert not pools[1].sent
     assert not isinstance(outcome, Refused)
 
 
-def test_a_lost_idempotent_request_is_tried_again_within_the_attempts():
+def test_a_lost_idempotent_request_is_retried_up_to_the_maximum_attempts():
     pools = [ScriptedPool(str(n), verdict="lost") for n in range(3)]
-    outcome = Fixture(attempts=2).single(pools).run()
+    outcome = ForwardingFixture(attempts=2).single(pools).run()
     assert outcome == Failed(FailedReason.CONNECTION_LOST)
     assert sum(len(pool.sent) for pool in pools) == 2
 
 
-def test_without_budget_nothing_is_tried_again():
+def test_nothing_is_retried_without_budget():
     budget = SlackBudget(0.0, 2.0)
     pools = [ScriptedPool(str(n), verdict="lost") for n in range(2)]
-    outcome = Fixture(budget=budget).single(pools).run()
+    outcome = ForwardingFixture(budget=budget).single(pools).run()
     assert outcome == Failed(FailedReason.CONNECTION_LOST)
     assert sum(len(pool.sent) for pool in pools) == 1
 
 
 def test_refused_connections_cost_no_attempt_and_end_as_not_run():
     pools = [ScriptedPool("0", verdict="refused"), ScriptedPool("1", verdict="refused")]
-    assert Fixture(idempotent=False).single(pools).run() == Refused(RefusedReason.UNREACHABLE, 50.0)
+    assert ForwardingFixture(idempotent=False).single(pools).run() == Refused(
+        RefusedReason.UNREACHABLE, 50.0
+    )
 
 
 def test_no_answer_by_the_deadline_is_a_timeout_not_a_refusal():
-    fixture = Fixture(deadline=60.0)
+    fixture = ForwardingFixture(deadline=60.0)
     outcome = fixture.single([ScriptedPool("0", None)]).run()
     assert outcome == Failed(FailedReason.DEADLINE)
     assert elapsed_ms(fixture) < 120.0
@@ -277,9 +279,9 @@
         replica.concurrency.note_reply(400.0, 80.0, 1, now + 1_000.0 * moment)
 
 
-def test_a_shard_that_can_not_reply_in_time_is_left_out_at_once():
-    # Load pattern: one upstream is left of a shard, and all queries would wait for it in vain.
-    fixture = Fixture()
+def test_a_shard_that_cannot_reply_in_time_is_left_out_at_once():
+    # Load pattern: a shard has one upstream left, and every query would wait for it in vain.
+    fixture = ForwardingFixture()
     query = fixture.scatter(shards(4, s2=[ScriptedPool("2-0", 400.0)]))
     for replica in query.calls[2].replicas:
         congest(replica, fixture.clock.now())
@@ -290,7 +292,7 @@
 
 
 def test_no_more_shards_are_left_out_than_may_be_missing():
-    fixture = Fixture()
+    fixture = ForwardingFixture()
     query = fixture.scatter(shards(4))
     for call in query.calls[1:]:
         for replica in call.replicas:
@@ -299,8 +301,8 @@
     assert (len(outcome.signatures), outcome.missing) == (3, 1)
 
 
-def test_a_shard_that_was_left_out_is_asked_when_another_fails():
-    fixture = Fixture(attempts=1)
+def test_a_shard_that_was_left_out_is_called_when_another_fails():
+    fixture = ForwardingFixture(attempts=1)
     query = fixture.scatter(shards(4, s1=[ScriptedPool("1-0", verdict="lost")]))
     for replica in query.calls[2].replicas:
         congest(replica, fixture.clock.now())
--- a/fulmarhold/tests/forwarding/test_shard_timing.py
+++ b/fulmarhold/tests/forwarding/test_shard_timing.py
@@ -1,4 +1,7 @@
-"""Load pattern: one shard answers too late for every query, and callers are near or far."""
+"""Guards against partial answers that reach the caller after the target latency.
+
+Load pattern: one shard replies too late for every query, and callers are near or far.
+"""
 
 from __future__ import annotations
 
@@ -24,5 +27,5 @@
 
 
 @given(st.floats(0, 200), st.floats(0, 500), st.booleans())
-def test_shards_are_given_some_time_however_far_the_caller(target, round_trip, is_first):
+def test_the_query_waits_for_shards_however_far_the_caller(target, round_trip, is_first):
     assert partial_answer_at(50.0, target, round_trip, is_first) >= 50.0 + MIN_WAIT
--- a/fulmarhold/tests/upstreams/test_connections.py
+++ b/fulmarhold/tests/upstreams/test_connections.py
@@ -1,4 +1,4 @@
-"""Connections to upstreams that answer wrongly, late, or not at all."""
+"""Connections to upstreams whose responses are malformed, late or missing."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class Upstream:
-    """A server that sends given bytes for each request and then keeps or closes the connection."""
+    """A server that sends given bytes for each request, then keeps or closes the connection."""
 
     def __init__(self, answers, close=False, late=b""):
         self.endpoint = PortSupply().take_endpoint()
@@ -58,11 +58,11 @@
 
 
 class Request:
-    """An exchange that notes how it ended."""
+    """An exchange that records its response or failure."""
 
-    def __init__(self, trusts=True, wanted=True):
+    def __init__(self, trusted=True, wanted=True):
         self.ended = gevent.event.AsyncResult()
-        self._trusts = trusts
+        self._trusted = trusted
         self._wanted = wanted
 
     def may_send(self):
@@ -73,7 +73,7 @@
 
     def completed(self, response):
         self.ended.set(response)
-        return self._trusts
+        return self._trusted
 
     def failed(self, reason, *, sent):
         if not self.ended.ready():
@@ -85,7 +85,7 @@
 
 @pytest.fixture
 def make(request):
-    """Return a function that makes an upstream with a pool to it."""
+    """Return a function that creates an upstream and a connection pool for it."""
 
     def make(answers, limit=1, close=False, late=b""):
         upstream = Upstream(answers, close, late)
@@ -103,7 +103,7 @@
     return request.outcome()
 
 
-def test_a_connection_is_used_again(make):
+def test_a_connection_is_reused(make):
     upstream, pool = make([OK])
     for _ in range(5):
         response = ask(pool)
@@ -111,9 +111,9 @@
     assert (upstream.connections, pool.connections) == (1, 1)
 
 
-def test_a_response_that_is_not_trusted_costs_its_connection(make):
+def test_the_connection_of_an_untrusted_response_is_not_reused(make):
     upstream, pool = make([OK])
-    ask(pool, trusts=False)
+    ask(pool, trusted=False)
     ask(pool)
     assert upstream.connections == 2
 
@@ -136,7 +136,7 @@
     assert ask(pool) == (reason, True)
 
 
-def test_more_than_one_response_costs_the_connection(make):
+def test_a_connection_with_a_second_response_is_not_reused(make):
     upstream, pool = make([OK + OK, OK])
     assert ask(pool).body == b"{}"
     assert ask(pool).body == b"{}"
@@ -184,7 +184,7 @@
     assert (upstream.connections, upstream.requests) == (1, 5)
 
 
-def test_an_overdue_response_costs_its_connection(make):
+def test_the_connection_of_an_overdue_response_is_closed(make):
     _, pool = make([b""])
     request = Request()
     pool.submit(request)
@@ -194,7 +194,7 @@
     assert pool.connections == 0
 
 
-def test_a_pool_closed_by_leaving_ends_what_was_sent_and_takes_nothing_new(make):
+def test_a_pool_closed_when_idle_finishes_sent_requests_and_refuses_new_ones(make):
     _, pool = make([OK])
     sent, waiting = Request(), Request()
     pool.submit(sent)
--- a/fulmarhold/tests/upstreams/test_crowded.py
+++ b/fulmarhold/tests/upstreams/test_crowded.py
@@ -1,4 +1,7 @@
-"""A started entry whose earlier connections still count at upstreams that accept no more."""
+"""Guards against requests that are lost because a restarted entry opens too many connections.
+
+Its earlier connections still count towards the upstream's limit, so the upstream resets new ones.
+"""
 
 from __future__ import annotations
 
@@ -10,22 +13,22 @@
 from fulmarhold.tests.upstreams.test_connections import OK, Request, Upstream
 from fulmarhold.upstreams.pool import ConnectionPool
 
-EVENT_BOUND_S = 5.0
+OUTCOME_TIMEOUT_S = 5.0
 SHARE = 4
 
 
-class CrowdedUpstream(Upstream):
-    """Has room for some connections and closes others as soon as it has accepted them."""
+class LimitedUpstream(Upstream):
+    """Serves a limited number of connections and closes others right after accepting them."""
 
-    def __init__(self, room):
+    def __init__(self, connection_limit):
         super().__init__([OK])
         self.open = 0
         self.most_open = 0
         self.refused = 0
-        self._room = room
+        self._connection_limit = connection_limit
 
     def _serve(self, connection):
-        if self.open == self._room:
+        if self.open == self._connection_limit:
             self.refused += 1
             connection.close()
             return
@@ -41,15 +44,15 @@
 
 
 @pytest.fixture(params=[1, 2])
-def crowded(request):
-    upstream = CrowdedUpstream(request.param)
+def limited_upstream(request):
+    upstream = LimitedUpstream(request.param)
     yield upstream
     upstream.stop()
 
 
 @pytest.fixture
-def roomy():
-    upstream = CrowdedUpstream(room=100)
+def ample_upstream():
+    upstream = LimitedUpstream(connection_limit=100)
     yield upstream
     upstream.stop()
 
@@ -62,18 +65,18 @@
     return pool, requests
 
 
-def test_the_first_requests_of_a_fresh_pool_are_not_lost_where_there_is_little_room(crowded):
-    pool, (first, *others) = submit(crowded, SHARE)
-    outcomes = [item.ended.get(timeout=EVENT_BOUND_S) for item in (first, *others)]
+def test_a_new_pool_does_not_lose_its_first_requests_to_a_low_connection_limit(limited_upstream):
+    pool, (first, *others) = submit(limited_upstream, SHARE)
+    outcomes = [item.ended.get(timeout=OUTCOME_TIMEOUT_S) for item in (first, *others)]
     lost = [item for item in outcomes if isinstance(item, tuple)]
-    # One more than fits is tried for every reply, so that the share is found.
+    # After each reply the pool tries one connection more than were accepted, to find its share.
     assert len(lost) <= 1
     pool.close()
 
 
-def test_a_pool_grows_to_its_share_where_there_is_room(roomy):
-    pool, requests = submit(roomy, 10 * SHARE)
+def test_a_pool_grows_to_its_share_where_the_limit_allows(ample_upstream):
+    pool, requests = submit(ample_upstream, 10 * SHARE)
     for request in requests:
-        assert not isinstance(request.ended.get(timeout=EVENT_BOUND_S), tuple)
-    assert roomy.most_open == SHARE
+        assert not isinstance(request.ended.get(timeout=OUTCOME_TIMEOUT_S), tuple)
+    assert ample_upstream.most_open == SHARE
     pool.close()
--- a/fulmarhold/tests/upstreams/test_fuzz.py
+++ b/fulmarhold/tests/upstreams/test_fuzz.py
@@ -1,4 +1,4 @@
-"""Responses of upstreams that hold anything, in pieces of any size."""
+"""Responses of upstreams with arbitrary content, received in pieces of any size."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def read(pieces):
-    """Return the response that the pieces make, `None` where they make none."""
+    """Return the response that the pieces form, or `None` if they form none."""
     reader = ResponseReader()
     try:
         for piece in pieces:
@@ -32,7 +32,7 @@
     return reader.take() if reader.end_of_stream() else None
 
 
-def pieces_of(data, cuts):
+def split_at(data, cuts):
     edges = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
     return [data[start:end] for start, end in itertools.pairwise(edges)]
 
@@ -40,14 +40,14 @@
 @settings(max_examples=CASES, deadline=None)
 @given(st.binary(max_size=300), st.lists(st.integers(0, 300), max_size=4))
 def test_any_bytes_make_a_response_or_none(data, cuts):
-    response = read(pieces_of(data, cuts))
+    response = read(split_at(data, cuts))
     assert response is None or isinstance(response.body, bytes)
 
 
 @settings(max_examples=CASES, deadline=None)
 @given(st.lists(st.integers(0, 300), max_size=8))
-def test_a_response_is_the_same_however_it_is_cut(cuts):
-    response = read(pieces_of(WHOLE, cuts))
+def test_a_response_is_the_same_however_it_is_split(cuts):
+    response = read(split_at(WHOLE, cuts))
     assert (response.status, response.body, response.keep_alive) == (200, b"b" * 20, 5_000.0)
 
 
@@ -73,7 +73,7 @@
     ),
     st.binary(max_size=100),
 )
-def test_any_response_has_a_meaning(status, headers, body):
+def test_any_response_is_classified(status, headers, body):
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     head = f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode("latin-1")
     response = read([head + body])
