--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -201,7 +201,7 @@
                 self._retry_or_finish(None, FailedReason.UPSTREAM_ERROR, reply)
 
     def attempt_failed(self, attempt: CallAttempt, reason: str) -> None:
-        """Handle an attempt that ended without a response."""
+        """Handle an attempt that ended without a usable response."""
         if self.is_done or self._is_closed:
             return
         if attempt.may_have_run:
