--- a/fulmarhold/control/client.py
+++ b/fulmarhold/control/client.py
@@ -7,7 +7,7 @@
 import gevent
 
 from fulmarhold.clock import SECOND
-from fulmarhold.consensus.core import LONGEST_ELECTION_TIMEOUT
+from fulmarhold.consensus.core import MAX_ELECTION_TIMEOUT
 from fulmarhold.control.messages import NotLeading
 from fulmarhold.errors import PeerUnavailable, ReplyTimeout
 from fulmarhold.wire.client import CallFailed
@@ -24,7 +24,7 @@
 # How long a leader that did not reply in time is avoided: the others may still name it, until they
 # have elected another. That takes at most two of the longest election timeouts, less the time that
 # the call has already waited.
-LEADER_AVOIDANCE: Milliseconds = 2 * LONGEST_ELECTION_TIMEOUT - CALL_TIMEOUT
+LEADER_AVOIDANCE: Milliseconds = 2 * MAX_ELECTION_TIMEOUT - CALL_TIMEOUT
 
 
 class ControlClient:
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -35,8 +35,8 @@
     READY,
     SILENT,
     InstanceStatement,
-    Ledger,
     Statement,
+    StatementStore,
     UpstreamStatement,
 )
 from fulmarhold.observe.logs import part_log
@@ -95,8 +95,8 @@
         clock: Clock,
         counters: Counters,
     ) -> None:
-        self.upstreams: Ledger[UpstreamStatement] = Ledger()
-        self.instances: Ledger[InstanceStatement] = Ledger()
+        self.upstreams: StatementStore[UpstreamStatement] = StatementStore()
+        self.instances: StatementStore[InstanceStatement] = StatementStore()
         self._own = own
         self._sharing = StatementSharing(
             node, own.endpoint, seeds, self.upstreams, self.instances, links, counters
@@ -120,7 +120,7 @@
         self._first_feed_at: Milliseconds | None = None
         self._version = 0
         self._last_report_at = clock.now()
-        self.instances.take(own, clock.now())
+        self.instances.apply(own, clock.now())
 
     @property
     def time_since_first_feed(self) -> Milliseconds:
@@ -179,7 +179,7 @@
         is_change = False
         for statement in statements:
             before = self.upstreams.find(statement.name)
-            if self.upstreams.take(statement, now):
+            if self.upstreams.apply(statement, now):
                 is_change = True
                 if log_changes:
                     _log_upstream_change(statement, before, origin)
@@ -228,13 +228,13 @@
         return Confirmation(self._is_ready, min(self._node.confirmed_age(), NEVER_CONFIRMED_AGE))
 
     def _await_change(self, request: WatchFeed, until: Milliseconds) -> None:
-        while not self._has_news(request):
+        while not self._has_changes(request):
             left = until - self._clock.now()
             if left <= 0:
                 return
             self._changed.wait(left / SECOND)
 
-    def _has_news(self, request: WatchFeed) -> bool:
+    def _has_changes(self, request: WatchFeed) -> bool:
         return (
             self.upstreams.position > request.upstream_position
             or self.instances.position > request.instance_position
@@ -248,10 +248,10 @@
             if statement.name == self._own.name and statement.born > self._own.born:
                 # The wall clock went back between two runs of this instance.
                 self._own = replace(self._own, born=statement.born + 1)
-                self.instances.take(self._own, now)
+                self.instances.apply(self._own, now)
                 self._sharing.share(instances=(self._own,))
                 continue
-            if self.instances.take(statement, now):
+            if self.instances.apply(statement, now):
                 is_change = True
                 log.info("{} {} is {}", statement.role, statement.name, statement.state)
         if is_change:
@@ -294,8 +294,10 @@
         answer = self._sharing.call(peer, AskStatements(self._own.endpoint))
         if isinstance(answer, AllStatements):
             log.info("compares its upstreams with those of {}", peer)
-            news = (item for item in answer.upstreams if self.upstreams.find(item.name) != item)
-            self._merge_upstreams(tuple(map(self._retirements.apply_retirement, news)), "compared")
+            changed = (item for item in answer.upstreams if self.upstreams.find(item.name) != item)
+            self._merge_upstreams(
+                tuple(map(self._retirements.apply_retirement, changed)), "compared"
+            )
 
     def _notify(self) -> None:
         # Wakes every waiting watcher; later waits use a new event.
@@ -399,7 +401,7 @@
             gevent.spawn(self._sharing.send, peer, report)
 
     def _expire_upstreams(self, now: Milliseconds) -> None:
-        earliest = self._node.core.leads_since
+        earliest = self._node.core.leader_since
         if self._node.confirmed_age() > HOUSEKEEPING_PERIOD * 2:
             return
         for known in self.upstreams.all():
@@ -411,10 +413,10 @@
 
 
 def _conflicting(
-    ledger: Ledger[Statement], received: tuple[Statement, ...]
+    store: StatementStore[Statement], received: tuple[Statement, ...]
 ) -> tuple[Statement, ...]:
-    """Return the ledger's statements on subjects that are in another state there than received."""
-    held = ((ledger.find(item.name), item.state) for item in received)
+    """Return the store's statements on subjects whose state differs from the received one."""
+    held = ((store.find(item.name), item.state) for item in received)
     return tuple(known for known, state in held if known is not None and known.state != state)
 
 
--- a/fulmarhold/control/retirement.py
+++ b/fulmarhold/control/retirement.py
@@ -24,7 +24,7 @@
 log = part_log("retirement")
 
 # Upstreams wait one second for an acknowledgement; recording a departure may take part of that.
-ACKNOWLEDGEMENT_TIMEOUT: Milliseconds = 400.0
+RECORDING_TIMEOUT: Milliseconds = 400.0
 
 
 class Retirements:
@@ -39,7 +39,7 @@
         self._clock = clock
 
     def apply_retirement(self, statement: UpstreamStatement) -> UpstreamStatement:
-        """Return the statement, as draining if the log has this incarnation as retired."""
+        """Return the statement, changed to draining if the log has its incarnation as retired."""
         born = self._machine.state.retired.get(statement.name)
         if born is not None and statement.born <= born and statement.state not in (DRAINING, LEFT):
             return replace(statement, state=DRAINING)
@@ -50,11 +50,11 @@
         replies = self._sharing.share((statement,))
         command = RetireUpstream(statement.name, statement.born, self._clock.wall())
         logged = gevent.spawn(self._log, command)
-        gevent.joinall([logged, *replies], timeout=ACKNOWLEDGEMENT_TIMEOUT / SECOND)
+        gevent.joinall([logged, *replies], timeout=RECORDING_TIMEOUT / SECOND)
         is_logged = bool(logged.ready() and logged.value)
         acknowledged = sum(1 for reply in replies if reply.ready() and reply.value)
         log.info(
-            "{} leaves: in the log: {}, acknowledged by {} of {} other control instances",
+            "departure of {}: logged {}, acknowledged by {} of {} other control instances",
             statement.name,
             is_logged,
             acknowledged,
--- a/fulmarhold/control/voter_changes.py
+++ b/fulmarhold/control/voter_changes.py
@@ -64,10 +64,10 @@
 
     A member with the same endpoint but another identity has lost its disk and is removed first.
     """
-    for other, known in members.everyone.items():
+    for other, known in members.all_members.items():
         if known == endpoint and other != identity:
             return remove(members, other)
-    if identity in members.everyone:
+    if identity in members.all_members:
         return members
     return Members(members.voters, {**members.learners, identity: endpoint})
 
--- a/fulmarhold/tests/control/test_drain_model.py
+++ b/fulmarhold/tests/control/test_drain_model.py
@@ -30,7 +30,7 @@
     LEFT,
     READY,
     InstanceStatement,
-    Ledger,
+    StatementStore,
     UpstreamStatement,
 )
 from fulmarhold.observe.counters import Counters
@@ -84,11 +84,11 @@
 
     @property
     def core(self):
-        everyone = {name: name for name in CONTROL}
+        all_members = {name: name for name in CONTROL}
         return SimpleNamespace(
             is_leader=self.leader_endpoint == self._endpoint,
-            leads_since=0.0,
-            members=SimpleNamespace(everyone=everyone, voters=everyone),
+            leader_since=0.0,
+            members=SimpleNamespace(all_members=all_members, voters=all_members),
         )
 
     @property
@@ -140,7 +140,7 @@
         self.handlers: dict[str, Handlers] = {}
         self.cut: set[frozenset[str]] = set()
         self.late: list[tuple[str, Any]] = []
-        self.entries: list[Ledger[UpstreamStatement]] = [Ledger(), Ledger()]
+        self.entries: list[StatementStore[UpstreamStatement]] = [StatementStore(), StatementStore()]
         self.upstream = UpstreamStatement("u", BORN, 1, READY, "parts", "10.0.0.1:80", "a", 2)
         self.acknowledged = 0
         self.has_leader = True
@@ -223,11 +223,11 @@
         reply = feeds.watch(WatchFeed(watcher, "", 0, 0, 0))
         if isinstance(reply, Failure):
             return
-        ledger = self.entries[number]
+        store = self.entries[number]
         for statement in reply.upstreams:
-            before = ledger.find("u")
-            ledger.take(statement, self.clock.now())
-            after = ledger.find("u")
+            before = store.find("u")
+            store.apply(statement, self.clock.now())
+            after = store.find("u")
             if before is not None and before.state in (DRAINING, LEFT):
                 assert after.state in (DRAINING, LEFT) or after.born > before.born
 
--- a/fulmarhold/tests/gather/test_scatter.py
+++ b/fulmarhold/tests/gather/test_scatter.py
@@ -52,7 +52,7 @@
         if self._answer is not None:
             gevent.spawn_later(self._delay / 1_000, self._respond, request)
 
-    def send_aside(self, request):
+    def try_send(self, request):
         return False
 
     def _respond(self, request):
@@ -166,7 +166,7 @@
 
 def test_hedges_leave_half_of_the_budget_to_retries():
     budget = ExtraLoadBudget(0.0, 10)
-    hedges = sum(budget.take_spare(1) for _ in range(100))
+    hedges = sum(budget.take_unreserved(1) for _ in range(100))
     retries = sum(budget.take(1) for _ in range(100))
     assert (hedges, retries) == (10, 10)
 
