--- a/fulmarhold/consensus/__init__.py
+++ b/fulmarhold/consensus/__init__.py
@@ -1,1 +1,1 @@
-"""The replicated log of the control instances."""
+"""Raft consensus: the replicated log of the control instances."""
--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -1,8 +1,8 @@
-"""The decisions of one member of the replicated log.
+"""The Raft protocol of one member, without I/O.
 
-The core has no input or output and reads no clock: messages and times go in, and what is to be
-written, sent and applied comes out of `take_output`. The caller must sync the writes of an output
-before it sends the messages of that output or applies its entries.
+The core does no I/O and reads no clock. Callers pass in messages and the current time, and fetch
+the resulting writes, messages and committed entries with `take_output`. The caller must sync the
+writes of an output before it sends the messages of that output or applies its entries.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
     KIND_MEMBERS,
-    KIND_NOTHING,
+    KIND_NOOP,
     AppendReply,
     AppendRequest,
     LogEntry,
@@ -25,7 +25,7 @@
     TakeOver,
     VoteReply,
     VoteRequest,
-    inconsistency,
+    protocol_violation,
 )
 from fulmarhold.consensus.output import HardState, Output
 from fulmarhold.errors import FulmarholdError
@@ -36,24 +36,26 @@
     from fulmarhold.clock import Milliseconds
     from fulmarhold.consensus.followers import Follower
 
-# Far above a round trip between data centres (9 ms) and a sync of a slow disk (125 ms); without a
-# leader nothing is accepted and no started entry learns what to serve, so no longer than needed.
+# Far above a round trip between data centres (9 ms) and a sync on a slow disk (125 ms). No longer
+# than that requires: without a leader, proposals are refused and newly started entries get no
+# configuration to serve.
 HEARTBEAT_PERIOD: Milliseconds = 100.0
 MIN_ELECTION_TIMEOUT: Milliseconds = 450.0
 MAX_ELECTION_TIMEOUT: Milliseconds = 900.0
-# Shorter than the shortest election timeout, so that clocks that drift apart do no harm.
+# Shorter than the minimum election timeout, as a margin for clock drift between members.
 LEADER_LEASE: Milliseconds = 360.0
-# After a start a member asks within this whether all voters have just started, and again after
-# that long: about ten trips between data centres, so that two seldom ask at the same time.
+# After a start, a member asks within this period whether all voters have just restarted, and asks
+# again after one to two such periods. About ten round trips between data centres, so that two
+# members seldom ask at the same time.
 RESTART_VOTE_SPREAD: Milliseconds = 100.0
 SNAPSHOT_RESEND_PERIOD: Milliseconds = 2_000.0
-HANDOVER_TIMEOUT: Milliseconds = 1_000.0
-ENTRIES_PER_REQUEST = 256
-BYTES_PER_REQUEST = 4 * 1024 * 1024
+TRANSFER_TIMEOUT: Milliseconds = 1_000.0
+MAX_ENTRIES_PER_REQUEST = 256
+MAX_BYTES_PER_REQUEST = 4 * 1024 * 1024
 
 
 class Role(Enum):
-    """What a member is at the moment."""
+    """The Raft role of a member."""
 
     FOLLOWER = "follower"
     CANDIDATE = "candidate"
@@ -61,19 +63,22 @@
 
 
 class NotLeader(FulmarholdError):
-    """The member is not the leader; `leader` is the identity of the one it knows, if any."""
+    """This member is not the leader; `leader` is the identity of the known leader, if any."""
 
     def __init__(self, leader: str | None) -> None:
-        super().__init__("this instance does not lead", step="proposing", peer=leader or "")
+        super().__init__("this instance is not the leader", step="proposing", peer=leader or "")
         self.leader = leader
 
 
 class MembershipRefused(FulmarholdError):
-    """A change of members is not possible now; the message says why."""
+    """The membership can't be changed now; the message gives the reason."""
 
 
 class RaftCore:
-    """One member: follower, candidate or leader."""
+    """The Raft state machine of one member.
+
+    Implements elections with pre-vote, replication, leader leases and leadership transfer.
+    """
 
     def __init__(
         self,
@@ -92,22 +97,24 @@
         self.commit_index = log.snapshot.index
         self._hard_state = hard_state
         self._random = random
-        self._delivered = log.snapshot.index
-        # A member that starts again may have promised a leader its patience before.
+        self._last_delivered_index = log.snapshot.index
+        # Before a restart, this member may have acknowledged a leader whose lease still runs, so
+        # it counts the restart as contact with that leader and withholds its vote.
         has_history = hard_state.term > 0 or log.last_index > 0
-        self._heard_at = now if has_history else float("-inf")
-        self._election_at = now
-        self._heartbeat_at = now
+        self._last_leader_contact_at = now if has_history else float("-inf")
+        self._election_deadline = now
+        self._next_heartbeat_at = now
         self._votes: set[str] = set()
-        self._trial = False
+        self._is_pre_vote = False
         self._followers = Followers(identity)
-        self._first_of_term = 0
-        self._handing_over_until: Milliseconds | None = None
+        self._first_index_of_term = 0
+        self._transfer_deadline: Milliseconds | None = None
         self._caught_up_at = float("-inf")
-        # No leader can be left, nor a promise to one, once every voter has started anew.
-        self._restarted_until = now + MIN_ELECTION_TIMEOUT if has_history else float("-inf")
-        self._restart_vote_at = now + random.uniform(0.0, RESTART_VOTE_SPREAD)
-        self._restarted_votes: set[str] = set()
+        # If all voters have restarted within this window, no leader and no lease can be left, and
+        # they can elect a leader without waiting for an election timeout.
+        self._restart_window_end = now + MIN_ELECTION_TIMEOUT if has_history else float("-inf")
+        self._next_restart_vote_at = now + random.uniform(0.0, RESTART_VOTE_SPREAD)
+        self._restart_votes: set[str] = set()
         self.leader_since: Milliseconds = float("-inf")
         self._output = Output()
         self._reset_election(now)
@@ -129,63 +136,66 @@
         return self.role is Role.LEADER
 
     @property
-    def has_settled(self) -> bool:
+    def has_committed_in_term(self) -> bool:
         """Whether this leader has committed an entry of its own term."""
-        return self.is_leader and self.commit_index >= self._first_of_term
+        return self.is_leader and self.commit_index >= self._first_index_of_term
+
+    def lease_expires_at(self, now: Milliseconds) -> Milliseconds:
+        """Return when this leader's lease expires; no other leader is elected before that.
 
-    def lease_until(self, now: Milliseconds) -> Milliseconds:
-        """Return until when no other leader can be elected, as far as this leader knows."""
-        if not self.is_leader or self._handing_over_until is not None:
+        Negative infinity if this member is not the leader or is transferring leadership.
+        """
+        if not self.is_leader or self._transfer_deadline is not None:
             return float("-inf")
-        return self._followers.heard_by_quorum(self.members, now) + LEADER_LEASE
+        return self._followers.acknowledged_by_quorum_at(self.members, now) + LEADER_LEASE
 
     def can_serve_reads(self, now: Milliseconds) -> bool:
-        """Whether what this leader has applied is the newest there is."""
-        return self.has_settled and now < self.lease_until(now)
+        """Whether this leader can serve linearizable reads from its committed state."""
+        return self.has_committed_in_term and now < self.lease_expires_at(now)
 
     def confirmed_at(self, now: Milliseconds) -> Milliseconds:
-        """Return when this member last knew that it had committed all that its leader had."""
+        """Return when this member last knew that it had committed all its leader's commits."""
         if self.is_leader:
-            return self.quorum_heard_at(now) if self.has_settled else float("-inf")
+            return self.quorum_acknowledged_at(now) if self.has_committed_in_term else float("-inf")
         return self._caught_up_at
 
-    def quorum_heard_at(self, now: Milliseconds) -> Milliseconds:
-        """Return since when a quorum is known to have followed this leader."""
+    def quorum_acknowledged_at(self, now: Milliseconds) -> Milliseconds:
+        """Return the latest time as of which a quorum has acknowledged this leader."""
         if not self.is_leader:
             return float("-inf")
-        return self._followers.heard_by_quorum(self.members, now)
+        return self._followers.acknowledged_by_quorum_at(self.members, now)
 
     def acknowledged_at(self, identity: str) -> Milliseconds:
-        """Return when the leader sent what a member last acknowledged."""
+        """Return the send time of the newest request that a member has acknowledged."""
         follower = self._followers.find(identity)
         return follower.acknowledged_at if follower else float("-inf")
 
-    def ask_followers(self, now: Milliseconds) -> None:
-        """Send to every member at once, as a leader that wants to know whether it still leads."""
+    def broadcast_append(self, now: Milliseconds) -> None:
+        """Send append requests to all members now, to confirm that this member still leads."""
         if self.is_leader:
             self._replicate(now)
 
     def match_index(self, identity: str) -> int:
-        """Return up to where a member's synced log is known to equal this leader's."""
+        """Return the highest index up to which a member's synced log matches this leader's."""
         return self._followers.match_index(identity)
 
     def take_output(self) -> Output:
-        """Return what there is to do since the last call."""
+        """Return the output accumulated since the last call, and start a new one."""
         output, self._output = self._output, Output()
         return output
 
     def tick(self, now: Milliseconds) -> None:
-        """Let time pass: elections, heartbeats, and stepping down when cut off."""
+        """Run the timers: elections, heartbeats, and stepping down after losing the quorum."""
         if self.is_leader:
             self._tick_leader(now)
-        elif now >= self._election_at:
+        elif now >= self._election_deadline:
             self._campaign(now, trial=True, transfer=False)
-        elif self._has_restarted(now) and now >= self._restart_vote_at:
-            self._ask_restarted(now)
+        elif self._is_in_restart_window(now) and now >= self._next_restart_vote_at:
+            self._request_restart_votes(now)
 
     def propose(self, kind: str, data: bytes, now: Milliseconds) -> int:
-        """Append an entry as the leader and return its index; raises `NotLeader`."""
-        if not self.is_leader or self._handing_over_until is not None:
+        """Append and replicate an entry and return its index; raises `NotLeader`."""
+        if not self.is_leader or self._transfer_deadline is not None:
             raise NotLeader(self.leader)
         entry = LogEntry(self.log.last_index + 1, self.term, kind, data)
         self._append(entry)
@@ -194,14 +204,15 @@
         return entry.index
 
     def propose_members(self, members: Members, now: Milliseconds) -> int:
-        """Change the members; at most one voter may come or go at a time.
+        """Propose a membership change that adds or removes at most one voter.
 
-        Raises `MembershipRefused` while another change is open, and `NotLeader`.
+        Raises `NotLeader`, or `MembershipRefused` while another change is uncommitted, when a new
+        voter has not caught up, or when the change covers more than one voter.
         """
         if not self.is_leader:
             raise NotLeader(self.leader)
-        if not self.has_settled or self.log.members_index > self.commit_index:
-            raise MembershipRefused("another change of members is not committed yet")
+        if not self.has_committed_in_term or self.log.members_index > self.commit_index:
+            raise MembershipRefused("another membership change is not committed yet")
         changed = set(members.voters) ^ set(self.members.voters)
         if len(changed) > 1:
             raise MembershipRefused("only one voter may be added or removed at a time")
@@ -213,22 +224,25 @@
         return self.propose(KIND_MEMBERS, pack_members(members), now)
 
     def transfer_leadership(self, now: Milliseconds) -> bool:
-        """Ask the most advanced voter to take over; returns whether there is one to ask."""
+        """Ask the voter with the most complete log to take over.
+
+        Returns false, without asking, if there is no other voter or none has caught up.
+        """
         others = [voter for voter in self.members.voters if voter != self.identity]
         if not self.is_leader or not others:
             return False
-        heir = max(others, key=self.match_index)
-        if self.match_index(heir) < self.log.last_index:
+        successor = max(others, key=self.match_index)
+        if self.match_index(successor) < self.log.last_index:
             self._replicate(now)
             return False
-        self._handing_over_until = now + HANDOVER_TIMEOUT
-        self._send(TakeOver(self.cluster, self.identity, heir, self.term))
+        self._transfer_deadline = now + TRANSFER_TIMEOUT
+        self._send(TakeOver(self.cluster, self.identity, successor, self.term))
         return True
 
     def receive(self, message: PeerMessage, now: Milliseconds) -> None:
-        """Handle a message; one for someone else, or without sense, changes nothing."""
+        """Handle a message; ignores misaddressed messages and protocol violations."""
         is_own = message.cluster == self.cluster and message.recipient == self.identity
-        if not is_own or inconsistency(message):
+        if not is_own or protocol_violation(message):
             return
         match message:
             case VoteRequest():
@@ -245,7 +259,7 @@
                 self._on_take_over(message, now)
 
     def compact(self, snapshot: Snapshot, start: int) -> None:
-        """Drop log entries up to `start` that a synced snapshot covers."""
+        """Drop log entries up to `start`, which a synced snapshot must cover."""
         self.log.compact(snapshot, start)
 
     # Elections
@@ -256,7 +270,7 @@
             return
         self.role = Role.CANDIDATE
         self.leader = None
-        self._trial = trial
+        self._is_pre_vote = trial
         self._votes = {self.identity}
         term = self.term + 1
         if not trial:
@@ -281,24 +295,25 @@
                     )
                 )
 
-    def _has_restarted(self, now: Milliseconds) -> bool:
-        return now < self._restarted_until and self.leader is None
+    def _is_in_restart_window(self, now: Milliseconds) -> bool:
+        return now < self._restart_window_end and self.leader is None
 
-    def _ask_restarted(self, now: Milliseconds) -> None:
-        """Ask the voters whether all of them have just started, without becoming a candidate."""
-        self._restart_vote_at = now + self._random.uniform(1.0, 2.0) * RESTART_VOTE_SPREAD
-        self._restarted_votes = {self.identity}
+    def _request_restart_votes(self, now: Milliseconds) -> None:
+        """Ask the voters whether all of them have just restarted, without becoming a candidate."""
+        self._next_restart_vote_at = now + self._random.uniform(1.0, 2.0) * RESTART_VOTE_SPREAD
+        self._restart_votes = {self.identity}
         if self.identity in self.members.voters:
             self._request_votes(self.term + 1, trial=True, transfer=False, restarted=True)
 
-    def _answer_restarted(self, message: VoteRequest, now: Milliseconds) -> None:
+    def _on_restart_vote_request(self, message: VoteRequest, now: Milliseconds) -> None:
         up_to_date = self._is_up_to_date(message)
-        granted = self._has_restarted(now) and up_to_date and message.term > self.term
+        granted = self._is_in_restart_window(now) and up_to_date and message.term > self.term
         if granted:
-            self._restart_vote_at = now + self._random.uniform(2.0, 4.0) * RESTART_VOTE_SPREAD
+            self._next_restart_vote_at = now + self._random.uniform(2.0, 4.0) * RESTART_VOTE_SPREAD
             if message.sender < self.identity:
-                # Of several that ask at the same time one goes on, or they would split the votes.
-                self._restarted_votes.clear()
+                # Of several members that ask at once, only the one with the lowest identity may
+                # continue; otherwise they would split the vote.
+                self._restart_votes.clear()
         self._send(
             VoteReply(
                 self.cluster,
@@ -311,20 +326,20 @@
             )
         )
 
-    def _count_restarted(self, message: VoteReply, now: Milliseconds) -> None:
+    def _on_restart_vote_reply(self, message: VoteReply, now: Milliseconds) -> None:
         is_current = message.granted and message.term == self.term + 1
-        has_given_way = self.identity not in self._restarted_votes
-        if not is_current or has_given_way or not self._has_restarted(now):
+        has_withdrawn = self.identity not in self._restart_votes
+        if not is_current or has_withdrawn or not self._is_in_restart_window(now):
             return
-        self._restarted_votes.add(message.sender)
-        if self._restarted_votes >= set(self.members.voters):
+        self._restart_votes.add(message.sender)
+        if self._restart_votes >= set(self.members.voters):
             self._campaign(now, trial=False, transfer=True)
 
     def _on_vote_request(self, message: VoteRequest, now: Milliseconds) -> None:
         if message.restarted:
-            self._answer_restarted(message, now)
+            self._on_restart_vote_request(message, now)
             return
-        if not message.transfer and self._is_loyal(now):
+        if not message.transfer and self._has_live_leader(now):
             self._reply_vote(message, granted=False)
             return
         if not message.trial and message.term > self.term:
@@ -344,10 +359,10 @@
         own = (self.log.last_term, self.log.last_index)
         return (message.last_term, message.last_index) >= own
 
-    def _is_loyal(self, now: Milliseconds) -> bool:
+    def _has_live_leader(self, now: Milliseconds) -> bool:
         if self.is_leader:
-            return now < self.lease_until(now)
-        return now < self._heard_at + MIN_ELECTION_TIMEOUT
+            return now < self.lease_expires_at(now)
+        return now < self._last_leader_contact_at + MIN_ELECTION_TIMEOUT
 
     def _reply_vote(self, message: VoteRequest, *, granted: bool) -> None:
         term = message.term if granted else self.term
@@ -357,7 +372,7 @@
 
     def _on_vote_reply(self, message: VoteReply, now: Milliseconds) -> None:
         if message.restarted:
-            self._count_restarted(message, now)
+            self._on_restart_vote_reply(message, now)
             return
         if not message.granted:
             if message.term > self.term:
@@ -366,7 +381,7 @@
         expected = self.term + 1 if message.trial else self.term
         if (
             self.role is Role.CANDIDATE
-            and message.trial == self._trial
+            and message.trial == self._is_pre_vote
             and message.term == expected
             and message.sender in self.members.voters
         ):
@@ -376,7 +391,7 @@
     def _count_votes(self, now: Milliseconds) -> None:
         if len(self._votes) < self.members.quorum:
             return
-        if self._trial:
+        if self._is_pre_vote:
             self._campaign(now, trial=False, transfer=False)
         else:
             self._become_leader(now)
@@ -389,11 +404,11 @@
         self.role = Role.LEADER
         self.leader_since = now
         self.leader = self.identity
-        self._handing_over_until = None
-        self._followers.begin(self.members.all_members, self.log.last_index + 1)
-        self._first_of_term = self.log.last_index + 1
-        self._append(LogEntry(self._first_of_term, self.term, KIND_NOTHING, b""))
-        self._heard_at = now
+        self._transfer_deadline = None
+        self._followers.reset(self.members.all_members, self.log.last_index + 1)
+        self._first_index_of_term = self.log.last_index + 1
+        self._append(LogEntry(self._first_index_of_term, self.term, KIND_NOOP, b""))
+        self._last_leader_contact_at = now
         self._replicate(now)
         self._advance_commit()
 
@@ -402,25 +417,27 @@
             self._set_hard_state(HardState(term, None))
         self.role = Role.FOLLOWER
         self.leader = leader
-        self._handing_over_until = None
+        self._transfer_deadline = None
         self._followers.clear()
 
     def _reset_election(self, now: Milliseconds) -> None:
-        self._election_at = now + self._random.uniform(MIN_ELECTION_TIMEOUT, MAX_ELECTION_TIMEOUT)
+        self._election_deadline = now + self._random.uniform(
+            MIN_ELECTION_TIMEOUT, MAX_ELECTION_TIMEOUT
+        )
 
-    # Replication, as leader
+    # Replication on the leader
 
     def _tick_leader(self, now: Milliseconds) -> None:
-        if self._handing_over_until is not None:
-            if now >= self._handing_over_until:
+        if self._transfer_deadline is not None:
+            if now >= self._transfer_deadline:
                 self._become_follower(self.term, None)
                 self._reset_election(now)
             return
-        silent_since = self.lease_until(now) - LEADER_LEASE
-        if now - max(silent_since, self._heard_at) > MIN_ELECTION_TIMEOUT:
+        quorum_acknowledged_at = self.lease_expires_at(now) - LEADER_LEASE
+        if now - max(quorum_acknowledged_at, self._last_leader_contact_at) > MIN_ELECTION_TIMEOUT:
             self._become_follower(self.term, None)
             self._reset_election(now)
-        elif now >= self._heartbeat_at:
+        elif now >= self._next_heartbeat_at:
             self._replicate(now)
 
     def _append(self, entry: LogEntry) -> None:
@@ -430,13 +447,17 @@
             self._followers.admit(self.members.all_members, self.log.first_index)
 
     def _replicate(self, now: Milliseconds) -> None:
-        self._heartbeat_at = now + HEARTBEAT_PERIOD
+        self._next_heartbeat_at = now + HEARTBEAT_PERIOD
         for identity in self.members.all_members:
             if identity != self.identity:
                 self._replicate_to(identity, now)
 
     def heartbeats(self, now: Milliseconds) -> list[AppendRequest]:
-        """Return requests without entries that rest on nothing this leader still has to sync."""
+        """Return empty append requests that are safe to send while a sync is in progress.
+
+        Each one refers to a member's match index, never to entries that this leader has yet to
+        sync.
+        """
         requests = []
         for identity in self.members.all_members if self.is_leader else ():
             if identity == self.identity:
@@ -444,7 +465,7 @@
             index = self._followers.match_index(identity)
             term = self.log.term_at(index)
             if term is not None:
-                requests.append(self._append_request(identity, index, term, (), now))
+                requests.append(self._build_append_request(identity, index, term, (), now))
         return requests
 
     def _replicate_to(self, identity: str, now: Milliseconds) -> None:
@@ -453,12 +474,14 @@
             self._send_snapshot(identity, follower, now)
             return
         previous = follower.next_index - 1
-        entries = self.log.batch(follower.next_index, ENTRIES_PER_REQUEST, BYTES_PER_REQUEST)
+        entries = self.log.batch(
+            follower.next_index, MAX_ENTRIES_PER_REQUEST, MAX_BYTES_PER_REQUEST
+        )
         follower.next_index += len(entries)
         term = self.log.term_at(previous) or 0
-        self._send(self._append_request(identity, previous, term, entries, now))
+        self._send(self._build_append_request(identity, previous, term, entries, now))
 
-    def _append_request(
+    def _build_append_request(
         self,
         identity: str,
         previous: int,
@@ -495,19 +518,20 @@
         follower = self._followers.find(message.sender)
         if not self.is_leader or message.term < self.term or follower is None:
             return
-        follower.note_reply(message.sent_at, message.match_index, success=message.success)
+        follower.record_reply(message.sent_at, message.match_index, success=message.success)
         committed = self.commit_index
         if message.success:
             self._advance_commit()
         if self.commit_index > committed and self.is_leader:
-            # Followers pass on what is committed to entries; they need not wait for a heartbeat.
+            # Followers relay committed changes to the entries; send the new commit index now, so
+            # that they need not wait for the next heartbeat.
             self._replicate(now)
             return
         if self.is_leader and follower.next_index <= self.log.last_index:
             self._replicate_to(message.sender, now)
 
     def _advance_commit(self) -> None:
-        index = self._followers.held_by_quorum(self.members, self.log.last_index)
+        index = self._followers.quorum_match_index(self.members, self.log.last_index)
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self._commit_up_to(index)
             if self.log.members_index <= index and self.identity not in self.members.voters:
@@ -515,10 +539,10 @@
 
     def _commit_up_to(self, index: int) -> None:
         self.commit_index = index
-        self._output.committed.extend(self.log.slice(self._delivered + 1, index))
-        self._delivered = index
+        self._output.committed.extend(self.log.slice(self._last_delivered_index + 1, index))
+        self._last_delivered_index = index
 
-    # Replication, as follower
+    # Replication on a follower
 
     def _on_append(self, message: AppendRequest, now: Milliseconds) -> None:
         if message.term < self.term:
@@ -527,7 +551,7 @@
         self._follow(message.sender, message.term, now)
         if message.previous_index < self.commit_index:
             self._merge_committed_prefix(message)
-            self._note_caught_up(message.commit, now)
+            self._record_caught_up(message.commit, now)
             return
         if self.log.term_at(message.previous_index) != message.previous_term:
             hint = min(self.log.last_index, message.previous_index - 1)
@@ -535,11 +559,11 @@
             return
         self._merge(message.entries)
         match_index = message.previous_index + len(message.entries)
-        self._follow_commit(min(message.commit, match_index))
-        self._note_caught_up(message.commit, now)
+        self._advance_commit_from_leader(min(message.commit, match_index))
+        self._record_caught_up(message.commit, now)
         self._reply_append(message.sender, message.sent_at, True, match_index)
 
-    def _note_caught_up(self, leader_commit: int, now: Milliseconds) -> None:
+    def _record_caught_up(self, leader_commit: int, now: Milliseconds) -> None:
         if self.commit_index >= leader_commit:
             self._caught_up_at = now
 
@@ -547,7 +571,7 @@
         newer = [entry for entry in message.entries if entry.index > self.commit_index]
         self._merge(tuple(newer))
         match_index = newer[-1].index if newer else self.commit_index
-        self._follow_commit(min(message.commit, match_index))
+        self._advance_commit_from_leader(min(message.commit, match_index))
         self._reply_append(message.sender, message.sent_at, True, match_index)
 
     def _merge(self, entries: tuple[LogEntry, ...]) -> None:
@@ -575,12 +599,12 @@
         if term > self.term or self.role is not Role.FOLLOWER:
             self._become_follower(term, leader)
         self.leader = leader
-        self._heard_at = now
-        # From now on this leader may count on its patience.
-        self._restarted_until = float("-inf")
+        self._last_leader_contact_at = now
+        # This leader's lease may now rely on this member, so the restart window ends.
+        self._restart_window_end = float("-inf")
         self._reset_election(now)
 
-    def _follow_commit(self, index: int) -> None:
+    def _advance_commit_from_leader(self, index: int) -> None:
         if index > self.commit_index:
             self._commit_up_to(index)
 
@@ -593,8 +617,8 @@
         if snapshot.index > self.commit_index:
             self.log = MemoryLog(snapshot)
             self.commit_index = snapshot.index
-            self._delivered = snapshot.index
-            self._output.installed = snapshot
+            self._last_delivered_index = snapshot.index
+            self._output.installed_snapshot = snapshot
             self._output.truncate_from = None
             self._output.entries = []
             self._output.committed = []
--- a/fulmarhold/consensus/followers.py
+++ b/fulmarhold/consensus/followers.py
@@ -1,4 +1,4 @@
-"""What a leader knows of the other members."""
+"""The replication progress of the other members, as tracked by the leader."""
 
 from __future__ import annotations
 
@@ -14,15 +14,15 @@
 
 @dataclass
 class Follower:
-    """How far one member's log is known to go, and when it last acknowledged its leader."""
+    """The replication progress of one member and the time of its last acknowledgement."""
 
     next_index: int
     match_index: int = 0
     acknowledged_at: Milliseconds = float("-inf")
     snapshot_sent_at: Milliseconds = float("-inf")
 
-    def note_reply(self, sent_at: Milliseconds, match_index: int, *, success: bool) -> None:
-        """Take in the answer to a request that the leader sent at `sent_at`."""
+    def record_reply(self, sent_at: Milliseconds, match_index: int, *, success: bool) -> None:
+        """Update the progress from the reply to a request that the leader sent at `sent_at`."""
         self.acknowledged_at = max(self.acknowledged_at, sent_at)
         if success:
             self.match_index = max(self.match_index, match_index)
@@ -32,52 +32,52 @@
 
 
 class Followers:
-    """The other members by identity; empty on a member that does not lead."""
+    """The progress of the other members by identity; empty unless this member leads."""
 
-    def __init__(self, own: str) -> None:
-        self._own = own
+    def __init__(self, own_identity: str) -> None:
+        self._own_identity = own_identity
         self._followers: dict[str, Follower] = {}
 
-    def begin(self, all_members: Iterable[str], next_index: int) -> None:
-        """Start a term as the leader, knowing nothing of the others yet."""
+    def reset(self, all_members: Iterable[str], next_index: int) -> None:
+        """Discard all progress and track the given members, at the start of a leader's term."""
         self._followers = {}
         self.admit(all_members, next_index)
 
     def admit(self, all_members: Iterable[str], next_index: int) -> None:
-        """Add the members that are not known yet."""
+        """Track the members that are not tracked yet."""
         for identity in all_members:
-            if identity != self._own:
+            if identity != self._own_identity:
                 self._followers.setdefault(identity, Follower(next_index))
 
     def clear(self) -> None:
-        """Forget everything on ceasing to lead."""
+        """Stop tracking all members, when leadership ends."""
         self._followers = {}
 
     def follower(self, identity: str) -> Follower:
-        """Return what is known of a member that was admitted."""
+        """Return the progress of a tracked member; raises `KeyError` for any other."""
         return self._followers[identity]
 
     def find(self, identity: str) -> Follower | None:
-        """Return what is known of the sender of a message, `None` for one not admitted."""
+        """Return the progress of a member, or `None` if it is not tracked."""
         return self._followers.get(identity)
 
     def match_index(self, identity: str) -> int:
-        """Return up to where a member's synced log is known to equal the leader's."""
+        """Return the highest index up to which a member's synced log matches the leader's."""
         follower = self._followers.get(identity)
         return follower.match_index if follower else 0
 
-    def heard_by_quorum(self, members: Members, now: Milliseconds) -> Milliseconds:
-        """Return since when a quorum, the leader included, has acknowledged the leader."""
+    def acknowledged_by_quorum_at(self, members: Members, now: Milliseconds) -> Milliseconds:
+        """Return the latest time as of which a quorum, leader included, has acknowledged."""
         times = (
-            now if voter == self._own else self._followers[voter].acknowledged_at
+            now if voter == self._own_identity else self._followers[voter].acknowledged_at
             for voter in members.voters
         )
         return sorted(times, reverse=True)[members.quorum - 1]
 
-    def held_by_quorum(self, members: Members, last_index: int) -> int:
-        """Return up to which index a quorum, the leader included, holds the leader's log."""
+    def quorum_match_index(self, members: Members, last_index: int) -> int:
+        """Return the highest index that a quorum, leader included, holds."""
         indexes = (
-            last_index if voter == self._own else self.match_index(voter)
+            last_index if voter == self._own_identity else self.match_index(voter)
             for voter in members.voters
         )
         return sorted(indexes, reverse=True)[members.quorum - 1]
--- a/fulmarhold/consensus/messages.py
+++ b/fulmarhold/consensus/messages.py
@@ -1,4 +1,4 @@
-"""Messages between the voters and learners of the replicated log."""
+"""Raft messages, and the log entries, snapshots and membership that they carry."""
 
 from __future__ import annotations
 
@@ -7,14 +7,17 @@
 
 from fulmarhold.wire.messages import message
 
-KIND_NOTHING = "nothing"
+KIND_NOOP = "nothing"
 KIND_COMMAND = "command"
 KIND_MEMBERS = "members"
 
 
 @dataclass(frozen=True)
 class Members:
-    """Who takes part, by identity: voters count for the quorum, learners only receive."""
+    """The endpoints of the cluster's members by identity.
+
+    Voters count towards the quorum; learners only receive the log.
+    """
 
     voters: dict[str, str]
     learners: dict[str, str]
@@ -30,7 +33,7 @@
 
 @dataclass(frozen=True)
 class LogEntry:
-    """One entry of the log; `data` is the command, or the packed members."""
+    """One log entry; `data` holds the command or the encoded members, depending on `kind`."""
 
     index: int
     term: int
@@ -40,7 +43,7 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """The state machine after the entry at `index`, with the members of that moment."""
+    """The state machine and the members as of the entry at `index`."""
 
     index: int
     term: int
@@ -50,9 +53,11 @@
 
 @message
 class VoteRequest:
-    """Asks for a vote; `trial` asks only whether one would be given (pre-vote).
+    """Asks for a vote.
 
-    `restarted` tells that the sender has started lately and knows no leader since.
+    `trial` marks a pre-vote, which asks only whether the vote would be granted. `transfer` marks
+    an election that need not wait for a leader's lease to expire. `restarted` asks whether the
+    recipient has restarted recently too; its sender has, and has not heard from a leader since.
     """
 
     cluster: str
@@ -68,7 +73,7 @@
 
 @message
 class VoteReply:
-    """Grants or denies a vote; `restarted` as in the request."""
+    """Grants or denies a vote; `trial` and `restarted` repeat those of the request."""
 
     cluster: str
     sender: str
@@ -81,7 +86,10 @@
 
 @message
 class AppendRequest:
-    """Entries after `previous_index`, or a heartbeat; `sent_at` is on the leader's clock."""
+    """Replicates the entries after `previous_index`; a heartbeat if there are none.
+
+    `sent_at` is on the leader's clock; the reply repeats it.
+    """
 
     cluster: str
     sender: str
@@ -96,7 +104,10 @@
 
 @message
 class AppendReply:
-    """Tells the leader up to where the sender's log is synced and equal to its own."""
+    """Tells the leader up to which index the sender's synced log matches the leader's.
+
+    Without `success`, `match_index` is a hint for the index from which the leader retries.
+    """
 
     cluster: str
     sender: str
@@ -109,7 +120,7 @@
 
 @message
 class SnapshotRequest:
-    """A snapshot for a member whose next entries the leader no longer holds."""
+    """Installs a snapshot on a member whose next entries the leader no longer holds."""
 
     cluster: str
     sender: str
@@ -121,7 +132,7 @@
 
 @message
 class TakeOver:
-    """Tells the recipient to stand for election at once: the leader hands over."""
+    """Transfers leadership: tells the recipient to start an election immediately."""
 
     cluster: str
     sender: str
@@ -134,35 +145,36 @@
 
 @message
 class MemberMessage:
-    """A message between members with the endpoint where its sender listens."""
+    """The envelope of a message between members, with the endpoint of its sender."""
 
     endpoint: str
     content: list[Any]
 
 
-def inconsistency(message: PeerMessage) -> str:
-    """Return what no member that follows the protocol would send, empty if there is nothing.
+def protocol_violation(message: PeerMessage) -> str:
+    """Return how a message violates the protocol, or an empty string if it does not.
 
-    >>> inconsistency(AppendRequest("c", "a", "b", 1, 4, 1, (LogEntry(6, 1, "", b""),), 4, 0.0))
+    >>> entry = LogEntry(6, 1, "", b"")
+    >>> protocol_violation(AppendRequest("c", "a", "b", 1, 4, 1, (entry,), 4, 0.0))
     'entry 6 does not follow 4'
     """
     if message.term < 0:
-        return f"term {message.term}"
+        return f"term {message.term} is negative"
     if isinstance(message, SnapshotRequest) and message.snapshot.index < 0:
-        return f"a snapshot up to {message.snapshot.index}"
+        return f"snapshot index {message.snapshot.index} is negative"
     if isinstance(message, AppendRequest):
-        return _append_inconsistency(message)
+        return _append_violation(message)
     return ""
 
 
-def _append_inconsistency(message: AppendRequest) -> str:
+def _append_violation(message: AppendRequest) -> str:
     if message.previous_index < 0:
-        return f"entries after {message.previous_index}"
+        return f"previous index {message.previous_index} is negative"
     last = message.previous_index
     for entry in message.entries:
         if entry.index != last + 1:
             return f"entry {entry.index} does not follow {last}"
         if not 0 <= entry.term <= message.term:
-            return f"entry {entry.index} of term {entry.term} in term {message.term}"
+            return f"entry {entry.index} has term {entry.term} in a request of term {message.term}"
         last = entry.index
     return ""
--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -1,4 +1,4 @@
-"""Runs one member: feeds the core, syncs its writes, sends its messages, applies its entries."""
+"""Runs one member: drives the core, syncs its writes, sends its messages, applies its entries."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     Snapshot,
     VoteReply,
     VoteRequest,
-    inconsistency,
+    protocol_violation,
 )
 from fulmarhold.consensus.output import HardState, Output
 from fulmarhold.consensus.storage import EMPTY_SNAPSHOT, Storage, StorageFailed
@@ -41,35 +41,35 @@
 
 TICK_PERIOD: Milliseconds = 40.0
 FIRST_TERM = 1
-HANDOVER_PATIENCE: Milliseconds = 2_000.0
-# A leader whose disk takes longer stops its heartbeats, so that another one is elected: several
-# times the slowest sync seen on a disk that others keep busy (0.8 s).
-LONGEST_SYNC: Milliseconds = 2_500.0
+TRANSFER_WAIT: Milliseconds = 2_000.0
+# A leader whose sync takes longer than this stops sending heartbeats, so that another member is
+# elected. Several times the slowest sync measured on a disk shared with other load (0.8 s).
+MAX_SYNC_DURATION: Milliseconds = 2_500.0
 
 
 class StateMachine(Protocol):
-    """The replicated state machine."""
+    """The state machine that the log replicates."""
 
     def apply(self, data: bytes) -> Any:
-        """Apply one committed command and return its result."""
+        """Apply a committed command and return its result."""
 
     def save(self) -> bytes:
-        """Return the whole state."""
+        """Return the complete state, encoded for a snapshot."""
 
     def restore(self, state: bytes) -> None:
-        """Replace the whole state."""
+        """Replace the complete state by that of a snapshot."""
 
 
 class OutcomeUnknown(FulmarholdError):
-    """Leadership was lost before the entry committed; it may commit yet."""
+    """Leadership was lost before the entry was committed; it may still be committed."""
 
 
 class NotFormed(FulmarholdError):
-    """This instance belongs to no cluster yet."""
+    """This instance does not belong to a cluster yet."""
 
 
 def member_message_handler(node: Node) -> Callable[[MemberMessage], None]:
-    """Return the handler of messages between members."""
+    """Return a handler that passes received messages of members to `node`."""
     return lambda envelope: node.receive(envelope.endpoint, from_values(envelope.content))
 
 
@@ -92,10 +92,11 @@
         self._random = Random()
         self._events: Queue[Callable[[RaftCore], None]] = Queue()
         self._proposals: dict[int, _Proposal] = {}
-        # A member that has just joined does not know the others from its log yet.
+        # A member that has just joined replies to these endpoints: its log does not list the other
+        # members yet.
         self._sender_endpoints: dict[str, str] = {}
-        self._applied = 0
-        self._stepped = Event()
+        self._applied_index = 0
+        self._step_done = Event()
         self._core: RaftCore | None = None
         self._greenlet: gevent.Greenlet | None = None
         self.failure: AsyncResult = AsyncResult()
@@ -111,9 +112,9 @@
 
     @property
     def core(self) -> RaftCore:
-        """The core; raises `NotFormed` before the cluster is formed or joined."""
+        """The Raft core; raises `NotFormed` before this instance forms or joins a cluster."""
         if self._core is None:
-            raise NotFormed("this instance belongs to no cluster yet", step="reading")
+            raise NotFormed("this instance does not belong to a cluster yet", step="reading")
         return self._core
 
     @property
@@ -122,24 +123,24 @@
 
     @property
     def applied_index(self) -> int:
-        return self._applied
+        return self._applied_index
 
     @property
     def leader_endpoint(self) -> str | None:
-        """The endpoint of the leader that this member knows, if any."""
+        """The endpoint of the known leader, if any."""
         if self._core is None or self._core.leader is None:
             return None
         return self._core.members.all_members.get(self._core.leader)
 
     def start(self) -> None:
-        """Load what was synced and start to take part."""
+        """Load the synced state and start to take part in the cluster."""
         hard_state, memory = self._storage.load()
         if self.cluster:
-            self._begin(hard_state, memory)
+            self._start_core(hard_state, memory)
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop taking part.
+        """Stop taking part in the cluster.
 
         Calling `transfer_leadership` first saves the other members an election timeout.
         """
@@ -149,7 +150,7 @@
         self._storage.close()
 
     def form(self, cluster: str, voters: dict[str, str]) -> None:
-        """Start a new cluster of the given voters from this instance.
+        """Form a new cluster of the given voters, starting with this instance's log.
 
         Raises `FulmarholdError` when this instance already belongs to a cluster.
         """
@@ -162,29 +163,31 @@
         memory = MemoryLog(EMPTY_SNAPSHOT, [first])
         self._storage.write(output, memory)
         self._storage.join_cluster(cluster)
-        self._begin(HardState(FIRST_TERM), memory)
+        self._start_core(HardState(FIRST_TERM), memory)
         log.info("formed cluster {} with {} voters", cluster, len(voters))
 
     def receive(self, endpoint: str, message: PeerMessage) -> None:
-        """Take in a message of the member that listens at `endpoint`."""
+        """Handle a message from the member that listens at `endpoint`."""
         if message.recipient != self.identity:
-            self._answer_for_lost_identity(endpoint, message)
+            self._grant_for_lost_identity(endpoint, message)
             return
-        if problem := inconsistency(message):
-            log.warning("passed over a message of {}: {}", endpoint, problem)
+        if problem := protocol_violation(message):
+            log.warning("ignored an invalid message from {}: {}", endpoint, problem)
             return
         self._sender_endpoints[message.sender] = endpoint
         if not self.cluster:
-            # Only an instance that knows this new identity can have admitted it.
+            # The identity is new and random, so the sender can know it only from the members of
+            # the cluster that has admitted this instance.
             self._storage.join_cluster(message.cluster)
-            self._begin(HardState(), MemoryLog(EMPTY_SNAPSHOT))
+            self._start_core(HardState(), MemoryLog(EMPTY_SNAPSHOT))
             log.info("joined cluster {}", message.cluster)
         self._events.put(lambda core: core.receive(message, self._clock.now()))
 
-    def _answer_for_lost_identity(self, endpoint: str, message: PeerMessage) -> None:
-        """Tell a voter that has restarted that a member at this endpoint lost its disk.
+    def _grant_for_lost_identity(self, endpoint: str, message: PeerMessage) -> None:
+        """Grant a restart vote for the identity that this endpoint had before it lost its disk.
 
-        Such a member leads nobody and holds no promise, so that no leader need be waited for.
+        The lost member neither leads nor has acknowledged a leader whose lease may still run, so
+        the restarted voter need not wait for it.
         """
         if isinstance(message, VoteRequest) and message.restarted:
             reply = VoteReply(
@@ -199,50 +202,54 @@
             self._transport.send(endpoint, reply)
 
     def propose(self, data: bytes) -> Any:
-        """Replicate a command and return what applying it gave.
+        """Replicate a command, wait until it is applied, and return its result.
 
-        Raises `NotLeader`, or `OutcomeUnknown` when leadership was lost on the way.
+        Raises `NotLeader`, or `OutcomeUnknown` if leadership is lost in the meantime.
         """
         return self._submit(lambda core: core.propose(KIND_COMMAND, data, self._clock.now()))
 
     def change_members(self, change: Callable[[Members], Members]) -> None:
-        """Replicate a change of the members; raises `MembershipRefused` or `NotLeader`."""
+        """Replicate a membership change; raises `MembershipRefused` or `NotLeader`."""
         self._submit(lambda core: core.propose_members(change(core.members), self._clock.now()))
 
     def can_serve_reads(self) -> bool:
-        """Whether the applied state is the newest there is (leader's lease holds)."""
+        """Whether the applied state is current: the lease is valid and all commits are applied."""
         return (
             self._core is not None
             and self._core.can_serve_reads(self._clock.now())
-            and self._applied >= self._core.commit_index
+            and self._applied_index >= self._core.commit_index
         )
 
     def confirmed_age(self) -> Milliseconds:
-        """Return how long ago the applied state was known to be the newest there is."""
-        if self._core is None or self._applied < self._core.commit_index:
+        """Return the time since the applied state was last known to be current."""
+        if self._core is None or self._applied_index < self._core.commit_index:
             return float("inf")
         now = self._clock.now()
         return now - self._core.confirmed_at(now)
 
     def confirm_leadership(self, timeout: Milliseconds) -> None:
-        """Wait until a majority has followed this leader after the call, and all is applied.
+        """Wait until a quorum has confirmed this leader and all committed entries are applied.
 
-        Raises `NotLeader` when this member does not lead, or no majority answered in time.
+        Only acknowledgements of requests sent after the call count. Raises `NotLeader` when this
+        member does not lead, or when no quorum answers within `timeout`.
         """
         core = self.core
         asked_at = self._clock.now()
-        self._events.put(lambda core: core.ask_followers(self._clock.now()))
+        self._events.put(lambda core: core.broadcast_append(self._clock.now()))
         while core.is_leader and self._clock.now() < asked_at + timeout:
-            is_confirmed = core.has_settled and core.quorum_heard_at(self._clock.now()) >= asked_at
-            if is_confirmed and self._applied >= core.commit_index:
+            is_confirmed = (
+                core.has_committed_in_term
+                and core.quorum_acknowledged_at(self._clock.now()) >= asked_at
+            )
+            if is_confirmed and self._applied_index >= core.commit_index:
                 return
-            self._stepped.clear()
-            self._stepped.wait(TICK_PERIOD / SECOND)
+            self._step_done.clear()
+            self._step_done.wait(TICK_PERIOD / SECOND)
         raise NotLeader(core.leader if not core.is_leader else None)
 
     def transfer_leadership(self) -> None:
-        """Give leadership to another voter, as far as one is ready within the patience."""
-        until = self._clock.now() + HANDOVER_PATIENCE
+        """Transfer leadership to another voter, if one catches up within `TRANSFER_WAIT`."""
+        until = self._clock.now() + TRANSFER_WAIT
         while self._core is not None and self._core.is_leader and self._clock.now() < until:
             if len(self._core.members.voters) == 1:
                 return
@@ -261,16 +268,16 @@
                 self._proposals[index] = _Proposal(core.term, result)
 
         if self._core is None:
-            raise NotFormed("this instance belongs to no cluster yet", step="proposing")
+            raise NotFormed("this instance does not belong to a cluster yet", step="proposing")
         if not self._core.is_leader:
             raise NotLeader(self._core.leader)
         self._events.put(run)
         return result.get()
 
-    def _begin(self, hard_state: HardState, memory: MemoryLog) -> None:
+    def _start_core(self, hard_state: HardState, memory: MemoryLog) -> None:
         if memory.snapshot.state:
             self._machine.restore(memory.snapshot.state)
-        self._applied = memory.snapshot.index
+        self._applied_index = memory.snapshot.index
         self._core = RaftCore(
             self.identity, self.cluster, memory, hard_state, self._random, self._clock.now()
         )
@@ -283,7 +290,7 @@
                     self._step(self._core, events)
         except Exception as error:
             self.failure.set_exception(error)
-            log.exception("stopped taking part: {}", error)
+            log.exception("stopped because of an error: {}", error)
 
     def _next_events(self) -> list[Callable[[RaftCore], None]]:
         events = []
@@ -300,23 +307,23 @@
             event(core)
         core.tick(self._clock.now())
         output = core.take_output()
-        if output.writes or output.installed:
+        if output.has_writes or output.installed_snapshot:
             self._sync(output, core)
         self._send(core, output.messages)
-        if output.installed is not None:
-            self._machine.restore(output.installed.state)
-            self._applied = output.installed.index
+        if output.installed_snapshot is not None:
+            self._machine.restore(output.installed_snapshot.state)
+            self._applied_index = output.installed_snapshot.index
         for entry in output.committed:
             self._apply(entry)
-        if output.committed or output.installed is not None:
+        if output.committed or output.installed_snapshot is not None:
             self.on_applied()
         if was_leader and (not core.is_leader or core.term != term):
-            log.info("no longer leads in term {}; follows {}", term, core.leader or "nobody")
+            log.info("lost leadership of term {}; new leader: {}", term, core.leader or "nobody")
             self._fail_proposals()
         if core.is_leader and not was_leader:
-            log.info("leads in term {}", core.term)
+            log.info("became leader of term {}", core.term)
         self._compact_if_due(core)
-        self._stepped.set()
+        self._step_done.set()
 
     def _send(self, core: RaftCore, messages: Iterable[PeerMessage]) -> None:
         for message in messages:
@@ -327,11 +334,15 @@
                 self._transport.send(endpoint, message)
 
     def _sync(self, output: Output, core: RaftCore) -> None:
-        """Sync the writes; a leader whose disk is slow is not replaced for that alone."""
+        """Sync the writes in a thread, while sending the heartbeats of a leader.
+
+        A slow sync alone therefore does not cost a leader its leadership, unless it takes longer
+        than `MAX_SYNC_DURATION`.
+        """
         write = gevent.get_hub().threadpool.spawn(
-            _outcome_of, self._storage.write, output, core.log
+            _capture_failure, self._storage.write, output, core.log
         )
-        until = self._clock.now() + LONGEST_SYNC
+        until = self._clock.now() + MAX_SYNC_DURATION
         while self._clock.now() < until:
             write.wait(HEARTBEAT_PERIOD / SECOND)
             if write.ready():
@@ -343,7 +354,7 @@
         result = None
         if entry.kind == KIND_COMMAND:
             result = self._machine.apply(entry.data)
-        self._applied = entry.index
+        self._applied_index = entry.index
         proposal = self._proposals.pop(entry.index, None)
         if proposal is None:
             return
@@ -358,23 +369,24 @@
             proposal.result.set_exception(OutcomeUnknown("leadership was lost", step="proposing"))
 
     def _compact_if_due(self, core: RaftCore) -> None:
-        if not self._storage.is_compaction_due or self._applied <= core.log.snapshot.index:
+        if not self._storage.is_compaction_due or self._applied_index <= core.log.snapshot.index:
             return
-        term = core.log.term_at(self._applied)
+        term = core.log.term_at(self._applied_index)
         if term is None:
-            raise StorageFailed(f"entry {self._applied} is not held", step="compacting")
-        members = core.log.members_at(self._applied)
-        snapshot = Snapshot(self._applied, term, members, self._machine.save())
+            raise StorageFailed(f"entry {self._applied_index} is not held", step="compacting")
+        members = core.log.members_at(self._applied_index)
+        snapshot = Snapshot(self._applied_index, term, members, self._machine.save())
         pool = gevent.get_hub().threadpool
-        _raise_failure(pool.apply(_outcome_of, (self._storage.compact, snapshot, core.log)))
+        _raise_failure(pool.apply(_capture_failure, (self._storage.compact, snapshot, core.log)))
         log.info("saved a snapshot up to entry {}", snapshot.index)
 
 
-def _outcome_of(write: Callable[..., None], *arguments: Any) -> StorageFailed | None:
-    """Write in a thread and return the failure, if any.
+def _capture_failure(write: Callable[..., None], *arguments: Any) -> StorageFailed | None:
+    """Run a write in a thread of the pool and return its `StorageFailed`, if any.
 
-    What escapes there is printed to standard error before the waiting greenlet hears of it; when
-    that is on the full disk too, the greenlet would wait for ever.
+    The thread pool prints an uncaught exception to standard error before it wakes the waiting
+    greenlet. If standard error is on the same full disk, that print fails and the greenlet would
+    wait forever.
     """
     try:
         write(*arguments)
--- a/fulmarhold/consensus/output.py
+++ b/fulmarhold/consensus/output.py
@@ -1,4 +1,4 @@
-"""What the decisions of a member leave for its caller to write, send and apply."""
+"""The output of the Raft core: what its caller has to write, send and apply."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True)
 class HardState:
-    """What must be synced before a vote is given: the term, and for whom the vote was."""
+    """The term and the vote of a member, which must be synced before the vote is sent."""
 
     term: int = 0
     voted_for: str | None = None
@@ -19,9 +19,9 @@
 
 @dataclass
 class Output:
-    """What the caller must do, in this order: install, write, send, apply."""
+    """Work for the caller, in this order: install the snapshot, write, send, apply."""
 
-    installed: Snapshot | None = None
+    installed_snapshot: Snapshot | None = None
     hard_state: HardState | None = None
     truncate_from: int | None = None
     entries: list[LogEntry] = field(default_factory=list)
@@ -29,5 +29,5 @@
     committed: list[LogEntry] = field(default_factory=list)
 
     @property
-    def writes(self) -> bool:
+    def has_writes(self) -> bool:
         return bool(self.hard_state or self.entries or self.truncate_from is not None)
--- a/fulmarhold/consensus/records.py
+++ b/fulmarhold/consensus/records.py
@@ -1,7 +1,7 @@
-"""Records of the files under the data folder, each with a checksum over header and payload.
+"""The record format of the files in the data folder, with checksums of length and payload.
 
-A record that a crash cut short at the end of a file is dropped, since it was never acknowledged.
-Anything else that does not check is an error that names the file and the offset.
+An incomplete record at the end of a file, as a crash leaves it, is dropped: it was never
+acknowledged. Any other checksum mismatch is an error that names the file and the offset.
 """
 
 from __future__ import annotations
@@ -21,11 +21,11 @@
 MAGIC = b"FHR1"
 HEADER = struct.Struct(">4sIIQ")
 LENGTH = struct.Struct(">I")
-LARGEST_RECORD_BYTES = 64 * 1024 * 1024
+MAX_RECORD_BYTES = 64 * 1024 * 1024
 
 
 class CorruptFile(FulmarholdError):
-    """A file holds bytes that were synced once and do not check any more."""
+    """Bytes of a file that were once synced no longer match their checksum or are missing."""
 
     def __init__(self, path: Path, offset: int, what: str) -> None:
         super().__init__(f"{path} is corrupt at offset {offset}: {what}", step="reading records")
@@ -35,25 +35,28 @@
 
 @dataclass(frozen=True)
 class Records:
-    """The values of a file's whole records, and the length of the file up to their end."""
+    """The values of a file's complete records, and the offset of the end of the last one."""
 
     values: tuple[Any, ...]
     length: int
 
 
 def encode_record(value: Any) -> bytes:
-    """Return the bytes of one record; raises `FulmarholdError` above the size bound."""
+    """Encode one record; raises `FulmarholdError` if it is larger than `MAX_RECORD_BYTES`."""
     payload = msgpack.packb(value)
-    if len(payload) > LARGEST_RECORD_BYTES:
+    if len(payload) > MAX_RECORD_BYTES:
         raise FulmarholdError(
-            f"a record of {len(payload)} bytes is above {LARGEST_RECORD_BYTES}", step="writing"
+            f"a record of {len(payload)} bytes exceeds the limit of {MAX_RECORD_BYTES}",
+            step="writing",
         )
     length = len(payload)
-    return HEADER.pack(MAGIC, length, _length_check(length), _payload_check(payload)) + payload
+    return (
+        HEADER.pack(MAGIC, length, _length_checksum(length), _payload_checksum(payload)) + payload
+    )
 
 
 def decode_records(path: Path, data: bytes) -> Records:
-    """Return the records of a file's bytes; raises `CorruptFile` unless only the end is torn."""
+    """Decode the records of a file; raises `CorruptFile` unless only the last is incomplete."""
     values: list[Any] = []
     offset = 0
     while offset < len(data):
@@ -66,27 +69,30 @@
 
 
 def _record_end(path: Path, data: bytes, offset: int) -> int | None:
-    """Return the offset after the record at `offset`, or `None` where a torn tail begins."""
+    """Return the end of the record at `offset`, or `None` for an incomplete tail.
+
+    Zeros up to the end of the file, which a crash can leave, count as incomplete too.
+    """
     rest = len(data) - offset
     if rest < HEADER.size or not data[offset:].strip(b"\0"):
         return None
-    magic, length, length_check, payload_check = HEADER.unpack_from(data, offset)
-    if magic != MAGIC or length_check != _length_check(length) or length > LARGEST_RECORD_BYTES:
-        raise CorruptFile(path, offset, "the record header does not check")
+    magic, length, length_checksum, payload_checksum = HEADER.unpack_from(data, offset)
+    if magic != MAGIC or length_checksum != _length_checksum(length) or length > MAX_RECORD_BYTES:
+        raise CorruptFile(path, offset, "the record header is invalid")
     end = offset + HEADER.size + length
     if end > len(data):
         return None
     payload = data[offset + HEADER.size : end]
-    if payload_check == _payload_check(payload):
+    if payload_checksum == _payload_checksum(payload):
         return end
     if end == len(data) and payload.endswith(b"\0"):
         return None
-    raise CorruptFile(path, offset, "the record payload does not check")
+    raise CorruptFile(path, offset, "the payload does not match its checksum")
 
 
-def _length_check(length: int) -> int:
+def _length_checksum(length: int) -> int:
     return int(xxhash.xxh32_intdigest(LENGTH.pack(length)))
 
 
-def _payload_check(payload: bytes) -> int:
+def _payload_checksum(payload: bytes) -> int:
     return int(xxhash.xxh3_64_intdigest(payload))
--- a/fulmarhold/consensus/storage.py
+++ b/fulmarhold/consensus/storage.py
@@ -1,4 +1,4 @@
-"""Durable state of one member: identity, log and snapshots under one data folder."""
+"""The durable state of one member: identity, log and snapshots in one data folder."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 LOCK_FILE = "lock"
 SNAPSHOT_PREFIX = "snapshot-"
 SNAPSHOTS_KEPT = 2
-LEAST_LOG_BYTES = 256 * 1024
+MIN_LOG_BYTES_TO_COMPACT = 256 * 1024
 LOG_TO_SNAPSHOT_RATIO = 2
 
 RECORD_TERM = "term"
@@ -38,49 +38,57 @@
 
 
 class StorageFailed(FulmarholdError):
-    """Writing or syncing failed; the process must end, since what is on disk is not known."""
+    """A write or sync failed; the process must exit, as the state on disk is unknown."""
 
 
 @dataclass(frozen=True)
 class Identity:
-    """Who this data folder belongs to; a new folder is a new member."""
+    """The member and cluster that a data folder belongs to; a new folder makes a new member."""
 
     member: str
     cluster: str
 
 
 class Storage:
-    """The files of one member. Every write is synced, with its folder, before it returns."""
+    """The files of one member.
+
+    Every write is synced before it returns, and so is the folder if a file was created or renamed.
+    """
 
     def __init__(self, folder: Path, sync: Callable[[int], None] = os.fsync) -> None:
         self._folder = folder
         self._sync = sync
         self._hard_state = HardState()
         self._log_file: Any = None
-        # Appended since the newest snapshot; the log also keeps what the one before needs.
+        # Counts only the records since the newest snapshot; the log file also holds the entries
+        # since the snapshot before it.
         self._appended_bytes = 0
         self._snapshot_bytes = 0
-        self._lock = self._take_lock()
+        self._lock = self._acquire_lock()
         self.identity = self._load_identity()
 
     @property
     def is_compaction_due(self) -> bool:
-        """Whether the log has outgrown the snapshot enough to pay for a new one."""
-        least = max(LEAST_LOG_BYTES, LOG_TO_SNAPSHOT_RATIO * self._snapshot_bytes)
+        """Whether the log has grown enough since the last snapshot to justify a new one."""
+        least = max(MIN_LOG_BYTES_TO_COMPACT, LOG_TO_SNAPSHOT_RATIO * self._snapshot_bytes)
         return self._appended_bytes > least
 
     def join_cluster(self, cluster: str) -> None:
-        """Record the cluster that this member belongs to from now on."""
+        """Store the cluster that this member belongs to from now on."""
         self.identity = Identity(self.identity.member, cluster)
-        self._replace(IDENTITY_FILE, encode_record([self.identity.member, cluster]))
+        self._write_atomically(IDENTITY_FILE, encode_record([self.identity.member, cluster]))
 
     def load(self) -> tuple[HardState, MemoryLog]:
-        """Return what was synced; raises `CorruptFile` when it does not check."""
+        """Load the synced state; raises `CorruptFile` if a file is damaged."""
         path = self._folder / LOG_FILE
         data = path.read_bytes() if path.exists() else b""
         records = decode_records(path, data)
         if records.length < len(data):
-            log.warning("cut a torn tail of {} bytes off {}", len(data) - records.length, path)
+            log.warning(
+                "dropped an incomplete record of {} bytes at the end of {}",
+                len(data) - records.length,
+                path,
+            )
             with path.open("r+b") as file:
                 file.truncate(records.length)
                 self._sync(file.fileno())
@@ -91,35 +99,35 @@
         self._sync_folder()
         return hard_state, memory
 
-    def write(self, output: Output, log_now: MemoryLog) -> None:
-        """Sync the writes of one output of the core; raises `StorageFailed`."""
+    def write(self, output: Output, memory: MemoryLog) -> None:
+        """Write and sync one output of the core; raises `StorageFailed`."""
         try:
-            if output.installed is not None:
-                self._save_snapshot(output.installed)
-                self._rewrite(output.hard_state or self._hard_state, log_now)
+            if output.installed_snapshot is not None:
+                self._save_snapshot(output.installed_snapshot)
+                self._rewrite_log(output.hard_state or self._hard_state, memory)
                 self._hard_state = output.hard_state or self._hard_state
-            elif output.writes:
+            elif output.has_writes:
                 self._append(output)
         except OSError as error:
             raise StorageFailed(f"can't sync the log: {error}", step="syncing") from error
 
     def compact(self, snapshot: Snapshot, memory: MemoryLog) -> None:
-        """Save a snapshot and drop the log entries that the older snapshot kept covers."""
+        """Save a snapshot and drop the log entries that the oldest kept snapshot covers."""
         try:
             self._save_snapshot(snapshot)
             start = max(memory.first_index - 1, self._oldest_snapshot_index())
             memory.compact(snapshot, start)
-            self._rewrite(self._hard_state, memory)
+            self._rewrite_log(self._hard_state, memory)
         except OSError as error:
             raise StorageFailed(f"can't save a snapshot: {error}", step="syncing") from error
 
     def close(self) -> None:
-        """Close the files and release the folder."""
+        """Close the files and release the lock on the data folder."""
         if self._log_file is not None:
             self._log_file.close()
         self._lock.close()
 
-    def _take_lock(self) -> Any:
+    def _acquire_lock(self) -> Any:
         self._folder.mkdir(parents=True, exist_ok=True)
         lock = (self._folder / LOCK_FILE).open("a")
         try:
@@ -135,13 +143,13 @@
         if path.exists():
             records = decode_records(path, path.read_bytes())
             if len(records.values) != 1:
-                raise CorruptFile(path, records.length, "the identity is incomplete")
+                raise CorruptFile(path, records.length, "the identity record is incomplete")
             member, cluster = records.values[0]
             return Identity(member, cluster)
         if (self._folder / LOG_FILE).exists():
-            raise CorruptFile(path, 0, "there is a log, but the identity is missing")
+            raise CorruptFile(path, 0, "a log exists, but the identity is missing")
         identity = Identity(uuid.uuid4().hex, "")
-        self._replace(IDENTITY_FILE, encode_record([identity.member, identity.cluster]))
+        self._write_atomically(IDENTITY_FILE, encode_record([identity.member, identity.cluster]))
         return identity
 
     def _replay(self, path: Path, values: tuple[Any, ...]) -> tuple[HardState, MemoryLog]:
@@ -171,13 +179,13 @@
         return self._hard_state, memory
 
     def _newest_snapshot(self, start: int) -> Snapshot:
-        """Return the newest snapshot that is whole and reaches the start of the log."""
+        """Return the newest valid snapshot; it must cover all entries before the log's start."""
         problem: CorruptFile | None = None
         for path in sorted(self._snapshot_paths(), reverse=True):
             try:
                 snapshot = _read_snapshot(path)
             except CorruptFile as error:
-                log.warning("passed over a snapshot: {}", error)
+                log.warning("skipped a damaged snapshot: {}", error)
                 problem = error
                 continue
             if snapshot.index >= start:
@@ -201,20 +209,20 @@
         self._sync(self._log_file.fileno())
         self._appended_bytes += len(data)
 
-    def _rewrite(self, hard_state: HardState, memory: MemoryLog) -> None:
-        """Replace the log by one that begins where `memory` begins."""
+    def _rewrite_log(self, hard_state: HardState, memory: MemoryLog) -> None:
+        """Replace the log file by one that starts at the first entry held in `memory`."""
         parts = [encode_record([RECORD_START, memory.first_index - 1]), _term_record(hard_state)]
         entries = memory.slice(memory.first_index, memory.last_index)
         parts.extend(_entry_record(entry) for entry in entries)
         data = b"".join(parts)
-        self._replace(LOG_FILE, data)
+        self._write_atomically(LOG_FILE, data)
         self._log_file.close()
         self._log_file = (self._folder / LOG_FILE).open("ab")
 
     def _save_snapshot(self, snapshot: Snapshot) -> None:
         members = [snapshot.members.voters, snapshot.members.learners]
         record = encode_record([snapshot.index, snapshot.term, members, snapshot.state])
-        self._replace(_snapshot_name(snapshot.index), record)
+        self._write_atomically(_snapshot_name(snapshot.index), record)
         self._snapshot_bytes = len(snapshot.state)
         self._appended_bytes = 0
         for path in sorted(self._snapshot_paths())[:-SNAPSHOTS_KEPT]:
@@ -227,7 +235,7 @@
     def _snapshot_paths(self) -> list[Path]:
         return [path for path in self._folder.glob(f"{SNAPSHOT_PREFIX}*") if path.suffix == ".bin"]
 
-    def _replace(self, name: str, data: bytes) -> None:
+    def _write_atomically(self, name: str, data: bytes) -> None:
         temporary = self._folder / f"{name}.tmp"
         with temporary.open("wb") as file:
             file.write(data)
@@ -241,7 +249,7 @@
 
 
 def sync_folder(folder: Path, sync: Callable[[int], None] = os.fsync) -> None:
-    """Make new, renamed and removed names of a folder durable."""
+    """Sync a folder, so that created, renamed and removed files in it survive a crash."""
     descriptor = os.open(folder, os.O_RDONLY)
     try:
         sync(descriptor)
--- a/fulmarhold/consensus/transport.py
+++ b/fulmarhold/consensus/transport.py
@@ -1,4 +1,4 @@
-"""Carries messages between members; a slow or lost peer delays nobody else."""
+"""Sends messages to other members; a slow or unreachable peer does not delay the others."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
 
-LONGEST_QUEUE = 512
+MAX_QUEUE_LENGTH = 512
 SEND_TIMEOUT: Milliseconds = 2_000.0
 
 
 class Transport:
-    """Sends messages in order to each peer and drops what does not fit its queue."""
+    """Sends messages to each peer in order and drops the oldest when a peer's queue is full."""
 
     def __init__(self, own_endpoint: str) -> None:
         self._own_endpoint = own_endpoint
@@ -47,7 +47,7 @@
         self._greenlet = gevent.spawn(self._run)
 
     def put(self, message: MemberMessage) -> None:
-        if self._queue.qsize() >= LONGEST_QUEUE:
+        if self._queue.qsize() >= MAX_QUEUE_LENGTH:
             self._queue.get_nowait()
         self._queue.put_nowait(message)
 
@@ -62,7 +62,7 @@
                 with gevent.Timeout(SEND_TIMEOUT / SECOND, PeerUnavailable("send timed out")):
                     self._link.send(message)
             except PeerUnavailable:
-                # The protocol repeats what is lost; a backlog would only be stale.
+                # The protocol resends what is lost, and queued messages would arrive stale.
                 while not self._queue.empty():
                     self._queue.get_nowait()
                 gevent.sleep(0.05)
--- a/fulmarhold/tests/consensus/__init__.py
+++ b/fulmarhold/tests/consensus/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the replicated log."""
+"""Tests of the consensus package."""
--- a/fulmarhold/tests/consensus/test_core.py
+++ b/fulmarhold/tests/consensus/test_core.py
@@ -1,4 +1,8 @@
-"""The decision core under random schedules of loss, duplication, reordering, crash and restart."""
+"""The Raft core under random schedules of message loss, duplication, reordering and restarts.
+
+Guards the safety invariants: one leader per term, no committed entry lost or replaced, entries
+applied in order, and no stale read under a leader's lease.
+"""
 
 from __future__ import annotations
 
@@ -22,13 +26,13 @@
 from fulmarhold.consensus.storage import EMPTY_SNAPSHOT
 
 CLUSTER = "c"
-STEP = 50.0
-SCHEDULES = 200
-EVENTS = 150
+STEP_MS = 50.0
+SCHEDULE_COUNT = 200
+ACTIONS_PER_SCHEDULE = 150
 
 
 class Disk:
-    """What a member has synced."""
+    """The synced state of a member; it survives a crash."""
 
     def __init__(self, members: Members) -> None:
         self.hard_state = HardState(1)
@@ -38,8 +42,8 @@
     def write(self, output: Output) -> None:
         if output.hard_state is not None:
             self.hard_state = output.hard_state
-        if output.installed is not None:
-            self.snapshot, self.entries = output.installed, []
+        if output.installed_snapshot is not None:
+            self.snapshot, self.entries = output.installed_snapshot, []
         if output.truncate_from is not None:
             self.entries = [item for item in self.entries if item.index < output.truncate_from]
         self.entries.extend(output.entries)
@@ -49,7 +53,7 @@
 
 
 class Cluster:
-    """Members joined by a network that the schedule rules over; checks the invariants."""
+    """A cluster on a simulated network that checks the invariants at each step."""
 
     def __init__(self, size: int, seed: int, loss: float) -> None:
         self.random = Random(seed)
@@ -60,7 +64,7 @@
         self.disks = {name: Disk(members) for name in self.names}
         self.cores: dict[str, RaftCore] = {}
         self.wire: list = []
-        self.cut: set[frozenset[str]] = set()
+        self.cut_links: set[frozenset[str]] = set()
         self.committed: dict[int, LogEntry] = {}
         self.leaders: dict[int, str] = {}
         self.delivered: dict[str, int] = {}
@@ -77,26 +81,26 @@
     def crash(self, name: str) -> None:
         self.cores.pop(name, None)
 
-    def pump(self, name: str) -> None:
+    def process_output(self, name: str) -> None:
         core = self.cores[name]
         output = core.take_output()
         self.disks[name].write(output)
         self.wire.extend(output.messages)
-        if output.installed is not None:
-            self.delivered[name] = output.installed.index
+        if output.installed_snapshot is not None:
+            self.delivered[name] = output.installed_snapshot.index
         for entry in output.committed:
             assert entry.index == self.delivered[name] + 1, "entries are applied in order"
             self.delivered[name] = entry.index
-            known = self.committed.setdefault(entry.index, entry)
-            assert known == entry, "no committed entry is lost or replaced"
+            first_committed = self.committed.setdefault(entry.index, entry)
+            assert first_committed == entry, "no committed entry is lost or replaced"
         if core.is_leader:
             assert self.leaders.setdefault(core.term, name) == name, "one leader per term"
 
     def step(self) -> None:
-        self.now += STEP
+        self.now += STEP_MS
         for name in list(self.cores):
             self.cores[name].tick(self.now)
-            self.pump(name)
+            self.process_output(name)
         wire, self.wire = self.wire, []
         self.random.shuffle(wire)
         for message in wire:
@@ -106,8 +110,8 @@
     def deliver(self, message: PeerMessage) -> None:
         if message.recipient not in self.cores:
             return
-        if frozenset((message.sender, message.recipient)) in self.cut:
-            # What a cut holds up may still arrive long after, or never.
+        if frozenset((message.sender, message.recipient)) in self.cut_links:
+            # A message on a cut link is delayed, possibly for long, or lost.
             if self.random.random() < 0.2:
                 self.wire.append(message)
             return
@@ -120,12 +124,14 @@
             self.wire.append(message)
             return
         self.cores[message.recipient].receive(message, self.now)
-        self.pump(message.recipient)
+        self.process_output(message.recipient)
 
     def check_leases(self) -> None:
-        holders = [name for name, core in self.cores.items() if core.can_serve_reads(self.now)]
-        assert len(holders) <= 1, "two members hold a leader's lease"
-        for name in holders:
+        lease_holders = [
+            name for name, core in self.cores.items() if core.can_serve_reads(self.now)
+        ]
+        assert len(lease_holders) <= 1, "two members hold a leader's lease"
+        for name in lease_holders:
             newest = max(self.committed, default=0)
             assert self.cores[name].commit_index >= newest, "a leased read would be stale"
 
@@ -137,7 +143,7 @@
             core.propose(KIND_COMMAND, data, self.now)
         except NotLeader:
             return
-        self.pump(name)
+        self.process_output(name)
 
     def compact(self, name: str) -> None:
         core = self.cores.get(name)
@@ -152,20 +158,20 @@
         disk.snapshot = snapshot
         disk.entries = [entry for entry in disk.entries if entry.index > index]
 
-    def heal(self) -> None:
-        self.cut.clear()
+    def heal_and_restart(self) -> None:
+        self.cut_links.clear()
         for name in self.names:
             if name not in self.cores:
                 self.start(name)
 
 
 def pairs(names: list[str]) -> list[frozenset[str]]:
-    """Return every pair of members."""
+    """Return all pairs of members."""
     return [frozenset(pair) for pair in itertools.combinations(names, 2)]
 
 
-def misbehave(cluster: Cluster, number: int) -> None:
-    """Let one random thing happen, then some time pass."""
+def perform_random_action(cluster: Cluster, number: int) -> None:
+    """Perform one random action, then run the cluster for a random number of steps."""
     random = cluster.random
     name = random.choice(cluster.names)
     match random.choices(
@@ -185,11 +191,11 @@
             cluster.start(name)
         case "split":
             left = {member for member in cluster.names if random.random() < 0.5}
-            cluster.cut = {pair for pair in pairs(cluster.names) if len(pair & left) == 1}
+            cluster.cut_links = {pair for pair in pairs(cluster.names) if len(pair & left) == 1}
         case "cut":
-            cluster.cut.add(random.choice(pairs(cluster.names)))
+            cluster.cut_links.add(random.choice(pairs(cluster.names)))
         case "heal":
-            cluster.cut.clear()
+            cluster.cut_links.clear()
         case "compact":
             cluster.compact(name)
     for _ in range(random.choice([0, 1, 1, 2, 4, 8, 30])):
@@ -197,7 +203,7 @@
 
 
 @settings(
-    max_examples=SCHEDULES,
+    max_examples=SCHEDULE_COUNT,
     deadline=None,
     derandomize=True,
     suppress_health_check=[HealthCheck.too_slow],
@@ -209,11 +215,13 @@
 )
 def test_invariants_hold_under_random_schedules(size, seed, loss):
     cluster = Cluster(size, seed, loss)
-    for number in range(EVENTS):
-        misbehave(cluster, number)
-    cluster.heal()
+    for number in range(ACTIONS_PER_SCHEDULE):
+        perform_random_action(cluster, number)
+    cluster.heal_and_restart()
     for _ in range(400):
         cluster.step()
-        if any(core.has_settled for core in cluster.cores.values()):
+        if any(core.has_committed_in_term for core in cluster.cores.values()):
             break
-    assert any(core.has_settled for core in cluster.cores.values()), "a healed cluster elects"
+    assert any(
+        core.has_committed_in_term for core in cluster.cores.values()
+    ), "a healed cluster elects"
--- a/fulmarhold/tests/consensus/test_core_cases.py
+++ b/fulmarhold/tests/consensus/test_core_cases.py
@@ -1,4 +1,4 @@
-"""Directed cases of the decision core: each fails once the rule it is about is taken out."""
+"""Unit tests of the Raft core: each fails if the rule that it covers is removed."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 FIRST = LogEntry(1, 1, KIND_MEMBERS, pack_members(MEMBERS))
 
 
-def make(name="a", entries=(FIRST,), now=0.0):
+def make_core(name="a", entries=(FIRST,), now=0.0):
     return RaftCore(name, "c", MemoryLog(EMPTY_SNAPSHOT, entries), HardState(1), Random(1), now)
 
 
@@ -48,7 +48,7 @@
 
 
 def elect(core, now=5_000.0):
-    """Let `a` win an election with the vote of `b`."""
+    """Make `a` the leader with the pre-vote and the vote of `b`."""
     core.tick(now)
     term = core.term + 1
     core.receive(VoteReply("c", "b", "a", term, True, True), now)
@@ -65,24 +65,24 @@
     ("after", "granted"),
     [(MIN_ELECTION_TIMEOUT - 1, False), (MIN_ELECTION_TIMEOUT + 1, True)],
 )
-def test_a_restarted_member_keeps_the_patience_it_may_have_promised(after, granted):
-    core = make(now=100.0)
+def test_a_restarted_member_withholds_its_vote_for_the_minimum_election_timeout(after, granted):
+    core = make_core(now=100.0)
     core.receive(vote_request(), 100.0 + after)
     assert [reply.granted for reply in replies(core, VoteReply)] == [granted]
 
 
 @pytest.mark.parametrize("trial", [True, False])
-def test_a_member_that_hears_a_leader_votes_for_nobody_else(trial):
-    core = make()
+def test_a_member_with_a_live_leader_denies_its_vote(trial):
+    core = make_core()
     core.receive(AppendRequest("c", "c", "a", 1, 1, 1, (), 1, 5_000.0), 5_000.0)
     core.take_output()
     core.receive(vote_request(trial=trial), 5_000.0 + MIN_ELECTION_TIMEOUT - 1)
     assert [reply.granted for reply in replies(core, VoteReply)] == [False]
-    assert core.term == 1, "a member that was cut off does not raise the term of the others"
+    assert core.term == 1, "a vote request of a partitioned member must not raise the term"
 
 
-def test_a_handover_is_not_held_up_by_patience():
-    core = make()
+def test_a_leadership_transfer_does_not_wait_for_the_lease():
+    core = make_core()
     core.receive(AppendRequest("c", "c", "a", 1, 1, 1, (), 1, 5_000.0), 5_000.0)
     core.receive(vote_request(transfer=True), 5_001.0)
     assert replies(core, VoteReply)[-1].granted
@@ -91,14 +91,14 @@
 @pytest.mark.parametrize(
     ("last", "granted"), [((1, 1), False), ((1, 2), True), ((2, 1), True), ((0, 9), False)]
 )
-def test_a_vote_goes_only_to_a_log_at_least_as_far(last, granted):
-    core = make(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"x")))
+def test_a_vote_is_granted_only_to_an_up_to_date_log(last, granted):
+    core = make_core(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"x")))
     core.receive(vote_request(last=last), 5_000.0)
     assert replies(core, VoteReply)[-1].granted is granted
 
 
-def test_a_vote_is_written_before_it_is_sent_and_given_once_a_term():
-    core = make()
+def test_a_vote_is_persisted_and_granted_once_per_term():
+    core = make_core()
     core.receive(vote_request(sender="b"), 5_000.0)
     output = core.take_output()
     assert output.hard_state == HardState(2, "b")
@@ -106,9 +106,9 @@
     assert not replies(core, VoteReply)[-1].granted
 
 
-def test_an_entry_of_an_older_term_commits_only_with_one_of_the_present_term():
+def test_an_entry_of_an_older_term_commits_only_with_one_of_the_current_term():
     older = LogEntry(2, 1, KIND_COMMAND, b"x")
-    core = make(entries=(FIRST, older))
+    core = make_core(entries=(FIRST, older))
     elect(core)
     acknowledge(core, 2, 5_000.0)
     assert core.commit_index == 0
@@ -116,8 +116,8 @@
     assert core.commit_index == 3
 
 
-def test_the_lease_runs_from_the_sending_of_what_a_majority_acknowledged():
-    core = make()
+def test_the_lease_starts_when_the_acknowledged_request_was_sent():
+    core = make_core()
     elect(core)
     acknowledge(core, 2, sent_at=5_000.0)
     assert core.can_serve_reads(5_000.0 + LEADER_LEASE - 1)
@@ -125,8 +125,8 @@
     assert LEADER_LEASE < MIN_ELECTION_TIMEOUT
 
 
-def test_a_leader_that_is_cut_off_steps_down():
-    core = make()
+def test_a_partitioned_leader_steps_down():
+    core = make_core()
     elect(core)
     core.tick(5_000.0 + MIN_ELECTION_TIMEOUT + HEARTBEAT_PERIOD)
     assert not core.is_leader
@@ -134,8 +134,8 @@
         core.propose(KIND_COMMAND, b"x", 7_000.0)
 
 
-def test_a_leader_that_hands_over_gives_up_its_lease_first():
-    core = make()
+def test_a_leader_that_transfers_leadership_gives_up_its_lease_first():
+    core = make_core()
     elect(core)
     acknowledge(core, 2, 5_000.0)
     assert core.transfer_leadership(5_001.0)
@@ -143,16 +143,16 @@
     assert replies(core, TakeOver)
 
 
-def test_entries_that_conflict_are_removed_and_replaced():
-    core = make(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"old")))
+def test_conflicting_entries_are_truncated_and_replaced():
+    core = make_core(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"old")))
     new = LogEntry(2, 2, KIND_COMMAND, b"new")
     core.receive(AppendRequest("c", "b", "a", 2, 1, 1, (new,), 0, 0.0), 0.0)
     output = core.take_output()
     assert (output.truncate_from, output.entries) == (2, [new])
 
 
-def test_entries_that_do_not_follow_the_log_are_refused():
-    core = make(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"old")))
+def test_entries_with_a_mismatching_previous_term_are_rejected():
+    core = make_core(entries=(FIRST, LogEntry(2, 1, KIND_COMMAND, b"old")))
     new = LogEntry(3, 2, KIND_COMMAND, b"new")
     core.receive(AppendRequest("c", "b", "a", 2, 2, 2, (new,), 0, 0.0), 0.0)
     assert [reply.success for reply in replies(core, AppendReply)] == [False]
@@ -162,16 +162,16 @@
 @pytest.mark.parametrize(
     ("cluster", "recipient"), [("other", "a"), ("c", "an identity that this disk had before")]
 )
-def test_messages_for_another_cluster_or_identity_change_nothing(cluster, recipient):
-    core = make()
+def test_messages_for_another_cluster_or_identity_are_ignored(cluster, recipient):
+    core = make_core()
     core.receive(VoteRequest(cluster, "b", recipient, 9, 9, 9, False, False), 5_000.0)
     output = core.take_output()
     assert not output.messages
-    assert not output.writes
+    assert not output.has_writes
 
 
 def test_members_change_one_voter_at_a_time_and_only_after_catching_up():
-    core = make()
+    core = make_core()
     elect(core)
     with pytest.raises(MembershipRefused, match="not committed yet"):
         core.propose_members(MEMBERS, 5_000.0)
--- a/fulmarhold/tests/consensus/test_fuzz.py
+++ b/fulmarhold/tests/consensus/test_fuzz.py
@@ -1,4 +1,4 @@
-"""Messages of members that are well formed and make no sense."""
+"""The Raft core against random messages that are well formed but may violate the protocol."""
 
 from __future__ import annotations
 
@@ -20,9 +20,9 @@
     VoteRequest,
 )
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.tests.consensus.test_core_cases import elect, make
+from fulmarhold.tests.consensus.test_core_cases import elect, make_core
 
-CASES = 1_500
+CASE_COUNT = 1_500
 numbers = st.integers(-3, 8) | st.sampled_from([2**40, -(2**40)])
 names = st.sampled_from(["a", "b", "c", "x", ""])
 clusters = st.sampled_from(["c", "c", "c", "other"])
@@ -36,7 +36,7 @@
 snapshots = st.builds(Snapshot, numbers, numbers, members, st.binary(max_size=3))
 flags = st.booleans()
 recipient = st.just("a")
-received = st.one_of(
+messages_to_a = st.one_of(
     st.builds(
         VoteRequest, clusters, names, recipient, numbers, numbers, numbers, flags, flags, flags
     ),
@@ -59,10 +59,10 @@
 )
 
 
-@settings(max_examples=CASES, deadline=None, suppress_health_check=[HealthCheck.too_slow])
-@given(st.lists(received, min_size=1, max_size=6), st.booleans())
-def test_no_message_of_a_member_stops_another_one(messages, leads):
-    core = make()
+@settings(max_examples=CASE_COUNT, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(st.lists(messages_to_a, min_size=1, max_size=6), st.booleans())
+def test_no_message_crashes_the_recipient_or_breaks_its_invariants(messages, leads):
+    core = make_core()
     if leads:
         elect(core)
     term, committed = core.term, core.commit_index
@@ -71,7 +71,7 @@
         try:
             core.receive(message, now)
         except FulmarholdError as error:
-            # Two leaders disagree on what was committed: the member must end, not go on.
+            # The message contradicts a committed entry: the member must stop, not continue.
             assert "refused to remove the committed entry" in str(error)
             assert core.commit_index == committed
             return
--- a/fulmarhold/tests/consensus/test_restart_votes.py
+++ b/fulmarhold/tests/consensus/test_restart_votes.py
@@ -1,4 +1,4 @@
-"""Elections after all voters have started anew: no patience is owed to a leader that is gone."""
+"""Elections after all voters have restarted, without waiting for an election timeout."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
     return RaftCore(name, "c", log, HardState(1), Random(seed), STARTED_AT)
 
 
-def question(sender, recipient, last=(1, 1)):
+def restart_vote_request(sender, recipient, last=(1, 1)):
     return VoteRequest("c", sender, recipient, 2, last[1], last[0], True, False, True)
 
 
@@ -42,7 +42,7 @@
 
 
 def run(cores, until, step=5.0, delivered=lambda message: True):
-    """Let members talk without delay; returns when one leads, or `until`."""
+    """Run the members with instant delivery until one is the leader or `until` is reached."""
     now = STARTED_AT
     while now < until:
         now += step
@@ -60,14 +60,14 @@
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_voters_that_all_restarted_elect_a_leader_before_any_timeout(seed):
+def test_restarted_voters_elect_a_leader_before_any_election_timeout(seed):
     cores = {name: restarted(name, seed * 3 + n) for n, name in enumerate(NAMES)}
     elected_at = run(cores, STARTED_AT + MIN_ELECTION_TIMEOUT)
     assert [core for core in cores.values() if core.is_leader]
     assert elected_at <= STARTED_AT + 3 * RESTART_VOTE_SPREAD
 
 
-def test_one_voter_that_does_not_answer_is_waited_for():
+def test_an_unreachable_voter_delays_the_election_until_the_timeout():
     cores = {name: restarted(name, n) for n, name in enumerate(NAMES) if name != "c"}
     run(cores, STARTED_AT + MIN_ELECTION_TIMEOUT - 10.0)
     assert not any(core.is_leader for core in cores.values())
@@ -75,26 +75,29 @@
     assert any(core.is_leader for core in cores.values())
 
 
-def test_a_voter_that_follows_a_leader_does_not_grant_it():
+def test_a_voter_that_follows_a_leader_denies_a_restart_vote():
     core = restarted("b")
     now = STARTED_AT + 1.0
     core.receive(AppendRequest("c", "a", "b", 1, 1, 1, (), 0, now), now)
     core.take_output()
-    assert answer(core, question("c", "b"), now + 1.0).granted is False
+    assert answer(core, restart_vote_request("c", "b"), now + 1.0).granted is False
 
 
-def test_a_voter_that_runs_for_longer_does_not_grant_it():
+def test_a_voter_past_its_restart_window_denies_a_restart_vote():
     core = restarted("b")
     now = STARTED_AT + MIN_ELECTION_TIMEOUT + 1.0
-    assert answer(core, question("c", "b"), now).granted is False
+    assert answer(core, restart_vote_request("c", "b"), now).granted is False
 
 
-def test_a_voter_with_more_in_its_log_does_not_grant_it():
+def test_a_voter_with_a_longer_log_denies_a_restart_vote():
     entries = (FIRST, LogEntry(2, 1, KIND_COMMAND, b"x"))
-    assert answer(restarted("b", entries=entries), question("c", "b"), STARTED_AT).granted is False
+    assert (
+        answer(restarted("b", entries=entries), restart_vote_request("c", "b"), STARTED_AT).granted
+        is False
+    )
 
 
-def test_two_of_three_answers_do_not_make_it_a_candidate():
+def test_a_restart_election_needs_a_reply_from_every_voter():
     core = restarted("a")
     now = STARTED_AT + RESTART_VOTE_SPREAD
     core.tick(now)
@@ -109,8 +112,8 @@
 
 
 @pytest.mark.parametrize("seed", range(10))
-def test_voters_that_ask_at_the_same_moment_do_not_split_the_votes(seed, monkeypatch):
-    """Load pattern: all lose power, two of five their disks; the other three must agree."""
+def test_voters_that_ask_at_the_same_time_do_not_split_the_vote(seed, monkeypatch):
+    """All five lose power and two of them their disks; the other three must elect a leader."""
     members = pack_members(Members({name: name for name in FIVE}, {}))
     first = LogEntry(1, 1, KIND_MEMBERS, members)
     monkeypatch.setattr(core_module, "RESTART_VOTE_SPREAD", 0.0)
@@ -121,7 +124,7 @@
         now += 5.0
         for core in cores.values():
             core.tick(now)
-        # Everything that was sent in one step crosses on its way.
+        # Collect the messages of all members before any is delivered, so that requests cross.
         sent = [item for core in cores.values() for item in core.take_output().messages]
         for message in sent:
             if message.recipient in cores:
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -1,4 +1,4 @@
-"""A leader whose disk is slow keeps its followers, and one whose disk hangs loses them."""
+"""A leader keeps its leadership while a sync is slow, and gives it up when the disk hangs."""
 
 from __future__ import annotations
 
@@ -32,11 +32,11 @@
 CLUSTER = "c"
 MEMBERS = Members({name: f"{name}:1" for name in "abc"}, {})
 FIRST = LogEntry(1, 1, KIND_MEMBERS, pack_members(MEMBERS))
-PATIENCE_S = 10
+TIMEOUT_S = 10
 
 
-class Disk:
-    """A storage whose syncs can be held up."""
+class FakeStorage:
+    """A fake storage whose syncs can be blocked."""
 
     is_compaction_due = False
 
@@ -55,8 +55,8 @@
         pass
 
 
-class Followers:
-    """Two members that vote for `a` and acknowledge what it sends."""
+class FakeFollowers:
+    """A fake transport to two members that vote for `a` and acknowledge its requests."""
 
     def __init__(self):
         self.node: Any = None
@@ -86,51 +86,51 @@
 
 @pytest.fixture
 def leader():
-    disk: Any = Disk()
-    followers: Any = Followers()
+    disk: Any = FakeStorage()
+    followers: Any = FakeFollowers()
     machine: Any = SimpleNamespace(apply=lambda data: data)
     node = followers.node = Node(disk, followers, machine, Clock())
     node.start()
-    with gevent.Timeout(PATIENCE_S):
-        while not (node.core.is_leader and node.core.has_settled):
+    with gevent.Timeout(TIMEOUT_S):
+        while not (node.core.is_leader and node.core.has_committed_in_term):
             gevent.sleep(0.01)
     yield node, disk, followers
     disk.may_sync.set()
     node.stop()
 
 
-def hold_up(node, disk, duration):
-    """Propose while the disk syncs nothing for `duration` ms; returns the proposal's greenlet."""
+def propose_while_blocked(node, disk, duration):
+    """Block the disk and propose; returns the proposal's greenlet after `duration` ms."""
     disk.may_sync.clear()
     proposal = gevent.spawn(node.propose, b"command")
     gevent.sleep(duration / SECOND)
     return proposal
 
 
-def test_a_leader_sends_heartbeats_while_its_disk_syncs_and_goes_on_leading(leader):
+def test_a_leader_sends_heartbeats_during_a_slow_sync_and_stays_leader(leader):
     node, disk, followers = leader
-    held_for = 2 * MIN_ELECTION_TIMEOUT
+    blocked_for = 2 * MIN_ELECTION_TIMEOUT
     followers.heartbeats.clear()
-    proposal = hold_up(node, disk, held_for)
+    proposal = propose_while_blocked(node, disk, blocked_for)
     sent = list(followers.heartbeats)
     assert max(b - a for a, b in itertools.pairwise(sent)) < MIN_ELECTION_TIMEOUT
-    assert len(set(sent)) > held_for / HEARTBEAT_PERIOD / 2
+    assert len(set(sent)) > blocked_for / HEARTBEAT_PERIOD / 2
     disk.may_sync.set()
-    assert proposal.get(timeout=PATIENCE_S) == b"command"
+    assert proposal.get(timeout=TIMEOUT_S) == b"command"
     assert node.core.is_leader
 
 
-def test_a_leader_whose_disk_hangs_falls_silent(leader, monkeypatch):
-    monkeypatch.setattr(node_module, "LONGEST_SYNC", 3 * HEARTBEAT_PERIOD)
+def test_a_leader_whose_disk_hangs_stops_its_heartbeats(leader, monkeypatch):
+    monkeypatch.setattr(node_module, "MAX_SYNC_DURATION", 3 * HEARTBEAT_PERIOD)
     node, disk, followers = leader
-    hold_up(node, disk, 6 * HEARTBEAT_PERIOD)
+    propose_while_blocked(node, disk, 6 * HEARTBEAT_PERIOD)
     followers.heartbeats.clear()
     gevent.sleep(MIN_ELECTION_TIMEOUT / SECOND)
     assert followers.heartbeats == []
 
 
-class FullDevice:
-    """A standard error whose disk is full as well."""
+class FullStderr:
+    """A standard error stream on a full disk."""
 
     def write(self, _):
         raise OSError("File too large")
@@ -139,15 +139,15 @@
         raise OSError("File too large")
 
 
-def test_a_member_whose_disk_is_full_ends_though_it_can_not_say_so(leader, monkeypatch):
+def test_a_node_with_a_full_disk_fails_even_if_stderr_is_not_writable(leader, monkeypatch):
     node, disk, _ = leader
 
     def refuse(output, memory):
         raise StorageFailed("can't sync the log", step="syncing")
 
-    monkeypatch.setattr(sys, "stderr", FullDevice())
+    monkeypatch.setattr(sys, "stderr", FullStderr())
     disk.write = refuse
     gevent.spawn(node.propose, b"command")
-    with gevent.Timeout(PATIENCE_S, AssertionError("it neither takes part nor ends")):
+    with gevent.Timeout(TIMEOUT_S, AssertionError("the node neither continues nor fails")):
         node.failure.wait()
     assert isinstance(node.failure.exception, StorageFailed)
--- a/fulmarhold/tests/consensus/test_storage.py
+++ b/fulmarhold/tests/consensus/test_storage.py
@@ -1,4 +1,4 @@
-"""The files of one member under torn, flipped, missing and unsyncable bytes."""
+"""The files of one member with truncated, flipped and missing bytes, and with failing syncs."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 from fulmarhold.consensus.storage import (
     EMPTY_SNAPSHOT,
     IDENTITY_FILE,
-    LEAST_LOG_BYTES,
     LOG_FILE,
+    MIN_LOG_BYTES_TO_COMPACT,
     Storage,
     StorageFailed,
 )
@@ -46,7 +46,7 @@
 
 
 def record_ends(data):
-    """Return the offset after each record."""
+    """Return the end offset of each record."""
     ends, offset = [], 0
     while offset < len(data):
         offset += HEADER.size + HEADER.unpack_from(data, offset)[1]
@@ -54,14 +54,14 @@
     return ends
 
 
-def test_what_was_written_is_loaded(tmp_path):
+def test_written_entries_are_loaded(tmp_path):
     write_log(tmp_path, 5)
     hard_state, memory = load(tmp_path)
     assert hard_state == HardState(1, "me")
     assert memory.slice(1, 5) == tuple(entry(index) for index in range(1, 6))
 
 
-def test_a_tail_torn_at_any_byte_is_cut_and_only_that(tmp_path):
+def test_a_record_truncated_at_any_byte_is_dropped_and_only_that_one(tmp_path):
     path = write_log(tmp_path, 3)
     data = path.read_bytes()
     start = record_ends(data)[-2]
@@ -73,7 +73,7 @@
 
 
 @pytest.mark.parametrize("zeros", [1, 16, 100])
-def test_zeros_after_the_last_record_are_cut(tmp_path, zeros):
+def test_zeros_after_the_last_record_are_dropped(tmp_path, zeros):
     path = write_log(tmp_path, 3)
     with path.open("ab") as file:
         file.write(bytes(zeros))
@@ -81,7 +81,7 @@
     assert memory.last_index == 3
 
 
-def test_a_flipped_byte_anywhere_is_an_error_that_names_file_and_offset(tmp_path):
+def test_a_flipped_byte_anywhere_raises_an_error_with_file_and_offset(tmp_path):
     path = write_log(tmp_path, 3)
     data = path.read_bytes()
     ends = record_ends(data)
@@ -95,7 +95,7 @@
         assert (caught.value.path, caught.value.offset) == (path, expected)
 
 
-def test_a_full_disk_at_sync_is_not_taken_for_written(tmp_path):
+def test_a_full_disk_at_sync_raises_an_error(tmp_path):
     def full(_):
         raise OSError(errno.ENOSPC, "No space left on device")
 
@@ -109,7 +109,7 @@
 
 
 def make_snapshots(folder):
-    """Leave snapshots at 2 and 4 and a log that begins at 2 and ends at 6."""
+    """Write snapshots at 2 and 4, and a log that starts after 2 and ends at 6."""
     storage = Storage(folder)
     _, memory = storage.load()
     for index in range(1, 7):
@@ -121,7 +121,7 @@
     return sorted(folder.glob("snapshot-*.bin"))
 
 
-def test_a_snapshot_replaces_what_it_covers(tmp_path):
+def test_the_newest_snapshot_is_loaded_with_the_entries_after_it(tmp_path):
     assert len(make_snapshots(tmp_path)) == 2
     _, memory = load(tmp_path)
     assert (memory.snapshot.index, memory.snapshot.state) == (4, b"state 4")
@@ -129,7 +129,7 @@
 
 
 @pytest.mark.parametrize("damage", ["missing", "flipped"])
-def test_without_the_newest_snapshot_the_older_one_and_the_log_serve(tmp_path, damage):
+def test_without_the_newest_snapshot_the_older_one_and_the_log_are_loaded(tmp_path, damage):
     newest = make_snapshots(tmp_path)[-1]
     if damage == "missing":
         newest.unlink()
@@ -142,7 +142,7 @@
     assert memory.last_index == 6
 
 
-def test_without_any_snapshot_the_error_names_the_one_that_is_missing(tmp_path):
+def test_without_any_snapshot_the_error_names_the_missing_one(tmp_path):
     for path in make_snapshots(tmp_path):
         path.unlink()
     with pytest.raises(CorruptFile, match=r"snapshot-0000000000000002\.bin"):
@@ -154,13 +154,13 @@
     storage = Storage(tmp_path)
     storage.load()
     snapshot = Snapshot(40, 7, MEMBERS, b"far ahead")
-    storage.write(Output(installed=snapshot, hard_state=HardState(7)), MemoryLog(snapshot))
+    storage.write(Output(installed_snapshot=snapshot, hard_state=HardState(7)), MemoryLog(snapshot))
     storage.close()
     hard_state, memory = load(tmp_path)
     assert (hard_state.term, memory.last_index, memory.snapshot.state) == (7, 40, b"far ahead")
 
 
-def test_an_emptied_folder_is_a_new_member(tmp_path):
+def test_a_folder_without_an_identity_makes_a_new_member(tmp_path):
     first = Storage(tmp_path)
     first.close()
     again = Storage(tmp_path)
@@ -179,7 +179,7 @@
         Storage(tmp_path)
 
 
-def test_a_folder_in_use_is_refused(tmp_path):
+def test_a_locked_folder_is_rejected(tmp_path):
     first = Storage(tmp_path)
     with pytest.raises(FulmarholdError, match="in use"):
         Storage(tmp_path)
@@ -194,14 +194,14 @@
         load(tmp_path)
 
 
-def test_nothing_written_is_an_empty_log(tmp_path):
+def test_an_empty_folder_loads_an_empty_log(tmp_path):
     hard_state, memory = load(tmp_path)
     assert (hard_state, memory.snapshot, memory.last_index) == (HardState(), EMPTY_SNAPSHOT, 0)
 
 
 def append_until_due(storage, memory):
-    """Append commands until a snapshot is due, one more than that at most; returns how many."""
-    data = bytes(LEAST_LOG_BYTES // 8)
+    """Append commands until a compaction is due; returns how many were needed."""
+    data = bytes(MIN_LOG_BYTES_TO_COMPACT // 8)
     for count in range(1, 20):
         memory.append(entry(memory.last_index + 1, data))
         storage.write(
@@ -209,10 +209,10 @@
         )
         if storage.is_compaction_due:
             return count
-    raise AssertionError("no snapshot is ever due")
+    raise AssertionError("no compaction became due")
 
 
-def test_a_snapshot_is_due_once_and_again_when_as_much_was_appended(tmp_path):
+def test_a_compaction_is_due_again_once_as_much_was_appended(tmp_path):
     storage = Storage(tmp_path)
     _, memory = storage.load()
     counts = []
@@ -225,5 +225,5 @@
     storage.close()
     storage = Storage(tmp_path)
     storage.load()
-    assert storage.is_compaction_due, "what was appended before a restart counts"
+    assert storage.is_compaction_due, "records appended before a restart must count"
     storage.close()
