--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -117,7 +117,7 @@
         self._restart_votes: set[str] = set()
         self.leader_since: Milliseconds = float("-inf")
         self._output = Output()
-        self._reset_election(now)
+        self._reset_election_deadline(now)
 
     @property
     def term(self) -> int:
@@ -265,7 +265,7 @@
     # Elections
 
     def _campaign(self, now: Milliseconds, *, trial: bool, transfer: bool) -> None:
-        self._reset_election(now)
+        self._reset_election_deadline(now)
         if self.identity not in self.members.voters:
             return
         self.role = Role.CANDIDATE
@@ -352,7 +352,7 @@
         granted = message.term == self.term and free and up_to_date
         if granted:
             self._set_hard_state(HardState(self.term, message.sender))
-            self._reset_election(now)
+            self._reset_election_deadline(now)
         self._reply_vote(message, granted=granted)
 
     def _is_up_to_date(self, message: VoteRequest) -> bool:
@@ -420,7 +420,7 @@
         self._transfer_deadline = None
         self._followers.clear()
 
-    def _reset_election(self, now: Milliseconds) -> None:
+    def _reset_election_deadline(self, now: Milliseconds) -> None:
         self._election_deadline = now + self._random.uniform(
             MIN_ELECTION_TIMEOUT, MAX_ELECTION_TIMEOUT
         )
@@ -431,12 +431,12 @@
         if self._transfer_deadline is not None:
             if now >= self._transfer_deadline:
                 self._become_follower(self.term, None)
-                self._reset_election(now)
+                self._reset_election_deadline(now)
             return
         quorum_acknowledged_at = self.lease_expires_at(now) - LEADER_LEASE
         if now - max(quorum_acknowledged_at, self._last_leader_contact_at) > MIN_ELECTION_TIMEOUT:
             self._become_follower(self.term, None)
-            self._reset_election(now)
+            self._reset_election_deadline(now)
         elif now >= self._next_heartbeat_at:
             self._replicate(now)
 
@@ -548,7 +548,7 @@
         if message.term < self.term:
             self._reply_append(message.sender, message.sent_at, False, self.log.last_index)
             return
-        self._follow(message.sender, message.term, now)
+        self._accept_leader(message.sender, message.term, now)
         if message.previous_index < self.commit_index:
             self._merge_committed_prefix(message)
             self._record_caught_up(message.commit, now)
@@ -595,14 +595,14 @@
         earlier = self._output.truncate_from
         self._output.truncate_from = index if earlier is None else min(earlier, index)
 
-    def _follow(self, leader: str, term: int, now: Milliseconds) -> None:
+    def _accept_leader(self, leader: str, term: int, now: Milliseconds) -> None:
         if term > self.term or self.role is not Role.FOLLOWER:
             self._become_follower(term, leader)
         self.leader = leader
         self._last_leader_contact_at = now
         # This leader's lease may now rely on this member, so the restart window ends.
         self._restart_window_end = float("-inf")
-        self._reset_election(now)
+        self._reset_election_deadline(now)
 
     def _advance_commit_from_leader(self, index: int) -> None:
         if index > self.commit_index:
@@ -612,7 +612,7 @@
         if message.term < self.term:
             self._reply_append(message.sender, message.sent_at, False, self.log.last_index)
             return
-        self._follow(message.sender, message.term, now)
+        self._accept_leader(message.sender, message.term, now)
         snapshot = message.snapshot
         if snapshot.index > self.commit_index:
             self.log = MemoryLog(snapshot)
--- a/fulmarhold/consensus/storage.py
+++ b/fulmarhold/consensus/storage.py
@@ -70,8 +70,8 @@
     @property
     def is_compaction_due(self) -> bool:
         """Whether the log has grown enough since the last snapshot to justify a new one."""
-        least = max(MIN_LOG_BYTES_TO_COMPACT, LOG_TO_SNAPSHOT_RATIO * self._snapshot_bytes)
-        return self._appended_bytes > least
+        threshold = max(MIN_LOG_BYTES_TO_COMPACT, LOG_TO_SNAPSHOT_RATIO * self._snapshot_bytes)
+        return self._appended_bytes > threshold
 
     def join_cluster(self, cluster: str) -> None:
         """Store the cluster that this member belongs to from now on."""
@@ -85,7 +85,7 @@
         records = decode_records(path, data)
         if records.length < len(data):
             log.warning(
-                "dropped an incomplete record of {} bytes at the end of {}",
+                "dropped an incomplete tail of {} bytes from {}",
                 len(data) - records.length,
                 path,
             )
@@ -93,8 +93,8 @@
                 file.truncate(records.length)
                 self._sync(file.fileno())
         hard_state, memory = self._replay(path, records.values)
-        later = memory.slice(memory.snapshot.index + 1, memory.last_index)
-        self._appended_bytes = sum(len(_entry_record(entry)) for entry in later)
+        newer_entries = memory.slice(memory.snapshot.index + 1, memory.last_index)
+        self._appended_bytes = sum(len(_entry_record(entry)) for entry in newer_entries)
         self._log_file = path.open("ab")
         self._sync_folder()
         return hard_state, memory
@@ -170,9 +170,9 @@
                     raise CorruptFile(path, 0, f"unknown record {value!r:.40}")
         snapshot = self._newest_snapshot(start)
         self._snapshot_bytes = len(snapshot.state)
-        later = [entry for entry in entries if entry.index > snapshot.index]
+        newer_entries = [entry for entry in entries if entry.index > snapshot.index]
         memory = MemoryLog(snapshot)
-        for entry in later:
+        for entry in newer_entries:
             if entry.index != memory.last_index + 1:
                 raise CorruptFile(path, 0, f"entry {memory.last_index + 1} is missing")
             memory.append(entry)
@@ -180,30 +180,32 @@
 
     def _newest_snapshot(self, start: int) -> Snapshot:
         """Return the newest valid snapshot; it must cover all entries before the log's start."""
-        problem: CorruptFile | None = None
+        snapshot_error: CorruptFile | None = None
         for path in sorted(self._snapshot_paths(), reverse=True):
             try:
                 snapshot = _read_snapshot(path)
             except CorruptFile as error:
                 log.warning("skipped a damaged snapshot: {}", error)
-                problem = error
+                snapshot_error = error
                 continue
             if snapshot.index >= start:
                 return snapshot
         if start > 0:
             missing = self._folder / _snapshot_name(start)
-            raise problem or CorruptFile(missing, 0, "the snapshot that the log needs is missing")
+            raise snapshot_error or CorruptFile(
+                missing, 0, "the snapshot that the log needs is missing"
+            )
         return EMPTY_SNAPSHOT
 
     def _append(self, output: Output) -> None:
-        parts: list[bytes] = []
+        encoded_records: list[bytes] = []
         if output.hard_state is not None:
             self._hard_state = output.hard_state
-            parts.append(_term_record(output.hard_state))
+            encoded_records.append(_term_record(output.hard_state))
         if output.truncate_from is not None:
-            parts.append(encode_record([RECORD_TRUNCATE, output.truncate_from]))
-        parts.extend(_entry_record(entry) for entry in output.entries)
-        data = b"".join(parts)
+            encoded_records.append(encode_record([RECORD_TRUNCATE, output.truncate_from]))
+        encoded_records.extend(_entry_record(entry) for entry in output.entries)
+        data = b"".join(encoded_records)
         self._log_file.write(data)
         self._log_file.flush()
         self._sync(self._log_file.fileno())
@@ -211,10 +213,13 @@
 
     def _rewrite_log(self, hard_state: HardState, memory: MemoryLog) -> None:
         """Replace the log file by one that starts at the first entry held in `memory`."""
-        parts = [encode_record([RECORD_START, memory.first_index - 1]), _term_record(hard_state)]
+        encoded_records = [
+            encode_record([RECORD_START, memory.first_index - 1]),
+            _term_record(hard_state),
+        ]
         entries = memory.slice(memory.first_index, memory.last_index)
-        parts.extend(_entry_record(entry) for entry in entries)
-        data = b"".join(parts)
+        encoded_records.extend(_entry_record(entry) for entry in entries)
+        data = b"".join(encoded_records)
         self._write_atomically(LOG_FILE, data)
         self._log_file.close()
         self._log_file = (self._folder / LOG_FILE).open("ab")
--- a/fulmarhold/tests/consensus/test_core.py
+++ b/fulmarhold/tests/consensus/test_core.py
@@ -224,4 +224,4 @@
             break
     assert any(
         core.has_committed_in_term for core in cluster.cores.values()
-    ), "a healed cluster elects"
+    ), "a healed cluster elects a leader"
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -142,11 +142,11 @@
 def test_a_node_with_a_full_disk_fails_even_if_stderr_is_not_writable(leader, monkeypatch):
     node, disk, _ = leader
 
-    def refuse(output, memory):
+    def fail_to_sync(output, memory):
         raise StorageFailed("can't sync the log", step="syncing")
 
     monkeypatch.setattr(sys, "stderr", FullStderr())
-    disk.write = refuse
+    disk.write = fail_to_sync
     gevent.spawn(node.propose, b"command")
     with gevent.Timeout(TIMEOUT_S, AssertionError("the node neither continues nor fails")):
         node.failure.wait()
