--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -36,9 +36,9 @@
     from fulmarhold.clock import Milliseconds
     from fulmarhold.consensus.followers import Follower
 
-# Far above a round trip between data centres (9 ms) and a sync on a slow disk (125 ms). No longer
-# than that requires: without a leader, proposals are refused and newly started entries get no
-# configuration to serve.
+# The election timeouts are far above a round trip between data centres (9 ms) and a sync on a slow
+# disk (125 ms), but no longer than needed: without a leader, nothing is accepted and newly started
+# entries get no configuration to serve.
 HEARTBEAT_PERIOD: Milliseconds = 100.0
 MIN_ELECTION_TIMEOUT: Milliseconds = 450.0
 MAX_ELECTION_TIMEOUT: Milliseconds = 900.0
--- a/fulmarhold/consensus/storage.py
+++ b/fulmarhold/consensus/storage.py
@@ -198,14 +198,14 @@
         return EMPTY_SNAPSHOT
 
     def _append(self, output: Output) -> None:
-        encoded_records: list[bytes] = []
+        parts: list[bytes] = []
         if output.hard_state is not None:
             self._hard_state = output.hard_state
-            encoded_records.append(_term_record(output.hard_state))
+            parts.append(_term_record(output.hard_state))
         if output.truncate_from is not None:
-            encoded_records.append(encode_record([RECORD_TRUNCATE, output.truncate_from]))
-        encoded_records.extend(_entry_record(entry) for entry in output.entries)
-        data = b"".join(encoded_records)
+            parts.append(encode_record([RECORD_TRUNCATE, output.truncate_from]))
+        parts.extend(_entry_record(entry) for entry in output.entries)
+        data = b"".join(parts)
         self._log_file.write(data)
         self._log_file.flush()
         self._sync(self._log_file.fileno())
@@ -213,13 +213,13 @@
 
     def _rewrite_log(self, hard_state: HardState, memory: MemoryLog) -> None:
         """Replace the log file by one that starts at the first entry held in `memory`."""
-        encoded_records = [
+        parts = [
             encode_record([RECORD_START, memory.first_index - 1]),
             _term_record(hard_state),
         ]
         entries = memory.slice(memory.first_index, memory.last_index)
-        encoded_records.extend(_entry_record(entry) for entry in entries)
-        data = b"".join(encoded_records)
+        parts.extend(_entry_record(entry) for entry in entries)
+        data = b"".join(parts)
         self._write_atomically(LOG_FILE, data)
         self._log_file.close()
         self._log_file = (self._folder / LOG_FILE).open("ab")
