--- a/fulmarhold/configuration.py
+++ b/fulmarhold/configuration.py
@@ -1,4 +1,4 @@
-"""The generated configuration that control accepts and every entry runs by."""
+"""The generated configuration that control accepts and every entry runs."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True)
 class RequestType:
-    """One kind of request of a service."""
+    """A type of request that a service accepts."""
 
     __pydantic_config__ = STRICT
 
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True)
 class ServiceConfiguration:
-    """How the entries treat one service; durations are in milliseconds."""
+    """The settings of the entries for one service; durations are in milliseconds."""
 
     __pydantic_config__ = STRICT
 
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True)
 class Timings:
-    """Periods and leases of the fleet, in milliseconds."""
+    """Periods, leases and timeouts of the fleet, in milliseconds."""
 
     __pydantic_config__ = STRICT
 
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True)
 class Configuration:
-    """Everything the fleet runs by, derived from one questionnaire."""
+    """The whole configuration of a fleet, derived from one questionnaire."""
 
     __pydantic_config__ = STRICT
 
@@ -83,11 +83,11 @@
 
 
 def configuration_to_document(configuration: Configuration) -> dict[str, Any]:
-    """Return the configuration as plain values for YAML, JSON or msgpack."""
+    """Return the configuration as plain values that YAML, JSON and msgpack can encode."""
     document: dict[str, Any] = adapter(Configuration).dump_python(configuration, mode="json")
     return document
 
 
 def configuration_from_document(document: Any, source: str) -> Configuration:
-    """Check plain values; raises `InvalidSettings` that lists every problem."""
+    """Validate plain values; raises `InvalidSettings` that lists all problems."""
     return load_document(document, Configuration, source)
--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -1,4 +1,4 @@
-"""What the daemons' programs share: settings, logs, signals and the exit code."""
+"""Shared parts of the daemon programs: settings, logging, signals and exit codes."""
 
 from __future__ import annotations
 
@@ -18,14 +18,15 @@
     from collections.abc import Callable
 
 EXIT_FAILED = 1
-# Objects made before a collection of the young ones, and collections before the next older.
-YOUNG_OBJECTS = 20_000
-YOUNG_COLLECTIONS = 20
-MIDDLE_COLLECTIONS = 20
+# Thresholds of the garbage collector: new objects before a collection of the youngest generation,
+# and collections of each generation before one of the next older generation.
+GC_YOUNG_THRESHOLD = 20_000
+GC_MIDDLE_THRESHOLD = 20
+GC_OLD_THRESHOLD = 20
 
 
 class Daemon(Protocol):
-    """A daemon that can be started and stopped; `failure` is set when it can't go on."""
+    """A daemon that can be started and stopped; `failure` is set when it can't continue."""
 
     failure: AsyncResult
 
@@ -35,15 +36,15 @@
 
 
 def spawn_essential(failure: AsyncResult, run: Callable[[], None]) -> gevent.Greenlet:
-    """Run a part without which the daemon is of no use; its error ends the daemon."""
+    """Run a part that the daemon can't work without; an error in it ends the daemon."""
     greenlet = gevent.spawn(run)
     greenlet.link_exception(lambda failed: failure.set_exception(failed.exception))
     return greenlet
 
 
 def run_program(name: str, summary: str, schema: type, make: Callable[[Any], Daemon]) -> None:
-    """Run a daemon's program, whose one argument is its settings file, and exit."""
-    # Not needed by daemons that are started in another way, where it would delay a restart.
+    """Run a daemon as a command line program that takes a settings file, and exit."""
+    # Imported here because it would delay the restart of daemons that are started another way.
     import cyclopts  # noqa: PLC0415
 
     application = cyclopts.App(name=name, help=summary)
@@ -64,7 +65,7 @@
 
 def run_daemon(settings_file: Path, schema: type, make: Callable[[Any], Daemon]) -> int:
     """Run a daemon until SIGTERM, SIGINT or its failure, and return the exit code."""
-    # Daemons whose settings come in another format start faster without it.
+    # Imported here because daemons with settings in another format start faster without it.
     from fulmarhold.settings.loading import load_file  # noqa: PLC0415
 
     try:
@@ -80,11 +81,11 @@
 def serve_until_stopped(daemon: Daemon, flush: Callable[[], None] | None = None) -> int:
     """Start a daemon, stop it at SIGTERM or SIGINT, and return the exit code.
 
-    `flush` is called before the reason of a failure is printed.
+    `flush` is called before the error of a failed daemon is printed.
     """
     try:
         daemon.start()
-        _calm_collector()
+        _tune_garbage_collector()
     except FulmarholdError as error:
         print(error, file=sys.stderr)
         return EXIT_FAILED
@@ -102,8 +103,8 @@
     return 0
 
 
-def _calm_collector() -> None:
-    """Keep the garbage collector from walking all that the start has made, again and again."""
+def _tune_garbage_collector() -> None:
+    """Keep the garbage collector from repeatedly scanning the objects made during the start."""
     gc.collect()
     gc.freeze()
-    gc.set_threshold(YOUNG_OBJECTS, YOUNG_COLLECTIONS, MIDDLE_COLLECTIONS)
+    gc.set_threshold(GC_YOUNG_THRESHOLD, GC_MIDDLE_THRESHOLD, GC_OLD_THRESHOLD)
--- a/fulmarhold/membership/__init__.py
+++ b/fulmarhold/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Upstream announcements, leases and what entries tell each other."""
+"""Upstream announcements, their leases, and the messages between entries and control."""
--- a/fulmarhold/membership/announced.py
+++ b/fulmarhold/membership/announced.py
@@ -1,7 +1,7 @@
 """The upstreams that announce themselves to this entry, each under a lease.
 
-A lease runs from the moment at which the entry issued the token that the announcement carries,
-not from its arrival: an announcement that was held up on the way can't extend it.
+A lease starts when the entry issued the token that the announcement carries, not when the
+announcement arrives, so that a delayed announcement can't extend it.
 """
 
 from __future__ import annotations
@@ -19,42 +19,44 @@
     from fulmarhold.membership.records import Announcement
     from fulmarhold.observe.counters import Counters
 
-# What an entry that knows no configuration yet tells upstreams.
+# Returned to upstreams by an entry that has no configuration yet.
 DEFAULT_ANNOUNCEMENT_PERIOD: Milliseconds = 500.0
 DEFAULT_ANNOUNCEMENT_LEASE: Milliseconds = 1_700.0
 TOMBSTONE_AGE: Milliseconds = 60_000.0
-MOST_UPSTREAMS = 20_000
-_CHANGING = ("sequence", "load")
-_CONTENT = attrgetter(*(item.name for item in fields(UpstreamRecord) if item.name not in _CHANGING))
+MAX_UPSTREAMS = 20_000
+_VOLATILE_FIELDS = ("sequence", "load")
+_STABLE_CONTENT = attrgetter(
+    *(item.name for item in fields(UpstreamRecord) if item.name not in _VOLATILE_FIELDS)
+)
 
 
 @dataclass
-class Held:
-    """A record and until when it may be relied on; renewed in place."""
+class LeasedRecord:
+    """A record and the end of its lease; renewed in place."""
 
     record: UpstreamRecord
     valid_until: Milliseconds
 
 
 class AnnouncedSet:
-    """Records by address; `version` grows whenever what is vouched for changes."""
+    """The records under a lease, by address; `version` grows whenever their content changes."""
 
     def __init__(self, clock: Clock, counters: Counters) -> None:
         self._clock = clock
         self._counters = counters
-        self._held: dict[str, Held] = {}
+        self._held: dict[str, LeasedRecord] = {}
         self._newest: dict[str, tuple[tuple[int, int], Milliseconds]] = {}
         self.source = uuid.uuid4().hex
         self.version = 1
 
     def issue_token(self) -> str:
-        """Return a token that shows that its bearer heard from this entry now."""
+        """Return a token that proves that its bearer was in contact with this entry now."""
         return f"{self.source}:{self._clock.now():.3f}"
 
     def apply(self, announcement: Announcement, lease: Milliseconds) -> bool:
-        """Take in an announcement; returns whether it holds a lease now.
+        """Apply an announcement and return whether its upstream holds a lease now.
 
-        Raises `MalformedInput` when it contradicts the layout that others announced.
+        Raises `MalformedInput` when it contradicts the layout that other upstreams announced.
         """
         record = announcement.upstream
         self._check_layout(record)
@@ -62,34 +64,34 @@
         if newest is not None and record.order < newest[0]:
             self._counters.add("announcement_refusals", reason="superseded")
             return False
-        if record.address not in self._held and len(self._held) >= MOST_UPSTREAMS:
+        if record.address not in self._held and len(self._held) >= MAX_UPSTREAMS:
             self._counters.add("announcement_refusals", reason="too_many")
             return False
         now = self._clock.now()
         self._newest[record.address] = (record.order, now)
-        valid_until = self._token_time(announcement.token) + lease
+        valid_until = self._token_issued_at(announcement.token) + lease
         if record.state == "draining":
-            # Leaving takes effect at once, however old the token is.
+            # Draining takes effect at once, however old the token is.
             valid_until = now + lease
-        before = self._held.get(record.address)
+        previous = self._held.get(record.address)
         if valid_until <= now:
             self._counters.add("announcement_refusals", reason="no_fresh_token")
-            if before is not None and record.order > before.record.order:
-                self._drop(record.address)
+            if previous is not None and record.order > previous.record.order:
+                self._remove(record.address)
             return False
-        if before is not None and _says_the_same(before.record, record):
-            before.record, before.valid_until = record, valid_until
+        if previous is not None and _have_same_content(previous.record, record):
+            previous.record, previous.valid_until = record, valid_until
         else:
-            self._held[record.address] = Held(record, valid_until)
+            self._held[record.address] = LeasedRecord(record, valid_until)
             self.version += 1
         return True
 
     def expire(self) -> None:
-        """Drop the records whose lease has run out, and forget old tombstones."""
+        """Remove the records whose lease has ended, and tombstones past `TOMBSTONE_AGE`."""
         now = self._clock.now()
         for address in [key for key, held in self._held.items() if held.valid_until <= now]:
             self._counters.add("leases_ended", reason="silence")
-            self._drop(address)
+            self._remove(address)
         for address in [
             key
             for key, (_, seen) in self._newest.items()
@@ -97,19 +99,19 @@
         ]:
             del self._newest[address]
 
-    def held(self) -> tuple[Held, ...]:
-        """Return everything that holds a lease."""
+    def held(self) -> tuple[LeasedRecord, ...]:
+        """Return the records with the ends of their leases."""
         return tuple(self._held.values())
 
     def records(self) -> tuple[UpstreamRecord, ...]:
-        """Return the records that this entry vouches for."""
+        """Return the records that hold a lease from this entry."""
         return tuple(held.record for held in self._held.values())
 
-    def _drop(self, address: str) -> None:
+    def _remove(self, address: str) -> None:
         del self._held[address]
         self.version += 1
 
-    def _token_time(self, token: str) -> Milliseconds:
+    def _token_issued_at(self, token: str) -> Milliseconds:
         source, _, issued = token.partition(":")
         if source != self.source:
             return float("-inf")
@@ -140,6 +142,6 @@
                 return
 
 
-def _says_the_same(one: UpstreamRecord, other: UpstreamRecord) -> bool:
-    """Whether two records are alike but for sequence and load, which change all the time."""
-    return _CONTENT(one) == _CONTENT(other)
+def _have_same_content(one: UpstreamRecord, other: UpstreamRecord) -> bool:
+    """Whether two records differ at most in sequence and load, which change constantly."""
+    return _STABLE_CONTENT(one) == _STABLE_CONTENT(other)
--- a/fulmarhold/membership/directory.py
+++ b/fulmarhold/membership/directory.py
@@ -1,4 +1,4 @@
-"""All upstreams that this entry knows: its own announced ones and those that others vouch for."""
+"""All upstreams that this entry knows: those announced to it and those that other entries relay."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
     from collections.abc import Iterable
 
     from fulmarhold.clock import Clock, Milliseconds
-    from fulmarhold.membership.announced import AnnouncedSet, Held
+    from fulmarhold.membership.announced import AnnouncedSet, LeasedRecord
     from fulmarhold.membership.records import PeerReply, UpstreamRecord
 
 TOMBSTONE_AGE: Milliseconds = 60_000.0
@@ -17,7 +17,7 @@
 
 @dataclass
 class RelayedSet:
-    """The upstreams that one other entry vouches for, as of its last reply."""
+    """The upstreams that hold leases from one other entry, as of its last reply."""
 
     peer: str
     source: str = ""
@@ -29,25 +29,25 @@
 
 @dataclass(frozen=True)
 class KnownUpstream:
-    """The newest statement of an upstream and everyone who vouches for this incarnation."""
+    """The newest record of an upstream, and the holders of a lease for this incarnation."""
 
     record: UpstreamRecord
-    holders: tuple[Held | RelayedSet, ...]
+    holders: tuple[LeasedRecord | RelayedSet, ...]
 
     def is_live(self, now: Milliseconds) -> bool:
-        """Whether anyone's lease for it still runs; otherwise nothing may be sent to it."""
+        """Whether any lease for it still runs; nothing may be sent to it otherwise."""
         return any(holder.valid_until > now for holder in self.holders)
 
 
 class Directory:
-    """Merges the sources; `generation` grows when the merged content may have changed."""
+    """Merges announced and relayed records; `generation` grows when the result may have changed."""
 
     def __init__(self, announced: AnnouncedSet, clock: Clock) -> None:
         self._announced = announced
         self._clock = clock
         self._relayed: dict[str, RelayedSet] = {}
         self._newest: dict[str, tuple[UpstreamRecord, Milliseconds]] = {}
-        self._seen_left: dict[str, int] = {}
+        self._left_incarnations: dict[str, int] = {}
         self._changes = 0
 
     @property
@@ -55,23 +55,25 @@
         return self._announced.version, self._changes
 
     def relayed(self, peer: str) -> RelayedSet:
-        """Return the set of a peer, empty if it was never heard."""
+        """Return the set of a peer, empty if the peer has never replied."""
         return self._relayed.setdefault(peer, RelayedSet(peer))
 
     def live_peers(self) -> dict[str, RelayedSet]:
-        """Return the peers whose last reply is still within its lease."""
+        """Return the peers whose relayed set is still within its lease."""
         now = self._clock.now()
         return {name: item for name, item in self._relayed.items() if item.valid_until > now}
 
-    def keep_peers(self, names: Iterable[str]) -> None:
-        """Forget the peers that are not named."""
+    def retain_peers(self, names: Iterable[str]) -> None:
+        """Remove every peer that is not in `names`."""
         kept = set(names)
         for name in [name for name in self._relayed if name not in kept]:
             del self._relayed[name]
             self._changes += 1
 
-    def take_reply(self, peer: str, reply: PeerReply, asked_at: Milliseconds, lease: float) -> None:
-        """Take in what a peer vouches for; its lease runs from when it was asked."""
+    def apply_reply(
+        self, peer: str, reply: PeerReply, asked_at: Milliseconds, lease: float
+    ) -> None:
+        """Apply the reply of a peer to a poll; its lease starts when the poll was sent."""
         relayed = self.relayed(peer)
         if reply.records is not None:
             relayed.source, relayed.set_version = reply.source, reply.set_version
@@ -83,35 +85,40 @@
         relayed.state = reply.state
 
     def note_left(self, address: str, incarnation: int) -> None:
-        """Remember that an upstream itself said, in a response, that it is leaving."""
-        if self._seen_left.get(address, -1) < incarnation:
-            self._seen_left[address] = incarnation
+        """Record that an upstream said in a response that it is leaving."""
+        if self._left_incarnations.get(address, -1) < incarnation:
+            self._left_incarnations[address] = incarnation
             self._changes += 1
 
     def known(self) -> list[KnownUpstream]:
-        """Return the upstreams that take new work as far as is known, leases aside."""
-        statements: dict[str, list[tuple[UpstreamRecord, Held | RelayedSet]]] = {}
+        """Return the upstreams that accept new work, including those whose leases have ended."""
+        statements: dict[str, list[tuple[UpstreamRecord, LeasedRecord | RelayedSet]]] = {}
         for held in self._announced.held():
             statements.setdefault(held.record.address, []).append((held.record, held))
         for relayed in self._relayed.values():
             for record in relayed.records.values():
                 statements.setdefault(record.address, []).append((record, relayed))
-        upstreams = [self._merge(address, made) for address, made in statements.items()]
+        upstreams = [self._merge(address, candidates) for address, candidates in statements.items()]
         self._forget_old()
         return [upstream for upstream in upstreams if upstream is not None]
 
     def _merge(
-        self, address: str, made: list[tuple[UpstreamRecord, Held | RelayedSet]]
+        self, address: str, candidates: list[tuple[UpstreamRecord, LeasedRecord | RelayedSet]]
     ) -> KnownUpstream | None:
-        record = max((record for record, _ in made), key=lambda record: record.order)
+        record = max((record for record, _ in candidates), key=lambda record: record.order)
         remembered = self._newest.get(address)
         if remembered is not None and remembered[0].order > record.order:
             record = remembered[0]
         self._newest[address] = (record, self._clock.now())
-        if record.state != "serving" or self._seen_left.get(address, -1) >= record.incarnation:
+        if (
+            record.state != "serving"
+            or self._left_incarnations.get(address, -1) >= record.incarnation
+        ):
             return None
         holders = tuple(
-            holder for statement, holder in made if statement.incarnation == record.incarnation
+            holder
+            for statement, holder in candidates
+            if statement.incarnation == record.incarnation
         )
         return KnownUpstream(record, holders) if holders else None
 
@@ -119,4 +126,4 @@
         oldest = self._clock.now() - TOMBSTONE_AGE
         for address in [key for key, (_, seen) in self._newest.items() if seen < oldest]:
             del self._newest[address]
-            self._seen_left.pop(address, None)
+            self._left_incarnations.pop(address, None)
--- a/fulmarhold/membership/exchange.py
+++ b/fulmarhold/membership/exchange.py
@@ -1,4 +1,4 @@
-"""Keeps an entry in touch with control and with the other entries."""
+"""Synchronises an entry with control and with the other entries."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class MembershipExchange:
-    """Syncs with control, polls peers, answers their polls and ends leases."""
+    """Syncs with control, polls peers, answers their polls and expires leases."""
 
     def __init__(
         self,
@@ -60,7 +60,7 @@
         self._incarnation = clock.wall()
         self._links: dict[str, Link] = {}
         self._pollers: dict[str, gevent.Greenlet] = {}
-        self._asked: set[str] = set()
+        self._polled: set[str] = set()
         self._greenlets: list[gevent.Greenlet] = []
         self._sync_now = Event()
         self.state: EntryState = "starting"
@@ -77,52 +77,55 @@
 
     @property
     def has_polled_peers(self) -> bool:
-        """Whether every other entry was polled once, with or without success."""
-        return self._running.version > 0 and self._pollers.keys() <= self._asked
+        """Whether every other entry was polled at least once, with or without success."""
+        return self._running.version > 0 and self._pollers.keys() <= self._polled
 
     def register(self, server: MessageServer) -> None:
-        """File the handlers of what other entries ask."""
+        """Register the handlers of the requests of other entries."""
         server.handle(PeerPoll, self.answer_poll)
         server.handle(ConfigurationRequest, self.answer_configuration)
 
     def start(self) -> None:
-        """Start to sync, poll and end leases."""
+        """Start syncing with control and expiring leases; polling starts with the first roster."""
         self._greenlets = [
             gevent.spawn(self._run_sync),
             gevent.spawn(self._run_expiry),
         ]
 
     def stop(self) -> None:
-        """Tell control that this entry has left, as far as it can be reached, and stop."""
+        """Stop, and tell control that this entry has left if control can be reached."""
         gevent.killall([*self._greenlets, *self._pollers.values()])
         self.state = "left"
         try:
             self._control.call(self._sync_request(), self.poll_lease)
         except FulmarholdError as error:
-            log.info("control was not told of the leaving: {}", error)
+            log.info("could not tell control that this entry has left: {}", error)
         self._control.close()
         for link in self._links.values():
             link.close()
 
     def announce_state(self, state: EntryState) -> None:
-        """Change this entry's state and pass it on at once."""
+        """Change this entry's state and sync it with control at once."""
         self.state = state
         self._sync_now.set()
 
     def answer_poll(self, poll: PeerPoll) -> PeerReply:
-        """Return what this entry vouches for now."""
+        """Return the records that hold a lease from this entry now."""
         self._announced.expire()
-        same = (poll.source, poll.set_version) == (self._announced.source, self._announced.version)
+        is_unchanged = (poll.source, poll.set_version) == (
+            self._announced.source,
+            self._announced.version,
+        )
         return PeerReply(
             self._announced.source,
             self._announced.version,
-            None if same else self._announced.records(),
+            None if is_unchanged else self._announced.records(),
             self.state,
             self._running.version,
         )
 
     def answer_configuration(self, request: ConfigurationRequest) -> ConfigurationReply:
-        """Return the roster that this entry runs, and the configuration if the asker lacks it."""
+        """Return the roster that this entry runs, and the configuration if the peer lacks it."""
         running = self._running
         roster = tuple(running.roster.values())
         document = None if request.revision == running.revision else running.document
@@ -135,7 +138,7 @@
             changed = False
             try:
                 reply = self._control.call(self._sync_request(), self.poll_lease)
-                changed = self._take_sync_reply(reply, asked_at)
+                changed = self._apply_sync_reply(reply, asked_at)
             except (PeerUnavailable, InvalidSettings) as error:
                 self._counters.add("sync_failures", reason=type(error).__name__)
                 log.debug("sync with control failed: {}", error)
@@ -148,11 +151,11 @@
             self._own, self._incarnation, running.version, running.revision, self.state
         )
 
-    def _take_sync_reply(self, reply: SyncReply | NotLeading, asked_at: Milliseconds) -> bool:
-        """Take in a reply; returns whether it moved this entry on to another version."""
+    def _apply_sync_reply(self, reply: SyncReply | NotLeading, asked_at: Milliseconds) -> bool:
+        """Apply a reply and return whether this entry moved to a newer version."""
         if not isinstance(reply, SyncReply):
             return False
-        if reply.roster is not None and self._move_on(
+        if reply.roster is not None and self._apply_version(
             reply.version, reply.revision, reply.document, reply.roster
         ):
             self._running.confirm_by_control(reply.version, asked_at)
@@ -163,18 +166,18 @@
         self._running.confirm_by_control(reply.version, asked_at)
         return False
 
-    def _move_on(
+    def _apply_version(
         self,
         version: int,
         revision: int,
         document: dict[str, Any] | None,
         roster: tuple[RosterEntry, ...],
     ) -> bool:
-        before = self._running.revision
+        previous_revision = self._running.revision
         if not self._running.apply(version, revision, document, roster):
             return False
-        if revision != before:
-            log.info("runs revision {} of the configuration", revision)
+        if revision != previous_revision:
+            log.info("running revision {} of the configuration", revision)
         self._update_pollers()
         return True
 
@@ -182,7 +185,7 @@
         peers = {
             name: item for name, item in self._running.roster.items() if name != self._own.name
         }
-        self._directory.keep_peers(peers)
+        self._directory.retain_peers(peers)
         for name, poller in list(self._pollers.items()):
             if name not in peers or self._links[name].endpoint != peers[name].peer_endpoint:
                 poller.kill(block=False)
@@ -200,7 +203,7 @@
             except FulmarholdError as error:
                 self._counters.add("poll_failures", reason=type(error).__name__)
                 log.debug("poll of {} failed: {}", name, error)
-            self._asked.add(name)
+            self._polled.add(name)
             gevent.sleep(self.poll_period / SECOND)
 
     def _poll(self, name: str, link: Link) -> None:
@@ -208,11 +211,11 @@
         asked_at = self._clock.now()
         request = PeerPoll(self._own.name, relayed.source, relayed.set_version)
         reply = link.call(request, self.poll_lease)
-        self._directory.take_reply(name, reply, asked_at, self.poll_lease)
+        self._directory.apply_reply(name, reply, asked_at, self.poll_lease)
         self._running.confirm_by_peer(name, reply.version, asked_at)
         if reply.version > self._running.version and self._running.learned_from_control:
             answer = link.call(ConfigurationRequest(self._running.revision), self.poll_lease)
-            self._move_on(answer.version, answer.revision, answer.document, answer.roster)
+            self._apply_version(answer.version, answer.revision, answer.document, answer.roster)
 
     def _run_expiry(self) -> None:
         while True:
--- a/fulmarhold/membership/feed.py
+++ b/fulmarhold/membership/feed.py
@@ -1,4 +1,4 @@
-"""Messages by which control instances share statements and tell entries what changed."""
+"""Messages by which control instances share statements and feed changes to entries."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 
 @message
 class WatchFeed:
-    """Asks a control instance for what changed; answered at once if anything did.
+    """Asks a control instance for changes; answered at once if there are any.
 
     `source` and the positions are those of the last reply; `version` is the newest configuration
-    that the watcher holds.
+    that the watcher has.
     """
 
     watcher: InstanceStatement
@@ -23,10 +23,10 @@
 
 @message
 class FeedReply:
-    """What changed since the positions asked for.
+    """The changes since the requested positions.
 
-    `confirmed_age` tells how many milliseconds ago a majority stood behind this instance's
-    leader; `configuration` is left out unless it is newer than the one asked for.
+    `confirmed_age` tells how many milliseconds ago a majority confirmed the leader of this
+    instance; `configuration` is omitted unless it is newer than the watcher's.
     """
 
     source: str
@@ -42,12 +42,12 @@
 
 @message
 class AskConfirmation:
-    """Asks a control instance whether it may be followed."""
+    """Asks a control instance whether an entry can follow it."""
 
 
 @message
 class Confirmation:
-    """Tells whether entries are fed, and how long ago a majority stood behind the leader."""
+    """Tells whether entries are fed, and how long ago a majority confirmed the leader."""
 
     is_ready: bool
     confirmed_age: float
@@ -55,7 +55,7 @@
 
 @message
 class ShareStatements:
-    """Passes statements on to another control instance."""
+    """Forwards statements to another control instance."""
 
     upstreams: tuple[UpstreamStatement, ...]
     instances: tuple[InstanceStatement, ...]
@@ -63,14 +63,14 @@
 
 @message
 class AskStatements:
-    """Asks another control instance for every statement that it holds."""
+    """Asks another control instance for all its statements."""
 
     sender: str
 
 
 @message
 class AllStatements:
-    """Every statement of a control instance; `is_ready` unless it is itself still asking."""
+    """All statements of a control instance; `is_ready` once it no longer asks for them itself."""
 
     is_ready: bool
     upstreams: tuple[UpstreamStatement, ...]
@@ -79,11 +79,11 @@
 
 @message
 class ReportHeard:
-    """Tells another control instance that `sender` runs and which upstreams it has heard.
+    """Tells another control instance that `sender` runs and which upstreams it has heard from.
 
-    Only the leader, which judges silence, is told of upstreams: `(name, born, sequence)` each.
-    `serving` is a digest of the upstreams that serve as far as the sender knows; an earlier release
-    sends none.
+    Upstreams, as `(name, born, sequence)`, are sent only to the leader, which declares upstreams
+    silent. `serving` is a digest of the upstreams that serve as far as the sender knows; an earlier
+    release sends none.
     """
 
     sender: str
@@ -93,7 +93,7 @@
 
 @message
 class JoinCluster:
-    """Asks to be taken into the cluster as a member that does not vote yet."""
+    """Asks to join the cluster as a non-voting member."""
 
     identity: str
     endpoint: str
@@ -101,12 +101,12 @@
 
 @message
 class IdentityRequest:
-    """Asks a control instance who it is, before a cluster is formed."""
+    """Asks a control instance for its identity, before a cluster is formed."""
 
 
 @message
 class IdentityReply:
-    """Tells identity and, where it belongs to one, the cluster of a control instance."""
+    """Tells the identity of a control instance and the cluster that it belongs to, if any."""
 
     identity: str
     cluster: str
@@ -114,7 +114,7 @@
 
 @message
 class SubmitVersion:
-    """Passes an operator's configuration on to the leader."""
+    """Forwards an operator's configuration to the leader."""
 
     version: int
     document: bytes
@@ -122,14 +122,14 @@
 
 @message
 class VersionStored:
-    """A majority holds `version`, the highest one accepted."""
+    """Tells that a majority has stored `version`, the highest one accepted."""
 
     version: int
 
 
 @message
 class ReadVersion:
-    """Asks the leader for the newest configuration, confirmed by a majority after the question."""
+    """Asks the leader for the newest configuration, confirmed by a majority after the request."""
 
 
 @message
@@ -142,7 +142,7 @@
 
 @message
 class RetireUpstream:
-    """Remembers durably that an incarnation of an upstream leaves; a command of the log."""
+    """A log command that records durably that an incarnation of an upstream leaves."""
 
     name: str
     born: int
@@ -151,7 +151,7 @@
 
 @message
 class AcceptVersion:
-    """Makes a configuration the accepted one if its version is the highest; a command."""
+    """A log command that accepts a configuration if its version is the highest."""
 
     version: int
     document: bytes
--- a/fulmarhold/membership/preference.py
+++ b/fulmarhold/membership/preference.py
@@ -1,12 +1,12 @@
-"""Which entries a caller is told to use: near ones first, with a way out when they fail.
+"""Selects the entries that a caller uses: local ones first, with alternatives for when they fail.
 
-A query over shards makes one trip between caller and entry and many between entry and upstreams.
-So entries beside upstreams of nearly all shards serve it with the least traffic between data
-centres, also for callers elsewhere, whom it takes one such trip either way.
+A query over shards makes one round trip between caller and entry and many between entry and
+upstreams. Entries in data centres with upstreams of nearly all shards therefore cause the least
+traffic between data centres, also for callers elsewhere, which need one such round trip anyway.
 
-The connections of an upstream are shared by all entries that callers use. Where there are more
-entries than can have enough of them, some stand by: an entry with few connections, each seldom
-used, connects anew for most requests and knows little of its upstreams.
+The connections of an upstream are shared by all active entries. Where there are more entries than
+can get enough connections, the rest are on standby: an entry with few, seldom used connections
+opens a new one for most requests and has little data on its upstreams.
 """
 
 from __future__ import annotations
@@ -22,19 +22,20 @@
 
     from fulmarhold.membership.statements import InstanceStatement, UpstreamStatement
 
-# A caller that knows a single address has nowhere to go when that entry dies, until its answer
-# runs out.
-LEAST_ADDRESSES = 2
+# A caller with a single address has no alternative when that entry dies, until the answer with
+# the address expires.
+MIN_ADDRESSES = 2
 
 
-# Connections to each upstream with which an entry seldom has to open one for a request.
-CONNECTIONS_WANTED = 5
-# Fewer in a data centre would leave its callers without an entry at home when one dies.
-LEAST_ACTIVE_AT_HOME = 2
-# Once this share of a data centre's active entries is busy, those that stand by are named too.
+# With this many connections to each upstream, an entry seldom has to open one for a request.
+MIN_CONNECTIONS_PER_ENTRY = 5
+# With fewer in a data centre, its callers have no local entry left when one dies.
+MIN_ACTIVE_PER_DATA_CENTRE = 2
+# Above this share of busy entries among a data centre's active ones, standby entries are used too.
 BUSY_SHARE = 0.25
-# A data centre with upstreams of this share of the shards counts as one that holds them: fewer
-# would send most of a query elsewhere, and a few lost upstreams must not move all callers.
+# A data centre hosts the shards if it has upstreams of at least this share of them. With a lower
+# share, most of a query would go elsewhere; with a higher one, the loss of a few upstreams would
+# move all callers.
 HOSTING_SHARE = 0.7
 
 
@@ -46,8 +47,10 @@
     for item in upstreams:
         if item.service in shards:
             held.setdefault(item.data_centre, set()).add(item.service)
-    least = HOSTING_SHARE * len(shards)
-    return frozenset(place for place, services in held.items() if len(services) >= least)
+    min_shards = HOSTING_SHARE * len(shards)
+    return frozenset(
+        data_centre for data_centre, services in held.items() if len(services) >= min_shards
+    )
 
 
 def active_entries(
@@ -55,34 +58,36 @@
     connection_limit: int,
     hosting: Collection[str] = (),
 ) -> list[InstanceStatement]:
-    """Return the entries that callers are to use; all instances come to the same choice.
+    """Return the entries that callers should use; all instances make the same choice.
 
-    `connection_limit` is what an upstream accepts from all entries together; entries of `hosting`
-    data centres are used alone unless they are busy or too few.
+    `connection_limit` is the number of connections that an upstream accepts from all entries
+    together. Only entries in `hosting` data centres are used, unless they are busy or too few.
     """
-    beside = [item for item in entries if item.data_centre in hosting]
-    if len(beside) >= LEAST_ADDRESSES:
-        active = _active_by_place(beside, connection_limit)
-        if not (_are_busy(active) and len(active) == len(beside)):
+    near_shards = [item for item in entries if item.data_centre in hosting]
+    if len(near_shards) >= MIN_ADDRESSES:
+        active = _active_by_data_centre(near_shards, connection_limit)
+        if not (_are_busy(active) and len(active) == len(near_shards)):
             return active
-    return _active_by_place(entries, connection_limit)
+    return _active_by_data_centre(entries, connection_limit)
 
 
-def _active_by_place(
+def _active_by_data_centre(
     entries: list[InstanceStatement], connection_limit: int
 ) -> list[InstanceStatement]:
-    places = sorted({item.data_centre for item in entries})
-    wanted = connection_limit // CONNECTIONS_WANTED
-    at_home = max(LEAST_ACTIVE_AT_HOME, math.ceil(wanted / max(1, len(places))))
+    data_centres = sorted({item.data_centre for item in entries})
+    total_wanted = connection_limit // MIN_CONNECTIONS_PER_ENTRY
+    active_count = max(
+        MIN_ACTIVE_PER_DATA_CENTRE, math.ceil(total_wanted / max(1, len(data_centres)))
+    )
     chosen: list[InstanceStatement] = []
-    for place in places:
-        # The order by hash does not favour the first machines of each rack or release.
-        there = sorted(
-            (item for item in entries if item.data_centre == place),
+    for data_centre in data_centres:
+        # Ordering by hash avoids favouring the first machines of each rack or release.
+        candidates = sorted(
+            (item for item in entries if item.data_centre == data_centre),
             key=lambda item: xxhash.xxh64_intdigest(item.name.encode()),
         )
-        active = there[:at_home]
-        chosen += there if _are_busy(active) else active
+        active = candidates[:active_count]
+        chosen += candidates if _are_busy(active) else active
     return chosen
 
 
@@ -91,16 +96,17 @@
 
 
 def preferred_entries(
-    entries: list[InstanceStatement], data_centre: str, most: int, random: Random
+    entries: list[InstanceStatement], data_centre: str, limit: int, random: Random
 ) -> list[str]:
-    """Return the endpoints for a caller in `data_centre`, as far as there are any.
+    """Return the endpoints for a caller in `data_centre`, which may be none.
 
-    Callers draw among them at random, so those of other data centres, which are a trip away with
-    each request, are only named where there are too few at home: all of them where there is none.
+    Callers choose among them at random, and each request to another data centre costs a longer
+    trip. Remote endpoints are therefore only added where there are too few local ones, and all of
+    them where there are no local ones.
     """
-    near = [item.endpoint for item in entries if item.data_centre == data_centre]
-    far = [item.endpoint for item in entries if item.data_centre != data_centre]
-    random.shuffle(near)
-    random.shuffle(far)
-    missing = max(0, LEAST_ADDRESSES - len(near)) if near else len(far)
-    return (near + far[:missing])[:most]
+    local = [item.endpoint for item in entries if item.data_centre == data_centre]
+    remote = [item.endpoint for item in entries if item.data_centre != data_centre]
+    random.shuffle(local)
+    random.shuffle(remote)
+    missing = max(0, MIN_ADDRESSES - len(local)) if local else len(remote)
+    return (local + remote[:missing])[:limit]
--- a/fulmarhold/membership/records.py
+++ b/fulmarhold/membership/records.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True)
 class UpstreamRecord:
-    """One upstream as it announced itself; `sequence` orders what one incarnation said."""
+    """An upstream as it announced itself; `sequence` orders the records of one incarnation."""
 
     __pydantic_config__ = STRICT
 
@@ -39,13 +39,13 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Newer statements of an upstream compare greater."""
+        """A sort key under which newer records of an upstream compare greater."""
         return self.incarnation, self.sequence
 
 
 @dataclass(frozen=True)
 class Announcement:
-    """A record with the token of the last reply, which shows when it was made at the earliest."""
+    """A record with the token of the last reply, which bounds how old the announcement can be."""
 
     __pydantic_config__ = STRICT
 
@@ -55,7 +55,7 @@
 
 @checked_message
 class PeerPoll:
-    """Asks another entry for the upstreams it vouches for, if they changed since `set_version`."""
+    """Asks another entry for the records under its leases, if they changed since `set_version`."""
 
     sender: str
     source: str
@@ -64,10 +64,10 @@
 
 @checked_message
 class PeerReply:
-    """What an entry vouches for at the moment of the reply.
+    """The records that hold a lease from an entry at the time of the reply.
 
-    In the normal case `records` is left out and the reply has a constant size: the set of
-    `set_version` from `source` still stands as a whole.
+    Usually `records` is omitted and the reply has a constant size: the set `set_version` of
+    `source` is still valid as a whole.
     """
 
     source: str
@@ -79,14 +79,14 @@
 
 @checked_message
 class ConfigurationRequest:
-    """Asks another entry for what it runs; `revision` is the configuration the asker has."""
+    """Asks another entry which configuration it runs; `revision` is the one the sender has."""
 
     revision: int
 
 
 @checked_message
 class ConfigurationReply:
-    """What an entry runs; `document` is left out where the asker has that revision."""
+    """What an entry runs; `document` is omitted if the requester already has that revision."""
 
     version: int
     revision: int
--- a/fulmarhold/membership/running.py
+++ b/fulmarhold/membership/running.py
@@ -1,8 +1,8 @@
-"""The accepted state that this entry runs by, and for how long it is confirmed.
+"""The accepted state that this entry runs, and how long it is confirmed.
 
-An entry serves on either of two confirmations, each valid for one lease from when it was asked:
+An entry serves on either of two confirmations, each valid for one lease from its request:
 
-* the leader of control, by a linearizable read, said that the version is the present one;
+* the leader of control found, by a linearizable read, that the version is the current one;
 * a majority of the roster of that version, this entry included, runs exactly that version.
 
 Control counts a version as in force only once a majority of the roster runs it, and changes the
@@ -25,7 +25,8 @@
     from fulmarhold.configuration import Configuration
     from fulmarhold.control.messages import RosterEntry
 
-# The longest that any entry serves on one confirmation; control waits for as long.
+# Upper bound of the lease of one confirmation; control waits as long before it considers
+# older versions out of use.
 CONFIRMATION_LEASE: Milliseconds = 2_500.0
 
 
@@ -36,12 +37,12 @@
 
 
 class RunningState:
-    """Version, configuration and roster of this entry, which only ever move forward."""
+    """Version, configuration and roster of this entry, which only move to newer versions."""
 
     def __init__(self, name: str, clock: Clock) -> None:
         self._name = name
         self._clock = clock
-        self._kept_until: Milliseconds = float("-inf")
+        self._granted_until: Milliseconds = float("-inf")
         self._peers: dict[str, _PeerConfirmation] = {}
         self.version = 0
         self.revision = 0
@@ -52,15 +53,15 @@
 
     @property
     def lease(self) -> Milliseconds:
-        """How long one confirmation holds, in milliseconds."""
+        """How long one confirmation is valid, in milliseconds."""
         if self.configuration is None:
             return CONFIRMATION_LEASE
         return min(self.configuration.timings.confirmation_lease_ms, CONFIRMATION_LEASE)
 
     @property
     def confirmed_until(self) -> Milliseconds:
-        """Until when this entry may serve, on its monotonic clock."""
-        return max(self._kept_until, self._agreed_until())
+        """The time, on its monotonic clock, until which this entry may serve."""
+        return max(self._granted_until, self._majority_confirmed_until())
 
     @property
     def is_confirmed(self) -> bool:
@@ -74,15 +75,15 @@
         document: dict[str, Any] | None,
         roster: Iterable[RosterEntry],
     ) -> bool:
-        """Move on to a newer accepted state; an older or equal one changes nothing."""
+        """Switch to a newer accepted state and return whether it was newer; others are ignored."""
         if version <= self.version:
             return False
         if document is not None and document != self.document:
             self.configuration = configuration_from_document(document, "accepted configuration")
             self.document = document
-        # A confirmation says that nothing newer was in force when it was asked for; that is as
-        # true for the newer version.
-        self._kept_until = self.confirmed_until
+        # A confirmation states that nothing newer was in force when it was requested, which holds
+        # for the newer version too.
+        self._granted_until = self.confirmed_until
         self._peers = {}
         self.version = version
         self.revision = revision
@@ -90,23 +91,23 @@
         return True
 
     def confirm_by_control(self, version: int, asked_at: Milliseconds) -> None:
-        """Note that control's leader, asked at that time, named this as the present version."""
+        """Record that control's leader, asked at `asked_at`, named `version` as the current one."""
         if version == self.version:
             self.learned_from_control = True
-            self._kept_until = max(self._kept_until, asked_at + self.lease)
+            self._granted_until = max(self._granted_until, asked_at + self.lease)
 
     def confirm_by_peer(self, peer: str, version: int, asked_at: Milliseconds) -> None:
-        """Note that another entry, asked at that time, ran that version."""
+        """Record that another entry, asked at `asked_at`, ran `version`."""
         self._peers[peer] = _PeerConfirmation(version, asked_at)
 
-    def _agreed_until(self) -> Milliseconds:
-        # What a restarted entry acknowledged before it stopped is known only to control.
+    def _majority_confirmed_until(self) -> Milliseconds:
+        # Only control knows which version a restarted entry acknowledged before it stopped.
         if not self.roster or not self.learned_from_control:
             return float("-inf")
-        times = sorted((self._agreed_at(name) for name in self.roster), reverse=True)
+        times = sorted((self._confirmed_at(name) for name in self.roster), reverse=True)
         return times[len(self.roster) // 2] + self.lease
 
-    def _agreed_at(self, name: str) -> Milliseconds:
+    def _confirmed_at(self, name: str) -> Milliseconds:
         if name == self._name:
             return self._clock.now()
         confirmation = self._peers.get(name)
--- a/fulmarhold/membership/statements.py
+++ b/fulmarhold/membership/statements.py
@@ -1,8 +1,8 @@
-"""What instances and upstreams say of themselves, and which of two statements is newer.
+"""Statements of instances and upstreams about themselves, and which of two is newer.
 
-A statement is ordered by the start of its subject (`born`) and then by a sequence that the subject
-counts up. A late statement of an earlier life therefore changes nothing, and neither does one that
-was overtaken on its way.
+Statements are ordered by the start time of their subject (`born`) and then by a sequence number
+that the subject increments. Late statements of an earlier incarnation and statements that arrive
+out of order are therefore ignored.
 """
 
 from __future__ import annotations
@@ -23,15 +23,15 @@
 SILENT: Final = "silent"
 LEFT: Final = "left"
 
-# Longer than any statement is held up on its way; late ones must still be recognised as late.
-REMEMBERED_AFTER_END: Milliseconds = 10 * MINUTE
+# Longer than any delay of a statement in transit; late ones must still be recognised as late.
+RETENTION_AFTER_END: Milliseconds = 10 * MINUTE
 
-_FINAL = {DRAINING: 1, LEFT: 2}
+_FINALITY = {DRAINING: 1, LEFT: 2}
 
 
 @dataclass(frozen=True)
 class UpstreamStatement:
-    """One upstream; `born` is the Unix time in ms at which this incarnation started."""
+    """The state of an upstream; `born` is the Unix time in ms at which this incarnation started."""
 
     name: str
     born: int
@@ -50,9 +50,9 @@
 
 @dataclass(frozen=True)
 class InstanceStatement:
-    """One entry or control instance; `endpoint` is where callers or peers reach it.
+    """The state of an entry or control instance; callers or peers reach it at `endpoint`.
 
-    `is_busy` tells that requests wait for the processor of an entry.
+    `is_busy` tells that requests wait for the processor of this entry.
     """
 
     name: str
@@ -80,40 +80,40 @@
 
 
 @dataclass
-class _Held(Generic[Statement]):
+class _StoredStatement(Generic[Statement]):
     statement: Statement
     position: int
     changed_at: Milliseconds
 
 
 class StatementStore(Generic[Statement]):
-    """The newest statement of each subject, with the order in which they changed here."""
+    """The newest statement of each subject, numbered in the order in which they changed here."""
 
     def __init__(self) -> None:
-        self._held: dict[str, _Held[Statement]] = {}
+        self._stored: dict[str, _StoredStatement[Statement]] = {}
         self._digest = (-1, "")
         self.position = 0
 
     def __len__(self) -> int:
-        return len(self._held)
+        return len(self._stored)
 
     def find(self, name: str) -> Statement | None:
         """Return the newest statement of a subject, if any."""
-        held = self._held.get(name)
+        held = self._stored.get(name)
         return held.statement if held else None
 
     def all(self) -> list[Statement]:
-        """Return the newest statement of every subject, also of those that have left."""
-        return [held.statement for held in self._held.values()]
+        """Return the newest statement of every subject, including those that have left."""
+        return [held.statement for held in self._stored.values()]
 
     def since(self, position: int) -> list[Statement]:
         """Return the statements that changed after `position`."""
-        return [held.statement for held in self._held.values() if held.position > position]
+        return [held.statement for held in self._stored.values() if held.position > position]
 
     def serving_digest(self) -> str:
-        """Return a digest of who serves, equal for ledgers that name the same incarnations.
+        """Return a digest of the ready incarnations, equal for stores that hold the same ones.
 
-        Those that left are not part of it, since each ledger forgets them in its own time.
+        Subjects that left are excluded, since each store forgets them at a different time.
         """
         if self._digest[0] != self.position:
             serving = sorted((item.name, item.born) for item in self.all() if item.state == READY)
@@ -121,8 +121,8 @@
         return self._digest[1]
 
     def apply(self, statement: Statement, now: Milliseconds) -> bool:
-        """Take in a statement; returns whether it changes what is known."""
-        held = self._held.get(statement.name)
+        """Apply a statement and return whether it changes more than sequence and warm-up."""
+        held = self._stored.get(statement.name)
         if held is not None:
             if not _supersedes(statement, held.statement):
                 return False
@@ -130,36 +130,36 @@
                 held.statement = statement
                 return False
         self.position += 1
-        self._held[statement.name] = _Held(statement, self.position, now)
+        self._stored[statement.name] = _StoredStatement(statement, self.position, now)
         return True
 
     def forget_ended(self, now: Milliseconds) -> None:
-        """Forget the subjects that left or fell silent long ago."""
-        oldest = now - REMEMBERED_AFTER_END
+        """Remove the subjects that ended or went silent over `RETENTION_AFTER_END` ago."""
+        oldest = now - RETENTION_AFTER_END
         for name in [
             name
-            for name, held in self._held.items()
+            for name, held in self._stored.items()
             if held.statement.state in (LEFT, SILENT, DRAINING) and held.changed_at < oldest
         ]:
-            del self._held[name]
+            del self._stored[name]
 
 
-def owners(statements: list[UpstreamStatement]) -> dict[str, UpstreamStatement]:
-    """Return the youngest subject at each address: an address passes to whoever started last."""
-    youngest: dict[str, UpstreamStatement] = {}
+def owners_by_address(statements: list[UpstreamStatement]) -> dict[str, UpstreamStatement]:
+    """Return the owner of each address, which is the upstream that started last."""
+    newest: dict[str, UpstreamStatement] = {}
     for statement in statements:
-        other = youngest.get(statement.address)
+        other = newest.get(statement.address)
         if other is None or statement.born > other.born:
-            youngest[statement.address] = statement
-    return youngest
+            newest[statement.address] = statement
+    return newest
 
 
 def _supersedes(new: _Statement, old: _Statement) -> bool:
     if new.born != old.born:
         return new.born > old.born
-    finality = _FINAL.get(new.state, 0), _FINAL.get(old.state, 0)
+    finality = _FINALITY.get(new.state, 0), _FINALITY.get(old.state, 0)
     if finality[0] != finality[1]:
-        # An incarnation that began to leave does not come back, whatever arrives late.
+        # An incarnation that began to leave never returns, whatever statement arrives late.
         return finality[0] > finality[1]
     if new.sequence != old.sequence:
         return new.sequence > old.sequence
@@ -167,6 +167,6 @@
 
 
 def _content(statement: _Statement) -> tuple[object, ...]:
-    """Return what matters to readers; sequence and warm-up change with every statement."""
+    """Return the fields that matter to readers; sequence and warm-up change constantly."""
     values = vars(statement)
     return tuple(value for key, value in values.items() if key not in ("sequence", "warm_up"))
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -1,4 +1,4 @@
-"""Keeps an entry's view of configuration, upstreams and instances up with control."""
+"""Keeps an entry's view of configuration, upstreams and instances up to date from control."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     State,
     StatementStore,
     UpstreamStatement,
-    owners,
+    owners_by_address,
 )
 from fulmarhold.observe.logs import part_log
 from fulmarhold.wire.client import Link
@@ -32,31 +32,31 @@
 
 log = part_log("watcher")
 
-# An idle feed is answered every 400 ms; past this the source counts as lost.
+# Idle feeds are answered every 400 ms; a source that takes longer than this counts as lost.
 FEED_TIMEOUT: Milliseconds = 900.0
-# A source whose leader was confirmed longer ago may be cut off from newer configurations.
-OLDEST_CONFIRMATION: Milliseconds = 1_200.0
-# A starting entry asks all sources at once, since one that has no power never answers; two trips
-# between data centres and a busy control instance fit.
-ASK_TIMEOUT: Milliseconds = 150.0
-# Between two rounds of that, at first and while no control instance can be followed for long.
-SHORTEST_ROUND: Milliseconds = 30.0
-LONGEST_ROUND: Milliseconds = 250.0
-ROUND_GROWTH = 1.2
+# A source whose leader was last confirmed longer ago may be partitioned from newer configurations.
+MAX_CONFIRMATION_AGE: Milliseconds = 1_200.0
+# A starting entry probes all sources at once, since one without power never answers. Allows for
+# two round trips between data centres and a busy control instance.
+PROBE_TIMEOUT: Milliseconds = 150.0
+# Pause between two rounds of probes: the first, and the limit that it grows to.
+MIN_PROBE_PAUSE: Milliseconds = 30.0
+MAX_PROBE_PAUSE: Milliseconds = 250.0
+PROBE_PAUSE_GROWTH = 1.2
 RETRY_PAUSE: Milliseconds = 60.0
-# A source that failed is not asked again for this long unless all have failed: a restart of one
-# takes half a second, and an election not much longer.
-FAILURE_REMEMBERED: Milliseconds = 3_000.0
+# A failed source is not tried again for this long unless all have failed. The restart of a control
+# instance takes half a second, and an election not much longer.
+FAILURE_COOLDOWN: Milliseconds = 3_000.0
 
 
 class FleetWatcher:
-    """Follows one control instance at a time; what it learnt stays when the source is lost."""
+    """Follows one control instance at a time, and keeps its state when the source is lost."""
 
     def __init__(
         self,
         own: InstanceStatement,
         seeds: Callable[[], tuple[str, ...]],
-        take_configuration: Callable[[int, bytes], None],
+        apply_configuration: Callable[[int, bytes], None],
         on_change: Callable[[], None],
         clock: Clock,
         counters: Counters,
@@ -65,7 +65,7 @@
         self.instances: StatementStore[InstanceStatement] = StatementStore()
         self._own = own
         self._seeds = seeds
-        self._take_configuration = take_configuration
+        self._apply_configuration = apply_configuration
         self._on_change = on_change
         self._clock = clock
         self._counters = counters
@@ -82,23 +82,23 @@
 
     @property
     def feed_age(self) -> Milliseconds:
-        """How long ago a majority of control stood behind what this entry knows."""
+        """How long ago a majority of control confirmed the state of this entry."""
         return self._clock.now() - self._confirmed_at
 
     def announce(self, state: State, is_busy: bool = False) -> None:
-        """Change what this instance says of itself, and tell it at once."""
+        """Change the state of this instance and send it to the source at once."""
         sequence = self._own.sequence + 1
         self._own = replace(self._own, state=state, is_busy=is_busy, sequence=sequence)
         self.instances.apply(self._own, self._clock.now())
         self._on_change()
         if self._endpoint:
-            gevent.spawn(self._tell_now)
+            gevent.spawn(self._send_state)
 
     def serving_upstreams(self) -> list[UpstreamStatement]:
-        """Return the upstreams that take work, by the newest word of whoever owns the address."""
+        """Return the upstreams that own their address and are ready by their newest statement."""
         return [
             statement
-            for statement in owners(self.upstreams.all()).values()
+            for statement in owners_by_address(self.upstreams.all()).values()
             if statement.state == READY
         ]
 
@@ -109,14 +109,14 @@
         ]
 
     def run(self) -> None:
-        """Follow a source, and another when it is lost or cut off, until killed."""
+        """Follow a source, and switch to another when it is lost or partitioned, until killed."""
         endpoint = self._first_source()
         while True:
             link = Link(endpoint)
             self._endpoint = endpoint
             try:
                 self._follow(link)
-                log.info("leaves the feed of {} for one at home", endpoint)
+                log.info("leaving the feed of {} for one in the same data centre", endpoint)
                 endpoint = self._choose_source()
                 continue
             except FulmarholdError as error:
@@ -129,47 +129,47 @@
             endpoint = self._choose_source() if self._version else self._first_source()
 
     def _first_source(self) -> str:
-        """Return the first control instance that answers that it may be followed."""
+        """Return the first control instance that replies that it can be followed."""
         links = Links()
-        pause = SHORTEST_ROUND
+        pause = MIN_PROBE_PAUSE
         try:
             while True:
                 asked = {
-                    gevent.spawn(self._may_follow, links.to(endpoint)): endpoint
+                    gevent.spawn(self._can_follow, links.to(endpoint)): endpoint
                     for endpoint in self._sources()
                 }
                 for answered in gevent.iwait(asked):
                     if answered.value:
                         return asked[answered]
                 gevent.sleep(pause / SECOND)
-                pause = min(LONGEST_ROUND, ROUND_GROWTH * pause)
+                pause = min(MAX_PROBE_PAUSE, PROBE_PAUSE_GROWTH * pause)
         finally:
             links.close()
 
-    def _may_follow(self, link: Link) -> bool:
+    def _can_follow(self, link: Link) -> bool:
         try:
-            reply = link.call(AskConfirmation(), ASK_TIMEOUT)
+            reply = link.call(AskConfirmation(), PROBE_TIMEOUT)
         except FulmarholdError as error:
             self._counters.add("feed_losses", reason=type(error).__name__)
             return False
         return (
             isinstance(reply, Confirmation)
             and reply.is_ready
-            and reply.confirmed_age <= OLDEST_CONFIRMATION
+            and reply.confirmed_age <= MAX_CONFIRMATION_AGE
         )
 
     def _choose_source(self) -> str:
-        """Return a source that has not just failed, preferring the own data centre."""
-        at_home = self._sources_at_home()
-        earliest = self._clock.now() - FAILURE_REMEMBERED
+        """Return a source that has not failed recently, preferring the same data centre."""
+        local = self._local_sources()
+        earliest = self._clock.now() - FAILURE_COOLDOWN
         never = float("-inf")
 
-        def order(endpoint: str) -> tuple[bool, bool, Milliseconds]:
+        def sort_key(endpoint: str) -> tuple[bool, bool, Milliseconds]:
             failed_at = self._failed.get(endpoint, never)
             has_failed = failed_at > earliest
-            return has_failed, not has_failed and endpoint not in at_home, failed_at
+            return has_failed, not has_failed and endpoint not in local, failed_at
 
-        return min(self._sources(), key=order)
+        return min(self._sources(), key=sort_key)
 
     def _sources(self) -> list[str]:
         return list(dict.fromkeys((*self._seeds(), *self._control_instances())))
@@ -181,26 +181,26 @@
             if item.role == "control" and item.state not in (SILENT, LEFT)
         }
 
-    def _sources_at_home(self) -> set[str]:
+    def _local_sources(self) -> set[str]:
         return {
             endpoint
             for endpoint, item in self._control_instances().items()
             if item.data_centre == self._own.data_centre
         }
 
-    def _is_better_at_home(self, endpoint: str) -> bool:
-        """Whether a source of this data centre, whose traffic costs less, may be followed."""
-        at_home = self._sources_at_home()
-        earliest = self._clock.now() - FAILURE_REMEMBERED
-        return endpoint not in at_home and any(
-            self._failed.get(item, earliest) <= earliest for item in at_home
+    def _has_local_alternative(self, endpoint: str) -> bool:
+        """Whether the source is remote while a local one, with cheaper traffic, is available."""
+        local = self._local_sources()
+        earliest = self._clock.now() - FAILURE_COOLDOWN
+        return endpoint not in local and any(
+            self._failed.get(item, earliest) <= earliest for item in local
         )
 
     def _follow(self, link: Link) -> None:
-        """Follow a source until it is lost, or until one at home can take its place."""
+        """Follow a source until it is lost or a source in the same data centre is available."""
         is_first = True
         while True:
-            # Another life of this entry may be known under an older sequence.
+            # Control may know another run of this entry under an older sequence.
             self._own = replace(self._own, sequence=self._own.sequence + 1)
             asked_at = self._clock.now()
             reply = link.call(
@@ -208,22 +208,22 @@
             )
             if not isinstance(reply, FeedReply):
                 raise FulmarholdError("unexpected reply", step="watching", peer=link.endpoint)
-            self._take(reply, asked_at)
-            if reply.confirmed_age > OLDEST_CONFIRMATION:
+            self._apply_reply(reply, asked_at)
+            if reply.confirmed_age > MAX_CONFIRMATION_AGE:
                 raise FulmarholdError(
-                    f"its leader was confirmed {reply.confirmed_age:.0f} ms ago",
+                    f"the leader of the source was confirmed {reply.confirmed_age:.0f} ms ago",
                     step="watching",
                     peer=link.endpoint,
                 )
             if is_first:
-                log.info("follows {} at version {}", link.endpoint, self._version)
+                log.info("following {} at version {}", link.endpoint, self._version)
                 is_first = False
-            elif self._is_better_at_home(link.endpoint):
+            elif self._has_local_alternative(link.endpoint):
                 return
 
-    def _take(self, reply: FeedReply, asked_at: Milliseconds) -> None:
+    def _apply_reply(self, reply: FeedReply, asked_at: Milliseconds) -> None:
         now = self._clock.now()
-        before_all = self._state()
+        previous_version = self._content_version()
         for upstream in reply.upstreams:
             before = self.upstreams.find(upstream.name)
             if self.upstreams.apply(upstream, now):
@@ -239,34 +239,34 @@
             if instance.name != self._own.name:
                 self.instances.apply(instance, now)
             elif instance.born > self._own.born:
-                # The time of day went back between two lives of this instance.
+                # The wall clock went back between two runs of this instance.
                 self._own = replace(self._own, born=instance.born + 1)
         self._source = reply.source
         self._positions = (reply.upstream_position, reply.instance_position)
-        is_confirmed = reply.confirmed_age <= OLDEST_CONFIRMATION
-        # A first configuration must be the newest; later ones only need to be newer.
-        may_take = is_confirmed or self._version > 0
-        if may_take and reply.configuration is not None and reply.version > self._version:
+        is_confirmed = reply.confirmed_age <= MAX_CONFIRMATION_AGE
+        # The first configuration must be the newest; later ones only have to be newer.
+        may_apply = is_confirmed or self._version > 0
+        if may_apply and reply.configuration is not None and reply.version > self._version:
             self._version = reply.version
-            self._take_configuration(reply.version, reply.configuration)
+            self._apply_configuration(reply.version, reply.configuration)
         if is_confirmed:
             self._confirmed_at = max(self._confirmed_at, asked_at - reply.confirmed_age)
-        if self._state() != before_all:
+        if self._content_version() != previous_version:
             self._on_change()
         self.upstreams.forget_ended(now)
         self.instances.forget_ended(now)
 
-    def _state(self) -> tuple[int, int, int]:
+    def _content_version(self) -> tuple[int, int, int]:
         return self.upstreams.position, self.instances.position, self._version
 
-    def _tell_now(self) -> None:
-        """Tell the source of a new state without waiting for the open watch to be answered."""
+    def _send_state(self) -> None:
+        """Send a new state to the source without waiting for the reply to the open request."""
         link = Link(self._endpoint)
         try:
             link.call(
                 WatchFeed(self._own, self._source, *self._positions, self._version), FEED_TIMEOUT
             )
         except FulmarholdError as error:
-            log.warning("could not tell {} of the new state: {}", self._endpoint, error)
+            log.warning("could not send the new state to {}: {}", self._endpoint, error)
         finally:
             link.close()
--- a/fulmarhold/registry.py
+++ b/fulmarhold/registry.py
@@ -1,4 +1,4 @@
-"""Registries of named behaviour, filled by decorators."""
+"""Registries of named functions and classes, filled by decorators."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class Registry(Generic[Entry]):
-    """Maps names to functions or classes that offer the same interface.
+    """Maps names to functions or classes that have the same interface.
 
     >>> greetings: Registry = Registry("greeting")
     >>> @greetings.register("plain")
@@ -29,7 +29,7 @@
         self._entries: dict[str, Entry] = {}
 
     def register(self, name: str) -> Callable[[Entry], Entry]:
-        """Return a decorator that files what it decorates under `name`."""
+        """Return a decorator that registers a function or class under `name`."""
 
         def decorate(entry: Entry) -> Entry:
             if name in self._entries:
@@ -40,7 +40,7 @@
         return decorate
 
     def find(self, name: str) -> Entry:
-        """Return the entry of that name, or raise an error that hints at the nearest name."""
+        """Return the entry called `name`, or raise an error that suggests the closest name."""
         if name in self._entries:
             return self._entries[name]
         raise FulmarholdError(f"unknown {self._kind} {name!r}{nearest_hint(name, self._entries)}")
@@ -50,6 +50,6 @@
 
 
 def nearest_hint(name: str, known: object) -> str:
-    """Return `; did you mean 'x'?` for the nearest known name, or an empty string."""
+    """Return `; did you mean 'x'?` for the closest known name, or an empty string."""
     nearest = difflib.get_close_matches(name, [str(item) for item in known], n=1)  # type: ignore[attr-defined]
     return f"; did you mean {nearest[0]!r}?" if nearest else ""
--- a/fulmarhold/routes/__init__.py
+++ b/fulmarhold/routes/__init__.py
@@ -1,1 +1,1 @@
-"""Configurations of routes and their look-up."""
+"""Route configurations and route look-up."""
--- a/fulmarhold/routes/configuration.py
+++ b/fulmarhold/routes/configuration.py
@@ -1,6 +1,6 @@
-"""A version of the routes: where each request goes, and within which bounds.
+"""The route configuration: which services take each request, and within which limits.
 
-Versions only grow: a later version replaces an earlier one as a whole.
+Version numbers only increase, and a newer version replaces an older one as a whole.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 
     from fulmarhold.clock import Milliseconds
 
-# Used where a configuration names no limits; the usual defaults of HTTP servers.
+# Limits for configurations that set none; common defaults of HTTP servers.
 DEFAULT_HEADER_BYTES = 16_384
 DEFAULT_BODY_BYTES = 262_144
 DEFAULT_HEADER_TIMEOUT: Milliseconds = 3_000.0
@@ -33,10 +33,10 @@
 
 @dataclass(frozen=True)
 class Route:
-    """Requests to `host` whose path begins with `path_prefix`; durations in milliseconds.
+    """Handles requests to `host` whose path starts with `path_prefix`; durations in milliseconds.
 
-    Either `services` or `shards` is filled: one of several services takes the request, or one
-    upstream of every shard does.
+    Either `services` or `shards` is set: the request goes to one of several services, or to one
+    upstream of every shard.
     """
 
     name: str
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True)
 class UpstreamService:
-    """A service; each of its upstreams takes `connection_limit` connections of all entries."""
+    """A service, each upstream of which accepts `connection_limit` connections from all entries."""
 
     name: str
     connection_limit: int
@@ -69,7 +69,7 @@
 
 @dataclass(frozen=True)
 class CallerLimits:
-    """What a caller may send, in bytes, and how long it may take, in milliseconds."""
+    """Limits on the size of requests, in bytes, and on timeouts, in milliseconds."""
 
     header_bytes: int = DEFAULT_HEADER_BYTES
     body_bytes: int = DEFAULT_BODY_BYTES
@@ -88,19 +88,19 @@
 
 
 def check_configuration(configuration: RouteConfiguration) -> None:
-    """Raise `InvalidSettings` with every reason why a configuration can't be accepted."""
-    problems = [*_place_problems(configuration.routes)]
+    """Raise `InvalidSettings` with all problems of a configuration, if it has any."""
+    problems = [*_duplicate_problems(configuration.routes)]
     for route in configuration.routes:
         problems.extend(_route_problems(route, configuration.services))
     if problems:
         raise InvalidSettings(f"configuration {configuration.version}", problems)
 
 
-def _place_problems(routes: Iterable[Route]) -> Iterable[Problem]:
-    places = Counter((route.host, route.path_prefix) for route in routes)
-    for (host, prefix), count in places.items():
+def _duplicate_problems(routes: Iterable[Route]) -> Iterable[Problem]:
+    occurrences = Counter((route.host, route.path_prefix) for route in routes)
+    for (host, prefix), count in occurrences.items():
         if count > 1:
-            yield Problem(f"routes.{host}{prefix}", f"is given {count} times")
+            yield Problem(f"routes.{host}{prefix}", f"is defined {count} times")
 
 
 def _route_problems(route: Route, services: dict[str, UpstreamService]) -> Iterable[Problem]:
@@ -111,6 +111,6 @@
     if not route.service_names:
         yield Problem(path, "names no service")
     if route.services and sum(item.weight for item in route.services) <= 0:
-        yield Problem(path, "has weights that add up to nothing")
+        yield Problem(path, "has weights that add up to zero")
     if route.timeout <= 0:
         yield Problem(path, f"has the timeout {route.timeout:g} ms, which must be above 0")
--- a/fulmarhold/routes/table.py
+++ b/fulmarhold/routes/table.py
@@ -1,4 +1,4 @@
-"""Look-up of the route of a request, by host and longest prefix of the path."""
+"""Look-up of the route of a request by host and longest path prefix."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
         return len(self._routes)
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of `path`, or `None`.
+        """Return the route of `host` with the longest prefix of `path`, or `None`.
 
-        Costs one look-up for each segment of the path, however many routes there are.
+        Takes one dictionary look-up per path segment, regardless of the number of routes.
         """
         host = host.rsplit(":", 1)[0].lower() if not host.endswith("]") else host.lower()
         end = len(path)
--- a/fulmarhold/tests/membership/test_leases.py
+++ b/fulmarhold/tests/membership/test_leases.py
@@ -113,9 +113,9 @@
 
 
 def test_a_relayed_set_is_live_as_long_as_its_last_poll(directory, clock):
-    directory.take_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
+    directory.apply_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
     clock.advance(1_000)
-    directory.take_reply("p", reply(1, None), clock.now() - 500, LEASE)
+    directory.apply_reply("p", reply(1, None), clock.now() - 500, LEASE)
     clock.advance(LEASE - 501)
     assert live(directory, clock) == [RECORD]
     clock.advance(1)
@@ -123,28 +123,28 @@
 
 
 def test_an_unchanged_reply_for_a_set_not_held_renews_nothing(directory, clock):
-    directory.take_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
+    directory.apply_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
     clock.advance(LEASE)
-    directory.take_reply("p", reply(2, None), clock.now(), LEASE)
+    directory.apply_reply("p", reply(2, None), clock.now(), LEASE)
     assert live(directory, clock) == []
 
 
 def test_the_newest_statement_counts_and_a_drain_is_not_forgotten(directory, clock):
     drained = replace(RECORD, sequence=3, state="draining")
-    directory.take_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
-    directory.take_reply("q", reply(1, (drained,)), clock.now(), LEASE)
+    directory.apply_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
+    directory.apply_reply("q", reply(1, (drained,)), clock.now(), LEASE)
     assert live(directory, clock) == []
-    directory.take_reply("q", reply(2, ()), clock.now(), LEASE)
+    directory.apply_reply("q", reply(2, ()), clock.now(), LEASE)
     assert live(directory, clock) == [], "an older statement must not revive it"
-    directory.take_reply("q", reply(3, (replace(RECORD, incarnation=6),)), clock.now(), LEASE)
+    directory.apply_reply("q", reply(3, (replace(RECORD, incarnation=6),)), clock.now(), LEASE)
     assert [record.incarnation for record in live(directory, clock)] == [6]
 
 
 def test_a_response_that_says_it_is_leaving_counts_for_that_incarnation(directory, clock):
-    directory.take_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
+    directory.apply_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
     directory.note_left(RECORD.address, RECORD.incarnation)
     assert live(directory, clock) == []
-    directory.take_reply("p", reply(2, (replace(RECORD, incarnation=6),)), clock.now(), LEASE)
+    directory.apply_reply("p", reply(2, (replace(RECORD, incarnation=6),)), clock.now(), LEASE)
     assert len(live(directory, clock)) == 1
 
 
--- a/fulmarhold/tests/membership/test_statements.py
+++ b/fulmarhold/tests/membership/test_statements.py
@@ -12,11 +12,11 @@
     DRAINING,
     LEFT,
     READY,
-    REMEMBERED_AFTER_END,
+    RETENTION_AFTER_END,
     SILENT,
     StatementStore,
     UpstreamStatement,
-    owners,
+    owners_by_address,
 )
 
 FIRST = UpstreamStatement("u", 100, 1, READY, "parts", "10.0.0.1:80", "a", 2)
@@ -62,12 +62,12 @@
     newer = replace(FIRST, name="v", born=300, service="other")
     late = replace(FIRST, sequence=50)
     for order in permutations([FIRST, newer, late]):
-        assert owners(ledger_of(*order).all())["10.0.0.1:80"].name == "v"
+        assert owners_by_address(ledger_of(*order).all())["10.0.0.1:80"].name == "v"
 
 
 def test_the_ended_are_forgotten_after_a_while_and_the_serving_never():
     ledger = ledger_of(FIRST, replace(FIRST, name="gone", state=LEFT))
-    ledger.forget_ended(REMEMBERED_AFTER_END + 1)
+    ledger.forget_ended(RETENTION_AFTER_END + 1)
     assert [item.name for item in ledger.all()] == ["u"]
 
 
--- a/fulmarhold/tests/membership/test_watcher.py
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -14,7 +14,7 @@
 from fulmarhold.membership import watcher as watching
 from fulmarhold.membership.feed import AskConfirmation, Confirmation, FeedReply
 from fulmarhold.membership.statements import READY, STARTING, InstanceStatement
-from fulmarhold.membership.watcher import FAILURE_REMEMBERED, FleetWatcher
+from fulmarhold.membership.watcher import FAILURE_COOLDOWN, FleetWatcher
 from fulmarhold.observe.counters import Counters
 
 SEEDS = ("far:1", "farther:1")
@@ -97,7 +97,7 @@
     )
     lost = len(asked) - 1 - asked[::-1].index("far:1")
     away = [endpoint for endpoint in asked[4 : lost + 1]]
-    assert set(away) <= {"far:1", "farther:1"} and len(away) * 400.0 >= FAILURE_REMEMBERED - 400
+    assert set(away) <= {"far:1", "farther:1"} and len(away) * 400.0 >= FAILURE_COOLDOWN - 400
     assert asked[-1] == "near:1"
 
 
--- a/fulmarhold/tests/routes/test_routes.py
+++ b/fulmarhold/tests/routes/test_routes.py
@@ -1,4 +1,4 @@
-"""Routes are found by host and longest prefix, and configurations that can't hold are refused."""
+"""Tests of route look-up by host and longest prefix, and of the validation of configurations."""
 
 from __future__ import annotations
 
@@ -52,7 +52,7 @@
     ("host", "path"),
     [("shop.example", "/"), ("shop.example", "/ab"), ("shop.example", "/a"), ("", "/a/x")],
 )
-def test_what_no_prefix_begins_has_no_route(host, path):
+def test_paths_without_a_matching_prefix_have_no_route(host, path):
     assert RouteTable(configuration(ROUTE)).find(host, path) is None
 
 
@@ -60,12 +60,12 @@
     ("routes", "problem"),
     [
         ((replace(ROUTE, timeout=0.0),), "timeout"),
-        ((ROUTE, replace(ROUTE, name="again")), "given 2 times"),
+        ((ROUTE, replace(ROUTE, name="again")), "defined 2 times"),
         ((replace(ROUTE, services=(WeightedService("nobody", 1.0),)),), "unknown service"),
         ((replace(ROUTE, shards=("parts", "nobody")),), "unknown service"),
-        ((replace(ROUTE, services=(WeightedService("parts", 0.0),)),), "add up to nothing"),
+        ((replace(ROUTE, services=(WeightedService("parts", 0.0),)),), "add up to zero"),
     ],
 )
-def test_configurations_that_cannot_hold_are_refused(routes, problem):
+def test_invalid_configurations_are_rejected(routes, problem):
     with pytest.raises(InvalidSettings, match=problem):
         check_configuration(configuration(*routes))
