--- a/fulmarhold/tests/membership/test_exchange.py
+++ b/fulmarhold/tests/membership/test_exchange.py
@@ -1,4 +1,4 @@
-"""When a freshly started entry has asked the others what they know."""
+"""Tests of when a newly started entry has polled the other entries."""
 
 from __future__ import annotations
 
@@ -27,11 +27,11 @@
 
 DOCUMENT = configuration_to_document(derive_configuration(small_questionnaire()))
 RECORD = UpstreamRecord("s", 0, "l", 4, (1,), "127.0.0.1:9", 5, 1, 4, 10, "serving")
-EVENT_BOUND_S = 5.0
+EVENT_TIMEOUT_S = 5.0
 
 
-class Control:
-    """Control as far as an entry's sync goes."""
+class FakeControl:
+    """A control client that only answers the syncs of an entry."""
 
     def __init__(self, roster):
         self.roster = roster
@@ -47,8 +47,8 @@
         pass
 
 
-class Started:
-    """An exchange of entry `a` that was just started; its peer `b` answers when let."""
+class StartedExchange:
+    """The exchange of a new entry `a`; its peer `b` replies once `may_reply` is set."""
 
     def __init__(self):
         ports = PortSupply()
@@ -56,59 +56,59 @@
         own, peer = (
             RosterEntry(name, "x", ports.take_endpoint(), ports.take_endpoint()) for name in "ab"
         )
-        self.answers = Event()
+        self.may_reply = Event()
         self.server = MessageServer(peer.peer_endpoint, counters)
-        self.server.handle(PeerPoll, self._answer)
+        self.server.handle(PeerPoll, self._answer_poll)
         self.running = RunningState("a", clock)
         announced = AnnouncedSet(clock, counters)
         self.directory = Directory(announced, clock)
-        self.control = Control((own, peer))
+        self.control = FakeControl((own, peer))
         control = cast("ControlClient", self.control)
         self.exchange = MembershipExchange(
             own, self.running, announced, self.directory, control, clock, counters
         )
 
-    def _answer(self, _):
-        self.answers.wait()
+    def _answer_poll(self, _):
+        self.may_reply.wait()
         return PeerReply("source", 1, (RECORD,), "serving", 1)
 
-    def await_asked(self):
-        with gevent.Timeout(EVENT_BOUND_S):
+    def await_polled(self):
+        with gevent.Timeout(EVENT_TIMEOUT_S):
             while not self.exchange.has_polled_peers:
                 gevent.sleep(0.01)
 
 
 @pytest.fixture
 def started():
-    started = Started()
+    started = StartedExchange()
     yield started
-    started.answers.set()
+    started.may_reply.set()
     started.exchange.stop()
     started.server.stop()
 
 
-def test_it_is_confirmed_by_control_before_its_peer_answered_and_waits(started):
+def test_confirmation_by_control_does_not_end_the_wait_for_a_peer(started):
     started.server.start()
     assert not started.exchange.has_polled_peers
     started.exchange.start()
-    assert started.control.synced.wait(EVENT_BOUND_S)
+    assert started.control.synced.wait(EVENT_TIMEOUT_S)
     assert started.running.is_confirmed
     assert not started.exchange.has_polled_peers
     assert started.directory.known() == []
-    started.answers.set()
-    started.await_asked()
+    started.may_reply.set()
+    started.await_polled()
     assert [item.record for item in started.directory.known()] == [RECORD]
 
 
-def test_a_peer_that_can_not_be_reached_holds_nothing_up(started):
+def test_an_unreachable_peer_does_not_delay_the_start(started):
     started.exchange.start()
-    started.await_asked()
+    started.await_polled()
     assert started.running.is_confirmed
 
 
 def test_a_new_roster_without_a_configuration_keeps_the_configuration(started):
     started.exchange.start()
-    started.await_asked()
+    started.await_polled()
     configuration = started.running.configuration
     assert started.running.apply(2, 1, None, started.control.roster[:1])
     assert (started.running.version, started.running.configuration) == (2, configuration)
--- a/fulmarhold/tests/membership/test_leases.py
+++ b/fulmarhold/tests/membership/test_leases.py
@@ -1,4 +1,4 @@
-"""Leases and confirmations on a clock that a test moves."""
+"""Tests of leases and confirmations, on a manual clock."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
     return [item.record for item in directory.known() if item.is_live(clock.now())]
 
 
-def test_without_a_token_nothing_is_held(announced):
+def test_an_announcement_without_a_token_gets_no_lease(announced):
     assert not announced.apply(Announcement(RECORD), LEASE)
     assert announced.apply(Announcement(RECORD, announced.issue_token()), LEASE)
 
@@ -76,35 +76,35 @@
 
 
 @pytest.mark.parametrize("token", ["", "x", "other:99999999", "{source}:text", "{source}:99e99"])
-def test_a_made_up_token_gives_no_lease_beyond_now(announced, clock, token):
+def test_a_forged_token_gives_no_lease_beyond_now(announced, clock, token):
     announced.apply(Announcement(RECORD, token.format(source=announced.source)), LEASE)
     clock.advance(LEASE)
     announced.expire()
     assert announced.held() == ()
 
 
-def test_an_older_statement_or_incarnation_is_refused(announced):
-    def say(**changes):
+def test_an_older_sequence_or_incarnation_is_refused(announced):
+    def apply(**changes):
         return announced.apply(
             Announcement(replace(RECORD, **changes), announced.issue_token()), LEASE
         )
 
-    assert say(sequence=5)
-    assert not say(sequence=4)
-    assert say(incarnation=6, sequence=0)
-    assert not say(incarnation=5, sequence=99)
+    assert apply(sequence=5)
+    assert not apply(sequence=4)
+    assert apply(incarnation=6, sequence=0)
+    assert not apply(incarnation=5, sequence=99)
 
 
 @pytest.mark.parametrize(
-    ("changes", "words"),
+    ("changes", "pattern"),
     [
         ({"shard": 4}, "outside of a layout of 4"),
         ({"address": "127.0.0.1:10", "layout_shards": 8}, "has 4 shards, not 8"),
     ],
 )
-def test_a_record_that_contradicts_the_layout_is_refused(announced, changes, words):
+def test_a_record_that_contradicts_the_layout_is_refused(announced, changes, pattern):
     announced.apply(Announcement(RECORD, announced.issue_token()), LEASE)
-    with pytest.raises(MalformedInput, match=words):
+    with pytest.raises(MalformedInput, match=pattern):
         announced.apply(Announcement(replace(RECORD, **changes), announced.issue_token()), LEASE)
 
 
@@ -112,7 +112,7 @@
     return PeerReply("source", version, records, "serving", 1)
 
 
-def test_a_relayed_set_is_live_as_long_as_its_last_poll(directory, clock):
+def test_a_relayed_set_is_live_for_one_lease_from_its_last_poll(directory, clock):
     directory.apply_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
     clock.advance(1_000)
     directory.apply_reply("p", reply(1, None), clock.now() - 500, LEASE)
@@ -122,7 +122,7 @@
     assert live(directory, clock) == []
 
 
-def test_an_unchanged_reply_for_a_set_not_held_renews_nothing(directory, clock):
+def test_an_unchanged_reply_for_an_unknown_set_renews_no_lease(directory, clock):
     directory.apply_reply("p", reply(1, (RECORD,)), clock.now(), LEASE)
     clock.advance(LEASE)
     directory.apply_reply("p", reply(2, None), clock.now(), LEASE)
@@ -154,14 +154,14 @@
 
 @pytest.fixture
 def running(clock):
-    """Entry `a` of five, at version 7 by control's word."""
+    """Entry `a` of five, with version 7 confirmed by control."""
     running = RunningState("a", clock)
     running.apply(7, 1, DOCUMENT, ROSTER)
     running.confirm_by_control(7, clock.now())
     return running
 
 
-def test_controls_word_holds_for_one_lease_from_the_asking(running, clock):
+def test_a_confirmation_by_control_lasts_one_lease_from_its_request(running, clock):
     clock.advance(CONFIRMATION_LEASE - 1)
     assert running.is_confirmed
     clock.advance(1)
@@ -203,7 +203,7 @@
     assert (running.version, running.revision) == (8, 2)
 
 
-def test_an_older_confirmation_lasts_no_longer_for_having_moved_on(running, clock):
+def test_a_newer_version_does_not_extend_an_older_confirmation(running, clock):
     clock.advance(CONFIRMATION_LEASE - 100)
     running.apply(8, 2, DOCUMENT, ROSTER)
     assert running.is_confirmed
--- a/fulmarhold/tests/membership/test_leaving.py
+++ b/fulmarhold/tests/membership/test_leaving.py
@@ -1,4 +1,4 @@
-"""Upstreams that leave, go silent or come back: who gets work, and until when."""
+"""Tests of how long upstreams that drain, go silent or restart receive work."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 OBSERVED_MS = 5_000.0
 
 
-def watch(fleet, address, change):
-    """Make the change under load and return how long the upstream still got work, in ms."""
+def measure_last_work(fleet, address, change):
+    """Apply `change` under load; return how long the upstream got work after it, in ms."""
     load = SearchLoad(fleet, pause=5.0)
     gevent.sleep(0.5)
     left_at = time.time() * 1_000
@@ -27,7 +27,7 @@
 
 def test_an_announced_drain_ends_new_work_within_the_bound_and_costs_no_coverage(fleet):
     address = fleet.upstreams["lookup"][0]
-    late, outcomes = watch(
+    late, outcomes = measure_last_work(
         fleet, address, lambda: fleet.command("announce", [address], state="draining")
     )
     assert late < LEAVING_BOUND_MS
@@ -37,7 +37,7 @@
 
 def test_a_drain_whose_announcement_is_lost_ends_new_work_by_silence(fleet):
     address = fleet.upstreams["lookup"][0]
-    late, outcomes = watch(
+    late, outcomes = measure_last_work(
         fleet, address, lambda: fleet.command("behave", [address], announces=False)
     )
     assert 0 < late < LEAVING_BOUND_MS
@@ -79,7 +79,7 @@
     assert fleet.report()[address]["last_run_at"] - left_at < LEAVING_BOUND_MS
 
 
-def test_an_upstream_that_dies_silently_is_passed_over_and_returns_as_a_new_incarnation(fleet):
+def test_a_silently_dead_upstream_is_skipped_and_returns_as_a_new_incarnation(fleet):
     address = fleet.upstreams["lookup"][0]
     fleet.command("stop", [address])
     gevent.sleep(LEAVING_BOUND_MS / 1_000)
@@ -95,7 +95,7 @@
     load.stop()
 
 
-def test_an_old_incarnation_can_not_revive(fleet):
+def test_an_old_incarnation_is_not_revived(fleet):
     address = fleet.upstreams["lookup"][0]
     fleet.command("announce", [address], incarnation=50)
     gevent.sleep(1.0)
--- a/fulmarhold/tests/membership/test_statements.py
+++ b/fulmarhold/tests/membership/test_statements.py
@@ -1,4 +1,4 @@
-"""The newest word about an upstream wins, in whatever order words arrive."""
+"""Tests that the newest statement of an upstream wins, in whatever order statements arrive."""
 
 from __future__ import annotations
 
@@ -22,53 +22,53 @@
 FIRST = UpstreamStatement("u", 100, 1, READY, "parts", "10.0.0.1:80", "a", 2)
 
 
-def ledger_of(*statements):
-    ledger: StatementStore[UpstreamStatement] = StatementStore()
+def store_of(*statements):
+    store: StatementStore[UpstreamStatement] = StatementStore()
     for statement in statements:
-        ledger.apply(statement, 0.0)
-    return ledger
+        store.apply(statement, 0.0)
+    return store
 
 
-def test_a_late_word_does_not_bring_a_leaving_upstream_back():
+def test_a_late_statement_does_not_revive_a_draining_upstream():
     leaving = replace(FIRST, sequence=5, state=DRAINING)
     for order in permutations([FIRST, leaving, replace(FIRST, sequence=9)]):
-        assert ledger_of(*order).find("u").state == DRAINING, order
+        assert store_of(*order).find("u").state == DRAINING, order
 
 
-def test_a_new_life_supersedes_whatever_the_old_one_said():
+def test_a_new_incarnation_supersedes_every_statement_of_the_old_one():
     left = replace(FIRST, sequence=9, state=LEFT)
-    reborn = replace(FIRST, born=200, sequence=1)
-    for order in permutations([FIRST, left, reborn]):
-        assert ledger_of(*order).find("u") == reborn, order
+    successor = replace(FIRST, born=200, sequence=1)
+    for order in permutations([FIRST, left, successor]):
+        assert store_of(*order).find("u") == successor, order
 
 
-def test_silence_is_taken_back_by_a_later_word_only():
+def test_only_a_later_statement_ends_silence():
     silent = replace(FIRST, state=SILENT)
-    assert ledger_of(FIRST, silent).find("u").state == SILENT
-    assert ledger_of(FIRST, silent, FIRST).find("u").state == SILENT
-    assert ledger_of(FIRST, silent, replace(FIRST, sequence=2)).find("u").state == READY
+    assert store_of(FIRST, silent).find("u").state == SILENT
+    assert store_of(FIRST, silent, FIRST).find("u").state == SILENT
+    assert store_of(FIRST, silent, replace(FIRST, sequence=2)).find("u").state == READY
 
 
-def test_a_mere_repetition_is_no_change():
-    ledger = ledger_of(FIRST)
-    position = ledger.position
-    assert not ledger.apply(replace(FIRST, sequence=7, warm_up=3.0), 1.0)
-    assert ledger.position == position
-    assert ledger.since(position) == []
-    assert ledger.find("u").sequence == 7
+def test_a_repeated_statement_is_no_change():
+    store = store_of(FIRST)
+    position = store.position
+    assert not store.apply(replace(FIRST, sequence=7, warm_up=3.0), 1.0)
+    assert store.position == position
+    assert store.since(position) == []
+    assert store.find("u").sequence == 7
 
 
-def test_an_address_belongs_to_whoever_started_last():
+def test_an_address_belongs_to_the_upstream_that_started_last():
     newer = replace(FIRST, name="v", born=300, service="other")
     late = replace(FIRST, sequence=50)
     for order in permutations([FIRST, newer, late]):
-        assert owners_by_address(ledger_of(*order).all())["10.0.0.1:80"].name == "v"
+        assert owners_by_address(store_of(*order).all())["10.0.0.1:80"].name == "v"
 
 
-def test_the_ended_are_forgotten_after_a_while_and_the_serving_never():
-    ledger = ledger_of(FIRST, replace(FIRST, name="gone", state=LEFT))
-    ledger.forget_ended(RETENTION_AFTER_END + 1)
-    assert [item.name for item in ledger.all()] == ["u"]
+def test_ended_upstreams_are_forgotten_and_serving_ones_are_kept():
+    store = store_of(FIRST, replace(FIRST, name="gone", state=LEFT))
+    store.forget_ended(RETENTION_AFTER_END + 1)
+    assert [item.name for item in store.all()] == ["u"]
 
 
 statements = st.builds(
@@ -86,11 +86,11 @@
 
 @settings(max_examples=2_000, deadline=None)
 @given(st.lists(statements, min_size=1, max_size=8), st.randoms(use_true_random=False))
-def test_two_ledgers_agree_whatever_the_order(words, random):
-    """Holds for lives and finality; which of two equal sequences of one life came is moot."""
-    shuffled = list(words)
+def test_two_stores_agree_in_any_order(received, random):
+    """Compares incarnation, finality and sequence; either of two equal sequences may win."""
+    shuffled = list(received)
     random.shuffle(shuffled)
-    one, other = ledger_of(*words).find("u"), ledger_of(*shuffled).find("u")
+    one, other = store_of(*received).find("u"), store_of(*shuffled).find("u")
     assert one.born == other.born
     assert (one.state in (DRAINING, LEFT)) == (other.state in (DRAINING, LEFT))
     assert (one.state == LEFT) == (other.state == LEFT)
--- a/fulmarhold/tests/membership/test_version_model.py
+++ b/fulmarhold/tests/membership/test_version_model.py
@@ -1,8 +1,8 @@
-"""Entries that serve by a version, under random schedules of loss, late messages and suspension.
+"""A model of the versions that entries serve, under random loss, delay and suspension.
 
-Control is the linearizable store that its own model checks (`tests/consensus/test_core.py`): it
-accepts versions, and what it tells an entry is the newest when it is told. The entries run the
-real rules for what they may serve by, and so does the check of when a version is in force.
+Control is modelled as the linearizable store that `tests/consensus/test_core.py` checks: it accepts
+versions, and its reply to an entry names the newest one at that time. The entries use the real
+rules for which version they may serve, and so does the check of when a version is in force.
 """
 
 from __future__ import annotations
@@ -21,11 +21,11 @@
 from fulmarhold.membership.running import CONFIRMATION_LEASE, RunningState
 from fulmarhold.questionnaire.derive import derive_configuration
 
-# By hand 10,000 were run, with this number changed in a scratch copy.
+# 10,000 were run manually, with this number changed in a scratch copy.
 SCHEDULES = 500
 EVENTS = 150
 DOCUMENT = configuration_to_document(derive_configuration(small_questionnaire()))
-PASSING = [0.0, 5.0, 50.0, 300.0, CONFIRMATION_LEASE / 2]
+TIME_STEPS = [0.0, 5.0, 50.0, 300.0, CONFIRMATION_LEASE / 2]
 EVENT_WEIGHTS = {
     "sync": 30,
     "poll": 30,
@@ -40,7 +40,7 @@
 
 
 class World:
-    """Control and its entries; messages are functions that run when they arrive."""
+    """Control and its entries; a message is a function that is called when it arrives."""
 
     def __init__(self, seed, entries):
         self.random = Random(seed)
@@ -48,7 +48,7 @@
         self.presence = Presence(self.clock)
         self.version = 1
         self.in_force = 0
-        self.watched: list[tuple[int, Enforcement]] = []
+        self.pending: list[tuple[int, Enforcement]] = []
         self.roster: dict[str, RosterEntry] = {}
         self.running: dict[str, RunningState] = {}
         self.suspended: set[str] = set()
@@ -59,7 +59,7 @@
             self.running[name] = RunningState(name, self.clock)
 
     def sync(self, name):
-        """An entry asks control, which notes what it runs and replies with what it lacks."""
+        """An entry syncs: control records its version and replies with the newest one."""
         entry, asked_at = self.running[name], self.clock.now()
         own = self.roster[name]
         sync = EntrySync(own, id(entry), entry.version, entry.revision, "serving")
@@ -83,7 +83,7 @@
         self.wire.append(("", at_control))
 
     def poll(self, name, peer):
-        """An entry asks another what it runs, and moves on where that is newer."""
+        """An entry polls another for its version, and switches to it if that is newer."""
         entry, asked_at = self.running[name], self.clock.now()
 
         def at_peer():
@@ -97,10 +97,10 @@
                     return
                 entry.confirm_by_peer(peer, version, asked_at)
                 if version > entry.version and entry.learned_from_control:
-                    # The configuration comes with a reply of its own.
-                    self.wire.append((name, move_on))
+                    # The configuration comes in a separate reply.
+                    self.wire.append((name, apply_newer))
 
-            def move_on():
+            def apply_newer():
                 if self.running.get(name) is entry:
                     entry.apply(version, version, DOCUMENT, roster)
 
@@ -109,7 +109,7 @@
         self.wire.append((peer, at_peer))
 
     def deliver(self):
-        """Let some message arrive, in any order, unless its recipient is suspended."""
+        """Deliver a random message whose recipient is not suspended; it may be lost or repeated."""
         ready = [item for item in self.wire if item[0] not in self.suspended]
         if not ready:
             return
@@ -121,14 +121,14 @@
 
     def accept(self):
         self.version += 1
-        self.watched.append((self.version, Enforcement(self.version, self.presence)))
+        self.pending.append((self.version, Enforcement(self.version, self.presence)))
 
     def may_change_roster(self):
         return self.presence.has_majority(self.version, self.roster)
 
     def leave(self, name):
         if len(self.roster) > 2 and self.may_change_roster():
-            # It has stopped; control is told last.
+            # The entry stops first, and control is told last.
             del self.running[name], self.roster[name]
             self.suspended.discard(name)
             self.presence.forget(name)
@@ -143,10 +143,10 @@
 
     def check(self):
         now = self.clock.now()
-        for version, enforcement in list(self.watched):
+        for version, enforcement in list(self.pending):
             if enforcement.is_complete(self.roster, now):
                 self.in_force = max(self.in_force, version)
-                self.watched.remove((version, enforcement))
+                self.pending.remove((version, enforcement))
         for name, entry in self.running.items():
             if entry.is_confirmed:
                 assert (
@@ -155,7 +155,7 @@
 
 
 def misbehave(world):
-    """Let one random thing happen, then some time pass."""
+    """Run one random event, then advance the clock and check."""
     random = world.random
     names = list(world.running)
     name = random.choice(names)
@@ -179,7 +179,7 @@
             world.leave(name)
         case "join":
             world.join()
-    world.clock.advance(random.choices(PASSING, [40, 30, 20, 10, 3])[0])
+    world.clock.advance(random.choices(TIME_STEPS, [40, 30, 20, 10, 3])[0])
     world.check()
 
 
--- a/fulmarhold/tests/membership/test_watcher.py
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -1,4 +1,4 @@
-"""Which control instance an entry follows."""
+"""Tests of which control instance an entry follows."""
 
 from __future__ import annotations
 
@@ -23,11 +23,11 @@
     InstanceStatement(name, 1, 1, READY, "control", place, f"{name}:1")
     for name, place in (("far", "b"), ("farther", "c"), ("near", "home"))
 )
-LEADING, UNCONFIRMED = 10.0, 5_000.0
+FRESH_AGE, STALE_AGE = 10.0, 5_000.0
 
 
-class Fleet:
-    """Replies of control instances; every call takes one step of the clock."""
+class FakeControlInstances:
+    """Replies of control instances; every feed request runs a step and advances the clock."""
 
     def __init__(self, clock):
         self.clock, self.asked, self.down, self.ages = clock, [], set(), {}
@@ -42,7 +42,7 @@
                 self.endpoint = endpoint
 
             def call(self, request, timeout):
-                age = fleet.ages.get(endpoint, LEADING)
+                age = fleet.ages.get(endpoint, FRESH_AGE)
                 if isinstance(request, AskConfirmation):
                     if endpoint in fleet.silent:
                         gevent.sleep(timeout / 1_000)
@@ -66,11 +66,13 @@
 
 @pytest.fixture
 def fleet(monkeypatch):
-    made = Fleet(ManualClock())
-    monkeypatch.setattr(watching, "Link", made.link)
-    monkeypatch.setattr(watching, "Links", lambda: SimpleNamespace(to=made.link, close=nothing))
+    instances = FakeControlInstances(ManualClock())
+    monkeypatch.setattr(watching, "Link", instances.link)
+    monkeypatch.setattr(
+        watching, "Links", lambda: SimpleNamespace(to=instances.link, close=nothing)
+    )
     monkeypatch.setattr(watching, "RETRY_PAUSE", 0.0)
-    return made
+    return instances
 
 
 def follow(fleet, steps):
@@ -86,11 +88,11 @@
     pass
 
 
-def test_an_entry_goes_over_to_the_control_instance_of_its_data_centre(fleet):
+def test_an_entry_switches_to_the_control_instance_of_its_data_centre(fleet):
     assert follow(fleet, [nothing] * 4) == ["far:1", "far:1", "near:1", "near:1", "near:1"]
 
 
-def test_a_lost_source_at_home_is_followed_again_when_it_is_back(fleet):
+def test_a_lost_local_source_is_followed_again_when_it_returns(fleet):
     asked = follow(
         fleet,
         [nothing] * 3 + [lambda: fleet.down.add("near:1"), fleet.down.clear] + [nothing] * 12,
@@ -101,8 +103,8 @@
     assert asked[-1] == "near:1"
 
 
-def test_a_source_without_a_confirmed_leader_is_left_even_at_home(fleet):
-    fleet.ages["near:1"] = UNCONFIRMED
+def test_a_source_without_a_confirmed_leader_is_left_even_if_it_is_local(fleet):
+    fleet.ages["near:1"] = STALE_AGE
     asked = follow(fleet, [nothing] * 8)
     assert asked.count("near:1") <= 2 and asked[-1] != "near:1"
 
