--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -12,7 +12,7 @@
     from random import Random
 
     from fulmarhold.clock import Clock, Milliseconds
-    from fulmarhold.forwarding.dialect import UpstreamDialect
+    from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.forwarding.request import ForwardRequest, Reply
     from fulmarhold.limits.budget import ExtraLoadBudget
     from fulmarhold.observe.counters import Counters
@@ -31,7 +31,7 @@
     def __init__(
         self,
         request: ForwardRequest,
-        dialect: UpstreamDialect,
+        codec: UpstreamCodec,
         deadline_at: Milliseconds,
         may_repeat: bool,
         most_attempts: int,
@@ -49,8 +49,8 @@
         # From when on a reply is late, and whether no route is more urgent.
         self.useful_until = useful_until
         self.is_urgent = is_urgent
-        self.dialect = dialect
-        self.prepared = dialect.prepare(request)
+        self.codec = codec
+        self.prepared = codec.prepare(request)
         self.deadline_at = deadline_at
         self.may_repeat = may_repeat
         self.most_attempts = most_attempts
@@ -122,7 +122,7 @@
 
     def is_congested(self, now: Milliseconds) -> bool:
         """Whether every upstream that replies has as much work as it does in time."""
-        flowing = [item for item in self._left() if item.is_flowing(now)]
+        flowing = [item for item in self._left() if item.is_responsive(now)]
         is_urgent = self._context.is_urgent
         return bool(flowing) and not any(
             item.may_send(now, is_urgent=is_urgent) for item in flowing
@@ -137,10 +137,10 @@
         context = self._context
         if self.is_over or not context.may_repeat or self._ran() >= context.most_attempts:
             return
-        left = [item for item in self._left() if item.is_flowing(context.clock.now())]
+        left = [item for item in self._left() if item.is_responsive(context.clock.now())]
         if not left:
             self._count(HEDGE, "no_replica")
-        elif not self._budget.take_spare(1):
+        elif not self._budget.take_unreserved(1):
             self._count(HEDGE, "no_budget")
         else:
             self._send(left, HEDGE)
@@ -148,11 +148,12 @@
     def is_hopeless(self, now: Milliseconds) -> bool:
         """Whether only upstreams are left to wait for that have long not replied to anything."""
         if self.is_over or any(
-            not attempt.is_over and not attempt.replica.is_dark(now) for attempt in self._attempts
+            not attempt.is_over and not attempt.replica.is_unresponsive(now)
+            for attempt in self._attempts
         ):
             return False
         may_send = self._ran() < self._context.most_attempts
-        return not (may_send and any(not item.is_dark(now) for item in self._left()))
+        return not (may_send and any(not item.is_unresponsive(now) for item in self._left()))
 
     def describe(self, now: Milliseconds) -> str:
         """Return why there is no reply, for the log: `service: upstream dark, upstream 40 ms`."""
@@ -246,7 +247,7 @@
     def _send(self, replicas: list[Replica], kind: str) -> None:
         context = self._context
         now = context.clock.now()
-        flowing = [item for item in replicas if item.is_flowing(now)] or replicas
+        flowing = [item for item in replicas if item.is_responsive(now)] or replicas
         free = [item for item in flowing if item.may_send(now, is_urgent=context.is_urgent)]
         replica = context.choose(free or flowing, context.random, now)
         attempt = CallAttempt(self, context, replica, kind)
@@ -294,12 +295,12 @@
         self.sent_at = context.clock.now()
         self.may_have_run = True
         left = context.deadline_at - self.sent_at
-        return context.dialect.encode(context.prepared, self.replica.upstream.record.name, left)
+        return context.codec.encode(context.prepared, self.replica.upstream.record.name, left)
 
     def describe(self, now: Milliseconds) -> str:
         """Return the upstream and for how long it has not replied, or that it is dark."""
         name = self.replica.upstream.record.name
-        if self.replica.is_dark(now):
+        if self.replica.is_unresponsive(now):
             return f"{name} dark"
         return f"{name} {now - self.sent_at:.0f} ms" if self.sent_at else f"{name} not sent"
 
@@ -313,7 +314,7 @@
         """Take the response; returns whether the connection may be used further."""
         context = self._context
         now = context.clock.now()
-        reply = context.dialect.read(response, context.request.request_id)
+        reply = context.codec.read(response, context.request.request_id)
         self.replica.note_reply()
         if reply.verdict is Verdict.WRONG_ECHO:
             self._note("wrong_echo", response.status, now)
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -13,14 +13,14 @@
     Gathered,
     NoRoute,
     Outcome,
-    Passed,
     Refused,
     RefusedReason,
+    Relayed,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.single import SingleForward
 from fulmarhold.limits.budget import SlackBudget
-from fulmarhold.limits.returning import pause_after_refusal, pause_while_starting
+from fulmarhold.limits.retry_after import retry_delay_after_refusal, retry_delay_while_starting
 from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.observe.latency import LatencyHistogram
 from fulmarhold.routing.choice import choosers
@@ -29,7 +29,7 @@
     from collections.abc import Callable, Iterable
 
     from fulmarhold.clock import Clock, Milliseconds
-    from fulmarhold.forwarding.dialect import UpstreamDialect
+    from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.forwarding.upstreams import UpstreamTable
     from fulmarhold.limits.budget import ExtraLoadBound
     from fulmarhold.observe.counters import Counters, Histogram
@@ -53,14 +53,14 @@
     def __init__(
         self,
         table: UpstreamTable,
-        dialect: UpstreamDialect,
+        codec: UpstreamCodec,
         bound: ExtraLoadBound,
         clock: Clock,
         counters: Counters,
         events: EventLog,
     ) -> None:
         self._table = table
-        self._dialect = dialect
+        self._codec = codec
         self._bound = bound
         self._clock = clock
         self._counters = counters
@@ -106,16 +106,16 @@
             budget.refill(windows)
 
     def forward(
-        self, request: ForwardRequest, on_gone: Callable[[Callable[[], None]], None]
+        self, request: ForwardRequest, on_disconnect: Callable[[Callable[[], None]], None]
     ) -> Outcome:
         """Return the outcome of a request.
 
-        `on_gone` is given the function that is to be called when the caller leaves.
+        `on_disconnect` is given the function that is to be called when the caller leaves.
         """
         if self._is_stopping:
             return self._finish(request, None, Refused(RefusedReason.STOPPING, self._retry_after()))
         if self._routes is None:
-            pause = pause_while_starting(self._clock.now() - self._started_at, self._random)
+            pause = retry_delay_while_starting(self._clock.now() - self._started_at, self._random)
             return self._finish(request, None, Refused(RefusedReason.NO_CONFIGURATION, pause))
         route = self._routes.find(request.host, request.path)
         if route is None:
@@ -124,7 +124,7 @@
             min(request.deadline_at, request.received_at + route.timeout) - DEADLINE_RESERVE
         )
         operation = self._operation(request, route, deadline_at)
-        on_gone(operation.caller_gone)
+        on_disconnect(operation.caller_gone)
         return self._finish(request, route, operation.run())
 
     def histograms(self) -> Iterable[Histogram]:
@@ -138,7 +138,7 @@
         )
         context = CallContext(
             request,
-            self._dialect,
+            self._codec,
             deadline_at,
             route.is_idempotent,
             route.most_attempts,
@@ -182,7 +182,7 @@
         return self._random.choices(route.services, weights)[0].service
 
     def _retry_after(self) -> Milliseconds:
-        return pause_after_refusal(self._random)
+        return retry_delay_after_refusal(self._random)
 
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
         elapsed = self._clock.now() - request.received_at
@@ -209,7 +209,7 @@
 
 def _describe(outcome: Outcome) -> tuple[str, str]:
     match outcome:
-        case Passed(reply):
+        case Relayed(reply):
             return ("answered" if reply.status < 400 else "passed_failure"), str(reply.status)
         case Gathered(missing=missing):
             return ("partial", "late_parts") if missing else ("answered", "whole")
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -9,10 +9,10 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.consensus.messages import MemberMessage
-from fulmarhold.consensus.node import Node, receive_member_message
+from fulmarhold.consensus.node import Node, member_message_handler
 from fulmarhold.consensus.storage import Storage
 from fulmarhold.consensus.transport import Transport
-from fulmarhold.control.feeds import Feeds
+from fulmarhold.control.feeds import FeedService
 from fulmarhold.control.formation import Formation
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.statement_file import StatementFile
@@ -57,7 +57,7 @@
             settings.data_centre,
             settings.peer_endpoint,
         )
-        self._feeds = Feeds(
+        self._feeds = FeedService(
             own,
             self.node,
             machine,
@@ -68,7 +68,7 @@
             clock,
             counters,
         )
-        self.node.on_applied = self._feeds.note_applied
+        self.node.on_applied = self._feeds.on_command_applied
         self._formation = Formation(
             self.node,
             settings.peer_endpoint,
@@ -82,7 +82,7 @@
         self._counters = counters
         self._servers: list[Any] = []
         self._messages = MessageServer(settings.peer_endpoint, counters)
-        self._messages.handle(MemberMessage, receive_member_message(self.node))
+        self._messages.handle(MemberMessage, member_message_handler(self.node))
         for part in (self._feeds, self._formation, self._versions):
             part.register(self._messages)
 
@@ -104,7 +104,7 @@
         instances no query is served until there is a leader and entries have heard from it.
         """
         until = self._clock.now() + LONGEST_PEERS_FIRST
-        while self._feeds.fed_for < OTHER_ENTRIES and self._clock.now() < until:
+        while self._feeds.time_since_first_feed < OTHER_ENTRIES and self._clock.now() < until:
             gevent.sleep(LOOK_PERIOD / SECOND)
         from fulmarhold.platform.interfaces import control_application  # noqa: PLC0415
 
@@ -118,7 +118,7 @@
 
     def stop(self) -> None:
         """Hand leadership over and stop."""
-        self.node.hand_over()
+        self.node.transfer_leadership()
         for server in self._servers:
             server.stop(timeout=1)
         gevent.killall(self._greenlets)
