--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -82,7 +82,7 @@
 
     @property
     def feed_age(self) -> Milliseconds:
-        """How long ago a majority of control confirmed the state of this entry."""
+        """Time since a majority of control last confirmed the data that this entry has."""
         return self._clock.now() - self._confirmed_at
 
     def announce(self, state: State, is_busy: bool = False) -> None:
@@ -211,7 +211,7 @@
             self._apply_reply(reply, asked_at)
             if reply.confirmed_age > MAX_CONFIRMATION_AGE:
                 raise FulmarholdError(
-                    f"the leader of the source was confirmed {reply.confirmed_age:.0f} ms ago",
+                    f"the leader of the source was last confirmed {reply.confirmed_age:.0f} ms ago",
                     step="watching",
                     peer=link.endpoint,
                 )
@@ -223,7 +223,7 @@
 
     def _apply_reply(self, reply: FeedReply, asked_at: Milliseconds) -> None:
         now = self._clock.now()
-        previous_version = self._content_version()
+        previous_content = self._content_version()
         for upstream in reply.upstreams:
             before = self.upstreams.find(upstream.name)
             if self.upstreams.apply(upstream, now):
@@ -251,7 +251,7 @@
             self._apply_configuration(reply.version, reply.configuration)
         if is_confirmed:
             self._confirmed_at = max(self._confirmed_at, asked_at - reply.confirmed_age)
-        if self._content_version() != previous_version:
+        if self._content_version() != previous_content:
             self._on_change()
         self.upstreams.forget_ended(now)
         self.instances.forget_ended(now)
