--- a/fulmarhold/tests/control/test_http.py
+++ b/fulmarhold/tests/control/test_http.py
@@ -30,7 +30,7 @@
 
 
 @pytest.mark.parametrize(
-    ("path", "body", "words"),
+    ("path", "body", "message_start"),
     [
         ("/commands/acept", ACCEPT, "unknown command 'acept'"),
         ("/commands/accept", {**ACCEPT, "operator": 7}, "operator: must be given as str"),
@@ -43,10 +43,12 @@
         ("/commands/remove", {}, "identity: must be given"),
     ],
 )
-def test_a_malformed_command_is_refused_and_the_error_names_its_field(client, path, body, words):
+def test_a_malformed_command_is_refused_and_the_error_names_its_field(
+    client, path, body, message_start
+):
     response = client.simulate_post(path, json=body)
     assert response.status_code == 400
-    assert response.json["error"].startswith(words)
+    assert response.json["error"].startswith(message_start)
 
 
 @pytest.mark.parametrize(
