--- a/fulmarhold/bench/entry.py
+++ b/fulmarhold/bench/entry.py
@@ -18,7 +18,7 @@
 @policy_sets.register("baseline")
 def make_baseline() -> ServicePolicies:
     """A random replica, no hedge, wait to the deadline."""
-    return ServicePolicies("random", hedges=False, early=False)
+    return ServicePolicies("random", hedges=False, returns_early=False)
 
 
 @policy_sets.register("random_hedged")
--- a/fulmarhold/gather/services.py
+++ b/fulmarhold/gather/services.py
@@ -18,10 +18,12 @@
 class ServicePolicies:
     """The policy of each service, made anew when its configuration changes."""
 
-    def __init__(self, choice: str = DEFAULT_CHOICE, *, hedges: bool = True, early: bool = True):
+    def __init__(
+        self, choice: str = DEFAULT_CHOICE, *, hedges: bool = True, returns_early: bool = True
+    ):
         self._choice = choice
         self._hedges = hedges
-        self._early = early
+        self._early = returns_early
         self._policies: dict[str, Policy] = {}
 
     def find(self, service: ServiceConfiguration) -> Policy:
