--- a/fulmarhold/effects/__init__.py
+++ b/fulmarhold/effects/__init__.py
@@ -1,1 +1,1 @@
-"""Non-idempotent requests, run at most once."""
+"""Execution of non-idempotent requests at most once."""
--- a/fulmarhold/effects/dispatch.py
+++ b/fulmarhold/effects/dispatch.py
@@ -1,7 +1,8 @@
 """Runs a non-idempotent request at most once, across all entry instances.
 
-The idempotency key is claimed through control's replicated log before the request is sent to one
-upstream. The claim outlives this entry. A key that another attempt holds is never dispatched.
+The idempotency key is claimed in control's replicated log before the request is sent to one
+upstream, so the claim survives a crash of this entry. A request whose key is claimed by another
+attempt is never dispatched.
 """
 
 from __future__ import annotations
@@ -56,8 +57,9 @@
 log = part_log("effects")
 
 SETTLE_TIMEOUT: Milliseconds = 30_000.0
-RESERVED_FOR_DISPATCH: Milliseconds = 10.0
-MOST_SHED_RETRIES = 2
+# Kept back from the deadline for the dispatch while a claim is waited for.
+DISPATCH_RESERVE: Milliseconds = 10.0
+MAX_SHED_RETRIES = 2
 
 
 class EffectRunner:
@@ -77,13 +79,13 @@
         self._control = control
         self._clock = clock
         self._counters = counters
-        self._tools = _Tools(clock, counters, directory, Random())
-        self._settling: set[gevent.Greenlet] = set()
+        self._context = _DispatchContext(clock, counters, directory, Random())
+        self._settle_greenlets: set[gevent.Greenlet] = set()
 
     @property
-    def settling(self) -> int:
-        """How many outcomes are still to be recorded at control."""
-        return len(self._settling)
+    def pending_settlements(self) -> int:
+        """The number of outcomes that control has not recorded yet."""
+        return len(self._settle_greenlets)
 
     def run(
         self,
@@ -108,14 +110,14 @@
             return _earlier_outcome(held)
         template = RequestTemplate(service, request_type, body, key)
         outcome = _Dispatch(
-            self._tools, template, snapshot, shard, attempt_id, policy, deadline_at
+            self._context, template, snapshot, shard, attempt_id, policy, deadline_at
         ).run()
         self._settle_in_background(key, attempt_id, outcome)
         return outcome
 
     def await_settled(self, timeout: Milliseconds) -> None:
-        """Wait until the outcomes so far are recorded, for a graceful stop."""
-        gevent.joinall(list(self._settling), timeout=timeout / SECOND)
+        """Wait until control has recorded the outcomes so far; used for a graceful stop."""
+        gevent.joinall(list(self._settle_greenlets), timeout=timeout / SECOND)
 
     def _claim(
         self,
@@ -125,17 +127,17 @@
         deadline_at: Milliseconds,
         claim_timeout: Milliseconds,
     ) -> ClaimHeld | None:
-        """Claim the key; returns the earlier attempt that holds it, or `None` if it is ours."""
+        """Claim the key; returns `None` on success, or else the attempt that already holds it."""
         unanswered = self._control.unanswered_for
         if unanswered > claim_timeout:
-            # The syncs with control find out when it answers again.
+            # Refused without a call: the periodic syncs notice when control answers again.
             raise Refused(
                 NotRunReason.CLAIM_UNAVAILABLE, f"no leader has answered for {unanswered:.0f} ms"
             )
-        left = deadline_at - RESERVED_FOR_DISPATCH - self._clock.now()
+        remaining = deadline_at - DISPATCH_RESERVE - self._clock.now()
         request = ClaimKey(key, digest, attempt_id, self._name, 0.0)
         try:
-            outcome = self._control.call(request, min(left, claim_timeout))
+            outcome = self._control.call(request, min(remaining, claim_timeout))
         except PeerUnavailable as error:
             self._release_in_background(key, attempt_id)
             raise Refused(NotRunReason.CLAIM_UNAVAILABLE, str(error)) from error
@@ -160,20 +162,20 @@
 
     def _spawn_settle(self, command: SettleKey) -> None:
         greenlet = gevent.spawn(self._settle, command)
-        self._settling.add(greenlet)
-        greenlet.rawlink(self._settling.discard)
+        self._settle_greenlets.add(greenlet)
+        greenlet.rawlink(self._settle_greenlets.discard)
 
     def _settle(self, command: SettleKey) -> None:
         try:
             self._control.call(command, SETTLE_TIMEOUT)
         except PeerUnavailable as error:
             self._counters.add("settle_failures", reason="control_unavailable")
-            log.warning("outcome of key {} was not recorded: {}", command.key, error)
+            log.warning("control did not record the outcome of key {}: {}", command.key, error)
 
 
 @dataclass(frozen=True)
-class _Tools:
-    """What every dispatch of an entry works with."""
+class _DispatchContext:
+    """The dependencies that all dispatches of an entry share."""
 
     clock: Clock
     counters: Counters
@@ -182,11 +184,11 @@
 
 
 class _Dispatch:
-    """Sends a claimed request to one replica, and to another one only if it was not run."""
+    """Sends a claimed request to one replica, and to another only if it certainly did not run."""
 
     def __init__(
         self,
-        tools: _Tools,
+        context: _DispatchContext,
         template: RequestTemplate,
         snapshot: SnapshotReplicas,
         shard: int,
@@ -194,36 +196,36 @@
         policy: Policy,
         deadline_at: Milliseconds,
     ) -> None:
-        self.clock = tools.clock
+        self.clock = context.clock
         self.template = template
         self.deadline_at = deadline_at
-        self._tools = tools
+        self._context = context
         self._snapshot = snapshot
         self._shard = shard
         self._attempt_id = attempt_id
         self._policy = policy
         self._tried: list[Replica] = []
         self._result: AsyncResult = AsyncResult()
-        self._current: Attempt | None = None
+        self._current_attempt: Attempt | None = None
 
     def run(self) -> Outcome:
-        """Send the request and wait for its end, to the deadline at the most."""
-        left = self.deadline_at - self.clock.now()
-        if left <= 0:
+        """Send the request and wait for its outcome, at most until the deadline."""
+        remaining = self.deadline_at - self.clock.now()
+        if remaining <= 0:
             return NotRun(NotRunReason.DEADLINE_TOO_SHORT, "the claim took all the time")
         self._policy.budget.earn(1)
-        self._tools.counters.add("subrequests", service=self._policy.service.name, kind="first")
+        self._context.counters.add("subrequests", service=self._policy.service.name, kind="first")
         self._send(AttemptKind.FIRST)
         try:
-            outcome: Outcome = self._result.get(timeout=left / SECOND)
+            outcome: Outcome = self._result.get(timeout=remaining / SECOND)
         except gevent.Timeout:
-            outcome = self._give_up()
+            outcome = self._end_at_deadline()
         return outcome
 
-    # Called by attempts
+    # Callbacks of attempts
 
     def part_arrived(self, attempt: Attempt, body: bytes) -> None:
-        """Take the answer."""
+        """Set the received part as the outcome."""
         snapshot = Snapshot(self._snapshot.layout, self._snapshot.version)
         coverage = Coverage(1, {})
         self._result.set(Answered(snapshot, coverage, {attempt.shard: body}, True))
@@ -231,57 +233,57 @@
     def attempt_failed(
         self, attempt: Attempt, reason: MissingReason, detail: str, *, may_have_run: bool
     ) -> None:
-        """End as unknown if it may have run, else try another replica within the budget."""
+        """End as unknown if the request may have run, else retry elsewhere within the budget."""
         service = self._policy.service.name
-        self._tools.counters.add("attempts_failed", service=service, reason=reason.value)
+        self._context.counters.add("attempts_failed", service=service, reason=reason.value)
         if may_have_run:
             self._result.set(Unknown(_unknown_reason(reason), detail))
-        elif len(self._tried) > MOST_SHED_RETRIES or not self._policy.budget.take(1):
+        elif len(self._tried) > MAX_SHED_RETRIES or not self._policy.budget.take(1):
             self._result.set(NotRun(_not_run_reason(reason), detail))
         else:
             kind = f"retry_{reason.value}"
-            self._tools.counters.add("extra_load", service=service, kind=kind)
+            self._context.counters.add("extra_load", service=service, kind=kind)
             self._send(AttemptKind.RETRY)
 
-    def replica_left(self, replica: Replica) -> None:
-        """Pass on that an upstream says it is leaving."""
-        self._tools.directory.note_left(*replica.key)
+    def replica_draining(self, replica: Replica) -> None:
+        """Record in the directory that an upstream is leaving."""
+        self._context.directory.note_left(*replica.key)
 
     def _send(self, kind: AttemptKind) -> None:
         now = self.clock.now()
-        held = self._snapshot.shards.get(self._shard, ())
-        left = candidates(held, self._tried, now)
-        if not left:
+        replicas = self._snapshot.shards.get(self._shard, ())
+        untried = candidates(replicas, self._tried, now)
+        if not untried:
             self._result.set(NotRun(NotRunReason.NO_LIVE_REPLICA, f"shard {self._shard}"))
             return
-        replica = self._policy.choose(left, self._tools.random, now)
+        replica = self._policy.choose(untried, self._context.random, now)
         self._tried.append(replica)
         version, layout = self._snapshot.version, self._snapshot.layout
         part = Part(self._attempt_id, self._shard, version, layout)
-        self._current = Attempt(self, self._shard, replica, str(part), kind)
-        replica.pool.submit(self._current)
+        self._current_attempt = Attempt(self, self._shard, replica, str(part), kind)
+        replica.pool.submit(self._current_attempt)
 
-    def _give_up(self) -> Outcome:
-        """End an attempt at the deadline: unsent it was not run, else nobody knows."""
+    def _end_at_deadline(self) -> Outcome:
+        """Cancel the attempt at the deadline: not run if it was not sent, otherwise unknown."""
         if self._result.ready():
             outcome: Outcome = self._result.get()
             return outcome
-        if self._current is not None:
-            was_sent = self._current.sent_at is not None
-            self._current.cancel()
+        if self._current_attempt is not None:
+            was_sent = self._current_attempt.sent_at is not None
+            self._current_attempt.cancel()
             if was_sent:
                 return Unknown(UnknownReason.DEADLINE)
         return NotRun(NotRunReason.DEADLINE_TOO_SHORT, "no connection came free in time")
 
 
 def request_digest(service: str, request_type: str, shard_key: str, body: bytes) -> str:
-    """Return a digest that tells one request from another under the same key."""
+    """Return a digest that detects the reuse of a key for a different request."""
     head = "\0".join((service, request_type, shard_key, "")).encode()
     return str(xxhash.xxh3_128_hexdigest(head + body))
 
 
 def encode_answer(outcome: Answered) -> bytes:
-    """Return the recorded form of an answer to a non-idempotent request."""
+    """Return an answer in the form that control stores with the key."""
     parts = {str(shard): body.decode("utf-8", "replace") for shard, body in outcome.parts.items()}
     return json.dumps([outcome.snapshot.layout, outcome.snapshot.version, parts]).encode()
 
--- a/fulmarhold/gather/__init__.py
+++ b/fulmarhold/gather/__init__.py
@@ -1,1 +1,1 @@
-"""Scatter of a query over the shards of one snapshot and gathering of the parts."""
+"""Scatter-gather of idempotent queries over the shards of one snapshot."""
--- a/fulmarhold/gather/outcome.py
+++ b/fulmarhold/gather/outcome.py
@@ -1,4 +1,4 @@
-"""The outcomes of a request, and the closed sets of their reasons."""
+"""Outcomes of requests and the enumerations of their reasons."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class NotRunReason(Enum):
-    """Why a request was not run; each has its own counter."""
+    """Why a request was not run; each reason is counted separately."""
 
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_REQUEST_TYPE = "unknown_request_type"
@@ -35,7 +35,7 @@
 
 
 class UnknownReason(Enum):
-    """Why it is not known whether a non-idempotent request ran."""
+    """Why it is unknown whether a non-idempotent request ran."""
 
     CONNECTION_LOST = "connection_lost"
     DEADLINE = "deadline"
@@ -44,7 +44,7 @@
 
 
 class MissingReason(Enum):
-    """Why a shard's part is not in an answer."""
+    """Why the part of a shard is missing from an answer."""
 
     NO_LIVE_REPLICA = "no_live_replica"
     SHED = "shed"
@@ -58,7 +58,7 @@
 
 
 class Refused(FulmarholdError):
-    """The request is not run, for one of the closed set of reasons."""
+    """Raised when a request is not run, with the reason."""
 
     def __init__(self, reason: NotRunReason, detail: str = "") -> None:
         super().__init__(detail or reason.value, step="admitting")
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """The one layout and index version that an answer comes from."""
+    """The shard layout and index version that all parts of an answer come from."""
 
     layout: str
     version: int
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True)
 class Coverage:
-    """How much of the snapshot an answer holds; the total is that of the layout."""
+    """How many of all shards of the layout an answer covers, and why the others are missing."""
 
     total: int
     missing: dict[int, MissingReason]
@@ -91,7 +91,10 @@
 
 @dataclass(frozen=True)
 class Answered:
-    """Parts by shard, all from `snapshot`; `sufficient` compares with the least coverage."""
+    """Parts by shard, all from `snapshot`.
+
+    `sufficient` tells whether the coverage reaches the service's least coverage.
+    """
 
     snapshot: Snapshot
     coverage: Coverage
@@ -101,7 +104,7 @@
 
 @dataclass(frozen=True)
 class NotRun:
-    """Nothing of the request was run, and nothing of it will be."""
+    """No part of the request was run or will be run."""
 
     reason: NotRunReason
     detail: str = ""
@@ -109,7 +112,7 @@
 
 @dataclass(frozen=True)
 class Unknown:
-    """A non-idempotent request that may have run, once at most."""
+    """A non-idempotent request that may have run, but at most once."""
 
     reason: UnknownReason
     detail: str = ""
--- a/fulmarhold/gather/query.py
+++ b/fulmarhold/gather/query.py
@@ -1,4 +1,4 @@
-"""Runs an idempotent query: chooses the snapshot, scatters, reruns if the snapshot went away."""
+"""Runs idempotent queries on one snapshot; reruns incomplete ones on a better snapshot."""
 
 from __future__ import annotations
 
@@ -18,11 +18,12 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.routing.table import RoutingTable, SnapshotReplicas
 
-RERUN_SHARE_OF_TIME = 0.4
+# A query is rerun only while at least this share of its time is left.
+MIN_TIME_SHARE_FOR_RERUN = 0.4
 
 
 class QueryRunner:
-    """Runs queries of any service."""
+    """Runs the idempotent queries of all services."""
 
     def __init__(
         self, table: RoutingTable, directory: Directory, clock: Clock, counters: Counters
@@ -41,23 +42,26 @@
         policy: Policy,
         deadline_at: Milliseconds,
     ) -> Answered:
-        """Return the answer; raises `Refused` when nothing was sent to any upstream."""
+        """Return the answer; raises `Refused` before anything is sent if the query can't run."""
         service = policy.service
         started_at = self._clock.now()
         snapshot = choose_snapshot(self._table.snapshots(service.name), started_at)
         if snapshot.live_shard_count(started_at) < service.least_coverage * snapshot.total:
             live = snapshot.live_shard_count(started_at)
             raise Refused(
-                NotRunReason.COVERAGE_UNREACHABLE, f"{live} of {snapshot.total} shards are live"
+                NotRunReason.COVERAGE_UNREACHABLE,
+                f"only {live} of {snapshot.total} shards are live",
             )
         template = RequestTemplate(service.name, request_type, body)
         answer = self._scatter(request_id, template, snapshot, policy, deadline_at)
-        newer = self._rerun_snapshot(answer, policy, started_at, deadline_at)
-        if newer is None:
+        rerun_snapshot = self._choose_rerun_snapshot(answer, policy, started_at, deadline_at)
+        if rerun_snapshot is None:
             return answer
-        self._counters.add("extra_load", newer.total, service=service.name, kind="rerun")
-        again = self._scatter(f"{request_id}r", template, newer, policy, deadline_at)
-        return max(answer, again, key=lambda item: item.coverage.share)
+        self._counters.add("extra_load", rerun_snapshot.total, service=service.name, kind="rerun")
+        rerun_answer = self._scatter(
+            f"{request_id}r", template, rerun_snapshot, policy, deadline_at
+        )
+        return max(answer, rerun_answer, key=lambda item: item.coverage.share)
 
     def _scatter(
         self,
@@ -80,18 +84,22 @@
         )
         return scatter.run()
 
-    def _rerun_snapshot(
+    def _choose_rerun_snapshot(
         self,
         answer: Answered,
         policy: Policy,
         started_at: Milliseconds,
         deadline_at: Milliseconds,
     ) -> SnapshotReplicas | None:
-        """Return the newer snapshot to run an incomplete query on, if it is worth it."""
+        """Return the snapshot to rerun an incomplete query on, or `None` if not worthwhile.
+
+        A rerun needs enough time, enough budget and a snapshot with a larger live share than
+        the answer has.
+        """
         if not answer.coverage.missing:
             return None
         now = self._clock.now()
-        if deadline_at - now < RERUN_SHARE_OF_TIME * (deadline_at - started_at):
+        if deadline_at - now < MIN_TIME_SHARE_FOR_RERUN * (deadline_at - started_at):
             return None
         best = choose_snapshot(self._table.snapshots(policy.service.name), now)
         is_same = (best.layout, best.version) == (answer.snapshot.layout, answer.snapshot.version)
@@ -101,7 +109,7 @@
 
 
 def choose_snapshot(snapshots: Sequence[SnapshotReplicas], now: Milliseconds) -> SnapshotReplicas:
-    """Return the snapshot with the largest coverable share, the newest among equals.
+    """Return the snapshot with the largest share of live shards, the newest among equals.
 
     Raises `Refused` when no layout is known.
     """
--- a/fulmarhold/gather/scatter.py
+++ b/fulmarhold/gather/scatter.py
@@ -1,4 +1,4 @@
-"""Sends a query to every shard of one snapshot and gathers the parts."""
+"""Sends a query to every shard of one snapshot and collects the parts."""
 
 from __future__ import annotations
 
@@ -28,15 +28,15 @@
     from fulmarhold.routing.table import SnapshotReplicas
     from fulmarhold.upstreams.protocol import RequestTemplate
 
-# The answer must be written and travel before the caller's deadline.
-RETURN_RESERVE: Milliseconds = 2.0
-# A part is late once it took this many times the latency past which it was hedged.
+# Kept back from the caller's deadline for encoding the answer and sending it.
+RESPONSE_RESERVE: Milliseconds = 2.0
+# A part is late after this many times the hedge delay.
 LATE_FACTOR = 3.0
 
 
 @dataclass(frozen=True)
 class Policy:
-    """What a scatter decides by; shared by the queries of one service."""
+    """The settings, budget and estimates of one service, shared by its queries."""
 
     service: ServiceConfiguration
     choose: Chooser
@@ -46,7 +46,9 @@
     hedge_after: QuantileEstimate
 
 
-class _Shard:
+class _ShardState:
+    """The attempts and the result of one shard."""
+
     __slots__ = ("attempts", "body", "hedged", "reason")
 
     def __init__(self) -> None:
@@ -57,7 +59,7 @@
 
 
 class Scatter:
-    """One query over one snapshot."""
+    """A single run of a query over one snapshot."""
 
     def __init__(
         self,
@@ -73,24 +75,24 @@
     ) -> None:
         self.clock = clock
         self.template = template
-        self.deadline_at = deadline_at - RETURN_RESERVE
+        self.deadline_at = deadline_at - RESPONSE_RESERVE
         self._request_id = request_id
         self._snapshot = snapshot
         self._policy = policy
         self._random = random
         self._counters = counters
         self._note_left = note_left
-        self._shards = [_Shard() for _ in range(snapshot.total)]
+        self._shards = [_ShardState() for _ in range(snapshot.total)]
         self._unresolved = snapshot.total
         self._covered = 0
-        self._needed = math.ceil(policy.service.least_coverage * snapshot.total)
+        self._required = math.ceil(policy.service.least_coverage * snapshot.total)
         self._wake = Event()
         self._started_at = clock.now()
         self._late_at: Milliseconds = float("inf")
         self.saw_snapshot_gone = False
 
     def run(self) -> Answered:
-        """Scatter, wait as long as the policy says, cancel the rest and return the answer."""
+        """Send, wait as long as the policy allows, cancel the open attempts, return the answer."""
         self._send_first_attempts()
         hedge_delay = self._policy.hedge_after.value
         if self._policy.returns_early:
@@ -100,16 +102,16 @@
         self._wait_until(self.deadline_at)
         return self._finish()
 
-    # Called by attempts
+    # Callbacks of attempts
 
     def part_arrived(self, attempt: Attempt, body: bytes) -> None:
-        """Take a part; the first of a shard counts and the others are cancelled."""
+        """Store the first part of a shard and cancel the shard's other attempts."""
         shard = self._shards[attempt.shard]
         if shard.body is not None:
             return
         now = self.clock.now()
         if attempt.kind is AttemptKind.HEDGE:
-            self._count_extra("hedge_won")
+            self._count_extra_load("hedge_won")
         self._policy.hedge_after.update(now - self._started_at)
         was_unresolved = shard.reason is None
         shard.body = body
@@ -119,13 +121,13 @@
             other.cancel()
         if was_unresolved:
             self._unresolved -= 1
-        if self._unresolved == 0 or (now >= self._late_at and self._covered >= self._needed):
+        if self._unresolved == 0 or (now >= self._late_at and self._covered >= self._required):
             self._wake.set()
 
     def attempt_failed(
         self, attempt: Attempt, reason: MissingReason, detail: str, *, may_have_run: bool
     ) -> None:
-        """Try another replica within the budget, or give the shard up."""
+        """Retry on another replica within the budget, or mark the shard as missing."""
         self._counters.add(
             "attempts_failed", service=self._policy.service.name, reason=reason.value
         )
@@ -134,21 +136,21 @@
         shard = self._shards[attempt.shard]
         if shard.body is not None or any(not other.is_over for other in shard.attempts):
             return
-        left = self._candidates(attempt.shard)
-        if not left or self.clock.now() >= self.deadline_at:
-            self._give_up(shard, reason)
+        untried = self._candidates(attempt.shard)
+        if not untried or self.clock.now() >= self.deadline_at:
+            self._mark_missing(shard, reason)
         elif attempt.sent_at is None:
-            # Nothing reached an upstream, so that another try is no extra load.
-            self._send(attempt.shard, left, AttemptKind.RETRY)
+            # Nothing was sent to an upstream, so a retry is not extra load.
+            self._send(attempt.shard, untried, AttemptKind.RETRY)
         elif not self._policy.budget.take(1):
-            self._count_extra("retry_refused")
-            self._give_up(shard, MissingReason.BUDGET_SPENT)
+            self._count_extra_load("retry_refused")
+            self._mark_missing(shard, MissingReason.BUDGET_SPENT)
         else:
-            self._count_extra(f"retry_{reason.value}")
-            self._send(attempt.shard, left, AttemptKind.RETRY)
+            self._count_extra_load(f"retry_{reason.value}")
+            self._send(attempt.shard, untried, AttemptKind.RETRY)
 
-    def replica_left(self, replica: Replica) -> None:
-        """Pass on that an upstream says it is leaving."""
+    def replica_draining(self, replica: Replica) -> None:
+        """Record in the directory that an upstream is leaving."""
         self._note_left(*replica.key)
 
     def _send_first_attempts(self) -> None:
@@ -156,77 +158,77 @@
         self._counters.add(
             "subrequests", self._snapshot.total, service=self._policy.service.name, kind="first"
         )
-        for number, shard in enumerate(self._shards):
-            left = self._candidates(number)
-            if left:
-                self._send(number, left, AttemptKind.FIRST)
+        for shard_number, shard in enumerate(self._shards):
+            untried = self._candidates(shard_number)
+            if untried:
+                self._send(shard_number, untried, AttemptKind.FIRST)
             else:
-                self._give_up(shard, MissingReason.NO_LIVE_REPLICA)
+                self._mark_missing(shard, MissingReason.NO_LIVE_REPLICA)
 
-    def _candidates(self, number: int) -> list[Replica]:
-        replicas = self._snapshot.shards.get(number, ())
-        tried = [attempt.replica for attempt in self._shards[number].attempts]
+    def _candidates(self, shard_number: int) -> list[Replica]:
+        replicas = self._snapshot.shards.get(shard_number, ())
+        tried = [attempt.replica for attempt in self._shards[shard_number].attempts]
         return candidates(replicas, tried, self.clock.now())
 
-    def _send(self, number: int, replicas: list[Replica], kind: AttemptKind) -> None:
+    def _send(self, shard_number: int, replicas: list[Replica], kind: AttemptKind) -> None:
         replica = self._policy.choose(replicas, self._random, self.clock.now())
-        part = Part(self._request_id, number, self._snapshot.version, self._snapshot.layout)
-        attempt = Attempt(self, number, replica, str(part), kind)
-        self._shards[number].attempts.append(attempt)
+        part = Part(self._request_id, shard_number, self._snapshot.version, self._snapshot.layout)
+        attempt = Attempt(self, shard_number, replica, str(part), kind)
+        self._shards[shard_number].attempts.append(attempt)
         replica.pool.submit(attempt)
 
     def _hedge(self) -> None:
-        for number, shard in enumerate(self._shards):
+        for shard_number, shard in enumerate(self._shards):
             if shard.body is not None or shard.reason is not None or shard.hedged:
                 continue
-            # A replica that has work of ours to do already would only be late as well.
-            left = [item for item in self._candidates(number) if item.pool.load == 0]
-            if not left:
-                self._count_extra("hedge_pointless")
+            # A replica that already has requests of this entry would probably be late as well.
+            untried = [item for item in self._candidates(shard_number) if item.pool.load == 0]
+            if not untried:
+                self._count_extra_load("hedge_pointless")
                 continue
             if not self._policy.budget.take_unreserved(1):
-                self._count_extra("hedge_refused")
+                self._count_extra_load("hedge_refused")
                 return
             shard.hedged = True
-            self._count_extra("hedge")
-            self._send(number, left, AttemptKind.HEDGE)
+            self._count_extra_load("hedge")
+            self._send(shard_number, untried, AttemptKind.HEDGE)
 
-    def _give_up(self, shard: _Shard, reason: MissingReason) -> None:
+    def _mark_missing(self, shard: _ShardState, reason: MissingReason) -> None:
         shard.reason = reason
         self._unresolved -= 1
         if self._unresolved == 0:
             self._wake.set()
 
-    def _wait_until(self, moment: Milliseconds) -> bool:
-        """Wait for the end of the scatter; returns whether it still goes on at `moment`."""
-        moment = min(moment, self.deadline_at)
+    def _wait_until(self, until: Milliseconds) -> bool:
+        """Wait for the end of the scatter; returns whether it is still running at `until`."""
+        until = min(until, self.deadline_at)
         while not self._is_finished():
             now = self.clock.now()
-            if now >= moment:
+            if now >= until:
                 return True
-            next_look = min(moment, self._late_at) if now < self._late_at else moment
-            self._wake.wait((next_look - now) / SECOND)
+            next_check = min(until, self._late_at) if now < self._late_at else until
+            self._wake.wait((next_check - now) / SECOND)
         return False
 
     def _is_finished(self) -> bool:
         now = self.clock.now()
         if self._unresolved == 0 or now >= self.deadline_at:
             return True
-        return now >= self._late_at and self._covered >= self._needed
+        return now >= self._late_at and self._covered >= self._required
 
     def _finish(self) -> Answered:
-        open_reason = (
+        default_reason = (
             MissingReason.DEADLINE if self.clock.now() >= self.deadline_at else MissingReason.LATE
         )
         missing: dict[int, MissingReason] = {}
         parts: dict[int, bytes] = {}
-        for number, shard in enumerate(self._shards):
+        for shard_number, shard in enumerate(self._shards):
             for attempt in shard.attempts:
                 attempt.cancel()
             if shard.body is not None:
-                parts[number] = shard.body
+                parts[shard_number] = shard.body
             else:
-                missing[number] = shard.reason or open_reason
+                missing[shard_number] = shard.reason or default_reason
         coverage = Coverage(self._snapshot.total, missing)
         for reason in missing.values():
             self._counters.add(
@@ -236,8 +238,8 @@
             Snapshot(self._snapshot.layout, self._snapshot.version),
             coverage,
             parts,
-            coverage.covered >= self._needed,
+            coverage.covered >= self._required,
         )
 
-    def _count_extra(self, kind: str) -> None:
+    def _count_extra_load(self, kind: str) -> None:
         self._counters.add("extra_load", service=self._policy.service.name, kind=kind)
--- a/fulmarhold/gather/services.py
+++ b/fulmarhold/gather/services.py
@@ -1,4 +1,4 @@
-"""What an entry keeps per service while queries come and go: budget, estimates, policy."""
+"""The state of each service that outlives single queries: policy, budget, latency estimate."""
 
 from __future__ import annotations
 
@@ -12,11 +12,12 @@
 if TYPE_CHECKING:
     from fulmarhold.configuration import ServiceConfiguration
 
-INITIAL_HEDGE_SHARE = 0.2
+# The first hedge delay, as a share of the service's deadline.
+INITIAL_HEDGE_DELAY_SHARE = 0.2
 
 
 class ServicePolicies:
-    """The policy of each service, made anew when its configuration changes."""
+    """Caches the policy of each service and rebuilds it when the configuration changes."""
 
     def __init__(
         self, choice: str = DEFAULT_CHOICE, *, hedges: bool = True, returns_early: bool = True
@@ -27,18 +28,26 @@
         self._policies: dict[str, Policy] = {}
 
     def find(self, service: ServiceConfiguration) -> Policy:
-        """Return the policy of a service; estimates and budget outlive a change of settings."""
+        """Return the policy of a service.
+
+        A changed configuration makes a new budget; the estimate of the hedge delay is kept
+        unless its quantile changed.
+        """
         policy = self._policies.get(service.name)
         if policy is None or policy.service is not service:
             policy = self._policies[service.name] = self._make(service, policy)
         return policy
 
-    def _make(self, service: ServiceConfiguration, before: Policy | None) -> Policy:
-        keeps = before is not None and before.service.hedge_quantile == service.hedge_quantile
+    def _make(self, service: ServiceConfiguration, previous: Policy | None) -> Policy:
+        is_quantile_unchanged = (
+            previous is not None and previous.service.hedge_quantile == service.hedge_quantile
+        )
         estimate = (
-            before.hedge_after
-            if before is not None and keeps
-            else QuantileEstimate(service.hedge_quantile, INITIAL_HEDGE_SHARE * service.deadline_ms)
+            previous.hedge_after
+            if previous is not None and is_quantile_unchanged
+            else QuantileEstimate(
+                service.hedge_quantile, INITIAL_HEDGE_DELAY_SHARE * service.deadline_ms
+            )
         )
         return Policy(
             service,
--- a/fulmarhold/gather/subrequest.py
+++ b/fulmarhold/gather/subrequest.py
@@ -1,4 +1,4 @@
-"""One attempt at one shard's part, from choice of replica to response."""
+"""One attempt to get the part of one shard from a chosen replica."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 class AttemptOwner(Protocol):
-    """What an attempt reports to."""
+    """Receives the results of its attempts."""
 
     clock: Clock
     template: RequestTemplate
@@ -44,11 +44,11 @@
         self, attempt: Attempt, reason: MissingReason, detail: str, *, may_have_run: bool
     ) -> None: ...
 
-    def replica_left(self, replica: Replica) -> None: ...
+    def replica_draining(self, replica: Replica) -> None: ...
 
 
 class Attempt:
-    """A request to one replica for one part."""
+    """A request to one replica for the part of one shard."""
 
     __slots__ = ("_is_over", "kind", "owner", "part", "replica", "sent_at", "shard")
 
@@ -68,38 +68,38 @@
         return self._is_over
 
     def may_send(self) -> bool:
-        """Whether it is still wanted, the replica's lease runs and there is time left."""
+        """Whether it is still wanted, the replica's lease is valid and the deadline is ahead."""
         now = self.owner.clock.now()
         return not self._is_over and now < self.owner.deadline_at and self.replica.is_live(now)
 
     def encode(self) -> bytes:
-        """Return the request's bytes; called at the moment of sending."""
+        """Return the encoded request and record the send time; called right before sending."""
         self.sent_at = self.owner.clock.now()
-        left = self.owner.deadline_at - self.sent_at
-        return self.owner.template.encode(self.replica.pool.address, self.part, left)
+        remaining = self.owner.deadline_at - self.sent_at
+        return self.owner.template.encode(self.replica.pool.address, self.part, remaining)
 
     def cancel(self) -> None:
-        """Give the attempt up; a response that comes later is read and dropped."""
+        """Cancel the attempt; a later response is read and discarded."""
         if self._is_over:
             return
         self._is_over = True
         if self.sent_at is not None:
             now = self.owner.clock.now()
             self.replica.note_abandoned(now - self.sent_at, now)
-            self.replica.pool.try_send(_Cancel(self.replica.pool.address, self.part))
+            self.replica.pool.try_send(_CancelRequest(self.replica.pool.address, self.part))
 
     def completed(self, response: UpstreamResponse) -> bool:
-        """Take the response; returns whether the connection may be used further."""
+        """Handle the response; returns whether the connection can be reused."""
         if response.state == STATE_DRAINING:
-            self.owner.replica_left(self.replica)
-        is_own = response.part == self.part
+            self.owner.replica_draining(self.replica)
+        echo_matches = response.part == self.part
         if not self._is_over:
             self._is_over = True
-            self._report(response, is_own)
-        return is_own
+            self._report(response, echo_matches)
+        return echo_matches
 
     def failed(self, reason: str, *, sent: bool) -> None:
-        """Take the loss of the request."""
+        """Handle a request that gets no response."""
         if self._is_over:
             return
         self._is_over = True
@@ -109,9 +109,9 @@
             self.replica.note_unreachable(self.owner.clock.now())
         self.owner.attempt_failed(self, MissingReason.CONNECTION_LOST, reason, may_have_run=sent)
 
-    def _report(self, response: UpstreamResponse, is_own: bool) -> None:
+    def _report(self, response: UpstreamResponse, echo_matches: bool) -> None:
         owner = self.owner
-        if not is_own:
+        if not echo_matches:
             self._note_failure()
             owner.attempt_failed(
                 self, MissingReason.WRONG_ECHO, f"echoed {response.part!r}", may_have_run=True
@@ -138,8 +138,8 @@
         self.replica.note_failure(self.owner.clock.now())
 
 
-class _Cancel:
-    """Tells an upstream that the response to a part is not wanted any more."""
+class _CancelRequest:
+    """Tells an upstream that the response to a part is no longer needed."""
 
     def __init__(self, address: str, part: str) -> None:
         self._address = address
--- a/fulmarhold/tests/effects/test_at_most_once.py
+++ b/fulmarhold/tests/effects/test_at_most_once.py
@@ -1,4 +1,4 @@
-"""Non-idempotent requests across entries, counted where they take effect."""
+"""Non-idempotent requests take effect at most once, as counted at the upstreams."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def redeem(fleet, key, entry, deadline=DEADLINE):
-    """Send a redemption to one entry; returns the outcome's tag, or `lost`."""
+    """Send a redemption to one entry; returns the tag of its outcome, or `lost`."""
     caller = Caller(fleet.entry_endpoints, "a", Random(1))
     try:
         answer = caller.ask("lookup", "redeem", deadline=deadline, key=key, entry=entry)
@@ -49,7 +49,7 @@
     assert fleet.effects() == {key: 1}
 
 
-def test_after_a_timeout_the_outcome_is_unknown_and_a_resend_does_not_run_it_again(fleet):
+def test_a_resend_after_a_timeout_does_not_run_the_request_again(fleet):
     fleet.command("behave", all_upstreams(fleet), service_ms=1_500.0)
     key = new_identifier()
     assert redeem(fleet, key, fleet.entry_endpoints[0], deadline=400.0) == "unknown"
@@ -58,7 +58,7 @@
     assert fleet.effects() == {key: 1}
 
 
-def test_a_lost_response_is_unknown_and_never_not_run(fleet):
+def test_a_lost_response_is_reported_as_unknown_not_as_not_run(fleet):
     fleet.command("behave", all_upstreams(fleet), lose_response_share=1.0)
     key = new_identifier()
     assert redeem(fleet, key, fleet.entry_endpoints[0]) == "unknown"
@@ -92,7 +92,7 @@
     assert fleet.effects() == dict.fromkeys(answers, 1)
 
 
-def test_what_every_upstream_sheds_is_not_run_and_may_run_later(fleet):
+def test_a_request_shed_by_every_upstream_is_not_run_and_can_be_resent(fleet):
     fleet.command("behave", all_upstreams(fleet), shed_share=1.0)
     key = new_identifier()
     assert redeem(fleet, key, fleet.entry_endpoints[0]) == "not_run"
@@ -105,7 +105,7 @@
 
 
 @pytest.mark.parametrize("after_ms", [0, 2, 5, 10, 30, 100])
-def test_an_entry_killed_before_during_or_after_dispatch(fleet, after_ms):
+def test_a_request_runs_at_most_once_if_its_entry_is_killed_around_dispatch(fleet, after_ms):
     fleet.command("behave", all_upstreams(fleet), service_ms=20.0)
     keys = [new_identifier() for _ in range(8)]
     killed = fleet.entries[0]
@@ -122,7 +122,7 @@
             assert effects[key] == 1
 
 
-def test_a_change_of_leader_between_claim_and_resend(fleet):
+def test_a_request_runs_at_most_once_if_the_leader_changes_before_the_resend(fleet):
     keys = [new_identifier() for _ in range(6)]
     tasks = [gevent.spawn(redeem, fleet, key, fleet.entry_endpoints[0]) for key in keys]
     status = read_query(fleet.operator_endpoints, "status")
@@ -137,7 +137,7 @@
         assert effects.get(key, 0) == 1 or "answered" not in (one, two)
 
 
-def test_without_control_nothing_runs_and_that_is_said(fleet):
+def test_without_control_a_request_is_reported_as_not_run(fleet):
     for process in fleet.control:
         process.kill()
     key = new_identifier()
--- a/fulmarhold/tests/effects/test_claims.py
+++ b/fulmarhold/tests/effects/test_claims.py
@@ -1,4 +1,4 @@
-"""What an entry does with a redemption whose claim control does not decide."""
+"""Claims while control has no leader: how long an entry waits before it refuses the request."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from fulmarhold.clock import ManualClock
 from fulmarhold.control.identifiers import new_identifier
-from fulmarhold.effects.dispatch import RESERVED_FOR_DISPATCH, EffectRunner
+from fulmarhold.effects.dispatch import DISPATCH_RESERVE, EffectRunner
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.gather.outcome import NotRunReason, Refused
 from fulmarhold.observe.counters import Counters
@@ -19,8 +19,8 @@
 DEADLINE = 2_500.0
 
 
-class Control:
-    """Control without a leader; remembers how long each call was to wait."""
+class LeaderlessControl:
+    """Control without a leader; records the timeout of each call."""
 
     def __init__(self, unanswered_for):
         self.unanswered_for = unanswered_for
@@ -44,13 +44,13 @@
     assert refused.value.reason is NotRunReason.CLAIM_UNAVAILABLE
 
 
-def test_it_waits_for_a_new_leader_while_the_deadline_allows():
-    control = Control(unanswered_for=700.0)
+def test_a_claim_waits_for_a_new_leader_until_the_deadline():
+    control = LeaderlessControl(unanswered_for=700.0)
     run(control)
-    assert control.waits[0] == DEADLINE - RESERVED_FOR_DISPATCH
+    assert control.waits[0] == DEADLINE - DISPATCH_RESERVE
 
 
-def test_it_is_refused_at_once_when_there_has_long_been_no_leader():
-    control = Control(unanswered_for=CLAIM_TIMEOUT + 1)
+def test_a_claim_is_refused_at_once_after_a_long_time_without_a_leader():
+    control = LeaderlessControl(unanswered_for=CLAIM_TIMEOUT + 1)
     run(control)
     assert control.waits == []
--- a/fulmarhold/tests/gather/test_scatter.py
+++ b/fulmarhold/tests/gather/test_scatter.py
@@ -1,4 +1,4 @@
-"""The scatter's decisions with upstreams that a test answers for."""
+"""Hedges, retries and early returns of a scatter over simulated upstreams."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from fulmarhold.clock import Clock
 from fulmarhold.conftest import small_questionnaire
 from fulmarhold.gather.outcome import MissingReason
-from fulmarhold.gather.scatter import RETURN_RESERVE, Policy, Scatter
+from fulmarhold.gather.scatter import RESPONSE_RESERVE, Policy, Scatter
 from fulmarhold.gather.subrequest import AttemptKind
 from fulmarhold.limits.budget import ExtraLoadBudget
 from fulmarhold.observe.counters import Counters
@@ -34,7 +34,7 @@
 
 
 class FakePool:
-    """Takes requests and answers them as `answer` says, after `delay` ms."""
+    """Accepts requests and replies to them with `answer` after `delay` ms."""
 
     def __init__(self, answer="ok", delay=0.0):
         self.address = "127.0.0.1:1"
@@ -72,7 +72,7 @@
 
 
 def run(*shards, hedge_after=1_000.0, early=False, budget=20, chosen=None):
-    """Scatter over shards, each a list of pools; returns the answer and how long it took."""
+    """Scatter over shards, each a list of pools; returns the answer and the time it took."""
     replicas = {}
     for number, pools in enumerate(shards):
         record = SimpleNamespace(address=f"a{number}", incarnation=1, slots=4)
@@ -110,58 +110,58 @@
     return scatter.run(), clock.now() - started_at
 
 
-def reasons(answer):
+def missing_reasons(answer):
     return {shard: reason.value for shard, reason in answer.coverage.missing.items()}
 
 
 @pytest.mark.parametrize("hedge_after", [1.0, 20.0, 10_000.0])
-def test_no_answer_comes_after_the_deadline_whatever_the_hedge_delay(hedge_after):
-    answer, took = run([FakePool()], [FakePool(answer=None)], hedge_after=hedge_after)
-    assert reasons(answer) == {1: "deadline"}
-    assert DEADLINE - RETURN_RESERVE - 1 <= took < DEADLINE + SLACK
+def test_the_answer_returns_by_the_deadline_for_any_hedge_delay(hedge_after):
+    answer, elapsed = run([FakePool()], [FakePool(answer=None)], hedge_after=hedge_after)
+    assert missing_reasons(answer) == {1: "deadline"}
+    assert DEADLINE - RESPONSE_RESERVE - 1 <= elapsed < DEADLINE + SLACK
 
 
-def hedged(second, **options):
-    """Scatter over a shard whose first replica never answers; `second` is its other one."""
+def run_hedged(second, **options):
+    """Scatter over one shard with two replicas: one that never replies, and `second`."""
     first = FakePool(answer=None)
-    answer, took = run([first, second], hedge_after=10.0, chosen=first, **options)
-    return answer, took, len(first.sent), len(second.sent)
+    answer, elapsed = run([first, second], hedge_after=10.0, chosen=first, **options)
+    return answer, elapsed, len(first.sent), len(second.sent)
 
 
-def test_a_late_part_is_hedged_at_another_replica_once():
-    answer, took, first, second = hedged(FakePool(delay=1.0))
+def test_a_late_part_is_hedged_once_on_another_replica():
+    answer, elapsed, first, second = run_hedged(FakePool(delay=1.0))
     assert not answer.coverage.missing
     assert (first, second) == (1, 1)
-    assert took < DEADLINE / 2
+    assert elapsed < DEADLINE / 2
 
 
 def test_without_budget_there_is_no_hedge():
-    answer, _, _, second = hedged(FakePool(), budget=0)
-    assert (reasons(answer), second) == ({0: "deadline"}, 0)
+    answer, _, _, second = run_hedged(FakePool(), budget=0)
+    assert (missing_reasons(answer), second) == ({0: "deadline"}, 0)
 
 
-def test_a_replica_with_work_to_do_gets_no_hedge():
+def test_a_busy_replica_gets_no_hedge():
     busy = FakePool()
     busy.load = 1
-    answer, _, _, second = hedged(busy)
-    assert (reasons(answer), second) == ({0: "deadline"}, 0)
+    answer, _, _, second = run_hedged(busy)
+    assert (missing_reasons(answer), second) == ({0: "deadline"}, 0)
 
 
-@pytest.mark.parametrize("wrong", ["lost", "shed", "gone"])
-def test_a_failed_part_is_tried_at_another_replica(wrong):
-    bad, good = FakePool(answer=wrong), FakePool()
-    good.load = 100
-    answer, _ = run([bad, good])
+@pytest.mark.parametrize("failure", ["lost", "shed", "gone"])
+def test_a_failed_part_is_retried_on_another_replica(failure):
+    failing, working = FakePool(answer=failure), FakePool()
+    working.load = 100
+    answer, _ = run([failing, working])
     assert not answer.coverage.missing
-    assert (len(bad.sent), len(good.sent)) == (1, 1)
+    assert (len(failing.sent), len(working.sent)) == (1, 1)
 
 
-def test_a_replica_that_can_not_be_reached_costs_no_budget_and_is_passed_over():
-    bad, good = FakePool(answer="unreachable"), FakePool()
-    good.load = 100
-    answer, _ = run([bad, good], budget=0)
+def test_an_unreachable_replica_is_skipped_without_using_budget():
+    failing, working = FakePool(answer="unreachable"), FakePool()
+    working.load = 100
+    answer, _ = run([failing, working], budget=0)
     assert not answer.coverage.missing
-    assert good.sent[0].kind is AttemptKind.RETRY
+    assert working.sent[0].kind is AttemptKind.RETRY
 
 
 def test_hedges_leave_half_of_the_budget_to_retries():
@@ -181,26 +181,26 @@
         (["shed", "ok"], 0, MissingReason.BUDGET_SPENT),
     ],
 )
-def test_a_missing_part_has_its_reason(pools, budget, reason):
-    made = [FakePool(answer=name) for name in pools]
-    for place, pool in enumerate(made):
-        pool.load = place * 100
-    answer, took = run([FakePool()], made, budget=budget)
+def test_a_missing_part_is_reported_with_its_reason(pools, budget, reason):
+    replica_pools = [FakePool(answer=name) for name in pools]
+    for position, pool in enumerate(replica_pools):
+        pool.load = position * 100
+    answer, elapsed = run([FakePool()], replica_pools, budget=budget)
     assert answer.coverage.missing == {1: reason}
     assert (answer.coverage.covered, answer.coverage.total) == (1, 2)
-    assert took < DEADLINE / 2
+    assert elapsed < DEADLINE / 2
 
 
-def test_a_latency_first_service_returns_once_enough_is_there_and_the_rest_is_late():
+def test_a_latency_first_service_returns_early_with_sufficient_coverage():
     shards = [[FakePool()], [FakePool(answer=None)]]
-    answer, took = run(*shards, early=True, hedge_after=5.0)
-    assert reasons(answer) == {1: "late"}
+    answer, elapsed = run(*shards, early=True, hedge_after=5.0)
+    assert missing_reasons(answer) == {1: "late"}
     assert answer.sufficient
-    assert took < DEADLINE / 2
+    assert elapsed < DEADLINE / 2
 
 
-def test_a_latency_first_service_waits_while_there_is_not_enough():
+def test_a_latency_first_service_waits_for_sufficient_coverage():
     shards = [[FakePool()], [FakePool(answer=None)], [FakePool(answer=None)]]
-    answer, took = run(*shards, early=True, hedge_after=5.0)
+    answer, elapsed = run(*shards, early=True, hedge_after=5.0)
     assert not answer.sufficient
-    assert took > DEADLINE / 2
+    assert elapsed > DEADLINE / 2
--- a/fulmarhold/tests/gather/test_snapshots.py
+++ b/fulmarhold/tests/gather/test_snapshots.py
@@ -1,4 +1,7 @@
-"""One snapshot and true coverage while versions switch, layouts change and responses go wrong."""
+"""Answers stay on one snapshot while versions and layouts change and upstreams misbehave.
+
+Otherwise an answer would merge parts of different snapshots, or report a wrong coverage.
+"""
 
 from __future__ import annotations
 
@@ -12,8 +15,8 @@
 from fulmarhold.tests.load import DEADLINE, SearchLoad
 
 
-def ask_under(fleet, change, seconds=2.0):
-    """Search through every entry while `change` happens; returns the answers' documents."""
+def search_during(fleet, change, seconds=2.0):
+    """Search through every entry while `change` runs; returns the response documents."""
     load = SearchLoad(fleet, callers=3)
     gevent.sleep(0.3)
     change()
@@ -34,7 +37,7 @@
     }
 
 
-def test_a_rolling_version_switch_mixes_nothing(fleet):
+def test_a_rolling_version_switch_never_mixes_snapshots(fleet):
     addresses = fleet.upstreams["lookup"]
 
     def switch():
@@ -46,13 +49,13 @@
             fleet.command("announce", [address], versions=[2])
             gevent.sleep(0.05)
 
-    documents = ask_under(fleet, switch)
+    documents = search_during(fleet, switch)
     assert snapshots(documents) == {("layout-1", 1), ("layout-1", 2)}
     last = documents[-1]
     assert (last["snapshot"]["version"], last["coverage"]["covered"]) == (2, 4)
 
 
-def test_an_abrupt_version_switch_mixes_nothing(fleet):
+def test_an_abrupt_version_switch_never_mixes_snapshots(fleet):
     addresses = fleet.upstreams["lookup"]
 
     def switch():
@@ -60,12 +63,12 @@
             fleet.command("announce", addresses, versions=[version])
             gevent.sleep(0.15)
 
-    documents = ask_under(fleet, switch)
+    documents = search_during(fleet, switch)
     assert documents[-1]["snapshot"]["version"] == 7
     assert documents[-1]["coverage"]["covered"] == 4
 
 
-def test_repartitioning_mixes_nothing_and_the_total_is_the_layouts(fleet):
+def test_repartitioning_never_mixes_layouts_and_keeps_the_total_of_each(fleet):
     addresses = fleet.upstreams["lookup"]
 
     def repartition():
@@ -74,7 +77,7 @@
             fleet.command("announce", [address], **change)
             gevent.sleep(0.1)
 
-    documents = ask_under(fleet, repartition)
+    documents = search_during(fleet, repartition)
     totals = {
         (document["snapshot"]["layout"], document["coverage"]["total"])
         for document in documents
@@ -99,7 +102,7 @@
 )
 def test_responses_that_go_wrong_are_never_merged(fleet, behaviour):
     addresses = fleet.upstreams["lookup"]
-    documents = ask_under(fleet, lambda: fleet.command("behave", addresses, **behaviour))
+    documents = search_during(fleet, lambda: fleet.command("behave", addresses, **behaviour))
     assert any(document["outcome"] == "answered" for document in documents)
 
 
