--- a/fulmarhold/entry/__init__.py
+++ b/fulmarhold/entry/__init__.py
@@ -1,1 +1,1 @@
-"""The entry daemon: answers callers and hears upstreams."""
+"""The entry daemon: serves callers and receives announcements of upstreams."""
--- a/fulmarhold/entry/__main__.py
+++ b/fulmarhold/entry/__main__.py
@@ -8,7 +8,7 @@
 
 
 def main() -> None:
-    """Enter the program."""
+    """Run an entry from the command line."""
     run_program("fulmarhold-entry", "Run an entry instance.", EntrySettings, EntryDaemon)
 
 
--- a/fulmarhold/entry/addresses.py
+++ b/fulmarhold/entry/addresses.py
@@ -1,4 +1,4 @@
-"""Which entry instances a caller should use, and how long it may keep the answer."""
+"""Tells callers which entry instances to use and how long to cache the addresses."""
 
 from __future__ import annotations
 
@@ -14,21 +14,22 @@
     from fulmarhold.membership.exchange import MembershipExchange
     from fulmarhold.membership.running import RunningState
 
-# Added to the time that a leaving entry serves on, for an answer that travels slowly.
-TRAVEL_MARGIN: Milliseconds = 500.0
-FIRST_KEEP: Milliseconds = 1_000.0
+# Extra time that a leaving entry keeps serving, in case an address answer arrives late.
+NETWORK_DELAY_MARGIN: Milliseconds = 500.0
+# Used while no configuration is known.
+DEFAULT_KEEP_TIME: Milliseconds = 1_000.0
 
 
 @dataclass(frozen=True)
 class AddressAnswer:
-    """Addresses in order of preference, and how long they may be kept in milliseconds."""
+    """Addresses in order of preference, and for how many milliseconds to cache them."""
 
     addresses: tuple[str, ...]
     keep_ms: Milliseconds
 
 
-class Addresses:
-    """Answers callers and upstreams that look for entry instances."""
+class EntryAddresses:
+    """Lists the entry instances for callers and upstreams."""
 
     def __init__(
         self,
@@ -43,28 +44,29 @@
         self._exchange = exchange
 
     @property
-    def keep(self) -> Milliseconds:
+    def keep_time(self) -> Milliseconds:
         configuration = self._running.configuration
-        return configuration.timings.address_answer_ms if configuration else FIRST_KEEP
+        return configuration.timings.address_answer_ms if configuration else DEFAULT_KEEP_TIME
 
     @property
-    def leaving_time(self) -> Milliseconds:
-        """How long a leaving entry must still serve until every answer that names it is over.
+    def drain_duration(self) -> Milliseconds:
+        """How long a leaving entry must keep serving until no cached answer contains it.
 
-        Others may name it until their last poll of it runs out, and callers keep that answer.
+        Other entries may return its address until the lease of their last poll expires, and
+        callers cache that answer.
         """
         poll_lease = max(self._exchange.poll_lease, DEFAULT_POLL_LEASE)
-        return poll_lease + self.keep + TRAVEL_MARGIN
+        return poll_lease + self.keep_time + NETWORK_DELAY_MARGIN
 
     def answer(self, data_centre: str) -> AddressAnswer:
-        """Return the serving instances, those of the caller's data centre first."""
-        named = [entry for entry in self._serving() if entry.name != self._own.name]
+        """Return the serving instances, those in the caller's data centre first."""
+        entries = [entry for entry in self._serving_peers() if entry.name != self._own.name]
         if self._exchange.state == "serving" and self._running.is_confirmed:
-            named.append(self._own)
-        named.sort(key=lambda entry: (entry.data_centre != data_centre, entry.name))
-        return AddressAnswer(tuple(entry.caller_endpoint for entry in named), self.keep)
+            entries.append(self._own)
+        entries.sort(key=lambda entry: (entry.data_centre != data_centre, entry.name))
+        return AddressAnswer(tuple(entry.caller_endpoint for entry in entries), self.keep_time)
 
-    def _serving(self) -> list[RosterEntry]:
+    def _serving_peers(self) -> list[RosterEntry]:
         live = self._directory.live_peers()
         return [
             entry
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -1,4 +1,4 @@
-"""The entry daemon: answers callers, hears upstreams and keeps in touch with the fleet."""
+"""The entry daemon: serves callers, receives announcements and exchanges state with its peers."""
 
 from __future__ import annotations
 
@@ -11,8 +11,7 @@
 from fulmarhold.control.client import ControlClient
 from fulmarhold.control.messages import RosterEntry
 from fulmarhold.effects.dispatch import SETTLE_TIMEOUT, EffectRunner
-from fulmarhold.entry.addresses import Addresses
-from fulmarhold.entry.answering import Answering
+from fulmarhold.entry.addresses import EntryAddresses
 from fulmarhold.entry.http import (
     AnnounceResource,
     DrainResource,
@@ -20,6 +19,7 @@
     QueryResource,
     caller_application,
 )
+from fulmarhold.entry.request_handler import RequestHandler
 from fulmarhold.gather.query import QueryRunner
 from fulmarhold.gather.services import ServicePolicies
 from fulmarhold.limits.admission import Admission
@@ -45,14 +45,14 @@
 
 
 class EntryDaemon:
-    """Everything that one entry process runs."""
+    """Builds, starts and stops the components of an entry process."""
 
     def __init__(self, settings: EntrySettings, policies: ServicePolicies | None = None) -> None:
         self._settings = settings
         self._in_flight = 0
         self._idle = Event()
         self._idle.set()
-        self._drain_asked = Event()
+        self._drain_requested = Event()
         self.failure: AsyncResult = AsyncResult()
         clock = Clock()
         counters = self.counters = Counters()
@@ -68,11 +68,11 @@
             own, self.running, self._announced, self.directory, control, clock, counters
         )
         self.table = RoutingTable(self.directory, self.running, clock, counters)
-        self._addresses = Addresses(own, self.running, self.directory, self.exchange)
+        self._addresses = EntryAddresses(own, self.running, self.directory, self.exchange)
         self._effects = EffectRunner(
             settings.name, self.table, self.directory, control, clock, counters
         )
-        self.answering = Answering(
+        self.request_handler = RequestHandler(
             self.running,
             Admission(clock),
             policies or ServicePolicies(),
@@ -89,16 +89,16 @@
             self._health,
             {
                 "/query/{service}/{request_type}": QueryResource(
-                    self.answering, clock, self._note_in_flight
+                    self.request_handler, clock, self._update_in_flight
                 ),
                 "/instances": InstancesResource(self._addresses, self.running),
                 "/announce": AnnounceResource(self._announced, self.running, counters),
-                "/drain": DrainResource(self._drain_asked.set),
+                "/drain": DrainResource(self._drain_requested.set),
             },
         )
 
     def start(self) -> None:
-        """Listen, sync with control and begin to serve once a configuration is confirmed."""
+        """Start listening and syncing; serve callers once a configuration is confirmed."""
         self._messages.start()
         self._http = start_server(
             self._application, self._settings.address, self._settings.caller_port
@@ -107,16 +107,20 @@
         self._greenlets = [
             gevent.spawn(self._run_maintenance),
             gevent.spawn(self._lag.run),
-            gevent.spawn(self._begin_serving),
-            gevent.spawn(self._leave_when_asked),
+            gevent.spawn(self._serve_when_ready),
+            gevent.spawn(self._leave_on_drain_request),
         ]
-        log.info("{} listens on {}", self._settings.name, self._settings.caller_endpoint)
+        log.info("{} is listening on {}", self._settings.name, self._settings.caller_endpoint)
 
     def stop(self) -> None:
-        """Leave: serve until no address answer names this entry, end requests, then stop."""
+        """Stop gracefully.
+
+        Serves until no cached address answer contains this entry, finishes the requests in
+        flight, waits until their outcomes are recorded, then stops.
+        """
         log.info("{} is leaving", self._settings.name)
         self.exchange.announce_state("leaving")
-        gevent.sleep(self._addresses.leaving_time / SECOND)
+        gevent.sleep(self._addresses.drain_duration / SECOND)
         self._http.stop_accepting()
         self._idle.wait()
         self._effects.await_settled(SETTLE_TIMEOUT)
@@ -127,16 +131,21 @@
         self._messages.stop()
         log.info("{} has stopped", self._settings.name)
 
-    def _begin_serving(self) -> None:
-        # An entry that names itself before it has asked the others refuses what they can answer.
+    def _serve_when_ready(self) -> None:
+        # An entry that lists itself before it has polled its peers would refuse requests that
+        # other entries can answer.
         while not (self.running.is_confirmed and self.exchange.has_polled_peers):
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
         if self.exchange.state == "starting":
             self.exchange.announce_state("serving")
-            log.info("{} serves revision {}", self._settings.name, self.running.revision)
-
-    def _leave_when_asked(self) -> None:
-        self._drain_asked.wait()
+            log.info(
+                "{} is serving configuration revision {}",
+                self._settings.name,
+                self.running.revision,
+            )
+
+    def _leave_on_drain_request(self) -> None:
+        self._drain_requested.wait()
         self.exchange.announce_state("leaving")
 
     def _run_maintenance(self) -> None:
@@ -144,7 +153,7 @@
             self.table.maintain()
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
 
-    def _note_in_flight(self, change: int) -> None:
+    def _update_in_flight(self, change: int) -> None:
         self._in_flight += change
         if self._in_flight:
             self._idle.clear()
@@ -166,7 +175,7 @@
         yield "entry_confirmed", {}, float(self.running.is_confirmed)
         yield "entry_loop_lag_ms", {}, self._lag.value
         yield "entry_in_flight", {}, float(self._in_flight)
-        yield from self.answering.gauges()
+        yield from self.request_handler.gauges()
         replicas = list(self.table.replicas)
         yield "entry_upstreams", {}, float(len(replicas))
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/entry/http.py
+++ b/fulmarhold/entry/http.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of an entry towards callers and upstreams."""
+"""The HTTP API of an entry for callers and upstreams."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 import falcon
 from pydantic import ValidationError
 
-from fulmarhold.entry.answering import Answering, CallerRequest
+from fulmarhold.entry.request_handler import CallerRequest, RequestHandler
 from fulmarhold.errors import MalformedInput
 from fulmarhold.gather.outcome import Answered, NotRun, NotRunReason, Outcome, Unknown
 from fulmarhold.membership.announced import DEFAULT_ANNOUNCEMENT_LEASE, DEFAULT_ANNOUNCEMENT_PERIOD
@@ -23,7 +23,7 @@
     from collections.abc import Callable
 
     from fulmarhold.clock import Clock, Milliseconds
-    from fulmarhold.entry.addresses import Addresses
+    from fulmarhold.entry.addresses import EntryAddresses
     from fulmarhold.membership.announced import AnnouncedSet
     from fulmarhold.membership.running import RunningState
     from fulmarhold.observe.counters import Counters
@@ -31,11 +31,11 @@
 DEADLINE_HEADER = "Fulmarhold-Deadline-Ms"
 REQUEST_ID_HEADER = "Fulmarhold-Request-Id"
 SHARD_KEY_HEADER = "Fulmarhold-Shard-Key"
-KEY_HEADER = "Idempotency-Key"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 
 REQUEST_ID_PATTERN = re.compile(r"^[A-Za-z0-9_.-]{1,64}$")
-LONGEST_SHARD_KEY = 256
-LARGEST_ANNOUNCEMENT_BYTES = 16 * 1024
+MAX_SHARD_KEY_LENGTH = 256
+MAX_ANNOUNCEMENT_BYTES = 16 * 1024
 
 BAD_REQUEST_REASONS = {
     NotRunReason.UNKNOWN_SERVICE,
@@ -50,25 +50,25 @@
 
 
 class QueryResource:
-    """POST /query/SERVICE/TYPE: answers with one tagged outcome."""
+    """POST /query/SERVICE/TYPE: runs a request and returns its tagged outcome."""
 
     def __init__(
-        self, answering: Answering, clock: Clock, in_flight: Callable[[int], None]
+        self, handler: RequestHandler, clock: Clock, update_in_flight: Callable[[int], None]
     ) -> None:
-        self._answering = answering
+        self._handler = handler
         self._clock = clock
-        self._in_flight = in_flight
+        self._update_in_flight = update_in_flight
 
     def on_post(
         self, request: falcon.Request, response: falcon.Response, service: str, request_type: str
     ) -> None:
         arrived_at = self._clock.now()
-        self._in_flight(1)
+        self._update_in_flight(1)
         try:
             outcome, request_id = self._answer(request, service, request_type, arrived_at)
         finally:
-            self._in_flight(-1)
-        response.status = status_of(outcome)
+            self._update_in_flight(-1)
+        response.status = http_status(outcome)
         response.content_type = falcon.MEDIA_JSON
         response.data = encode_outcome(outcome, request_id)
 
@@ -77,22 +77,22 @@
     ) -> tuple[Outcome, str]:
         request_id = request.get_header(REQUEST_ID_HEADER) or uuid.uuid4().hex
         try:
-            checked = self._check(request, request_id, service, request_type, arrived_at)
+            parsed = self._parse_request(request, request_id, service, request_type, arrived_at)
         except BodyTooLarge as error:
             return self._refuse(service, NotRunReason.BODY_TOO_LARGE, str(error)), request_id
         except MalformedInput as error:
             return self._refuse(service, NotRunReason.MALFORMED_REQUEST, str(error)), ""
-        if checked is None:
+        if parsed is None:
             detail = f"{DEADLINE_HEADER} must be a number of milliseconds"
             return self._refuse(service, NotRunReason.DEADLINE_MISSING, detail), request_id
-        return self._answering.answer(checked), request_id
+        return self._handler.handle(parsed), request_id
 
     def _refuse(self, service: str, reason: NotRunReason, detail: str) -> NotRun:
         outcome = NotRun(reason, detail)
-        self._answering.count(service, outcome)
+        self._handler.count_outcome(service, outcome)
         return outcome
 
-    def _check(
+    def _parse_request(
         self,
         request: falcon.Request,
         request_id: str,
@@ -100,26 +100,28 @@
         request_type: str,
         arrived_at: Milliseconds,
     ) -> CallerRequest | None:
-        """Return the checked request, or `None` without a usable deadline."""
+        """Return the validated request, or `None` without a usable deadline."""
         if not REQUEST_ID_PATTERN.match(request_id):
             raise MalformedInput(f"{REQUEST_ID_HEADER} must match {REQUEST_ID_PATTERN.pattern}")
         shard_key = request.get_header(SHARD_KEY_HEADER) or ""
-        if len(shard_key) > LONGEST_SHARD_KEY:
-            raise MalformedInput(f"{SHARD_KEY_HEADER} is longer than {LONGEST_SHARD_KEY}")
+        if len(shard_key) > MAX_SHARD_KEY_LENGTH:
+            raise MalformedInput(
+                f"{SHARD_KEY_HEADER} is longer than {MAX_SHARD_KEY_LENGTH} characters"
+            )
         deadline = _parse_deadline(request.get_header(DEADLINE_HEADER))
         body = read_body(request)
         if deadline is None:
             return None
-        key = request.get_header(KEY_HEADER) or ""
+        key = request.get_header(IDEMPOTENCY_KEY_HEADER) or ""
         return CallerRequest(
             request_id, service, request_type, arrived_at + deadline, key, shard_key, body
         )
 
 
 class InstancesResource:
-    """GET /instances: which entry instances to use, and for how long to keep the answer."""
+    """GET /instances: lists the entry instances to use and how long to cache the list."""
 
-    def __init__(self, addresses: Addresses, running: RunningState) -> None:
+    def __init__(self, addresses: EntryAddresses, running: RunningState) -> None:
         self._addresses = addresses
         self._running = running
 
@@ -127,13 +129,13 @@
         service = request.get_param("service") or ""
         configuration = self._running.configuration
         if service and configuration is not None and service not in configuration.services:
-            raise MalformedInput(f"service: there is no service {service!r:.70}")
+            raise MalformedInput(f"service: unknown service {service!r:.70}")
         answer = self._addresses.answer(request.get_param("data_centre") or "")
         response.media = {"addresses": list(answer.addresses), "keep_ms": answer.keep_ms}
 
 
 class AnnounceResource:
-    """POST /announce: an upstream tells its state; the reply carries the next token."""
+    """POST /announce: records the state of an upstream and returns the next token."""
 
     def __init__(self, announced: AnnouncedSet, running: RunningState, counters: Counters) -> None:
         self._announced = announced
@@ -142,7 +144,7 @@
 
     def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
         try:
-            body = read_json(request, LARGEST_ANNOUNCEMENT_BYTES)
+            body = read_json(request, MAX_ANNOUNCEMENT_BYTES)
             announcement = adapter(Announcement).validate_python(body)
         except MalformedInput:
             self._counters.add("announcement_refusals", reason="malformed")
@@ -152,7 +154,7 @@
             detail = error.errors()[0]
             path = ".".join(str(part) for part in detail["loc"])
             raise MalformedInput(f"{path}: {detail['msg']}", step="announcing") from error
-        lease, period = self._timings()
+        lease, period = self._announcement_timings()
         is_held = self._announced.apply(announcement, lease)
         response.media = {
             "token": self._announced.issue_token(),
@@ -161,7 +163,7 @@
             "is_held": is_held,
         }
 
-    def _timings(self) -> tuple[Milliseconds, Milliseconds]:
+    def _announcement_timings(self) -> tuple[Milliseconds, Milliseconds]:
         configuration = self._running.configuration
         if configuration is None:
             return DEFAULT_ANNOUNCEMENT_LEASE, DEFAULT_ANNOUNCEMENT_PERIOD
@@ -170,7 +172,7 @@
 
 
 class DrainResource:
-    """POST /drain: the entry leaves gracefully, as on SIGTERM."""
+    """POST /drain: the entry announces that it is leaving and keeps serving."""
 
     def __init__(self, drain: Callable[[], None]) -> None:
         self._drain = drain
@@ -185,15 +187,15 @@
     health: Callable[[], str],
     resources: dict[str, Any],
 ) -> falcon.App:
-    """Return the interface as a WSGI application."""
+    """Return the WSGI application with the given resources."""
     application = make_application(counters, health)
     for path, resource in resources.items():
         application.add_route(path, resource)
     return application
 
 
-def status_of(outcome: Outcome) -> str:
-    """Return the HTTP status that goes with an outcome."""
+def http_status(outcome: Outcome) -> str:
+    """Return the HTTP status for an outcome."""
     match outcome:
         case NotRun(reason) if reason in BAD_REQUEST_REASONS:
             return falcon.HTTP_400
@@ -207,7 +209,7 @@
 
 
 def encode_outcome(outcome: Outcome, request_id: str) -> bytes:
-    """Return an outcome as the JSON that callers get."""
+    """Return an outcome as the JSON document for callers."""
     match outcome:
         case Answered():
             document = _answered_document(outcome)
--- a/fulmarhold/entry/answering.py
+++ b/fulmarhold/entry/request_handler.py
@@ -1,4 +1,4 @@
-"""Takes a caller's request from its checks to its outcome."""
+"""Validates, admits and runs the requests of callers."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True)
 class CallerRequest:
-    """A request as it came in; `deadline_at` is on this entry's clock."""
+    """A parsed request; `deadline_at` is in the time of this entry's clock."""
 
     request_id: str
     service: str
@@ -44,8 +44,8 @@
     body: bytes
 
 
-class Answering:
-    """Turns requests into outcomes; counts every outcome with its reason."""
+class RequestHandler:
+    """Runs requests and counts their outcomes by reason."""
 
     def __init__(
         self,
@@ -66,31 +66,31 @@
         self._counters = counters
         self._latencies: dict[str, LatencyHistogram] = {}
 
-    def answer(self, request: CallerRequest) -> Outcome:
-        """Return the outcome of a request."""
+    def handle(self, request: CallerRequest) -> Outcome:
+        """Run a request, count its outcome and return it."""
         try:
             outcome = self._run(request)
         except Refused as refusal:
             outcome = NotRun(refusal.reason, refusal.message)
-        self.count(request.service, outcome)
+        self.count_outcome(request.service, outcome)
         return outcome
 
     def latency(self, service: str) -> LatencyHistogram:
-        """Return the histogram of a service's whole answers."""
+        """Return the latency histogram of a service's complete answers."""
         return self._latencies.setdefault(service, LatencyHistogram())
 
     def gauges(self) -> Iterable[Gauge]:
-        """Yield the quantiles of whole answers."""
+        """Yield the latency quantiles of complete answers."""
         for service, histogram in self._latencies.items():
             for quantile in QUANTILES:
                 labels = {"service": service, "quantile": f"{quantile}"}
                 yield "query_latency_ms", labels, histogram.quantile(quantile)
 
-    def count(self, service: str, outcome: Outcome) -> None:
-        """Count an outcome; a service that does not exist shares one label."""
+    def count_outcome(self, service: str, outcome: Outcome) -> None:
+        """Count an outcome; all services that don't exist share one label."""
         configuration = self._running.configuration
-        known = configuration is not None and service in configuration.services
-        label = service if known else "unknown"
+        is_known = configuration is not None and service in configuration.services
+        label = service if is_known else "unknown"
         match outcome:
             case Answered():
                 reason = "whole" if not outcome.coverage.missing else "partial"
@@ -102,19 +102,21 @@
 
     def _run(self, request: CallerRequest) -> Outcome:
         configuration = self._confirmed_configuration()
-        service, request_type = _find_type(configuration, request)
-        left = request.deadline_at - self._clock.now()
-        if left <= 0:
-            raise Refused(NotRunReason.DEADLINE_PAST, "no time is left")
+        service, request_type = _find_request_type(configuration, request)
+        remaining = request.deadline_at - self._clock.now()
+        if remaining <= 0:
+            raise Refused(NotRunReason.DEADLINE_PAST, "the deadline has passed")
         deadline_at = min(request.deadline_at, self._clock.now() + service.longest_deadline_ms)
         if not request_type.idempotent and not request.key:
-            raise Refused(NotRunReason.KEY_MISSING, "Idempotency-Key is required for this type")
+            raise Refused(
+                NotRunReason.KEY_MISSING, "Idempotency-Key is required for this request type"
+            )
         gate = self._admission.configure(service.name, service.urgency, service.admission_limit)
         with self._admission.admitted(gate, deadline_at):
-            # Waiting for a place may have outlived the confirmation.
+            # The confirmation may have expired during the wait for admission.
             configuration = self._confirmed_configuration()
             if request_type.idempotent:
-                return self._query(request, service, gate, deadline_at)
+                return self._run_query(request, service, gate, deadline_at)
             return self._effects.run(
                 request_type.name,
                 request.key,
@@ -125,7 +127,7 @@
                 configuration.timings.claim_timeout_ms,
             )
 
-    def _query(
+    def _run_query(
         self,
         request: CallerRequest,
         service: ServiceConfiguration,
@@ -152,21 +154,21 @@
         if not self._running.is_confirmed:
             raise Refused(
                 NotRunReason.CONFIGURATION_UNCONFIRMED,
-                "neither control nor a majority of the entries confirmed the configuration lately",
+                "neither control nor a majority of entries confirmed the configuration recently",
             )
         return configuration
 
 
-def _find_type(
+def _find_request_type(
     configuration: Configuration, request: CallerRequest
 ) -> tuple[ServiceConfiguration, RequestType]:
     service = configuration.services.get(request.service)
     if service is None:
-        raise Refused(NotRunReason.UNKNOWN_SERVICE, f"there is no service {request.service!r:.70}")
+        raise Refused(NotRunReason.UNKNOWN_SERVICE, f"unknown service {request.service!r:.70}")
     request_type = service.requests.get(request.request_type)
     if request_type is None:
         raise Refused(
             NotRunReason.UNKNOWN_REQUEST_TYPE,
-            f"{service.name} has no request type {request.request_type!r:.70}",
+            f"service {service.name} has no request type {request.request_type!r:.70}",
         )
     return service, request_type
--- a/fulmarhold/tests/entry/test_http.py
+++ b/fulmarhold/tests/entry/test_http.py
@@ -1,4 +1,4 @@
-"""Contract of the callers' and upstreams' interface: bad input with its reason and counter."""
+"""HTTP API of an entry: invalid input is refused with a reason, and counted."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 @pytest.fixture
 def daemon():
-    """An entry that listens nowhere and that control has confirmed."""
+    """An entry with a confirmed configuration that opens no ports."""
     daemon = EntryDaemon(SETTINGS)
     document = configuration_to_document(derive_configuration(small_questionnaire()))
     daemon.running.apply(1, 1, document, (OWN,))
@@ -77,7 +77,7 @@
         (REDEEM, {**DEADLINE, "Idempotency-Key": "mine"}, "", 400, "key_invalid"),
     ],
 )
-def test_a_bad_query_is_not_run_with_a_reason_and_a_counter(
+def test_an_invalid_request_is_not_run_and_counted_by_reason(
     daemon, client, path, headers, body, status, reason
 ):
     response = client.simulate_post(path, headers=headers, body=body)
@@ -107,7 +107,7 @@
     assert client.simulate_get("/health").status_code == 503
 
 
-def test_an_announcement_is_held_from_the_second_time_on(client):
+def test_an_announcement_is_held_only_with_the_token_of_an_earlier_reply(client):
     first = announce(client).json
     assert not first["is_held"]
     assert announce(client, first["token"]).json["is_held"]
@@ -127,20 +127,20 @@
         ({"slots": 0}, "upstream.slots"),
     ],
 )
-def test_a_malformed_announcement_is_refused_by_the_name_of_its_field(client, changes, path):
+def test_a_malformed_announcement_is_refused_with_the_name_of_the_field(client, changes, path):
     response = announce(client, **changes)
     assert response.status_code == 400
     assert response.json["error"].startswith(path)
 
 
 @pytest.mark.parametrize("body", ["", "[]", "{", '{"upstream": 1}', '{"else": 1}', "x" * 20_000])
-def test_an_announcement_that_is_none_is_refused_and_counted(daemon, client, body):
+def test_a_body_that_is_no_announcement_is_refused_and_counted(daemon, client, body):
     response = client.simulate_post("/announce", body=body)
     assert response.status_code in (400, 413)
     assert daemon.counters.value("announcement_refusals", reason="malformed") == 1
 
 
-def test_callers_are_told_addresses_and_how_long_to_keep_them(daemon, client):
+def test_callers_get_addresses_and_their_cache_time(daemon, client):
     assert client.simulate_get("/instances").json["addresses"] == []
     daemon.exchange.state = "serving"
     answer = client.simulate_get("/instances?service=lookup&data_centre=a").json
@@ -162,5 +162,5 @@
         assert client.simulate_get("/health").status_code == status
 
 
-def test_metrics_are_there(client):
+def test_metrics_are_exposed(client):
     assert "fulmarhold_entry_revision 1.0" in client.simulate_get("/metrics").text
--- a/fulmarhold/tests/entry/test_planned_stops.py
+++ b/fulmarhold/tests/entry/test_planned_stops.py
@@ -1,4 +1,4 @@
-"""Rolling restarts under load, and entries cut off from control."""
+"""Rolling restarts under load, and entries without a connection to control."""
 
 from __future__ import annotations
 
@@ -31,14 +31,14 @@
     assert [item for item in documents if item["coverage"]["missing"]] == []
 
 
-def test_a_leaving_entry_is_no_longer_named_and_still_serves(fleet):
+def test_a_leaving_entry_is_no_longer_listed_and_still_serves(fleet):
     leaving = fleet.entries[0]
     drain_entry(leaving.endpoint)
     await_condition(
         lambda: all(
             leaving.endpoint not in fleet.instances(entry.endpoint) for entry in fleet.entries
         ),
-        "every entry to leave it out",
+        "every entry to stop listing it",
         2_000.0,
     )
     caller = Caller(fleet.entry_endpoints, "a", Random(1))
@@ -46,7 +46,7 @@
     assert answer.outcome == "answered"
 
 
-def ask(fleet, entry):
+def search(fleet, entry):
     caller = Caller(fleet.entry_endpoints, "a", Random(1))
     try:
         return caller.ask("lookup", "search", deadline=400.0, entry=entry.endpoint).document
@@ -54,24 +54,24 @@
         caller.close()
 
 
-def revisions(fleet):
+def entry_versions(fleet):
     entries = read_query(fleet.operator_endpoints, "status")["entries"]
     return {entry["name"]: entry["version"] for entry in entries}
 
 
-def test_losing_control_altogether_does_not_stop_entries_that_agree(fleet):
+def test_entries_with_the_same_configuration_keep_serving_without_control(fleet):
     for process in fleet.control:
         process.kill()
     gevent.sleep(CONFIGURATION_BOUND_MS / 1_000 + 1)
     for entry in fleet.entries:
-        assert ask(fleet, entry)["outcome"] == "answered"
+        assert search(fleet, entry)["outcome"] == "answered"
 
 
 def test_a_minority_cut_off_from_everyone_stops_within_the_bound(fleet):
     for process in [*fleet.control, *fleet.entries[1:]]:
         process.freeze()
     gevent.sleep(CONFIGURATION_BOUND_MS / 1_000)
-    document = ask(fleet, fleet.entries[0])
+    document = search(fleet, fleet.entries[0])
     for process in [*fleet.control, *fleet.entries[1:]]:
         process.thaw()
     assert (document["outcome"], document["reason"]) == ("not_run", "configuration_unconfirmed")
@@ -85,7 +85,7 @@
     entry.start()
     entry.await_answer()
     gevent.sleep(2.0)
-    document = ask(fleet, entry)
+    document = search(fleet, entry)
     assert (document["outcome"], document["reason"]) == ("not_run", "configuration_unknown")
     for process in fleet.control:
         process.start()
@@ -96,7 +96,7 @@
     acceptance = accept_configuration(fleet.operator_endpoints, fleet.configuration, 1, "anna")
     assert (acceptance.revision, acceptance.is_in_force) == (2, True)
     status = read_query(fleet.operator_endpoints, "status")
-    assert set(revisions(fleet).values()) == {status["version"]}
+    assert set(entry_versions(fleet).values()) == {status["version"]}
 
 
 def test_with_one_entry_frozen_a_change_is_in_force_only_after_its_lease(fleet):
@@ -106,9 +106,9 @@
     assert acceptance.is_in_force
     assert acceptance.waiting_for == (frozen.name,)
     frozen.thaw()
-    document = ask(fleet, frozen)
+    document = search(fleet, frozen)
     served = document["outcome"] == "answered"
-    assert not served or revisions(fleet)[frozen.name] == max(revisions(fleet).values())
+    assert not served or entry_versions(fleet)[frozen.name] == max(entry_versions(fleet).values())
 
 
 def test_with_the_majority_of_entries_frozen_a_change_is_not_said_to_be_in_force(fleet):
@@ -119,5 +119,5 @@
         entry.thaw()
     assert not acceptance.is_in_force
     await_condition(
-        lambda: len(set(revisions(fleet).values())) == 1, "every entry to follow", 4_000.0
+        lambda: len(set(entry_versions(fleet).values())) == 1, "every entry to follow", 4_000.0
     )
