Rename the logger factory, event log methods and the platform's encoding module

Renames only: part_log, EventLog.note, fade, settings' adapter and platform.writing get the usual terms. Linter and type checker pass; tests of platform (without the fleet test), settings, observe and limits pass.

--- a/fulmarhold/configuration.py
+++ b/fulmarhold/configuration.py
@@ -7,7 +7,7 @@
 
 from pydantic import ConfigDict, Field
 
-from fulmarhold.settings.loading import adapter, load_document
+from fulmarhold.settings.loading import load_document, type_adapter
 
 STRICT = ConfigDict(extra="forbid")
 
@@ -84,7 +84,7 @@
 
 def configuration_to_document(configuration: Configuration) -> dict[str, Any]:
     """Return the configuration as plain values for YAML, JSON or msgpack."""
-    document: dict[str, Any] = adapter(Configuration).dump_python(configuration, mode="json")
+    document: dict[str, Any] = type_adapter(Configuration).dump_python(configuration, mode="json")
     return document
 
 
--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -28,7 +28,7 @@
 from fulmarhold.consensus.output import HardState, Output
 from fulmarhold.consensus.storage import EMPTY_SNAPSHOT, Storage, StorageFailed
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.messages import from_values
 
 if TYPE_CHECKING:
@@ -37,7 +37,7 @@
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.consensus.transport import Transport
 
-log = part_log("consensus")
+log = get_logger("consensus")
 
 TICK_PERIOD: Milliseconds = 40.0
 FIRST_TERM = 1
--- a/fulmarhold/consensus/storage.py
+++ b/fulmarhold/consensus/storage.py
@@ -14,12 +14,12 @@
 from fulmarhold.consensus.output import HardState, Output
 from fulmarhold.consensus.records import CorruptFile, decode_records, encode_record
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-log = part_log("storage")
+log = get_logger("storage")
 
 IDENTITY_FILE = "identity.bin"
 LOG_FILE = "log.bin"
--- a/fulmarhold/control/daemon.py
+++ b/fulmarhold/control/daemon.py
@@ -17,14 +17,14 @@
 from fulmarhold.control.queries import ControlQueries
 from fulmarhold.control.service import ControlService
 from fulmarhold.observe.counters import Counters
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.web.serving import start_server
 from fulmarhold.wire.server import MessageServer
 
 if TYPE_CHECKING:
     from fulmarhold.settings.processes import ControlSettings
 
-log = part_log("control")
+log = get_logger("control")
 
 
 class ControlDaemon:
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -38,7 +38,7 @@
     StatementStore,
     UpstreamStatement,
 )
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.messages import Done, Failure
 
 if TYPE_CHECKING:
@@ -52,7 +52,7 @@
     from fulmarhold.wire.links import Links
     from fulmarhold.wire.server import MessageServer
 
-log = part_log("feeds")
+log = get_logger("feeds")
 
 # An unchanged feed is answered this often, which tells the entry that its source is in touch.
 FEED_PERIOD: Milliseconds = 400.0
--- a/fulmarhold/control/formation.py
+++ b/fulmarhold/control/formation.py
@@ -13,7 +13,7 @@
 from fulmarhold.control.succession import MemberHealth, admit, next_members
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import IdentityReply, IdentityRequest, JoinCluster
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.links import Links
 from fulmarhold.wire.messages import Done, Failure
 
@@ -24,7 +24,7 @@
     from fulmarhold.consensus.node import Node
     from fulmarhold.wire.server import MessageServer
 
-log = part_log("formation")
+log = get_logger("formation")
 
 ATTEMPT_PERIOD: Milliseconds = 150.0
 HOUSEKEEPING_PERIOD: Milliseconds = 200.0
--- a/fulmarhold/control/retirement.py
+++ b/fulmarhold/control/retirement.py
@@ -12,7 +12,7 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import RetireUpstream
 from fulmarhold.membership.statements import DRAINING, LEFT, UpstreamStatement
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.messages import Done, Failure
 
 if TYPE_CHECKING:
@@ -21,7 +21,7 @@
     from fulmarhold.control.machine import ControlMachine
     from fulmarhold.control.sharing import Sharing
 
-log = part_log("retirement")
+log = get_logger("retirement")
 
 # Upstreams wait one second for an acknowledgement; handing it over may use part of that.
 HANDOVER_TIMEOUT: Milliseconds = 400.0
--- a/fulmarhold/control/service.py
+++ b/fulmarhold/control/service.py
@@ -29,7 +29,7 @@
     SyncReply,
 )
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.messages import Done, Failure
 
 if TYPE_CHECKING:
@@ -40,7 +40,7 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.wire.server import MessageServer
 
-log = part_log("control")
+log = get_logger("control")
 
 IN_FORCE_PATIENCE: Milliseconds = 4_500.0
 IN_FORCE_CHECK_PERIOD: Milliseconds = 20.0
--- a/fulmarhold/control/sharing.py
+++ b/fulmarhold/control/sharing.py
@@ -9,7 +9,7 @@
 
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import ShareStatements
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,7 +24,7 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.wire.links import Links
 
-log = part_log("sharing")
+log = get_logger("sharing")
 
 SHARE_TIMEOUT: Milliseconds = 500.0
 
--- a/fulmarhold/control/statement_file.py
+++ b/fulmarhold/control/statement_file.py
@@ -15,14 +15,14 @@
 from fulmarhold.consensus.records import CorruptFile, decode_records, encode_record
 from fulmarhold.consensus.storage import sync_folder
 from fulmarhold.membership.statements import UpstreamStatement
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 
 if TYPE_CHECKING:
     from pathlib import Path
 
     from fulmarhold.observe.counters import Counters
 
-log = part_log("statements")
+log = get_logger("statements")
 
 FILE_NAME = "upstreams.bin"
 
--- a/fulmarhold/control/versions.py
+++ b/fulmarhold/control/versions.py
@@ -18,7 +18,7 @@
     VersionRead,
     VersionStored,
 )
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.links import Links
 from fulmarhold.wire.messages import Failure
 
@@ -29,7 +29,7 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.wire.server import MessageServer
 
-log = part_log("versions")
+log = get_logger("versions")
 
 # Operators give a call up after a second; what is not decided by then is not worth waiting for.
 DECISION_TIMEOUT: Milliseconds = 850.0
--- a/fulmarhold/effects/dispatch.py
+++ b/fulmarhold/effects/dispatch.py
@@ -40,7 +40,7 @@
 )
 from fulmarhold.gather.query import choose_snapshot
 from fulmarhold.gather.subrequest import Attempt, AttemptKind
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.routing.choice import candidates
 from fulmarhold.upstreams.protocol import Part, RequestTemplate
 
@@ -53,7 +53,7 @@
     from fulmarhold.routing.replica import Replica
     from fulmarhold.routing.table import RoutingTable, SnapshotReplicas
 
-log = part_log("effects")
+log = get_logger("effects")
 
 SETTLE_TIMEOUT: Milliseconds = 30_000.0
 RESERVED_FOR_DISPATCH: Milliseconds = 10.0
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -29,7 +29,7 @@
 from fulmarhold.membership.running import RunningState
 from fulmarhold.observe.counters import Counters, Gauge
 from fulmarhold.observe.lag import LoopLag
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.routing.table import RoutingTable
 from fulmarhold.web.serving import start_server
 from fulmarhold.wire.server import MessageServer
@@ -39,7 +39,7 @@
 
     from fulmarhold.settings.processes import EntrySettings
 
-log = part_log("entry")
+log = get_logger("entry")
 
 MAINTENANCE_PERIOD: Milliseconds = 100.0
 
--- a/fulmarhold/entry/http.py
+++ b/fulmarhold/entry/http.py
@@ -16,7 +16,7 @@
 from fulmarhold.gather.outcome import Answered, NotRun, NotRunReason, Outcome, Unknown
 from fulmarhold.membership.announced import DEFAULT_ANNOUNCEMENT_LEASE, DEFAULT_ANNOUNCEMENT_PERIOD
 from fulmarhold.membership.records import Announcement
-from fulmarhold.settings.loading import adapter
+from fulmarhold.settings.loading import type_adapter
 from fulmarhold.web.serving import BodyTooLarge, make_application, read_body, read_json
 
 if TYPE_CHECKING:
@@ -143,7 +143,7 @@
     def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
         try:
             body = read_json(request, LARGEST_ANNOUNCEMENT_BYTES)
-            announcement = adapter(Announcement).validate_python(body)
+            announcement = type_adapter(Announcement).validate_python(body)
         except MalformedInput:
             self._counters.add("announcement_refusals", reason="malformed")
             raise
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -257,7 +257,7 @@
         self._attempts.append(attempt)
         if kind != FIRST:
             self._count(kind, "sent")
-            context.events.note(
+            context.events.record(
                 kind,
                 request=context.request.request_id,
                 service=self.service,
@@ -362,7 +362,7 @@
 
     def _note_failure(self, now: Milliseconds) -> None:
         if self.replica.note_failure(now):
-            self._context.events.note(
+            self._context.events.record(
                 "upstream_ejected",
                 request=self._context.request.request_id,
                 service=self._call.service,
@@ -372,7 +372,7 @@
 
     def _report_failure(self, result: str, status: int, now: Milliseconds) -> None:
         self._context.counters.add("attempts_failed", reason=result)
-        self._context.events.note(
+        self._context.events.record(
             "attempt_failed",
             request=self._context.request.request_id,
             service=self._call.service,
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -192,7 +192,7 @@
         self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
         # Complete answers within the target are dropped first; operators ask about late ones too.
         is_ordinary = name == "answered" and (route is None or elapsed <= route.target_latency)
-        note_event = self._events.note_ordinary if is_ordinary else self._events.note
+        note_event = self._events.record_low_priority if is_ordinary else self._events.record
         note_event(
             "request",
             request=request.request_id,
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -179,7 +179,7 @@
     def _note_missing(self) -> None:
         context = self._context
         now = context.clock.now()
-        context.events.note(
+        context.events.record(
             "parts_missing",
             request=context.request.request_id,
             missing=[call.describe(now) for call in self._calls if call.reply is None],
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -7,7 +7,7 @@
 
 from fulmarhold.clock import Milliseconds
 from fulmarhold.observe.estimates import QuantileEstimate
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.routing.replica import INITIAL_LATENCY, Replica
 from fulmarhold.upstreams.pool import ConnectionPool
 
@@ -19,7 +19,7 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.routes.configuration import RouteConfiguration
 
-log = part_log("upstreams")
+log = get_logger("upstreams")
 
 # The share of an upstream's connection limit that stays unused, so that entries don't exceed the
 # limit while entries join or leave and the shares change.
--- a/fulmarhold/limits/admission.py
+++ b/fulmarhold/limits/admission.py
@@ -11,7 +11,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.gather.outcome import NotRunReason, Refused
-from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, fade
+from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, decay
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -67,7 +67,7 @@
         if self._usual is None:
             return LEAST_NEEDED
         # Queries that are refused renew nothing: one slow answer could refuse all that follow.
-        return max(LEAST_NEEDED, fade(self._usual.value, self._clock.now() - self._renewed_at))
+        return max(LEAST_NEEDED, decay(self._usual.value, self._clock.now() - self._renewed_at))
 
     @property
     def needed_at_most(self) -> Milliseconds:
--- a/fulmarhold/membership/exchange.py
+++ b/fulmarhold/membership/exchange.py
@@ -16,7 +16,7 @@
     PeerPoll,
     PeerReply,
 )
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.settings.loading import InvalidSettings
 from fulmarhold.wire.client import Link
 
@@ -30,7 +30,7 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.wire.server import MessageServer
 
-log = part_log("membership")
+log = get_logger("membership")
 
 DEFAULT_POLL_PERIOD: Milliseconds = 300.0
 DEFAULT_POLL_LEASE: Milliseconds = 1_100.0
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -20,7 +20,7 @@
     UpstreamStatement,
     owners,
 )
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.client import Link
 from fulmarhold.wire.links import Links
 
@@ -30,7 +30,7 @@
     from fulmarhold.clock import Clock
     from fulmarhold.observe.counters import Counters
 
-log = part_log("watcher")
+log = get_logger("watcher")
 
 # An idle feed is answered every 400 ms; past this the source counts as lost.
 FEED_TIMEOUT: Milliseconds = 900.0
--- a/fulmarhold/observe/estimates.py
+++ b/fulmarhold/observe/estimates.py
@@ -11,10 +11,10 @@
 ESTIMATE_HALF_LIFE: Milliseconds = 3_000.0
 
 
-def fade(value: Milliseconds, silence: Milliseconds) -> Milliseconds:
+def decay(value: Milliseconds, silence: Milliseconds) -> Milliseconds:
     """Return what an estimate is still worth that nothing has renewed for `silence` ms.
 
-    >>> fade(80.0, 6_000.0)
+    >>> decay(80.0, 6_000.0)
     20.0
     """
     return value * 0.5 ** (silence / ESTIMATE_HALF_LIFE)
--- a/fulmarhold/observe/events.py
+++ b/fulmarhold/observe/events.py
@@ -45,15 +45,15 @@
         self._refilled_at = clock.now()
         self._rest = b""
 
-    def note(self, event: str, **fields: Any) -> None:
+    def record(self, event: str, **fields: Any) -> None:
         """Log one event; durations in its fields are milliseconds and their names end in `_ms`."""
-        self._note(event, fields, reserve=0.0)
+        self._record(event, fields, reserve=0.0)
 
-    def note_ordinary(self, event: str, **fields: Any) -> None:
+    def record_low_priority(self, event: str, **fields: Any) -> None:
         """Log an event that is dropped first where there are too many."""
-        self._note(event, fields, reserve=SHARE_FOR_FAILURES * LINES_PER_SECOND)
+        self._record(event, fields, reserve=SHARE_FOR_FAILURES * LINES_PER_SECOND)
 
-    def _note(self, event: str, fields: dict[str, Any], reserve: float) -> None:
+    def _record(self, event: str, fields: dict[str, Any], reserve: float) -> None:
         if not self._take_token(reserve) or len(self._lines) >= LONGEST_BUFFER_LINES:
             self._dropped[event] += 1
             self._counters.add("log_lines_dropped", event=event)
--- a/fulmarhold/observe/lag.py
+++ b/fulmarhold/observe/lag.py
@@ -32,8 +32,8 @@
         while True:
             due = self._clock.now() + SAMPLE_PERIOD
             gevent.sleep(SAMPLE_PERIOD / SECOND)
-            self.note(self._clock.now() - due)
+            self.record(self._clock.now() - due)
 
-    def note(self, lateness: Milliseconds) -> None:
+    def record(self, lateness: Milliseconds) -> None:
         """Take in how late one timer fired, in milliseconds."""
         self._average.update(max(0.0, lateness))
--- a/fulmarhold/observe/logs.py
+++ b/fulmarhold/observe/logs.py
@@ -17,7 +17,7 @@
 LEVELS = ("debug", "info", "warning", "error")
 
 
-def part_log(part: str) -> logbook.Logger:
+def get_logger(part: str) -> logbook.Logger:
     """Return the logger of one part; `part` becomes the prefix of its lines."""
     return logbook.Logger(part)
 
@@ -42,4 +42,4 @@
         fields = {"part": record.channel, "message": record.message}
         if record.formatted_exception:
             fields["exception"] = record.formatted_exception
-        self._events.note(record.level_name.lower(), **fields)
+        self._events.record(record.level_name.lower(), **fields)
--- a/fulmarhold/platform/__main__.py
+++ b/fulmarhold/platform/__main__.py
@@ -41,9 +41,9 @@
     watch = SettingsWatch(path, settings)
     daemon = _make_daemon(role, watch, clock, counters, events)
     gevent.signal_handler(signal.SIGHUP, watch.reload)
-    events.note("started", role=role, seeds=settings.seeds, first_start=settings.is_first_start)
+    events.record("started", role=role, seeds=settings.seeds, first_start=settings.is_first_start)
     code = serve_until_stopped(daemon, events.flush)
-    events.note("stopped", code=code)
+    events.record("stopped", code=code)
     events.flush()
     return code
 
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -20,7 +20,7 @@
 from fulmarhold.membership.statements import DRAINING, READY, STARTING, InstanceStatement
 from fulmarhold.membership.watcher import FleetWatcher
 from fulmarhold.observe.lag import LoopLag
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.platform.documents import decode_configuration, unpack_document
 from fulmarhold.platform.headers import PlatformCodec, read_request, write_outcome
 from fulmarhold.platform.settings import ANSWER_KEPT
@@ -38,7 +38,7 @@
     from fulmarhold.observe.events import EventLog
     from fulmarhold.platform.settings_watch import SettingsWatch
 
-log = part_log("entry")
+log = get_logger("entry")
 
 # What a caller takes of an answer.
 MOST_ADDRESSES = 64
--- a/fulmarhold/platform/settings_watch.py
+++ b/fulmarhold/platform/settings_watch.py
@@ -8,7 +8,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.platform.settings import load_settings
 
 if TYPE_CHECKING:
@@ -19,7 +19,7 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.platform.settings import PlatformSettings
 
-log = part_log("settings")
+log = get_logger("settings")
 
 # Well below the three seconds by which an operator's list of control instances lags anyway.
 SETTINGS_PERIOD: Milliseconds = 500.0
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from fulmarhold.limits.concurrency import ConcurrencyLimit
-from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, fade
+from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, decay
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
@@ -213,7 +213,7 @@
 
     def _faded(self, now: Milliseconds) -> Milliseconds:
         believed = self._believed
-        faded = fade(believed, now - self._heard_at)
+        faded = decay(believed, now - self._heard_at)
         if self.typical_latency is None:
             return faded
         # Silence makes a slow replica look like any other, and none look better than that.
--- a/fulmarhold/settings/loading.py
+++ b/fulmarhold/settings/loading.py
@@ -48,13 +48,13 @@
     if not isinstance(document, dict):
         raise InvalidSettings(source, [Problem("", "must be a mapping of options to values")])
     try:
-        return adapter(schema).validate_python(document)
+        return type_adapter(schema).validate_python(document)
     except ValidationError as error:
         problems = [_problem(schema, dict(detail)) for detail in error.errors()]
         raise InvalidSettings(source, problems) from error
 
 
-def adapter(schema: Any) -> TypeAdapter[Any]:
+def type_adapter(schema: Any) -> TypeAdapter[Any]:
     """Return the validator of a dataclass, built once."""
     if schema not in _adapters:
         _adapters[schema] = TypeAdapter(schema)
--- a/fulmarhold/soak/callers.py
+++ b/fulmarhold/soak/callers.py
@@ -11,8 +11,8 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import PeerUnavailable
+from fulmarhold.platform.encoding import LOOKUP_PATH, read_addresses, write_request
 from fulmarhold.platform.headers import PART_SIGNATURES, PARTS_MISSING, SIGNATURE
-from fulmarhold.platform.writing import LOOKUP_PATH, read_addresses, write_request
 from fulmarhold.soak.observations import TIMED_OUT, Answer, Sent
 from fulmarhold.upstreams.protocol import ResponseReader, UpstreamResponse
 from fulmarhold.web.client import request_json
--- a/fulmarhold/soak/operator.py
+++ b/fulmarhold/soak/operator.py
@@ -9,7 +9,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import PeerUnavailable
-from fulmarhold.platform.writing import CONFIGURATION_PATH, write_configuration
+from fulmarhold.platform.encoding import CONFIGURATION_PATH, write_configuration
 from fulmarhold.routes.configuration import (
     Route,
     RouteConfiguration,
--- a/fulmarhold/soak/processes.py
+++ b/fulmarhold/soak/processes.py
@@ -14,8 +14,8 @@
 import gevent
 
 from fulmarhold.clock import SECOND, Clock, Milliseconds
+from fulmarhold.platform.encoding import write_settings
 from fulmarhold.platform.settings import SETTINGS_VARIABLE
-from fulmarhold.platform.writing import write_settings
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -12,8 +12,8 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.membership.statements import DRAINING, READY, State, UpstreamStatement
+from fulmarhold.platform.encoding import HEARTBEAT_PATH, write_heartbeat
 from fulmarhold.platform.headers import NOT_RUN, REQUEST_ID, SIGNATURE, TARGET, UPSTREAM_ID
-from fulmarhold.platform.writing import HEARTBEAT_PATH, write_heartbeat
 from fulmarhold.soak.observations import Leave, Part, Run
 from fulmarhold.web.client import request_json
 
--- a/fulmarhold/soak/world.py
+++ b/fulmarhold/soak/world.py
@@ -10,7 +10,7 @@
 
 from fulmarhold.clock import SECOND, Clock, Milliseconds
 from fulmarhold.errors import FulmarholdError, PeerUnavailable
-from fulmarhold.platform.writing import CALLER_PORT, CONTROL_PORT, DIRECTORY_PORT
+from fulmarhold.platform.encoding import CALLER_PORT, CONTROL_PORT, DIRECTORY_PORT
 from fulmarhold.soak.callers import Caller, CallerConnection
 from fulmarhold.soak.checks import MARKER
 from fulmarhold.soak.observations import Observations
--- a/fulmarhold/standin/announcer.py
+++ b/fulmarhold/standin/announcer.py
@@ -11,14 +11,14 @@
 
 from fulmarhold.clock import SECOND, Clock, Milliseconds
 from fulmarhold.errors import PeerUnavailable
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.web.client import JsonClient
 
 if TYPE_CHECKING:
     from fulmarhold.callers.finder import EntryFinder
     from fulmarhold.standin.upstream import StandinUpstream
 
-log = part_log("standin")
+log = get_logger("standin")
 
 # Until an entry names the period.
 FIRST_PERIOD: Milliseconds = 500.0
--- a/fulmarhold/tests/observe/test_events.py
+++ b/fulmarhold/tests/observe/test_events.py
@@ -42,7 +42,7 @@
     reader, writer = pipe
     clock = ManualClock(wall=1_000.0)
     log = EventLog("edge-1", clock, Counters(), writer)
-    log.note("hedge", request="r1", after_ms=12.3456)
+    log.record("hedge", request="r1", after_ms=12.3456)
     log.flush()
     assert read_lines(reader) == [
         {"at": 1000, "process": "edge-1", "event": "hedge", "request": "r1", "after_ms": 12.35}
@@ -57,7 +57,7 @@
     for _ in range(40):
         clock.advance(SECOND)
         for _ in range(int(LINES_PER_SECOND)):
-            log.note("request", text="x" * 200)
+            log.record("request", text="x" * 200)
             noted += 1
         log.flush()
     dropped = counters.value("log_lines_dropped", event="request")
@@ -78,7 +78,7 @@
     clock, counters = ManualClock(), Counters()
     log = EventLog("edge-1", clock, counters, writer)
     for _ in range(int(3 * LINES_PER_SECOND)):
-        log.note("request")
+        log.record("request")
     assert counters.value("log_lines_dropped", event="request") == 2 * LINES_PER_SECOND
 
 
@@ -87,7 +87,7 @@
     os.close(reader)
     counters = Counters()
     log = EventLog("edge-1", ManualClock(), counters, writer)
-    log.note("request")
+    log.record("request")
     log.flush()
     assert counters.value("log_lines_dropped", event="output_closed") == 1
     os.close(writer)
--- a/fulmarhold/tests/platform/test_fleet.py
+++ b/fulmarhold/tests/platform/test_fleet.py
@@ -21,7 +21,7 @@
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.observe.counters import Counters
-from fulmarhold.platform.writing import (
+from fulmarhold.platform.encoding import (
     CALLER_PORT,
     CONTROL_PORT,
     DIRECTORY_PORT,
--- a/fulmarhold/tests/soak/test_run.py
+++ b/fulmarhold/tests/soak/test_run.py
@@ -9,8 +9,8 @@
 from fulmarhold.errors import MalformedInput
 from fulmarhold.membership.statements import READY, UpstreamStatement
 from fulmarhold.platform.documents import decode_configuration, decode_heartbeat
+from fulmarhold.platform.encoding import write_configuration, write_heartbeat, write_settings
 from fulmarhold.platform.settings import decode_settings
-from fulmarhold.platform.writing import write_configuration, write_heartbeat, write_settings
 from fulmarhold.routes.configuration import (
     Route,
     RouteConfiguration,
--- a/fulmarhold/tests/standin/test_announcer.py
+++ b/fulmarhold/tests/standin/test_announcer.py
@@ -14,7 +14,7 @@
 from fulmarhold.membership.records import Announcement, UpstreamRecord
 from fulmarhold.observe.counters import Counters
 from fulmarhold.questionnaire.derive import derive_configuration
-from fulmarhold.settings.loading import adapter
+from fulmarhold.settings.loading import type_adapter
 from fulmarhold.standin.announcer import Announcer
 from fulmarhold.standin.behaviour import Behaviour
 from fulmarhold.web.serving import make_application, read_json, start_server
@@ -54,7 +54,7 @@
 
     def on_post(self, request, response):
         self._announced.expire()
-        announcement = adapter(Announcement).validate_python(read_json(request))
+        announcement = type_adapter(Announcement).validate_python(read_json(request))
         is_held = self._announced.apply(announcement, LEASE)
         self.heard += is_held
         if self.heard >= ANNOUNCEMENTS:
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -17,7 +17,7 @@
 from gevent.server import StreamServer
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.server import listen
 from fulmarhold.wire.sockets import prepare_connection, round_trip
 
@@ -28,7 +28,7 @@
     from fulmarhold.observe.counters import Counters
     from fulmarhold.routes.configuration import CallerLimits
 
-log = part_log("front")
+log = get_logger("front")
 
 READ_BYTES = 65_536
 # What a caller may send ahead of the answer that it waits for.
--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -11,7 +11,7 @@
 from gevent.pywsgi import WSGIServer
 
 from fulmarhold.errors import FulmarholdError, MalformedInput
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.server import listen
 
 if TYPE_CHECKING:
@@ -19,7 +19,7 @@
 
     from fulmarhold.observe.counters import Counters
 
-log = part_log("web")
+log = get_logger("web")
 
 LARGEST_BODY_BYTES = 64 * 1024
 CONNECTIONS_AT_ONCE = 2_048
--- a/fulmarhold/wire/messages.py
+++ b/fulmarhold/wire/messages.py
@@ -58,10 +58,10 @@
 def _check(message_type: type, fields: Any) -> Any:
     from pydantic import ValidationError  # noqa: PLC0415
 
-    from fulmarhold.settings.loading import adapter  # noqa: PLC0415
+    from fulmarhold.settings.loading import type_adapter  # noqa: PLC0415
 
     try:
-        return adapter(message_type).validate_python(fields)
+        return type_adapter(message_type).validate_python(fields)
     except ValidationError as error:
         detail = error.errors()[0]
         path = ".".join(str(part) for part in detail["loc"])
--- a/fulmarhold/wire/server.py
+++ b/fulmarhold/wire/server.py
@@ -12,7 +12,7 @@
 from gevent.server import StreamServer
 
 from fulmarhold.errors import FulmarholdError, MalformedInput
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.frames import ONE_WAY, FrameDecoder, encode_frame
 from fulmarhold.wire.messages import Failure
 from fulmarhold.wire.sockets import prepare_connection
@@ -22,7 +22,7 @@
 
     from fulmarhold.observe.counters import Counters
 
-log = part_log("wire")
+log = get_logger("wire")
 
 READ_BYTES = 65_536
 REQUESTS_AT_ONCE = 1_024
