--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -39,7 +39,7 @@
     StatementStore,
     UpstreamStatement,
 )
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.messages import Done, Failure
 
 if TYPE_CHECKING:
@@ -53,7 +53,7 @@
     from fulmarhold.wire.links import Links
     from fulmarhold.wire.server import MessageServer
 
-log = part_log("feeds")
+log = get_logger("feeds")
 
 # An unchanged feed is answered after this time, so that the entry knows that its source is alive.
 FEED_PERIOD: Milliseconds = 400.0
