--- a/fulmarhold/tests/entry/test_planned_stops.py
+++ b/fulmarhold/tests/entry/test_planned_stops.py
@@ -26,7 +26,7 @@
         fleet.await_ready()
     documents = load.stop()
     assert len(documents) > 500
-    assert load.cut == []
+    assert load.connection_errors == []
     assert [item for item in documents if item["outcome"] != "answered"] == []
     assert [item for item in documents if item["coverage"]["missing"]] == []
 
--- a/fulmarhold/tests/gather/test_snapshots.py
+++ b/fulmarhold/tests/gather/test_snapshots.py
@@ -19,7 +19,7 @@
     change()
     gevent.sleep(seconds)
     documents = load.stop()
-    assert not load.cut
+    assert not load.connection_errors
     assert len(documents) > 50
     for document in documents:
         assert not list(broken_promises("lookup", document)), document
--- a/fulmarhold/tests/load.py
+++ b/fulmarhold/tests/load.py
@@ -24,7 +24,7 @@
         self, fleet: Fleet, *, callers: int = 1, pinned: bool = True, pause: Milliseconds = 0.0
     ) -> None:
         self.documents: list[dict[str, Any]] = []
-        self.cut: list[str] = []
+        self.connection_errors: list[str] = []
         self._fleet = fleet
         self._pause = pause
         self._is_running = True
@@ -47,6 +47,6 @@
                 answer = caller.ask("lookup", "search", deadline=DEADLINE, entry=entry)
                 self.documents.append(answer.document)
             except PeerUnavailable as error:
-                self.cut.append(str(error))
+                self.connection_errors.append(str(error))
             gevent.sleep(self._pause / SECOND)
         caller.close()
