--- a/fulmarhold/bench/forwarding.py
+++ b/fulmarhold/bench/forwarding.py
@@ -14,7 +14,7 @@
 from gevent.server import StreamServer
 
 from fulmarhold.clock import SECOND, Clock, Milliseconds
-from fulmarhold.fleet.ports import LOOPBACK, PortSupply
+from fulmarhold.fleet.ports import LOOPBACK, PortAllocator
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.request import ForwardRequest, Gathered
 from fulmarhold.forwarding.upstreams import UpstreamTable
@@ -47,8 +47,8 @@
 
 def measure_forwarding(shards: int, *, profile: bool = False) -> Milliseconds:
     """Return the processor time of this process for each part of queries, one after the other."""
-    ports = PortSupply()
-    endpoints = [ports.take_endpoint() for _ in range(shards * REPLICAS)]
+    ports = PortAllocator()
+    endpoints = [ports.allocate_endpoint() for _ in range(shards * REPLICAS)]
     responder = subprocess.Popen(
         [sys.executable, "-m", "fulmarhold.bench.forwarding", *endpoints], stdout=subprocess.PIPE
     )
--- a/fulmarhold/bench/load.py
+++ b/fulmarhold/bench/load.py
@@ -10,7 +10,7 @@
 import gevent
 
 from fulmarhold.callers.caller import Caller
-from fulmarhold.callers.judge import broken_promises
+from fulmarhold.callers.checks import find_violations
 from fulmarhold.clock import SECOND, Clock, Milliseconds
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.observe.latency import LatencyHistogram
@@ -80,12 +80,12 @@
     result: LoadResult,
 ) -> None:
     try:
-        answer = caller.ask(service.name, request_type, deadline=service.deadline_ms)
+        answer = caller.send(service.name, request_type, deadline=service.deadline_ms)
     except PeerUnavailable:
         result.outcomes["connection lost"] += 1
         return
     document = answer.document
-    result.broken.extend(broken_promises(service.name, document))
+    result.broken.extend(find_violations(service.name, document))
     if answer.outcome != "answered":
         result.outcomes[f"{answer.outcome}: {document['reason']}"] += 1
         return
--- a/fulmarhold/bench/policy.py
+++ b/fulmarhold/bench/policy.py
@@ -14,7 +14,7 @@
 from fulmarhold.bench.scenarios import Scenario, scenarios
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.demo.run import EXAMPLES
-from fulmarhold.fleet.fleet import FIRST_VERSION, Fleet, FleetPlan, read_metrics, settle
+from fulmarhold.fleet.fleet import FIRST_VERSION, Fleet, FleetPlan, read_metrics, sleep_ms
 from fulmarhold.operators.queries.questionnaires import load_questionnaire
 from fulmarhold.operators.queries.status import format_table
 from fulmarhold.standin.behaviour import Behaviour
@@ -155,7 +155,7 @@
     if stopped:
         fleet.command("restart", stopped)
     fleet.command("announce", addresses, versions=[FIRST_VERSION])
-    settle(WARM_UP)
+    sleep_ms(WARM_UP)
     fleet.await_ready()
 
 
--- a/fulmarhold/bench/slopes.py
+++ b/fulmarhold/bench/slopes.py
@@ -17,7 +17,7 @@
 from fulmarhold.clock import SECOND, Clock, Milliseconds
 from fulmarhold.control.identifiers import new_identifier
 from fulmarhold.errors import PeerUnavailable
-from fulmarhold.fleet.fleet import Fleet, FleetPlan, settle
+from fulmarhold.fleet.fleet import Fleet, FleetPlan, sleep_ms
 from fulmarhold.operators.commands.configurations import accept_configuration
 from fulmarhold.operators.queries.status import format_table
 from fulmarhold.questionnaire.schema import Questionnaire
@@ -99,7 +99,7 @@
     start, claims_at = _total(fleet.control), clock.now()
     caller = Caller(fleet.entry_endpoints, "a", Random(1))
     for _ in range(CLAIMS):
-        caller.ask("s4", "effect", deadline=5_000.0, key=new_identifier())
+        caller.send("s4", "effect", deadline=5_000.0, key=new_identifier())
     claiming, claim_duration = _total(fleet.control) - start, clock.now() - claims_at
     change_cost = (changing - idle_share * duration) / ACCEPTS
     claim_cost = (claiming - idle_share * claim_duration) / CLAIMS
@@ -135,7 +135,7 @@
             for standin in standins:
                 standin.start()
             fleet.await_ready()
-            settle(IDLE / 2)
+            sleep_ms(IDLE / 2)
             known = sum(len(addresses) for addresses in upstreams.values())
             idle = _idle_share(entry)
             rows.append(("entry, idle without upstreams", empty_idle * 100, "% of a core"))
@@ -186,7 +186,7 @@
     def run(caller: Caller) -> None:
         for _ in range(queries // len(callers)):
             try:
-                answer = caller.ask(f"s{shards}", "search", deadline=5_000.0)
+                answer = caller.send(f"s{shards}", "search", deadline=5_000.0)
             except PeerUnavailable as error:
                 refusals.append(str(error))
                 continue
@@ -201,7 +201,7 @@
 
 def _idle_shares(processes: list[FleetProcess]) -> list[float]:
     starts = [processor_time(process) for process in processes]
-    settle(IDLE)
+    sleep_ms(IDLE)
     return [
         (processor_time(process) - start) / IDLE
         for process, start in zip(processes, starts, strict=True)
--- a/fulmarhold/callers/caller.py
+++ b/fulmarhold/callers/caller.py
@@ -45,7 +45,7 @@
         """Return the addresses in force, asking again only when the answer has run out."""
         return self._finder.find()
 
-    def ask(
+    def send(
         self,
         service: str,
         request_type: str,
--- a/fulmarhold/callers/judge.py
+++ b/fulmarhold/callers/checks.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterator
 
 
-def broken_promises(service: str, document: dict[str, Any]) -> Iterator[str]:
+def find_violations(service: str, document: dict[str, Any]) -> Iterator[str]:
     """Yield a sentence for each promise that an answer of a stand-in service breaks.
 
     A stand-in's part names the service, layout, version and shard that it really held.
@@ -35,7 +35,7 @@
             yield f"part {part['shard']} holds {held}, not {expected}"
 
 
-def doubled_effects(effects: dict[str, int]) -> Iterator[str]:
+def find_duplicate_effects(effects: dict[str, int]) -> Iterator[str]:
     """Yield a sentence for each idempotency key that took effect more than once."""
     for key, count in effects.items():
         if count > 1:
--- a/fulmarhold/demo/run.py
+++ b/fulmarhold/demo/run.py
@@ -10,7 +10,7 @@
 import gevent
 
 from fulmarhold.callers.caller import Caller, CallerAnswer
-from fulmarhold.callers.judge import broken_promises, doubled_effects
+from fulmarhold.callers.checks import find_duplicate_effects, find_violations
 from fulmarhold.clock import SECOND, Clock
 from fulmarhold.control.identifiers import new_identifier
 from fulmarhold.errors import FulmarholdError
@@ -81,7 +81,7 @@
         print(f"ready after {(clock.now() - started_at) / SECOND:.1f} s")
         print(f"callers are told to use {', '.join(fleet.instances(fleet.entry_endpoints[0]))}")
         problems = _ask_everything(fleet)
-        problems.extend(doubled_effects(fleet.effects()))
+        problems.extend(find_duplicate_effects(fleet.effects()))
         print("stopping gracefully ...", flush=True)
         problems.extend(f"{name} did not stop with 0" for name in fleet.stop())
     finally:
@@ -119,7 +119,7 @@
                 tally.add(answer)
                 problems.extend(
                     f"{name}: {problem}"
-                    for problem in broken_promises(service.name, answer.document)
+                    for problem in find_violations(service.name, answer.document)
                 )
     caller.close()
 
@@ -128,13 +128,13 @@
     caller: Caller, service: ServiceConfiguration, request_type: RequestType, number: int
 ) -> CallerAnswer:
     if request_type.idempotent:
-        return caller.ask(service.name, request_type.name, deadline=service.deadline_ms)
+        return caller.send(service.name, request_type.name, deadline=service.deadline_ms)
     key = new_identifier()
     deadline = 5 * service.deadline_ms
-    answer = caller.ask(service.name, request_type.name, deadline=deadline, key=key)
+    answer = caller.send(service.name, request_type.name, deadline=deadline, key=key)
     if number % RESENT_SHARE == 0:
         # A caller that lost the answer sends the same key again, to whichever entry.
-        again = caller.ask(service.name, request_type.name, deadline=deadline, key=key)
+        again = caller.send(service.name, request_type.name, deadline=deadline, key=key)
         if answer.outcome == "answered" and again.outcome == "not_run":
             raise FulmarholdError(f"a request that ran was said not to have run: {key}")
     return answer
--- a/fulmarhold/fleet/fleet.py
+++ b/fulmarhold/fleet/fleet.py
@@ -9,7 +9,7 @@
 from geventhttpclient import HTTPClient
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.fleet.ports import LOOPBACK, PortSupply
+from fulmarhold.fleet.ports import LOOPBACK, PortAllocator
 from fulmarhold.fleet.processes import START_PATIENCE, FleetProcess, await_condition
 from fulmarhold.operators.commands.clusters import form_cluster
 from fulmarhold.operators.commands.configurations import accept_configuration
@@ -47,7 +47,7 @@
         self.folder = folder
         self.plan = plan
         self.configuration = derive_configuration(plan.questionnaire)
-        self._ports = PortSupply()
+        self._ports = PortAllocator()
         folder.mkdir(parents=True, exist_ok=True)
         self.control = [
             self.make_control(number) for number in range(plan.questionnaire.control_instances)
@@ -147,8 +147,8 @@
             "name": name,
             "data_centre": centres[number % len(centres)],
             "address": LOOPBACK,
-            "operator_port": self._ports.take(),
-            "peer_port": self._ports.take(),
+            "operator_port": self._ports.allocate(),
+            "peer_port": self._ports.allocate(),
             "data_folder": str(self.folder / (folder or name)),
             "log": {"level": self.plan.log_level},
         }
@@ -162,8 +162,8 @@
             "name": name,
             "data_centre": centres[number % len(centres)],
             "address": LOOPBACK,
-            "caller_port": self._ports.take(),
-            "peer_port": self._ports.take(),
+            "caller_port": self._ports.allocate(),
+            "peer_port": self._ports.allocate(),
             "control": [f"{LOOPBACK}:{item.settings['peer_port']}" for item in self.control],
             "log": {"level": self.plan.log_level},
             **self.plan.entry_options,
@@ -183,7 +183,7 @@
     def _make_servers(self, service: ServiceAnswers) -> list[dict[str, Any]]:
         servers = []
         for number in range(service.servers):
-            address = self._ports.take_endpoint()
+            address = self._ports.allocate_endpoint()
             self.upstreams.setdefault(service.name, []).append(address)
             record = {
                 "service": service.name,
@@ -205,7 +205,7 @@
         name = f"standin-{number + 1}"
         self._carried[name] = {server["record"]["address"] for server in servers}
         centres = self.plan.questionnaire.data_centres
-        port = self._ports.take()
+        port = self._ports.allocate()
         settings = {
             "address": LOOPBACK,
             "command_port": port,
@@ -233,6 +233,6 @@
     return {name: float(value) for name, _, value in lines}
 
 
-def settle(duration: Milliseconds) -> None:
+def sleep_ms(duration: Milliseconds) -> None:
     """Let the fleet run for `duration` milliseconds."""
     gevent.sleep(duration / SECOND)
--- a/fulmarhold/fleet/ports.py
+++ b/fulmarhold/fleet/ports.py
@@ -12,13 +12,13 @@
 PORTS_PER_PROCESS = 600
 
 
-class PortSupply:
+class PortAllocator:
     """Hands out ports that nobody listens on; processes begin at different places."""
 
     def __init__(self) -> None:
         self._next = (os.getpid() * PORTS_PER_PROCESS) % PORT_COUNT
 
-    def take(self) -> int:
+    def allocate(self) -> int:
         """Return a port that can be listened on now."""
         for _ in range(PORT_COUNT):
             port = FIRST_PORT + self._next
@@ -31,6 +31,6 @@
                 return port
         raise RuntimeError("no free port on loopback")
 
-    def take_endpoint(self) -> str:
+    def allocate_endpoint(self) -> str:
         """Return a free endpoint on loopback."""
-        return f"{LOOPBACK}:{self.take()}"
+        return f"{LOOPBACK}:{self.allocate()}"
--- a/fulmarhold/fleet/processes.py
+++ b/fulmarhold/fleet/processes.py
@@ -107,11 +107,11 @@
         return code if code is not None else 0
 
 
-def await_condition(condition: Any, what: str, patience: Milliseconds) -> None:
+def await_condition(condition: Any, what: str, timeout: Milliseconds) -> None:
     """Wait until `condition()` holds; raises `FulmarholdError` after `patience` ms."""
     clock = Clock()
-    until = clock.now() + patience
+    until = clock.now() + timeout
     while not condition():
         if clock.now() > until:
-            raise FulmarholdError(f"waited {patience:.0f} ms in vain for {what}", step="waiting")
+            raise FulmarholdError(f"waited {timeout:.0f} ms in vain for {what}", step="waiting")
         gevent.sleep(LOOK_PERIOD / SECOND)
--- a/fulmarhold/operators/commands/configurations.py
+++ b/fulmarhold/operators/commands/configurations.py
@@ -39,7 +39,7 @@
     base_revision: int,
     operator: str,
     command_id: str = "",
-    patience: Milliseconds = PATIENCE,
+    timeout: Milliseconds = PATIENCE,
 ) -> Acceptance:
     """Submit a configuration; resending it with the same command id gives the same outcome.
 
@@ -51,7 +51,7 @@
         "base_revision": base_revision,
         "configuration": configuration_to_document(configuration),
     }
-    response = send_command(endpoints, "accept", body, patience)
+    response = send_command(endpoints, "accept", body, timeout)
     if response.status == SUPERSEDED:
         raise SupersededError(
             f"revision {response.body['revision']} of {response.body['operator']} was accepted "
--- a/fulmarhold/operators/control.py
+++ b/fulmarhold/operators/control.py
@@ -30,21 +30,21 @@
 
 
 def send_command(
-    endpoints: Sequence[str], name: str, body: dict[str, Any], patience: Milliseconds = PATIENCE
+    endpoints: Sequence[str], name: str, body: dict[str, Any], timeout: Milliseconds = PATIENCE
 ) -> JsonResponse:
     """Send a command to the leader, again with the same body until it is answered.
 
     Raises `PeerUnavailable` when no leader answered within `patience` milliseconds.
     """
-    return _until_answered(endpoints, "POST", f"/commands/{name}", body, patience)
+    return _until_answered(endpoints, "POST", f"/commands/{name}", body, timeout)
 
 
 def read_query(
-    endpoints: Sequence[str], name: str, patience: Milliseconds = PATIENCE
+    endpoints: Sequence[str], name: str, timeout: Milliseconds = PATIENCE
 ) -> dict[str, Any]:
     """Return a linearizable answer, which only the leader gives."""
     clock = Clock()
-    until = clock.now() + patience
+    until = clock.now() + timeout
     while clock.now() < until:
         for endpoint in endpoints:
             try:
@@ -68,10 +68,10 @@
 
 
 def _until_answered(
-    endpoints: Sequence[str], method: str, path: str, body: Any, patience: Milliseconds
+    endpoints: Sequence[str], method: str, path: str, body: Any, timeout: Milliseconds
 ) -> JsonResponse:
     clock = Clock()
-    until = clock.now() + patience
+    until = clock.now() + timeout
     problem = "no control instance was asked"
     while clock.now() < until:
         for endpoint in endpoints:
--- a/fulmarhold/questionnaire/derive.py
+++ b/fulmarhold/questionnaire/derive.py
@@ -19,7 +19,7 @@
 ANNOUNCEMENT_PART = 0.6
 EXTRA_LOAD_SHARE = 0.05
 ROUND_TRIPS_PER_CLAIM = 2
-SHORTEST_CLAIM_TIMEOUT_MS = 3_000.0
+MIN_CLAIM_TIMEOUT_MS = 3_000.0
 QUEUE_DEPTH_PER_SLOT = 2
 
 
@@ -99,7 +99,7 @@
     of 900 ms; the second is for a vote that split, or a disk that stalls again.
     """
     round_trip = 2 * questionnaire.distances.between_data_centres_ms
-    return max(SHORTEST_CLAIM_TIMEOUT_MS, 20 * ROUND_TRIPS_PER_CLAIM * round_trip)
+    return max(MIN_CLAIM_TIMEOUT_MS, 20 * ROUND_TRIPS_PER_CLAIM * round_trip)
 
 
 @_service("shards", "shards")
--- a/fulmarhold/tests/callers/test_caller.py
+++ b/fulmarhold/tests/callers/test_caller.py
@@ -8,12 +8,12 @@
 
 from fulmarhold.callers.caller import Caller
 from fulmarhold.errors import PeerUnavailable
-from fulmarhold.fleet.ports import PortSupply
+from fulmarhold.fleet.ports import PortAllocator
 
 
 def test_a_caller_that_no_entry_answers_says_so_with_step_and_peers():
-    seeds = [PortSupply().take_endpoint() for _ in range(2)]
+    seeds = [PortAllocator().allocate_endpoint() for _ in range(2)]
     with pytest.raises(PeerUnavailable, match="no entry") as caught:
-        Caller(seeds, "a", Random(1)).ask("s", "t", deadline=100.0)
+        Caller(seeds, "a", Random(1)).send("s", "t", deadline=100.0)
     assert caught.value.step == "finding an entry"
     assert caught.value.peer == ", ".join(seeds)
--- a/fulmarhold/tests/control/test_client.py
+++ b/fulmarhold/tests/control/test_client.py
@@ -11,7 +11,7 @@
 from fulmarhold.control.messages import ClaimGranted, ClaimKey, NotLeading
 from fulmarhold.errors import PeerUnavailable, ReplyTimeout
 from fulmarhold.observe.counters import Counters
-from fulmarhold.questionnaire.derive import SHORTEST_CLAIM_TIMEOUT_MS
+from fulmarhold.questionnaire.derive import MIN_CLAIM_TIMEOUT_MS
 
 OLD, FOLLOWER, NEW = ENDPOINTS = ("old:1", "follower:1", "new:1")
 CLAIM = ClaimKey("key", "digest", "attempt", "entry", 0.0)
@@ -65,7 +65,7 @@
 ):
     members = Members(clock, elected_at)
     control = called(monkeypatch, clock, members)
-    assert control.call(CLAIM, SHORTEST_CLAIM_TIMEOUT_MS) == ClaimGranted()
+    assert control.call(CLAIM, MIN_CLAIM_TIMEOUT_MS) == ClaimGranted()
     assert members.called.count(OLD) == 1
     assert clock.now() < max(client.CALL_TIMEOUT, elected_at) + 4 * client.RETRY_PAUSE
 
@@ -76,7 +76,7 @@
     with pytest.raises(PeerUnavailable):
         control.call(CLAIM, MAX_ELECTION_TIMEOUT)
     members.hangs = False
-    assert control.call(CLAIM, client.SILENT_LEADER_AVOIDED + SHORTEST_CLAIM_TIMEOUT_MS)
+    assert control.call(CLAIM, client.SILENT_LEADER_AVOIDED + MIN_CLAIM_TIMEOUT_MS)
 
 
 def test_it_knows_for_how_long_no_leader_has_answered(monkeypatch, clock):
@@ -88,5 +88,5 @@
     assert control.unanswered_for == clock.now()
     members.hangs = False
     clock.advance(client.SILENT_LEADER_AVOIDED)
-    control.call(CLAIM, SHORTEST_CLAIM_TIMEOUT_MS)
+    control.call(CLAIM, MIN_CLAIM_TIMEOUT_MS)
     assert control.unanswered_for == 0.0
--- a/fulmarhold/tests/control/test_failures.py
+++ b/fulmarhold/tests/control/test_failures.py
@@ -221,7 +221,7 @@
     command = new_identifier()
     with pytest.raises(FulmarholdError):
         accept_configuration(
-            [first.endpoint], fleet.configuration, 0, "anna", command, patience=3_000.0
+            [first.endpoint], fleet.configuration, 0, "anna", command, timeout=3_000.0
         )
     assert read_instance(first.endpoint, "configuration")["revision"] == 0
     others[0].start()
--- a/fulmarhold/tests/effects/test_at_most_once.py
+++ b/fulmarhold/tests/effects/test_at_most_once.py
@@ -23,7 +23,7 @@
     """Send a redemption to one entry; returns the outcome's tag, or `lost`."""
     caller = Caller(fleet.entry_endpoints, "a", Random(1))
     try:
-        answer = caller.ask("lookup", "redeem", deadline=deadline, key=key, entry=entry)
+        answer = caller.send("lookup", "redeem", deadline=deadline, key=key, entry=entry)
     except PeerUnavailable:
         return "lost"
     finally:
@@ -76,7 +76,7 @@
         caller = Caller(fleet.entry_endpoints, "a", Random(number))
         while is_running:
             key = new_identifier()
-            answers[key] = caller.ask("lookup", "redeem", deadline=DEADLINE, key=key)
+            answers[key] = caller.send("lookup", "redeem", deadline=DEADLINE, key=key)
         caller.close()
 
     tasks = [gevent.spawn(redeem_on, number) for number in range(4)]
--- a/fulmarhold/tests/entry/test_planned_stops.py
+++ b/fulmarhold/tests/entry/test_planned_stops.py
@@ -42,14 +42,14 @@
         2_000.0,
     )
     caller = Caller(fleet.entry_endpoints, "a", Random(1))
-    answer = caller.ask("lookup", "search", deadline=400.0, entry=leaving.endpoint)
+    answer = caller.send("lookup", "search", deadline=400.0, entry=leaving.endpoint)
     assert answer.outcome == "answered"
 
 
 def ask(fleet, entry):
     caller = Caller(fleet.entry_endpoints, "a", Random(1))
     try:
-        return caller.ask("lookup", "search", deadline=400.0, entry=entry.endpoint).document
+        return caller.send("lookup", "search", deadline=400.0, entry=entry.endpoint).document
     finally:
         caller.close()
 
--- a/fulmarhold/tests/gather/test_snapshots.py
+++ b/fulmarhold/tests/gather/test_snapshots.py
@@ -8,7 +8,7 @@
 import pytest
 
 from fulmarhold.callers.caller import Caller
-from fulmarhold.callers.judge import broken_promises
+from fulmarhold.callers.checks import find_violations
 from fulmarhold.tests.load import DEADLINE, SearchLoad
 
 
@@ -22,7 +22,7 @@
     assert not load.cut
     assert len(documents) > 50
     for document in documents:
-        assert not list(broken_promises("lookup", document)), document
+        assert not list(find_violations("lookup", document)), document
     return documents
 
 
@@ -113,6 +113,6 @@
     entry.await_answer(status=200)
     gevent.sleep(1.5)
     caller = Caller(fleet.entry_endpoints, "a", Random(1))
-    answer = caller.ask("lookup", "search", deadline=DEADLINE, entry=entry.endpoint)
+    answer = caller.send("lookup", "search", deadline=DEADLINE, entry=entry.endpoint)
     assert answer.document["coverage"]["total"] == 4
     assert [item["shard"] for item in answer.document["coverage"]["missing"]] == [2]
--- a/fulmarhold/tests/load.py
+++ b/fulmarhold/tests/load.py
@@ -44,7 +44,7 @@
         caller = Caller(self._fleet.entry_endpoints, centres[number % len(centres)], Random(number))
         while self._is_running:
             try:
-                answer = caller.ask("lookup", "search", deadline=DEADLINE, entry=entry)
+                answer = caller.send("lookup", "search", deadline=DEADLINE, entry=entry)
                 self.documents.append(answer.document)
             except PeerUnavailable as error:
                 self.cut.append(str(error))
--- a/fulmarhold/tests/membership/test_exchange.py
+++ b/fulmarhold/tests/membership/test_exchange.py
@@ -12,7 +12,7 @@
 from fulmarhold.configuration import configuration_to_document
 from fulmarhold.conftest import small_questionnaire
 from fulmarhold.control.messages import RosterEntry, SyncReply
-from fulmarhold.fleet.ports import PortSupply
+from fulmarhold.fleet.ports import PortAllocator
 from fulmarhold.membership.announced import AnnouncedSet
 from fulmarhold.membership.directory import Directory
 from fulmarhold.membership.exchange import MembershipExchange
@@ -51,10 +51,11 @@
     """The exchange of a new entry `a`; its peer `b` replies once `may_reply` is set."""
 
     def __init__(self):
-        ports = PortSupply()
+        ports = PortAllocator()
         clock, counters = Clock(), Counters()
         own, peer = (
-            RosterEntry(name, "x", ports.take_endpoint(), ports.take_endpoint()) for name in "ab"
+            RosterEntry(name, "x", ports.allocate_endpoint(), ports.allocate_endpoint())
+            for name in "ab"
         )
         self.may_reply = Event()
         self.server = MessageServer(peer.peer_endpoint, counters)
--- a/fulmarhold/tests/operators/test_command_line.py
+++ b/fulmarhold/tests/operators/test_command_line.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from fulmarhold.fleet.ports import PortSupply
+from fulmarhold.fleet.ports import PortAllocator
 
 EXAMPLE = Path(__file__).parents[3] / "examples" / "lysvik.yml"
 
@@ -66,11 +66,11 @@
 
 
 def test_a_daemon_whose_port_is_in_use_says_so(tmp_path):
-    port = PortSupply().take()
+    port = PortAllocator().allocate()
     path = tmp_path / "settings.yml"
     path.write_text(
         f"name: e\ndata_centre: a\naddress: 127.0.0.1\ncaller_port: {port}\n"
-        f"peer_port: {PortSupply().take() + 50}\ncontrol: ['127.0.0.1:1']\n"
+        f"peer_port: {PortAllocator().allocate() + 50}\ncontrol: ['127.0.0.1:1']\n"
     )
     with socket.create_server(("127.0.0.1", port)):
         result = run(path, module="fulmarhold.entry")
@@ -79,7 +79,7 @@
 
 
 def test_a_query_without_control_says_who_did_not_answer():
-    endpoint = PortSupply().take_endpoint()
+    endpoint = PortAllocator().allocate_endpoint()
     result = run("drain", endpoint)
     assert result.returncode == 1
     assert endpoint in result.stderr
--- a/fulmarhold/tests/upstreams/test_connections.py
+++ b/fulmarhold/tests/upstreams/test_connections.py
@@ -8,7 +8,7 @@
 import pytest
 
 from fulmarhold.clock import Clock
-from fulmarhold.fleet.ports import PortSupply
+from fulmarhold.fleet.ports import PortAllocator
 from fulmarhold.observe.counters import Counters
 from fulmarhold.upstreams.pool import ConnectionPool
 from fulmarhold.upstreams.protocol import MAX_RESPONSE_BYTES, RequestTemplate
@@ -20,7 +20,7 @@
     """A server that sends given bytes for each request, then keeps or closes the connection."""
 
     def __init__(self, answers, close=False, late=b""):
-        self.endpoint = PortSupply().take_endpoint()
+        self.endpoint = PortAllocator().allocate_endpoint()
         self.connections = 0
         self.requests = 0
         self._answers = answers
@@ -167,7 +167,7 @@
 
 
 def test_a_refused_connection_fails_as_not_sent():
-    pool = ConnectionPool(PortSupply().take_endpoint(), 2, 0, Clock(), Counters())
+    pool = ConnectionPool(PortAllocator().allocate_endpoint(), 2, 0, Clock(), Counters())
     reason, sent = ask(pool)
     assert not sent
     assert reason == "connect refused"
@@ -229,7 +229,7 @@
 
 
 def test_a_connection_that_is_refused_leaves_no_load():
-    pool = ConnectionPool(PortSupply().take_endpoint(), 2, 0, Clock(), Counters())
+    pool = ConnectionPool(PortAllocator().allocate_endpoint(), 2, 0, Clock(), Counters())
     assert ask(pool) == ("connect refused", False)
     gevent.sleep(0)
     assert (pool.load, pool.connections) == (0, 0)
--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -11,14 +11,14 @@
 from hypothesis import strategies as st
 
 from fulmarhold.clock import Clock
-from fulmarhold.fleet.ports import PortSupply
+from fulmarhold.fleet.ports import PortAllocator
 from fulmarhold.observe.counters import Counters
 from fulmarhold.routes.configuration import CallerLimits
 from fulmarhold.web.front import FrontServer, RawResponse
 
 LIMITS = CallerLimits(header_bytes=1_000, body_bytes=500, header_timeout=300.0, idle_timeout=2_000)
 PATIENCE_SECONDS = 5.0
-PORTS = PortSupply()
+PORTS = PortAllocator()
 
 
 class Served:
@@ -28,7 +28,7 @@
         self.requests = []
         self.counters = Counters()
         self.answer = lambda request, on_disconnect: RawResponse(200, (("X-A", "1"),), request.body)
-        port = PORTS.take()
+        port = PORTS.allocate()
         self.endpoint = ("127.0.0.1", port)
         self.server = FrontServer(
             f"127.0.0.1:{port}", self._handle, lambda: LIMITS, Clock(), self.counters
--- a/fulmarhold/tests/wire/test_wire.py
+++ b/fulmarhold/tests/wire/test_wire.py
@@ -12,7 +12,7 @@
 from fulmarhold.consensus.messages import AppendReply
 from fulmarhold.control.messages import EntrySync, RosterEntry
 from fulmarhold.errors import FulmarholdError, MalformedInput, PeerUnavailable
-from fulmarhold.fleet.ports import PortSupply
+from fulmarhold.fleet.ports import PortAllocator
 from fulmarhold.membership.records import PeerPoll, PeerReply
 from fulmarhold.observe.counters import Counters
 from fulmarhold.wire.client import CallFailed, Link
@@ -79,7 +79,7 @@
 def server():
     """A server that answers polls, fails on syncs, and its counters."""
     counters = Counters()
-    server = MessageServer(PortSupply().take_endpoint(), counters)
+    server = MessageServer(PortAllocator().allocate_endpoint(), counters)
     server.handle(PeerPoll, lambda poll: PeerReply(poll.source, poll.set_version, None, "left", 0))
 
     def fail(_):
@@ -120,14 +120,14 @@
 
 
 def test_a_peer_that_is_not_there_is_unavailable_with_step_and_peer():
-    link = Link(PortSupply().take_endpoint())
+    link = Link(PortAllocator().allocate_endpoint())
     with pytest.raises(PeerUnavailable) as caught:
         link.call(POLL, 500)
     assert (caught.value.step, caught.value.peer) == ("PeerPoll", link.endpoint)
 
 
 def test_a_silent_peer_is_unavailable_after_the_timeout():
-    endpoint = PortSupply().take_endpoint()
+    endpoint = PortAllocator().allocate_endpoint()
     address, _, port = endpoint.rpartition(":")
     with gevent.socket.create_server((address, int(port))):
         link = Link(endpoint)
