Reword the comments and names of the routing package

Constants and private members of replicas get the usual terms for ejection, slow start and decayed estimates.

--- a/fulmarhold/routing/choice.py
+++ b/fulmarhold/routing/choice.py
@@ -18,13 +18,13 @@
 
 @choosers.register("random")
 def choose_at_random(replicas: Sequence[Replica], random: Random, _: Milliseconds) -> Replica:
-    """Choose any replica; the baseline that the others are measured against."""
+    """Choose a replica at random; the baseline that benchmarks compare the other policies with."""
     return replicas[int(random.random() * len(replicas))]
 
 
 @choosers.register("two_choices")
 def choose_better_of_two(replicas: Sequence[Replica], random: Random, now: Milliseconds) -> Replica:
-    """Draw two replicas and take the one with the lower expected latency."""
+    """Pick two replicas at random and choose the one with the lower expected latency."""
     count = len(replicas)
     if count == 1:
         return replicas[0]
@@ -36,7 +36,7 @@
 
 @choosers.register("least_expected")
 def choose_least_expected(replicas: Sequence[Replica], _: Random, now: Milliseconds) -> Replica:
-    """Take the replica with the lowest expected latency of all."""
+    """Choose the replica with the lowest expected latency of all."""
     return min(replicas, key=lambda replica: replica.expected_latency(now))
 
 
@@ -45,8 +45,8 @@
 ) -> list[Replica]:
     """Return the replicas to choose from: live, not tried yet, and not ejected if possible.
 
-    When all that are left are ejected they are candidates all the same, so that a shard never
-    loses its last replica by our own judgement.
+    If all remaining replicas are ejected they are returned nevertheless, so that ejection never
+    removes the last replica of a shard.
     """
     live = [item for item in replicas if item not in tried and item.is_live(now)]
     healthy = [item for item in live if not item.is_ejected(now)]
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -1,4 +1,4 @@
-"""One upstream as a target of sub-requests: its lease, connections, latency and health."""
+"""An upstream as a target of sub-requests: lease, connections, latency and health."""
 
 from __future__ import annotations
 
@@ -13,34 +13,39 @@
 
 INITIAL_LATENCY: Milliseconds = 5.0
 FAILURES_BEFORE_EJECTION = 3
-MOST_EJECTION_DOUBLINGS = 4
-SLOW_START_FLOOR = 0.1
-# A reply that takes this many times the usual, and this long at least, points at a stall.
+MAX_EJECTION_DOUBLINGS = 4
+MIN_SLOW_START_FACTOR = 0.1
+# A request that has waited this many times the typical latency, and at least MIN_STALL, indicates
+# a stalled upstream.
 STALL_FACTOR = 3.0
-LEAST_STALL: Milliseconds = 20.0
-# Longer than the pauses that upstreams take now and then (up to 250 ms): what does not reply for
-# that long hangs or is cut off, whether its connections say so or not.
+MIN_STALL: Milliseconds = 20.0
+# Longer than the occasional pauses of healthy upstreams (up to 250 ms). An upstream that does not
+# reply for this long hangs or is unreachable, even if its connections are still open.
 UNRESPONSIVE_AFTER: Milliseconds = 300.0
-# One request in this time finds out whether a dark upstream is back; a hedge covers for it.
+# An unresponsive upstream gets one request per period, which detects its recovery; a hedge covers
+# that request.
 PROBE_PERIOD: Milliseconds = 1_000.0
-# The share of failures follows the last ten or so, and is forgotten by half in this time.
+# The failure share averages over about the last ten replies and halves in FAILURE_HALF_LIFE
+# without new ones.
 FAILURE_WEIGHT = 0.15
 FAILURE_HALF_LIFE: Milliseconds = 2_000.0
-# What a failed attempt costs: its own time, that of another attempt, and a part of the budget.
-FAILURE_COST: Milliseconds = 100.0
-# What a replica in another data centre must be faster by: its traffic is dear, and one that was
-# not asked for a while must not look near because its estimate has faded. The factor holds for
-# long requests, whose latency varies by more than the fixed part.
-OTHER_DATA_CENTRE_COST: Milliseconds = 15.0
+# Latency equivalent of a failed attempt: its own time, the time of another attempt, and the part
+# of the budget that it uses.
+FAILURE_PENALTY: Milliseconds = 100.0
+# By how much a replica in another data centre must be faster to be chosen. Traffic between data
+# centres is expensive, and a replica that was not used for a while must not appear local because
+# its estimate has decayed. The factor is for long requests, whose latency varies by more than the
+# fixed penalty.
+OTHER_DATA_CENTRE_PENALTY: Milliseconds = 15.0
 OTHER_DATA_CENTRE_FACTOR = 1.25
-# A replica that was not heard of for long is taken for this much of what is usual for its kind, so
-# that it is tried again beside one that is as fast as usual; with the factor above it just offsets
-# the distance, and the fixed part keeps replicas elsewhere from being tried for nothing.
-SILENT_SHARE_OF_USUAL = 0.8
+# Without recent replies, a replica is estimated at this share of the typical latency, so that it is
+# tried again next to one with typical latency. The share just cancels OTHER_DATA_CENTRE_FACTOR, so
+# the fixed penalty keeps replicas in other data centres from being tried needlessly.
+TYPICAL_LATENCY_SHARE = 0.8
 
 
 class UpstreamRecord(Protocol):
-    """What routing needs to know of an upstream."""
+    """The attributes of an upstream that routing uses."""
 
     @property
     def address(self) -> str: ...
@@ -51,7 +56,7 @@
 
 
 class RoutedUpstream(Protocol):
-    """An upstream that work may be sent to while it is live."""
+    """An upstream that accepts requests while its lease is valid."""
 
     @property
     def record(self) -> UpstreamRecord: ...
@@ -63,9 +68,9 @@
 
 
 class Replica(Generic[Upstream]):
-    """What this entry itself saw of one incarnation of an upstream.
+    """Latency and health of one incarnation of an upstream, as this entry has observed them.
 
-    `typical_latency` is the latency that replicas of its kind usually have, if that is known.
+    `typical_latency` is the median latency of the replicas of the same kind, if known.
     """
 
     def __init__(
@@ -81,21 +86,21 @@
         self.upstream = upstream
         self.pool = pool
         self.latency = LatencyAverage(INITIAL_LATENCY, is_guess=True)
-        # Set where there are others of the same kind.
+        # Set if there are other replicas of the same kind.
         self.typical_latency: QuantileEstimate | None = None
-        self._is_known = False
+        self._has_own_estimate = False
         self.concurrency = ConcurrencyLimit()
         self.ejected_until: Milliseconds = float("-inf")
         self._ejection = ejection
         self._slow_start = slow_start
-        self._distance_cost = 0.0 if is_local else OTHER_DATA_CENTRE_COST
+        self._distance_penalty = 0.0 if is_local else OTHER_DATA_CENTRE_PENALTY
         self._distance_factor = 1.0 if is_local else OTHER_DATA_CENTRE_FACTOR
         self._started_at = now
-        self._heard_at = now
-        self._failures = 0
-        self._ejections = 0
+        self._estimate_updated_at = now
+        self._consecutive_failures = 0
+        self._consecutive_ejections = 0
         self._failure_share = 0.0
-        self._failure_noted_at = now
+        self._failure_share_updated_at = now
         self._sent_at: Milliseconds = float("-inf")
         self._unanswered_since: Milliseconds | None = None
 
@@ -108,118 +113,122 @@
         return self.upstream.record.address, self.upstream.record.incarnation
 
     def is_live(self, now: Milliseconds) -> bool:
-        """Whether its lease still runs."""
+        """Whether the lease of the upstream is still valid."""
         return self.upstream.is_live(now)
 
     def is_ejected(self, now: Milliseconds) -> bool:
-        """Whether it is passed over for now because it failed repeatedly."""
+        """Whether it is excluded from selection for now, after failures."""
         return now < self.ejected_until
 
     def is_stalled(self, now: Milliseconds) -> bool:
-        """Whether a request waits there for much longer than replies usually take.
+        """Whether a request has waited much longer than replies typically take.
 
-        It then hangs, pauses or is cut off, and further requests would only wait as well.
+        The upstream then hangs, pauses or is unreachable, and further requests would wait too.
         """
-        return self.pool.longest_wait(now) > max(LEAST_STALL, STALL_FACTOR * self._believed)
+        return self.pool.longest_wait(now) > max(MIN_STALL, STALL_FACTOR * self._estimated_latency)
 
     def is_unresponsive(self, now: Milliseconds) -> bool:
-        """Whether it has replied to nothing since a request that was sent long ago."""
+        """Whether no reply has arrived for `UNRESPONSIVE_AFTER` ms after a request was sent."""
         since = self._unanswered_since
         return since is not None and now - since > UNRESPONSIVE_AFTER
 
     def is_responsive(self, now: Milliseconds) -> bool:
-        """Whether a request sent now is likely to be replied to soon, or is due as a probe."""
+        """Whether a request sent now is likely to get a reply soon, or is due as a probe."""
         if self.is_unresponsive(now):
             return now > self._sent_at + PROBE_PERIOD
         return not self.is_stalled(now)
 
     def may_send(self, now: Milliseconds, *, is_urgent: bool) -> bool:
-        """Whether one more request sent now is likely to be answered in time."""
+        """Whether the concurrency limit admits one more request now."""
         return self.concurrency.may_send(self.pool.load, now, is_urgent=is_urgent)
 
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
-        """Return the latency a new request may expect, with queueing, failures and distance."""
+        """Return the expected latency of a new request.
+
+        Includes queueing, slow start, and penalties for failures and for another data centre.
+        """
         slots = self.upstream.record.slots
-        extra = FAILURE_COST * self._faded_failures(now) + self._distance_cost
+        extra = FAILURE_PENALTY * self._decayed_failure_share(now) + self._distance_penalty
         if self.pool.load:
-            base_latency = self._believed * (1 + self.pool.load / slots)
+            base_latency = self._estimated_latency * (1 + self.pool.load / slots)
         else:
-            base_latency = self._faded(now)
-        return self._distance_factor * base_latency / self._warmth(now) + extra
+            base_latency = self._decayed_latency(now)
+        return self._distance_factor * base_latency / self._slow_start_factor(now) + extra
 
     def note_sent(self, now: Milliseconds) -> None:
-        """Take in that a request was sent."""
+        """Record that a request was sent."""
         self._sent_at = now
         if self._unanswered_since is None:
             self._unanswered_since = now
 
     def note_reply(self) -> None:
-        """Take in that any response came."""
+        """Record that a response arrived, successful or not."""
         self._unanswered_since = None
 
     def note_success(self, latency: Milliseconds, now: Milliseconds) -> None:
-        """Take in a good response."""
-        # A response after a silence confirms the old estimate or the faded one, or lies between.
-        self.latency.value = max(self._faded(now), min(self._believed, latency))
+        """Record a successful response."""
+        # The first response after a silence moves the estimate to its latency, but not below the
+        # decayed estimate or above the last one.
+        self.latency.value = max(self._decayed_latency(now), min(self._estimated_latency, latency))
         self.latency.update(latency)
         if self.typical_latency is not None:
             self.typical_latency.update(latency)
-        self._is_known = True
-        self._heard_at = now
-        self._failures = 0
-        self._ejections = 0
-        self._update_failures(0.0, now)
+        self._has_own_estimate = True
+        self._estimate_updated_at = now
+        self._consecutive_failures = 0
+        self._consecutive_ejections = 0
+        self._update_failure_share(0.0, now)
 
     def note_abandoned(self, elapsed: Milliseconds, now: Milliseconds) -> None:
-        """Take in that a request was given up after `elapsed` ms without a response."""
-        self.latency.value = self._believed
-        self._is_known = True
-        self._heard_at = now
+        """Record that a request was abandoned after `elapsed` ms without a response."""
+        self.latency.value = self._estimated_latency
+        self._has_own_estimate = True
+        self._estimate_updated_at = now
         if elapsed > self.latency.value:
             self.latency.update(elapsed)
 
     def note_failure(self, now: Milliseconds) -> bool:
-        """Take in a failure; returns whether the replica is ejected by it."""
-        self._failures += 1
-        self._update_failures(1.0, now)
-        if self._failures < FAILURES_BEFORE_EJECTION or self.is_ejected(now):
+        """Record a failure; return whether it ejects the replica."""
+        self._consecutive_failures += 1
+        self._update_failure_share(1.0, now)
+        if self._consecutive_failures < FAILURES_BEFORE_EJECTION or self.is_ejected(now):
             return False
-        doublings = min(self._ejections, MOST_EJECTION_DOUBLINGS)
+        doublings = min(self._consecutive_ejections, MAX_EJECTION_DOUBLINGS)
         self.ejected_until = now + self._ejection * 2**doublings
-        self._ejections += 1
-        # One more failure after the return is enough for the next ejection.
-        self._failures = FAILURES_BEFORE_EJECTION - 1
+        self._consecutive_ejections += 1
+        # After the ejection ends, a single failure ejects the replica again.
+        self._consecutive_failures = FAILURES_BEFORE_EJECTION - 1
         return True
 
     def note_unreachable(self, now: Milliseconds) -> None:
-        """Take in that nobody listens at its address: it is passed over at once."""
+        """Record that the upstream is not at its address; ejects the replica at once."""
         self.ejected_until = max(self.ejected_until, now + self._ejection)
 
-    def _update_failures(self, failed: float, now: Milliseconds) -> None:
-        share = self._faded_failures(now)
+    def _update_failure_share(self, failed: float, now: Milliseconds) -> None:
+        share = self._decayed_failure_share(now)
         self._failure_share = share + FAILURE_WEIGHT * (failed - share)
-        self._failure_noted_at = now
+        self._failure_share_updated_at = now
 
-    def _faded_failures(self, now: Milliseconds) -> float:
-        silence = now - self._failure_noted_at
+    def _decayed_failure_share(self, now: Milliseconds) -> float:
+        silence = now - self._failure_share_updated_at
         return float(self._failure_share * 0.5 ** (silence / FAILURE_HALF_LIFE))
 
     @property
-    def _believed(self) -> Milliseconds:
-        """The latency of its last replies, or of replicas of its kind while it has sent none."""
-        if self._is_known or self.typical_latency is None:
+    def _estimated_latency(self) -> Milliseconds:
+        """Its average latency, or an estimate from replicas of its kind before the first reply."""
+        if self._has_own_estimate or self.typical_latency is None:
             return self.latency.value
-        return SILENT_SHARE_OF_USUAL * self.typical_latency.value
+        return TYPICAL_LATENCY_SHARE * self.typical_latency.value
 
-    def _faded(self, now: Milliseconds) -> Milliseconds:
-        believed = self._believed
-        faded = fade(believed, now - self._heard_at)
+    def _decayed_latency(self, now: Milliseconds) -> Milliseconds:
+        estimate = self._estimated_latency
+        decayed = fade(estimate, now - self._estimate_updated_at)
         if self.typical_latency is None:
-            return faded
-        # Silence makes a slow replica look like any other, and none look better than that.
-        return max(faded, min(believed, SILENT_SHARE_OF_USUAL * self.typical_latency.value))
+            return decayed
+        # Silence lowers a slow replica's estimate to about the typical latency, and none further.
+        return max(decayed, min(estimate, TYPICAL_LATENCY_SHARE * self.typical_latency.value))
 
-    def _warmth(self, now: Milliseconds) -> float:
+    def _slow_start_factor(self, now: Milliseconds) -> float:
         if self._slow_start <= 0:
             return 1.0
-        return min(1.0, max(SLOW_START_FLOOR, (now - self._started_at) / self._slow_start))
+        return min(1.0, max(MIN_SLOW_START_FACTOR, (now - self._started_at) / self._slow_start))
--- a/fulmarhold/routing/table.py
+++ b/fulmarhold/routing/table.py
@@ -1,4 +1,4 @@
-"""The replicas of every service by layout, version and shard, kept up with the directory."""
+"""Replicas of every service by layout, version and shard, updated from the directory."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     from fulmarhold.membership.running import RunningState
     from fulmarhold.observe.counters import Counters
 
-LEAVING_EXCHANGE: Milliseconds = 60_000.0
+CLOSING_EXCHANGE_TIMEOUT: Milliseconds = 60_000.0
 
 
 @dataclass(frozen=True)
@@ -31,7 +31,7 @@
     shards: dict[int, tuple[Replica, ...]]
 
     def live_shard_count(self, now: Milliseconds) -> int:
-        """Return how many shards have a live replica."""
+        """Return the number of shards with at least one live replica."""
         return sum(
             1
             for replicas in self.shards.values()
@@ -40,7 +40,10 @@
 
 
 class RoutingTable:
-    """Rebuilt when the directory or the configuration changed; replicas outlive a rebuild."""
+    """Replicas by service, rebuilt after changes of the directory or the configuration.
+
+    Replicas that are still in the directory are kept across rebuilds, with their connections.
+    """
 
     def __init__(
         self, directory: Directory, running: RunningState, clock: Clock, counters: Counters
@@ -50,7 +53,7 @@
         self._clock = clock
         self._counters = counters
         self._replicas: dict[tuple[str, int], Replica] = {}
-        self._leaving: list[ConnectionPool] = []
+        self._closing_pools: list[ConnectionPool] = []
         self._snapshots: dict[str, tuple[SnapshotReplicas, ...]] = {}
         self._built_from: object = None
 
@@ -59,12 +62,12 @@
         return self._replicas.values()
 
     def snapshots(self, service: str) -> tuple[SnapshotReplicas, ...]:
-        """Return what is held of a service, the newest version first."""
+        """Return the snapshots of a service that upstreams hold, newest version first."""
         self._refresh()
         return self._snapshots.get(service, ())
 
     def maintain(self) -> None:
-        """Keep connections warm and close overdue ones; called regularly."""
+        """Open warm connections and close overdue ones; called periodically."""
         self._refresh()
         configuration = self._running.configuration
         if configuration is None:
@@ -73,13 +76,13 @@
             service = configuration.services.get(replica.upstream.record.service)
             longest = service.longest_deadline_ms if service else 0.0
             replica.pool.maintain(longest)
-        self._leaving = [pool for pool in self._leaving if pool.connections]
-        for pool in self._leaving:
-            pool.maintain(LEAVING_EXCHANGE)
+        self._closing_pools = [pool for pool in self._closing_pools if pool.connections]
+        for pool in self._closing_pools:
+            pool.maintain(CLOSING_EXCHANGE_TIMEOUT)
 
     def close(self) -> None:
         """Close every connection."""
-        for pool in [*(replica.pool for replica in self._replicas.values()), *self._leaving]:
+        for pool in [*(replica.pool for replica in self._replicas.values()), *self._closing_pools]:
             pool.close()
 
     def _refresh(self) -> None:
@@ -97,18 +100,18 @@
         self._snapshots = _group_snapshots(self._replicas.values())
 
     def _update_replicas(self, known: list[KnownUpstream], configuration: Configuration) -> None:
-        before, self._replicas = self._replicas, {}
+        previous, self._replicas = self._replicas, {}
         for upstream in known:
             service = configuration.services[upstream.record.service]
             key = (upstream.record.address, upstream.record.incarnation)
-            replica = before.pop(key, None)
+            replica = previous.pop(key, None)
             if replica is None:
                 replica = self._make_replica(upstream, service, configuration.entries)
             replica.upstream = upstream
             self._replicas[key] = replica
-        for replica in before.values():
+        for replica in previous.values():
             replica.pool.close_when_idle()
-            self._leaving.append(replica.pool)
+            self._closing_pools.append(replica.pool)
 
     def _make_replica(
         self, upstream: KnownUpstream, service: ServiceConfiguration, entries: int
