Reword the comments and names of the limits package and its tests

Terms of admission control, token buckets and adaptive limits; two refusal texts are clearer, one with its test.

--- a/fulmarhold/limits/__init__.py
+++ b/fulmarhold/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Budgets for extra load and admission of queries."""
+"""Admission of queries, concurrency limits, budgets for extra load, and retry delays."""
--- a/fulmarhold/limits/admission.py
+++ b/fulmarhold/limits/admission.py
@@ -1,4 +1,4 @@
-"""Admission of queries: work that can't finish in time is refused before it starts."""
+"""Admission control: refuses queries that can't finish in time before they start."""
 
 from __future__ import annotations
 
@@ -19,125 +19,135 @@
     from fulmarhold.clock import Clock
     from fulmarhold.configuration import Urgency
 
-# An entry runs this many queries at once; less urgent ones may use only a part of that.
-QUERIES_AT_ONCE = 192
+# Queries that one entry runs at once; URGENCY_SHARES limits less urgent ones to a part of them.
+MAX_CONCURRENT_QUERIES = 192
 URGENCY_SHARES: dict[Urgency, float] = {"urgent": 1.0, "normal": 0.75, "background": 0.5}
-LONGEST_QUEUE = 256
-LEAST_BOUND = 1.0
-LEAST_NEEDED: Milliseconds = 1.0
-LATE_FACTOR = 0.7
-SLOW_FACTOR = 0.9
-RAISE_STEP = 0.2
-# A whole answer has queued at upstreams once it took this share of the way from the time of the
-# fastest answers to the deadline.
-QUEUEING_SHARE = 1 / 3
+MAX_QUEUE_LENGTH = 256
+MIN_LIMIT = 1.0
+MIN_EXPECTED_DURATION: Milliseconds = 1.0
+PARTIAL_ANSWER_FACTOR = 0.7
+QUEUEING_FACTOR = 0.9
+INCREASE_STEP = 0.2
+# A complete answer counts as queued at upstreams if it took longer than the fastest answers by this
+# share of the time between them and the deadline.
+QUEUEING_THRESHOLD = 1 / 3
 FAST_QUANTILE = 0.1
-LONG_QUANTILE = 0.98
+SLOW_QUANTILE = 0.98
 
 
 class ServiceGate:
-    """Lets a bounded number of queries of one service run; others wait while there is time.
+    """Limits the concurrent queries of one service; others wait while there is time.
 
-    The bound follows what the upstreams can do: it falls when parts miss the deadline, or when
-    whole answers take so long that they must have queued while it is reached, once for each round
-    of queries, and grows slowly while answers are whole, up to the configured limit.
+    The limit adapts to the capacity of the upstreams. It is decreased when answers lack parts at
+    the deadline, or when complete answers take so long that they must have queued while the limit
+    was reached, at most once per expected duration of a query. It is increased slowly with
+    complete answers, up to the configured limit.
     """
 
     def __init__(self, urgency: Urgency, limit: int, clock: Clock) -> None:
         self.urgency = urgency
-        self._most = limit
-        self._bound = float(limit)
+        self._configured_limit = limit
+        self._current_limit = float(limit)
         self._clock = clock
         self._running = 0
-        self._usual: LatencyAverage | None = None
-        self._renewed_at: Milliseconds = float("-inf")
-        self._fast = QuantileEstimate(FAST_QUANTILE, LEAST_NEEDED)
-        self._long = QuantileEstimate(LONG_QUANTILE, LEAST_NEEDED)
-        self._lowered_at: Milliseconds = float("-inf")
+        self._average_duration: LatencyAverage | None = None
+        self._average_updated_at: Milliseconds = float("-inf")
+        self._fast_duration = QuantileEstimate(FAST_QUANTILE, MIN_EXPECTED_DURATION)
+        self._slow_duration = QuantileEstimate(SLOW_QUANTILE, MIN_EXPECTED_DURATION)
+        self._decreased_at: Milliseconds = float("-inf")
         self._waiting: deque[AsyncResult] = deque()
 
     @property
     def limit(self) -> int:
-        """How many queries may run now."""
-        return max(1, int(self._bound))
+        """The number of queries that may run now."""
+        return max(1, int(self._current_limit))
 
     @property
-    def needed(self) -> Milliseconds:
-        """How long a whole answer has taken lately; fades while nothing renews it."""
-        if self._usual is None:
-            return LEAST_NEEDED
-        # Queries that are refused renew nothing: one slow answer could refuse all that follow.
-        return max(LEAST_NEEDED, fade(self._usual.value, self._clock.now() - self._renewed_at))
+    def expected_duration(self) -> Milliseconds:
+        """The recent average duration of complete answers; decays without new ones."""
+        if self._average_duration is None:
+            return MIN_EXPECTED_DURATION
+        # Refused queries yield no new durations: without decay, one slow answer could make the gate
+        # refuse all later queries.
+        return max(
+            MIN_EXPECTED_DURATION,
+            fade(self._average_duration.value, self._clock.now() - self._average_updated_at),
+        )
 
     @property
-    def needed_at_most(self) -> Milliseconds:
-        """How long nearly all whole answers have taken lately at most."""
-        return max(self.needed, self._long.value)
+    def slow_duration(self) -> Milliseconds:
+        """The duration that nearly all recent complete answers stayed below."""
+        return max(self.expected_duration, self._slow_duration.value)
 
     def configure(self, urgency: Urgency, limit: int) -> None:
-        """Change the configured limit, keeping what runs."""
+        """Change urgency and configured limit; running queries are unaffected."""
         self.urgency = urgency
-        if limit != self._most:
-            self._most, self._bound = limit, float(limit)
+        if limit != self._configured_limit:
+            self._configured_limit, self._current_limit = limit, float(limit)
 
     def note_complete(self, duration: Milliseconds, allowed: Milliseconds) -> None:
-        """Take in a whole answer that took `duration` ms of the `allowed` ms."""
-        if self._usual is None:
-            self._usual = LatencyAverage(duration)
-            self._fast.value = self._long.value = duration
-        self._renewed_at = self._clock.now()
-        for estimate in (self._usual, self._fast, self._long):
+        """Record a complete answer that took `duration` of the `allowed` milliseconds."""
+        if self._average_duration is None:
+            self._average_duration = LatencyAverage(duration)
+            self._fast_duration.value = self._slow_duration.value = duration
+        self._average_updated_at = self._clock.now()
+        for estimate in (self._average_duration, self._fast_duration, self._slow_duration):
             estimate.update(duration)
-        fast = self._fast.value
-        if duration > fast + QUEUEING_SHARE * (allowed - fast) and self._running >= self.limit:
-            self._lower(SLOW_FACTOR)
+        fast = self._fast_duration.value
+        if duration > fast + QUEUEING_THRESHOLD * (allowed - fast) and self._running >= self.limit:
+            self._decrease_limit(QUEUEING_FACTOR)
         else:
-            self._bound = min(float(self._most), self._bound + RAISE_STEP / self._bound)
+            self._current_limit = min(
+                float(self._configured_limit),
+                self._current_limit + INCREASE_STEP / self._current_limit,
+            )
 
     def note_partial(self) -> None:
-        """Take in an answer that lacks parts because the deadline came."""
-        self._lower(LATE_FACTOR)
+        """Record an answer that lacks parts because the deadline passed."""
+        self._decrease_limit(PARTIAL_ANSWER_FACTOR)
 
-    def enter(self, wait_until: Milliseconds) -> None:
-        """Take a place, waiting for one until `wait_until`; raises `Refused`."""
+    def acquire(self, wait_until: Milliseconds) -> None:
+        """Take a slot, waiting for one until `wait_until`; raises `Refused` without one."""
         if self._running < self.limit:
             self._running += 1
             return
         left = wait_until - self._clock.now()
-        if left <= 0 or len(self._waiting) >= LONGEST_QUEUE:
-            raise Refused(NotRunReason.OVERLOADED, f"{self.limit} queries run already")
-        place: AsyncResult = AsyncResult()
-        self._waiting.append(place)
+        if left <= 0 or len(self._waiting) >= MAX_QUEUE_LENGTH:
+            raise Refused(
+                NotRunReason.OVERLOADED, f"the limit of {self.limit} running queries is reached"
+            )
+        waiter: AsyncResult = AsyncResult()
+        self._waiting.append(waiter)
         try:
-            place.get(timeout=left / SECOND)
+            waiter.get(timeout=left / SECOND)
         except gevent.Timeout:
-            if place.ready():
+            if waiter.ready():
                 return
-            self._waiting.remove(place)
-            raise Refused(NotRunReason.OVERLOADED, "no place came free in time") from None
+            self._waiting.remove(waiter)
+            raise Refused(NotRunReason.OVERLOADED, "no slot became free in time") from None
 
-    def leave(self) -> None:
-        """Give a place back, and let in as many of those that wait as the bound allows now."""
+    def release(self) -> None:
+        """Return a slot, and admit as many waiting queries as the limit allows now."""
         self._running -= 1
         while self._waiting and self._running < self.limit:
             self._running += 1
-            self._next().set()
+            self._next_waiter().set()
 
-    def _next(self) -> AsyncResult:
-        # Once more wait than run, the oldest have too little time left to be worth a place.
+    def _next_waiter(self) -> AsyncResult:
+        # Once more queries wait than run, the oldest have too little time left to be worth a slot.
         if len(self._waiting) > self.limit:
             return self._waiting.pop()
         return self._waiting.popleft()
 
-    def _lower(self, factor: float) -> None:
+    def _decrease_limit(self, factor: float) -> None:
         now = self._clock.now()
-        if now >= self._lowered_at + self.needed:
-            self._lowered_at = now
-            self._bound = max(LEAST_BOUND, factor * self._bound)
+        if now >= self._decreased_at + self.expected_duration:
+            self._decreased_at = now
+            self._current_limit = max(MIN_LIMIT, factor * self._current_limit)
 
 
 class Admission:
-    """The gates of all services of one entry."""
+    """Admission control of one entry, with a gate for each service."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -146,11 +156,11 @@
 
     @property
     def running(self) -> int:
-        """Queries that run now."""
+        """The number of queries that run now."""
         return self._running
 
     def configure(self, service: str, urgency: Urgency, limit: int) -> ServiceGate:
-        """Return the gate of a service, with its limit set."""
+        """Return the gate of a service with the given configuration applied."""
         gate = self._gates.get(service)
         if gate is None:
             gate = self._gates[service] = ServiceGate(urgency, limit, self._clock)
@@ -159,15 +169,22 @@
 
     @contextmanager
     def admitted(self, gate: ServiceGate, deadline_at: Milliseconds) -> Iterator[None]:
-        """Hold a place for one query; raises `Refused` without one or without enough time."""
-        if self._clock.now() + gate.needed > deadline_at:
-            raise Refused(NotRunReason.DEADLINE_TOO_SHORT, f"it takes about {gate.needed:.0f} ms")
-        if self._running >= QUERIES_AT_ONCE * URGENCY_SHARES[gate.urgency]:
+        """Hold a slot for one query.
+
+        Raises `Refused` if the remaining time is too short, the entry runs too many queries, or
+        no slot becomes free in time.
+        """
+        if self._clock.now() + gate.expected_duration > deadline_at:
+            raise Refused(
+                NotRunReason.DEADLINE_TOO_SHORT,
+                f"a complete answer takes about {gate.expected_duration:.0f} ms",
+            )
+        if self._running >= MAX_CONCURRENT_QUERIES * URGENCY_SHARES[gate.urgency]:
             raise Refused(NotRunReason.OVERLOADED, "the entry runs too many queries")
-        gate.enter(deadline_at - gate.needed_at_most)
+        gate.acquire(deadline_at - gate.slow_duration)
         self._running += 1
         try:
             yield
         finally:
             self._running -= 1
-            gate.leave()
+            gate.release()
--- a/fulmarhold/limits/concurrency.py
+++ b/fulmarhold/limits/concurrency.py
@@ -1,9 +1,9 @@
-"""How many requests an entry keeps open at one upstream that answers too late.
+"""Adaptive limit of the requests that an entry keeps open at one upstream.
 
-The load this answers: most upstreams of a shard are lost or slow while many users come, so that
-the remaining one is asked for more than it can do. Without a limit its queue grows until every
-answer of it comes after the target, and every query waits for it. With one, the queries that are
-sent there get their part in time, and the others leave the shard out at once.
+When most upstreams of a shard are lost or slow under high load, the remaining one receives more
+requests than it can serve. Without a limit its queue grows until every reply misses the target
+latency, and every query waits for it. With a limit, the queries that are sent to it get their part
+in time, and the others leave the shard out at once.
 """
 
 from __future__ import annotations
@@ -13,27 +13,27 @@
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
 
-# Requests that one entry may keep open before anything is known; far above a healthy upstream's.
-HIGHEST_LIMIT = 8.0
-# Below one, an upstream gets a request at a time with a pause after it.
-LOWEST_LIMIT = 0.25
-# The share of late rounds of requests: two in a row, with nothing in time between, pass the first
-# bound, and each later one the second. All replies that one pause of an upstream makes late were
-# sent before the first of them came, and count as one round.
+# Initial limit, at which nothing is limited; a healthy upstream has far fewer open requests.
+MAX_LIMIT = 8.0
+# A limit below one means one request at a time, with a pause after each.
+MIN_LIMIT = 0.25
+# The late share is a moving average over rounds of requests. Two late rounds in a row reach the
+# first threshold, and each later one the second. Requests that one pause of the upstream delayed
+# were all sent before the first late reply, and count as one round.
 LATE_WEIGHT = 0.35
-LATE_SHARE = 0.5
-LATE_SHARE_ONCE_LIMITED = 0.3
-LOWERING = 0.5
-# What one reply in time adds, for each request that may be open.
-RAISING = 0.2
-# A reply that took this share of its useful time has queued, and the next one may be late.
+LATE_SHARE_THRESHOLD = 0.5
+LATE_SHARE_THRESHOLD_WHEN_LIMITED = 0.3
+DECREASE_FACTOR = 0.5
+# A reply in time raises the limit by this, divided by the limit.
+INCREASE_STEP = 0.2
+# A reply that took more than this share of its useful time has queued; the next may be late.
 CONGESTED_SHARE = 0.85
-# Less urgent requests use this share of a limit that has been lowered.
+# Less urgent requests may use this share of a lowered limit.
 LESS_URGENT_SHARE = 0.7
 
 
 class ConcurrencyLimit:
-    """Falls while replies come too late to be of use, and rises while they come in time.
+    """A limit that falls while replies arrive too late to be of use, and rises otherwise.
 
     >>> limit = ConcurrencyLimit()
     >>> for moment in range(0, 4_000, 400):
@@ -42,24 +42,24 @@
     (True, False)
     """
 
-    __slots__ = ("_late_at", "_late_share", "_latency", "_replied_at", "value")
+    __slots__ = ("_last_late_at", "_last_reply_at", "_late_share", "_latency", "value")
 
     def __init__(self) -> None:
-        self.value = HIGHEST_LIMIT
+        self.value = MAX_LIMIT
         self._late_share = 0.0
         self._latency: Milliseconds = 0.0
-        self._late_at: Milliseconds = float("-inf")
-        self._replied_at: Milliseconds = float("-inf")
+        self._last_late_at: Milliseconds = float("-inf")
+        self._last_reply_at: Milliseconds = float("-inf")
 
     def may_send(self, open_requests: int, now: Milliseconds, *, is_urgent: bool) -> bool:
-        """Whether one more request may be sent while `open_requests` are not answered."""
-        if self.value >= HIGHEST_LIMIT:
+        """Whether one more request may be sent while `open_requests` are unanswered."""
+        if self.value >= MAX_LIMIT:
             return True
         allowed = self.value if is_urgent else LESS_URGENT_SHARE * self.value
         if allowed >= 1:
             return open_requests < int(allowed)
         pause = self._latency * (1 / allowed - 1)
-        return open_requests == 0 and now >= self._replied_at + pause
+        return open_requests == 0 and now >= self._last_reply_at + pause
 
     def note_reply(
         self,
@@ -68,18 +68,22 @@
         open_requests: int,
         now: Milliseconds,
     ) -> None:
-        """Take in a reply after `elapsed` ms that would have been of use for `useful_for` ms.
+        """Record a reply after `elapsed` ms that was of use within `useful_for` ms.
 
-        `open_requests` tells how many were open with it.
+        `open_requests` is the number of requests that were open, including this one.
         """
-        self._replied_at = now
+        self._last_reply_at = now
         self._latency = elapsed
         if elapsed <= CONGESTED_SHARE * useful_for:
             self._late_share -= LATE_WEIGHT * self._late_share
-            self.value = min(HIGHEST_LIMIT, self.value + RAISING / max(1.0, self.value))
-        elif now - elapsed > self._late_at:
-            self._late_at = now
+            self.value = min(MAX_LIMIT, self.value + INCREASE_STEP / max(1.0, self.value))
+        elif now - elapsed > self._last_late_at:
+            self._last_late_at = now
             self._late_share += LATE_WEIGHT * (1 - self._late_share)
-            is_limited = self.value < HIGHEST_LIMIT
-            if self._late_share >= (LATE_SHARE_ONCE_LIMITED if is_limited else LATE_SHARE):
-                self.value = max(LOWEST_LIMIT, LOWERING * min(self.value, max(1, open_requests)))
+            is_limited = self.value < MAX_LIMIT
+            if self._late_share >= (
+                LATE_SHARE_THRESHOLD_WHEN_LIMITED if is_limited else LATE_SHARE_THRESHOLD
+            ):
+                self.value = max(
+                    MIN_LIMIT, DECREASE_FACTOR * min(self.value, max(1, open_requests))
+                )
--- a/fulmarhold/limits/retry_after.py
+++ b/fulmarhold/limits/retry_after.py
@@ -1,8 +1,8 @@
-"""When callers that were refused are to come back.
+"""Delays after which refused callers should retry.
 
-The load this answers: all instances start again at once, and every request of that time is refused.
-Callers try again once or twice and wait for a third of their time at most, so one that returns
-before this entry serves has lost its request, and all that return at one moment are a burst.
+When all instances restart at once, every request is refused in the meantime. Callers retry once or
+twice and wait for at most a third of their time. A caller that retries before this entry serves
+loses its request, and callers that all retry at the same moment cause a burst.
 """
 
 from __future__ import annotations
@@ -14,28 +14,29 @@
 
     from fulmarhold.clock import Milliseconds
 
-# From when an entry listens until it knows the configuration, where control starts again as well:
-# control's start takes longer by 0.2 s, and an election follows (runs on the users' bench).
-USUAL_START: Milliseconds = 350.0
-# An entry that is overdue may be ready at any moment, or control may be unreachable for seconds.
-OVERDUE_PAUSE: Milliseconds = 100.0
-START_SPREAD: Milliseconds = 120.0
-# After other refusals, so that callers do not return as one wave.
-SHORTEST_RETURN: Milliseconds = 40.0
-LONGEST_RETURN: Milliseconds = 160.0
+# Time from when an entry listens until it knows the configuration, if control restarts too: control
+# takes 0.2 s longer to start, and then has to elect a leader.
+TYPICAL_STARTUP_TIME: Milliseconds = 350.0
+# Past the typical time, the entry may be ready at any moment, or control may be unreachable for
+# seconds.
+MIN_STARTUP_DELAY: Milliseconds = 100.0
+STARTUP_JITTER: Milliseconds = 120.0
+# Range of the delay after other refusals; random, so that callers do not retry in one burst.
+MIN_REFUSAL_DELAY: Milliseconds = 40.0
+MAX_REFUSAL_DELAY: Milliseconds = 160.0
 
 
-def retry_delay_while_starting(running_for: Milliseconds, random: Random) -> Milliseconds:
-    """Return for how long to stay away from an entry that does not know a configuration yet.
+def retry_delay_while_starting(uptime: Milliseconds, random: Random) -> Milliseconds:
+    """Return the retry delay while the entry does not know a configuration yet.
 
     >>> from random import Random
     >>> 250 <= retry_delay_while_starting(100.0, Random(1)) <= 370
     True
     """
-    expected = USUAL_START - running_for
-    return max(OVERDUE_PAUSE, expected) + random.uniform(0.0, START_SPREAD)
+    expected = TYPICAL_STARTUP_TIME - uptime
+    return max(MIN_STARTUP_DELAY, expected) + random.uniform(0.0, STARTUP_JITTER)
 
 
 def retry_delay_after_refusal(random: Random) -> Milliseconds:
-    """Return for how long to stay away after a refusal of one request."""
-    return random.uniform(SHORTEST_RETURN, LONGEST_RETURN)
+    """Return the retry delay after a single request was refused."""
+    return random.uniform(MIN_REFUSAL_DELAY, MAX_REFUSAL_DELAY)
--- a/fulmarhold/tests/limits/test_limits.py
+++ b/fulmarhold/tests/limits/test_limits.py
@@ -1,4 +1,4 @@
-"""Budgets and admission."""
+"""Tests of budgets for extra load and of admission control."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 
 from fulmarhold.clock import Clock, ManualClock
 from fulmarhold.gather.outcome import NotRunReason, Refused
-from fulmarhold.limits.admission import QUERIES_AT_ONCE, Admission, ServiceGate
+from fulmarhold.limits.admission import MAX_CONCURRENT_QUERIES, Admission, ServiceGate
 from fulmarhold.limits.budget import ExtraLoadBudget, SlackBudget
 
 ALLOWED = 400.0
 
 
 @given(st.lists(st.tuples(st.integers(0, 300), st.integers(0, 30)), max_size=60))
-def test_extra_requests_never_exceed_the_share_and_what_the_budget_began_with(steps):
+def test_extra_requests_never_exceed_the_share_of_first_tries_plus_the_initial_tokens(steps):
     budget = ExtraLoadBudget(0.05, 10)
     first = extra = 0
     for tries, wanted in steps:
@@ -26,13 +26,13 @@
         assert extra <= 0.05 * first + 20 + 1e-6
 
 
-# Load pattern: all entries start again within one window and spend all that they may at once.
+# Load pattern: all entries restart within one window and spend as much as possible at once.
 @given(
     slack=st.floats(10, 400),
     entries=st.integers(1, 80),
     steps=st.lists(st.tuples(st.floats(0, 0.2), st.integers(0, 40), st.booleans()), max_size=40),
 )
-def test_entries_that_share_a_slack_keep_its_bound_in_a_window_also_if_all_start_again_once(
+def test_entries_that_share_a_slack_stay_within_it_when_all_restart_in_one_window(
     slack, entries, steps
 ):
     share = 0.2
@@ -40,11 +40,11 @@
     scale = entries / len(budgets)
     for budget in budgets:
         budget.refill(10.0)
-    spent = first = passed = 0.0
+    spent = first = elapsed = 0.0
     restarted = set()
     for windows, tries, restarts in steps:
-        passed += windows
-        if passed > 1:
+        elapsed += windows
+        if elapsed > 1:
             break
         for number, budget in enumerate(budgets):
             budget.refill(windows)
@@ -58,9 +58,9 @@
     assert spent <= share * first + slack + 1e-6
 
 
-def test_a_started_entry_may_hedge_a_shard_that_is_slow_at_its_first_query():
-    # Load pattern: fifteen entries start while some upstreams are slow; each shard has its own
-    # budget, and one hedge is what it takes to learn which upstream to avoid.
+def test_new_entry_can_hedge_its_first_query():
+    # Load pattern: fifteen entries start while some upstreams are slow. Each shard has its own
+    # budget, and the entry needs one hedge to learn which upstream to avoid.
     budget = SlackBudget(0.2, 170 / 15)
     budget.earn(1)
     assert budget.take_unreserved(1)
@@ -76,14 +76,14 @@
     return admission.configure("s", "background", 1)
 
 
-def test_work_that_can_not_finish_is_refused_at_once(admission, gate):
+def test_query_that_can_not_finish_in_time_is_refused_at_once(admission, gate):
     gate.note_complete(50.0, ALLOWED)
     with pytest.raises(Refused) as caught, admission.admitted(gate, Clock().now() + 5):
         pytest.fail("must not be admitted")
     assert caught.value.reason is NotRunReason.DEADLINE_TOO_SHORT
 
 
-def test_a_query_waits_for_a_place_while_there_is_time(admission, gate):
+def test_query_waits_for_a_slot_while_there_is_time(admission, gate):
     order = []
 
     def hold():
@@ -100,7 +100,7 @@
     assert admission.running == 0
 
 
-def test_without_a_place_in_time_it_is_refused_and_the_place_is_not_lost(admission, gate):
+def test_query_without_a_slot_in_time_is_refused_and_leaks_no_slot(admission, gate):
     with (
         admission.admitted(gate, Clock().now() + 1_000),
         pytest.raises(Refused) as caught,
@@ -112,10 +112,10 @@
         assert admission.running == 1
 
 
-def test_less_urgent_work_gives_way_first(admission):
-    urgent = admission.configure("urgent", "urgent", QUERIES_AT_ONCE)
-    background = admission.configure("background", "background", QUERIES_AT_ONCE)
-    admission._running = QUERIES_AT_ONCE // 2
+def test_less_urgent_queries_are_refused_first(admission):
+    urgent = admission.configure("urgent", "urgent", MAX_CONCURRENT_QUERIES)
+    background = admission.configure("background", "background", MAX_CONCURRENT_QUERIES)
+    admission._running = MAX_CONCURRENT_QUERIES // 2
     with (
         pytest.raises(Refused, match="too many"),
         admission.admitted(background, Clock().now() + 1_000),
@@ -125,7 +125,7 @@
         pass
 
 
-def test_the_bound_falls_once_a_round_and_grows_back_to_the_configured_limit():
+def test_limit_decreases_once_per_query_duration_and_grows_back_to_the_configured_limit():
     clock = ManualClock()
     gate = ServiceGate("urgent", 20, clock)
     gate.note_complete(100.0, ALLOWED)
@@ -154,20 +154,20 @@
         (300.0, 390.0, 4, True),
     ],
 )
-def test_whole_answers_that_queued_lower_the_bound_before_any_part_is_late(
+def test_complete_answers_that_queued_lower_the_limit_before_any_part_is_late(
     usual, duration, running, lowers
 ):
     gate = ServiceGate("urgent", 4, ManualClock())
     for _ in range(50):
         gate.note_complete(usual, ALLOWED)
     for _ in range(running):
-        gate.enter(0.0)
+        gate.acquire(0.0)
     gate.note_complete(duration, ALLOWED)
     assert (gate.limit < 4) is lowers
 
 
-def wait_in(gate, order, name):
-    gate.enter(Clock().now() + 5_000)
+def wait_for_slot(gate, order, name):
+    gate.acquire(Clock().now() + 5_000)
     order.append(name)
 
 
@@ -175,45 +175,50 @@
     ("limit", "waiting", "expected"),
     [(3, 3, ["1", "2", "3"]), (1, 4, ["4", "3", "2", "1"])],
 )
-def test_the_newest_comes_first_once_more_wait_than_run(limit, waiting, expected):
+def test_newest_query_is_admitted_first_once_more_wait_than_run(limit, waiting, expected):
     gate = ServiceGate("urgent", limit, Clock())
     order: list[str] = []
     for _ in range(limit):
-        gate.enter(0.0)
-    tasks = [gevent.spawn(wait_in, gate, order, str(number)) for number in range(1, waiting + 1)]
+        gate.acquire(0.0)
+    tasks = [
+        gevent.spawn(wait_for_slot, gate, order, str(number)) for number in range(1, waiting + 1)
+    ]
     gevent.sleep(0)
     for _ in range(waiting):
-        gate.leave()
+        gate.release()
         gevent.sleep(0)
     gevent.joinall(tasks, raise_error=True)
     assert order == expected
 
 
-def test_a_bound_that_has_grown_lets_in_all_that_fit():
+def test_raised_limit_admits_all_waiting_queries_that_fit():
     gate = ServiceGate("urgent", 1, Clock())
     order: list[int] = []
-    gate.enter(0.0)
-    tasks = [gevent.spawn(wait_in, gate, order, number) for number in range(3)]
+    gate.acquire(0.0)
+    tasks = [gevent.spawn(wait_for_slot, gate, order, number) for number in range(3)]
     gevent.sleep(0)
     gate.configure("urgent", 4)
-    gate.leave()
+    gate.release()
     gevent.joinall(tasks, raise_error=True)
     assert len(order) == 3
 
 
-def test_a_query_waits_no_longer_than_leaves_nearly_every_answer_enough_time(admission):
+def test_query_stops_waiting_when_a_slow_answer_would_miss_the_deadline(admission):
     gate = admission.configure("s", "urgent", 4)
     for number in range(400):
         gate.note_complete(80.0 if number % 5 == 0 else 10.0, ALLOWED)
-    assert gate.needed < 40.0
-    assert 70.0 < gate.needed_at_most < 100.0
+    assert gate.expected_duration < 40.0
+    assert 70.0 < gate.slow_duration < 100.0
     for _ in range(gate.limit):
-        gate.enter(0.0)
-    with pytest.raises(Refused, match="run already"), admission.admitted(gate, Clock().now() + 60):
-        pytest.fail("must not wait for what leaves it only the average time")
+        gate.acquire(0.0)
+    with (
+        pytest.raises(Refused, match="limit of 4 running queries"),
+        admission.admitted(gate, Clock().now() + 60),
+    ):
+        pytest.fail("must not wait until only the average duration remains")
 
 
-def test_one_answer_that_took_longer_than_the_deadline_does_not_shut_the_gate_for_ever():
+def test_one_answer_past_the_deadline_does_not_refuse_all_later_queries():
     clock = ManualClock()
     admission = Admission(clock)
     gate = admission.configure("s", "urgent", 4)
--- a/fulmarhold/tests/limits/test_retry_after.py
+++ b/fulmarhold/tests/limits/test_retry_after.py
@@ -1,37 +1,41 @@
-"""Load pattern: all instances start again at once, and every request of that time is refused."""
+"""Load pattern: all instances restart at once, and every request is refused in the meantime."""
 
 from __future__ import annotations
 
 from random import Random
 
 from fulmarhold.limits.retry_after import (
-    OVERDUE_PAUSE,
-    START_SPREAD,
-    USUAL_START,
+    MIN_STARTUP_DELAY,
+    STARTUP_JITTER,
+    TYPICAL_STARTUP_TIME,
     retry_delay_after_refusal,
     retry_delay_while_starting,
 )
 
 
-def test_callers_return_once_the_entry_serves_whenever_they_came():
+def test_callers_retry_after_the_entry_serves_whenever_they_were_refused():
     random = Random(3)
-    for arrived in range(0, 350, 10):
-        returns = arrived + retry_delay_while_starting(float(arrived), random)
-        assert USUAL_START <= returns <= USUAL_START + OVERDUE_PAUSE + START_SPREAD
+    for refused_at in range(0, 350, 10):
+        retried_at = refused_at + retry_delay_while_starting(float(refused_at), random)
+        assert (
+            TYPICAL_STARTUP_TIME
+            <= retried_at
+            <= TYPICAL_STARTUP_TIME + MIN_STARTUP_DELAY + STARTUP_JITTER
+        )
 
 
-def test_callers_of_one_moment_do_not_return_as_one_wave():
+def test_callers_refused_together_do_not_retry_in_one_burst():
     random = Random(3)
-    for pause in (
+    for delay in (
         lambda: retry_delay_while_starting(100.0, random),
         lambda: retry_delay_after_refusal(random),
     ):
-        pauses = sorted(pause() for _ in range(200))
+        delays = sorted(delay() for _ in range(200))
         busiest = max(
-            sum(start <= pause < start + 10 for pause in pauses) for start in range(0, 600, 10)
+            sum(start <= delay < start + 10 for delay in delays) for start in range(0, 600, 10)
         )
         assert busiest < 50
 
 
-def test_an_overdue_entry_is_tried_again_soon():
-    assert retry_delay_while_starting(10_000.0, Random(1)) <= OVERDUE_PAUSE + START_SPREAD
+def test_callers_retry_soon_when_startup_takes_longer_than_usual():
+    assert retry_delay_while_starting(10_000.0, Random(1)) <= MIN_STARTUP_DELAY + STARTUP_JITTER
