Reword the comments and names of the web and wire packages and their tests

Terms of HTTP servers, socket options and message framing; the tests of web, wire and routing name the failure they guard against.

--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -1,4 +1,4 @@
-"""Choice of replicas, ejection with a floor, slow start."""
+"""Replica choice, ejection that keeps the last replica, slow start and data centres."""
 
 from __future__ import annotations
 
@@ -17,12 +17,12 @@
 WARM = 10_000.0
 
 
-def make(address="a", load=0, live=True, is_local=True, usual=None):
+def make(address="a", load=0, live=True, is_local=True, typical=None):
     record = SimpleNamespace(address=address, incarnation=1, slots=2)
     upstream: Any = SimpleNamespace(record=record, is_live=lambda _: live)
     pool: Any = SimpleNamespace(load=load)
     replica = Replica(upstream, pool, EJECTION, SLOW_START, now=0.0, is_local=is_local)
-    replica.typical_latency = usual
+    replica.typical_latency = typical
     return replica
 
 
@@ -32,7 +32,7 @@
 
 
 @pytest.mark.parametrize("name", ["two_choices", "least_expected"])
-def test_load_and_own_latency_decide(name):
+def test_choice_follows_load_and_measured_latency(name):
     fast, slow = make("fast"), make("slow")
     slow.note_success(100.0, WARM)
     fast.note_success(5.0, WARM)
@@ -43,7 +43,7 @@
 
 
 @pytest.mark.parametrize("name", ["two_choices", "least_expected"])
-def test_a_replica_that_was_slow_is_tried_again_although_the_other_stays_fast(name):
+def test_recovered_replica_is_tried_again_although_the_other_stays_fast(name):
     fast, recovered = make("fast"), make("recovered")
     recovered.note_success(100.0, WARM)
     tried_at = []
@@ -58,7 +58,7 @@
 
 
 @pytest.mark.parametrize("name", ["two_choices", "least_expected"])
-def test_a_replica_that_stays_slow_is_tried_once_in_some_seconds_only(name):
+def test_replica_that_stays_slow_is_tried_only_every_few_seconds(name):
     fast, slow = make("fast"), make("slow")
     tries = 0
     for step in range(600):
@@ -69,19 +69,19 @@
     assert 3 < tries < 15
 
 
-def test_a_replica_that_owes_a_response_is_not_thought_faster_for_its_silence():
+def test_estimate_does_not_decay_while_a_response_is_outstanding():
     frozen = make("frozen", load=1)
     frozen.note_success(5.0, WARM)
     later = WARM + 10 * ESTIMATE_HALF_LIFE
     assert frozen.expected_latency(later) == frozen.expected_latency(WARM)
 
 
-def test_a_chooser_that_does_not_exist_gets_a_hint():
+def test_error_for_an_unknown_chooser_suggests_a_similar_name():
     with pytest.raises(Exception, match="did you mean 'two_choices'"):
         choosers.find("two_choises")
 
 
-def test_ejection_comes_after_repeated_failures_and_lasts_longer_each_time():
+def test_ejection_follows_repeated_failures_and_lasts_longer_each_time():
     replica = make()
     eject(replica)
     assert replica.is_ejected(WARM + EJECTION - 1)
@@ -93,7 +93,7 @@
     assert not replica.is_ejected(WARM * 2)
 
 
-def test_ejected_replicas_are_passed_over_but_a_shard_never_loses_its_last_one():
+def test_ejected_replicas_are_skipped_unless_all_of_a_shard_are_ejected():
     one, other = make("one"), make("other")
     eject(one)
     assert candidates([one, other], [], WARM) == [other]
@@ -102,11 +102,11 @@
     assert candidates([one, other], [one], WARM) == [other]
 
 
-def test_replicas_without_a_lease_are_never_candidates():
+def test_replicas_without_a_valid_lease_are_never_candidates():
     assert candidates([make(live=False)], [], WARM) == []
 
 
-def test_a_cold_replica_gets_little_at_first():
+def test_new_replica_gets_little_traffic_at_first():
     cold, warm = make("cold"), make("warm")
     cold._started_at = WARM - 100
     assert choosers.find("least_expected")([cold, warm], Random(1), WARM) is warm
@@ -114,7 +114,7 @@
 
 
 @pytest.mark.parametrize("quantile", [0.5, 0.95])
-def test_the_estimate_settles_near_its_quantile(quantile):
+def test_estimate_converges_to_its_quantile(quantile):
     random = Random(7)
     estimate = QuantileEstimate(quantile, 50.0)
     below = 0
@@ -126,24 +126,24 @@
     assert below / 10_000 == pytest.approx(quantile, abs=0.05)
 
 
-def test_another_data_centre_is_used_when_the_near_replica_is_loaded_but_not_to_explore():
-    # Load pattern: few queries an entry, so that what is known of far replicas is always old.
-    near, far = make("near"), make("far", is_local=False)
-    near.note_success(20.0, WARM)
-    far.note_success(28.0, WARM)
+def test_another_data_centre_is_used_for_a_loaded_local_replica_but_not_to_explore():
+    # Load pattern: few queries per entry, so estimates of remote replicas are always outdated.
+    local, remote = make("local"), make("remote", is_local=False)
+    local.note_success(20.0, WARM)
+    remote.note_success(28.0, WARM)
     choose = choosers.find("least_expected")
-    assert choose([near, far], Random(1), WARM + 1_000) is near
-    loaded = make("near", load=5)
+    assert choose([local, remote], Random(1), WARM + 1_000) is local
+    loaded = make("local", load=5)
     loaded.note_success(20.0, WARM)
-    assert choose([loaded, far], Random(1), WARM + 1_000) is far
+    assert choose([loaded, remote], Random(1), WARM + 1_000) is remote
 
 
-def usual_of(latency):
+def median_estimate(latency):
     return QuantileEstimate(0.5, latency)
 
 
-def played(replicas, latencies, steps=400, period=100.0):
-    """Return which replica each request went to; `latencies` give those of the replicas."""
+def simulate(replicas, latencies, steps=400, period=100.0):
+    """Return the replica that each request went to; `latencies` gives the latency of each reply."""
     chosen = []
     for step in range(1, steps):
         now = WARM + period * step
@@ -153,39 +153,39 @@
     return chosen
 
 
-def test_replicas_elsewhere_get_nothing_while_the_one_at_home_is_as_fast_as_usual():
-    """Load: every entry asks 36 shards, each with a replica at home and two elsewhere."""
-    usual = usual_of(28.0)
-    home = make("home", usual=usual)
-    elsewhere = [make(name, is_local=False, usual=usual) for name in ("b", "c")]
+def test_remote_replicas_get_no_requests_while_the_local_one_has_typical_latency():
+    """Load: every entry queries 36 shards, each with one local and two remote replicas."""
+    typical = median_estimate(28.0)
+    local = make("local", typical=typical)
+    remote = [make(name, is_local=False, typical=typical) for name in ("b", "c")]
     random = Random(7)
-    chosen = played([home, *elsewhere], lambda *_: random.lognormvariate(3.3, 0.35))
-    assert chosen.count("home") >= 0.99 * len(chosen)
+    chosen = simulate([local, *remote], lambda *_: random.lognormvariate(3.3, 0.35))
+    assert chosen.count("local") >= 0.99 * len(chosen)
 
 
-def test_a_replica_elsewhere_takes_over_within_a_few_replies_of_a_slow_one_at_home():
-    usual = usual_of(28.0)
-    home, other = make("home", usual=usual), make("b", is_local=False, usual=usual)
-    chosen = played([home, other], lambda item, _: 140.0 if item is home else 36.0)
+def test_remote_replica_takes_over_within_a_few_replies_of_a_slow_local_one():
+    typical = median_estimate(28.0)
+    local, other = make("local", typical=typical), make("b", is_local=False, typical=typical)
+    chosen = simulate([local, other], lambda item, _: 140.0 if item is local else 36.0)
     assert "b" in chosen[:3]
     assert chosen.count("b") >= 0.9 * len(chosen)
 
 
-def test_the_one_at_home_is_tried_again_and_kept_once_it_has_recovered():
-    usual = usual_of(28.0)
-    home, other = make("home", usual=usual), make("b", is_local=False, usual=usual)
+def test_local_replica_is_tried_again_and_kept_once_it_has_recovered():
+    typical = median_estimate(28.0)
+    local, other = make("local", typical=typical), make("b", is_local=False, typical=typical)
     recovers_at = WARM + 10_000.0
 
     def latency(replica, now):
-        return 140.0 if replica is home and now < recovers_at else 28.0
+        return 140.0 if replica is local and now < recovers_at else 28.0
 
-    chosen = played([home, other], latency)
-    assert set(chosen[-200:]) == {"home"}
+    chosen = simulate([local, other], latency)
+    assert set(chosen[-200:]) == {"local"}
 
 
-def test_one_of_two_at_home_that_was_slow_is_tried_again_beside_one_that_is_as_usual():
-    usual = usual_of(28.0)
-    fast, recovered = make("fast", usual=usual), make("recovered", usual=usual)
+def test_recovered_local_replica_is_tried_again_next_to_one_with_typical_latency():
+    typical = median_estimate(28.0)
+    fast, recovered = make("fast", typical=typical), make("recovered", typical=typical)
     recovered.note_success(140.0, WARM)
-    chosen = played([fast, recovered], lambda *_: 28.0)
+    chosen = simulate([fast, recovered], lambda *_: 28.0)
     assert chosen.count("recovered") > 20
--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -1,4 +1,4 @@
-"""Contract of the server for callers: what it passes on, refuses and notices."""
+"""The HTTP server for callers: requests as sent, limits, disconnections and shutdown."""
 
 from __future__ import annotations
 
@@ -17,12 +17,12 @@
 from fulmarhold.web.front import FrontServer, RawResponse
 
 LIMITS = CallerLimits(header_bytes=1_000, body_bytes=500, header_timeout=300.0, idle_timeout=2_000)
-PATIENCE_SECONDS = 5.0
+TIMEOUT_SECONDS = 5.0
 PORTS = PortSupply()
 
 
-class Served:
-    """A server that records requests and answers by its `answer` function."""
+class RunningServer:
+    """A running server that records requests and responds with its `answer` function."""
 
     def __init__(self):
         self.requests = []
@@ -40,10 +40,10 @@
         return self.answer(request, on_disconnect)
 
     def connect(self):
-        return gevent.socket.create_connection(self.endpoint, timeout=PATIENCE_SECONDS)
+        return gevent.socket.create_connection(self.endpoint, timeout=TIMEOUT_SECONDS)
 
     def exchange(self, data):
-        """Send bytes and return all that comes until the server closes or falls silent."""
+        """Send bytes and return everything received until the server closes the connection."""
         with self.connect() as connection:
             connection.sendall(data)
             connection.shutdown(socket.SHUT_WR)
@@ -55,9 +55,9 @@
 
 @pytest.fixture
 def served():
-    made = Served()
-    yield made
-    made.server.stop_accepting()
+    running = RunningServer()
+    yield running
+    running.server.stop_accepting()
 
 
 def receive_response(connection):
@@ -71,7 +71,7 @@
     return head, body
 
 
-def test_path_query_headers_and_body_come_as_sent(served):
+def test_path_query_headers_and_body_are_passed_on_unchanged(served):
     with served.connect() as connection:
         connection.sendall(
             b"POST /a%2Fb/../c?x=%41&x=2 HTTP/1.1\r\nHost: h\r\nX-Two: 1\r\nX-Two: 2\r\n"
@@ -87,7 +87,7 @@
     assert (head.split(b"\r\n")[0], body) == (b"HTTP/1.1 200 OK", b"abc")
 
 
-def test_a_body_in_chunks_is_put_together(served):
+def test_chunked_body_is_joined(served):
     with served.connect() as connection:
         connection.sendall(
             b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
@@ -97,7 +97,7 @@
         assert receive_response(connection)[1] == b"abc"
 
 
-def test_a_second_request_waits_for_the_first_answer(served):
+def test_pipelined_request_waits_for_the_first_response(served):
     held = Event()
 
     def answer(request, on_disconnect):
@@ -119,12 +119,12 @@
     assert [request.is_first for request in served.requests] == [True, False]
 
 
-def test_a_caller_that_leaves_is_noticed_while_its_request_runs(served):
-    gone = Event()
+def test_disconnection_of_a_caller_is_detected_while_its_request_runs(served):
+    disconnected = Event()
 
     def answer(request, on_disconnect):
-        on_disconnect(gone.set)
-        assert gone.wait(PATIENCE_SECONDS)
+        on_disconnect(disconnected.set)
+        assert disconnected.wait(TIMEOUT_SECONDS)
         return RawResponse(200)
 
     served.answer = answer
@@ -133,7 +133,7 @@
     while not served.requests:
         gevent.sleep(0.001)
     connection.close()
-    assert gone.wait(PATIENCE_SECONDS)
+    assert disconnected.wait(TIMEOUT_SECONDS)
 
 
 @pytest.mark.parametrize(
@@ -159,18 +159,20 @@
         (b"\x00\x01\x02\r\n\r\n", b"400"),
     ],
 )
-def test_what_breaks_the_protocol_or_a_limit_is_refused_and_passed_on_nowhere(served, data, status):
+def test_request_that_violates_the_protocol_or_a_limit_is_refused_and_not_handled(
+    served, data, status
+):
     assert served.exchange(data).split(b" ")[1] == status
     assert served.requests == []
 
 
-def test_headers_that_take_too_long_end_the_connection(served):
+def test_incomplete_headers_time_out(served):
     with served.connect() as connection:
         connection.sendall(b"GET / HTTP/1.1\r\nHost:")
         assert connection.recv(65_536).startswith(b"HTTP/1.1 408")
 
 
-def test_while_closing_every_answer_ends_its_connection(served):
+def test_every_response_closes_its_connection_during_shutdown(served):
     with served.connect() as connection:
         connection.sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
         assert b"Connection: close" not in receive_response(connection)[0]
@@ -180,7 +182,7 @@
         assert connection.recv(10) == b""
 
 
-def test_idle_connections_are_closed_and_busy_ones_kept(served):
+def test_close_idle_keeps_connections_with_a_request_in_progress(served):
     held = Event()
     served.answer = lambda request, on_disconnect: held.wait() and RawResponse(200)
     with served.connect() as idle, served.connect() as busy:
@@ -196,8 +198,8 @@
 
 @settings(max_examples=300, deadline=None)
 @given(st.binary(max_size=400))
-def test_any_bytes_leave_the_server_serving(data):
-    served = Served()
+def test_server_keeps_serving_after_arbitrary_bytes(data):
+    served = RunningServer()
     try:
         served.exchange(data)
         answer = served.exchange(b"GET /after HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
--- a/fulmarhold/tests/wire/test_fuzz.py
+++ b/fulmarhold/tests/wire/test_fuzz.py
@@ -1,4 +1,4 @@
-"""Messages of peers whose fields hold anything."""
+"""Decoding of messages whose fields hold arbitrary values."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 @settings(max_examples=CASES, deadline=None, suppress_health_check=[HealthCheck.too_slow])
 @given(message_names, st.data())
-def test_any_fields_of_any_message_are_taken_or_refused(name, data):
+def test_arbitrary_fields_are_decoded_or_refused_as_malformed(name, data):
     fields = dataclasses.fields(messages.message_types.find(name))
     content = {field.name: data.draw(values, field.name) for field in fields}
     try:
@@ -43,13 +43,13 @@
         [(_, message)] = FrameDecoder().feed(frame)
     except MalformedInput:
         return
-    # What was taken is whole: it can be passed on and is the same again.
-    [(_, again)] = FrameDecoder().feed(encode_frame(1, message))
-    assert repr(again) == repr(message)
+    # An accepted message is valid: it survives encoding and decoding unchanged.
+    [(_, decoded)] = FrameDecoder().feed(encode_frame(1, message))
+    assert repr(decoded) == repr(message)
 
 
 @pytest.mark.parametrize("cut", range(1, 40, 3))
-def test_a_frame_in_pieces_is_read_once_it_is_whole(cut):
+def test_split_frame_is_decoded_once_it_is_complete(cut):
     frame = encode_frame(3, messages.Failure("reason", "a longer detail of the failure"))
     decoder = FrameDecoder()
     assert list(decoder.feed(frame[:cut])) == []
--- a/fulmarhold/tests/wire/test_wire.py
+++ b/fulmarhold/tests/wire/test_wire.py
@@ -1,4 +1,4 @@
-"""Contract of the msgpack streams: typed messages, bounds, garbage, lost peers."""
+"""The msgpack streams: typed messages, size limits, malformed input and lost peers."""
 
 from __future__ import annotations
 
@@ -32,11 +32,11 @@
         AppendReply("c", "a", "b", 1, True, 2, 3.0),
     ],
 )
-def test_messages_arrive_as_they_were_sent_however_they_are_split(message):
+def test_messages_are_decoded_unchanged_when_split_into_bytes(message):
     data = encode_frame(5, message)
     decoder = FrameDecoder()
-    arrived = [item for byte in data for item in decoder.feed(bytes([byte]))]
-    assert arrived == [(5, message)]
+    decoded = [item for byte in data for item in decoder.feed(bytes([byte]))]
+    assert decoded == [(5, message)]
 
 
 @pytest.mark.parametrize(
@@ -56,18 +56,18 @@
     ],
     ids=lambda frame: frame[:24].hex(),
 )
-def test_a_malformed_frame_is_refused(frame):
+def test_malformed_frame_is_refused(frame):
     with pytest.raises(MalformedInput):
         list(FrameDecoder().feed(frame))
 
 
-def test_a_frame_above_the_bound_is_refused():
+def test_frame_above_the_size_limit_is_refused():
     with pytest.raises(MalformedInput, match="larger"):
-        list(FrameDecoder(largest_frame=100).feed(msgpack.packb([1, "x", "y" * 200])))
+        list(FrameDecoder(max_frame_bytes=100).feed(msgpack.packb([1, "x", "y" * 200])))
 
 
 @given(st.binary(max_size=200))
-def test_garbage_is_refused_or_waits_for_more(data):
+def test_arbitrary_bytes_are_refused_or_treated_as_incomplete(data):
     try:
         for _, message in FrameDecoder().feed(data):
             assert message is not None
@@ -77,7 +77,7 @@
 
 @pytest.fixture
 def server():
-    """A server that answers polls, fails on syncs, and its counters."""
+    """A server that replies to polls and fails on syncs, with its counters."""
     counters = Counters()
     server = MessageServer(PortSupply().take_endpoint(), counters)
     server.handle(PeerPoll, lambda poll: PeerReply(poll.source, poll.set_version, None, "left", 0))
@@ -91,13 +91,13 @@
     server.stop()
 
 
-def test_a_call_gets_its_reply(server):
+def test_call_returns_its_reply(server):
     link = Link(server[0]._endpoint)
     assert link.call(POLL, 1_000).set_version == 3
     link.close()
 
 
-def test_a_failed_handler_is_reported_and_the_server_lives(server):
+def test_failed_handler_is_reported_and_the_server_keeps_serving(server):
     link = Link(server[0]._endpoint)
     with pytest.raises(CallFailed, match="it went wrong"):
         link.call(EntrySync(RosterEntry("e", "a", "x", "y"), 1.0, 2, 1, "left"), 1_000)
@@ -107,7 +107,7 @@
     link.close()
 
 
-def test_garbage_ends_its_connection_is_counted_and_the_server_lives(server):
+def test_malformed_frame_closes_its_connection_is_counted_and_the_server_keeps_serving(server):
     endpoint = server[0]._endpoint
     address, _, port = endpoint.rpartition(":")
     with gevent.socket.create_connection((address, int(port))) as garbage:
@@ -119,14 +119,14 @@
     link.close()
 
 
-def test_a_peer_that_is_not_there_is_unavailable_with_step_and_peer():
+def test_error_of_a_missing_peer_names_step_and_peer():
     link = Link(PortSupply().take_endpoint())
     with pytest.raises(PeerUnavailable) as caught:
         link.call(POLL, 500)
     assert (caught.value.step, caught.value.peer) == ("PeerPoll", link.endpoint)
 
 
-def test_a_silent_peer_is_unavailable_after_the_timeout():
+def test_call_to_a_silent_peer_times_out():
     endpoint = PortSupply().take_endpoint()
     address, _, port = endpoint.rpartition(":")
     with gevent.socket.create_server((address, int(port))):
@@ -136,7 +136,7 @@
         link.close()
 
 
-def test_a_port_in_use_is_a_clear_error(server):
+def test_error_of_a_port_in_use_names_the_port(server):
     address, _, port = server[0]._endpoint.rpartition(":")
     with pytest.raises(FulmarholdError, match=f"port {port} of {address} is in use"):
         MessageServer(server[0]._endpoint, Counters()).start()
--- a/fulmarhold/web/__init__.py
+++ b/fulmarhold/web/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP towards callers, upstreams and operators."""
+"""HTTP servers for callers and operators, and a JSON client."""
--- a/fulmarhold/web/client.py
+++ b/fulmarhold/web/client.py
@@ -1,4 +1,4 @@
-"""JSON requests to our own HTTP interfaces, for the command line, the demo and the bench."""
+"""JSON client for Fulmarhold's own HTTP interfaces; used by the CLI, the demo and the bench."""
 
 from __future__ import annotations
 
@@ -19,14 +19,14 @@
 
 @dataclass(frozen=True)
 class JsonResponse:
-    """Status and decoded body of a response."""
+    """The status and the decoded JSON body of a response."""
 
     status: int
     body: Any
 
 
 class JsonClient:
-    """Kept connections to one endpoint (IP:port)."""
+    """Sends JSON requests to one endpoint (IP:port) over persistent connections."""
 
     def __init__(
         self, endpoint: str, timeout: Milliseconds = DEFAULT_TIMEOUT, connections: int = 1
@@ -44,13 +44,13 @@
     def request(
         self, method: str, path: str, *, body: Any = None, headers: dict[str, str] | None = None
     ) -> JsonResponse:
-        """Send one request; raises `PeerUnavailable` without an answer."""
+        """Send a request; raises `PeerUnavailable` without a usable response."""
         data = json.dumps(body).encode() if body is not None else b""
         try:
             response = self._client.request(method, path, body=data, headers=headers or {})
             return JsonResponse(response.status_code, json.loads(response.read() or b"null"))
         except Exception as error:
-            # The library raises its own errors, those of sockets and, for a bad body, ValueError.
+            # The library raises its own errors and socket errors; a bad body raises ValueError.
             step = f"{method} {path}"
             raise PeerUnavailable(str(error), step=step, peer=self._endpoint) from error
 
@@ -68,7 +68,7 @@
     headers: dict[str, str] | None = None,
     timeout: Milliseconds = DEFAULT_TIMEOUT,
 ) -> JsonResponse:
-    """Send one request over a connection of its own; raises `PeerUnavailable`."""
+    """Send a request over a new connection; raises `PeerUnavailable` without a usable response."""
     client = JsonClient(endpoint, timeout)
     try:
         return client.request(method, path, body=body, headers=headers)
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -1,7 +1,7 @@
-"""The HTTP/1.1 server that callers' requests come in by, with path, headers and body as sent.
+"""The HTTP/1.1 server for callers, which keeps path, headers and body of requests as sent.
 
-Frameworks decode the path and merge headers, which would change what is forwarded. This server
-keeps both, notices at once that a caller leaves, and holds callers to the limits in force.
+Web frameworks decode the path and merge headers, which would change the forwarded request. This
+server preserves both, detects at once that a caller disconnects, and enforces the limits in force.
 """
 
 from __future__ import annotations
@@ -31,15 +31,15 @@
 log = part_log("front")
 
 READ_BYTES = 65_536
-# What a caller may send ahead of the answer that it waits for.
-LONGEST_BACKLOG_BYTES = 64 * 1024
+# Pipelined bytes that are buffered while a caller waits for a response.
+MAX_READ_AHEAD_BYTES = 64 * 1024
 READABLE = 1
-# A caller that does not read its answer for this long is given up.
+# Time after which the connection is dropped if the caller does not read its response.
 SEND_TIMEOUT: Milliseconds = 5_000.0
-# After a refusal with unread bytes the connection stays open this long, so that the caller can
-# read the answer before it meets a reset.
-LINGER: Milliseconds = 300.0
-BACKLOG = 4_096
+# How long a closing connection is kept open for reading. Closing it with unread bytes would send a
+# reset, which could reach the caller before it has read the response.
+LINGER_TIMEOUT: Milliseconds = 300.0
+LISTEN_BACKLOG = 4_096
 
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
@@ -51,10 +51,10 @@
 
 @dataclass(frozen=True)
 class RawRequest:
-    """A request as it came; `target` is the path with the query, undecoded.
+    """A request as received; `target` is the undecoded path with the query.
 
-    `is_first` tells that the caller had to connect for it; `round_trip` is the time from here to
-    the caller and back, zero where it is not known.
+    `is_first` is set for the first request on a connection. `round_trip` is the network round-trip
+    time to the caller, or zero if unknown.
     """
 
     method: str
@@ -72,7 +72,7 @@
 
 @dataclass(frozen=True)
 class RawResponse:
-    """A response to write; length and connection headers are added by the server."""
+    """A response to send; the server adds the length and connection headers."""
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
@@ -80,7 +80,7 @@
 
 
 class BadRequest(Exception):
-    """The request breaks the protocol or a limit; `status` says which."""
+    """The request violates the protocol or a limit; `status` is the HTTP status to answer with."""
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
@@ -88,11 +88,15 @@
         self.reason = reason
 
 
-GoneCallback = "Callable[[Callable[[], None]], None]"
+DisconnectCallback = "Callable[[Callable[[], None]], None]"
 
 
 class FrontServer:
-    """Serves callers; `handle` gets a request and a function that takes what to call on a loss."""
+    """Serves callers.
+
+    `handle` gets the request and a function that registers a callback for the disconnection of the
+    caller.
+    """
 
     def __init__(
         self,
@@ -117,20 +121,20 @@
         return len(self._connections)
 
     def start(self) -> None:
-        """Start to listen; raises `FulmarholdError` when the port can't be had."""
+        """Start listening; raises `FulmarholdError` if the port can't be bound."""
         address, _, port = self._endpoint.rpartition(":")
-        listener = listen(address, int(port), BACKLOG)
+        listener = listen(address, int(port), LISTEN_BACKLOG)
         self._server = StreamServer(listener, self._serve)
         self._server.start()
 
     def stop_accepting(self) -> None:
-        """Take no new connections."""
+        """Stop accepting new connections."""
         if self._server is not None:
             self._server.stop_accepting()
             self._server.close()
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is under way."""
+        """Close the connections that have no request in progress."""
         for connection in list(self._connections):
             connection.close_if_idle()
 
@@ -147,7 +151,7 @@
 
 
 @dataclass
-class _Partial:
+class _PartialRequest:
     """A request that is still being read."""
 
     started_at: Milliseconds
@@ -159,27 +163,27 @@
 
 
 class _Connection:
-    """One caller's connection; the callbacks of the parser fill a queue of whole requests."""
+    """A caller's connection; the parser callbacks fill a queue of complete requests."""
 
     def __init__(self, server: FrontServer, connection: Any) -> None:
         self._server = server
         self._socket = connection
         self._parser = httptools.HttpRequestParser(self)
         self._requests: deque[tuple[RawRequest, bool]] = deque()
-        self._partial: _Partial | None = None
+        self._partial: _PartialRequest | None = None
         self._head_bytes = 0
-        self._backlog = b""
+        self._read_ahead = b""
         self._limits = server.limits()
         self._expects_continue = False
         self._is_waiting = False
         self._is_first = True
-        self._on_gone: Callable[[], None] | None = None
-        self._is_gone = False
+        self._on_disconnect: Callable[[], None] | None = None
+        self._is_disconnected = False
         prepare_connection(connection)
         self._round_trip = self._measure_round_trip()
 
     def run(self) -> None:
-        """Serve requests one after the other until either side closes."""
+        """Serve requests one after another until either side closes the connection."""
         while True:
             try:
                 request = self._next_request()
@@ -192,7 +196,7 @@
                 return
             raw, keep_open = request
             response = self._handle(raw)
-            if self._is_gone:
+            if self._is_disconnected:
                 return
             close = not keep_open or self._server.is_closing
             self._send(response, raw.method, close=close)
@@ -201,7 +205,7 @@
                 return
 
     def close_if_idle(self) -> None:
-        """Close the connection if it waits for a request."""
+        """Close the connection if it is waiting for a request."""
         if self._is_waiting and self._partial is None:
             self._socket.shutdown(gevent.socket.SHUT_RDWR)
 
@@ -217,7 +221,7 @@
     def _next_request(self) -> tuple[RawRequest, bool] | None:
         self._limits = self._server.limits()
         while not self._requests:
-            data, self._backlog = self._backlog, b""
+            data, self._read_ahead = self._read_ahead, b""
             if not data:
                 data = self._receive()
                 if not data:
@@ -249,7 +253,7 @@
 
     def _feed(self, data: bytes) -> None:
         if self._partial is None and not self._requests:
-            self._partial = _Partial(self._server.clock.now())
+            self._partial = _PartialRequest(self._server.clock.now())
         if self._partial is not None and not self._partial.has_head:
             self._head_bytes += len(data)
         try:
@@ -270,11 +274,11 @@
         if self._head_bytes > self._limits.header_bytes:
             raise BadRequest(431, "the headers are too large")
 
-    # Called by the parser
+    # Parser callbacks
 
     def on_message_begin(self) -> None:
         if self._partial is None:
-            self._partial = _Partial(self._server.clock.now())
+            self._partial = _PartialRequest(self._server.clock.now())
 
     def on_url(self, url: bytes) -> None:
         if self._partial is not None:
@@ -328,43 +332,45 @@
         self._is_first = False
         self._requests.append((request, self._parser.should_keep_alive()))
 
-    # Answering
+    # Responding
 
     def _handle(self, request: RawRequest) -> RawResponse:
         watcher = gevent.get_hub().loop.io(self._socket.fileno(), READABLE)
-        self._on_gone = None
+        self._on_disconnect = None
         self._server.in_flight += 1
         watcher.start(self._on_readable, watcher)
         try:
-            return self._server.handle(request, self._set_on_gone)
+            return self._server.handle(request, self._set_on_disconnect)
         except Exception as error:
-            log.exception("answering {} {} failed: {}", request.method, request.target, error)
+            log.exception(
+                "failed to handle request {} {}: {}", request.method, request.target, error
+            )
             return RawResponse(502, body=b"internal error")
         finally:
             self._server.in_flight -= 1
             watcher.stop()
             watcher.close()
 
-    def _set_on_gone(self, callback: Callable[[], None]) -> None:
-        self._on_gone = callback
+    def _set_on_disconnect(self, callback: Callable[[], None]) -> None:
+        self._on_disconnect = callback
 
     def _on_readable(self, watcher: Any) -> None:
-        """Notice that the caller leaves, and keep what it sends ahead."""
+        """Detect that the caller has disconnected, and buffer pipelined bytes."""
         try:
             data = os.read(self._socket.fileno(), READ_BYTES)
         except BlockingIOError:
             return
         except OSError:
             data = b""
-        self._backlog += data
-        if data and len(self._backlog) < LONGEST_BACKLOG_BYTES:
+        self._read_ahead += data
+        if data and len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
             return
         watcher.stop()
         if not data:
-            self._is_gone = True
+            self._is_disconnected = True
             self._server.counters.add("callers_gone")
-            if self._on_gone is not None:
-                self._on_gone()
+            if self._on_disconnect is not None:
+                self._on_disconnect()
 
     def _send(self, response: RawResponse, method: str, *, close: bool) -> None:
         reason = REASONS.get(response.status, "Status")
@@ -381,10 +387,10 @@
         self._socket.sendall(head if method == "HEAD" else head + response.body)
 
     def _linger(self) -> None:
-        """End the stream, and read what is on its way so that the answer is not reset."""
+        """Shut down the sending side and drain input, so that no reset discards the response."""
         try:
             self._socket.shutdown(gevent.socket.SHUT_WR)
-            self._socket.settimeout(LINGER / SECOND)
+            self._socket.settimeout(LINGER_TIMEOUT / SECOND)
             while self._socket.recv(READ_BYTES):
                 pass
         except (OSError, TimeoutError):
--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -1,4 +1,4 @@
-"""What the HTTP interfaces of the daemons share: server, errors, bodies, health and metrics."""
+"""Common parts of the daemons' HTTP interfaces: server, errors, bodies, health and metrics."""
 
 from __future__ import annotations
 
@@ -22,15 +22,15 @@
 log = part_log("web")
 
 LARGEST_BODY_BYTES = 64 * 1024
-CONNECTIONS_AT_ONCE = 2_048
+MAX_CONNECTIONS = 2_048
 
 
 class BodyTooLarge(MalformedInput):
-    """The body of a request is above the bound of its interface."""
+    """The body of a request is larger than its interface accepts."""
 
 
 class MetricsResource:
-    """GET /metrics: the counters as Prometheus text."""
+    """GET /metrics: the counters in the Prometheus text format."""
 
     def __init__(self, counters: Counters) -> None:
         self._counters = counters
@@ -41,7 +41,7 @@
 
 
 class HealthResource:
-    """GET /health: 200 while the daemon can do its job, 503 with the reason otherwise."""
+    """GET /health: 200 while the daemon is healthy, otherwise 503 with the reason."""
 
     def __init__(self, check: Callable[[], str]) -> None:
         self._check = check
@@ -53,7 +53,7 @@
 
 
 def make_application(counters: Counters, health: Callable[[], str]) -> falcon.App:
-    """Return an application that answers errors as JSON and serves health and metrics."""
+    """Return an application with JSON error responses, a health check and metrics."""
     application = falcon.App()
     application.add_error_handler(FulmarholdError, _answer_error)
     application.add_route("/metrics", MetricsResource(counters))
@@ -62,39 +62,39 @@
 
 
 def metrics_application(counters: Counters) -> falcon.App:
-    """Return an application that serves the counters alone."""
+    """Return an application that serves only metrics."""
     application = falcon.App()
     application.add_route("/metrics", MetricsResource(counters))
     return application
 
 
 def start_server(application: falcon.App, address: str, port: int) -> WSGIServer:
-    """Serve an application; raises `FulmarholdError` when the port can't be had."""
+    """Serve an application; raises `FulmarholdError` if the port can't be bound."""
     server = _Server(
         listen(address, port),
         application,
         log=None,
         error_log=_ErrorLog(),
-        spawn=Pool(CONNECTIONS_AT_ONCE),
+        spawn=Pool(MAX_CONNECTIONS),
     )
     server.start()
     return server
 
 
-def read_body(request: falcon.Request, largest: int = LARGEST_BODY_BYTES) -> bytes:
-    """Return the body of a request; raises `BodyTooLarge` above `largest` bytes."""
-    if (request.content_length or 0) > largest:
-        raise BodyTooLarge(f"the body is larger than {largest} bytes", step="reading the body")
-    body: bytes = request.bounded_stream.read(largest + 1)
-    if len(body) > largest:
-        raise BodyTooLarge(f"the body is larger than {largest} bytes", step="reading the body")
+def read_body(request: falcon.Request, max_bytes: int = LARGEST_BODY_BYTES) -> bytes:
+    """Return the body of a request; raises `BodyTooLarge` above `max_bytes`."""
+    if (request.content_length or 0) > max_bytes:
+        raise BodyTooLarge(f"the body is larger than {max_bytes} bytes", step="reading the body")
+    body: bytes = request.bounded_stream.read(max_bytes + 1)
+    if len(body) > max_bytes:
+        raise BodyTooLarge(f"the body is larger than {max_bytes} bytes", step="reading the body")
     return body
 
 
-def read_json(request: falcon.Request, largest: int = LARGEST_BODY_BYTES) -> dict[str, Any]:
-    """Return the body as a JSON object; raises `MalformedInput` when it is none."""
+def read_json(request: falcon.Request, max_bytes: int = LARGEST_BODY_BYTES) -> dict[str, Any]:
+    """Return the body as a JSON object; raises `MalformedInput` if it is not one."""
     try:
-        value = json.loads(read_body(request, largest))
+        value = json.loads(read_body(request, max_bytes))
     except (ValueError, RecursionError) as error:
         raise MalformedInput(f"the body is not JSON: {error}", step="reading the body") from error
     if not isinstance(value, dict):
@@ -113,7 +113,8 @@
 
 class _Server(WSGIServer):
     def handle(self, connection: Any, address: Any) -> None:
-        # Head and body are written apart; without this the second waits for an acknowledgement.
+        # Head and body are written separately. Without TCP_NODELAY, the body would be delayed until
+        # the head is acknowledged.
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(connection, address)
 
--- a/fulmarhold/wire/__init__.py
+++ b/fulmarhold/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Typed messages over msgpack streams between the system's own processes."""
+"""Typed messages over msgpack streams between Fulmarhold's own processes."""
--- a/fulmarhold/wire/client.py
+++ b/fulmarhold/wire/client.py
@@ -1,4 +1,4 @@
-"""Calls typed requests of another process over one kept msgpack stream."""
+"""Client side of the msgpack streams: typed requests over a persistent connection."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class CallFailed(FulmarholdError):
-    """The peer replied that it could not serve the request."""
+    """The peer replied with a failure."""
 
     def __init__(self, failure: Failure, *, step: str, peer: str) -> None:
         super().__init__(f"{failure.reason} {failure.detail}".strip(), step=step, peer=peer)
@@ -32,7 +32,7 @@
 
 
 class Link:
-    """A connection to one endpoint that is opened at need and again after a loss."""
+    """A connection to one endpoint, opened on demand and reopened after a loss."""
 
     def __init__(self, endpoint: str) -> None:
         self.endpoint = endpoint
@@ -45,8 +45,8 @@
     def call(self, request: Any, timeout: Milliseconds) -> Any:
         """Send a request and return its reply.
 
-        Raises `PeerUnavailable` when the connection failed, its kind `ReplyTimeout` without a
-        reply in `timeout` milliseconds, and `CallFailed` when the peer replied with a failure.
+        Raises `PeerUnavailable` if the connection failed, its subclass `ReplyTimeout` without a
+        reply within `timeout` milliseconds, and `CallFailed` if the peer replied with a failure.
         """
         step = type(request).__name__
         request_id = next(self._ids)
@@ -66,11 +66,11 @@
         return reply
 
     def send(self, value: Any) -> None:
-        """Send a message that has no reply; raises `PeerUnavailable` when it can't be sent."""
+        """Send a one-way message; raises `PeerUnavailable` if it can't be sent."""
         self._write(encode_frame(ONE_WAY, value), type(value).__name__)
 
     def close(self) -> None:
-        """Close the connection; calls that wait fail."""
+        """Close the connection; pending calls fail."""
         if self._reader is not None:
             self._reader.kill(block=False)
         self._drop(self._socket, "closed")
@@ -84,7 +84,7 @@
                 self._drop(connection, str(error))
                 raise PeerUnavailable(str(error), step=step, peer=self.endpoint) from error
             except BaseException:
-                # A frame cut short by a timeout would garble the stream.
+                # A timeout may have interrupted the frame, which would corrupt the stream.
                 self._drop(connection, "write was interrupted")
                 raise
 
--- a/fulmarhold/wire/frames.py
+++ b/fulmarhold/wire/frames.py
@@ -1,4 +1,4 @@
-"""Frames of the msgpack streams: `[request id, tag, fields]`, bounded in size."""
+"""Frames of the msgpack streams: `[request id, tag, fields]`, limited in size."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-LARGEST_FRAME_BYTES = 64 * 1024 * 1024
+MAX_FRAME_BYTES = 64 * 1024 * 1024
 ONE_WAY = 0
 
 
 def encode_frame(request_id: int, value: Any) -> bytes:
-    """Return the bytes of one frame."""
+    """Encode a message as one frame."""
     packed: bytes = msgpack.packb([request_id, *to_values(value)])
     return packed
 
@@ -31,28 +31,28 @@
     [(7, Done())]
     """
 
-    def __init__(self, largest_frame: int = LARGEST_FRAME_BYTES) -> None:
-        self._unpacker = msgpack.Unpacker(max_buffer_size=largest_frame)
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self._unpacker = msgpack.Unpacker(max_buffer_size=max_frame_bytes)
 
     def feed(self, data: bytes) -> Iterator[tuple[int, Any]]:
-        """Yield request id and message of each complete frame.
+        """Yield the request id and the message of each complete frame.
 
-        Raises `MalformedInput` for a frame that is too large or is no message of ours.
+        Raises `MalformedInput` for a frame that is too large or is not a known message.
         """
         try:
             self._unpacker.feed(data)
             for frame in self._unpacker:
-                yield _checked(frame)
+                yield _parse_frame(frame)
         except msgpack.BufferFull:
             raise MalformedInput("frame is larger than allowed", step="decoding") from None
         except (msgpack.UnpackException, ValueError, RecursionError) as error:
             raise MalformedInput(f"not a msgpack frame: {error}", step="decoding") from error
 
 
-def _checked(frame: Any) -> tuple[int, Any]:
+def _parse_frame(frame: Any) -> tuple[int, Any]:
     if not (isinstance(frame, list) and len(frame) == 3):
         raise MalformedInput("a frame must hold a request id, a tag and fields", step="decoding")
     request_id = frame[0]
     if type(request_id) is not int or request_id < 0:
-        raise MalformedInput("the request id must be a whole number", step="decoding")
+        raise MalformedInput("the request id must be a non-negative integer", step="decoding")
     return request_id, from_values(frame[1:])
--- a/fulmarhold/wire/links.py
+++ b/fulmarhold/wire/links.py
@@ -1,4 +1,4 @@
-"""One kept connection to each endpoint that a part talks to."""
+"""Persistent connections by endpoint."""
 
 from __future__ import annotations
 
@@ -6,19 +6,19 @@
 
 
 class Links:
-    """Links by endpoint, made at first use."""
+    """Links by endpoint, created on first use."""
 
     def __init__(self) -> None:
         self._links: dict[str, Link] = {}
 
     def to(self, endpoint: str) -> Link:
-        """Return the link to an endpoint."""
+        """Return the link to an endpoint, creating it if needed."""
         link = self._links.get(endpoint)
         if link is None:
             link = self._links[endpoint] = Link(endpoint)
         return link
 
     def close(self) -> None:
-        """Close every link; calls that wait fail."""
+        """Close every link; pending calls fail."""
         for link in self._links.values():
             link.close()
--- a/fulmarhold/wire/messages.py
+++ b/fulmarhold/wire/messages.py
@@ -1,7 +1,7 @@
-"""Typed messages: frozen dataclasses with a tag, checked on arrival.
+"""Typed messages: frozen dataclasses, tagged by class name and validated on receipt.
 
-Types are checked by one library, and constraints beyond types by another that the settings use
-too; it takes as long to import as half of a daemon, so that it is only loaded where it is needed.
+msgspec validates types. Further constraints are validated by pydantic, which the settings use too;
+importing it takes as long as half of a daemon's imports, so it is only imported when needed.
 """
 
 from __future__ import annotations
@@ -17,45 +17,45 @@
 Message = TypeVar("Message")
 
 message_types: Registry[type] = Registry("message")
-_checked: set[str] = set()
+_constrained: set[str] = set()
 
 
 @dataclass_transform(frozen_default=True)
 def message(cls: type[Message]) -> type[Message]:
-    """Make a frozen dataclass of `cls` and file it under its class name as a message."""
+    """Make `cls` a frozen dataclass and register it as a message under its class name."""
     frozen = dataclasses.dataclass(frozen=True)(cls)
     return message_types.register(cls.__name__)(frozen)
 
 
 @dataclass_transform(frozen_default=True)
 def checked_message(cls: type[Message]) -> type[Message]:
-    """Make a message of `cls` whose fields have constraints beyond their types."""
-    _checked.add(cls.__name__)
+    """Make `cls` a message whose fields have constraints beyond their types."""
+    _constrained.add(cls.__name__)
     return message(cls)
 
 
 def to_values(value: Any) -> list[Any]:
-    """Return the tag and the fields of a message as values for a codec."""
+    """Return the tag and the fields of a message as plain values for serialization."""
     return [type(value).__name__, msgspec.to_builtins(value, builtin_types=(bytes,))]
 
 
 def from_values(values: Any) -> Any:
-    """Return the message that `values` stand for; raises `MalformedInput` if they are none."""
+    """Return the message for a tag and its fields; raises `MalformedInput` if invalid."""
     if not (isinstance(values, list | tuple) and len(values) == 2 and isinstance(values[0], str)):
         raise MalformedInput("a message must be a tag and its fields", step="decoding")
     tag, fields = values
     if tag not in message_types:
         raise MalformedInput(f"unknown message {tag!r:.40}", step="decoding")
     message_type = message_types.find(tag)
-    if tag in _checked:
-        return _check(message_type, fields)
+    if tag in _constrained:
+        return _validate(message_type, fields)
     try:
         return msgspec.convert(fields, message_type, builtin_types=(bytes,))
     except msgspec.ValidationError as error:
         raise MalformedInput(f"{tag}: {error}", step="decoding") from error
 
 
-def _check(message_type: type, fields: Any) -> Any:
+def _validate(message_type: type, fields: Any) -> Any:
     from pydantic import ValidationError  # noqa: PLC0415
 
     from fulmarhold.settings.loading import adapter  # noqa: PLC0415
@@ -72,7 +72,7 @@
 
 @message
 class Failure:
-    """The reply to a request that the peer could not serve."""
+    """The reply to a request that failed."""
 
     reason: str
     detail: str = ""
@@ -80,4 +80,4 @@
 
 @message
 class Done:
-    """The reply to a request that needs no answer but that it was taken."""
+    """The reply that only confirms that the request was accepted."""
--- a/fulmarhold/wire/server.py
+++ b/fulmarhold/wire/server.py
@@ -1,4 +1,4 @@
-"""Serves typed requests of other processes over msgpack streams."""
+"""Server side of the msgpack streams: dispatches typed requests to handlers."""
 
 from __future__ import annotations
 
@@ -25,34 +25,34 @@
 log = part_log("wire")
 
 READ_BYTES = 65_536
-REQUESTS_AT_ONCE = 1_024
-CONNECTIONS_AT_ONCE = 2_048
+MAX_CONCURRENT_REQUESTS = 1_024
+MAX_CONNECTIONS = 2_048
 NOTHING = object()
 
 
 class MessageServer:
-    """Listens on one endpoint and gives each message to the handler filed for its type."""
+    """Listens on one endpoint and passes each message to the handler of its type."""
 
     def __init__(self, endpoint: str, counters: Counters) -> None:
         self._endpoint = endpoint
         self._counters = counters
         self._handlers: dict[type, Callable[[Any], Any]] = {}
-        self._requests = Pool(REQUESTS_AT_ONCE)
+        self._requests = Pool(MAX_CONCURRENT_REQUESTS)
         self._server: StreamServer | None = None
 
     def handle(self, message_type: type, handler: Callable[[Any], Any]) -> None:
-        """File the handler of a message type; it returns the reply, or `None` for none."""
+        """Register the handler of a message type; it returns the reply, or `None` for no reply."""
         self._handlers[message_type] = handler
 
     def start(self) -> None:
-        """Start to listen; raises `FulmarholdError` when the port is in use."""
+        """Start listening; raises `FulmarholdError` if the port can't be bound."""
         address, _, port = self._endpoint.rpartition(":")
         listener = listen(address, int(port))
-        self._server = StreamServer(listener, self._serve, spawn=Pool(CONNECTIONS_AT_ONCE))
+        self._server = StreamServer(listener, self._serve, spawn=Pool(MAX_CONNECTIONS))
         self._server.start()
 
     def stop(self) -> None:
-        """Stop to listen and close every connection."""
+        """Stop listening and close every connection."""
         if self._server is not None:
             self._server.stop(timeout=0)
         self._requests.kill(block=False)
@@ -67,7 +67,9 @@
                     self._requests.spawn(self._answer, connection, write_lock, request_id, value)
         except MalformedInput as error:
             self._counters.add("wire_refusals", reason="malformed_frame")
-            log.warning("refused a frame from {}:{}: {}", peer[0], peer[1], error)
+            log.warning(
+                "malformed frame from {}:{}, closing the connection: {}", peer[0], peer[1], error
+            )
         except OSError:
             self._counters.add("wire_refusals", reason="connection_lost")
         finally:
@@ -100,12 +102,12 @@
 
 
 def listen(address: str, port: int, backlog: int = 1_024) -> Any:
-    """Return a listening socket; raises `FulmarholdError` when the port can't be had."""
+    """Return a listening socket; raises `FulmarholdError` if the port can't be bound."""
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     try:
         return StreamServer.get_listener((address, port), backlog=backlog, family=family)
     except OSError as error:
-        reason = "is in use" if error.errno == errno.EADDRINUSE else f"can't be had: {error}"
+        reason = "is in use" if error.errno == errno.EADDRINUSE else f"can't be bound: {error}"
         raise FulmarholdError(
             f"port {port} of {address} {reason}", step="starting to listen"
         ) from error
--- a/fulmarhold/wire/sockets.py
+++ b/fulmarhold/wire/sockets.py
@@ -1,4 +1,4 @@
-"""Options of the TCP connections that the daemons hold."""
+"""Socket options and statistics of TCP connections."""
 
 from __future__ import annotations
 
@@ -8,32 +8,33 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 
-# A peer that vanishes without a reset is noticed after this, by data that nobody acknowledges or
-# by probes of a connection on which only the peer is due to send.
+# Time after which a peer that disappeared without a reset is detected, by unacknowledged data or by
+# keepalive probes while the connection only waits for data from the peer.
 UNACKNOWLEDGED_TIMEOUT: Milliseconds = 1_500.0
 PROBE_AFTER_SECONDS = 1
-PROBE_PERIOD_SECONDS = 1
-PROBES = 2
-# struct tcp_info of Linux: its smoothed round-trip time, an unsigned integer of microseconds.
+PROBE_INTERVAL_SECONDS = 1
+MAX_PROBES = 2
+# Position of tcpi_rtt in struct tcp_info of Linux: the smoothed round-trip time, an unsigned
+# integer in microseconds.
 TCP_INFO_BYTES = 104
 ROUND_TRIP_OFFSET = 68
 MICROSECONDS_PER_SECOND = 1_000_000
 
 
 def prepare_connection(connection: Any) -> None:
-    """Send small messages at once, and notice a silent loss of the peer."""
+    """Send small messages without delay, and detect the silent loss of a peer."""
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_TIMEOUT))
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_SECONDS)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_PROBES)
 
 
 def round_trip(connection: Any) -> Milliseconds:
-    """Return the round-trip time that the kernel has measured; raises `OSError` without one."""
+    """Return the round-trip time measured by the kernel; raises `OSError` without one."""
     info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
     if len(info) < ROUND_TRIP_OFFSET + struct.calcsize("I"):
-        raise OSError("the kernel tells no round-trip time")
+        raise OSError("the kernel does not report a round-trip time")
     microseconds: int = struct.unpack_from("I", info, ROUND_TRIP_OFFSET)[0]
     return microseconds * SECOND / MICROSECONDS_PER_SECOND
