--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -34,8 +34,8 @@
     READY,
     SILENT,
     InstanceStatement,
-    Ledger,
     Statement,
+    StatementStore,
     UpstreamStatement,
 )
 from fulmarhold.observe.logs import part_log
@@ -79,7 +79,7 @@
     sequence: int
 
 
-class Feeds:
+class FeedService:
     """The statements that this control instance holds."""
 
     def __init__(
@@ -94,8 +94,8 @@
         clock: Clock,
         counters: Counters,
     ) -> None:
-        self.upstreams: Ledger[UpstreamStatement] = Ledger()
-        self.instances: Ledger[InstanceStatement] = Ledger()
+        self.upstreams: StatementStore[UpstreamStatement] = StatementStore()
+        self.instances: StatementStore[InstanceStatement] = StatementStore()
         self._own = own
         self._sharing = Sharing(
             node, own.endpoint, seeds, self.upstreams, self.instances, links, counters
@@ -119,10 +119,10 @@
         self._fed_at: Milliseconds | None = None
         self._version = 0
         self._reported_at = clock.now()
-        self.instances.take(own, clock.now())
+        self.instances.apply(own, clock.now())
 
     @property
-    def fed_for(self) -> Milliseconds:
+    def time_since_first_feed(self) -> Milliseconds:
         """How long ago an entry was first given a configuration that a majority stands behind."""
         return self._clock.now() - self._fed_at if self._fed_at is not None else 0.0
 
@@ -137,7 +137,7 @@
 
     # Upstreams
 
-    def take_upstream(self, statement: UpstreamStatement) -> bool:
+    def record_upstream(self, statement: UpstreamStatement) -> bool:
         """Take in what an upstream says of itself; returns whether it may be acknowledged.
 
         A statement that it leaves is acknowledged once it is where no single loss can undo it.
@@ -150,14 +150,14 @@
             return True
         return self._retirements.hand_over(statement)
 
-    def leave_upstream(self, name: str) -> bool:
+    def deregister_upstream(self, name: str) -> bool:
         """Take in that an upstream goes without having said so before."""
         known = self.upstreams.find(name)
         if known is None:
             return True
-        return self.take_upstream(replace(known, state=LEFT))
+        return self.record_upstream(replace(known, state=LEFT))
 
-    def control_at_home(self, data_centre: str) -> str | None:
+    def control_endpoint_in(self, data_centre: str) -> str | None:
         """Return the endpoint of a control instance that runs in a data centre, if any does."""
         if data_centre == self._own.data_centre:
             return self._own.endpoint
@@ -175,7 +175,7 @@
         is_change = False
         for statement in statements:
             before = self.upstreams.find(statement.name)
-            if self.upstreams.take(statement, now):
+            if self.upstreams.apply(statement, now):
                 is_change = True
                 if tell:
                     _tell_upstream(statement, before, by)
@@ -244,10 +244,10 @@
             if statement.name == self._own.name and statement.born > self._own.born:
                 # The time of day went back between two lives of this instance.
                 self._own = replace(self._own, born=statement.born + 1)
-                self.instances.take(self._own, now)
+                self.instances.apply(self._own, now)
                 self._sharing.share(instances=(self._own,))
                 continue
-            if self.instances.take(statement, now):
+            if self.instances.apply(statement, now):
                 is_change = True
                 log.info("{} {} is {}", statement.role, statement.name, statement.state)
         if is_change:
@@ -355,7 +355,7 @@
         if self._node.is_formed and self._node.core.is_leader:
             self._end_silent_upstreams(now)
 
-    def note_applied(self) -> None:
+    def on_command_applied(self) -> None:
         """Wake the watchers when the applied configuration is newer; called at each change."""
         if self._machine.state.routes_version > self._version:
             self._version = self._machine.state.routes_version
@@ -393,7 +393,7 @@
             gevent.spawn(self._sharing.send, peer, report)
 
     def _end_silent_upstreams(self, now: Milliseconds) -> None:
-        earliest = self._node.core.leads_since
+        earliest = self._node.core.leader_since
         if self._node.confirmed_age() > HOUSEKEEPING_PERIOD * 2:
             return
         for known in self.upstreams.all():
@@ -404,7 +404,9 @@
                     self._sharing.share((silent,))
 
 
-def _differing(ledger: Ledger[Statement], told: tuple[Statement, ...]) -> tuple[Statement, ...]:
+def _differing(
+    ledger: StatementStore[Statement], told: tuple[Statement, ...]
+) -> tuple[Statement, ...]:
     """Return what the ledger holds of the subjects that are in another state there."""
     held = ((ledger.find(item.name), item.state) for item in told)
     return tuple(known for known, state in held if known is not None and known.state != state)
--- a/fulmarhold/control/sharing.py
+++ b/fulmarhold/control/sharing.py
@@ -16,7 +16,11 @@
 
     from fulmarhold.clock import Milliseconds
     from fulmarhold.consensus.node import Node
-    from fulmarhold.membership.statements import InstanceStatement, Ledger, UpstreamStatement
+    from fulmarhold.membership.statements import (
+        InstanceStatement,
+        StatementStore,
+        UpstreamStatement,
+    )
     from fulmarhold.observe.counters import Counters
     from fulmarhold.wire.links import Links
 
@@ -41,8 +45,8 @@
         node: Node,
         own_endpoint: str,
         seeds: Callable[[], tuple[str, ...]],
-        upstreams: Ledger[UpstreamStatement],
-        instances: Ledger[InstanceStatement],
+        upstreams: StatementStore[UpstreamStatement],
+        instances: StatementStore[InstanceStatement],
         links: Links,
         counters: Counters,
     ) -> None:
@@ -57,7 +61,7 @@
 
     def peers(self) -> list[str]:
         """Return the endpoints of the other control instances."""
-        known = self._node.core.members.everyone.values() if self._node.is_formed else ()
+        known = self._node.core.members.all_members.values() if self._node.is_formed else ()
         endpoints = dict.fromkeys((*known, *self._seeds()))
         return [endpoint for endpoint in endpoints if endpoint != self._own_endpoint]
 
