--- a/fulmarhold/limits/concurrency.py
+++ b/fulmarhold/limits/concurrency.py
@@ -24,7 +24,7 @@
 LATE_SHARE_THRESHOLD = 0.5
 LATE_SHARE_THRESHOLD_WHEN_LIMITED = 0.3
 DECREASE_FACTOR = 0.5
-# A reply in time raises the limit by this, divided by the limit.
+# A reply in time raises the limit by this, divided by the limit where that is above one.
 INCREASE_STEP = 0.2
 # A reply that took more than this share of its useful time has queued; the next may be late.
 CONGESTED_SHARE = 0.85
