--- a/fulmarhold/routing/table.py
+++ b/fulmarhold/routing/table.py
@@ -18,7 +18,7 @@
     from fulmarhold.membership.running import RunningState
     from fulmarhold.observe.counters import Counters
 
-CLOSING_EXCHANGE_TIMEOUT: Milliseconds = 60_000.0
+DRAINING_EXCHANGE_TIMEOUT: Milliseconds = 60_000.0
 
 
 @dataclass(frozen=True)
@@ -53,7 +53,7 @@
         self._clock = clock
         self._counters = counters
         self._replicas: dict[tuple[str, int], Replica] = {}
-        self._closing_pools: list[ConnectionPool] = []
+        self._draining_pools: list[ConnectionPool] = []
         self._snapshots: dict[str, tuple[SnapshotReplicas, ...]] = {}
         self._built_from: object = None
 
@@ -76,13 +76,13 @@
             service = configuration.services.get(replica.upstream.record.service)
             longest = service.longest_deadline_ms if service else 0.0
             replica.pool.maintain(longest)
-        self._closing_pools = [pool for pool in self._closing_pools if pool.connections]
-        for pool in self._closing_pools:
-            pool.maintain(CLOSING_EXCHANGE_TIMEOUT)
+        self._draining_pools = [pool for pool in self._draining_pools if pool.connections]
+        for pool in self._draining_pools:
+            pool.maintain(DRAINING_EXCHANGE_TIMEOUT)
 
     def close(self) -> None:
         """Close every connection."""
-        for pool in [*(replica.pool for replica in self._replicas.values()), *self._closing_pools]:
+        for pool in [*(replica.pool for replica in self._replicas.values()), *self._draining_pools]:
             pool.close()
 
     def _refresh(self) -> None:
@@ -111,7 +111,7 @@
             self._replicas[key] = replica
         for replica in previous.values():
             replica.pool.close_when_idle()
-            self._closing_pools.append(replica.pool)
+            self._draining_pools.append(replica.pool)
 
     def _make_replica(
         self, upstream: KnownUpstream, service: ServiceConfiguration, entries: int
