--- a/fulmarhold/tests/load.py
+++ b/fulmarhold/tests/load.py
@@ -24,7 +24,7 @@
         self, fleet: Fleet, *, callers: int = 1, pinned: bool = True, pause: Milliseconds = 0.0
     ) -> None:
         self.documents: list[dict[str, Any]] = []
-        self.cut: list[str] = []
+        self.connection_errors: list[str] = []
         self._fleet = fleet
         self._pause = pause
         self._is_running = True
@@ -44,9 +44,9 @@
         caller = Caller(self._fleet.entry_endpoints, centres[number % len(centres)], Random(number))
         while self._is_running:
             try:
-                answer = caller.ask("lookup", "search", deadline=DEADLINE, entry=entry)
+                answer = caller.send("lookup", "search", deadline=DEADLINE, entry=entry)
                 self.documents.append(answer.document)
             except PeerUnavailable as error:
-                self.cut.append(str(error))
+                self.connection_errors.append(str(error))
             gevent.sleep(self._pause / SECOND)
         caller.close()
