--- a/fulmarhold/soak/callers.py
+++ b/fulmarhold/soak/callers.py
@@ -32,7 +32,7 @@
 READ_BYTES = 65_536
 MEAN_PAUSE: Milliseconds = 60.0
 LOOKUP_TIMEOUT: Milliseconds = 1_000.0
-_ids = itertools.count(1)
+_request_numbers = itertools.count(1)
 
 
 class CallerConnection:
@@ -55,7 +55,7 @@
         observations: Observations,
     ) -> Response:
         """Send a request, wait for its response and record both without judging them."""
-        request_id = f"soak-{next(_ids)}"
+        request_id = f"soak-{next(_request_numbers)}"
         clock = observations.clock
         request = SentRequest(
             request_id, method, target, body, is_idempotent, self._entry.name, self._incarnation,
--- a/fulmarhold/soak/run.py
+++ b/fulmarhold/soak/run.py
@@ -74,13 +74,13 @@
         finally:
             environment.stop()
         violations += run_checks(environment.observations)
-        answers = environment.observations.responses
+        responses = environment.observations.responses
         return Result(
             seed,
             tuple(violations),
             dict(fault_counts),
-            len(answers),
-            sum(response.status == 200 for response in answers),
+            len(responses),
+            sum(response.status == 200 for response in responses),
             len(environment.observations.submitted),
         )
 
