--- a/fulmarhold/bench/entry.py
+++ b/fulmarhold/bench/entry.py
@@ -18,7 +18,7 @@
 @policy_sets.register("baseline")
 def make_baseline() -> ServicePolicies:
     """Choose replicas at random, send no hedges and wait for all parts until the deadline."""
-    return ServicePolicies("random", hedges=False, early=False)
+    return ServicePolicies("random", hedges=False, returns_early=False)
 
 
 @policy_sets.register("random_hedged")
