--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -20,7 +20,7 @@
     UpstreamStatement,
     owners_by_address,
 )
-from fulmarhold.observe.logs import part_log
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.client import Link
 from fulmarhold.wire.links import Links
 
@@ -30,7 +30,7 @@
     from fulmarhold.clock import Clock
     from fulmarhold.observe.counters import Counters
 
-log = part_log("watcher")
+log = get_logger("watcher")
 
 # Idle feeds are answered every 400 ms; a source that takes longer than this counts as lost.
 FEED_TIMEOUT: Milliseconds = 900.0
--- a/fulmarhold/tests/control/test_client.py
+++ b/fulmarhold/tests/control/test_client.py
@@ -11,7 +11,7 @@
 from fulmarhold.control.messages import ClaimGranted, ClaimKey, NotLeading
 from fulmarhold.errors import PeerUnavailable, ReplyTimeout
 from fulmarhold.observe.counters import Counters
-from fulmarhold.questionnaire.derive import SHORTEST_CLAIM_TIMEOUT_MS
+from fulmarhold.questionnaire.derive import MIN_CLAIM_TIMEOUT_MS
 
 OLD, FOLLOWER, NEW = ENDPOINTS = ("old:1", "follower:1", "new:1")
 CLAIM = ClaimKey("key", "digest", "attempt", "entry", 0.0)
@@ -65,7 +65,7 @@
 ):
     members = Members(clock, elected_at)
     control = make_client(monkeypatch, clock, members)
-    assert control.call(CLAIM, SHORTEST_CLAIM_TIMEOUT_MS) == ClaimGranted()
+    assert control.call(CLAIM, MIN_CLAIM_TIMEOUT_MS) == ClaimGranted()
     assert members.calls.count(OLD) == 1
     assert clock.now() < max(client.CALL_TIMEOUT, elected_at) + 4 * client.RETRY_PAUSE
 
@@ -76,7 +76,7 @@
     with pytest.raises(PeerUnavailable):
         control.call(CLAIM, MAX_ELECTION_TIMEOUT)
     members.hangs = False
-    assert control.call(CLAIM, client.LEADER_AVOIDANCE + SHORTEST_CLAIM_TIMEOUT_MS)
+    assert control.call(CLAIM, client.LEADER_AVOIDANCE + MIN_CLAIM_TIMEOUT_MS)
 
 
 def test_unanswered_for_covers_all_failed_calls_and_is_reset_by_a_reply(monkeypatch, clock):
@@ -88,5 +88,5 @@
     assert control.unanswered_for == clock.now()
     members.hangs = False
     clock.advance(client.LEADER_AVOIDANCE)
-    control.call(CLAIM, SHORTEST_CLAIM_TIMEOUT_MS)
+    control.call(CLAIM, MIN_CLAIM_TIMEOUT_MS)
     assert control.unanswered_for == 0.0
--- a/fulmarhold/tests/control/test_failures.py
+++ b/fulmarhold/tests/control/test_failures.py
@@ -223,7 +223,7 @@
     command = new_identifier()
     with pytest.raises(FulmarholdError):
         accept_configuration(
-            [first.endpoint], fleet.configuration, 0, "anna", command, patience=3_000.0
+            [first.endpoint], fleet.configuration, 0, "anna", command, timeout=3_000.0
         )
     assert read_instance(first.endpoint, "configuration")["revision"] == 0
     others[0].start()
