--- a/fulmarhold/entry/addresses.py
+++ b/fulmarhold/entry/addresses.py
@@ -67,9 +67,9 @@
         return AddressAnswer(tuple(entry.caller_endpoint for entry in entries), self.keep_time)
 
     def _serving_peers(self) -> list[RosterEntry]:
-        live = self._directory.live_peers()
+        live_peers = self._directory.live_peers()
         return [
             entry
             for name, entry in self._running.roster.items()
-            if name in live and live[name].state == "serving"
+            if name in live_peers and live_peers[name].state == "serving"
         ]
--- a/fulmarhold/gather/query.py
+++ b/fulmarhold/gather/query.py
@@ -102,8 +102,11 @@
         if deadline_at - now < MIN_TIME_SHARE_FOR_RERUN * (deadline_at - started_at):
             return None
         best = choose_snapshot(self._table.snapshots(policy.service.name), now)
-        is_same = (best.layout, best.version) == (answer.snapshot.layout, answer.snapshot.version)
-        if is_same or best.live_shard_count(now) / best.total <= answer.coverage.share:
+        is_same_snapshot = (best.layout, best.version) == (
+            answer.snapshot.layout,
+            answer.snapshot.version,
+        )
+        if is_same_snapshot or best.live_shard_count(now) / best.total <= answer.coverage.share:
             return None
         return best if policy.budget.take(best.total) else None
 
--- a/fulmarhold/gather/services.py
+++ b/fulmarhold/gather/services.py
@@ -24,7 +24,7 @@
     ):
         self._choice = choice
         self._hedges = hedges
-        self._early = returns_early
+        self._returns_early = returns_early
         self._policies: dict[str, Policy] = {}
 
     def find(self, service: ServiceConfiguration) -> Policy:
@@ -53,7 +53,7 @@
             service,
             choosers.find(self._choice),
             self._hedges,
-            self._early and service.priority == "latency",
+            self._returns_early and service.priority == "latency",
             ExtraLoadBudget(service.extra_load_share, service.shards),
             estimate,
         )
--- a/fulmarhold/tests/effects/test_claims.py
+++ b/fulmarhold/tests/effects/test_claims.py
@@ -24,10 +24,10 @@
 
     def __init__(self, unanswered_for):
         self.unanswered_for = unanswered_for
-        self.waits = []
+        self.timeouts = []
 
     def call(self, _, timeout):
-        self.waits.append(timeout)
+        self.timeouts.append(timeout)
         raise PeerUnavailable("no leader")
 
 
@@ -47,10 +47,10 @@
 def test_a_claim_waits_for_a_new_leader_until_the_deadline():
     control = LeaderlessControl(unanswered_for=700.0)
     run(control)
-    assert control.waits[0] == DEADLINE - DISPATCH_RESERVE
+    assert control.timeouts[0] == DEADLINE - DISPATCH_RESERVE
 
 
 def test_a_claim_is_refused_at_once_after_a_long_time_without_a_leader():
     control = LeaderlessControl(unanswered_for=CLAIM_TIMEOUT + 1)
     run(control)
-    assert control.waits == []
+    assert control.timeouts == []
