--- a/fulmarhold/callers/__init__.py
+++ b/fulmarhold/callers/__init__.py
@@ -1,1 +1,1 @@
-"""A small client for callers: finds entry instances, asks them, judges answers of stand-ins."""
+"""A small client for callers: entry discovery, requests and checks of stand-in responses."""
--- a/fulmarhold/callers/caller.py
+++ b/fulmarhold/callers/caller.py
@@ -1,4 +1,4 @@
-"""A caller as users run it: asks for addresses, keeps the answer, connects there itself."""
+"""A client as callers run it: discovers entry instances, caches them and connects directly."""
 
 from __future__ import annotations
 
@@ -15,12 +15,13 @@
     from collections.abc import Sequence
 
 CONNECTIONS_PER_ENTRY = 16
-LONGEST_ANSWER: Milliseconds = 62_000.0
+# Above the longest deadline that a service may have, one minute.
+RESPONSE_TIMEOUT: Milliseconds = 62_000.0
 
 
 @dataclass(frozen=True)
 class CallerAnswer:
-    """What came back: the decoded outcome, from which entry, after how long."""
+    """The decoded response to one request, the entry that sent it and the latency."""
 
     status: int
     document: dict[str, Any]
@@ -33,7 +34,7 @@
 
 
 class Caller:
-    """Sends requests to the entries that the system names, the preferred ones in turn."""
+    """Sends each request to an entry chosen at random from the discovered ones."""
 
     def __init__(self, seeds: Sequence[str], data_centre: str, random: Random) -> None:
         self._clock = Clock()
@@ -42,7 +43,7 @@
         self._clients: dict[str, JsonClient] = {}
 
     def addresses(self) -> tuple[str, ...]:
-        """Return the addresses in force, asking again only when the answer has run out."""
+        """Return the cached entry addresses; looks them up again only after they expire."""
         return self._finder.find()
 
     def send(
@@ -56,7 +57,7 @@
         shard_key: str = "",
         entry: str = "",
     ) -> CallerAnswer:
-        """Send one request; raises `PeerUnavailable` without an entry or a connection."""
+        """Send one request; raises `PeerUnavailable` if no entry is known or reachable."""
         entry = entry or self._choose_entry()
         headers = {"Fulmarhold-Deadline-Ms": f"{deadline:.0f}"}
         if key:
@@ -78,12 +79,14 @@
         addresses = self.addresses()
         if not addresses:
             peers = ", ".join(self._finder.seeds)
-            raise PeerUnavailable("no entry names any", step="finding an entry", peer=peers)
+            raise PeerUnavailable(
+                "no entry returned the address of an entry", step="finding an entry", peer=peers
+            )
         return self._random.choice(addresses)
 
     def _client(self, endpoint: str) -> JsonClient:
         client = self._clients.get(endpoint)
         if client is None:
-            client = JsonClient(endpoint, LONGEST_ANSWER, CONNECTIONS_PER_ENTRY)
+            client = JsonClient(endpoint, RESPONSE_TIMEOUT, CONNECTIONS_PER_ENTRY)
             self._clients[endpoint] = client
         return client
--- a/fulmarhold/callers/checks.py
+++ b/fulmarhold/callers/checks.py
@@ -1,4 +1,4 @@
-"""Judges answers against the promises; used by the demo, the bench and failure tests."""
+"""Checks responses against the guarantees; used by the demo, the bench and failure tests."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 
 
 def find_violations(service: str, document: dict[str, Any]) -> Iterator[str]:
-    """Yield a sentence for each promise that an answer of a stand-in service breaks.
+    """Yield a sentence for each guarantee that a response of a stand-in service violates.
 
-    A stand-in's part names the service, layout, version and shard that it really held.
+    Each part names the service, layout, version and shard that the stand-in actually held.
     """
     if document.get("outcome") != "answered":
         return
@@ -36,7 +36,7 @@
 
 
 def find_duplicate_effects(effects: dict[str, int]) -> Iterator[str]:
-    """Yield a sentence for each idempotency key that took effect more than once."""
+    """Yield a sentence for each idempotency key whose request was executed more than once."""
     for key, count in effects.items():
         if count > 1:
             yield f"key {key} took effect {count} times"
--- a/fulmarhold/callers/finder.py
+++ b/fulmarhold/callers/finder.py
@@ -1,4 +1,4 @@
-"""Finds the entry instances to use, as every caller and upstream does."""
+"""Discovery of the entry instances to use, for callers and upstreams alike."""
 
 from __future__ import annotations
 
@@ -17,23 +17,23 @@
 
 
 class EntryFinder:
-    """Asks any known entry for the instances to use, and keeps the answer as long as told."""
+    """Asks any known entry for the instances to use and caches the answer as long as it says."""
 
     def __init__(self, seeds: Sequence[str], data_centre: str, clock: Clock) -> None:
         self._seeds = tuple(seeds)
         self._data_centre = data_centre
         self._clock = clock
         self._addresses: tuple[str, ...] = ()
-        self._keep_until: Milliseconds = float("-inf")
+        self._cached_until: Milliseconds = float("-inf")
 
     @property
     def seeds(self) -> tuple[str, ...]:
-        """The entries that are asked at first."""
+        """The configured entries, which are asked before any other entry is known."""
         return self._seeds
 
     def find(self) -> tuple[str, ...]:
-        """Return the addresses in order of preference, empty when no entry answers."""
-        if self._clock.now() < self._keep_until and self._addresses:
+        """Return the addresses in order of preference; empty if no entry answers."""
+        if self._clock.now() < self._cached_until and self._addresses:
             return self._addresses
         for endpoint in dict.fromkeys((*self._addresses, *self._seeds)):
             asked_at = self._clock.now()
@@ -44,7 +44,7 @@
                 continue
             if answer.status == 200 and answer.body["addresses"]:
                 self._addresses = tuple(answer.body["addresses"])
-                self._keep_until = asked_at + answer.body["keep_ms"]
+                self._cached_until = asked_at + answer.body["keep_ms"]
                 return self._addresses
         self._addresses = ()
         return self._addresses
--- a/fulmarhold/questionnaire/compare.py
+++ b/fulmarhold/questionnaire/compare.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True)
 class Difference:
-    """One setting that differs; `None` stands for a setting that is not there."""
+    """One setting that differs; `None` stands for an absent setting."""
 
     setting: str
     before: Any
@@ -28,7 +28,7 @@
 def compare_configurations(
     before: Configuration | None, after: Configuration
 ) -> tuple[Difference, ...]:
-    """Return the settings that differ, in the order of their paths."""
+    """Return the settings that differ, sorted by path."""
     old = dict(_flatten("", configuration_to_document(before))) if before else {}
     new = dict(_flatten("", configuration_to_document(after)))
     return tuple(
--- a/fulmarhold/questionnaire/explain.py
+++ b/fulmarhold/questionnaire/explain.py
@@ -1,4 +1,4 @@
-"""Tells which answers a setting follows from."""
+"""Explains which answers a setting is derived from."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True)
 class Explanation:
-    """A setting's value, the answers behind it and the reason in a sentence."""
+    """The value of a setting, the answers that it is derived from and the reason."""
 
     setting: str
     value: Any
@@ -29,7 +29,7 @@
 
 
 def explain_setting(questionnaire: Questionnaire, setting: str) -> Explanation:
-    """Explain `timings.NAME` or `services.SERVICE.NAME`; raises for any other setting."""
+    """Explain `timings.NAME` or `services.SERVICE.NAME`; raises `FulmarholdError` for any other."""
     configuration = derive_configuration(questionnaire)
     match setting.split("."):
         case ["timings", name]:
--- a/fulmarhold/questionnaire/schema.py
+++ b/fulmarhold/questionnaire/schema.py
@@ -1,4 +1,4 @@
-"""The questions that an operator answers; everything else is derived from them."""
+"""Schema of the questionnaire that an operator fills in; all settings are derived from it."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 STRICT = ConfigDict(extra="forbid")
 
-MOST_SHARDS = 10_000
+MAX_SHARDS = 10_000
 
 
 @dataclass(frozen=True)
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True)
 class RequestAnswers:
-    """One kind of request and whether repeating it does no harm."""
+    """One request type and whether it is idempotent, that is, safe to repeat."""
 
     __pydantic_config__ = STRICT
 
@@ -38,10 +38,10 @@
 
 @checked_dataclass(frozen=True, config=STRICT)
 class ServiceAnswers:
-    """What an operator says about one searched index."""
+    """An operator's answers about one service, that is, one search index."""
 
     name: Name
-    shards: Annotated[int, Field(ge=1, le=MOST_SHARDS)]
+    shards: Annotated[int, Field(ge=1, le=MAX_SHARDS)]
     servers: PositiveInteger
     slots: PositiveInteger
     connections: PositiveInteger
--- a/fulmarhold/tests/callers/test_caller.py
+++ b/fulmarhold/tests/callers/test_caller.py
@@ -1,4 +1,4 @@
-"""A caller that finds no entry."""
+"""The error of a caller when no entry answers."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from fulmarhold.fleet.ports import PortAllocator
 
 
-def test_a_caller_that_no_entry_answers_says_so_with_step_and_peers():
+def test_an_error_names_step_and_peers_when_no_entry_answers():
     seeds = [PortAllocator().allocate_endpoint() for _ in range(2)]
     with pytest.raises(PeerUnavailable, match="no entry") as caught:
         Caller(seeds, "a", Random(1)).send("s", "t", deadline=100.0)
--- a/fulmarhold/tests/questionnaire/test_derive.py
+++ b/fulmarhold/tests/questionnaire/test_derive.py
@@ -1,4 +1,4 @@
-"""Derived settings: bounds that must hold for every questionnaire, explanations, differences."""
+"""Derived settings: invariants for every questionnaire, explanations and differences."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from fulmarhold.membership.running import CONFIRMATION_LEASE
 from fulmarhold.questionnaire.compare import compare_configurations
 from fulmarhold.questionnaire.derive import (
-    CONFIGURATION_BOUND_MS,
-    LEAVING_BOUND_MS,
+    CONFIGURATION_AGE_LIMIT_MS,
+    UPSTREAM_REMOVAL_LIMIT_MS,
     derive_configuration,
     service_derivations,
     timing_derivations,
@@ -54,12 +54,12 @@
     assert configuration_from_document(document, "again") == configuration
 
 
-def test_the_leases_keep_the_stated_bounds():
+def test_leases_stay_below_the_guaranteed_limits():
     timings = derive_configuration(small_questionnaire()).timings
-    assert timings.announcement_lease_ms + timings.poll_lease_ms < LEAVING_BOUND_MS
+    assert timings.announcement_lease_ms + timings.poll_lease_ms < UPSTREAM_REMOVAL_LIMIT_MS
     assert 3 * timings.announcement_period_ms < timings.announcement_lease_ms
     assert 3 * timings.poll_period_ms < timings.poll_lease_ms
-    assert timings.confirmation_lease_ms <= CONFIRMATION_LEASE < CONFIGURATION_BOUND_MS
+    assert timings.confirmation_lease_ms <= CONFIRMATION_LEASE < CONFIGURATION_AGE_LIMIT_MS
 
 
 def test_every_setting_can_be_explained():
@@ -73,7 +73,7 @@
 
 
 @pytest.mark.parametrize(
-    ("setting", "words"),
+    ("setting", "message"),
     [
         ("services.lokup.slots", "did you mean 'lookup'"),
         ("services.lookup.slot", "did you mean 'slots'"),
@@ -81,8 +81,8 @@
         ("else", "use timings.NAME"),
     ],
 )
-def test_an_unknown_setting_gets_a_hint(setting, words):
-    with pytest.raises(FulmarholdError, match=words):
+def test_an_unknown_setting_gets_a_hint(setting, message):
+    with pytest.raises(FulmarholdError, match=message):
         explain_setting(small_questionnaire(), setting)
 
 
