--- a/fulmarhold/__main__.py
+++ b/fulmarhold/__main__.py
@@ -1,4 +1,4 @@
-"""The program `fulmarhold`, for operators."""
+"""The command line interface `fulmarhold` for operators."""
 
 from __future__ import annotations
 
@@ -15,9 +15,9 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.operators.commands import clusters, configurations, questionnaires
 from fulmarhold.operators.control import read_query
-from fulmarhold.operators.queries import questionnaires as reading
+from fulmarhold.operators.queries import questionnaires as questionnaire_queries
 from fulmarhold.operators.queries.status import format_status
-from fulmarhold.operators.queries.stories import format_story, read_log_lines, trace_request
+from fulmarhold.operators.queries.traces import format_trace, read_log_lines, trace_request
 from fulmarhold.questionnaire.explain import explain_setting
 
 EXIT_FAILED = 1
@@ -27,51 +27,51 @@
     name="fulmarhold", version=__version__, help="Operate a fulmarhold fleet."
 )
 
-Control = Annotated[
+ControlEndpoints = Annotated[
     list[str], cyclopts.Parameter(name="--control", help="Operator endpoint (IP:port), repeatable.")
 ]
 
 
 @application.command
 def init(questionnaire: Path) -> None:
-    """Write a commented questionnaire."""
+    """Write a commented questionnaire template."""
     questionnaires.write_questionnaire(questionnaire)
     print(f"wrote {questionnaire}")
 
 
 @application.command
 def check(questionnaire: Path) -> None:
-    """Check a questionnaire and report every problem."""
-    reading.derive_from_file(questionnaire)
+    """Validate a questionnaire and report every problem."""
+    questionnaire_queries.derive_from_file(questionnaire)
     print(f"{questionnaire} is in order")
 
 
 @application.command
 def generate(questionnaire: Path, *, output: Path | None = None) -> None:
-    """Print the configuration that follows from a questionnaire, or write it to a file."""
+    """Print the configuration derived from a questionnaire, or write it to a file."""
     if output is not None:
         questionnaires.write_configuration(questionnaire, output)
         print(f"wrote {output}")
         return
-    document = configuration_to_document(reading.derive_from_file(questionnaire))
+    document = configuration_to_document(questionnaire_queries.derive_from_file(questionnaire))
     print(yaml.safe_dump(document, sort_keys=False), end="")
 
 
 @application.command
 def explain(setting: str, *, questionnaire: Path) -> None:
-    """Tell which answers a setting follows from, such as services.NAME.warm_connections."""
-    explanation = explain_setting(reading.load_questionnaire(questionnaire), setting)
+    """Explain the answers behind a setting, such as services.NAME.warm_connections."""
+    explanation = explain_setting(questionnaire_queries.load_questionnaire(questionnaire), setting)
     print(f"{explanation.setting} = {explanation.value}")
     print(f"  follows from: {', '.join(explanation.answers)}")
     print(f"  {explanation.reason}")
 
 
 @application.command
-def diff(questionnaire: Path, *, control: Control) -> int:
+def diff(questionnaire: Path, *, control: ControlEndpoints) -> int:
     """Show how the generated configuration differs from the accepted one."""
     accepted = read_query(control, "configuration")
-    configuration = reading.derive_from_file(questionnaire)
-    differences = reading.find_differences(accepted["configuration"], configuration)
+    configuration = questionnaire_queries.derive_from_file(questionnaire)
+    differences = questionnaire_queries.find_differences(accepted["configuration"], configuration)
     print(f"against revision {accepted['revision']}:")
     for difference in differences:
         print(f"  {difference}")
@@ -82,13 +82,13 @@
 def accept(
     questionnaire: Path,
     *,
-    control: Control,
+    control: ControlEndpoints,
     base: int,
     operator: str = "",
     command_id: str = "",
 ) -> None:
     """Submit the generated configuration, based on the revision that diff showed."""
-    configuration = reading.derive_from_file(questionnaire)
+    configuration = questionnaire_queries.derive_from_file(questionnaire)
     acceptance = configurations.accept_configuration(
         control, configuration, base, operator or getpass.getuser(), command_id
     )
@@ -101,32 +101,32 @@
 
 @application.command
 def trace(request: str, *files: Path) -> int:
-    """Tell the story of one request from structured logs, given as files or standard input."""
-    story = trace_request(request, read_log_lines(files))
-    print(format_story(request, story))
-    return 0 if story else EXIT_FAILED
+    """Show the log lines of one request, read from log files or standard input."""
+    lines = trace_request(request, read_log_lines(files))
+    print(format_trace(request, lines))
+    return 0 if lines else EXIT_FAILED
 
 
 @application.command
-def status(*, control: Control) -> None:
+def status(*, control: ControlEndpoints) -> None:
     """Show the accepted revision, the control cluster and what each entry runs."""
     print(format_status(read_query(control, "status")))
 
 
 @application.command
-def form(*, control: Control) -> None:
-    """Form a new control cluster of the instances named."""
+def form(*, control: ControlEndpoints) -> None:
+    """Form a new control cluster from the given instances."""
     print(f"formed cluster {clusters.form_cluster(control)}")
 
 
 @application.command
-def admit(instance: str, *, control: Control) -> None:
+def admit(instance: str, *, control: ControlEndpoints) -> None:
     """Admit a new or repaired control instance, named by its operator endpoint."""
     print(f"admitted {clusters.admit_instance(control, instance)}; it votes once it has caught up")
 
 
 @application.command
-def remove(identity: str, *, control: Control) -> None:
+def remove(identity: str, *, control: ControlEndpoints) -> None:
     """Remove a lost control instance, named by the identity that status shows."""
     clusters.remove_instance(control, identity)
     print(f"removed {identity}")
@@ -134,13 +134,13 @@
 
 @application.command
 def drain(entry: str) -> None:
-    """Let an entry instance leave gracefully, named by its caller endpoint."""
+    """Shut down an entry instance gracefully, named by its caller endpoint."""
     configurations.drain_entry(entry)
     print(f"{entry} is leaving")
 
 
 def main() -> None:
-    """Enter the program."""
+    """Run the command line interface."""
     try:
         sys.exit(application() or 0)
     except FulmarholdError as error:
--- a/fulmarhold/operators/__init__.py
+++ b/fulmarhold/operators/__init__.py
@@ -1,1 +1,1 @@
-"""What the command line does, as plain functions."""
+"""The functions behind the operators' command line."""
--- a/fulmarhold/operators/commands/__init__.py
+++ b/fulmarhold/operators/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Operators' work that changes state."""
+"""Operations that change state."""
--- a/fulmarhold/operators/commands/clusters.py
+++ b/fulmarhold/operators/commands/clusters.py
@@ -1,4 +1,4 @@
-"""Forms the control cluster and changes its members."""
+"""Forms the control cluster and changes its membership."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 def form_cluster(endpoints: Sequence[str]) -> str:
     """Form a cluster of the control instances at the operator endpoints; returns its name.
 
-    Raises `FulmarholdError` when an instance already belongs to a cluster.
+    Raises `FulmarholdError` if an instance already belongs to a cluster.
     """
     identities = [read_instance(endpoint, "identity") for endpoint in endpoints]
-    taken = [item["name"] for item in identities if item["cluster"]]
-    if taken:
-        raise FulmarholdError(f"{', '.join(taken)} already belong to a cluster", step="form")
+    assigned = [item["name"] for item in identities if item["cluster"]]
+    if assigned:
+        raise FulmarholdError(f"{', '.join(assigned)} already belong to a cluster", step="form")
     cluster = uuid.uuid4().hex[:12]
     voters = {item["identity"]: item["endpoint"] for item in identities}
     response = send_command(endpoints[:1], "form", {"cluster": cluster, "voters": voters})
--- a/fulmarhold/operators/commands/configurations.py
+++ b/fulmarhold/operators/commands/configurations.py
@@ -1,4 +1,4 @@
-"""Submits configurations, and drains entry instances."""
+"""Submits configurations and drains entry instances."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from fulmarhold.configuration import configuration_to_document
 from fulmarhold.control.identifiers import new_identifier
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.operators.control import PATIENCE, ControlRefused, send_command
+from fulmarhold.operators.control import DEFAULT_TIMEOUT, ControlRefused, send_command
 from fulmarhold.web.client import request_json
 
 if TYPE_CHECKING:
@@ -17,12 +17,12 @@
     from fulmarhold.clock import Milliseconds
     from fulmarhold.configuration import Configuration
 
-SUPERSEDED = 409
+CONFLICT = 409
 
 
 @dataclass(frozen=True)
 class Acceptance:
-    """The accepted revision, and the entries that do not run it yet."""
+    """The accepted revision and the entries that do not run it yet."""
 
     revision: int
     is_in_force: bool
@@ -30,7 +30,7 @@
 
 
 class SupersededError(FulmarholdError):
-    """Another operator's configuration was accepted since the base revision was read."""
+    """Another configuration was accepted after the base revision was read."""
 
 
 def accept_configuration(
@@ -39,11 +39,11 @@
     base_revision: int,
     operator: str,
     command_id: str = "",
-    timeout: Milliseconds = PATIENCE,
+    timeout: Milliseconds = DEFAULT_TIMEOUT,
 ) -> Acceptance:
-    """Submit a configuration; resending it with the same command id gives the same outcome.
+    """Submit a configuration; a resend with the same command id has the same outcome.
 
-    Raises `SupersededError` that names the other operator, `ControlRefused`, `PeerUnavailable`.
+    Raises `SupersededError`, which names the other operator, `ControlRefused` or `PeerUnavailable`.
     """
     body = {
         "command_id": command_id or new_identifier(),
@@ -52,7 +52,7 @@
         "configuration": configuration_to_document(configuration),
     }
     response = send_command(endpoints, "accept", body, timeout)
-    if response.status == SUPERSEDED:
+    if response.status == CONFLICT:
         raise SupersededError(
             f"revision {response.body['revision']} of {response.body['operator']} was accepted "
             f"in the meantime; this one was based on revision {base_revision}",
@@ -65,7 +65,7 @@
 
 
 def drain_entry(endpoint: str) -> None:
-    """Let the entry at a caller endpoint leave gracefully."""
+    """Start the graceful shutdown of the entry at a caller endpoint."""
     response = request_json(endpoint, "POST", "/drain")
     if response.status != 200:
         raise ControlRefused(response, "drain", endpoint)
--- a/fulmarhold/operators/commands/questionnaires.py
+++ b/fulmarhold/operators/commands/questionnaires.py
@@ -16,7 +16,7 @@
 
 
 def write_questionnaire(path: Path) -> None:
-    """Write the commented questionnaire; raises `FulmarholdError` if the file exists."""
+    """Write the questionnaire template; raises `FulmarholdError` if the file exists."""
     try:
         with path.open("x", encoding="utf-8") as file:
             file.write(TEMPLATE)
--- a/fulmarhold/operators/control.py
+++ b/fulmarhold/operators/control.py
@@ -1,4 +1,4 @@
-"""Talks to whichever control instance leads, on behalf of an operator."""
+"""Client for operators that sends commands and queries to the control leader."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-PATIENCE: Milliseconds = 15_000.0
+DEFAULT_TIMEOUT: Milliseconds = 15_000.0
 REQUEST_TIMEOUT: Milliseconds = 6_000.0
-RETRY_PAUSE: Milliseconds = 200.0
-UNAVAILABLE = 503
+RETRY_INTERVAL: Milliseconds = 200.0
+SERVICE_UNAVAILABLE = 503
 
 
 class ControlRefused(FulmarholdError):
-    """Control refused a command or query for good."""
+    """A control instance rejected a command or query; a retry does not help."""
 
     def __init__(self, response: JsonResponse, step: str, peer: str) -> None:
         body = response.body if isinstance(response.body, dict) else {}
@@ -30,22 +30,25 @@
 
 
 def send_command(
-    endpoints: Sequence[str], name: str, body: dict[str, Any], timeout: Milliseconds = PATIENCE
+    endpoints: Sequence[str],
+    name: str,
+    body: dict[str, Any],
+    timeout: Milliseconds = DEFAULT_TIMEOUT,
 ) -> JsonResponse:
-    """Send a command to the leader, again with the same body until it is answered.
+    """Send a command to the leader, retrying with the same body until it is answered.
 
-    Raises `PeerUnavailable` when no leader answered within `patience` milliseconds.
+    Raises `PeerUnavailable` if no leader answers within `timeout` milliseconds.
     """
-    return _until_answered(endpoints, "POST", f"/commands/{name}", body, timeout)
+    return _send_until_answered(endpoints, "POST", f"/commands/{name}", body, timeout)
 
 
 def read_query(
-    endpoints: Sequence[str], name: str, timeout: Milliseconds = PATIENCE
+    endpoints: Sequence[str], name: str, timeout: Milliseconds = DEFAULT_TIMEOUT
 ) -> dict[str, Any]:
-    """Return a linearizable answer, which only the leader gives."""
+    """Return the leader's answer to a query, which is linearizable."""
     clock = Clock()
-    until = clock.now() + timeout
-    while clock.now() < until:
+    give_up_at = clock.now() + timeout
+    while clock.now() < give_up_at:
         for endpoint in endpoints:
             try:
                 response = request_json(endpoint, "GET", f"/queries/{name}")
@@ -54,12 +57,12 @@
             if response.status == 200 and not response.body.get("stale"):
                 answer: dict[str, Any] = response.body
                 return answer
-        gevent.sleep(RETRY_PAUSE / SECOND)
-    raise PeerUnavailable("no control instance gave a current answer", step=name)
+        gevent.sleep(RETRY_INTERVAL / SECOND)
+    raise PeerUnavailable("no control instance returned an up-to-date answer", step=name)
 
 
 def read_instance(endpoint: str, name: str) -> dict[str, Any]:
-    """Return what one instance itself says, which may be stale."""
+    """Return one instance's own answer to a query, which may be stale."""
     response = request_json(endpoint, "GET", f"/queries/{name}")
     if response.status != 200:
         raise ControlRefused(response, name, endpoint)
@@ -67,21 +70,21 @@
     return answer
 
 
-def _until_answered(
+def _send_until_answered(
     endpoints: Sequence[str], method: str, path: str, body: Any, timeout: Milliseconds
 ) -> JsonResponse:
     clock = Clock()
-    until = clock.now() + timeout
-    problem = "no control instance was asked"
-    while clock.now() < until:
+    give_up_at = clock.now() + timeout
+    problem = "no control instance was contacted"
+    while clock.now() < give_up_at:
         for endpoint in endpoints:
             try:
                 response = request_json(endpoint, method, path, body=body, timeout=REQUEST_TIMEOUT)
             except PeerUnavailable as error:
                 problem = str(error)
                 continue
-            if response.status != UNAVAILABLE:
+            if response.status != SERVICE_UNAVAILABLE:
                 return response
             problem = str(response.body)
-        gevent.sleep(RETRY_PAUSE / SECOND)
-    raise PeerUnavailable(f"no control instance leads: {problem}", step=path)
+        gevent.sleep(RETRY_INTERVAL / SECOND)
+    raise PeerUnavailable(f"no control leader answered: {problem}", step=path)
--- a/fulmarhold/operators/queries/__init__.py
+++ b/fulmarhold/operators/queries/__init__.py
@@ -1,1 +1,1 @@
-"""Operators' work that reads state."""
+"""Operations that read state."""
--- a/fulmarhold/operators/queries/questionnaires.py
+++ b/fulmarhold/operators/queries/questionnaires.py
@@ -1,4 +1,4 @@
-"""Reads questionnaires and configurations."""
+"""Loads and compares questionnaires and configurations."""
 
 from __future__ import annotations
 
@@ -18,23 +18,23 @@
 
 
 def load_questionnaire(path: Path) -> Questionnaire:
-    """Return the checked questionnaire; raises `InvalidSettings` with every problem."""
+    """Return the validated questionnaire; raises `InvalidSettings` with every problem."""
     return load_file(path, Questionnaire)
 
 
 def derive_from_file(path: Path) -> Configuration:
-    """Return the configuration that follows from a questionnaire file."""
+    """Return the configuration derived from a questionnaire file."""
     return derive_configuration(load_questionnaire(path))
 
 
 def load_configuration(path: Path) -> Configuration:
-    """Return a configuration that was generated into a file."""
+    """Return a configuration from a file that `fulmarhold generate` wrote."""
     return configuration_from_document(read_yaml(path), str(path))
 
 
 def find_differences(
     accepted: dict[str, object] | None, configuration: Configuration
 ) -> tuple[Difference, ...]:
-    """Return how a configuration differs from the accepted one."""
+    """Return the differences between a configuration and the accepted one, if any."""
     before = configuration_from_document(accepted, "accepted configuration") if accepted else None
     return compare_configurations(before, configuration)
--- a/fulmarhold/operators/queries/status.py
+++ b/fulmarhold/operators/queries/status.py
@@ -1,4 +1,4 @@
-"""The fleet's state as a readable table."""
+"""Formats the state of the fleet as text."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def format_status(status: dict[str, Any]) -> str:
-    """Return the status that control's leader gave as text."""
+    """Return the control leader's status document as text."""
     lines = [
         f"revision {status['revision']} accepted by {status['accepted_by'] or 'nobody yet'}, "
         f"version {status['version']}",
@@ -33,7 +33,7 @@
 
 
 def format_table(header: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
-    """Return rows under a header with aligned columns.
+    """Return a table with a header and aligned columns.
 
     >>> print(format_table(("name", "count"), [("a", "1")]))
     name  count
--- a/fulmarhold/operators/queries/stories.py
+++ b/fulmarhold/operators/queries/traces.py
@@ -1,4 +1,4 @@
-"""The story of one request, from the structured logs of the processes that touched it."""
+"""Traces one request through the structured logs of the processes that handled it."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
     from collections.abc import Iterable, Iterator
     from pathlib import Path
 
-# What stands in every line, and so needs no mention among a line's inputs.
+# Present in every line, so not repeated among the fields of one.
 COMMON_FIELDS = ("at", "process", "event", "request")
 
 
 @dataclass(frozen=True)
 class LogLine:
-    """One line; `at` is the wall clock of its process in milliseconds."""
+    """One log line; `at` is the wall-clock time of its process in milliseconds."""
 
     at: float
     process: str
@@ -28,7 +28,7 @@
 
 
 def read_log_lines(files: Iterable[Path]) -> Iterator[str]:
-    """Yield the lines of files, or of standard input where none is named."""
+    """Yield the lines of the files, or of standard input if there are none."""
     paths = tuple(files)
     if not paths:
         yield from sys.stdin
@@ -41,10 +41,10 @@
 
 
 def trace_request(request: str, lines: Iterable[str]) -> list[LogLine]:
-    """Return the lines about a request in the order of their clocks.
+    """Return the log lines of a request, sorted by timestamp.
 
-    What precedes the JSON object of a line, such as a collector's prefix, is passed over, and so
-    are lines that hold none.
+    Text before the JSON object of a line, such as a log collector's prefix, is ignored, and so are
+    lines without a JSON object.
 
     >>> line = '{"at": 5, "process": "e1", "event": "retry", "request": "r1", "n": 2}'
     >>> trace_request("r1", [f"host-1 {line}", "no log line"])[0].fields
@@ -54,15 +54,15 @@
     return sorted(found, key=lambda line: line.at)
 
 
-def format_story(request: str, story: list[LogLine]) -> str:
-    """Return the story for a reader, each line's time counted from the first."""
-    if not story:
+def format_trace(request: str, trace: list[LogLine]) -> str:
+    """Return the trace as text, with times relative to the first line."""
+    if not trace:
         return f"no line is about request {request}; whole answers are counted and not logged"
-    first = story[0].at
-    lines = [f"request {request}, first seen at {story[0].process}"]
-    for line in story:
-        inputs = ", ".join(f"{key} {value}" for key, value in line.fields.items())
-        lines.append(f"  {line.at - first:+7.0f} ms  {line.process}  {line.event}: {inputs}")
+    first = trace[0].at
+    lines = [f"request {request}, first seen at {trace[0].process}"]
+    for line in trace:
+        fields = ", ".join(f"{key} {value}" for key, value in line.fields.items())
+        lines.append(f"  {line.at - first:+7.0f} ms  {line.process}  {line.event}: {fields}")
     return "\n".join(lines)
 
 
--- a/fulmarhold/tests/operators/test_command_line.py
+++ b/fulmarhold/tests/operators/test_command_line.py
@@ -1,4 +1,4 @@
-"""The command line: what it prints, its exit codes, and errors without a traceback."""
+"""The command line: its output, its exit codes and errors without a traceback."""
 
 from __future__ import annotations
 
@@ -39,23 +39,23 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "words"),
+    ("text", "message"),
     [
         ("deployment: x\nentres: 3\n", "did you mean 'entries'"),
         ("a: [", "not valid YAML"),
     ],
 )
-def test_a_wrong_questionnaire_is_refused_without_a_traceback(tmp_path, text, words):
+def test_an_invalid_questionnaire_is_rejected_without_a_traceback(tmp_path, text, message):
     path = tmp_path / "q.yml"
     path.write_text(text)
     result = run("check", path)
     assert result.returncode == 1
-    assert words in result.stderr
+    assert message in result.stderr
     assert "Traceback" not in result.stderr
 
 
 @pytest.mark.parametrize("module", ["fulmarhold.entry", "fulmarhold.control", "fulmarhold.standin"])
-def test_a_daemon_with_a_wrong_settings_file_ends_with_every_problem(tmp_path, module):
+def test_a_daemon_with_invalid_settings_reports_every_problem(tmp_path, module):
     path = tmp_path / "settings.yml"
     path.write_text("nme: x\n")
     result = run(path, module=module)
@@ -65,7 +65,7 @@
     assert "Traceback" not in result.stderr
 
 
-def test_a_daemon_whose_port_is_in_use_says_so(tmp_path):
+def test_a_daemon_reports_a_port_in_use(tmp_path):
     port = PortAllocator().allocate()
     path = tmp_path / "settings.yml"
     path.write_text(
@@ -78,7 +78,7 @@
     assert f"port {port} of 127.0.0.1 is in use" in result.stderr
 
 
-def test_a_query_without_control_says_who_did_not_answer():
+def test_an_error_names_the_endpoint_that_did_not_answer():
     endpoint = PortAllocator().allocate_endpoint()
     result = run("drain", endpoint)
     assert result.returncode == 1
