--- a/fulmarhold/demo/__init__.py
+++ b/fulmarhold/demo/__init__.py
@@ -1,1 +1,1 @@
-"""The demo: a whole fleet on loopback with a caller."""
+"""The demo: a complete fleet on loopback with callers."""
--- a/fulmarhold/demo/__main__.py
+++ b/fulmarhold/demo/__main__.py
@@ -1,4 +1,4 @@
-"""The demo: a fleet on loopback answers a caller, then stops gracefully."""
+"""Command line of the demo: a fleet on loopback answers callers, then stops gracefully."""
 
 from __future__ import annotations
 
@@ -19,14 +19,14 @@
 def demo(
     *, deployment: Literal["lysvik", "registry"] = "lysvik", folder: Path | None = None
 ) -> int:
-    """Run the demo and return 0 if every promise held.
+    """Run the demo; the exit code is 0 if no check failed.
 
     Parameters
     ----------
     deployment
-        Whose questionnaire to run.
+        The deployment whose questionnaire is used.
     folder
-        Where to keep settings, data and logs; a temporary folder by default.
+        The folder for settings, data and logs; a temporary folder by default.
     """
     try:
         if folder is not None:
--- a/fulmarhold/demo/run.py
+++ b/fulmarhold/demo/run.py
@@ -1,4 +1,4 @@
-"""What the demo does: start a fleet, ask, redeem, resend, and judge every answer."""
+"""Runs the demo: starts a fleet, sends and resends requests and checks every response."""
 
 from __future__ import annotations
 
@@ -27,12 +27,13 @@
 DEPLOYMENTS = ("registry", "lysvik")
 QUERIES_PER_TYPE = 60
 CALLERS = 3
-RESENT_SHARE = 3
+# One in this many non-idempotent requests is sent a second time.
+RESEND_EVERY = 3
 
 
 @dataclass
 class Tally:
-    """What came back for one request type."""
+    """Response statistics of one request type."""
 
     outcomes: dict[str, int] = field(default_factory=dict)
     covered: int = 0
@@ -41,7 +42,7 @@
     latency: LatencyHistogram = field(default_factory=LatencyHistogram)
 
     def add(self, answer: CallerAnswer) -> None:
-        """Take in one answer."""
+        """Record one response."""
         outcome = answer.outcome
         if outcome != "answered":
             outcome = f"{outcome}: {answer.document.get('reason')}"
@@ -54,7 +55,7 @@
             self.snapshots.add(f"{snapshot['layout']}@{snapshot['version']}")
 
     def row(self, name: str) -> tuple[str, ...]:
-        """Return the row of the table."""
+        """Return the row of the result table."""
         outcomes = ", ".join(f"{count} {outcome}" for outcome, count in self.outcomes.items())
         return (
             name,
@@ -67,7 +68,7 @@
 
 
 def run_demo(deployment: str, folder: Path) -> int:
-    """Run the demo of one deployment; returns 0 when every promise held."""
+    """Run the demo of one deployment; returns 0 if no check failed."""
     clock = Clock()
     for name in DEPLOYMENTS:
         configuration = derive_configuration(load_questionnaire(EXAMPLES / f"{name}.yml"))
@@ -80,7 +81,7 @@
         fleet.start()
         print(f"ready after {(clock.now() - started_at) / SECOND:.1f} s")
         print(f"callers are told to use {', '.join(fleet.instances(fleet.entry_endpoints[0]))}")
-        problems = _ask_everything(fleet)
+        problems = _run_callers(fleet)
         problems.extend(find_duplicate_effects(fleet.effects()))
         print("stopping gracefully ...", flush=True)
         problems.extend(f"{name} did not stop with 0" for name in fleet.stop())
@@ -92,7 +93,7 @@
     return 1 if problems else 0
 
 
-def _ask_everything(fleet: Fleet) -> list[str]:
+def _run_callers(fleet: Fleet) -> list[str]:
     problems: list[str] = []
     tallies: dict[str, Tally] = {}
     centres = fleet.plan.questionnaire.data_centres
@@ -115,7 +116,7 @@
             name = f"{service.name}/{request_type.name}"
             tally = tallies.setdefault(name, Tally())
             for number in range(QUERIES_PER_TYPE // CALLERS):
-                answer = _ask(caller, service, request_type, number)
+                answer = _send_request(caller, service, request_type, number)
                 tally.add(answer)
                 problems.extend(
                     f"{name}: {problem}"
@@ -124,7 +125,7 @@
     caller.close()
 
 
-def _ask(
+def _send_request(
     caller: Caller, service: ServiceConfiguration, request_type: RequestType, number: int
 ) -> CallerAnswer:
     if request_type.idempotent:
@@ -132,9 +133,11 @@
     key = new_identifier()
     deadline = 5 * service.deadline_ms
     answer = caller.send(service.name, request_type.name, deadline=deadline, key=key)
-    if number % RESENT_SHARE == 0:
-        # A caller that lost the answer sends the same key again, to whichever entry.
-        again = caller.send(service.name, request_type.name, deadline=deadline, key=key)
-        if answer.outcome == "answered" and again.outcome == "not_run":
-            raise FulmarholdError(f"a request that ran was said not to have run: {key}")
+    if number % RESEND_EVERY == 0:
+        # As after a lost response, the same key is sent again, to any entry.
+        resent = caller.send(service.name, request_type.name, deadline=deadline, key=key)
+        if answer.outcome == "answered" and resent.outcome == "not_run":
+            raise FulmarholdError(
+                f"the resend of a request that ran was answered as not run: {key}"
+            )
     return answer
--- a/fulmarhold/fleet/__init__.py
+++ b/fulmarhold/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""A whole fleet as separate processes on loopback, for the demo, the bench and tests."""
+"""Runs a fleet of separate processes on loopback, for the demo, the bench and tests."""
--- a/fulmarhold/fleet/fleet.py
+++ b/fulmarhold/fleet/fleet.py
@@ -1,4 +1,4 @@
-"""Starts a fleet for one questionnaire: control, entries and stand-in upstreams."""
+"""Runs a fleet for one questionnaire: control instances, entries and stand-in upstreams."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.fleet.ports import LOOPBACK, PortAllocator
-from fulmarhold.fleet.processes import START_PATIENCE, FleetProcess, await_condition
+from fulmarhold.fleet.processes import START_TIMEOUT, FleetProcess, await_condition
 from fulmarhold.operators.commands.clusters import form_cluster
 from fulmarhold.operators.commands.configurations import accept_configuration
 from fulmarhold.questionnaire.derive import derive_configuration
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True)
 class FleetPlan:
-    """What to start."""
+    """The size, the options and the simulated behaviour of a fleet."""
 
     questionnaire: Questionnaire
     services: tuple[str, ...] = ()
@@ -41,7 +41,7 @@
 
 
 class Fleet:
-    """The processes of one fleet under one folder."""
+    """The processes of one fleet, whose files are all in one folder."""
 
     def __init__(self, folder: Path, plan: FleetPlan) -> None:
         self.folder = folder
@@ -69,7 +69,7 @@
         return [process.endpoint for process in self.entries]
 
     def start(self) -> None:
-        """Start everything, form the cluster, accept the configuration and await readiness."""
+        """Start all processes, form the cluster, submit the configuration and await readiness."""
         for process in [*self.control, *self.entries, *self.standins]:
             process.start()
         for process in self.control:
@@ -81,7 +81,7 @@
         self.await_ready()
 
     def await_ready(self) -> None:
-        """Wait until every running entry serves and knows every upstream."""
+        """Wait until every running entry knows every upstream and lists every running entry."""
         expected = sum(len(addresses) for addresses in self.upstreams.values())
         running = [entry for entry in self.entries if entry.is_running]
 
@@ -91,24 +91,24 @@
                 for entry in running
             ) and all(len(self.instances(entry.endpoint)) == len(running) for entry in running)
 
-        await_condition(is_ready, "every entry to know every upstream", START_PATIENCE)
+        await_condition(is_ready, "every entry to know every upstream", START_TIMEOUT)
 
     def instances(self, endpoint: str) -> list[str]:
-        """Return the addresses that an entry gives to callers."""
+        """Return the entry addresses that an entry returns to callers."""
         addresses: list[str] = request_json(endpoint, "GET", "/instances").body["addresses"]
         return addresses
 
     def command(self, command: str, addresses: list[str], **arguments: Any) -> None:
-        """Give a command to stand-in upstreams."""
+        """Send a command to the stand-in upstreams at the given addresses."""
         for standin in self.standins:
-            own = [item for item in addresses if item in self._carried[standin.name]]
-            if own:
-                body = {"command": command, "addresses": own, "arguments": arguments}
+            hosted = [item for item in addresses if item in self._hosted_addresses[standin.name]]
+            if hosted:
+                body = {"command": command, "addresses": hosted, "arguments": arguments}
                 response = request_json(standin.endpoint, "POST", "/command", body=body)
                 assert response.status == 200, response.body
 
     def report(self) -> dict[str, Any]:
-        """Return what every stand-in upstream ran, by address."""
+        """Return the report of every stand-in upstream, by address."""
         reports: dict[str, Any] = {}
         for standin in self.standins:
             if standin.is_running:
@@ -116,7 +116,7 @@
         return reports
 
     def effects(self) -> dict[str, int]:
-        """Return how often each idempotency key took effect, over all upstreams."""
+        """Return how often each idempotency key took effect, summed over all upstreams."""
         totals: dict[str, int] = {}
         for report in self.report().values():
             for key, count in report["effects"].items():
@@ -124,7 +124,7 @@
         return totals
 
     def stop(self) -> list[str]:
-        """Stop everything gracefully; returns the names of processes that did not end well."""
+        """Stop all processes gracefully; returns the names of those that exited with an error."""
         for group in (self.entries, self.control, self.standins):
             stopping = [process for process in group if process.is_running]
             for process in stopping:
@@ -134,13 +134,13 @@
         return [process.name for process in self.processes if process.exit_code not in (0, None)]
 
     def kill(self) -> None:
-        """End everything at once."""
+        """Kill all processes, also frozen ones."""
         for process in self.processes:
             process.thaw()
             process.kill()
 
     def make_control(self, number: int, folder: str = "") -> FleetProcess:
-        """Return a control process that was not started yet."""
+        """Return a control process without starting it."""
         name = f"control-{number + 1}"
         centres = self.plan.questionnaire.data_centres
         settings = {
@@ -177,7 +177,7 @@
             if not self.plan.services or service.name in self.plan.services:
                 servers.extend(self._make_servers(service))
         count = self.plan.standin_processes
-        self._carried: dict[str, set[str]] = {}
+        self._hosted_addresses: dict[str, set[str]] = {}
         return [self._make_standin(number, servers[number::count]) for number in range(count)]
 
     def _make_servers(self, service: ServiceAnswers) -> list[dict[str, Any]]:
@@ -203,7 +203,7 @@
 
     def _make_standin(self, number: int, servers: list[dict[str, Any]]) -> FleetProcess:
         name = f"standin-{number + 1}"
-        self._carried[name] = {server["record"]["address"] for server in servers}
+        self._hosted_addresses[name] = {server["record"]["address"] for server in servers}
         centres = self.plan.questionnaire.data_centres
         port = self._ports.allocate()
         settings = {
@@ -220,7 +220,7 @@
 
 
 def read_metrics(endpoint: str) -> dict[str, float]:
-    """Return the metrics of a daemon by name with labels, empty when it does not answer."""
+    """Return the metrics of a daemon by name and labels; empty if it does not answer."""
     address, _, port = endpoint.rpartition(":")
     client = HTTPClient(address, port=int(port), connection_timeout=1.0, network_timeout=2.0)
     try:
@@ -234,5 +234,5 @@
 
 
 def sleep_ms(duration: Milliseconds) -> None:
-    """Let the fleet run for `duration` milliseconds."""
+    """Sleep for `duration` milliseconds while the fleet runs."""
     gevent.sleep(duration / SECOND)
--- a/fulmarhold/fleet/ports.py
+++ b/fulmarhold/fleet/ports.py
@@ -1,4 +1,4 @@
-"""Free ports on loopback."""
+"""Allocates free ports on loopback."""
 
 from __future__ import annotations
 
@@ -6,20 +6,20 @@
 import socket
 
 LOOPBACK = "127.0.0.1"
-# Below the range from which the kernel draws ports for outgoing connections.
+# Below the kernel's ephemeral port range, which outgoing connections use.
 FIRST_PORT = 12_000
 PORT_COUNT = 18_000
 PORTS_PER_PROCESS = 600
 
 
 class PortAllocator:
-    """Hands out ports that nobody listens on; processes begin at different places."""
+    """Allocates unused ports; processes start at different offsets to avoid collisions."""
 
     def __init__(self) -> None:
         self._next = (os.getpid() * PORTS_PER_PROCESS) % PORT_COUNT
 
     def allocate(self) -> int:
-        """Return a port that can be listened on now."""
+        """Return a port that is free now."""
         for _ in range(PORT_COUNT):
             port = FIRST_PORT + self._next
             self._next = (self._next + 1) % PORT_COUNT
--- a/fulmarhold/fleet/processes.py
+++ b/fulmarhold/fleet/processes.py
@@ -1,4 +1,4 @@
-"""Processes of a fleet: started, awaited, stopped, killed and frozen by their own handles."""
+"""Processes of a fleet, each started, awaited and signalled only through its own handle."""
 
 from __future__ import annotations
 
@@ -18,13 +18,13 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-START_PATIENCE: Milliseconds = 30_000.0
-STOP_PATIENCE: Milliseconds = 40_000.0
-LOOK_PERIOD: Milliseconds = 25.0
+START_TIMEOUT: Milliseconds = 30_000.0
+STOP_TIMEOUT: Milliseconds = 40_000.0
+POLL_INTERVAL: Milliseconds = 25.0
 
 
 class FleetProcess:
-    """One daemon of the fleet with its settings file and log."""
+    """A daemon of the fleet with its settings file and log file."""
 
     def __init__(
         self, module: str, name: str, folder: Path, settings: dict[str, Any], endpoint: str
@@ -50,7 +50,7 @@
 
     @property
     def process_id(self) -> int:
-        """The operating system's id; raises `FulmarholdError` before the start."""
+        """The process id; raises `FulmarholdError` if the process was never started."""
         if self._process is None:
             raise FulmarholdError(f"{self.name} was not started", step="fleet")
         return self._process.pid
@@ -65,53 +65,55 @@
             )
 
     def await_answer(self, path: str = "/health", *, status: int | None = None) -> None:
-        """Wait until it answers HTTP, with `status` if one is given."""
+        """Wait until the daemon answers over HTTP, with `status` if one is given."""
 
-        def answers() -> bool:
+        def has_answered() -> bool:
             if not self.is_running:
-                raise FulmarholdError(f"{self.name} ended, see {self.log_file}", step="starting")
+                raise FulmarholdError(f"{self.name} exited, see {self.log_file}", step="starting")
             try:
                 response = request_json(self.endpoint, "GET", path, timeout=SECOND)
             except PeerUnavailable:
                 return False
             return status in (None, response.status)
 
-        await_condition(answers, f"{self.name} to answer {path}", START_PATIENCE)
+        await_condition(has_answered, f"{self.name} to answer {path}", START_TIMEOUT)
 
     def terminate(self) -> None:
-        """Ask for a graceful stop."""
+        """Request a graceful stop."""
         self.signal(signal.SIGTERM)
 
     def kill(self) -> None:
-        """End the process without notice."""
+        """Kill the process and wait for its exit."""
         self.signal(signal.SIGKILL)
         self.await_exit()
 
     def freeze(self) -> None:
-        """Stop the process from running, as a long pause would."""
+        """Suspend the process, to simulate a long pause."""
         self.signal(signal.SIGSTOP)
 
     def thaw(self) -> None:
-        """Let a frozen process go on."""
+        """Resume a frozen process."""
         self.signal(signal.SIGCONT)
 
     def signal(self, number: int) -> None:
-        """Send a signal to this process, if it still runs."""
+        """Send a signal to the process if it is still running."""
         if self.is_running:
             os.kill(self.process_id, number)
 
     def await_exit(self) -> int:
-        """Wait for the end and return the exit code."""
-        await_condition(lambda: not self.is_running, f"{self.name} to end", STOP_PATIENCE)
+        """Wait for the process to exit and return its exit code."""
+        await_condition(lambda: not self.is_running, f"{self.name} to end", STOP_TIMEOUT)
         code = self.exit_code
         return code if code is not None else 0
 
 
-def await_condition(condition: Any, what: str, timeout: Milliseconds) -> None:
-    """Wait until `condition()` holds; raises `FulmarholdError` after `patience` ms."""
+def await_condition(condition: Any, description: str, timeout: Milliseconds) -> None:
+    """Wait until `condition()` is true; raises `FulmarholdError` after `timeout` ms."""
     clock = Clock()
-    until = clock.now() + timeout
+    give_up_at = clock.now() + timeout
     while not condition():
-        if clock.now() > until:
-            raise FulmarholdError(f"waited {timeout:.0f} ms in vain for {what}", step="waiting")
-        gevent.sleep(LOOK_PERIOD / SECOND)
+        if clock.now() > give_up_at:
+            raise FulmarholdError(
+                f"timed out after {timeout:.0f} ms waiting for {description}", step="waiting"
+            )
+        gevent.sleep(POLL_INTERVAL / SECOND)
--- a/fulmarhold/operators/control.py
+++ b/fulmarhold/operators/control.py
@@ -75,7 +75,7 @@
 ) -> JsonResponse:
     clock = Clock()
     give_up_at = clock.now() + timeout
-    problem = "no control instance was contacted"
+    problem = "no control instance was asked"
     while clock.now() < give_up_at:
         for endpoint in endpoints:
             try:
--- a/fulmarhold/standin/__init__.py
+++ b/fulmarhold/standin/__init__.py
@@ -1,1 +1,1 @@
-"""A stand-in upstream for tests, the demo and the bench."""
+"""Stand-in upstreams for tests, the demo and the bench."""
--- a/fulmarhold/standin/__main__.py
+++ b/fulmarhold/standin/__main__.py
@@ -1,4 +1,4 @@
-"""The program `fulmarhold-standin`."""
+"""The program `fulmarhold-standin`, which runs stand-in upstreams."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 def main() -> None:
-    """Enter the program."""
+    """Run the program."""
     run_program(
         "fulmarhold-standin", "Run stand-in upstreams for tests.", StandinSettings, StandinProcess
     )
--- a/fulmarhold/standin/announcer.py
+++ b/fulmarhold/standin/announcer.py
@@ -1,4 +1,4 @@
-"""Announces stand-in upstreams to two entry instances each, found as callers find them."""
+"""Announces each stand-in upstream to two entry instances, discovered as callers do it."""
 
 from __future__ import annotations
 
@@ -20,62 +20,62 @@
 
 log = part_log("standin")
 
-# Until an entry names the period.
-FIRST_PERIOD: Milliseconds = 500.0
-ENTRIES_TOLD = 2
+# Used until an entry returns its announcement period.
+INITIAL_PERIOD: Milliseconds = 500.0
+ENTRIES_PER_UPSTREAM = 2
 REQUEST_TIMEOUT: Milliseconds = 400.0
 
 
 class Announcer:
-    """Keeps one upstream announced; an entry that hangs delays nothing at the others."""
+    """Keeps one upstream announced; an unresponsive entry delays no announcement to others."""
 
     def __init__(self, upstream: StandinUpstream, finder: EntryFinder) -> None:
         self._upstream = upstream
         self._finder = finder
-        self._tellers: dict[str, _Teller] = {}
+        self._sessions: dict[str, _AnnouncementSession] = {}
 
     def run(self) -> None:
         """Announce until killed."""
         try:
             while True:
-                self._keep_tellers(self._homes())
-                gevent.sleep(FIRST_PERIOD / SECOND)
+                self._update_sessions(self._choose_entries())
+                gevent.sleep(INITIAL_PERIOD / SECOND)
         finally:
-            self._keep_tellers([])
+            self._update_sessions([])
 
     def announce_now(self) -> None:
-        """Announce a change without waiting for the period."""
-        for teller in self._tellers.values():
-            teller.now.set()
+        """Announce now, without waiting for the end of the period."""
+        for session in self._sessions.values():
+            session.is_due.set()
 
-    def _homes(self) -> list[str]:
-        """Return the entries to tell: the same ones as long as they serve."""
+    def _choose_entries(self) -> list[str]:
+        """Return the entries to announce to, which stay the same as long as they serve."""
         address = self._upstream.record.address
-        found = self._finder.find() or tuple(self._tellers)
+        found = self._finder.find() or tuple(self._sessions)
         ranked = sorted(
             found, key=lambda entry: xxhash.xxh64_intdigest(f"{address} {entry}".encode())
         )
-        return ranked[:ENTRIES_TOLD]
+        return ranked[:ENTRIES_PER_UPSTREAM]
 
-    def _keep_tellers(self, homes: list[str]) -> None:
-        for endpoint in [endpoint for endpoint in self._tellers if endpoint not in homes]:
-            self._tellers.pop(endpoint).stop()
-        for endpoint in homes:
-            if endpoint not in self._tellers:
-                self._tellers[endpoint] = _Teller(self._upstream, endpoint)
+    def _update_sessions(self, entries: list[str]) -> None:
+        for endpoint in [endpoint for endpoint in self._sessions if endpoint not in entries]:
+            self._sessions.pop(endpoint).stop()
+        for endpoint in entries:
+            if endpoint not in self._sessions:
+                self._sessions[endpoint] = _AnnouncementSession(self._upstream, endpoint)
 
 
-class _Teller:
-    """Announces to one entry, at the period that the entry names."""
+class _AnnouncementSession:
+    """Announces one upstream to one entry, at the period that the entry returns."""
 
     def __init__(self, upstream: StandinUpstream, endpoint: str) -> None:
-        self.now = Event()
+        self.is_due = Event()
         self._upstream = upstream
         self._endpoint = endpoint
         self._client = JsonClient(endpoint, REQUEST_TIMEOUT)
         self._clock = Clock()
         self._token = ""
-        self._period = FIRST_PERIOD
+        self._period = INITIAL_PERIOD
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -84,13 +84,14 @@
 
     def _run(self) -> None:
         while True:
-            self.now.clear()
-            due = self._clock.now() + self._period
+            self.is_due.clear()
+            next_at = self._clock.now() + self._period
             if self._upstream.is_running and self._upstream.behaviour.announces:
-                self._tell()
-            self.now.wait(max(0.0, due - self._clock.now()) / SECOND)
+                self._announce()
+            self.is_due.wait(max(0.0, next_at - self._clock.now()) / SECOND)
 
-    def _tell(self) -> None:
+    def _announce(self) -> None:
+        # Without a fresh token there is no lease; the reply has one for the second attempt.
         for _ in range(2):
             record = replace(self._upstream.record, load=self._upstream.load)
             body = {"upstream": asdict(record), "token": self._token}
--- a/fulmarhold/standin/behaviour.py
+++ b/fulmarhold/standin/behaviour.py
@@ -1,4 +1,4 @@
-"""How a stand-in upstream behaves; changed at commands from a test."""
+"""The simulated behaviour of a stand-in upstream, which tests change by commands."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True)
 class Behaviour:
-    """Times in milliseconds, shares between 0 and 1."""
+    """Simulated latencies in milliseconds and fault probabilities between 0 and 1."""
 
     service_ms: float = 3.0
     spread_ms: float = 1.0
@@ -33,7 +33,7 @@
     announces: bool = True
 
     def draw_service_time(self, random: Random, age: Milliseconds) -> Milliseconds:
-        """Return how long one request takes on a server that started `age` ms ago."""
+        """Return a random service time for a server that started `age` ms ago."""
         duration = self.service_ms + random.expovariate(1.0) * self.spread_ms
         duration *= self.slow_factor
         if self.straggle_share and random.random() < self.straggle_share:
@@ -43,7 +43,7 @@
         return duration
 
     def draw_network_time(self, random: Random) -> Milliseconds:
-        """Return the emulated delay of the link for one request, both ways together."""
+        """Return a random network delay for one request, both directions together."""
         if not self.network_ms and not self.network_spread_ms:
             return 0.0
         return 2 * self.network_ms + random.expovariate(1.0) * self.network_spread_ms
--- a/fulmarhold/standin/process.py
+++ b/fulmarhold/standin/process.py
@@ -1,4 +1,4 @@
-"""A process that carries many stand-in upstreams, with an HTTP port for commands from tests."""
+"""A process that hosts many stand-in upstreams, with an HTTP port for commands from tests."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True)
 class StandinServer:
-    """One upstream of the process."""
+    """Settings of one upstream that the process hosts."""
 
     __pydantic_config__ = STRICT
 
@@ -55,7 +55,7 @@
 
 
 class StandinProcess:
-    """All upstreams of one process."""
+    """Runs all stand-in upstreams of one process and executes commands on them."""
 
     def __init__(self, settings: StandinSettings) -> None:
         self._settings = settings
@@ -82,7 +82,7 @@
         }
 
     def start(self) -> None:
-        """Serve and announce every upstream."""
+        """Start the command port, then start and announce every upstream."""
         application = make_application(Counters(), lambda: "")
         application.add_route("/command", self)
         application.add_route("/report", _ReportResource(self._upstreams))
@@ -92,14 +92,14 @@
         self._greenlets = [gevent.spawn(item.run) for item in self._announcers.values()]
 
     def stop(self) -> None:
-        """Stop at once."""
+        """Stop all upstreams immediately."""
         gevent.killall(self._greenlets)
         for upstream in self._upstreams.values():
             upstream.stop()
         self._http.stop(timeout=0)
 
     def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
-        """POST /command: {"command", "addresses" (all if left out), "arguments"}."""
+        """POST /command: {"command", "addresses" (all if omitted), "arguments"}."""
         body = read_json(request)
         command = self._commands.get(body.get("command", ""))
         if command is None:
--- a/fulmarhold/standin/upstream.py
+++ b/fulmarhold/standin/upstream.py
@@ -1,4 +1,4 @@
-"""One stand-in upstream: runs requests in slots, records what it ran, and misbehaves on command."""
+"""A stand-in upstream that runs requests in slots, records them and injects faults on command."""
 
 from __future__ import annotations
 
@@ -39,12 +39,12 @@
     503: "503 Service Unavailable",
 }
 QUEUE_PER_SLOT = 8
-OTHER_BODY = b'{"held": "another request", "key": ""}'
+WRONG_BODY = b'{"held": "another request", "key": ""}'
 DEFAULT_DEADLINE_MS = 1_000.0
 
 
 class StandinUpstream:
-    """An upstream on one port."""
+    """A simulated upstream that listens on one port."""
 
     def __init__(self, record: UpstreamRecord, connection_cost_ms: float, behaviour: Behaviour,
                  random: Random, clock: Clock) -> None:  # fmt: skip
@@ -58,7 +58,7 @@
         self._clock = clock
         self._started_at = clock.now()
         self._slots = BoundedSemaphore(record.slots)
-        self._waiting = 0
+        self._queued = 0
         self._cancels: dict[str, Event] = {}
         self._server: _LimitedServer | None = None
 
@@ -67,14 +67,14 @@
         if self.behaviour.reported_load is not None:
             return self.behaviour.reported_load
         busy = self.record.slots - self._slots.counter
-        return (busy + self._waiting) / self.record.slots
+        return (busy + self._queued) / self.record.slots
 
     @property
     def is_running(self) -> bool:
         return self._server is not None
 
     def start(self) -> None:
-        """Begin to listen."""
+        """Start to listen."""
         address, _, port = self.record.address.rpartition(":")
         cost = self._connection_cost_ms / SECOND
         self._server = _LimitedServer(
@@ -83,24 +83,24 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Stop without notice, as a lost server does."""
+        """Stop without notice, as a crashed server does."""
         if self._server is not None:
             self._server.stop(timeout=0)
             self._server = None
 
     def restart(self) -> None:
-        """Come up again, cold, as a new incarnation."""
+        """Start again, cold, as a new incarnation."""
         self._started_at = self._clock.now()
         self.update(incarnation=int(time.time() * SECOND), sequence=0, state="serving")
         self.start()
 
     def update(self, **changes: Any) -> None:
-        """Change what is announced; every change has a later sequence number."""
+        """Change the announced record; increments the sequence number unless it is given."""
         changes.setdefault("sequence", self.record.sequence + 1)
         self.record = replace(self.record, **changes)
 
     def report(self) -> dict[str, Any]:
-        """Return what a test wants to know."""
+        """Return the state and the counts that tests check."""
         return {
             "record": asdict(self.record),
             "effects": dict(self.effects),
@@ -117,15 +117,15 @@
         part = environ.get("HTTP_FULMARHOLD_PART", "")
         if path == "/cancel":
             return self._cancel(part, start_response)
-        words = path.split("/")
-        if len(words) != 4 or words[1] != "run":
+        segments = path.split("/")
+        if len(segments) != 4 or segments[1] != "run":
             return self._respond(start_response, 404, part, "")
         status, outcome, body = self._run(environ, part)
-        if self._draw(self.behaviour.lose_response_share):
+        if self._happens(self.behaviour.lose_response_share):
             raise gevent.GreenletExit
-        if self._draw(self.behaviour.wrong_echo_share):
-            # As a crossed response does, it carries somebody else's part.
-            return self._respond(start_response, 200, f"other-{part}", "", OTHER_BODY)
+        if self._happens(self.behaviour.wrong_echo_share):
+            # Simulates a misrouted response: it names the part of another request.
+            return self._respond(start_response, 200, f"other-{part}", "", WRONG_BODY)
         return self._respond(start_response, status, part, outcome, body)
 
     def _run(self, environ: dict[str, Any], part: str) -> tuple[int, str, bytes]:
@@ -133,7 +133,7 @@
         network = self.behaviour.draw_network_time(self._random)
         if network:
             gevent.sleep(network / SECOND)
-        if self.record.state == STATE_DRAINING or self._draw(self.behaviour.shed_share):
+        if self.record.state == STATE_DRAINING or self._happens(self.behaviour.shed_share):
             return self._shed()
         _, shard, version, layout = part.rsplit(";", 3)
         is_held = int(version) in self.record.versions and layout == self.record.layout
@@ -141,20 +141,20 @@
             return 409, OUTCOME_SNAPSHOT_GONE, b""
         deadline = float(environ.get("HTTP_FULMARHOLD_DEADLINE_MS", DEFAULT_DEADLINE_MS))
         left = arrived_at + deadline - self._clock.now()
-        if self._waiting >= QUEUE_PER_SLOT * self.record.slots or not self._take_slot(left):
+        if self._queued >= QUEUE_PER_SLOT * self.record.slots or not self._acquire_slot(left):
             return self._shed()
         try:
-            return self._work(environ, part)
+            return self._execute(environ, part)
         finally:
             self._slots.release()
 
-    def _work(self, environ: dict[str, Any], part: str) -> tuple[int, str, bytes]:
+    def _execute(self, environ: dict[str, Any], part: str) -> tuple[int, str, bytes]:
         self.runs[environ["PATH_INFO"]] += 1
         self.last_run_at = time.time() * SECOND
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
         if key:
             self.effects[key] += 1
-        # Versions may be switched while the request runs; it answers from what it began with.
+        # The version may change while the request runs; the response names the one at its start.
         _, shard, version, layout = part.rsplit(";", 3)
         age = self._clock.now() - self._started_at
         duration = self.behaviour.draw_service_time(self._random, age)
@@ -165,19 +165,19 @@
                 return 499, OUTCOME_CANCELLED, b""
         finally:
             self._cancels.pop(part, None)
-        if self._draw(self.behaviour.error_share):
+        if self._happens(self.behaviour.error_share):
             return 500, "", b""
         body = {"held": f"{self.record.service}/{layout}/{version}/{shard}", "key": key}
         return 200, "", json.dumps(body).encode()
 
-    def _take_slot(self, left: float) -> bool:
+    def _acquire_slot(self, left: float) -> bool:
         if self._slots.acquire(blocking=False):
             return True
-        self._waiting += 1
+        self._queued += 1
         try:
             return bool(self._slots.acquire(timeout=max(0.0, left) / SECOND))
         finally:
-            self._waiting -= 1
+            self._queued -= 1
 
     def _shed(self) -> tuple[int, str, bytes]:
         self.runs["shed"] += 1
@@ -200,12 +200,12 @@
         start_response(STATUS_TEXTS[status], headers)
         return [body]
 
-    def _draw(self, share: float) -> bool:
+    def _happens(self, share: float) -> bool:
         return bool(share) and self._random.random() < share
 
 
 class _LimitedServer(WSGIServer):
-    """A WSGI server that admits a bounded number of connections, each at a cost."""
+    """A WSGI server with a connection limit and a simulated setup time per connection."""
 
     def __init__(self, listener: Any, application: Any, limit: int, cost: float) -> None:
         super().__init__(listener, application, log=None, error_log=None)
@@ -231,5 +231,5 @@
     def stop(self, timeout: float | None = None) -> None:
         super().stop(timeout=timeout)
         for connection in list(self._sockets):
-            # A handler holds files on the socket, so that closing alone would not end it.
+            # A handler holds file objects on the socket, so close() would not end the connection.
             connection.shutdown(socket.SHUT_RDWR)
--- a/fulmarhold/tests/standin/test_announcer.py
+++ b/fulmarhold/tests/standin/test_announcer.py
@@ -1,4 +1,4 @@
-"""The announcer of the stand-ins keeps its leases although an entry hangs."""
+"""Stand-in announcers keep their leases although an entry is unresponsive."""
 
 from __future__ import annotations
 
@@ -24,14 +24,14 @@
 ANNOUNCEMENTS = 8
 
 
-class Upstream:
+class FakeUpstream:
     record = UpstreamRecord("s", 0, "l", 4, (1,), "127.0.0.1:9", 5, 1, 4, 10, "serving")
     behaviour = Behaviour()
     is_running = True
     load = 0.0
 
 
-class Finder:
+class FakeFinder:
     def __init__(self, addresses):
         self.addresses = addresses
 
@@ -39,8 +39,8 @@
         return self.addresses
 
 
-class Home:
-    """An entry as far as announcements go; counts the leases that ended."""
+class FakeEntry:
+    """The announcement endpoint of an entry; counts the leases that ended."""
 
     def __init__(self):
         self.counters = Counters()
@@ -68,37 +68,37 @@
 
 
 @pytest.fixture
-def home():
-    home = Home()
-    yield home
-    home.server.stop(timeout=0)
+def entry():
+    entry = FakeEntry()
+    yield entry
+    entry.server.stop(timeout=0)
 
 
 @pytest.fixture
-def hanging():
+def unresponsive():
     with socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
         listener.listen(64)
         yield f"127.0.0.1:{listener.getsockname()[1]}"
 
 
-def announce(upstream, finder, home):
+def announce(upstream, finder, entry):
     task = gevent.spawn(Announcer(upstream, finder).run)
     try:
-        assert home.done.wait(timeout=ANNOUNCEMENTS * 2)
+        assert entry.done.wait(timeout=ANNOUNCEMENTS * 2)
     finally:
         task.kill()
-    return home.counters.value("leases_ended", reason="silence")
+    return entry.counters.value("leases_ended", reason="silence")
 
 
-def test_a_home_that_hangs_costs_no_lease_at_the_other(home, hanging):
-    assert announce(Upstream(), Finder((hanging, home.endpoint)), home) == 0
+def test_an_unresponsive_entry_ends_no_lease_at_the_other(entry, unresponsive):
+    assert announce(FakeUpstream(), FakeFinder((unresponsive, entry.endpoint)), entry) == 0
 
 
-def test_a_search_for_entries_that_hangs_costs_no_lease(home):
-    class SlowFinder(Finder):
+def test_a_slow_lookup_of_entries_ends_no_lease(entry):
+    class SlowFinder(FakeFinder):
         def find(self):
             gevent.sleep(0.4)
             return self.addresses
 
-    assert announce(Upstream(), SlowFinder((home.endpoint,)), home) == 0
+    assert announce(FakeUpstream(), SlowFinder((entry.endpoint,)), entry) == 0
