Reword the comments and names of the platform adapter

Constants and private names take the usual terms (time to live, hop-by-hop headers, limits named MAX_...). Linter and type checker pass; tests of platform (without the fleet test), settings and observe pass.

--- a/fulmarhold/platform/__init__.py
+++ b/fulmarhold/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapter: translates the users' platform to our own types, and starts the daemons there."""
+"""Adapter for the users' platform: converts its formats to internal types, starts the daemons."""
--- a/fulmarhold/platform/__main__.py
+++ b/fulmarhold/platform/__main__.py
@@ -19,8 +19,9 @@
 
 
 def main() -> int:
-    """Run the daemon that the command line names until SIGTERM, and return the exit code."""
-    # The house's library for command lines takes as long to import as all the rest of an entry.
+    """Run the daemon named on the command line until SIGTERM and return the exit code."""
+    # argparse, because importing cyclopts, which the other commands use, takes as long as
+    # importing the rest of an entry.
     parser = argparse.ArgumentParser(prog="fulmarhold.platform", description=__doc__)
     parser.add_argument("role", choices=("entry", "control"), help="what this instance does")
     return run(parser.parse_args().role)
@@ -51,7 +52,7 @@
 def _make_daemon(
     role: str, watch: SettingsWatch, clock: Clock, counters: Counters, events: EventLog
 ) -> Daemon:
-    # Each role imports only what it runs, since every import delays a restart.
+    # Import only the modules of this role, because every import delays a restart.
     if role == "entry":
         from fulmarhold.platform.entry import PlatformEntry  # noqa: PLC0415
 
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -30,15 +30,16 @@
     from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.platform.settings_watch import SettingsWatch
 
-# Once all instances have started, an election takes less; operators and upstreams ask again later.
-LONGEST_PEERS_FIRST: Milliseconds = 400.0
-# Every entry asks again within this time: 60 ms of pause, and the trips.
-OTHER_ENTRIES: Milliseconds = 100.0
-LOOK_PERIOD: Milliseconds = 20.0
+# How long the interface for operators and upstreams may be delayed in favour of entries. An
+# election takes less once all instances have started, and operators and upstreams retry.
+MAX_OPERATOR_DELAY: Milliseconds = 400.0
+# Every entry retries within this time: a pause of 60 ms and the network round trips.
+ENTRY_RETRY_MARGIN: Milliseconds = 100.0
+POLL_PERIOD: Milliseconds = 20.0
 
 
 class PlatformControl:
-    """A control instance."""
+    """A control instance: a consensus node with the services for entries and upstreams."""
 
     def __init__(self, watch: SettingsWatch, clock: Clock, counters: Counters) -> None:
         settings = self._settings = watch.settings
@@ -87,7 +88,7 @@
             part.register(self._messages)
 
     def start(self) -> None:
-        """Load the synced state, listen and take part."""
+        """Load the stored state, listen and join the cluster."""
         self.node.start()
         self._messages.start()
         self._greenlets = [
@@ -98,14 +99,14 @@
         self._greenlets.append(spawn_essential(self.failure, self._serve_operators))
 
     def _serve_operators(self) -> None:
-        """Serve operators and upstreams once entries are fed.
+        """Serve operators and upstreams after entries have received the configuration.
 
-        Importing the web framework takes as long as an election, and after a loss of all
-        instances no query is served until there is a leader and entries have heard from it.
+        Importing the web framework takes as long as an election, and after a failure of all
+        instances no query is served until a leader is elected and entries have heard from it.
         """
-        until = self._clock.now() + LONGEST_PEERS_FIRST
-        while self._feeds.time_since_first_feed < OTHER_ENTRIES and self._clock.now() < until:
-            gevent.sleep(LOOK_PERIOD / SECOND)
+        until = self._clock.now() + MAX_OPERATOR_DELAY
+        while self._feeds.time_since_first_feed < ENTRY_RETRY_MARGIN and self._clock.now() < until:
+            gevent.sleep(POLL_PERIOD / SECOND)
         from fulmarhold.platform.interfaces import control_application  # noqa: PLC0415
 
         application = control_application(
@@ -117,7 +118,7 @@
         ]
 
     def stop(self) -> None:
-        """Hand leadership over and stop."""
+        """Transfer leadership and stop."""
         self.node.transfer_leadership()
         for server in self._servers:
             server.stop(timeout=1)
--- a/fulmarhold/platform/documents.py
+++ b/fulmarhold/platform/documents.py
@@ -1,4 +1,4 @@
-"""Configurations and heartbeats as the platform writes them, decoded into our own types."""
+"""Decoding of the platform's configurations and heartbeats into internal types."""
 
 from __future__ import annotations
 
@@ -21,8 +21,8 @@
 )
 from fulmarhold.settings.structs import decode_struct, require_endpoint
 
-# A document is inflated only up to this size, whatever its bytes claim.
-LARGEST_DOCUMENT_BYTES = 16 * 1024 * 1024
+# Upper bound on a decompressed document, so that a small input can't exhaust memory.
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
 Count = Annotated[int, Meta(ge=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -37,15 +37,15 @@
     name: str
     host: str
     path_prefix: str = field(name="pathPrefix")
-    # Whether a request may run more than once; called the type of the route there.
-    repetition: Literal["idempotent", "non_idempotent"] = field(name="routeType")
+    # Whether a request may be executed more than once.
+    route_type: Literal["idempotent", "non_idempotent"] = field(name="routeType")
     timeout: Milliseconds = field(name="timeoutMs")
     target_latency: Milliseconds = field(default=0.0, name="targetLatencyMs")
-    # Zero is the most urgent; called a priority there.
+    # The priority of the route; zero is the most urgent.
     rank: int = field(default=0, name="priority")
     most_attempts: Count = field(default=1, name="maxAttempts")
     service: str | None = None
-    split: tuple[_Weighted, ...] = field(default=(), name="trafficSplit")
+    traffic_split: tuple[_Weighted, ...] = field(default=(), name="trafficSplit")
     shards: tuple[str, ...] = field(default=(), name="shardServices")
     top_records: Count = field(default=0, name="topK")
     least_share: Share = field(default=0.0, name="minShardShare")
@@ -74,21 +74,21 @@
 class _Heartbeat(Struct, frozen=True):
     service: Annotated[str, Meta(min_length=1)]
     address: str
-    # Called a zone there.
+    # The platform calls a data centre a zone.
     data_centre: str = field(name="zone")
     state: Literal["ready", "draining"]
     slots: Annotated[int, Meta(ge=1)]
     sequence: Count
-    # How much longer the upstream is slow after its start, in milliseconds.
+    # The remaining warm-up time in milliseconds, during which the upstream is slow.
     warm_up: Annotated[float, Meta(ge=0)] = field(name="warmupLeftMs")
-    # Version of the software there; read only to check that it is given.
-    software: str = field(name="version")
-    # Unix time of the start in milliseconds.
+    # The upstream's software version; decoded only to check that it is present.
+    software_version: str = field(name="version")
+    # Unix time of the upstream's start in milliseconds.
     born: Count = 0
 
 
 def read_json_object(body: bytes) -> dict[str, Any]:
-    """Return the JSON object of a body; raises `MalformedInput` when it is none."""
+    """Return the JSON object in a body; raises `MalformedInput` if there is none."""
     try:
         value = json.loads(body)
     except (ValueError, RecursionError) as error:
@@ -99,9 +99,9 @@
 
 
 def decode_configuration(body: bytes) -> RouteConfiguration:
-    """Decode and check an operator's configuration.
+    """Decode and validate an operator's configuration.
 
-    Raises `MalformedInput` when it can't be read and `InvalidSettings` when it can't hold.
+    Raises `MalformedInput` if it can't be parsed and `InvalidSettings` if it isn't valid.
     """
     values = decode_struct(read_json_object(body), _Configuration, "configuration")
     configuration = RouteConfiguration(
@@ -123,22 +123,24 @@
 
 
 def pack_document(body: bytes) -> bytes:
-    """Return a configuration as it is stored and sent between instances."""
+    """Compress a configuration for storage and for messages between instances."""
     return zlib.compress(body, 6)
 
 
 def unpack_document(document: bytes) -> bytes:
-    """Return the bytes that were packed."""
+    """Decompress a configuration; raises `MalformedInput` if it is larger than allowed."""
     inflater = zlib.decompressobj()
-    body = inflater.decompress(document, LARGEST_DOCUMENT_BYTES)
+    body = inflater.decompress(document, MAX_DOCUMENT_BYTES)
     if inflater.unconsumed_tail:
         raise MalformedInput("the document is larger than allowed", step="unpacking")
     return body
 
 
 def decode_heartbeat(name: str, body: bytes) -> UpstreamStatement:
-    """Decode what the upstream `name` says of itself; raises `MalformedInput` or
-    `InvalidSettings` when it can't be relied on."""
+    """Decode a heartbeat of the upstream `name`.
+
+    Raises `MalformedInput` if it can't be parsed and `InvalidSettings` if it isn't valid.
+    """
     values = decode_struct(read_json_object(body), _Heartbeat, "heartbeat")
     state: State = DRAINING if values.state == "draining" else READY
     return UpstreamStatement(
@@ -155,14 +157,14 @@
 
 
 def _route(item: _Route) -> Route:
-    services = tuple(WeightedService(part.service, part.weight) for part in item.split)
+    services = tuple(WeightedService(part.service, part.weight) for part in item.traffic_split)
     if item.service is not None:
         services = (WeightedService(item.service, 1.0),)
     return Route(
         item.name,
         item.host,
         item.path_prefix,
-        item.repetition == "idempotent",
+        item.route_type == "idempotent",
         item.timeout,
         item.target_latency,
         item.rank,
--- a/fulmarhold/platform/encoding.py
+++ b/fulmarhold/platform/encoding.py
@@ -1,4 +1,4 @@
-"""The documents of the platform's side, written from our own types, for stand-ins and tests."""
+"""Encoding of internal types into the platform's documents, for stand-ins and tests."""
 
 from __future__ import annotations
 
@@ -28,9 +28,9 @@
     heartbeat_period: Milliseconds,
     *,
     is_first_start: bool,
-    losses: int = 1,
+    tolerated_failures: int = 1,
 ) -> dict[str, Any]:
-    """Return a settings file; `seeds` are addresses of control instances."""
+    """Return the content of a settings file; `seeds` are addresses of control instances."""
     endpoints = (
         {"control": f"{address}:{CONTROL_PORT}"}
         if role == "control"
@@ -50,12 +50,12 @@
         "bootstrap": is_first_start,
         "dataDir": data_folder,
         "heartbeatMs": heartbeat_period,
-        "faultTolerance": {"machines": losses},
+        "faultTolerance": {"machines": tolerated_failures},
     }
 
 
 def write_heartbeat(statement: UpstreamStatement) -> dict[str, Any]:
-    """Return what an upstream says of itself."""
+    """Return the body of an upstream's heartbeat."""
     return {
         "service": statement.service,
         "address": statement.address,
@@ -70,7 +70,7 @@
 
 
 def write_configuration(configuration: RouteConfiguration) -> dict[str, Any]:
-    """Return a configuration as an operator sends it."""
+    """Return the configuration document that an operator sends."""
     limits = configuration.limits
     return {
         "version": configuration.version,
@@ -95,7 +95,7 @@
 def write_request(
     method: str, host: str, target: str, request_id: str, left: Milliseconds, body: bytes = b""
 ) -> bytes:
-    """Return the bytes of a caller's request that may take `left` ms."""
+    """Return the bytes of a caller's request with `left` ms until its deadline."""
     head = (
         f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n{REQUEST_ID}: {request_id}\r\n"
         f"{TIME_LEFT}: {int(left)}\r\nContent-Length: {len(body)}\r\n\r\n"
@@ -104,7 +104,7 @@
 
 
 def read_addresses(document: dict[str, Any]) -> tuple[list[str], Milliseconds]:
-    """Return the entries that a directory answer names and how long it may be kept."""
+    """Return the entry addresses in a directory answer and its time to live."""
     return list(document["addrs"]), float(document["ttl_s"]) * SECOND
 
 
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -23,7 +23,7 @@
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.platform.documents import decode_configuration, unpack_document
 from fulmarhold.platform.headers import PlatformCodec, read_request, write_outcome
-from fulmarhold.platform.settings import ANSWER_KEPT
+from fulmarhold.platform.settings import DIRECTORY_ANSWER_TTL
 from fulmarhold.platform.settings_watch import serve_application, serve_metrics
 from fulmarhold.routes.configuration import CallerLimits
 from fulmarhold.routes.table import RouteTable
@@ -40,28 +40,28 @@
 
 log = get_logger("entry")
 
-# What a caller takes of an answer.
-MOST_ADDRESSES = 64
+# The maximum number of addresses that a caller uses from a directory answer.
+MAX_ADDRESSES = 64
 MAINTENANCE_PERIOD: Milliseconds = 100.0
-# How long after the last directory answer that names it an entry may still be called: answers on
-# their way, and callers that open a connection just then.
-LAST_CALLERS: Milliseconds = 600.0
-# The end of the time to stop that remains for exiting.
-STOP_RESERVE: Milliseconds = 400.0
-# The part of the time to stop in which only requests under way are ended.
-ENDING_SHARE = 0.3
-# The average wait of ready work for the processor at which an entry counts as busy, and as no
-# longer busy: a part of the shortest target (64 ms), and far above what an idle entry shows.
+# How long an entry may still be called after the last directory answer that lists it expires: the
+# answer may have been in transit, and callers may be opening a connection at that moment.
+LATE_CALLER_MARGIN: Milliseconds = 600.0
+# The time at the end of the grace period that is reserved for exiting.
+EXIT_RESERVE: Milliseconds = 400.0
+# The share of the grace period in which only requests in flight are completed.
+COMPLETION_SHARE = 0.3
+# The average event loop lag above which an entry counts as busy, and below which it no longer does:
+# a fraction of the shortest latency target (64 ms), and far above the lag of an idle entry.
 BUSY_LAG: Milliseconds = 12.0
 IDLE_LAG: Milliseconds = 4.0
-# How long the set of active entries must stay the same before this one opens connections that no
-# request has asked for: while a fleet starts, each entry knows few others and would count as one
-# of few, and all of them together would pass what upstreams accept.
+# How long the set of active entries must stay unchanged before this entry opens connections ahead
+# of requests. While a fleet starts, each entry knows only few of the others and takes a large share
+# of each upstream's connection limit; together they would exceed it.
 SETTLING_TIME: Milliseconds = 600.0
 
 
 class PlatformEntry:
-    """An entry instance."""
+    """An entry instance: forwards callers' requests and serves the directory and readiness."""
 
     def __init__(
         self, watch: SettingsWatch, clock: Clock, counters: Counters, events: EventLog
@@ -90,14 +90,14 @@
             settings.caller_endpoint,
         )
         self.watcher = FleetWatcher(
-            own, watch.seeds, self._take_configuration, self._update_table, clock, counters
+            own, watch.seeds, self._apply_configuration, self._update_table, clock, counters
         )
         self._front = FrontServer(
-            settings.caller_endpoint, self._answer, self._limits, clock, counters
+            settings.caller_endpoint, self._handle_request, self._limits, clock, counters
         )
 
     def start(self) -> None:
-        """Listen, follow control and serve once a configuration is confirmed."""
+        """Listen, subscribe to control and serve once a configuration is confirmed."""
         self._front.start()
         self._greenlets = [
             spawn_essential(self.failure, self.watcher.run),
@@ -106,7 +106,8 @@
             spawn_essential(self.failure, self._lag.run),
         ]
         gevent.sleep(0)
-        # Callers come first: importing the web framework takes as long as learning what to serve.
+        # Accept callers before this import: importing the web framework takes as long as receiving
+        # the configuration from control.
         from fulmarhold.platform.interfaces import (  # noqa: PLC0415
             directory_application,
             readiness_application,
@@ -123,13 +124,15 @@
         self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
 
     def stop(self) -> None:
-        """Leave the directory, serve while callers may still come, then end what is open."""
+        """Leave the directory, serve callers with old directory answers, complete open requests."""
         started_at = self._clock.now()
-        exit_at = started_at + self._settings.grace - STOP_RESERVE
+        exit_at = started_at + self._settings.grace - EXIT_RESERVE
         self.watcher.announce(DRAINING)
         self._front.is_closing = True
-        last_call = min(ANSWER_KEPT + LAST_CALLERS, (1 - ENDING_SHARE) * self._settings.grace)
-        gevent.sleep((started_at + last_call - self._clock.now()) / SECOND)
+        accepting_time = min(
+            DIRECTORY_ANSWER_TTL + LATE_CALLER_MARGIN, (1 - COMPLETION_SHARE) * self._settings.grace
+        )
+        gevent.sleep((started_at + accepting_time - self._clock.now()) / SECOND)
         self._front.stop_accepting()
         self.forwarder.refuse_all()
         self._front.close_idle()
@@ -142,7 +145,7 @@
         self._metrics.stop(timeout=0)
         self._table.close()
 
-    def _answer(self, raw: RawRequest, on_disconnect: Any) -> RawResponse:
+    def _handle_request(self, raw: RawRequest, on_disconnect: Any) -> RawResponse:
         return write_outcome(self.forwarder.forward(read_request(raw), on_disconnect))
 
     def _limits(self) -> CallerLimits:
@@ -153,9 +156,9 @@
         return self.watcher.own.state == READY
 
     def _addresses(self, data_centre: str) -> list[str]:
-        return preferred_entries(self._active, data_centre, MOST_ADDRESSES, self._random)
+        return preferred_entries(self._active, data_centre, MAX_ADDRESSES, self._random)
 
-    def _take_configuration(self, version: int, document: bytes) -> None:
+    def _apply_configuration(self, version: int, document: bytes) -> None:
         routes = RouteTable(decode_configuration(unpack_document(document)))
         self.forwarder.use(routes)
         log.info("version {} is in force with {} routes", version, len(routes))
@@ -163,16 +166,16 @@
             self.watcher.announce(READY)
 
     def _update_table(self) -> None:
-        """Take over what the watcher has learnt."""
-        before = {item.name for item in self._active}
+        """Update the active entries and the upstream table from the watcher."""
+        previous_names = {item.name for item in self._active}
         upstreams = self.watcher.serving_upstreams()
         self._active = self._active_entries(upstreams)
-        if {item.name for item in self._active} != before:
+        if {item.name for item in self._active} != previous_names:
             self._active_since = self._clock.now()
             self._is_settled = False
-        self._share_upstreams(upstreams)
+        self._update_upstreams(upstreams)
 
-    def _share_upstreams(self, upstreams: list[UpstreamStatement]) -> None:
+    def _update_upstreams(self, upstreams: list[UpstreamStatement]) -> None:
         routes = self.forwarder.routes
         if routes is None:
             return
@@ -198,13 +201,13 @@
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
             if not self._is_settled and self._clock.now() > self._active_since + SETTLING_TIME:
                 self._is_settled = True
-                self._share_upstreams(self.watcher.serving_upstreams())
+                self._update_upstreams(self.watcher.serving_upstreams())
             self._table.maintain()
             self.forwarder.refill_budgets()
-            self._note_business()
+            self._announce_load()
 
-    def _note_business(self) -> None:
-        """Tell the others once requests wait for this processor, and once they no longer do."""
+    def _announce_load(self) -> None:
+        """Announce when this entry becomes busy or stops being busy, by its event loop lag."""
         own = self.watcher.own
         if own.state != READY:
             return
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -1,4 +1,4 @@
-"""The platform's HTTP headers towards callers and upstreams, and our types for them."""
+"""Conversion between the platform's HTTP headers and internal requests, replies and outcomes."""
 
 from __future__ import annotations
 
@@ -23,37 +23,37 @@
     from fulmarhold.forwarding.request import Headers, Outcome
     from fulmarhold.upstreams.protocol import UpstreamResponse
 
-# One attempt of a caller; upstreams echo it.
+# Identifies one attempt of a caller; upstreams echo it.
 REQUEST_ID = "X-Fulmarhold-Attempt-Id"
-# The milliseconds that are left, not a point in time.
+# The remaining time in milliseconds, not a point in time.
 TIME_LEFT = "X-Fulmarhold-Request-Deadline"
-# The incarnation that alone may serve the request.
+# The only upstream incarnation that may serve the request.
 TARGET = "X-Fulmarhold-Target-Instance"
 # Proves which upstream answered which request.
 SIGNATURE = "X-Fulmarhold-Server-Stamp"
 NOT_RUN = "X-Fulmarhold-Not-Executed"
 UPSTREAM_ID = "X-Fulmarhold-Instance-Id"
-# The signatures of the parts that are in.
+# The signatures of the partial responses in a merged response.
 PART_SIGNATURES = "X-Fulmarhold-Part-Stamps"
-# How many shards are left out, not which.
+# The number of shards without a partial response, not their names.
 PARTS_MISSING = "X-Fulmarhold-Missing-Parts"
 
-# What concerns one connection only, and what this side writes itself.
-CONNECTION_HEADERS = frozenset(
+# Headers that are valid for one connection only, and those that this side writes itself.
+HOP_BY_HOP_HEADERS = frozenset(
     ("connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
      "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect")
 )  # fmt: skip
-_REPLACED = frozenset((TIME_LEFT.lower(), TARGET.lower()))
+_REPLACED_HEADERS = frozenset((TIME_LEFT.lower(), TARGET.lower()))
 MISDIRECTED = 421
-# Without a deadline of the caller the timeout of the route alone holds.
-UNBOUNDED: Milliseconds = 600_000.0
+# Used when a caller sends no deadline, so that only the route's timeout applies.
+DEFAULT_TIME_LEFT: Milliseconds = 600_000.0
 
 
 class PlatformCodec:
-    """Requests to upstreams and their responses."""
+    """Encodes requests to upstreams and interprets their responses."""
 
     def prepare(self, request: ForwardRequest) -> tuple[bytes, bytes]:
-        """Return what goes before and after the headers that differ between upstreams."""
+        """Return the bytes before and after the headers that differ between upstreams."""
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         lines += [f"{key}: {value}" for key, value in request.headers]
         if request.body or request.method in ("POST", "PUT", "PATCH"):
@@ -61,25 +61,27 @@
         return "\r\n".join(lines).encode("latin-1"), b"\r\n\r\n" + request.body
 
     def encode(self, prepared: tuple[bytes, bytes], upstream: str, left: Milliseconds) -> bytes:
-        """Return the bytes for one upstream."""
+        """Return the request bytes for one upstream."""
         head, tail = prepared
-        own = f"\r\n{TIME_LEFT}: {max(1, int(left))}\r\n{TARGET}: {upstream}"
-        return head + own.encode("latin-1") + tail
+        instance_headers = f"\r\n{TIME_LEFT}: {max(1, int(left))}\r\n{TARGET}: {upstream}"
+        return head + instance_headers.encode("latin-1") + tail
 
     def read(self, response: UpstreamResponse, request_id: str) -> Reply:
-        """Return what a response to the request `request_id` means."""
+        """Return a response to the request `request_id` with its classification."""
         signature = response.header(SIGNATURE.lower())
-        verdict = _verdict(response, request_id, signature)
+        verdict = _classify(response, request_id, signature)
         headers = _end_to_end(response.headers)
         return Reply(verdict, response.status, headers, response.body, signature)
 
 
 def read_request(raw: RawRequest) -> ForwardRequest:
-    """Return a caller's request in our own terms."""
+    """Convert a caller's request to the internal type."""
     left = raw.header(TIME_LEFT.lower())
-    allowed = float(left) if left.isdecimal() else UNBOUNDED
+    allowed = float(left) if left.isdecimal() else DEFAULT_TIME_LEFT
     headers = tuple(
-        (key, value) for key, value in _end_to_end(raw.headers) if key.lower() not in _REPLACED
+        (key, value)
+        for key, value in _end_to_end(raw.headers)
+        if key.lower() not in _REPLACED_HEADERS
     )
     return ForwardRequest(
         raw.header(REQUEST_ID.lower()),
@@ -96,7 +98,7 @@
 
 
 def write_outcome(outcome: Outcome) -> RawResponse:
-    """Return the response that tells a caller the outcome."""
+    """Convert an outcome to the response that is sent to the caller."""
     match outcome:
         case Relayed(reply):
             return RawResponse(reply.status, reply.headers, reply.body)
@@ -104,8 +106,8 @@
             parts = ((PART_SIGNATURES, ", ".join(signatures)), (PARTS_MISSING, str(missing)))
             return RawResponse(200, parts, records)
         case Refused(reason, retry_after):
-            pause = (("Retry-After", f"{retry_after / SECOND:.3f}"),)
-            return RawResponse(503, pause, reason.value.encode())
+            headers = (("Retry-After", f"{retry_after / SECOND:.3f}"),)
+            return RawResponse(503, headers, reason.value.encode())
         case NoRoute():
             return RawResponse(404, body=b"no route")
         case Failed(reason, detail):
@@ -113,7 +115,7 @@
             return RawResponse(status, body=f"{reason.value} {detail}".strip().encode())
 
 
-def _verdict(response: UpstreamResponse, request_id: str, signature: str) -> Verdict:
+def _classify(response: UpstreamResponse, request_id: str, signature: str) -> Verdict:
     echoed = response.header(REQUEST_ID.lower())
     if echoed and echoed != request_id:
         return Verdict.WRONG_ECHO
@@ -128,11 +130,11 @@
 
 
 def _end_to_end(headers: Headers) -> Headers:
-    named = {
+    connection_options = {
         token.strip().lower()
         for key, value in headers
         if key.lower() == "connection"
         for token in value.split(",")
     }
-    dropped = CONNECTION_HEADERS | named
+    dropped = HOP_BY_HOP_HEADERS | connection_options
     return tuple((key, value) for key, value in headers if key.lower() not in dropped)
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -1,4 +1,4 @@
-"""The platform's HTTP calls to control and to the directory."""
+"""The HTTP interfaces of control, the directory and readiness on the platform."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 from fulmarhold.clock import SECOND
 from fulmarhold.errors import FulmarholdError, MalformedInput
 from fulmarhold.platform.documents import (
-    LARGEST_DOCUMENT_BYTES,
+    MAX_DOCUMENT_BYTES,
     decode_configuration,
     decode_heartbeat,
     pack_document,
     unpack_document,
 )
-from fulmarhold.platform.settings import ANSWER_KEPT
+from fulmarhold.platform.settings import DIRECTORY_ANSWER_TTL
 from fulmarhold.settings.problems import InvalidSettings
 from fulmarhold.web.serving import read_body
 
@@ -28,34 +28,34 @@
 
 
 class ConfigurationResource:
-    """The configuration that operators send and read back."""
+    """PUT and GET /api/config: operators store and read the configuration."""
 
     def __init__(self, versions: VersionService, counters: Counters) -> None:
         self._versions = versions
         self._counters = counters
 
     def on_put(self, request: falcon.Request, response: falcon.Response) -> None:
-        body = read_body(request, LARGEST_DOCUMENT_BYTES)
+        body = read_body(request, MAX_DOCUMENT_BYTES)
         version = decode_configuration(body).version
         self._versions.store(version, pack_document(body))
         response.media = {"version": version}
 
     def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
-        newest = self._versions.read()
-        if not newest.document:
+        latest = self._versions.read()
+        if not latest.document:
             response.status = falcon.HTTP_503
             response.media = {"error": "no configuration is stored yet"}
             return
         response.content_type = falcon.MEDIA_JSON
-        response.data = unpack_document(newest.document)
+        response.data = unpack_document(latest.document)
 
 
 class HeartbeatResource:
-    """What upstreams say of themselves."""
+    """PUT and DELETE /api/instances/{name}: upstreams send heartbeats and deregister."""
 
     def __init__(self, feeds: FeedService, own_endpoint: str, counters: Counters) -> None:
         self._feeds = feeds
-        # The port is the same on every instance.
+        # Every control instance serves heartbeats on the same port.
         self._port = own_endpoint.rpartition(":")[2]
         self._counters = counters
 
@@ -65,16 +65,17 @@
         except FulmarholdError:
             self._counters.add("heartbeat_refusals", reason="malformed")
             raise
-        self._answer(response, self._feeds.record_upstream(statement), statement.data_centre)
+        self._respond(response, self._feeds.record_upstream(statement), statement.data_centre)
 
     def on_delete(self, _: falcon.Request, response: falcon.Response, name: str) -> None:
-        self._answer(response, self._feeds.deregister_upstream(name))
+        self._respond(response, self._feeds.deregister_upstream(name))
 
-    def _answer(
-        self, response: falcon.Response, is_safe: bool, data_centre: str | None = None
+    def _respond(
+        self, response: falcon.Response, can_acknowledge: bool, data_centre: str | None = None
     ) -> None:
-        if is_safe:
-            # Heartbeats between data centres cost as much as queries do.
+        if can_acknowledge:
+            # Name a control instance in the upstream's own data centre: heartbeats between data
+            # centres cost as much as queries do.
             peer = self._feeds.control_endpoint_in(data_centre) if data_centre else None
             address = f"{peer.rpartition(':')[0]}:{self._port}" if peer else None
             response.media = {"heartbeatAddress": address} if address else {}
@@ -85,23 +86,23 @@
 
 
 class DirectoryResource:
-    """Which entries a caller may use."""
+    """GET /api/lookup: the addresses of the entries that a caller may use."""
 
     def __init__(self, addresses: Callable[[str], list[str]]) -> None:
         self._addresses = addresses
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        # Called a zone there.
+        # The platform calls a data centre a zone.
         addresses = self._addresses(request.get_param("zone", default=""))
         if not addresses:
             response.status = falcon.HTTP_503
             response.media = {"error": "no entry is known to serve"}
             return
-        response.media = {"addrs": addresses, "ttl_s": ANSWER_KEPT / SECOND}
+        response.media = {"addrs": addresses, "ttl_s": DIRECTORY_ANSWER_TTL / SECOND}
 
 
 class ReadinessResource:
-    """Whether this entry serves."""
+    """GET /api/readiness: 200 while this entry serves, 503 otherwise."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
@@ -113,7 +114,7 @@
 def control_application(
     versions: VersionService, feeds: FeedService, own_endpoint: str, counters: Counters
 ) -> falcon.App:
-    """Return the calls of operators and upstreams."""
+    """Return the application for operators and upstreams."""
     application = _application()
     application.add_route("/api/config", ConfigurationResource(versions, counters))
     application.add_route("/api/instances/{name}", HeartbeatResource(feeds, own_endpoint, counters))
@@ -121,14 +122,14 @@
 
 
 def directory_application(addresses: Callable[[str], list[str]]) -> falcon.App:
-    """Return the calls of callers that look for an entry."""
+    """Return the application for callers that look up entries."""
     application = _application()
     application.add_route("/api/lookup", DirectoryResource(addresses))
     return application
 
 
 def readiness_application(is_ready: Callable[[], bool]) -> falcon.App:
-    """Return the call that asks whether this entry serves."""
+    """Return the application for readiness checks."""
     application = _application()
     application.add_route("/api/readiness", ReadinessResource(is_ready))
     return application
@@ -136,11 +137,11 @@
 
 def _application() -> falcon.App:
     application = falcon.App()
-    application.add_error_handler(FulmarholdError, _answer_error)
+    application.add_error_handler(FulmarholdError, _write_error)
     return application
 
 
-def _answer_error(
+def _write_error(
     _: falcon.Request, response: falcon.Response, error: FulmarholdError, __: object
 ) -> None:
     is_invalid = isinstance(error, MalformedInput | InvalidSettings)
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -1,4 +1,4 @@
-"""The settings file of the platform, decoded into what the daemons need."""
+"""Loading of the platform's JSON settings file."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.limits.budget import ExtraLoadBound
-from fulmarhold.settings.problems import LARGEST_FILE_BYTES, InvalidSettings, Problem
+from fulmarhold.settings.problems import MAX_FILE_BYTES, InvalidSettings, Problem
 from fulmarhold.settings.structs import decode_struct, require_endpoint
 
-# Callers keep a directory answer for this long, a few of them three times as long. Shorter answers
-# cost a look-up (two trips) for each request of a caller that asks seldom; longer ones lead more
-# callers to an entry that has gone dark. An entry that leaves serves on for as long.
-ANSWER_KEPT: Milliseconds = 3_000.0
-# Named in the deploy file too; the platform fetches the metrics of every instance there.
+# How long callers cache a directory answer; a few cache it three times as long. With a shorter TTL,
+# callers with few requests need a lookup (two round trips) for each one; with a longer TTL, more
+# callers connect to an entry that has failed. An entry that stops keeps serving for this long.
+DIRECTORY_ANSWER_TTL: Milliseconds = 3_000.0
+# Also named in the deployment file: the platform scrapes every instance's metrics on this port.
 METRICS_PORT = 9_464
 SETTINGS_VARIABLE = "FULMARHOLD_SETTINGS"
 
@@ -37,38 +37,38 @@
     retry_slack: float = field(default=50.0, name="retrySlack")
     retry_window_seconds: Annotated[float, Meta(gt=0)] = field(default=10.0, name="retryWindowS")
     grace_seconds: float = field(default=6.0, name="graceS")
-    longest_answer_seconds: float = field(default=5.0, name="ttl_max_s")
+    max_ttl_seconds: float = field(default=5.0, name="ttl_max_s")
 
 
 class _Addresses(Struct, frozen=True):
-    # Where callers connect.
+    # The endpoint for callers.
     callers: str | None = field(default=None, name="front")
     readiness: str | None = field(default=None, name="readinessAddress")
-    # Serves operators and the heartbeats of upstreams.
+    # The endpoint for operators and the heartbeats of upstreams.
     control: str | None = None
     directory: str | None = None
 
 
 class _SettingsFile(Struct, frozen=True):
     name: str = field(name="nodeName")
-    # The address of the instance, which peers use too.
+    # The address of the instance, also used by its peers.
     address: str = field(name="ip")
-    # Called a zone there.
+    # The platform calls a data centre a zone.
     data_centre: str = field(name="zone")
     addresses: _Addresses = field(name="bindAddresses")
     internal_ports: tuple[int, int] = field(name="internalPortRange")
-    # The public addresses of control instances, not their internal ones.
+    # The public endpoints of control instances, not their internal ones.
     seeds: tuple[str, ...]
     is_first_start: bool = field(default=False, name="bootstrap")
     data_folder: str | None = field(default=None, name="dataDir")
     heartbeat_period: Milliseconds = field(default=1_200.0, name="heartbeatMs")
-    tolerance: _Tolerance = field(default=_Tolerance(), name="faultTolerance")
+    fault_tolerance: _Tolerance = field(default=_Tolerance(), name="faultTolerance")
     bounds: _Bounds = _Bounds()
 
 
 @dataclass(frozen=True)
 class PlatformSettings:
-    """What one daemon runs by; endpoints are IP:port, durations milliseconds."""
+    """The settings of one daemon; endpoints are IP:port, durations are in milliseconds."""
 
     name: str
     data_centre: str
@@ -88,7 +88,7 @@
 
 
 def settings_path() -> Path:
-    """Return the path of the settings file; raises `FulmarholdError` where none is named."""
+    """Return the path of the settings file; raises `FulmarholdError` if none is set."""
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
         raise FulmarholdError(f"{SETTINGS_VARIABLE} must name the settings file", step="starting")
@@ -96,11 +96,11 @@
 
 
 def load_settings(path: Path) -> PlatformSettings:
-    """Read the settings file; raises `InvalidSettings` that names what is wrong."""
+    """Read the settings file; raises `InvalidSettings` that lists the problems."""
     try:
-        if path.stat().st_size > LARGEST_FILE_BYTES:
+        if path.stat().st_size > MAX_FILE_BYTES:
             raise InvalidSettings(
-                str(path), [Problem("", f"is larger than {LARGEST_FILE_BYTES} bytes")]
+                str(path), [Problem("", f"is larger than {MAX_FILE_BYTES} bytes")]
             )
         document = json.loads(path.read_bytes())
     except (OSError, ValueError, RecursionError) as error:
@@ -109,34 +109,34 @@
 
 
 def decode_settings(document: Any, source: str) -> PlatformSettings:
-    """Decode the values of a settings file; unknown fields are left alone."""
+    """Decode the values of a settings file; unknown fields are ignored."""
     values = decode_struct(document, _SettingsFile, source)
-    bound = values.addresses
-    named = {
-        "bindAddresses.front": bound.callers,
-        "bindAddresses.readinessAddress": bound.readiness,
-        "bindAddresses.control": bound.control,
-        "bindAddresses.directory": bound.directory,
+    addresses = values.addresses
+    endpoints = {
+        "bindAddresses.front": addresses.callers,
+        "bindAddresses.readinessAddress": addresses.readiness,
+        "bindAddresses.control": addresses.control,
+        "bindAddresses.directory": addresses.directory,
         **{f"seeds[{number}]": seed for number, seed in enumerate(values.seeds)},
     }
-    for path, endpoint in named.items():
+    for path, endpoint in endpoints.items():
         if endpoint is not None:
             require_endpoint(endpoint, path, source)
     peer_port, _ = values.internal_ports
     return PlatformSettings(
         name=values.name,
         data_centre=values.data_centre,
-        caller_endpoint=bound.callers or "",
-        readiness_endpoint=bound.readiness or "",
-        control_endpoint=bound.control or "",
-        directory_endpoint=bound.directory or "",
+        caller_endpoint=addresses.callers or "",
+        readiness_endpoint=addresses.readiness or "",
+        control_endpoint=addresses.control or "",
+        directory_endpoint=addresses.directory or "",
         peer_endpoint=f"{values.address}:{peer_port}",
         metrics_endpoint=f"{values.address}:{METRICS_PORT}",
         seeds=tuple(f"{seed.rpartition(':')[0]}:{peer_port}" for seed in values.seeds),
         is_first_start=values.is_first_start,
         data_folder=values.data_folder or "",
         heartbeat_period=values.heartbeat_period,
-        voters=2 * values.tolerance.machines + 1,
+        voters=2 * values.fault_tolerance.machines + 1,
         extra_load=ExtraLoadBound(
             values.bounds.retry_ratio,
             values.bounds.retry_slack,
--- a/fulmarhold/platform/settings_watch.py
+++ b/fulmarhold/platform/settings_watch.py
@@ -1,4 +1,4 @@
-"""Keeps the settings of a running daemon up with their file."""
+"""Reloads the settings file of a running daemon when it changes."""
 
 from __future__ import annotations
 
@@ -21,41 +21,42 @@
 
 log = get_logger("settings")
 
-# Well below the three seconds by which an operator's list of control instances lags anyway.
+# Well below the three seconds by which the operators' list of control instances is out of date
+# anyway.
 SETTINGS_PERIOD: Milliseconds = 500.0
 
 
 class SettingsWatch:
-    """Re-reads the settings file, which may change with or without a signal."""
+    """Holds the settings and reloads them periodically: the file may change without a SIGHUP."""
 
     def __init__(self, path: Path, settings: PlatformSettings) -> None:
         self._path = path
         self.settings = settings
 
     def seeds(self) -> tuple[str, ...]:
-        """Return the seeds that the file names now."""
+        """Return the current seeds."""
         return self.settings.seeds
 
     def reload(self) -> None:
-        """Read the file again; a file that can't be read leaves the settings as they are."""
+        """Read the file again; the settings stay unchanged if it is invalid or unreadable."""
         try:
             settings = load_settings(self._path)
         except FulmarholdError as error:
-            log.warning("keeps the settings: {}", error)
+            log.warning("keeping the current settings: {}", error)
             return
         if settings != self.settings:
-            log.info("settings have changed; seeds are {}", ", ".join(settings.seeds))
+            log.info("settings changed, seeds: {}", ", ".join(settings.seeds))
             self.settings = settings
 
     def run(self) -> None:
-        """Look for changes until killed."""
+        """Reload periodically until killed."""
         while True:
             gevent.sleep(SETTINGS_PERIOD / SECOND)
             self.reload()
 
 
 def serve_application(application: falcon.App, endpoint: str) -> Any:
-    """Serve an application at IP:port; raises `FulmarholdError` when the port can't be had."""
+    """Serve an application at IP:port; raises `FulmarholdError` if the port is unavailable."""
     from fulmarhold.web.serving import start_server  # noqa: PLC0415
 
     address, _, port = endpoint.rpartition(":")
@@ -63,7 +64,7 @@
 
 
 def serve_metrics(counters: Counters, endpoint: str) -> Any:
-    """Serve the counters and gauges at IP:port."""
+    """Serve the metrics at IP:port."""
     from fulmarhold.web.serving import metrics_application  # noqa: PLC0415
 
     return serve_application(metrics_application(counters), endpoint)
--- a/fulmarhold/settings/endpoints.py
+++ b/fulmarhold/settings/endpoints.py
@@ -4,7 +4,7 @@
 
 from ipaddress import ip_address
 
-HIGHEST_PORT = 65_535
+MAX_PORT = 65_535
 
 
 def check_address(value: str) -> str:
@@ -27,6 +27,6 @@
     """
     address, _, port = value.rpartition(":")
     check_address(address)
-    if not port.isdecimal() or not 1 <= int(port) <= HIGHEST_PORT:
-        raise ValueError(f"must be IP:port with a port from 1 to {HIGHEST_PORT}, got {value!r}")
+    if not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"must be IP:port with a port from 1 to {MAX_PORT}, got {value!r}")
     return value
--- a/fulmarhold/settings/loading.py
+++ b/fulmarhold/settings/loading.py
@@ -10,7 +10,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from fulmarhold.registry import nearest_hint
-from fulmarhold.settings.problems import LARGEST_FILE_BYTES, InvalidSettings, Problem
+from fulmarhold.settings.problems import MAX_FILE_BYTES, InvalidSettings, Problem
 
 Schema = TypeVar("Schema")
 
@@ -31,8 +31,8 @@
     import yaml  # noqa: PLC0415
 
     try:
-        if path.stat().st_size > LARGEST_FILE_BYTES:
-            raise _single(path, f"is larger than {LARGEST_FILE_BYTES} bytes")
+        if path.stat().st_size > MAX_FILE_BYTES:
+            raise _single(path, f"is larger than {MAX_FILE_BYTES} bytes")
         return yaml.safe_load(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         raise _single(path, f"can't be read: {error}") from error
--- a/fulmarhold/settings/problems.py
+++ b/fulmarhold/settings/problems.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-LARGEST_FILE_BYTES = 4 * 1024 * 1024
+MAX_FILE_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True)
