Reword the comments and names of the settings and observe modules

Limits are named MAX_... and MIN_...; validation errors speak of IP addresses, with the test that matches it.

--- a/fulmarhold/observe/counters.py
+++ b/fulmarhold/observe/counters.py
@@ -1,4 +1,4 @@
-"""Counters with a closed set of labels, and their exposition as Prometheus text."""
+"""Counters with a fixed set of labels, and the exposition of metrics as Prometheus text."""
 
 from __future__ import annotations
 
@@ -11,13 +11,14 @@
 
 Gauge = tuple[str, dict[str, str], float]
 Histogram = tuple[str, dict[str, str], "LatencyHistogram"]
-# Bounds of the exposed buckets in milliseconds: the targets of today lie between 60 and 800.
+# Upper bounds of the histogram buckets in milliseconds; current latency targets lie between 60 and
+# 800.
 BUCKETS = (2, 5, 10, 20, 40, 60, 80, 100, 150, 200, 300, 500, 800, 1_200, 2_000, 5_000, 15_000)
 PREFIX = "fulmarhold_"
 
 
 class Counters:
-    """The counters of one process.
+    """The counters, gauges and histograms of one process.
 
     >>> counters = Counters()
     >>> counters.add("refusals", reason="unknown_service")
@@ -31,17 +32,17 @@
         self._histograms: list[Callable[[], Iterable[Histogram]]] = []
 
     def add(self, name: str, amount: float = 1.0, **labels: str) -> None:
-        """Add `amount` to the counter of that name and labels, creating it at first use."""
+        """Add `amount` to the counter with this name and labels, creating it on first use."""
         key = (name, tuple(labels.items()))
         self._values[key] = self._values.get(key, 0.0) + amount
 
     def value(self, name: str, **labels: str) -> float:
-        """Return the present value, zero for a counter that was never added to."""
+        """Return the current value, zero for a counter that was never increased."""
         return self._values.get((name, tuple(labels.items())), 0.0)
 
     def expose(self) -> bytes:
-        """Return every counter and gauge in the Prometheus text format."""
-        # Imported at the first scrape: daemons that start again must serve as soon as they can.
+        """Return all metrics in the Prometheus text format."""
+        # Imported at the first scrape, because restarting daemons must serve as soon as possible.
         from prometheus_client import CollectorRegistry, generate_latest  # noqa: PLC0415
 
         registry = CollectorRegistry()
@@ -49,15 +50,15 @@
         return generate_latest(registry)
 
     def register_gauges(self, collect: Callable[[], Iterable[Gauge]]) -> None:
-        """Expose values that are read at the time of the scrape."""
+        """Register a callback that returns gauges; it is called at each scrape."""
         self._gauges.append(collect)
 
     def register_histograms(self, collect: Callable[[], Iterable[Histogram]]) -> None:
-        """Expose latency histograms as they are at the time of the scrape."""
+        """Register a callback that returns latency histograms; it is called at each scrape."""
         self._histograms.append(collect)
 
     def collect(self) -> Iterable[Any]:
-        """Yield the families of metrics, as the Prometheus client asks for them."""
+        """Yield the metric families; implements the collector interface of prometheus_client."""
         from prometheus_client.core import (  # noqa: PLC0415
             CounterMetricFamily,
             GaugeMetricFamily,
--- a/fulmarhold/observe/estimates.py
+++ b/fulmarhold/observe/estimates.py
@@ -1,4 +1,4 @@
-"""Small running estimates of latency, updated with each response."""
+"""Online estimates of latency, updated with each response."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 AVERAGE_WEIGHT = 0.15
 QUANTILE_STEP_SHARE = 0.05
-LEAST_QUANTILE: Milliseconds = 0.5
-# Without this an upstream or a service that was slow once would be avoided or refused for ever.
+MIN_ESTIMATE: Milliseconds = 0.5
+# Without decay, an upstream or a service that was slow once would be avoided or refused forever.
 ESTIMATE_HALF_LIFE: Milliseconds = 3_000.0
 
 
 def decay(value: Milliseconds, silence: Milliseconds) -> Milliseconds:
-    """Return what an estimate is still worth that nothing has renewed for `silence` ms.
+    """Return an estimate decayed for `silence` ms, the time since its last update.
 
     >>> decay(80.0, 6_000.0)
     20.0
@@ -21,7 +21,7 @@
 
 
 class LatencyAverage:
-    """An exponentially weighted average; where it starts from a guess, that counts as one latency.
+    """An exponentially weighted moving average; an initial guess counts as one latency.
 
     >>> average = LatencyAverage(10.0)
     >>> average.update(20.0)
@@ -40,14 +40,15 @@
         self._weight = 0.5 if is_guess else AVERAGE_WEIGHT
 
     def update(self, latency: Milliseconds) -> None:
-        """Take in one latency."""
+        """Update the average with one latency."""
         self.value += self._weight * (latency - self.value)
-        # 1/2, 1/3, 1/4 and so on: the plain average of the guess and the first few latencies.
+        # Weights of 1/2, 1/3, 1/4 and so on give the arithmetic mean of the guess and the first
+        # latencies.
         self._weight = max(AVERAGE_WEIGHT, self._weight / (1 + self._weight))
 
 
 class QuantileEstimate:
-    """Follows one quantile by steps that balance where the quantile lies."""
+    """Estimates one quantile with up and down steps that are in equilibrium at the quantile."""
 
     __slots__ = ("_quantile", "value")
 
@@ -56,9 +57,9 @@
         self.value = initial
 
     def update(self, latency: Milliseconds) -> None:
-        """Take in one latency."""
+        """Update the estimate with one latency."""
         step = QUANTILE_STEP_SHARE * self.value
         if latency > self.value:
             self.value += step * self._quantile
         else:
-            self.value = max(LEAST_QUANTILE, self.value - step * (1 - self._quantile))
+            self.value = max(MIN_ESTIMATE, self.value - step * (1 - self._quantile))
--- a/fulmarhold/observe/events.py
+++ b/fulmarhold/observe/events.py
@@ -1,7 +1,7 @@
-"""Structured lines on standard output: one JSON object for each decision or changed belief.
+"""Structured log on standard output: one JSON object per line for each decision or state change.
 
-Lines go through a bounded buffer to a descriptor that is never waited for. What does not fit is
-dropped, counted by kind and told in a line of its own once there is room again.
+Lines are written from a bounded buffer to a non-blocking descriptor. Lines that don't fit are
+dropped and counted by event; the counts are logged once there is space again.
 """
 
 from __future__ import annotations
@@ -18,19 +18,19 @@
 if TYPE_CHECKING:
     from fulmarhold.observe.counters import Counters
 
-# About a second of a busy entry's lines.
-LONGEST_BUFFER_LINES = 2_000
-# Lines a second that a process may write.
+# About one second of a busy entry's output.
+MAX_BUFFERED_LINES = 2_000
+# The rate limit of a process.
 LINES_PER_SECOND = 400.0
-# Ordinary lines leave this share of the budget to failures and changed beliefs.
-SHARE_FOR_FAILURES = 0.5
+# The share of the rate limit that low-priority events leave to failures and state changes.
+HIGH_PRIORITY_SHARE = 0.5
 FLUSH_PERIOD: Milliseconds = 20.0
 WRITE_BYTES = 65_536
 STANDARD_OUTPUT = 1
 
 
 class EventLog:
-    """Writes events of one process."""
+    """Writes the events of one process, limited by a token bucket."""
 
     def __init__(
         self, process: str, clock: Clock, counters: Counters, descriptor: int = STANDARD_OUTPUT
@@ -43,56 +43,56 @@
         self._dropped: Counter[str] = Counter()
         self._tokens = LINES_PER_SECOND
         self._refilled_at = clock.now()
-        self._rest = b""
+        self._unwritten = b""
 
     def record(self, event: str, **fields: Any) -> None:
-        """Log one event; durations in its fields are milliseconds and their names end in `_ms`."""
+        """Log one event; fields with durations are in milliseconds and their names end in `_ms`."""
         self._record(event, fields, reserve=0.0)
 
     def record_low_priority(self, event: str, **fields: Any) -> None:
-        """Log an event that is dropped first where there are too many."""
-        self._record(event, fields, reserve=SHARE_FOR_FAILURES * LINES_PER_SECOND)
+        """Log an event that is dropped before others if the rate limit is reached."""
+        self._record(event, fields, reserve=HIGH_PRIORITY_SHARE * LINES_PER_SECOND)
 
     def _record(self, event: str, fields: dict[str, Any], reserve: float) -> None:
-        if not self._take_token(reserve) or len(self._lines) >= LONGEST_BUFFER_LINES:
+        if not self._take_token(reserve) or len(self._lines) >= MAX_BUFFERED_LINES:
             self._dropped[event] += 1
             self._counters.add("log_lines_dropped", event=event)
             return
         self._lines.append(self._encode(event, fields))
 
     def run(self) -> None:
-        """Write what was noted, until killed."""
+        """Write the buffered lines periodically until killed."""
         os.set_blocking(self._descriptor, False)
         while True:
             gevent.sleep(FLUSH_PERIOD / SECOND)
             self.flush()
 
     def flush(self) -> None:
-        """Write as much as the descriptor takes at once."""
-        if self._dropped and len(self._lines) < LONGEST_BUFFER_LINES and self._take_token():
+        """Write as many buffered lines as the descriptor accepts without blocking."""
+        if self._dropped and len(self._lines) < MAX_BUFFERED_LINES and self._take_token():
             dropped, self._dropped = self._dropped, Counter()
             self._lines.append(self._encode("lines_dropped", dict(dropped)))
-        while self._lines or self._rest:
-            if not self._rest:
-                self._rest = self._lines.popleft()
-                while self._lines and len(self._rest) < WRITE_BYTES:
-                    self._rest += self._lines.popleft()
+        while self._lines or self._unwritten:
+            if not self._unwritten:
+                self._unwritten = self._lines.popleft()
+                while self._lines and len(self._unwritten) < WRITE_BYTES:
+                    self._unwritten += self._lines.popleft()
             try:
-                written = os.write(self._descriptor, self._rest)
+                written = os.write(self._descriptor, self._unwritten)
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody reads any more; the counter is all that can still tell.
+                # The reading end is closed; only the counter can still report the loss.
                 self._counters.add("log_lines_dropped", event="output_closed")
                 self._lines.clear()
-                self._rest = b""
+                self._unwritten = b""
                 return
-            self._rest = self._rest[written:]
+            self._unwritten = self._unwritten[written:]
 
     def _take_token(self, reserve: float = 0.0) -> bool:
         now = self._clock.now()
-        earned = (now - self._refilled_at) / SECOND * LINES_PER_SECOND
-        self._tokens = min(LINES_PER_SECOND, self._tokens + earned)
+        refill = (now - self._refilled_at) / SECOND * LINES_PER_SECOND
+        self._tokens = min(LINES_PER_SECOND, self._tokens + refill)
         self._refilled_at = now
         if self._tokens < reserve + 1:
             return False
--- a/fulmarhold/observe/lag.py
+++ b/fulmarhold/observe/lag.py
@@ -1,4 +1,4 @@
-"""How long ready work waits for the event loop of this process."""
+"""Measurement of the event loop lag of this process."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class LoopLag:
-    """A running average of how late a timer fires: the wait of everything else that is ready."""
+    """A moving average of timer delay, which is also the delay of all other ready greenlets."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -24,16 +24,16 @@
 
     @property
     def value(self) -> Milliseconds:
-        """The average of the last samples, in milliseconds."""
+        """The weighted average of the recent samples, in milliseconds."""
         return self._average.value
 
     def run(self) -> None:
-        """Sample until killed."""
+        """Sample periodically until killed."""
         while True:
             due = self._clock.now() + SAMPLE_PERIOD
             gevent.sleep(SAMPLE_PERIOD / SECOND)
             self.record(self._clock.now() - due)
 
     def record(self, lateness: Milliseconds) -> None:
-        """Take in how late one timer fired, in milliseconds."""
+        """Add one sample: the delay of a timer in milliseconds."""
         self._average.update(max(0.0, lateness))
--- a/fulmarhold/observe/latency.py
+++ b/fulmarhold/observe/latency.py
@@ -1,4 +1,4 @@
-"""Latency histograms; values go in and come out in milliseconds."""
+"""Latency histograms; all latencies are passed and returned in milliseconds."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 
     from fulmarhold.clock import Milliseconds
 
-LOWEST_MICROSECONDS = 10
-HIGHEST_MICROSECONDS = 120_000_000
+MIN_MICROSECONDS = 10
+MAX_MICROSECONDS = 120_000_000
 SIGNIFICANT_DIGITS = 2
 MICROSECONDS_PER_MILLISECOND = 1_000
 
@@ -28,9 +28,7 @@
     """
 
     def __init__(self) -> None:
-        self._histogram = HdrHistogram(
-            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
-        )
+        self._histogram = HdrHistogram(MIN_MICROSECONDS, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
         self._total: Milliseconds = 0.0
 
     @property
@@ -43,25 +41,23 @@
         return int(self._histogram.get_total_count())
 
     def record(self, latency: Milliseconds) -> None:
-        """Record one latency; values past the range count at its end."""
+        """Record one latency; values outside the range are clamped to it."""
         self._total += latency
         microseconds = int(latency * MICROSECONDS_PER_MILLISECOND)
-        self._histogram.record_value(
-            min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
-        )
+        self._histogram.record_value(min(max(microseconds, MIN_MICROSECONDS), MAX_MICROSECONDS))
 
     def quantile(self, quantile: float) -> Milliseconds:
-        """Return the latency at a quantile between 0 and 1, zero while empty."""
+        """Return the latency at a quantile between 0 and 1, or zero if the histogram is empty."""
         value = self._histogram.get_value_at_percentile(quantile * 100)
         return float(value) / MICROSECONDS_PER_MILLISECOND
 
     def reset(self) -> None:
-        """Forget every recorded value."""
+        """Remove all recorded values."""
         self._histogram.reset()
         self._total = 0.0
 
     def counts_up_to(self, bounds: Sequence[Milliseconds]) -> list[int]:
-        """Return how many latencies were recorded up to each of the rising bounds.
+        """Return the cumulative counts of latencies up to each of the ascending bounds.
 
         >>> histogram = LatencyHistogram()
         >>> for latency in (1.0, 2.0, 40.0):
@@ -72,7 +68,7 @@
         counts = [0] * len(bounds)
         for item in self._histogram.get_recorded_iterator():
             latency = item.value_iterated_to / MICROSECONDS_PER_MILLISECOND
-            for place, bound in enumerate(bounds):
+            for position, bound in enumerate(bounds):
                 if latency <= bound:
-                    counts[place] += item.count_at_value_iterated_to
+                    counts[position] += item.count_at_value_iterated_to
         return counts
--- a/fulmarhold/observe/logs.py
+++ b/fulmarhold/observe/logs.py
@@ -1,4 +1,4 @@
-"""Log set-up: short sentences with a fixed prefix for each part."""
+"""Logging set-up: short messages with a fixed prefix for each component."""
 
 from __future__ import annotations
 
@@ -18,18 +18,18 @@
 
 
 def get_logger(part: str) -> logbook.Logger:
-    """Return the logger of one part; `part` becomes the prefix of its lines."""
+    """Return the logger of a component; `part` becomes the prefix of its lines."""
     return logbook.Logger(part)
 
 
 def start_logging(level: str) -> None:
-    """Send log lines of `level` and above to standard error for the whole process."""
+    """Write all log records of the process of `level` and above to standard error."""
     handler = logbook.StreamHandler(sys.stderr, level=level.upper(), format_string=LINE_FORMAT)
     handler.push_application()
 
 
 def log_to_events(events: EventLog, level: str = "info") -> None:
-    """Send log lines of `level` and above to the structured log of the whole process."""
+    """Write all log records of the process of `level` and above to its structured log."""
     _EventHandler(events, level.upper()).push_application()
 
 
--- a/fulmarhold/settings/__init__.py
+++ b/fulmarhold/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Loading and checking of YAML files."""
+"""Loading and validation of settings files."""
--- a/fulmarhold/settings/endpoints.py
+++ b/fulmarhold/settings/endpoints.py
@@ -1,4 +1,4 @@
-"""IP numbers and endpoints (IP:port) as they stand in settings and messages."""
+"""Validation of IP addresses and endpoints (IP:port) in settings and messages."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def check_address(value: str) -> str:
-    """Return an IP number in its usual form; raises `ValueError` when it is none.
+    """Return an IP address in its canonical form; raises `ValueError` if it is invalid.
 
     >>> check_address("10.0.0.1")
     '10.0.0.1'
@@ -16,11 +16,11 @@
     try:
         return str(ip_address(value))
     except ValueError:
-        raise ValueError(f"must be an IP number, got {value!r}") from None
+        raise ValueError(f"must be an IP address, got {value!r}") from None
 
 
 def check_endpoint(value: str) -> str:
-    """Return an endpoint; raises `ValueError` when it is no IP:port.
+    """Return an endpoint; raises `ValueError` if it isn't IP:port.
 
     >>> check_endpoint("10.0.0.1:80")
     '10.0.0.1:80'
--- a/fulmarhold/settings/loading.py
+++ b/fulmarhold/settings/loading.py
@@ -1,4 +1,4 @@
-"""Loads YAML files into frozen dataclasses and reports every problem of a file at once."""
+"""Loads YAML files into frozen dataclasses and reports all problems of a file at once."""
 
 from __future__ import annotations
 
@@ -18,32 +18,32 @@
 
 
 def load_file(path: Path, schema: type[Schema]) -> Schema:
-    """Read the YAML file at `path` as `schema`.
+    """Load the YAML file at `path` into `schema`.
 
-    Raises `InvalidSettings` when the file can't be read, is no YAML or breaks the schema.
+    Raises `InvalidSettings` if the file can't be read, isn't YAML or doesn't match the schema.
     """
     return load_document(read_yaml(path), schema, str(path))
 
 
 def read_yaml(path: Path) -> Any:
-    """Read a YAML file as plain values; raises `InvalidSettings` when that fails."""
-    # Daemons whose settings come in another format start faster without it.
+    """Parse a YAML file into plain values; raises `InvalidSettings` if that fails."""
+    # Imported here because daemons with settings in another format start faster without it.
     import yaml  # noqa: PLC0415
 
     try:
         if path.stat().st_size > MAX_FILE_BYTES:
-            raise _single(path, f"is larger than {MAX_FILE_BYTES} bytes")
+            raise _file_error(path, f"is larger than {MAX_FILE_BYTES} bytes")
         return yaml.safe_load(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
-        raise _single(path, f"can't be read: {error}") from error
+        raise _file_error(path, f"can't be read: {error}") from error
     except yaml.YAMLError as error:
-        raise _single(path, f"is not valid YAML: {' '.join(str(error).split())}") from error
+        raise _file_error(path, f"is not valid YAML: {' '.join(str(error).split())}") from error
 
 
 def load_document(document: Any, schema: type[Schema], source: str) -> Schema:
-    """Check plain values against `schema`; `source` names them in an error.
+    """Validate plain values against `schema`; errors name `source` as their origin.
 
-    Raises `InvalidSettings` that lists every problem with the path of its option.
+    Raises `InvalidSettings` that lists all problems, each with the path of its option.
     """
     if not isinstance(document, dict):
         raise InvalidSettings(source, [Problem("", "must be a mapping of options to values")])
@@ -55,13 +55,13 @@
 
 
 def type_adapter(schema: Any) -> TypeAdapter[Any]:
-    """Return the validator of a dataclass, built once."""
+    """Return the cached type adapter of a dataclass."""
     if schema not in _adapters:
         _adapters[schema] = TypeAdapter(schema)
     return _adapters[schema]
 
 
-def _single(path: Path, sentence: str) -> InvalidSettings:
+def _file_error(path: Path, sentence: str) -> InvalidSettings:
     return InvalidSettings(str(path), [Problem("", sentence)])
 
 
@@ -81,19 +81,19 @@
 
 def _known_options(schema: Any, location: tuple[Any, ...]) -> list[str]:
     for part in location:
-        schema = _step_into(schema, part)
+        schema = _field_schema(schema, part)
     if not dataclasses.is_dataclass(schema):
         return []
     return [field.name for field in dataclasses.fields(schema)]
 
 
-def _step_into(schema: Any, part: Any) -> Any:
+def _field_schema(schema: Any, part: Any) -> Any:
     if dataclasses.is_dataclass(schema):
         hints = typing.get_type_hints(schema)
-        return _unwrap(hints.get(str(part)))
+        return _unwrap_dataclass(hints.get(str(part)))
     return schema
 
 
-def _unwrap(hint: Any) -> Any:
+def _unwrap_dataclass(hint: Any) -> Any:
     arguments = [item for item in typing.get_args(hint) if dataclasses.is_dataclass(item)]
     return arguments[0] if arguments else hint
--- a/fulmarhold/settings/problems.py
+++ b/fulmarhold/settings/problems.py
@@ -1,4 +1,4 @@
-"""What is wrong with a file or document, as told to whoever wrote it."""
+"""Validation problems of a file or document, and the exception that reports them."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True)
 class Problem:
-    """One thing that is wrong: the option's path and a sentence about it."""
+    """One validation problem: the path of the option and a description."""
 
     path: str
     sentence: str
@@ -25,7 +25,7 @@
 
 
 class InvalidSettings(FulmarholdError):
-    """A file or document has problems; all of them are listed."""
+    """Raised for an invalid file or document; the message lists its problems."""
 
     def __init__(self, source: str, problems: Sequence[Problem]) -> None:
         lines = "\n".join(f"  {problem}" for problem in problems)
--- a/fulmarhold/settings/processes.py
+++ b/fulmarhold/settings/processes.py
@@ -1,4 +1,4 @@
-"""Settings files of the daemons: where each listens, who it talks to, where its data lies."""
+"""Schemas of the daemons' settings files: listening addresses, peers, data folder and logging."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True)
 class LogSettings:
-    """What the daemon logs."""
+    """Settings of the daemon's log."""
 
     __pydantic_config__ = STRICT
 
--- a/fulmarhold/tests/observe/test_events.py
+++ b/fulmarhold/tests/observe/test_events.py
@@ -9,7 +9,7 @@
 
 from fulmarhold.clock import SECOND, ManualClock
 from fulmarhold.observe.counters import Counters
-from fulmarhold.observe.events import LINES_PER_SECOND, LONGEST_BUFFER_LINES, EventLog
+from fulmarhold.observe.events import LINES_PER_SECOND, MAX_BUFFERED_LINES, EventLog
 
 PIPE_BYTES = 4_096
 
@@ -61,7 +61,7 @@
             noted += 1
         log.flush()
     dropped = counters.value("log_lines_dropped", event="request")
-    assert dropped > noted - LONGEST_BUFFER_LINES - LINES_PER_SECOND * 4
+    assert dropped > noted - MAX_BUFFERED_LINES - LINES_PER_SECOND * 4
     data = b""
     for _ in range(200):
         clock.advance(SECOND)
--- a/fulmarhold/tests/settings/test_loading.py
+++ b/fulmarhold/tests/settings/test_loading.py
@@ -43,7 +43,7 @@
         ({"log": {"level": "loud"}}, "log.level", "'debug', 'info'"),
         ({"caller_port": 0}, "caller_port", "greater than or equal to 1"),
         ({"caller_port": "many"}, "caller_port", "integer"),
-        ({"address": "localhost"}, "address", "must be an IP number"),
+        ({"address": "localhost"}, "address", "must be an IP address"),
         ({"control": []}, "control", "at least 1"),
         ({"control": ["127.0.0.1"]}, "control.0", "must be"),
         ({"control": ["127.0.0.1:99999"]}, "control.0", "IP:port"),
