--- a/fulmarhold/tests/observe/test_events.py
+++ b/fulmarhold/tests/observe/test_events.py
@@ -1,4 +1,4 @@
-"""Structured lines are whole, bounded and never wait for their reader."""
+"""Structured log lines are complete and rate-limited, and never block on their reader."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
     return [json.loads(line) for line in read_all(reader).splitlines()]
 
 
-def test_a_line_tells_when_who_and_what(pipe):
+def test_a_line_holds_the_time_process_event_and_fields(pipe):
     reader, writer = pipe
     clock = ManualClock(wall=1_000.0)
     log = EventLog("edge-1", clock, Counters(), writer)
@@ -49,31 +49,31 @@
     ]
 
 
-def test_a_reader_that_never_reads_holds_nobody_up_and_is_told_what_it_missed(pipe):
+def test_a_stalled_reader_does_not_block_the_writer_and_dropped_lines_are_reported(pipe):
     reader, writer = pipe
     clock, counters = ManualClock(), Counters()
     log = EventLog("edge-1", clock, counters, writer)
-    noted = 0
+    recorded = 0
     for _ in range(40):
         clock.advance(SECOND)
         for _ in range(int(LINES_PER_SECOND)):
             log.record("request", text="x" * 200)
-            noted += 1
+            recorded += 1
         log.flush()
     dropped = counters.value("log_lines_dropped", event="request")
-    assert dropped > noted - MAX_BUFFERED_LINES - LINES_PER_SECOND * 4
+    assert dropped > recorded - MAX_BUFFERED_LINES - LINES_PER_SECOND * 4
     data = b""
     for _ in range(200):
         clock.advance(SECOND)
         log.flush()
         data += read_all(reader)
     lines = [json.loads(line) for line in data.splitlines()]
-    told = sum(line.get("request", 0) for line in lines if line["event"] == "lines_dropped")
-    assert told == dropped
-    assert sum(line["event"] == "request" for line in lines) == noted - dropped
+    reported = sum(line.get("request", 0) for line in lines if line["event"] == "lines_dropped")
+    assert reported == dropped
+    assert sum(line["event"] == "request" for line in lines) == recorded - dropped
 
 
-def test_lines_beyond_the_budget_of_a_second_are_dropped_and_counted(pipe):
+def test_lines_above_the_rate_limit_are_dropped_and_counted(pipe):
     _, writer = pipe
     clock, counters = ManualClock(), Counters()
     log = EventLog("edge-1", clock, counters, writer)
@@ -82,7 +82,7 @@
     assert counters.value("log_lines_dropped", event="request") == 2 * LINES_PER_SECOND
 
 
-def test_a_closed_output_is_counted_and_forgotten():
+def test_lines_for_a_closed_output_are_dropped_and_counted():
     reader, writer = os.pipe()
     os.close(reader)
     counters = Counters()
--- a/fulmarhold/tests/observe/test_lag.py
+++ b/fulmarhold/tests/observe/test_lag.py
@@ -1,4 +1,4 @@
-"""The lag of the event loop."""
+"""Measurement of the event loop lag."""
 
 from __future__ import annotations
 
@@ -9,20 +9,20 @@
 from fulmarhold.clock import Clock
 from fulmarhold.observe.lag import LoopLag
 
-PASSING_BOUND_S = 20.0
+RECOVERY_TIMEOUT_S = 20.0
 
 
-def test_the_lag_is_seen_while_something_holds_the_loop_and_passes_after_it():
+def test_the_lag_rises_while_the_loop_is_blocked_and_falls_afterwards():
     lag = LoopLag(Clock())
     task = gevent.spawn(lag.run)
     gevent.sleep(0)
     for _ in range(10):
         time.sleep(0.06)
-        # A pause of zero need not let timers run.
+        # sleep(0) doesn't necessarily let timers run.
         gevent.sleep(0.001)
-    held = lag.value
-    with gevent.Timeout(PASSING_BOUND_S):
-        while lag.value > held / 4:
+    peak = lag.value
+    with gevent.Timeout(RECOVERY_TIMEOUT_S):
+        while lag.value > peak / 4:
             gevent.sleep(0.02)
     task.kill()
-    assert held > 10.0
+    assert peak > 10.0
--- a/fulmarhold/tests/platform/test_callers_fuzz.py
+++ b/fulmarhold/tests/platform/test_callers_fuzz.py
@@ -1,4 +1,4 @@
-"""Requests of callers whose headers hold anything."""
+"""Fuzz test: requests with arbitrary header values must not break decoding or encoding."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
     ),
     st.binary(max_size=50),
 )
-def test_any_headers_make_a_request_that_can_be_passed_on(headers, body):
+def test_a_request_with_arbitrary_headers_can_be_forwarded(headers, body):
     fields = tuple(headers.items())
     request = read_request(RawRequest("GET", "/a", fields, body, 5.0, True, 6.0))
     assert request.deadline_at >= request.received_at
--- a/fulmarhold/tests/platform/test_documents.py
+++ b/fulmarhold/tests/platform/test_documents.py
@@ -1,4 +1,4 @@
-"""What comes in from the platform is decoded whole or not believed at all."""
+"""Documents from the platform are either decoded completely or rejected with an error."""
 
 from __future__ import annotations
 
@@ -82,7 +82,7 @@
     return json.dumps({key: value for key, value in document.items() if key != name}).encode()
 
 
-def test_a_configuration_is_decoded_into_our_own_terms():
+def test_a_configuration_is_decoded_into_internal_types():
     configuration = decode_configuration(encode(CONFIGURATION))
     scatter, split = configuration.routes
     assert scatter.shards == ("s1", "s2") and scatter.is_idempotent
@@ -108,12 +108,12 @@
         encode(CONFIGURATION, routes=[CONFIGURATION["routes"][0]] * 2),
     ],
 )
-def test_an_invalid_configuration_is_refused(body):
+def test_an_invalid_configuration_is_rejected(body):
     with pytest.raises(FulmarholdError):
         decode_configuration(body)
 
 
-def test_a_document_is_unpacked_as_it_was_sent():
+def test_an_unpacked_document_equals_the_packed_one():
     body = encode(CONFIGURATION)
     assert unpack_document(pack_document(body)) == body
 
@@ -143,13 +143,13 @@
         {"born": 1.5},
     ],
 )
-def test_a_heartbeat_of_another_writer_names_no_upstream(changes):
+def test_a_heartbeat_with_an_invalid_field_is_rejected(changes):
     with pytest.raises(FulmarholdError):
         decode_heartbeat("i-1", encode(HEARTBEAT, **changes))
 
 
 @pytest.mark.parametrize("name", sorted(set(HEARTBEAT) - {"born"}))
-def test_a_heartbeat_with_a_field_missing_names_no_upstream(name):
+def test_a_heartbeat_with_a_missing_field_is_rejected(name):
     with pytest.raises(FulmarholdError):
         decode_heartbeat("i-1", without(HEARTBEAT, name))
 
@@ -163,7 +163,7 @@
 
 @settings(max_examples=2_000, deadline=None)
 @given(st.sampled_from(sorted(CONFIGURATION)), values)
-def test_any_value_in_a_configuration_is_taken_or_refused(name, value):
+def test_any_value_in_a_configuration_is_accepted_or_rejected(name, value):
     try:
         decode_configuration(encode(CONFIGURATION, **{name: value}))
     except FulmarholdError as error:
@@ -173,7 +173,7 @@
 @settings(max_examples=2_000, deadline=None)
 @given(st.binary(max_size=60) | st.builds(lambda n, v: encode(HEARTBEAT, **{n: v}),
        st.sampled_from(sorted(HEARTBEAT)), values))  # fmt: skip
-def test_any_heartbeat_is_taken_or_refused(body):
+def test_any_heartbeat_is_accepted_or_rejected(body):
     try:
         statement = decode_heartbeat("i-1", body)
     except FulmarholdError:
@@ -181,7 +181,7 @@
     assert statement.state in (READY, DRAINING) and statement.slots > 0
 
 
-def test_settings_are_decoded_and_unknown_fields_left_alone():
+def test_settings_are_decoded_and_unknown_fields_are_ignored():
     decoded = decode_settings(SETTINGS, "settings")
     assert decoded.peer_endpoint == "10.1.0.39:7740"
     assert decoded.seeds == ("10.1.0.41:7740", "10.2.0.35:7740")
@@ -197,6 +197,6 @@
         ({"faultTolerance": {"machines": -1}}, "machines"),
     ],
 )
-def test_a_wrong_setting_is_named(changes, named):
+def test_an_error_names_the_invalid_setting(changes, named):
     with pytest.raises(FulmarholdError, match=named):
         decode_settings({**SETTINGS, **changes}, "settings")
--- a/fulmarhold/tests/platform/test_headers.py
+++ b/fulmarhold/tests/platform/test_headers.py
@@ -1,4 +1,4 @@
-"""Requests go on unchanged, and responses mean what their headers prove."""
+"""Requests are forwarded unchanged, and responses are classified by their headers."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
     return UpstreamResponse(status, headers, body, True)
 
 
-def test_a_request_goes_on_as_it_came():
+def test_a_request_is_forwarded_unchanged_except_for_connection_headers():
     request = read_request(
         raw(
             ("X-Fulmarhold-Request-Deadline", "1200"),
@@ -75,11 +75,11 @@
         (response(404, ECHO, STAMP), Verdict.FAILURE),
     ],
 )
-def test_what_a_response_means(given, verdict):
+def test_a_response_is_classified_by_its_status_and_headers(given, verdict):
     assert PlatformCodec().read(given, "id-1").verdict is verdict
 
 
-def test_a_response_is_passed_on_without_what_concerns_the_connection():
+def test_a_response_is_relayed_without_hop_by_hop_headers():
     given = response(200, ECHO, STAMP, ("Keep-Alive", "timeout=3"), ("X-Own", "1"))
     reply = PlatformCodec().read(given, "id-1")
     written = write_outcome(Relayed(reply))
@@ -102,6 +102,6 @@
         (Failed(FailedReason.PARTS_MISSING), 502, ()),
     ],
 )
-def test_what_callers_are_told(outcome, status, headers):
+def test_an_outcome_is_converted_to_a_response(outcome, status, headers):
     written = write_outcome(outcome)
     assert (written.status, written.headers) == (status, headers)
--- a/fulmarhold/tests/platform/test_start.py
+++ b/fulmarhold/tests/platform/test_start.py
@@ -1,4 +1,4 @@
-"""What a daemon imports before it serves: a start again after a loss is an outage."""
+"""Daemons must not import slow modules before they serve: time to restart is downtime."""
 
 from __future__ import annotations
 
@@ -7,15 +7,16 @@
 
 import pytest
 
-# Each of these takes a tenth or more of a start; they are loaded once callers and peers are served.
-TOO_SLOW = ("pydantic", "falcon", "yaml", "prometheus_client", "cyclopts", "gevent.pywsgi")
+# Importing each of these takes a tenth or more of the start-up time; they are imported only after
+# callers and peers are served.
+SLOW_MODULES = ("pydantic", "falcon", "yaml", "prometheus_client", "cyclopts", "gevent.pywsgi")
 
 
 @pytest.mark.parametrize("role", ["entry", "control"])
-def test_a_daemon_serves_before_it_imports_what_takes_long(role):
+def test_a_daemon_starts_without_importing_slow_modules(role):
     code = (
         f"import sys, fulmarhold.platform.__main__, fulmarhold.platform.{role};"
-        f"print([name for name in {TOO_SLOW!r} if name in sys.modules])"
+        f"print([name for name in {SLOW_MODULES!r} if name in sys.modules])"
     )
     result = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
     assert result.stdout.strip() == b"[]"
--- a/fulmarhold/tests/settings/test_loading.py
+++ b/fulmarhold/tests/settings/test_loading.py
@@ -1,4 +1,4 @@
-"""Settings files and questionnaires: all problems at once, with path, sentence and hint."""
+"""Problems in settings files and questionnaires are reported together, with path and hint."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
     return {problem.path: problem.sentence for problem in caught.value.problems}
 
 
-def test_a_right_file_is_loaded():
+def test_a_valid_file_is_loaded():
     settings = load_document(ENTRY, EntrySettings, "file")
     assert (settings.caller_endpoint, settings.log.level) == ("127.0.0.1:8000", "info")
 
@@ -50,7 +50,7 @@
         ({"name": "Entry 1"}, "name", "pattern"),
     ],
 )
-def test_a_wrong_option_is_named_with_its_path(change, path, words):
+def test_an_invalid_option_is_reported_with_its_path(change, path, words):
     found = problems({**ENTRY, **change}, EntrySettings)
     assert words in found[path]
 
@@ -65,24 +65,24 @@
     ("text", "words"),
     [("a: [", "not valid YAML"), ("- a", "must be a mapping"), ("", "must be a mapping")],
 )
-def test_a_file_that_is_no_mapping_is_refused(tmp_path, text, words):
+def test_a_file_that_is_not_a_mapping_is_rejected(tmp_path, text, words):
     path = tmp_path / "settings.yml"
     path.write_text(text)
     with pytest.raises(InvalidSettings, match=words):
         load_file(path, EntrySettings)
 
 
-def test_a_missing_file_is_named(tmp_path):
+def test_a_missing_file_is_named_in_the_error(tmp_path):
     with pytest.raises(InvalidSettings, match=r"none\.yml"):
         load_file(tmp_path / "none.yml", EntrySettings)
 
 
 @pytest.mark.parametrize("name", ["registry", "lysvik"])
-def test_the_examples_are_in_order(name):
+def test_the_examples_are_valid(name):
     assert load_file(EXAMPLES / f"{name}.yml", Questionnaire).deployment == name
 
 
-def test_the_template_is_in_order():
+def test_the_template_is_valid():
     load_document(yaml.safe_load(TEMPLATE), Questionnaire, "template")
 
 
@@ -94,6 +94,6 @@
         ({"services": []}, "at least 1"),
     ],
 )
-def test_a_wrong_questionnaire_is_refused(change, words):
+def test_an_invalid_questionnaire_is_rejected(change, words):
     with pytest.raises(InvalidSettings, match=words):
         small_questionnaire(**change)
