--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -161,7 +161,7 @@
     def _apply_configuration(self, version: int, document: bytes) -> None:
         routes = RouteTable(decode_configuration(unpack_document(document)))
         self.forwarder.use(routes)
-        log.info("version {} is in force with {} routes", version, len(routes))
+        log.info("configuration version {} applied, {} routes", version, len(routes))
         if self.watcher.own.state == STARTING:
             self.watcher.announce(READY)
 
