--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -33,14 +33,14 @@
 # of the budget that it uses.
 FAILURE_PENALTY: Milliseconds = 100.0
 # By how much a replica in another data centre must be faster to be chosen. Traffic between data
-# centres is expensive, and a replica that was not used for a while must not appear local because
-# its estimate has decayed. The factor is for long requests, whose latency varies by more than the
-# fixed penalty.
+# centres is expensive, and a remote replica that was not used for a while must not be preferred to
+# a local one just because its estimate has decayed. The factor is for long requests, whose latency
+# varies by more than the fixed penalty.
 OTHER_DATA_CENTRE_PENALTY: Milliseconds = 15.0
 OTHER_DATA_CENTRE_FACTOR = 1.25
 # Without recent replies, a replica is estimated at this share of the typical latency, so that it is
-# tried again next to one with typical latency. The share just cancels OTHER_DATA_CENTRE_FACTOR, so
-# the fixed penalty keeps replicas in other data centres from being tried needlessly.
+# tried again next to one with typical latency. The share exactly cancels OTHER_DATA_CENTRE_FACTOR,
+# so only the fixed penalty keeps replicas in other data centres from being tried needlessly.
 TYPICAL_LATENCY_SHARE = 0.8
 
 
@@ -225,7 +225,8 @@
         decayed = decay(estimate, now - self._estimate_updated_at)
         if self.typical_latency is None:
             return decayed
-        # Silence lowers a slow replica's estimate to about the typical latency, and none further.
+        # Without replies, a slow replica's estimate decays to about the typical latency, but no
+        # further.
         return max(decayed, min(estimate, TYPICAL_LATENCY_SHARE * self.typical_latency.value))
 
     def _slow_start_factor(self, now: Milliseconds) -> float:
