--- a/fulmarhold/limits/admission.py
+++ b/fulmarhold/limits/admission.py
@@ -39,9 +39,9 @@
     """Limits the concurrent queries of one service; others wait while there is time.
 
     The limit adapts to the capacity of the upstreams. It is decreased when answers lack parts at
-    the deadline, or when complete answers take so long that they must have queued while the limit
-    was reached, at most once per expected duration of a query. It is increased slowly with
-    complete answers, up to the configured limit.
+    the deadline, or when the limit is reached and complete answers take so long that they must
+    have queued at upstreams; at most once per expected duration of a query. Other complete answers
+    increase it slowly, up to the configured limit.
     """
 
     def __init__(self, urgency: Urgency, limit: int, clock: Clock) -> None:
@@ -134,7 +134,7 @@
             self._next_waiter().set()
 
     def _next_waiter(self) -> AsyncResult:
-        # Once more queries wait than run, the oldest have too little time left to be worth a slot.
+        # If more queries wait than may run, the oldest have too little time left to use a slot.
         if len(self._waiting) > self.limit:
             return self._waiting.pop()
         return self._waiting.popleft()
--- a/fulmarhold/limits/budget.py
+++ b/fulmarhold/limits/budget.py
@@ -21,7 +21,7 @@
 # Share of the capacity: an entry that restarts may have spent its part before.
 INITIAL_SHARE = 0.5
 # A hedge saves as much time as a retry and often makes the retry unnecessary. This budget has few
-# tokens, so that a reserve of half would leave none for hedges.
+# tokens, and a reserve of half of them would leave none for hedges.
 SLACK_RETRY_RESERVE_SHARE = 0.25
 
 
--- a/fulmarhold/limits/concurrency.py
+++ b/fulmarhold/limits/concurrency.py
@@ -18,8 +18,8 @@
 # A limit below one means one request at a time, with a pause after each.
 MIN_LIMIT = 0.25
 # The late share is a moving average over rounds of requests. Two late rounds in a row reach the
-# first threshold, and each later one the second. Requests that one pause of the upstream delayed
-# were all sent before the first late reply, and count as one round.
+# first threshold; once the limit is lowered, each late round reaches the second. Requests that one
+# pause of the upstream delayed were all sent before the first late reply, and count as one round.
 LATE_WEIGHT = 0.35
 LATE_SHARE_THRESHOLD = 0.5
 LATE_SHARE_THRESHOLD_WHEN_LIMITED = 0.3
