--- a/fulmarhold/gather/query.py
+++ b/fulmarhold/gather/query.py
@@ -93,8 +93,8 @@
     ) -> SnapshotReplicas | None:
         """Return the snapshot to rerun an incomplete query on, or `None` if not worthwhile.
 
-        A rerun needs enough time, enough budget and a snapshot with a larger live share than
-        the answer has.
+        A rerun needs enough time, enough budget and another snapshot with a larger share of live
+        shards than the answer covers.
         """
         if not answer.coverage.missing:
             return None
--- a/fulmarhold/gather/scatter.py
+++ b/fulmarhold/gather/scatter.py
@@ -28,7 +28,7 @@
     from fulmarhold.routing.table import SnapshotReplicas
     from fulmarhold.upstreams.protocol import RequestTemplate
 
-# Kept back from the caller's deadline for encoding the answer and sending it.
+# The time before the caller's deadline that is reserved for encoding and sending the answer.
 RESPONSE_RESERVE: Milliseconds = 2.0
 # A part is late after this many times the hedge delay.
 LATE_FACTOR = 3.0
--- a/fulmarhold/gather/subrequest.py
+++ b/fulmarhold/gather/subrequest.py
@@ -68,7 +68,7 @@
         return self._is_over
 
     def may_send(self) -> bool:
-        """Whether it is still wanted, the replica's lease is valid and the deadline is ahead."""
+        """Whether it is not over, the replica's lease is valid and the deadline has not passed."""
         now = self.owner.clock.now()
         return not self._is_over and now < self.owner.deadline_at and self.replica.is_live(now)
 
