--- a/fulmarhold/effects/dispatch.py
+++ b/fulmarhold/effects/dispatch.py
@@ -57,7 +57,7 @@
 log = get_logger("effects")
 
 SETTLE_TIMEOUT: Milliseconds = 30_000.0
-# Kept back from the deadline for the dispatch while a claim is waited for.
+# How long before the deadline the wait for a claim ends, so that time is left for the dispatch.
 DISPATCH_RESERVE: Milliseconds = 10.0
 MAX_SHED_RETRIES = 2
 
