Reword two comments of the platform daemons

Format, lint, types and the comparison with the base commit ran; no new finding. tests/platform/test_start.py, test_documents.py and test_headers.py passed.

--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -102,7 +102,8 @@
         """Serve operators and upstreams after entries have received the configuration.
 
         Importing the web framework takes as long as an election, and after a failure of all
-        instances no query is served until a leader is elected and entries have heard from it.
+        instances no query is served until a leader is elected and has confirmed the configuration
+        to entries.
         """
         until = self._clock.now() + MAX_OPERATOR_DELAY
         while self._feeds.time_since_first_feed < ENTRY_RETRY_MARGIN and self._clock.now() < until:
--- a/fulmarhold/platform/settings_watch.py
+++ b/fulmarhold/platform/settings_watch.py
@@ -21,7 +21,7 @@
 
 log = get_logger("settings")
 
-# Well below the three seconds by which the operators' list of control instances is out of date
+# Well below three seconds, by which the operators' list of control instances may be out of date
 # anyway.
 SETTINGS_PERIOD: Milliseconds = 500.0
 
