--- a/fulmarhold/soak/callers.py
+++ b/fulmarhold/soak/callers.py
@@ -54,7 +54,7 @@
         is_idempotent: bool,
         observations: Observations,
     ) -> Response:
-        """Send a request, wait for its response and record both without judging them."""
+        """Send a request, wait for its response and record both without checking them."""
         request_id = f"soak-{next(_request_numbers)}"
         clock = observations.clock
         request = SentRequest(
