--- a/fulmarhold/tests/questionnaire/test_derive.py
+++ b/fulmarhold/tests/questionnaire/test_derive.py
@@ -28,7 +28,9 @@
     shards=st.integers(1, 300),
     replicas=st.integers(1, 5),
 )
-def test_what_must_hold_for_every_questionnaire(entries, connections, slots, shards, replicas):
+def test_derived_settings_are_consistent_for_every_questionnaire(
+    entries, connections, slots, shards, replicas
+):
     answers = small_questionnaire()
     service = {
         "name": "s",
