--- a/fulmarhold/__main__.py
+++ b/fulmarhold/__main__.py
@@ -127,14 +127,14 @@
 
 @application.command
 def remove(identity: str, *, control: ControlEndpoints) -> None:
-    """Remove a lost control instance, named by the identity that status shows."""
+    """Remove a lost control instance, named by its identity, which GET /queries/status lists."""
     clusters.remove_instance(control, identity)
     print(f"removed {identity}")
 
 
 @application.command
 def drain(entry: str) -> None:
-    """Shut down an entry instance gracefully, named by its caller endpoint."""
+    """Announce that an entry, named by its caller endpoint, is leaving; the entry keeps serving."""
     configurations.drain_entry(entry)
     print(f"{entry} is leaving")
 
--- a/fulmarhold/operators/commands/configurations.py
+++ b/fulmarhold/operators/commands/configurations.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True)
 class Acceptance:
-    """The accepted revision and the entries that do not run it yet."""
+    """The accepted revision and the entries that are not known to run it yet."""
 
     revision: int
     is_in_force: bool
@@ -41,7 +41,7 @@
     command_id: str = "",
     timeout: Milliseconds = DEFAULT_TIMEOUT,
 ) -> Acceptance:
-    """Submit a configuration; a resend with the same command id has the same outcome.
+    """Submit a configuration; a resend with the same command id has the same outcome or is refused.
 
     Raises `SupersededError`, which names the other operator, `ControlRefused` or `PeerUnavailable`.
     """
@@ -65,7 +65,7 @@
 
 
 def drain_entry(endpoint: str) -> None:
-    """Start the graceful shutdown of the entry at a caller endpoint."""
+    """Make the entry at a caller endpoint announce that it is leaving; it keeps serving."""
     response = request_json(endpoint, "POST", "/drain")
     if response.status != 200:
         raise ControlRefused(response, "drain", endpoint)
--- a/fulmarhold/operators/control.py
+++ b/fulmarhold/operators/control.py
@@ -20,7 +20,7 @@
 
 
 class ControlRefused(FulmarholdError):
-    """A control instance rejected a command or query; a retry does not help."""
+    """A control instance or an entry rejected a request, which is not sent again."""
 
     def __init__(self, response: JsonResponse, step: str, peer: str) -> None:
         body = response.body if isinstance(response.body, dict) else {}
--- a/fulmarhold/standin/announcer.py
+++ b/fulmarhold/standin/announcer.py
@@ -49,7 +49,7 @@
             session.is_due.set()
 
     def _choose_entries(self) -> list[str]:
-        """Return the entries to announce to, which stay the same as long as they serve."""
+        """Return the entries that rank first by hash; a new entry displaces at most one of them."""
         address = self._upstream.record.address
         found = self._finder.find() or tuple(self._sessions)
         ranked = sorted(
