--- a/fulmarhold/tests/control/test_drain_model.py
+++ b/fulmarhold/tests/control/test_drain_model.py
@@ -37,7 +37,7 @@
 from fulmarhold.observe.counters import Counters
 from fulmarhold.wire.messages import Failure
 
-# 10,000 schedules were run manually, with this number changed in a scratch copy.
+# A one-off run covered 10,000 schedules.
 SCHEDULES = 500
 EVENTS = 40
 # Pinned, because derandomize derives the seed from the source of the test function, and a rename
--- a/fulmarhold/tests/membership/test_version_model.py
+++ b/fulmarhold/tests/membership/test_version_model.py
@@ -22,7 +22,7 @@
 from fulmarhold.membership.running import CONFIRMATION_LEASE, RunningState
 from fulmarhold.questionnaire.derive import derive_configuration
 
-# 10,000 were run manually, with this number changed in a scratch copy.
+# A one-off run covered 10,000 schedules.
 SCHEDULES = 500
 EVENTS = 150
 # Pinned, because derandomize derives the seed from the source of the test function, and a rename
@@ -47,7 +47,7 @@
 }
 
 
-class World:
+class Simulation:
     """Control and its entries; a message is a function that is called when it arrives."""
 
     def __init__(self, seed, entries):
@@ -162,33 +162,33 @@
                 ), f"{name} serves by version {entry.version}, {self.in_force} is in force"
 
 
-def misbehave(world):
+def run_random_event(simulation):
     """Run one random event, then advance the clock and check."""
-    random = world.random
-    names = list(world.running)
+    random = simulation.random
+    names = list(simulation.running)
     name = random.choice(names)
     match random.choices(list(EVENT_WEIGHTS), list(EVENT_WEIGHTS.values()))[0]:
-        case "sync" if name not in world.suspended:
-            world.sync(name)
-        case "poll" if name not in world.suspended:
-            world.poll(name, random.choice(names))
+        case "sync" if name not in simulation.suspended:
+            simulation.sync(name)
+        case "poll" if name not in simulation.suspended:
+            simulation.poll(name, random.choice(names))
         case "deliver":
             for _ in range(random.randint(1, 8)):
-                world.deliver()
+                simulation.deliver()
         case "accept":
-            world.accept()
+            simulation.accept()
         case "suspend":
-            world.suspended.add(name)
+            simulation.suspended.add(name)
         case "resume":
-            world.suspended.discard(name)
+            simulation.suspended.discard(name)
         case "restart":
-            world.running[name] = RunningState(name, world.clock)
+            simulation.running[name] = RunningState(name, simulation.clock)
         case "leave":
-            world.leave(name)
+            simulation.leave(name)
         case "join":
-            world.join()
-    world.clock.advance(random.choices(TIME_STEPS, [40, 30, 20, 10, 3])[0])
-    world.check()
+            simulation.join()
+    simulation.clock.advance(random.choices(TIME_STEPS, [40, 30, 20, 10, 3])[0])
+    simulation.check()
 
 
 @pinned_seed(SCHEDULE_SEED)
@@ -200,6 +200,6 @@
 )
 @given(seed=st.integers(0, 2**32), entries=st.sampled_from([2, 3, 5]))
 def test_no_entry_serves_by_an_older_version_than_the_one_in_force(seed, entries):
-    world = World(seed, entries)
+    simulation = Simulation(seed, entries)
     for _ in range(EVENTS):
-        misbehave(world)
+        run_random_event(simulation)
