--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -43,7 +43,7 @@
 FIRST_TERM = 1
 TRANSFER_WAIT: Milliseconds = 2_000.0
 # A leader whose sync takes longer than this stops sending heartbeats, so that another member is
-# elected. Several times the slowest sync measured on a disk shared with other load (0.8 s).
+# elected. Several times the slowest sync on a disk shared with other load (0.8 s).
 MAX_SYNC_DURATION: Milliseconds = 2_500.0
 
 
@@ -318,7 +318,7 @@
         if output.committed or output.installed_snapshot is not None:
             self.on_applied()
         if was_leader and (not core.is_leader or core.term != term):
-            log.info("lost leadership of term {}; new leader: {}", term, core.leader or "nobody")
+            log.info("no longer leads in term {}; follows {}", term, core.leader or "nobody")
             self._fail_proposals()
         if core.is_leader and not was_leader:
             log.info("became leader of term {}", core.term)
