--- a/fulmarhold/soak/checks.py
+++ b/fulmarhold/soak/checks.py
@@ -17,7 +17,7 @@
 
 checks: Registry[Check] = Registry("promise")
 
-# Bounds stated in the user documentation.
+# Bounds that the platform guarantees to its users.
 UNDISTURBED_WINDOW: Milliseconds = 4_000.0
 APPLY_BOUND: Milliseconds = 3_000.0
 DRAIN_BOUND: Milliseconds = 3_000.0
