--- a/fulmarhold/control/differences.py
+++ b/fulmarhold/control/differences.py
@@ -1,4 +1,4 @@
-"""Detects control instances whose set of serving upstreams persistently differs from the own one.
+"""Detects control instances whose set of serving upstreams persistently differs from this one's.
 
 Statements are passed on once, and again to peers that could not be reached. An instance that is
 lost for good loses the statements that it had yet to resend; two others may then hold different
@@ -13,7 +13,7 @@
 
 
 class DigestMismatches:
-    """Counts, for each peer, the consecutive reports whose digest differs from the own one.
+    """Counts, for each peer, the consecutive reports whose digest differs from this instance's.
 
     >>> mismatches = DigestMismatches()
     >>> [mismatches.record_report("peer", digest, "own") for digest in ("x", "own", "x", "y")]
--- a/fulmarhold/control/enforcement.py
+++ b/fulmarhold/control/enforcement.py
@@ -26,7 +26,7 @@
         self._majority_at: Milliseconds | None = None
 
     def behind(self, roster: Collection[str]) -> tuple[str, ...]:
-        """Return the entries, of the roster or that have synced, not known to run the version."""
+        """Return the entries, in the roster or synced before, not yet known to run the version."""
         return self._presence.behind(self._version, {*roster, *self._presence.names})
 
     def is_complete(self, roster: Collection[str], now: Milliseconds) -> bool:
--- a/fulmarhold/control/formation.py
+++ b/fulmarhold/control/formation.py
@@ -29,7 +29,7 @@
 ATTEMPT_PERIOD: Milliseconds = 150.0
 HOUSEKEEPING_PERIOD: Milliseconds = 200.0
 CALL_TIMEOUT: Milliseconds = 500.0
-# A member that the leader has removed gets no more heartbeats, which otherwise come every 150 ms.
+# A member that the leader has removed gets no more heartbeats, which otherwise come every 100 ms.
 REJOIN_TIMEOUT: Milliseconds = 1_500.0
 # Allows for two syncs of a slow disk and the round trips between data centres; after a timeout the
 # next step tries again.
--- a/fulmarhold/control/presence.py
+++ b/fulmarhold/control/presence.py
@@ -1,6 +1,6 @@
 """What the leader knows of entries from their syncs.
 
-It is dropped with the leadership; a new leader learns it again from the next syncs.
+It is discarded when leadership is lost; a new leader learns it again from the next syncs.
 """
 
 from __future__ import annotations
--- a/fulmarhold/control/retirement.py
+++ b/fulmarhold/control/retirement.py
@@ -39,7 +39,7 @@
         self._clock = clock
 
     def apply_retirement(self, statement: UpstreamStatement) -> UpstreamStatement:
-        """Return the statement, changed to draining if the log has its incarnation as retired."""
+        """Return the statement, changed to draining if the log has retired its incarnation."""
         born = self._machine.state.retired.get(statement.name)
         if born is not None and statement.born <= born and statement.state not in (DRAINING, LEFT):
             return replace(statement, state=DRAINING)
--- a/fulmarhold/control/versions.py
+++ b/fulmarhold/control/versions.py
@@ -31,7 +31,7 @@
 
 log = get_logger("versions")
 
-# Operators' clients give up a call after one second, so that a later decision comes too late.
+# Operators' clients give up a call after one second; a decision must reach them before that.
 DECISION_TIMEOUT: Milliseconds = 850.0
 
 
--- a/fulmarhold/control/voter_changes.py
+++ b/fulmarhold/control/voter_changes.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-# Longer than a short freeze or a restart (about 0.5 s) and two election timeouts (2 s each), so
-# that neither causes a change of members.
+# Longer than a short freeze or a restart (about 0.5 s) and two election timeouts (at most 0.9 s
+# each), so that neither causes a change of members.
 VOTER_SILENCE_LIMIT: Milliseconds = 2_500.0
 # An absent learner costs only replication, so it may stay away while its machine is repaired.
 LEARNER_SILENCE_LIMIT: Milliseconds = 2 * MINUTE
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -1,4 +1,4 @@
-"""Sharing of statements: departures are durable, and lost messages are made up for."""
+"""Sharing of statements: departures are durable, and undelivered statements are resent."""
 
 from __future__ import annotations
 
