--- a/fulmarhold/membership/feed.py
+++ b/fulmarhold/membership/feed.py
@@ -23,7 +23,7 @@
 
 @message
 class FeedReply:
-    """The changes since the requested positions.
+    """The changes since the requested positions, or all statements if `is_whole`.
 
     `confirmed_age` tells how many milliseconds ago a majority confirmed the leader of this
     instance; `configuration` is omitted unless it is newer than the watcher's.
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -200,7 +200,8 @@
         """Follow a source until it is lost or a source in the same data centre is available."""
         is_first = True
         while True:
-            # Control may know another run of this entry under an older sequence.
+            # A higher sequence supersedes the statement that control holds, such as one of another
+            # run, or one that declares this entry silent.
             self._own = replace(self._own, sequence=self._own.sequence + 1)
             asked_at = self._clock.now()
             reply = link.call(
