--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
-"""A heartbeat of another writer, with bytes that are no UTF-8, ends the control processes."""
+"""A heartbeat of another writer, with an address of another kind, ends the entry processes."""
 
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -12,26 +13,29 @@
     main, route, send, send_heartbeat,
 )  # fmt: skip
 
-# The zone is a lone surrogate in the three bytes ED A0 80, which no UTF-8 text holds.
+# The address is an IPv6 one with the name of an interface, where IPv4 and a port belong.
 BEAT = (
-    b'{"service":"meter","address":"127.0.0.1:9","zone":"\xed\xa0\x80","version":"v1","slots":2,'
+    b'{"service":"recon","address":"::1%%lo:9","zone":"wcape-ctn","version":"v1","slots":2,'
     b'"state":"ready","warmupLeftMs":0,"sequence":%d,"born":1700000000000}'
 )
 WRITER_S = 30.0
-# RULES.md, Fault: "on half of the core, processes end by themselves three times in the day".
-ENDS = 3
+# RULES.md, Fault: "on a tenth of the machines in use (two at least) [...] processes end by
+# themselves three times in the day".
+ENDS, MACHINES = 3, 2
 
 
 def run(fleet: Fleet) -> int:
     fleet.start()
-    for number in range(2):
+    for number in range(3):
         Server(fleet, "recon", 101 + number, fleet.zones[number])
     first = configuration(1, [route("r1", "/recon/", "recon")])
     if fleet.put_configuration(first, 30) is None or not fleet.wait_until_served("/recon/1", 30):
         return COULD_NOT_RUN
     time.sleep(4.5)
     fleet.record("the fleet is calm")
-    fleet.run_thread(lambda: clients(fleet))
+    counts: dict[str, int] = {}
+    for entry in fleet.entries:
+        fleet.run_thread(lambda entry=entry: client(fleet, entry, counts))
     until = fleet.record.now() + WRITER_S
     endpoint, sequence = None, 0
     while fleet.record.now() < until:
@@ -40,25 +44,25 @@
             endpoint = send_heartbeat(fleet, "i-meter", BEAT % sequence, endpoint)
             fleet.record(f"another writer: heartbeat {sequence} taken by {endpoint}")
         time.sleep(HEARTBEAT_S)
-    acknowledged = fleet.put_configuration(
-        configuration(2, [route("r1", "/recon/", "recon"), route("r2", "/new/", "recon")]), 6
-    )
-    fleet.record(f"version 2 acknowledged at {acknowledged}")
-    ended = {item.name: len(item.ends) for item in fleet.control}
-    fleet.record(f"ends of control processes by themselves: {ended}")
-    print("control processes ended by themselves:", ended)
-    often = sum(count >= ENDS for count in ended.values())
-    return BROKEN if 2 * often >= len(fleet.control) else HELD
+    ended = {item.name: len(item.ends) for item in fleet.entries}
+    fleet.record(f"ends of entry processes by themselves: {ended}; answers {counts}")
+    print("entry processes ended by themselves:", ended, "answers:", counts)
+    return BROKEN if sum(count >= ENDS for count in ended.values()) >= MACHINES else HELD
 
 
-def clients(fleet: Fleet) -> None:
+_lock = threading.Lock()
+
+
+def client(fleet: Fleet, entry: object, counts: dict[str, int]) -> None:
     while not fleet.is_stopping:
-        for entry in fleet.entries:
-            connection = Connection((entry.address, fleet.ports["front"]))
-            answer = send(connection, "GET", "/recon/2", 3000)
-            connection.close()
-            fleet.record(f"client at {entry.name}: {answer.status} {answer.note}")
-        time.sleep(0.5)
+        connection = Connection((entry.address, fleet.ports["front"]))  # type: ignore[attr-defined]
+        answer = send(connection, "GET", "/recon/2", 3000)
+        connection.close()
+        with _lock:
+            key = str(answer.status) if answer.status else "connection lost or refused"
+            counts[key] = counts.get(key, 0) + 1
+        fleet.record(f"client at {entry.name}: {answer.status} {answer.note}")  # type: ignore[attr-defined]
+        time.sleep(0.25)
 
 
-main(run, FOLDER, zones=("wcape-ctn", "wcape-blv", "wcape-stb"), control=3, entries=2)
+main(run, FOLDER, zones=("wcape-ctn", "wcape-blv", "wcape-stb"), control=3, entries=3)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,7 @@
 SLOTS, QUEUE, WORK_S, DEADLINE_MS = 2, 8, 1.2, 15000
 REQUESTS = 8
 # "a request that was sent no later than 3 s after the SIGTERM" may be cut; these are sent later.
-SENT_AFTER_S = 3.25
+SENT_AFTER_S = 3.15
 EXCUSED_S = 3.0
 
 
