--- a/review/3/case.py
+++ b/review/3/case.py
@@ -48,7 +48,7 @@
     until = fleet.record.now() + DEADLINE_MS / 1000 + 1
     while len(results) < REQUESTS and fleet.record.now() < until:
         time.sleep(0.05)
-    ran = set(fleet.runs)
+    ran = {attempt for attempt, _ in fleet.runs}
     slack = BOUNDS["lossSlackMs"] / 1000
     lost = 0
     for attempt, sent_at, ended_at, status, note in sorted(results):
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -153,8 +153,8 @@
             for index in range(entries)
         ]
         self.servers: list[Server] = []
-        # The attempt ids that servers began to work on, in order.
-        self.runs: list[str] = []
+        # The attempt id and the server of each run, in the order in which they began.
+        self.runs: list[tuple[str, str]] = []
         self._threads: list[threading.Thread] = []
 
     @property
@@ -355,7 +355,7 @@
         try:
             with self._running:
                 self.fleet.record(f"server {self.name} runs {attempt}: {line}")
-                self.fleet.runs.append(attempt)
+                self.fleet.runs.append((attempt, self.name))
                 time.sleep(self.work_s)
         finally:
             with self._lock:
