Log the phases of an entry's stop, and the requests that have no outcome when it exits

The record of the users names requests of an entry whose own log names neither them nor its stop, so that the hypotheses in docs/incidents/planned-stops.md can't be told apart there. An entry now logs when it begins to leave, when it begins to refuse and when it exits, with what is in flight, and one request line with the outcome 'cut' for each request without an outcome. No logic changes.

--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -82,6 +82,7 @@
         self._budgets: dict[str, SlackBudget] = {}
         self._replies: dict[str, ReplyEstimates] = {}
         self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
+        self._open: dict[Any, tuple[ForwardRequest, Route]] = {}
 
     @property
     def routes(self) -> RouteTable | None:
@@ -130,7 +131,18 @@
         )
         operation = self._operation(request, route, deadline_at)
         on_disconnect(operation.caller_gone)
-        return self._finish(request, route, operation.run())
+        self._open[operation] = request, route
+        try:
+            outcome = operation.run()
+        finally:
+            del self._open[operation]
+        return self._finish(request, route, outcome)
+
+    def report_cut(self) -> int:
+        """Log the requests that have no outcome when the process exits; returns their number."""
+        for request, route in self._open.values():
+            self._report(request, route, "cut", "process_exit")
+        return len(self._open)
 
     def histograms(self) -> Iterable[Histogram]:
         """Yield the histograms of request latency by outcome and reason."""
@@ -191,8 +203,11 @@
         return retry_delay_after_refusal(self._random)
 
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
+        self._report(request, route, *_outcome_labels(outcome))
+        return outcome
+
+    def _report(self, request: ForwardRequest, route: Route | None, name: str, reason: str) -> None:
         elapsed = self._clock.now() - request.received_at
-        name, reason = _outcome_labels(outcome)
         self._counters.add("requests", outcome=name, reason=reason)
         self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
         # Complete answers within the target are dropped first; operators ask about late ones too.
@@ -210,7 +225,6 @@
             left_ms=request.deadline_at - self._clock.now(),
             round_trip_ms=request.round_trip,
         )
-        return outcome
 
 
 def _outcome_labels(outcome: Outcome) -> tuple[str, str]:
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -73,6 +73,7 @@
         self._watch = watch
         self._clock = clock
         self._counters = counters
+        self._events = events
         self._random = Random()
         self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
@@ -155,14 +156,17 @@
         accepting_time = min(
             DIRECTORY_ANSWER_TTL + LATE_CALLER_MARGIN, (1 - COMPLETION_SHARE) * self._settings.grace
         )
+        self._report_stop("leaving", accepting_ms=accepting_time, grace_ms=self._settings.grace)
         gevent.sleep((started_at + accepting_time - self._clock.now()) / SECOND)
         self._front.stop_accepting()
         self.forwarder.refuse_all()
         self._collector_service.decline_all()
         self._front.close_idle()
+        self._report_stop("refusing")
         while self._in_flight and self._clock.now() < exit_at:
             gevent.sleep(MAINTENANCE_PERIOD / 10 / SECOND)
         self._front.close_idle()
+        self._report_stop("exiting", cut=self.forwarder.report_cut())
         gevent.killall(self._greenlets)
         self._readiness.stop(timeout=0)
         self._directory.stop(timeout=0)
@@ -175,6 +179,16 @@
     def _in_flight(self) -> int:
         return self._front.in_flight + self._collector_service.in_flight
 
+    def _report_stop(self, phase: str, **fields: float) -> None:
+        self._events.record(
+            "stopping",
+            phase=phase,
+            in_flight=self._front.in_flight,
+            collections=self._collector_service.in_flight,
+            connections=self._front.connections,
+            **fields,
+        )
+
     def _handle_request(self, raw: RawRequest, on_disconnect: Any) -> RawResponse:
         return write_outcome(self.forwarder.forward(read_request(raw), on_disconnect))
 
