--- a/fulmarhold/tests/platform/conftest.py
+++ b/fulmarhold/tests/platform/conftest.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from fulmarhold.tests.platform.fleet import CONTROL, ENTRIES, PlatformFleet, Upstream
+from fulmarhold.tests.platform.fleet import (
+    CONTROL,
+    ENTRIES,
+    NETWORK,
+    UPSTREAM_HOST,
+    PlatformFleet,
+    Upstream,
+)
 
 
 @pytest.fixture
@@ -18,7 +25,7 @@
 
 @pytest.fixture
 def upstreams():
-    started = [Upstream("127.0.33.1", "s1"), Upstream("127.0.33.2", "s2")]
+    started = [Upstream(f"{NETWORK}.{UPSTREAM_HOST + number}", f"s{number}") for number in (1, 2)]
     yield started
     for upstream in started:
         upstream.stop()
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -24,9 +24,13 @@
     from pathlib import Path
 
 TIMEOUT_SECONDS = 20.0
-CONTROL = ("127.0.31.1", "127.0.31.2", "127.0.31.3")
-SUCCESSORS = ("127.0.31.4", "127.0.31.5", "127.0.31.6")
-ENTRIES = ("127.0.32.1", "127.0.32.2")
+# Loopback addresses that other test runs on the same machine don't use at the same time.
+NETWORK = f"127.{64 + os.getpid() // 250 % 180}.{os.getpid() % 250 + 1}"
+CONTROL = tuple(f"{NETWORK}.{host}" for host in (1, 2, 3))
+SUCCESSORS = tuple(f"{NETWORK}.{host}" for host in (4, 5, 6))
+ENTRIES = tuple(f"{NETWORK}.{host}" for host in (21, 22))
+# The first host number of the upstreams of `s1`, `s2` and so on.
+UPSTREAM_HOST = 31
 UPSTREAM_PORT = 8300
 METRICS_PORT = 9464
 RECORD = b"0123456789abcdef"
--- a/fulmarhold/tests/platform/test_fleet.py
+++ b/fulmarhold/tests/platform/test_fleet.py
@@ -15,9 +15,11 @@
     CONTROL,
     ENTRIES,
     METRICS_PORT,
+    NETWORK,
     RECORD,
     SUCCESSORS,
     TIMEOUT_SECONDS,
+    UPSTREAM_HOST,
     PlatformFleet,
     Upstream,
     configuration,
@@ -202,7 +204,12 @@
     started.start(ENTRIES[1], data_centre="b")
     # Only large parts are worth collecting.
     upstreams = [
-        Upstream(f"127.0.34.{n}", f"s{n}", data_centre="b", records=MIN_COLLECTED_BYTES // 16)
+        Upstream(
+            f"{NETWORK}.{UPSTREAM_HOST + n}",
+            f"s{n}",
+            data_centre="b",
+            records=MIN_COLLECTED_BYTES // 16,
+        )
         for n in range(1, 5)
     ]
     yield started, upstreams
--- /dev/null
+++ b/fulmarhold/tests/platform/test_planned_stops.py
@@ -0,0 +1,129 @@
+"""Planned stops of an entry: what it has read gets an answer, however long its upstreams take."""
+
+from __future__ import annotations
+
+import json
+import signal
+from contextlib import suppress
+
+import gevent
+import pytest
+
+from fulmarhold.platform.encoding import CALLER_PORT
+from fulmarhold.tests.platform.fleet import (
+    ENTRIES,
+    TIMEOUT_SECONDS,
+    configuration,
+    put_configuration,
+    wait_for,
+    wait_for_status,
+)
+
+STOPPING = ENTRIES[0]
+# Far longer than the grace period of a stop, as for long reconciliations.
+LONG_DEADLINE_MS = 15_000
+SHARDS = {"shardServices": ["s1", "s2"], "topK": 5, "minShardShare": 1.0}
+ROUTES = {
+    "idempotent": {"service": "s1"},
+    "non_idempotent": {"service": "s1", "routeType": "non_idempotent"},
+    "shards": SHARDS,
+}
+
+
+class KeptConnection:
+    """A caller's connection that is used for request after request until the entry closes it."""
+
+    def __init__(self):
+        self._socket = gevent.socket.create_connection(
+            (STOPPING, CALLER_PORT), timeout=TIMEOUT_SECONDS
+        )
+        self._file = self._socket.makefile("rb")
+        self.is_open = True
+
+    def send(self, request_id, method="POST"):
+        """Send a request and return the status of its answer, zero if it is not complete."""
+        self._socket.sendall(
+            f"{method} /a/x HTTP/1.1\r\nHost: h.example\r\n"
+            f"X-Fulmarhold-Attempt-Id: {request_id}\r\nX-Fulmarhold-Request-Deadline: "
+            f"{LONG_DEADLINE_MS}\r\n\r\n".encode()
+        )
+        try:
+            status, fields = self._read_head()
+            length = int(fields.get("content-length", "0"))
+            is_whole = len(self._file.read(length)) == length
+        except OSError:
+            status, fields, is_whole = 0, {}, False
+        self.is_open = is_whole and fields.get("connection") != "close"
+        return status if is_whole else 0
+
+    def _read_head(self):
+        line = self._file.readline()
+        fields = {}
+        while (field := self._file.readline()).strip():
+            key, _, value = field.decode().partition(":")
+            fields[key.lower()] = value.strip()
+        return (int(line.split(b" ")[1]) if field else 0), fields
+
+
+def start_serving(upstreams, **route):
+    route = {"timeoutMs": LONG_DEADLINE_MS, **route}
+    assert put_configuration(configuration(3, **route)).status == 200
+    for upstream in upstreams:
+        wait_for(upstream.send_heartbeat, lambda answer: answer.status == 200)
+    wait_for_status(STOPPING)
+
+
+def stop_events(tmp_path):
+    lines = (tmp_path / STOPPING / "log").read_text().splitlines()
+    return [event for event in map(json.loads, lines) if event["event"] in ("stopping", "request")]
+
+
+# Guards against requests that are cut at the end of a planned stop, because they were accepted with
+# more time than the process has left (LOST in the users' incident).
+@pytest.mark.parametrize("kind", ROUTES)
+def test_requests_that_outlast_a_planned_stop_get_an_answer(fleet, upstreams, tmp_path, kind):
+    start_serving(upstreams, **ROUTES[kind])
+    for upstream in upstreams:
+        upstream.delay = 4 * TIMEOUT_SECONDS
+    callers = [KeptConnection() for _ in range(3)]
+    before = len(upstreams[0].targets)
+    waiting = [gevent.spawn(caller.send, f"long-{number}") for number, caller in enumerate(callers)]
+    wait_for(lambda: len(upstreams[0].targets), lambda sent: sent >= before + len(callers))
+    fleet.signal(STOPPING, signal.SIGTERM)
+    statuses = [request.get(timeout=TIMEOUT_SECONDS) for request in waiting]
+    assert fleet.wait(STOPPING) == 0
+    # The work had begun, so that nothing but an unknown outcome is true.
+    assert statuses == [502] * len(callers)
+    events = stop_events(tmp_path)
+    outcomes = {
+        event["request"]: event["reason"] for event in events if event["event"] == "request"
+    }
+    assert [outcomes[f"long-{number}"] for number in range(len(callers))] == ["stopping"] * 3
+    phases = [event for event in events if event["event"] == "stopping"]
+    assert [event["phase"] for event in phases] == ["leaving", "refusing", "exiting"]
+    assert phases[-1]["cut"] == 0
+
+
+# Guards against requests that arrive late in a planned stop, are passed on, and end with it.
+@pytest.mark.parametrize("kind", ROUTES)
+def test_no_request_is_lost_from_the_signal_until_the_port_is_closed(fleet, upstreams, kind):
+    start_serving(upstreams, **ROUTES[kind])
+    kept = [KeptConnection() for _ in range(5)]
+    assert [caller.send(f"before-{number}") for number, caller in enumerate(kept)] == [200] * 5
+    for upstream in upstreams:
+        upstream.delay = 1.9
+    calls = []
+
+    def call(caller):
+        calls.append(gevent.spawn(caller.send, f"late-{len(calls)}"))
+
+    fleet.signal(STOPPING, signal.SIGTERM)
+    with suppress(OSError):
+        while True:
+            call(KeptConnection())
+            if kept and len(calls) % 10 == 0:
+                call(kept.pop())
+            gevent.sleep(0.05)
+    assert fleet.wait(STOPPING) == 0
+    statuses = [request.get(timeout=TIMEOUT_SECONDS) for request in calls]
+    assert not kept and 0 not in statuses, f"{statuses.count(0)} of {len(statuses)} are lost"
