End what a stopping entry accepts before it exits

Callers whose requests needed longer than the rest of a planned stop got no answer: an entry accepted until 3.6 s after SIGTERM whatever time a request was given, and exited 5.6 s after it whatever was open. Acceptance, the time of a request and the life of the process were decided apart from each other. The class: work is accepted for longer than its holder lives.

Ruled out: a shorter acceptance alone (callers use an address for up to three lifetimes of the directory's answer, and what waits when the signal comes is cut all the same), and a later exit (the process is killed after the grace period).

Now one schedule holds the phases of a stop. A request that can't be expected to end before the exit is refused at once as not run, so that the caller goes to another entry; one that may not be repeated needs more room. Shortly before the exit every open request gets the outcome that is known: the parts of a query if they are enough, a refusal if no upstream can have run it, otherwise 502, and the upstream's work is cancelled. A single request that every upstream rejected as not run is also refused at its deadline now, not answered 504.

--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -70,6 +70,11 @@
         """Whether the request was sent to any upstream."""
         return any(attempt.sent_at is not None for attempt in self._attempts)
 
+    @property
+    def can_have_run(self) -> bool:
+        """Whether any upstream may have run the request, or may still run it."""
+        return self.may_have_run or self._possible_runs() > 0
+
     @property
     def expected_latency(self) -> Milliseconds:
         """The usual latency of the first attempt's upstream; zero before an upstream is chosen."""
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
@@ -32,6 +32,7 @@
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.collecting.remote import Collector
     from fulmarhold.forwarding.codec import UpstreamCodec
+    from fulmarhold.forwarding.stopping import StopSchedule
     from fulmarhold.forwarding.upstreams import UpstreamTable
     from fulmarhold.limits.budget import ExtraLoadBound
     from fulmarhold.observe.counters import Counters, Histogram
@@ -75,14 +76,15 @@
         self._choose = choosers.find("least_expected")
         self._routes: RouteTable | None = None
         self._most_urgent = 0
-        self._is_stopping = False
+        self._stop_schedule: StopSchedule | None = None
+        self._is_refusing = False
         # Zero until it is known how many entries share it; budgets then hold earned tokens only.
         self._slack = 0.0
         self._refilled_at = clock.now()
         self._budgets: dict[str, SlackBudget] = {}
         self._replies: dict[str, ReplyEstimates] = {}
         self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
-        self._open: dict[Any, tuple[ForwardRequest, Route]] = {}
+        self._open: dict[ShardQuery | SingleForward, tuple[ForwardRequest, Route]] = {}
 
     @property
     def routes(self) -> RouteTable | None:
@@ -93,9 +95,18 @@
         self._routes = routes
         self._most_urgent = min((item.rank for item in routes.configuration.routes), default=0)
 
+    def start_stop(self, schedule: StopSchedule) -> None:
+        """Accept only requests that can be expected to end before this entry exits."""
+        self._stop_schedule = schedule
+
     def refuse_all(self) -> None:
-        """Refuse all further requests, because this entry is about to stop."""
-        self._is_stopping = True
+        """Refuse all further requests, because this entry is about to exit."""
+        self._is_refusing = True
+
+    def end_all(self) -> None:
+        """Give every open request the outcome that is known now, because this entry exits."""
+        for operation in self._open:
+            operation.end()
 
     def share_slack(self, entries: int) -> None:
         """Set how many entries share the slack of extra attempts of each service."""
@@ -118,8 +129,8 @@
 
         `on_disconnect` is given the function to call when the caller disconnects.
         """
-        if self._is_stopping:
-            return self._finish(request, None, Refused(RefusedReason.STOPPING, self._retry_after()))
+        if self._is_refusing:
+            return self._finish(request, None, self._refuse_stopping())
         if self._routes is None:
             pause = retry_delay_while_starting(self._clock.now() - self._started_at, self._random)
             return self._finish(request, None, Refused(RefusedReason.NO_CONFIGURATION, pause))
@@ -129,6 +140,8 @@
         deadline_at = (
             min(request.deadline_at, request.received_at + route.timeout) - DEADLINE_RESERVE
         )
+        if not self._can_complete(route, deadline_at):
+            return self._finish(request, route, self._refuse_stopping())
         operation = self._operation(request, route, deadline_at)
         on_disconnect(operation.caller_gone)
         self._open[operation] = request, route
@@ -149,10 +162,27 @@
         for (outcome, reason), histogram in self._histograms.items():
             yield "request_latency_ms", {"outcome": outcome, "reason": reason}, histogram
 
-    def _operation(self, request: ForwardRequest, route: Route, deadline_at: float) -> Any:
-        replies = self._replies.setdefault(
+    def _can_complete(self, route: Route, deadline_at: Milliseconds) -> bool:
+        """Whether there is time for a request before this entry exits."""
+        if self._stop_schedule is None:
+            return True
+        usual = self._estimates(route).high.value
+        return self._stop_schedule.can_complete(
+            self._clock.now(), deadline_at, usual, is_idempotent=route.is_idempotent
+        )
+
+    def _refuse_stopping(self) -> Refused:
+        return Refused(RefusedReason.STOPPING, self._retry_after())
+
+    def _estimates(self, route: Route) -> ReplyEstimates:
+        return self._replies.setdefault(
             route.name, ReplyEstimates(HEDGE_QUANTILE, INITIAL_HEDGE_DELAY)
         )
+
+    def _operation(
+        self, request: ForwardRequest, route: Route, deadline_at: Milliseconds
+    ) -> ShardQuery | SingleForward:
+        replies = self._estimates(route)
         context = CallContext(
             request,
             self._codec,
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -55,6 +55,7 @@
     UPSTREAM_ERROR = "upstream_error"
     PARTS_MISSING = "parts_missing"
     DEADLINE = "deadline"
+    STOPPING = "stopping"
     CALLER_GONE = "caller_gone"
 
 
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -65,6 +65,7 @@
         self._hedge_at: dict[ServiceCall, Milliseconds] = {}
         self._wake = Event()
         self._is_caller_gone = False
+        self._is_ended = False
         self._total = self._open_count = len(route.shards)
         self._straggler_threshold = max(1, math.ceil(STRAGGLER_SHARE * self._total))
         self._left_out: list[ServiceCall] = []
@@ -145,6 +146,11 @@
         self._abandon()
         self._wake.set()
 
+    def end(self) -> None:
+        """End the wait with the parts that are known now, because this entry is about to exit."""
+        self._is_ended = True
+        self._wake.set()
+
     def call_finished(self, call: ServiceCall) -> None:
         """Handle a call that has its part, or will not get one."""
         self._open_count -= 1
@@ -172,7 +178,7 @@
         ]
 
     def _is_finished(self) -> bool:
-        if self._open_count == 0 or self._is_caller_gone:
+        if self._open_count == 0 or self._is_caller_gone or self._is_ended:
             return True
         parts = len(self._parts())
         if parts + self._open_count < self._required:
@@ -213,7 +219,11 @@
             return Gathered(signatures, len(self._calls) - len(parts), records)
         if not any(call.was_sent or call.may_have_run for call in self._calls):
             self._abandon()
-            return Refused(RefusedReason.NO_UPSTREAM, self._retry_after())
+            reason = RefusedReason.STOPPING if self._is_ended else RefusedReason.NO_UPSTREAM
+            return Refused(reason, self._retry_after())
+        if self._is_ended:
+            self._abandon()
+            return Failed(FailedReason.STOPPING, f"{len(parts)} of {self._required} parts")
         if self._open_count and self._context.clock.now() >= self._context.deadline_at:
             return Failed(FailedReason.DEADLINE, f"{len(parts)} of {self._required} parts")
         self._abandon()
--- a/fulmarhold/forwarding/single.py
+++ b/fulmarhold/forwarding/single.py
@@ -39,6 +39,7 @@
         self._retry_after = retry_after
         self._wake = Event()
         self._is_caller_gone = False
+        self._is_ended = False
         self._call = make_call(self)
 
     def run(self) -> Outcome:
@@ -56,6 +57,11 @@
         self._call.abandon()
         self._wake.set()
 
+    def end(self) -> None:
+        """End the wait with what is known now, because this entry is about to exit."""
+        self._is_ended = True
+        self._wake.set()
+
     def call_finished(self, _: ServiceCall) -> None:
         """End the wait: the call has its reply, or will not get one."""
         self._wake.set()
@@ -78,6 +84,10 @@
             return Refused(call.refusal, self._retry_after())
         if call.failure is not None:
             return Failed(call.failure)
-        if not call.was_sent:
-            return Refused(RefusedReason.NO_TIME, self._retry_after())
+        if not call.can_have_run:
+            reason = RefusedReason.STOPPING if self._is_ended else RefusedReason.NO_TIME
+            return Refused(reason, self._retry_after())
+        if self._is_ended:
+            call.abandon()
+            return Failed(FailedReason.STOPPING)
         return Failed(FailedReason.DEADLINE)
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -13,6 +13,7 @@
 from fulmarhold.collecting.collectors import Collectors
 from fulmarhold.daemons import spawn_essential
 from fulmarhold.forwarding.forwarder import Forwarder
+from fulmarhold.forwarding.stopping import StopSchedule
 from fulmarhold.forwarding.upstreams import UpstreamTable
 from fulmarhold.membership.coalescing import CoalescedUpdate
 from fulmarhold.membership.preference import (
@@ -53,10 +54,8 @@
 # How long an entry may still be called after the last directory answer that lists it expires: the
 # answer may have been in transit, and callers may be opening a connection at that moment.
 LATE_CALLER_MARGIN: Milliseconds = 600.0
-# The time at the end of the grace period that is reserved for exiting.
-EXIT_RESERVE: Milliseconds = 400.0
-# The share of the grace period in which only requests in flight are completed.
-COMPLETION_SHARE = 0.3
+# How often a stopping entry looks whether it has answered all requests.
+COMPLETION_PERIOD: Milliseconds = 10.0
 # The average event loop lag above which an entry counts as busy, and below which it no longer does:
 # a fraction of the shortest latency target (64 ms), and far above the lag of an idle entry.
 BUSY_LAG: Milliseconds = 12.0
@@ -148,24 +147,22 @@
         self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
 
     def stop(self) -> None:
-        """Leave the directory, serve callers with old directory answers, complete open requests."""
-        started_at = self._clock.now()
-        exit_at = started_at + self._settings.grace - EXIT_RESERVE
+        """Leave the directory, serve callers with old directory answers, answer open requests."""
+        schedule = StopSchedule.plan(
+            self._clock.now(), self._settings.grace, DIRECTORY_ANSWER_TTL + LATE_CALLER_MARGIN
+        )
+        self._report_stop("leaving", grace_ms=self._settings.grace)
         self.watcher.announce(DRAINING)
         self._front.is_closing = True
-        accepting_time = min(
-            DIRECTORY_ANSWER_TTL + LATE_CALLER_MARGIN, (1 - COMPLETION_SHARE) * self._settings.grace
-        )
-        self._report_stop("leaving", accepting_ms=accepting_time, grace_ms=self._settings.grace)
-        gevent.sleep((started_at + accepting_time - self._clock.now()) / SECOND)
-        self._front.stop_accepting()
+        self.forwarder.start_stop(schedule)
+        gevent.sleep(max(0.0, schedule.accepts_until - self._clock.now()) / SECOND)
+        self._report_stop("refusing")
         self.forwarder.refuse_all()
         self._collector_service.decline_all()
-        self._front.close_idle()
-        self._report_stop("refusing")
-        while self._in_flight and self._clock.now() < exit_at:
-            gevent.sleep(MAINTENANCE_PERIOD / 10 / SECOND)
-        self._front.close_idle()
+        self._front.stop_accepting()
+        self._complete(schedule.answers_by)
+        self.forwarder.end_all()
+        self._complete(schedule.exits_by)
         self._report_stop("exiting", cut=self.forwarder.report_cut())
         gevent.killall(self._greenlets)
         self._readiness.stop(timeout=0)
@@ -175,9 +172,13 @@
         self._collectors.close()
         self._table.close()
 
-    @property
-    def _in_flight(self) -> int:
-        return self._front.in_flight + self._collector_service.in_flight
+    def _complete(self, until: Milliseconds) -> None:
+        """Wait until all requests are answered, at most until a moment."""
+        while self._clock.now() < until:
+            self._front.close_idle()
+            if not self._front.in_flight and not self._collector_service.in_flight:
+                return
+            gevent.sleep(COMPLETION_PERIOD / SECOND)
 
     def _report_stop(self, phase: str, **fields: float) -> None:
         self._events.record(
--- /dev/null
+++ b/fulmarhold/tests/forwarding/test_stopping.py
@@ -0,0 +1,105 @@
+"""Requests that are open or arrive while the entry stops; scripted pools, no network."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarhold.forwarding.request import (
+    Failed,
+    FailedReason,
+    Gathered,
+    Refused,
+    RefusedReason,
+    Verdict,
+)
+from fulmarhold.forwarding.stopping import StopSchedule
+from fulmarhold.tests.forwarding.scripted import ForwardingFixture, ScriptedPool, shards
+
+MOMENTS = st.floats(0.0, 100_000.0)
+
+
+class WaitingPool(ScriptedPool):
+    """Has no connection, so that requests wait without being sent."""
+
+    def submit(self, exchange):
+        self.sent.append(exchange)
+
+
+def end_while_open(operation):
+    """Run an operation, end it once it waits, and return its outcome."""
+    running = gevent.spawn(operation.run)
+    gevent.sleep(0.02)
+    assert not running.ready()
+    operation.end()
+    return running.get(timeout=1)
+
+
+@given(MOMENTS, st.floats(0.0, 60_000.0), st.floats(0.0, 20_000.0))
+def test_a_stop_accepts_answers_and_exits_in_this_order_within_its_grace(now, grace, lifetime):
+    schedule = StopSchedule.plan(now, grace, lifetime)
+    assert now <= schedule.accepts_until <= schedule.answers_by <= schedule.exits_by
+    assert schedule.exits_by <= now + grace
+    assert schedule.accepts_until <= now + lifetime
+
+
+# Guards against requests that are accepted although the entry exits before they can end.
+@given(MOMENTS, MOMENTS, st.floats(0.0, 5_000.0), st.booleans())
+def test_what_is_accepted_has_its_deadline_or_its_usual_time_before_the_exit(
+    now, allowed, usual, is_idempotent
+):
+    schedule = StopSchedule.plan(0.0, 6_000.0, 3_600.0)
+    deadline_at = now + allowed
+    accepted = schedule.can_complete(now, deadline_at, usual, is_idempotent=is_idempotent)
+    assert accepted or min(deadline_at, now + usual) > schedule.answers_by - 10 * usual
+    if accepted:
+        assert min(deadline_at, now + usual) <= schedule.answers_by
+
+
+def test_requests_that_may_not_be_repeated_need_more_time_before_the_exit():
+    schedule = StopSchedule.plan(0.0, 6_000.0, 3_600.0)
+    late, usual, deadline_at = 3_000.0, 300.0, 18_000.0
+    assert schedule.can_complete(late, deadline_at, usual, is_idempotent=True)
+    assert not schedule.can_complete(late, deadline_at, usual, is_idempotent=False)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_request_that_was_sent_ends_as_unknown_and_its_work_is_cancelled(idempotent):
+    fixture, pool = ForwardingFixture(idempotent=idempotent), ScriptedPool("0", delay=None)
+    outcome = end_while_open(fixture.single([pool]))
+    assert outcome == Failed(FailedReason.STOPPING)
+    assert pool.withdrawn == pool.sent
+
+
+# Guards against a refusal that isn't true, and against one that isn't given where it would be.
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_request_that_waits_for_a_connection_is_refused_and_never_sent(idempotent):
+    fixture, pool = ForwardingFixture(idempotent=idempotent), WaitingPool("0")
+    outcome = end_while_open(fixture.single([pool]))
+    assert isinstance(outcome, Refused) and outcome.reason is RefusedReason.STOPPING
+    assert pool.withdrawn == pool.sent and not pool.sent[0].may_send()
+
+
+def test_a_request_that_one_upstream_rejected_and_no_other_got_is_refused():
+    fixture, waiting = ForwardingFixture(idempotent=False), WaitingPool("1")
+    rejecting = ScriptedPool("0", verdict=Verdict.NOT_RUN, status=503)
+    waiting.load = 1
+    outcome = end_while_open(fixture.single([rejecting, waiting]))
+    assert isinstance(outcome, Refused) and outcome.reason is RefusedReason.STOPPING
+
+
+def test_a_query_ends_with_the_parts_that_it_has_if_they_are_enough():
+    pools = {"s0": [ScriptedPool("0", delay=None)], "s1": [ScriptedPool("1", delay=None)]}
+    fixture = ForwardingFixture(deadline=4_000.0)
+    outcome = end_while_open(fixture.scatter(shards(8, **pools), target=3_000.0))
+    assert isinstance(outcome, Gathered) and outcome.missing == 2
+
+
+def test_a_query_without_enough_parts_ends_as_unknown():
+    silent = {f"s{number}": [ScriptedPool(f"{number}", delay=None)] for number in range(4)}
+    fixture = ForwardingFixture(deadline=4_000.0)
+    outcome = end_while_open(fixture.scatter(shards(8, **silent), target=3_000.0))
+    assert outcome == Failed(FailedReason.STOPPING, "4 of 6 parts")
+    assert all(pool.withdrawn == pool.sent for [pool] in silent.values())
--- a/fulmarhold/tests/platform/test_planned_stops.py
+++ b/fulmarhold/tests/platform/test_planned_stops.py
@@ -5,6 +5,7 @@
 import json
 import signal
 from contextlib import suppress
+from typing import Any
 
 import gevent
 import pytest
@@ -23,7 +24,7 @@
 # Far longer than the grace period of a stop, as for long reconciliations.
 LONG_DEADLINE_MS = 15_000
 SHARDS = {"shardServices": ["s1", "s2"], "topK": 5, "minShardShare": 1.0}
-ROUTES = {
+ROUTES: dict[str, dict[str, Any]] = {
     "idempotent": {"service": "s1"},
     "non_idempotent": {"service": "s1", "routeType": "non_idempotent"},
     "shards": SHARDS,
@@ -112,7 +113,7 @@
     assert [caller.send(f"before-{number}") for number, caller in enumerate(kept)] == [200] * 5
     for upstream in upstreams:
         upstream.delay = 1.9
-    calls = []
+    calls: list[gevent.Greenlet] = []
 
     def call(caller):
         calls.append(gevent.spawn(caller.send, f"late-{len(calls)}"))
