Count a caller's request as in flight until its answer has left

A stopping entry that still wrote a response could exit: the front server counted a request as complete when its outcome was known, before it was written. A slow caller of a large response would get a part of it. The class is that of the stop: work counts as done before its answer has left.

Test: test_a_request_is_in_flight_until_its_whole_response_has_left, which failed before (0 in flight).

--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -207,3 +207,18 @@
         assert not answer or answer.startswith(b"HTTP/1.1")
     finally:
         served.server.stop_accepting()
+
+
+# Guards against a stop that ends while a response is still being written to a slow caller.
+def test_a_request_is_in_flight_until_its_whole_response_has_left(served):
+    body = b"a" * 16_000_000
+    served.answer = lambda request, on_disconnect: RawResponse(200, (), body)
+    with served.connect() as connection:
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not served.requests:
+            gevent.sleep(0.001)
+        gevent.sleep(0.05)
+        assert served.server.in_flight == 1
+        assert receive_response(connection)[1] == body
+        gevent.sleep(0.01)
+        assert served.server.in_flight == 0
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -8,6 +8,7 @@
 
 import os
 from collections import deque
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -22,7 +23,7 @@
 from fulmarhold.wire.sockets import prepare_connection, round_trip
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from fulmarhold.clock import Clock
     from fulmarhold.observe.counters import Counters
@@ -112,7 +113,7 @@
         self.clock = clock
         self.counters = counters
         self.is_closing = False
-        self.in_flight = 0
+        self._in_flight = 0
         self._connections: set[_Connection] = set()
         self._server: StreamServer | None = None
 
@@ -120,6 +121,20 @@
     def connections(self) -> int:
         return len(self._connections)
 
+    @property
+    def in_flight(self) -> int:
+        """The number of requests that were read and whose callers don't have the whole answer."""
+        return self._in_flight
+
+    @contextmanager
+    def answering(self) -> Iterator[None]:
+        """Count a request as in flight until its answer has left."""
+        self._in_flight += 1
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+
     def start(self) -> None:
         """Start listening; raises `FulmarholdError` if the port can't be bound."""
         address, _, port = self._endpoint.rpartition(":")
@@ -189,26 +204,33 @@
                 request = self._next_request()
             except BadRequest as error:
                 self._server.counters.add("caller_requests_malformed", reason=error.reason)
-                self._send(RawResponse(error.status, body=error.reason.encode()), "", close=True)
-                self._linger()
+                with self._server.answering():
+                    response = RawResponse(error.status, body=error.reason.encode())
+                    self._send(response, "", close=True)
+                    self._linger()
                 return
             if request is None:
                 return
-            raw, keep_open = request
-            response = self._handle(raw)
-            if self._is_disconnected:
-                return
-            close = not keep_open or self._server.is_closing
-            self._send(response, raw.method, close=close)
-            if close:
-                self._linger()
-                return
+            with self._server.answering():
+                if not self._answer(*request):
+                    return
 
     def close_if_idle(self) -> None:
         """Close the connection if it is waiting for a request."""
         if self._is_waiting and self._partial is None:
             self._socket.shutdown(gevent.socket.SHUT_RDWR)
 
+    def _answer(self, request: RawRequest, keep_open: bool) -> bool:
+        """Handle a request and send the response; returns whether the connection stays open."""
+        response = self._handle(request)
+        if self._is_disconnected:
+            return False
+        close = not keep_open or self._server.is_closing
+        self._send(response, request.method, close=close)
+        if close:
+            self._linger()
+        return not close
+
     def _measure_round_trip(self) -> Milliseconds:
         try:
             return round_trip(self._socket)
@@ -337,7 +359,6 @@
     def _handle(self, request: RawRequest) -> RawResponse:
         watcher = gevent.get_hub().loop.io(self._socket.fileno(), READABLE)
         self._on_disconnect = None
-        self._server.in_flight += 1
         watcher.start(self._on_readable, watcher)
         try:
             return self._server.handle(request, self._set_on_disconnect)
@@ -347,7 +368,6 @@
             )
             return RawResponse(502, body=b"internal error")
         finally:
-            self._server.in_flight -= 1
             watcher.stop()
             watcher.close()
 
