Don't close a caller's connection as idle when a request on it has arrived

A stop closes idle connections. One that waits in a read counted as idle although a request had arrived, so that its answer could not be sent; and one that its caller had just reset raised an error that would have ended the stop with all open requests.

Tests: a request that was sent in the same turn of the event loop got no answer before; closing a reset connection raised ENOTCONN.

--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 
 import gevent
 import pytest
@@ -222,3 +223,41 @@
         assert receive_response(connection)[1] == body
         gevent.sleep(0.01)
         assert served.server.in_flight == 0
+
+
+def connect_without_switch(served):
+    """Connect without letting the server run, so that it hasn't accepted the connection yet."""
+    return socket.create_connection(served.endpoint, timeout=TIMEOUT_SECONDS)
+
+
+def receive_blocking(connection):
+    """Receive until the server closes the connection."""
+    with gevent.socket.socket(fileno=connection.detach()) as received_on:
+        received_on.settimeout(TIMEOUT_SECONDS)
+        received = b""
+        while part := received_on.recv(65_536):
+            received += part
+    return received
+
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+# Guards against closing a connection as idle while a request on it has arrived.
+def test_a_request_that_has_arrived_is_answered_although_idle_connections_are_closed(served):
+    connection = connect_without_switch(served)
+    gevent.sleep(0.05)
+    assert served.server.connections == 1
+    connection.sendall(REQUEST)
+    served.server.close_idle()
+    assert receive_blocking(connection).startswith(b"HTTP/1.1 200 OK")
+
+
+# Guards against an error in the closing of idle connections, which would end a stop at once.
+def test_closing_idle_connections_passes_over_one_that_its_caller_has_reset(served):
+    reset, idle = connect_without_switch(served), connect_without_switch(served)
+    gevent.sleep(0.05)
+    reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    reset.close()
+    served.server.close_idle()
+    assert receive_blocking(idle) == b""
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import select
 from collections import deque
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -216,9 +217,19 @@
                     return
 
     def close_if_idle(self) -> None:
-        """Close the connection if it is waiting for a request."""
-        if self._is_waiting and self._partial is None:
+        """Close the connection if it is waiting for a request, and none has arrived."""
+        if not self._is_waiting or self._partial is not None or self._has_input:
+            return
+        try:
             self._socket.shutdown(gevent.socket.SHUT_RDWR)
+        except OSError as error:
+            # The caller has reset it; its own greenlet removes it.
+            self._server.counters.add("caller_connections_lost", reason=type(error).__name__)
+
+    @property
+    def _has_input(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        return _is_readable(self._socket.fileno())
 
     def _answer(self, request: RawRequest, keep_open: bool) -> bool:
         """Handle a request and send the response; returns whether the connection stays open."""
@@ -415,3 +426,12 @@
                 pass
         except (OSError, TimeoutError):
             self._server.counters.add("caller_connections_lost", reason="while_closing")
+
+
+def _is_readable(descriptor: int) -> bool:
+    """Whether a socket has input, or connections to accept, at this moment."""
+    if descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
