Accept what callers have connected before closing the port

Closing the port resets the connections that wait to be accepted, with the requests on them. Test: three waiting requests, ConnectionResetError before.

--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -261,3 +261,15 @@
     reset.close()
     served.server.close_idle()
     assert receive_blocking(idle) == b""
+
+
+# Guards against resetting connections that callers have opened and the server hasn't accepted.
+def test_a_request_on_a_connection_that_waits_to_be_accepted_is_answered(served):
+    waiting = [connect_without_switch(served) for _ in range(3)]
+    for connection in waiting:
+        connection.sendall(REQUEST)
+    served.server.stop_accepting()
+    for connection in waiting:
+        assert receive_blocking(connection).startswith(b"HTTP/1.1 200 OK")
+    with pytest.raises(ConnectionRefusedError):
+        connect_without_switch(served)
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -42,6 +42,10 @@
 # reset, which could reach the caller before it has read the response.
 LINGER_TIMEOUT: Milliseconds = 300.0
 LISTEN_BACKLOG = 4_096
+# Each round accepts up to 100 connections.
+MAX_ACCEPT_ROUNDS = 2 * LISTEN_BACKLOG // 100
+# Lets the event loop look for connections.
+ACCEPT_PAUSE: Milliseconds = 1.0
 
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
@@ -144,10 +148,19 @@
         self._server.start()
 
     def stop_accepting(self) -> None:
-        """Stop accepting new connections."""
-        if self._server is not None:
-            self._server.stop_accepting()
-            self._server.close()
+        """Accept the connections that callers have opened, and no further ones.
+
+        Closing the port would reset those that wait to be accepted, with the requests on them.
+        """
+        server, self._server = self._server, None
+        if server is None:
+            return
+        for _ in range(MAX_ACCEPT_ROUNDS):
+            if not _is_readable(server.socket.fileno()):
+                break
+            gevent.sleep(ACCEPT_PAUSE / SECOND)
+        server.stop_accepting()
+        server.close()
 
     def close_idle(self) -> None:
         """Close the connections that have no request in progress."""
