Answer requests that arrive while a stopping entry closes its connections

The last wait of a stop ended when no request was in flight, also if one had arrived on a connection and was not read yet. It now waits until callers' connections are closed, each after its answer, at most until the exit.

--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -173,10 +173,10 @@
         self._table.close()
 
     def _complete(self, until: Milliseconds) -> None:
-        """Wait until all requests are answered, at most until a moment."""
+        """Wait until all callers have their answers and have left, at most until a moment."""
         while self._clock.now() < until:
             self._front.close_idle()
-            if not self._front.in_flight and not self._collector_service.in_flight:
+            if not self._front.connections and not self._collector_service.in_flight:
                 return
             gevent.sleep(COMPLETION_PERIOD / SECOND)
 
