Handle signals from the beginning of a daemon's start

SIGTERM killed an entry that had begun to serve: the handler was installed after the whole start, and the port is open a tenth of a second before. SIGHUP ended a daemon in the first quarter of a second. Handlers now come first; SIGHUP is ignored until the settings are watched, which reads them again anyway.

--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -81,17 +81,18 @@
 def serve_until_stopped(daemon: Daemon, flush: Callable[[], None] | None = None) -> int:
     """Start a daemon, stop it at SIGTERM or SIGINT, and return the exit code.
 
+    A signal during the start stops it after the start: the daemon may have accepted work already.
     `flush` is called before the error of a failed daemon is printed.
     """
+    ended = Event()
+    gevent.signal_handler(signal.SIGTERM, ended.set)
+    gevent.signal_handler(signal.SIGINT, ended.set)
     try:
         daemon.start()
         _tune_garbage_collector()
     except FulmarholdError as error:
         print(error, file=sys.stderr)
         return EXIT_FAILED
-    ended = Event()
-    gevent.signal_handler(signal.SIGTERM, ended.set)
-    gevent.signal_handler(signal.SIGINT, ended.set)
     daemon.failure.rawlink(lambda _: ended.set())
     ended.wait()
     if daemon.failure.ready():
--- a/fulmarhold/platform/__main__.py
+++ b/fulmarhold/platform/__main__.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-import argparse
 import signal
+
+# A reload that is asked for during the start must not end the process; the settings are read later.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+# ruff: noqa: E402
+import argparse
 import sys
 
 import gevent
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -126,6 +126,12 @@
     def signal(self, address: str, number: int) -> None:
         self._processes[address].send_signal(number)
 
+    def process_id(self, address: str) -> int:
+        return self._processes[address].pid
+
+    def exit_code(self, address: str) -> int | None:
+        return self._processes[address].poll()
+
     def wait(self, address: str) -> int:
         return wait_for(self._processes[address].poll, lambda code: code is not None)
 
