--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -4,6 +4,9 @@
 
 import socket
 import struct
+import threading
+import time
+from contextlib import suppress
 
 import gevent
 import pytest
@@ -11,8 +14,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fulmarhold.clock import Clock
+from fulmarhold.clock import SECOND, Clock
 from fulmarhold.fleet.ports import PortAllocator
+from fulmarhold.forwarding.stopping import StopSchedule
 from fulmarhold.observe.counters import Counters
 from fulmarhold.routes.configuration import CallerLimits
 from fulmarhold.web.front import FrontServer, RawResponse
@@ -273,3 +277,37 @@
         assert receive_blocking(connection).startswith(b"HTTP/1.1 200 OK")
     with pytest.raises(ConnectionRefusedError):
         connect_without_switch(served)
+
+
+# Guards against a stop that accepts new connections until the process is killed, because callers
+# open them as fast as they are accepted (60 requests were open after the end of the grace period).
+def test_the_port_is_closed_in_time_while_callers_connect_again_and_again(served):
+    schedule = StopSchedule.plan(0.0, grace=6_000.0, address_lifetime=3_600.0)
+    served.server.is_closing = True
+
+    def answer(request, on_disconnect):
+        # Occupies the event loop, as work on the processor does.
+        time.sleep(0.005)
+        return RawResponse(503)
+
+    is_over = threading.Event()
+
+    def call_until_refused():
+        with suppress(OSError):
+            while not is_over.is_set():
+                with connect_without_switch(served) as connection:
+                    connection.sendall(REQUEST)
+                    while connection.recv(65_536):
+                        pass
+
+    served.answer = answer
+    callers = [threading.Thread(target=call_until_refused, daemon=True) for _ in range(10)]
+    for caller in callers:
+        caller.start()
+    while len(served.requests) < len(callers):
+        gevent.sleep(0.001)
+    try:
+        with gevent.Timeout((schedule.answers_by - schedule.accepts_until) / SECOND):
+            served.server.stop_accepting()
+    finally:
+        is_over.set()
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -42,8 +42,9 @@
 # reset, which could reach the caller before it has read the response.
 LINGER_TIMEOUT: Milliseconds = 300.0
 LISTEN_BACKLOG = 4_096
-# Each round accepts up to 100 connections.
-MAX_ACCEPT_ROUNDS = 2 * LISTEN_BACKLOG // 100
+# Before the port is closed, connections that wait are accepted for this long at most: callers may
+# open new ones as fast as they are accepted.
+LAST_ACCEPT_TIME: Milliseconds = 100.0
 # Lets the event loop look for connections.
 ACCEPT_PAUSE: Milliseconds = 1.0
 
@@ -155,9 +156,8 @@
         server, self._server = self._server, None
         if server is None:
             return
-        for _ in range(MAX_ACCEPT_ROUNDS):
-            if not _is_readable(server.socket.fileno()):
-                break
+        until = self.clock.now() + LAST_ACCEPT_TIME
+        while self.clock.now() < until and _is_readable(server.socket.fileno()):
             gevent.sleep(ACCEPT_PAUSE / SECOND)
         server.stop_accepting()
         server.close()
