--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -311,3 +311,21 @@
             served.server.stop_accepting()
     finally:
         is_over.set()
+
+
+# Guards against a stop that drops a request which was read behind another one on its connection.
+def test_a_request_that_was_read_before_the_shutdown_is_answered_behind_the_first_one(served):
+    held = Event()
+    served.answer = lambda request, on_disconnect: held.wait() and RawResponse(
+        200, (), request.target.encode()
+    )
+    with served.connect() as connection:
+        connection.sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not served.requests:
+            gevent.sleep(0.001)
+        served.server.is_closing = True
+        held.set()
+        received = b""
+        while part := connection.recv(65_536):
+            received += part
+    assert [part.split(b" ")[0] for part in received.split(b"HTTP/1.1 ")[1:]] == [b"200", b"200"]
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -244,12 +244,18 @@
         """Whether bytes have arrived that were not read yet."""
         return _is_readable(self._socket.fileno())
 
+    @property
+    def _has_further_request(self) -> bool:
+        """Whether the caller has sent more behind the request that is being answered."""
+        return bool(self._requests or self._read_ahead or self._has_input)
+
     def _answer(self, request: RawRequest, keep_open: bool) -> bool:
         """Handle a request and send the response; returns whether the connection stays open."""
         response = self._handle(request)
         if self._is_disconnected:
             return False
-        close = not keep_open or self._server.is_closing
+        # Nothing can be answered behind a response that closes the connection.
+        close = not keep_open or (self._server.is_closing and not self._has_further_request)
         self._send(response, request.method, close=close)
         if close:
             self._linger()
