Use the grace period of the current settings in a stop, and let answers leave after a hold-up

Found by the review of the fix: a grace period that was shortened after the start was ignored, so that the process was killed with open requests; and an entry that was held up past its exit time logged requests as cut whose callers then got an answer. Tests: both failed before.

--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -13,7 +13,7 @@
 from fulmarhold.collecting.collectors import Collectors
 from fulmarhold.daemons import spawn_essential
 from fulmarhold.forwarding.forwarder import Forwarder
-from fulmarhold.forwarding.stopping import StopSchedule
+from fulmarhold.forwarding.stopping import SEND_RESERVE, StopSchedule
 from fulmarhold.forwarding.upstreams import UpstreamTable
 from fulmarhold.membership.coalescing import CoalescedUpdate
 from fulmarhold.membership.preference import (
@@ -148,10 +148,12 @@
 
     def stop(self) -> None:
         """Leave the directory, serve callers with old directory answers, answer open requests."""
+        # The settings may have changed since the start.
+        grace = self._watch.settings.grace
         schedule = StopSchedule.plan(
-            self._clock.now(), self._settings.grace, DIRECTORY_ANSWER_TTL + LATE_CALLER_MARGIN
+            self._clock.now(), grace, DIRECTORY_ANSWER_TTL + LATE_CALLER_MARGIN
         )
-        self._report_stop("leaving", grace_ms=self._settings.grace)
+        self._report_stop("leaving", grace_ms=grace)
         self.watcher.announce(DRAINING)
         self._front.is_closing = True
         self.forwarder.start_stop(schedule)
@@ -162,7 +164,8 @@
         self._front.stop_accepting()
         self._complete(schedule.answers_by)
         self.forwarder.end_all()
-        self._complete(schedule.exits_by)
+        # The answers have to be written even if this process was held up until now.
+        self._complete(max(schedule.exits_by, self._clock.now() + SEND_RESERVE))
         self._report_stop("exiting", cut=self.forwarder.report_cut())
         gevent.killall(self._greenlets)
         self._readiness.stop(timeout=0)
--- a/fulmarhold/tests/platform/test_planned_stops.py
+++ b/fulmarhold/tests/platform/test_planned_stops.py
@@ -10,6 +10,8 @@
 import gevent
 import pytest
 
+from fulmarhold.clock import SECOND
+from fulmarhold.forwarding.stopping import StopSchedule
 from fulmarhold.platform.encoding import CALLER_PORT
 from fulmarhold.tests.platform.fleet import (
     ENTRIES,
@@ -128,3 +130,51 @@
     assert fleet.wait(STOPPING) == 0
     statuses = [request.get(timeout=TIMEOUT_SECONDS) for request in calls]
     assert not kept and 0 not in statuses, f"{statuses.count(0)} of {len(statuses)} are lost"
+
+
+# Guards against a log that names requests as cut whose callers get an answer, when the event loop
+# is late at the end of a stop.
+def test_a_request_that_is_answered_late_in_a_stop_has_one_outcome_in_the_log(
+    fleet, upstreams, tmp_path
+):
+    start_serving(upstreams, **ROUTES["non_idempotent"])
+    upstreams[0].delay = 4 * TIMEOUT_SECONDS
+    sent = len(upstreams[0].targets)
+    waiting = gevent.spawn(KeptConnection().send, "late")
+    wait_for(lambda: len(upstreams[0].targets), lambda count: count > sent)
+    schedule = StopSchedule.plan(0.0, grace=6_000.0, address_lifetime=3_600.0)
+    fleet.signal(STOPPING, signal.SIGTERM)
+    wait_for(lambda: stop_events(tmp_path)[-1].get("phase"), lambda phase: phase == "refusing")
+    fleet.signal(STOPPING, signal.SIGSTOP)
+    gevent.sleep((schedule.exits_by - schedule.accepts_until) / SECOND)
+    fleet.signal(STOPPING, signal.SIGCONT)
+    assert waiting.get(timeout=TIMEOUT_SECONDS) == 502
+    assert fleet.wait(STOPPING) == 0
+    outcomes = [
+        event["outcome"] for event in stop_events(tmp_path) if event.get("request") == "late"
+    ]
+    assert outcomes == ["failed"]
+
+
+def end_after_grace(fleet, grace_seconds):
+    """Stop the entry as the platform does: with SIGTERM, and SIGKILL after the grace period."""
+    fleet.signal(STOPPING, signal.SIGTERM)
+    gevent.spawn_later(grace_seconds, fleet.signal, STOPPING, signal.SIGKILL)
+
+
+# Guards against a stop that takes as long as the settings allowed when the process started.
+def test_no_request_is_lost_by_a_stop_after_the_grace_period_was_shortened(
+    fleet, upstreams, tmp_path
+):
+    start_serving(upstreams, **ROUTES["non_idempotent"])
+    upstreams[0].delay = 4 * TIMEOUT_SECONDS
+    settings, log = tmp_path / STOPPING / "settings.json", tmp_path / STOPPING / "log"
+    document = {**json.loads(settings.read_text()), "bounds": {"graceS": 3}}
+    settings.write_text(json.dumps(document))
+    fleet.signal(STOPPING, signal.SIGHUP)
+    wait_for(log.read_text, lambda text: "settings changed" in text)
+    sent = len(upstreams[0].targets)
+    calls = [gevent.spawn(KeptConnection().send, f"open-{number}") for number in range(3)]
+    wait_for(lambda: len(upstreams[0].targets), lambda count: count >= sent + len(calls))
+    end_after_grace(fleet, 3.0)
+    assert [call.get(timeout=TIMEOUT_SECONDS) for call in calls] == [502] * len(calls)
