Count an attempt against the route's bound when it is decided

The class: a bound is checked against what has begun, not against what was decided. One method decides now that an attempt may start; every attempt counts that may have run or is pending, and one that ended unsent doesn't. Ruled out: collectors' attempts, which count from the start, and are only taken back when declined.

--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -73,7 +73,7 @@
     @property
     def can_have_run(self) -> bool:
         """Whether any upstream may have run the request, or may still run it."""
-        return self.may_have_run or self._possible_runs() > 0
+        return self.may_have_run or any(attempt.may_have_run for attempt in self._attempts)
 
     @property
     def expected_latency(self) -> Milliseconds:
@@ -129,7 +129,7 @@
     def hedge(self) -> None:
         """Send a second attempt in parallel with an unanswered one, if the budget allows it."""
         context = self._context
-        if self.is_done or not context.may_repeat or self._possible_runs() >= context.most_attempts:
+        if self.is_done or not context.may_repeat or not self._may_start_another():
             return
         left = [item for item in self._untried() if item.is_responsive(context.clock.now())]
         if not left:
@@ -146,8 +146,10 @@
             for attempt in self._attempts
         ):
             return False
-        may_send = self._possible_runs() < self._context.most_attempts
-        return not (may_send and any(not item.is_unresponsive(now) for item in self._untried()))
+        return not (
+            self._may_start_another()
+            and any(not item.is_unresponsive(now) for item in self._untried())
+        )
 
     def describe(self, now: Milliseconds) -> str:
         """Return why there is no reply, for events: `service: upstream dark, upstream 40 ms`.
@@ -239,7 +241,7 @@
         if may_repeat and not is_final and context.clock.now() < context.deadline_at:
             left = self._untried()
             is_extra = any(attempt.sent_at is not None for attempt in self._attempts)
-            if left and self._possible_runs() < context.most_attempts:
+            if left and self._may_start_another():
                 if not is_extra or self._budget.take(1):
                     self._send(left, RETRY if self._attempts else FIRST)
                     return
@@ -257,8 +259,10 @@
         self.refusal = reason
         self._owner.call_finished(self)
 
-    def _possible_runs(self) -> int:
-        return sum(1 for attempt in self._attempts if attempt.may_have_run)
+    def _may_start_another(self) -> bool:
+        """Whether the route allows one more attempt, should all that are pending be run."""
+        counted = [item for item in self._attempts if item.may_have_run or not item.is_done]
+        return len(counted) < self._context.most_attempts
 
     def _untried(self) -> list[Replica]:
         tried = [attempt.replica for attempt in self._attempts]
