Don't count entries as stored that arrive in the step that ends a write

Seen: none reported; the review suspected it from the code. A member acknowledged entries to its leader, or counted its own copy of them as a leader, before they were written. A loss of power or a full disk right after could then lose an acknowledged change.

Cause: the member's loop handles all waiting events in one step and took the core's output after the last one. When an append and the end of the write before it came in one step, in this order, the end of the write did not see the append's entries among the pending writes, and noted the whole log as stored. The order needs no rare timing: each received message is handled by a greenlet of its own, which the event loop may run just before the one that waits for the write.

Ruled out: the same with truncated tails and failed writes; both are noted from the same pending writes.

Change: the output is collected after each event, so the next event knows what is not written yet.

Test: test_entries_that_arrive_as_a_write_ends_are_acknowledged_only_once_they_are_stored, with the real loop, a write held back and a follower that receives all the while.

--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -335,16 +335,37 @@
 
     def _step(self, core: RaftCore, events: list[Callable[[RaftCore], None]]) -> None:
         term, was_leader = core.term, core.is_leader
+        outputs = []
         for event in events:
             event(core)
+            outputs.append(self._collect_output(core))
         now = self._clock.now()
         core.tick(now)
         self._give_up_hung_write(core, now)
+        outputs.append(self._collect_output(core))
+        self._start_write(now)
+        self._send(core, self._releasable_messages(core, now))
+        for output in outputs:
+            self._apply_output(output)
+        if was_leader and (not core.is_leader or core.term != term):
+            log.info("no longer leads in term {}; follows {}", term, core.leader or "nobody")
+            self._fail_proposals()
+        if core.is_leader and not was_leader:
+            log.info("became leader of term {}", core.term)
+        self._compact_if_due(core)
+        self._step_done.set()
+
+    def _collect_output(self, core: RaftCore) -> Output:
+        """Take the core's output and note its writes and messages.
+
+        Called after each event: if the next one ends a write, it must know what is not written yet.
+        """
         output = core.take_output()
         self._writes.add(output)
         self._outbox.add(output.messages)
-        self._start_write(now)
-        self._send(core, self._releasable_messages(core, now))
+        return output
+
+    def _apply_output(self, output: Output) -> None:
         if output.installed_snapshot is not None:
             self._machine.restore(output.installed_snapshot.state)
             self._applied_index = output.installed_snapshot.index
@@ -352,13 +373,6 @@
             self._apply(entry)
         if output.committed or output.installed_snapshot is not None:
             self.on_applied()
-        if was_leader and (not core.is_leader or core.term != term):
-            log.info("no longer leads in term {}; follows {}", term, core.leader or "nobody")
-            self._fail_proposals()
-        if core.is_leader and not was_leader:
-            log.info("became leader of term {}", core.term)
-        self._compact_if_due(core)
-        self._step_done.set()
 
     def _releasable_messages(self, core: RaftCore, now: Milliseconds) -> list[PeerMessage]:
         started_at = self._write_started_at
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -237,6 +237,59 @@
     assert not node.failure.ready()
 
 
+class RecordingStorage(FakeStorage):
+    """A fake storage that knows the highest entry that survives a power loss."""
+
+    def __init__(self):
+        super().__init__()
+        self.last_synced = FIRST.index
+
+    def write(self, output):
+        super().write(output)
+        for entry in output.entries:
+            self.last_synced = entry.index
+
+
+class CheckedMessages(SentMessages):
+    """A fake transport that notes acknowledgements of entries that are not synced."""
+
+    def __init__(self, disk):
+        super().__init__()
+        self._disk = disk
+        self.early = []
+
+    def send(self, endpoint, message):
+        super().send(endpoint, message)
+        if isinstance(message, AppendReply) and message.match_index > self._disk.last_synced:
+            self.early.append((message.match_index, self._disk.last_synced))
+
+
+def test_entries_that_arrive_as_a_write_ends_are_acknowledged_only_once_they_are_stored():
+    # Guards against counting entries as stored that are received in the step that ends a write.
+    disk: Any = RecordingStorage()
+    transport: Any = CheckedMessages(disk)
+    machine: Any = SimpleNamespace(apply=lambda data: data)
+    node = Node(disk, transport, machine, Clock())
+    node.start()
+    last = 81
+    try:
+        for index in range(2, last, 2):
+            disk.may_sync.clear()
+            node.receive("b:1", append(index, index, commit=1))
+            gevent.sleep(0.01)
+            disk.may_sync.set()
+            # Repeats a message in each round of the event loop, so that the last one before the
+            # write's end is handled together with it.
+            with gevent.Timeout(TIMEOUT_S):
+                while disk.last_synced < index + 1:
+                    node.receive("b:1", append(index + 1, index + 1, commit=1))
+                    gevent.sleep(0)
+        wait_until(lambda: last in transport.acknowledged(), "all entries are acknowledged")
+    finally:
+        node.stop()
+    assert transport.early == []
+
+
 def fail_with(error):
     def write(output):
         raise error
