Let a member vote again after it was slow to start a log segment

Seen: on a disk that hangs for seconds, not reported by itself. A member that was slower than 2.5 s at starting a log segment neither led nor voted until its next write. If the leader was lost before that write, the rest could not elect one while it stayed away.

Cause: a write that takes so long is given up for leading and voting; only the end of a write of the log undid that, not the end of a segment's start.

Change: the end of a segment's start undoes it too.

Test: test_a_member_votes_again_after_it_was_slow_to_start_a_log_segment failed before (waited in vain for the vote, 10 s); passes after.

--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -468,11 +468,16 @@
     def _save_snapshot(self, snapshot: Snapshot, entries: tuple[LogEntry, ...]) -> None:
         """Start a log segment, save the snapshot beside the following writes, and drop the rest."""
         failure = _run_in_thread(self._storage.start_segment, snapshot.index, entries)
-        self._events.put(lambda core: self._end_write())
+        self._events.put(self._finish_segment)
         failure = failure or _run_in_thread(self._storage.save_snapshot, snapshot)
         failure = failure or _run_in_thread(self._storage.drop_covered)
         self._events.put(lambda core: self._finish_snapshot(core, snapshot, failure))
 
+    def _finish_segment(self, core: RaftCore) -> None:
+        self._end_write()
+        # It may have taken so long that it counted as hung.
+        core.set_can_store(True, self._clock.now())
+
     def _finish_snapshot(
         self, core: RaftCore, snapshot: Snapshot, failure: StorageFailed | None
     ) -> None:
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -237,6 +237,39 @@
     assert not node.failure.ready()
 
 
+@pytest.fixture
+def saving(follower):
+    """A follower that starts a log segment, which `started` notes and `may_start` ends."""
+    node, disk, _, _ = follower
+    started, may_start = threading.Event(), threading.Event()
+
+    def start_segment(index, entries):
+        started.set()
+        may_start.wait()
+        disk.is_compaction_due = False
+
+    disk.start_segment = start_segment
+    disk.save_snapshot = lambda snapshot: None
+    disk.drop_covered = lambda: None
+    disk.covered_index = 0
+    disk.is_compaction_due = True
+    yield node, disk, started, may_start
+    may_start.set()
+
+
+def test_a_member_votes_again_after_it_was_slow_to_start_a_log_segment(saving, monkeypatch):
+    # Guards against a member that never votes again, as only a later write would allow it to.
+    monkeypatch.setattr(node_module, "MAX_SYNC_DURATION", HEARTBEAT_PERIOD)
+    node, _, started, may_start = saving
+    node.receive("b:1", append(2, 2, commit=2))
+    wait_until(started.is_set, "the segment is started")
+    gevent.sleep(3 * HEARTBEAT_PERIOD / SECOND)
+    may_start.set()
+    wait_until(lambda: node.core.log.snapshot.index == 2, "the snapshot is saved")
+    node.receive("c:1", VoteRequest(CLUSTER, "c", "a", 2, 9, 1, False, True))
+    wait_until(lambda: node.core.hard_state.voted_for == "c", "the vote is given")
+
+
 class RecordingStorage(FakeStorage):
     """A fake storage that knows the highest entry that survives a power loss."""
 
