End a member whose write fails with an unexpected error

Cause: only failures of the storage were handed back from the thread of a write. Any other error ended the greenlet that waits for it, so the write in progress never ended: the member ran on, but could not lead, vote or acknowledge any more. Two such members stop all changes for good.

Ruled out: closed or missing file objects after a failed open, truncate or rename; the storage opens the file anew before the next write.

Change: threads hand back every error, and one that repeating the write does not mend ends the member and its process, which the platform starts again.

--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -400,7 +400,8 @@
         failure = _run_in_thread(self._storage.write, output)
         self._events.put(lambda core: self._finish_write(core, failure))
 
-    def _finish_write(self, core: RaftCore, failure: StorageFailed | None) -> None:
+    def _finish_write(self, core: RaftCore, failure: Exception | None) -> None:
+        _raise_unexpected(failure)
         now = self._clock.now()
         took = now - (self._write_started_at or now)
         if took > LOGGED_WRITE_TIME:
@@ -479,8 +480,9 @@
         core.set_can_store(True, self._clock.now())
 
     def _finish_snapshot(
-        self, core: RaftCore, snapshot: Snapshot, failure: StorageFailed | None
+        self, core: RaftCore, snapshot: Snapshot, failure: Exception | None
     ) -> None:
+        _raise_unexpected(failure)
         self._is_saving_snapshot = False
         if failure is not None:
             log.warning("no snapshot up to entry {}: {}", snapshot.index, failure)
@@ -489,16 +491,16 @@
             log.info("saved a snapshot up to entry {}", snapshot.index)
 
 
-def _run_in_thread(write: Callable[..., None], *arguments: Any) -> StorageFailed | None:
-    """Run a write in a thread of the pool; returns its `StorageFailed`, if any."""
-    failure: StorageFailed | None = gevent.get_hub().threadpool.apply(
+def _run_in_thread(write: Callable[..., None], *arguments: Any) -> Exception | None:
+    """Run a write in a thread of the pool; returns its error, if any."""
+    failure: Exception | None = gevent.get_hub().threadpool.apply(
         _capture_failure, (write, *arguments)
     )
     return failure
 
 
-def _capture_failure(write: Callable[..., None], *arguments: Any) -> StorageFailed | None:
-    """Run a write and return its `StorageFailed`, if any.
+def _capture_failure(write: Callable[..., None], *arguments: Any) -> Exception | None:
+    """Run a write and return its error, if any.
 
     The thread pool prints an uncaught exception to standard error before it wakes the waiting
     greenlet. If standard error is on the same full disk, that print fails and the greenlet would
@@ -506,6 +508,12 @@
     """
     try:
         write(*arguments)
-    except StorageFailed as error:
+    except Exception as error:
         return error
     return None
+
+
+def _raise_unexpected(failure: Exception | None) -> None:
+    """Raise an error that repeating the write does not mend, to end the member and its process."""
+    if failure is not None and not isinstance(failure, StorageFailed):
+        raise failure
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -270,6 +270,21 @@
     wait_until(lambda: node.core.hard_state.voted_for == "c", "the vote is given")
 
 
+@pytest.mark.parametrize("operation", ["write", "start_segment", "save_snapshot"])
+def test_an_unexpected_error_while_storing_ends_the_member(saving, operation):
+    # Guards against a member that waits for ever for a write whose thread has failed.
+    node, disk, _, may_start = saving
+    may_start.set()
+
+    def fail(*_):
+        raise ValueError("unexpected")
+
+    setattr(disk, operation, fail)
+    node.receive("b:1", append(2, 2, commit=2))
+    wait_until(node.failure.ready, "the member ends")
+    assert isinstance(node.failure.exception, ValueError)
+
+
 class RecordingStorage(FakeStorage):
     """A fake storage that knows the highest entry that survives a power loss."""
 
