--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -57,6 +57,8 @@
 # After this time, a member acknowledges heartbeats before its sync has ended.
 SLOW_SYNC: Milliseconds = HEARTBEAT_PERIOD
 WRITE_RETRY_PERIOD: Milliseconds = 200.0
+# Each attempt encodes the whole state and holds back the writes of the log for a moment.
+SNAPSHOT_RETRY_PERIOD: Milliseconds = 1_000.0
 # Writes that take longer are logged; acknowledgements wait for them.
 LOGGED_WRITE_TIME: Milliseconds = 500.0
 
@@ -117,6 +119,7 @@
         self._failed_since: Milliseconds | None = None
         self._retry_write_at: Milliseconds = float("-inf")
         self._is_saving_snapshot = False
+        self._retry_snapshot_at: Milliseconds = float("-inf")
         self._core: RaftCore | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._disk_greenlets = Group()
@@ -453,7 +456,8 @@
 
     def _compact_if_due(self, core: RaftCore) -> None:
         is_due = self._storage.is_compaction_due and self._applied_index > core.log.snapshot.index
-        if not is_due or self._is_saving_snapshot or not (self._writes.is_idle and self.can_store):
+        may_save = self._writes.is_idle and self.can_store and not self._is_saving_snapshot
+        if not is_due or not may_save or self._clock.now() < self._retry_snapshot_at:
             return
         term = core.log.term_at(self._applied_index)
         if term is None:
@@ -485,6 +489,7 @@
         _raise_unexpected(failure)
         self._is_saving_snapshot = False
         if failure is not None:
+            self._retry_snapshot_at = self._clock.now() + SNAPSHOT_RETRY_PERIOD
             log.warning("no snapshot up to entry {}: {}", snapshot.index, failure)
         elif snapshot.index > core.log.snapshot.index:
             core.compact(snapshot, max(core.log.first_index - 1, self._storage.covered_index))
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -285,6 +285,26 @@
     assert isinstance(node.failure.exception, ValueError)
 
 
+def test_a_snapshot_that_can_not_be_saved_is_tried_again_after_a_pause(saving, monkeypatch):
+    # Guards against encoding and writing a snapshot in each step while the disk is full.
+    monkeypatch.setattr(node_module, "SNAPSHOT_RETRY_PERIOD", 5 * HEARTBEAT_PERIOD)
+    node, disk, _, may_start = saving
+    may_start.set()
+    attempts = []
+
+    def fail(index, entries):
+        attempts.append(index)
+        raise StorageFailed("no space left", step="syncing")
+
+    start_segment, disk.start_segment = disk.start_segment, fail
+    node.receive("b:1", append(2, 2, commit=2))
+    wait_until(lambda: attempts, "a snapshot is tried")
+    gevent.sleep(4 * HEARTBEAT_PERIOD / SECOND)
+    assert len(attempts) == 1
+    disk.start_segment = start_segment
+    wait_until(lambda: node.core.log.snapshot.index == 2, "the snapshot is saved")
+
+
 class RecordingStorage(FakeStorage):
     """A fake storage that knows the highest entry that survives a power loss."""
 
