Sync after a start what an earlier process may have written without a sync

Seen: not reported by itself; found while looking at writes that stop in the middle. A member that was killed between a write and its sync loads what it wrote from the page cache, and then acknowledged those entries, or gave the vote again, with no sync before it. A loss of power after that loses an acknowledged entry, or lets the member vote twice in a term.

Cause: loading counted everything in the files as stored, and no later write was due if the leader sent only heartbeats or the candidate asked for the same vote again.

Ruled out: entries received after the start; their own sync covers the file. A sync while loading would hold up the start on a disk that hangs, so the first write of the member's loop does it.

Change: a member that loads a state first stores its term again, and sends nothing before that is synced. On a full disk, it is silent until there is room.

--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -164,6 +164,10 @@
     def start(self) -> None:
         """Load the synced state and start to take part in the cluster."""
         hard_state, memory = self._storage.load()
+        if hard_state != HardState() or memory.last_index > 0:
+            # A process that was killed may have written without a sync what is loaded here. Storing
+            # the term again syncs it all; no message is sent before that.
+            self._writes.add(Output(hard_state=hard_state))
         if self.cluster:
             self._start_core(hard_state, memory)
         self._greenlet = gevent.spawn(self._run)
