Test members whose disks are full in turn while changes are sent

These tests look for it and do not show it on the code before them: they passed from their first run, so they guard only.

--- a/fulmarhold/tests/consensus/test_pending.py
+++ b/fulmarhold/tests/consensus/test_pending.py
@@ -29,6 +29,8 @@
 
 SCHEDULE_COUNT = 120
 SCHEDULE_SEED = 20261204
+# Of 50 ms each: the time in which a change must be acknowledged.
+RECOVERY_STEPS = 100
 MEMBERS = Members({"a": "a"}, {})
 
 
@@ -135,6 +137,60 @@
     raise AssertionError("a cluster with healthy disks elects a leader")
 
 
+def fill_one_disk(cluster):
+    """Fill one disk at most, and change, compact and restart members meanwhile."""
+    random = cluster.random
+    name = random.choice(cluster.names)
+    cluster.full = {name} if random.random() < 0.9 else set()
+    for number in range(random.randint(1, 6)):
+        match random.choice(["propose", "propose", "compact", "compact", "restart", "none"]):
+            case "propose":
+                for candidate in cluster.names:
+                    cluster.propose(candidate, b"%d" % number)
+            case "compact":
+                cluster.compact(random.choice(cluster.names))
+            case "restart":
+                cluster.crash(name)
+                cluster.start(name)
+        for _ in range(random.choice([0, 1, 2, 4, 8, 30])):
+            cluster.step()
+
+
+def is_level(cluster):
+    """Whether all members have committed and stored the same, in the term of a leader."""
+    cores = cluster.cores.values()
+    indexes = {index for core in cores for index in (core.commit_index, core.stored_index)}
+    return len(indexes) == 1 and any(core.has_committed_in_term for core in cores)
+
+
+@pinned_seed(SCHEDULE_SEED)
+@settings(
+    max_examples=SCHEDULE_COUNT,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(
+    size=st.sampled_from([3, 4, 5]),
+    seed=st.integers(0, 2**32),
+    loss=st.sampled_from([0.0, 0.05, 0.15]),
+)
+def test_members_take_changes_again_after_disks_were_full_in_turn(size, seed, loss):
+    # Guards against members that stay behind, or away from elections, once there is room again.
+    cluster = StallingCluster(size, seed, loss)
+    for _ in range(10):
+        fill_one_disk(cluster)
+    cluster.full, cluster.loss = set(), 0.0
+    before = max(cluster.committed, default=0)
+    for step in range(RECOVERY_STEPS):
+        cluster.step()
+        if step < RECOVERY_STEPS // 2:
+            for name in cluster.names:
+                cluster.propose(name, b"after")
+    assert is_level(cluster)
+    assert max(cluster.committed) > before
+
+
 def entry(index, term=1):
     return LogEntry(index, term, KIND_COMMAND, b"")
 
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import resource
 import subprocess
 import sys
 from contextlib import suppress
@@ -126,6 +127,15 @@
     def signal(self, address: str, number: int) -> None:
         self._processes[address].send_signal(number)
 
+    def set_disk_full(self, address: str, *, is_full: bool) -> None:
+        """Make every write of a process to a file fail, its log included, or stop doing so."""
+        limit = 0 if is_full else resource.RLIM_INFINITY
+        process = self._processes[address].pid
+        resource.prlimit(process, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
+
+    def is_running(self, address: str) -> bool:
+        return self._processes[address].poll() is None
+
     def wait(self, address: str) -> int:
         return wait_for(self._processes[address].poll, lambda code: code is not None)
 
