Save the cached statements again after a full disk, one save at a time

After a save on a full disk, the file of cached statements stayed outdated until the next change of an upstream, however long after the disk had room; a control process that restarted then served outdated statements until heartbeats came. The failure was only counted, not logged. On a slow disk, two saves wrote the same temporary file at once, which left a damaged file, or older statements than those saved last.

Cause: each save was handed to a thread of its own and noted as done at once.

Change: one save runs at a time, the newest statements replace those that wait, and a failed save is repeated each second and logged once.

--- a/fulmarhold/control/statement_file.py
+++ b/fulmarhold/control/statement_file.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from fulmarhold.clock import SECOND
 from fulmarhold.consensus.records import CorruptFile, decode_records, encode_record
 from fulmarhold.consensus.storage import sync_folder
 from fulmarhold.membership.statements import UpstreamStatement
@@ -20,11 +21,14 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from fulmarhold.clock import Milliseconds
     from fulmarhold.observe.counters import Counters
 
 log = get_logger("statements")
 
 FILE_NAME = "upstreams.bin"
+# The file matters only after a restart, so it may be outdated for this long after a full disk.
+SAVE_RETRY_PERIOD: Milliseconds = 1_000.0
 
 
 class StatementFile:
@@ -33,6 +37,8 @@
     def __init__(self, folder: Path, counters: Counters) -> None:
         self._path = folder / FILE_NAME
         self._counters = counters
+        self._unsaved: bytes | None = None
+        self._saver: gevent.Greenlet | None = None
 
     def load(self) -> list[UpstreamStatement]:
         """Return the cached statements; none if the file is missing or corrupt."""
@@ -47,11 +53,34 @@
             return []
 
     def save(self, statements: list[UpstreamStatement]) -> None:
-        """Replace the file in a thread, since a faulty disk may block the write."""
-        data = encode_record([astuple(statement) for statement in statements])
-        gevent.get_hub().threadpool.apply_async(self._write, (data,))
+        """Replace the file in a thread, since a faulty disk may block the write.
 
-    def _write(self, data: bytes) -> None:
+        One save runs at a time. A save that fails is repeated, or replaced by the next one.
+        """
+        self._unsaved = encode_record([astuple(statement) for statement in statements])
+        if self._saver is None or self._saver.dead:
+            self._saver = gevent.spawn(self._save)
+
+    def _save(self) -> None:
+        is_failing = False
+        while self._unsaved is not None:
+            data, self._unsaved = self._unsaved, None
+            error = gevent.get_hub().threadpool.apply(self._write, (data,))
+            if error is None:
+                if is_failing:
+                    log.info("saving statements again")
+                is_failing = False
+                continue
+            self._counters.add("statement_file_failures", step="saving")
+            if not is_failing:
+                log.warning("can't save statements, trying again until it succeeds: {}", error)
+            is_failing = True
+            if self._unsaved is None:
+                self._unsaved = data
+            gevent.sleep(SAVE_RETRY_PERIOD / SECOND)
+
+    def _write(self, data: bytes) -> OSError | None:
+        """Write and sync the file; returns the error if that fails."""
         temporary = self._path.with_suffix(".tmp")
         try:
             with temporary.open("wb") as file:
@@ -60,5 +89,6 @@
                 os.fsync(file.fileno())
             temporary.replace(self._path)
             sync_folder(self._path.parent)
-        except OSError:
-            self._counters.add("statement_file_failures", step="saving")
+        except OSError as error:
+            return error
+        return None
--- a/fulmarhold/tests/control/test_statement_file.py
+++ b/fulmarhold/tests/control/test_statement_file.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import gevent
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from fulmarhold.control import statement_file
 from fulmarhold.control.statement_file import FILE_NAME, StatementFile
 from fulmarhold.membership.statements import READY, UpstreamStatement
 from fulmarhold.observe.counters import Counters
@@ -43,6 +45,40 @@
     assert counters.value("statement_file_failures", step="loading") == 0
 
 
+def await_saved(file, folder, statements):
+    with gevent.Timeout(5, AssertionError("the statements are never saved")):
+        while StatementFile(folder, Counters()).load() != statements:
+            gevent.sleep(0.01)
+
+
+def test_statements_are_saved_once_a_full_disk_has_room_again(tmp_path, monkeypatch):
+    # Guards against an outdated file until the next change, which may be long after.
+    monkeypatch.setattr(statement_file, "SAVE_RETRY_PERIOD", 50.0)
+    counters = Counters()
+    file = StatementFile(tmp_path, counters)
+    temporary = (tmp_path / FILE_NAME).with_suffix(".tmp")
+    # A folder in the place of the temporary file makes each attempt fail.
+    temporary.mkdir()
+    file.save(STATEMENTS)
+    with gevent.Timeout(5):
+        while counters.value("statement_file_failures", step="saving") < 2:
+            gevent.sleep(0.01)
+    temporary.rmdir()
+    await_saved(file, tmp_path, STATEMENTS)
+
+
+def test_the_newest_statements_are_saved_last_however_long_earlier_saves_take(tmp_path):
+    # Guards against two saves that write the same temporary file at once.
+    file = StatementFile(tmp_path, Counters())
+    many = [replace(STATEMENTS[0], name=f"u{n}") for n in range(3_000)]
+    for count in (3_000, 2_000, 1_000, 2):
+        file.save(many[:count])
+        gevent.sleep(0)
+    await_saved(file, tmp_path, many[:2])
+    gevent.sleep(0.3)
+    assert StatementFile(tmp_path, Counters()).load() == many[:2]
+
+
 @settings(max_examples=300, deadline=None, suppress_health_check=ONE_FOLDER)
 @given(data=st.data())
 def test_a_damaged_file_loads_as_empty_or_unchanged(tmp_path, data):
