--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -57,6 +57,8 @@
 # After this time, a member acknowledges heartbeats before its sync has ended.
 SLOW_SYNC: Milliseconds = HEARTBEAT_PERIOD
 WRITE_RETRY_PERIOD: Milliseconds = 200.0
+# Each attempt encodes the whole state and holds back the writes of the log for a moment.
+SNAPSHOT_RETRY_PERIOD: Milliseconds = 1_000.0
 # Writes that take longer are logged; acknowledgements wait for them.
 LOGGED_WRITE_TIME: Milliseconds = 500.0
 
@@ -117,6 +119,7 @@
         self._failed_since: Milliseconds | None = None
         self._retry_write_at: Milliseconds = float("-inf")
         self._is_saving_snapshot = False
+        self._retry_snapshot_at: Milliseconds = float("-inf")
         self._core: RaftCore | None = None
         self._greenlet: gevent.Greenlet | None = None
         self._disk_greenlets = Group()
@@ -161,6 +164,10 @@
     def start(self) -> None:
         """Load the synced state and start to take part in the cluster."""
         hard_state, memory = self._storage.load()
+        if hard_state != HardState() or memory.last_index > 0:
+            # A process that was killed may have written without a sync what is loaded here. Storing
+            # the term again syncs it all; no message is sent before that.
+            self._writes.add(Output(hard_state=hard_state))
         if self.cluster:
             self._start_core(hard_state, memory)
         self._greenlet = gevent.spawn(self._run)
@@ -335,16 +342,37 @@
 
     def _step(self, core: RaftCore, events: list[Callable[[RaftCore], None]]) -> None:
         term, was_leader = core.term, core.is_leader
+        outputs = []
         for event in events:
             event(core)
+            outputs.append(self._collect_output(core))
         now = self._clock.now()
         core.tick(now)
         self._give_up_hung_write(core, now)
+        outputs.append(self._collect_output(core))
+        self._start_write(now)
+        self._send(core, self._releasable_messages(core, now))
+        for output in outputs:
+            self._apply_output(output)
+        if was_leader and (not core.is_leader or core.term != term):
+            log.info("no longer leads in term {}; follows {}", term, core.leader or "nobody")
+            self._fail_proposals()
+        if core.is_leader and not was_leader:
+            log.info("became leader of term {}", core.term)
+        self._compact_if_due(core)
+        self._step_done.set()
+
+    def _collect_output(self, core: RaftCore) -> Output:
+        """Take the core's output and note its writes and messages.
+
+        Called after each event: if the next one ends a write, it must know what is not written yet.
+        """
         output = core.take_output()
         self._writes.add(output)
         self._outbox.add(output.messages)
-        self._start_write(now)
-        self._send(core, self._releasable_messages(core, now))
+        return output
+
+    def _apply_output(self, output: Output) -> None:
         if output.installed_snapshot is not None:
             self._machine.restore(output.installed_snapshot.state)
             self._applied_index = output.installed_snapshot.index
@@ -352,13 +380,6 @@
             self._apply(entry)
         if output.committed or output.installed_snapshot is not None:
             self.on_applied()
-        if was_leader and (not core.is_leader or core.term != term):
-            log.info("no longer leads in term {}; follows {}", term, core.leader or "nobody")
-            self._fail_proposals()
-        if core.is_leader and not was_leader:
-            log.info("became leader of term {}", core.term)
-        self._compact_if_due(core)
-        self._step_done.set()
 
     def _releasable_messages(self, core: RaftCore, now: Milliseconds) -> list[PeerMessage]:
         started_at = self._write_started_at
@@ -386,7 +407,8 @@
         failure = _run_in_thread(self._storage.write, output)
         self._events.put(lambda core: self._finish_write(core, failure))
 
-    def _finish_write(self, core: RaftCore, failure: StorageFailed | None) -> None:
+    def _finish_write(self, core: RaftCore, failure: Exception | None) -> None:
+        _raise_unexpected(failure)
         now = self._clock.now()
         took = now - (self._write_started_at or now)
         if took > LOGGED_WRITE_TIME:
@@ -438,7 +460,8 @@
 
     def _compact_if_due(self, core: RaftCore) -> None:
         is_due = self._storage.is_compaction_due and self._applied_index > core.log.snapshot.index
-        if not is_due or self._is_saving_snapshot or not (self._writes.is_idle and self.can_store):
+        may_save = self._writes.is_idle and self.can_store and not self._is_saving_snapshot
+        if not is_due or not may_save or self._clock.now() < self._retry_snapshot_at:
             return
         term = core.log.term_at(self._applied_index)
         if term is None:
@@ -454,32 +477,39 @@
     def _save_snapshot(self, snapshot: Snapshot, entries: tuple[LogEntry, ...]) -> None:
         """Start a log segment, save the snapshot beside the following writes, and drop the rest."""
         failure = _run_in_thread(self._storage.start_segment, snapshot.index, entries)
-        self._events.put(lambda core: self._end_write())
+        self._events.put(self._finish_segment)
         failure = failure or _run_in_thread(self._storage.save_snapshot, snapshot)
         failure = failure or _run_in_thread(self._storage.drop_covered)
         self._events.put(lambda core: self._finish_snapshot(core, snapshot, failure))
 
+    def _finish_segment(self, core: RaftCore) -> None:
+        self._end_write()
+        # It may have taken so long that it counted as hung.
+        core.set_can_store(True, self._clock.now())
+
     def _finish_snapshot(
-        self, core: RaftCore, snapshot: Snapshot, failure: StorageFailed | None
+        self, core: RaftCore, snapshot: Snapshot, failure: Exception | None
     ) -> None:
+        _raise_unexpected(failure)
         self._is_saving_snapshot = False
         if failure is not None:
+            self._retry_snapshot_at = self._clock.now() + SNAPSHOT_RETRY_PERIOD
             log.warning("no snapshot up to entry {}: {}", snapshot.index, failure)
         elif snapshot.index > core.log.snapshot.index:
             core.compact(snapshot, max(core.log.first_index - 1, self._storage.covered_index))
             log.info("saved a snapshot up to entry {}", snapshot.index)
 
 
-def _run_in_thread(write: Callable[..., None], *arguments: Any) -> StorageFailed | None:
-    """Run a write in a thread of the pool; returns its `StorageFailed`, if any."""
-    failure: StorageFailed | None = gevent.get_hub().threadpool.apply(
+def _run_in_thread(write: Callable[..., None], *arguments: Any) -> Exception | None:
+    """Run a write in a thread of the pool; returns its error, if any."""
+    failure: Exception | None = gevent.get_hub().threadpool.apply(
         _capture_failure, (write, *arguments)
     )
     return failure
 
 
-def _capture_failure(write: Callable[..., None], *arguments: Any) -> StorageFailed | None:
-    """Run a write and return its `StorageFailed`, if any.
+def _capture_failure(write: Callable[..., None], *arguments: Any) -> Exception | None:
+    """Run a write and return its error, if any.
 
     The thread pool prints an uncaught exception to standard error before it wakes the waiting
     greenlet. If standard error is on the same full disk, that print fails and the greenlet would
@@ -487,6 +517,12 @@
     """
     try:
         write(*arguments)
-    except StorageFailed as error:
+    except Exception as error:
         return error
     return None
+
+
+def _raise_unexpected(failure: Exception | None) -> None:
+    """Raise an error that repeating the write does not mend, to end the member and its process."""
+    if failure is not None and not isinstance(failure, StorageFailed):
+        raise failure
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -237,6 +237,127 @@
     assert not node.failure.ready()
 
 
+@pytest.fixture
+def saving(follower):
+    """A follower that starts a log segment, which `started` notes and `may_start` ends."""
+    node, disk, _, _ = follower
+    started, may_start = threading.Event(), threading.Event()
+
+    def start_segment(index, entries):
+        started.set()
+        may_start.wait()
+        disk.is_compaction_due = False
+
+    disk.start_segment = start_segment
+    disk.save_snapshot = lambda snapshot: None
+    disk.drop_covered = lambda: None
+    disk.covered_index = 0
+    disk.is_compaction_due = True
+    yield node, disk, started, may_start
+    may_start.set()
+
+
+def test_a_member_votes_again_after_it_was_slow_to_start_a_log_segment(saving, monkeypatch):
+    # Guards against a member that never votes again, as only a later write would allow it to.
+    monkeypatch.setattr(node_module, "MAX_SYNC_DURATION", HEARTBEAT_PERIOD)
+    node, _, started, may_start = saving
+    node.receive("b:1", append(2, 2, commit=2))
+    wait_until(started.is_set, "the segment is started")
+    gevent.sleep(3 * HEARTBEAT_PERIOD / SECOND)
+    may_start.set()
+    wait_until(lambda: node.core.log.snapshot.index == 2, "the snapshot is saved")
+    node.receive("c:1", VoteRequest(CLUSTER, "c", "a", 2, 9, 1, False, True))
+    wait_until(lambda: node.core.hard_state.voted_for == "c", "the vote is given")
+
+
+@pytest.mark.parametrize("operation", ["write", "start_segment", "save_snapshot"])
+def test_an_unexpected_error_while_storing_ends_the_member(saving, operation):
+    # Guards against a member that waits for ever for a write whose thread has failed.
+    node, disk, _, may_start = saving
+    may_start.set()
+
+    def fail(*_):
+        raise ValueError("unexpected")
+
+    setattr(disk, operation, fail)
+    node.receive("b:1", append(2, 2, commit=2))
+    wait_until(node.failure.ready, "the member ends")
+    assert isinstance(node.failure.exception, ValueError)
+
+
+def test_a_snapshot_that_can_not_be_saved_is_tried_again_after_a_pause(saving, monkeypatch):
+    # Guards against encoding and writing a snapshot in each step while the disk is full.
+    monkeypatch.setattr(node_module, "SNAPSHOT_RETRY_PERIOD", 5 * HEARTBEAT_PERIOD)
+    node, disk, _, may_start = saving
+    may_start.set()
+    attempts = []
+
+    def fail(index, entries):
+        attempts.append(index)
+        raise StorageFailed("no space left", step="syncing")
+
+    start_segment, disk.start_segment = disk.start_segment, fail
+    node.receive("b:1", append(2, 2, commit=2))
+    wait_until(lambda: attempts, "a snapshot is tried")
+    gevent.sleep(4 * HEARTBEAT_PERIOD / SECOND)
+    assert len(attempts) == 1
+    disk.start_segment = start_segment
+    wait_until(lambda: node.core.log.snapshot.index == 2, "the snapshot is saved")
+
+
+class RecordingStorage(FakeStorage):
+    """A fake storage that knows the highest entry that survives a power loss."""
+
+    def __init__(self):
+        super().__init__()
+        self.last_synced = FIRST.index
+
+    def write(self, output):
+        super().write(output)
+        for entry in output.entries:
+            self.last_synced = entry.index
+
+
+class CheckedMessages(SentMessages):
+    """A fake transport that notes acknowledgements of entries that are not synced."""
+
+    def __init__(self, disk):
+        super().__init__()
+        self._disk = disk
+        self.early = []
+
+    def send(self, endpoint, message):
+        super().send(endpoint, message)
+        if isinstance(message, AppendReply) and message.match_index > self._disk.last_synced:
+            self.early.append((message.match_index, self._disk.last_synced))
+
+
+def test_entries_that_arrive_as_a_write_ends_are_acknowledged_only_once_they_are_stored():
+    # Guards against counting entries as stored that are received in the step that ends a write.
+    disk: Any = RecordingStorage()
+    transport: Any = CheckedMessages(disk)
+    machine: Any = SimpleNamespace(apply=lambda data: data)
+    node = Node(disk, transport, machine, Clock())
+    node.start()
+    last = 81
+    try:
+        for index in range(2, last, 2):
+            disk.may_sync.clear()
+            node.receive("b:1", append(index, index, commit=1))
+            gevent.sleep(0.01)
+            disk.may_sync.set()
+            # Repeats a message in each round of the event loop, so that the last one before the
+            # write's end is handled together with it.
+            with gevent.Timeout(TIMEOUT_S):
+                while disk.last_synced < index + 1:
+                    node.receive("b:1", append(index + 1, index + 1, commit=1))
+                    gevent.sleep(0)
+        wait_until(lambda: last in transport.acknowledged(), "all entries are acknowledged")
+    finally:
+        node.stop()
+    assert transport.early == []
+
+
 def fail_with(error):
     def write(output):
         raise error
