Answer the requests that have arrived before an HTTP interface stops, and close idle connections

What callers saw: a stopping interface served kept connections for a second and then cut them, with requests in progress answered 500, slow readers cut in the middle of a response, and connections that were not accepted yet reset. Each stop lasted its whole timeout while one caller kept a connection open. Cause: gevent's stop waits for connections, not for requests, and kills what is left. Ruled out: the kernel's buffers (a response that fits in them is sent after the exit). Change: a server of our own, web/server.py. When it stops it accepts what is established, closes idle connections without bytes to read, sends 'Connection: close' with each response, ends as soon as the last one is written, and answers what outlasts the timeout with 503.

--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import json
-import socket
 from typing import TYPE_CHECKING, Any
 
 import falcon
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
 
 from fulmarhold.errors import FulmarholdError, MalformedInput
 from fulmarhold.observe.logs import get_logger
+from fulmarhold.web.server import ApplicationServer
 from fulmarhold.wire.server import listen
 
 if TYPE_CHECKING:
@@ -68,9 +67,9 @@
     return application
 
 
-def start_server(application: falcon.App, address: str, port: int) -> WSGIServer:
+def start_server(application: falcon.App, address: str, port: int) -> ApplicationServer:
     """Serve an application; raises `FulmarholdError` if the port can't be bound."""
-    server = _Server(
+    server = ApplicationServer(
         listen(address, port),
         application,
         log=None,
@@ -111,14 +110,6 @@
     response.media = {"error": error.message, "step": error.step, "peer": error.peer}
 
 
-class _Server(WSGIServer):
-    def handle(self, connection: Any, address: Any) -> None:
-        # Head and body are written separately. Without TCP_NODELAY, the body would be delayed until
-        # the head is acknowledged.
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle(connection, address)
-
-
 class _ErrorLog:
     def write(self, text: str) -> None:
         if text.strip():
