Reply to the calls of other instances before a message server stops

What callers saw: a call of another instance to a stopping one ended with its connection, also when the reply was ready or was being written; a call that crossed the stop was not answered at all. Cause: MessageServer.stop killed its handlers and connections at once. Ruled out: calls that wait for their timeout; the loss of the connection is seen at once. Change: the stop waits for the handlers within a given time, refuses what arrives meanwhile and what outlasts it with the failure 'stopping', and lets replies of streams that are being written leave. One-way messages are still handled meanwhile, since the handlers of a control instance wait for those of its consensus. Streams without a last reply still end with the connection: their collectors know more than the server.

--- a/fulmarhold/wire/server.py
+++ b/fulmarhold/wire/server.py
@@ -9,9 +9,10 @@
 
 import gevent
 from gevent.lock import RLock
-from gevent.pool import Pool
+from gevent.pool import Group, Pool
 from gevent.server import StreamServer
 
+from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError, MalformedInput
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.frames import ONE_WAY, FrameDecoder, encode_frame
@@ -27,6 +28,9 @@
 MAX_CONCURRENT_REQUESTS = 1_024
 MAX_CONNECTIONS = 2_048
 NOTHING = object()
+# How long a stopping server waits for its handlers, and then for the peers to read their replies.
+REPLY_TIME: Milliseconds = 100.0
+STOPPING = Failure("stopping")
 
 
 class ServedStream(Protocol):
@@ -39,16 +43,17 @@
 class StreamReplies:
     """Sends the replies of one stream; neither method blocks."""
 
-    def __init__(self, connection: Any, write_lock: RLock, stream_id: int) -> None:
+    def __init__(self, connection: Any, write_lock: RLock, stream_id: int, writes: Group) -> None:
         self._connection = connection
         self._write_lock = write_lock
         self._stream_id = stream_id
+        self._writes = writes
         self.has_ended = False
 
     def send(self, reply: Any, *, is_last: bool = False) -> None:
         """Send a reply; the peer learns from its content that it is the last one."""
         self.has_ended = self.has_ended or is_last
-        gevent.spawn(self._write, encode_frame(self._stream_id, reply))
+        self._writes.spawn(self._write, encode_frame(self._stream_id, reply))
 
     def end(self) -> None:
         """End the stream without a further reply."""
@@ -75,6 +80,9 @@
         self._handlers: dict[type, Callable[[Any], Any]] = {}
         self._openers: dict[type, StreamOpener] = {}
         self._requests = Pool(MAX_CONCURRENT_REQUESTS)
+        # Replies of streams that are being written.
+        self._writes = Group()
+        self._is_stopping = False
         self._server: StreamServer | None = None
 
     def handle(self, message_type: type, handler: Callable[[Any], Any]) -> None:
@@ -92,11 +100,22 @@
         self._server = StreamServer(listener, self._serve, spawn=Pool(MAX_CONNECTIONS))
         self._server.start()
 
-    def stop(self) -> None:
-        """Stop listening and close every connection."""
+    def stop(self, timeout: Milliseconds = REPLY_TIME) -> None:
+        """Stop listening, reply to the open requests, and close every connection.
+
+        Requests that don't end within `timeout`, and new ones, get a failure as reply. What opened
+        the streams has to end them before.
+        """
+        self._is_stopping = True
+        if self._server is not None:
+            self._server.close()
+        if not self._requests.join(timeout / SECOND):
+            log.warning("ended {} requests before their reply was sent", len(self._requests))
+            self._requests.kill(timeout=REPLY_TIME / SECOND)
+        if not self._writes.join(REPLY_TIME / SECOND):
+            log.warning("closed before {} replies were sent", len(self._writes))
         if self._server is not None:
             self._server.stop(timeout=0)
-        self._requests.kill(block=False)
 
     def _serve(self, connection: Any, peer: tuple[str, int]) -> None:
         decoder = FrameDecoder()
@@ -109,7 +128,7 @@
                     if isinstance(value, CancelStream):
                         streams.cancel(value)
                     elif opener := self._openers.get(type(value)):
-                        replies = StreamReplies(connection, write_lock, request_id)
+                        replies = StreamReplies(connection, write_lock, request_id, self._writes)
                         streams.add(request_id, replies, opener, value)
                     else:
                         self._requests.spawn(
@@ -128,7 +147,9 @@
             connection.close()
 
     def _answer(self, connection: Any, write_lock: RLock, request_id: int, value: Any) -> None:
-        reply = self._reply(value)
+        # One-way messages are still handled: open requests may depend on them.
+        is_refused = self._is_stopping and request_id != ONE_WAY
+        reply = STOPPING if is_refused else self._reply(value)
         if request_id == ONE_WAY or reply is None:
             return
         try:
@@ -145,7 +166,7 @@
         try:
             return handler(value)
         except gevent.GreenletExit:
-            raise
+            return STOPPING
         except FulmarholdError as error:
             return Failure("failed", str(error))
         except Exception as error:
