End the open proposals of a member that stops with an unknown outcome

What callers saw: a call that waited for the log of a stopping control instance got no outcome until it was killed. Cause: Node.stop ended the loop that completes proposals, and left their callers waiting. Ruled out: changes that are applied by then; their callers have the result. Change: stop ends the proposals that are open, queued ones too, with OutcomeUnknown, and later ones with NotLeader; the transfer of leadership takes a time limit, so that a stop with less time left can bound it.

--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -106,6 +106,9 @@
         self._random = Random()
         self._events: Queue[Callable[[RaftCore], None]] = Queue()
         self._proposals: dict[int, _Proposal] = {}
+        # The results that callers wait for, of proposals in the log and of those still queued.
+        self._open_results: set[AsyncResult] = set()
+        self._has_stopped = False
         # A member that has just joined replies to these endpoints: its log does not list the other
         # members yet.
         self._sender_endpoints: dict[str, str] = {}
@@ -166,12 +169,16 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop taking part in the cluster.
+        """Stop taking part in the cluster; open proposals end with `OutcomeUnknown`.
 
         Calling `transfer_leadership` first saves the other members an election timeout.
         """
+        self._has_stopped = True
         if self._greenlet is not None:
             self._greenlet.kill()
+        for result in self._open_results:
+            if not result.ready():
+                result.set_exception(OutcomeUnknown("this member has stopped", step="proposing"))
         self._disk_greenlets.join(timeout=STOP_TIMEOUT / SECOND)
         self._transport.close()
         self._storage.close()
@@ -279,9 +286,9 @@
             self._step_done.wait(TICK_PERIOD / SECOND)
         raise NotLeader(core.leader if not core.is_leader else None)
 
-    def transfer_leadership(self) -> None:
-        """Transfer leadership to another voter, if one catches up within `TRANSFER_WAIT`."""
-        until = self._clock.now() + TRANSFER_WAIT
+    def transfer_leadership(self, timeout: Milliseconds = TRANSFER_WAIT) -> None:
+        """Transfer leadership to another voter, if one catches up within `timeout`."""
+        until = self._clock.now() + timeout
         while self._core is not None and self._core.is_leader and self._clock.now() < until:
             if len(self._core.members.voters) == 1:
                 return
@@ -301,10 +308,14 @@
 
         if self._core is None:
             raise NotFormed("this instance does not belong to a cluster yet", step="proposing")
-        if not self._core.is_leader:
+        if self._has_stopped or not self._core.is_leader:
             raise NotLeader(self._core.leader)
+        self._open_results.add(result)
         self._events.put(run)
-        return result.get()
+        try:
+            return result.get()
+        finally:
+            self._open_results.discard(result)
 
     def _start_core(self, hard_state: HardState, memory: MemoryLog) -> None:
         if memory.snapshot.state:
--- a/fulmarhold/tests/consensus/test_slow_disk.py
+++ b/fulmarhold/tests/consensus/test_slow_disk.py
@@ -15,7 +15,7 @@
 
 from fulmarhold.clock import SECOND, Clock
 from fulmarhold.consensus import node as node_module
-from fulmarhold.consensus.core import HEARTBEAT_PERIOD, MIN_ELECTION_TIMEOUT
+from fulmarhold.consensus.core import HEARTBEAT_PERIOD, MIN_ELECTION_TIMEOUT, NotLeader
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
     KIND_COMMAND,
@@ -268,3 +268,16 @@
     finally:
         may_save.set()
     wait_until(lambda: node.core.log.snapshot.index == 4, "the snapshot is adopted")
+
+
+# Guards against callers that wait for a decision until their connection is cut.
+def test_open_proposals_end_when_the_member_stops_on_a_slow_disk(leader):
+    node, disk, followers = leader
+    followers.send = lambda endpoint, message: None
+    proposal = propose_while_blocked(node, disk, 2 * HEARTBEAT_PERIOD)
+    assert not proposal.ready()
+    node.stop()
+    with pytest.raises(OutcomeUnknown):
+        proposal.get(timeout=TIMEOUT_S)
+    with pytest.raises(NotLeader):
+        node.propose(b"late")
