End the open feeds of a control instance that stops with a reply

What callers saw: entries held their feed request until its period had passed or the connection was cut. Cause: an open feed waits for a change only. Ruled out: a loss of state; entries announce their state again at the next source. Change: FeedService.stop ends open feeds, and refuses later ones, with the failure 'stopping', after which an entry follows another instance at once as after any failure. Test: test_open_feeds_end_at_once_when_their_instance_stops (new method; there was no way to end a feed before).

--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -123,6 +123,7 @@
         self._peer_reported_at: dict[str, Milliseconds] = {}
         self._digest_mismatches = DigestMismatches()
         self._is_ready = False
+        self._is_stopping = False
         self._first_feed_at: Milliseconds | None = None
         self._version = 0
         self._last_report_at = clock.now()
@@ -215,6 +216,8 @@
         is_whole = request.source != self._source
         if not is_whole:
             self._await_change(request, now + FEED_PERIOD)
+        if self._is_stopping:
+            return Failure("stopping")
         upstream_position = 0 if is_whole else request.upstream_position
         instance_position = 0 if is_whole else request.instance_position
         self._watches[request.watcher.name] = _Watch(self._clock.now(), request.watcher.sequence)
@@ -269,7 +272,7 @@
     def _await_change(self, request: WatchFeed, until: Milliseconds) -> None:
         """Wait for a change; one of instances only is held back for `INSTANCE_BATCH_TIME`."""
         is_collecting = False
-        while not self._has_urgent_changes(request):
+        while not (self._is_stopping or self._has_urgent_changes(request)):
             now = self._clock.now()
             if not is_collecting and self.instances.position > request.instance_position:
                 is_collecting = True
@@ -406,6 +409,11 @@
         if self._node.is_formed and self._node.core.is_leader:
             self._expire_upstreams(now)
 
+    def stop(self) -> None:
+        """End the feeds, so that entries follow another instance at once."""
+        self._is_stopping = True
+        self._notify()
+
     def on_command_applied(self) -> None:
         """Wake the watchers if a newer configuration was applied; called after each change."""
         if self._machine.state.routes_version > self._version:
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -311,3 +311,18 @@
     feeds.deregister_upstream("u7")
     states = [item.state for item in whole_feed(feeds, "e").statements()[0]]
     assert states.count(LEFT) == 1 and len(states) == 40
+
+
+# Guards against entries that wait out their feed, or its timeout, while their source stops.
+def test_open_feeds_end_at_once_when_their_instance_stops(make_feeds):
+    feeds, _, _ = make_feeds()
+    whole = feeds.watch(WatchFeed(ENTRY, "", 0, 0, 0))
+    asked = WatchFeed(
+        ENTRY, whole.source, whole.upstream_position, whole.instance_position, whole.version
+    )
+    answer = gevent.spawn(feeds.watch, asked)
+    run_pending_greenlets()
+    feeds.stop()
+    run_pending_greenlets()
+    assert answer.ready() and answer.value == Failure("stopping")
+    assert feeds.watch(asked) == Failure("stopping")
