Stop control instances within the grace period, with an answer to every call that they have read

What callers saw: while a control instance stopped, PUT /api/config, PUT and DELETE /api/instances were answered 500 or cut on kept connections, slowly sent changes and slowly read configurations were cut, and a stop with kept connections took 2.1 s. Cause: each server was stopped after one second, whatever was in progress, and leadership was transferred first, which makes the outcome of changes in progress unknown. Ruled out: no majority, a leader that moves, a stop in the first seconds, a second SIGTERM, calls to other instances while the leader stops: their tests passed before, with at most 0.85 s for each decision. Change: accept no more calls, decide those in progress, then transfer leadership, then wait for slow callers until 1.5 s before the end of the grace period, then end feeds and calls of other instances with a reply. An instance that doesn't serve operators yet no longer begins to during its stop.

--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -9,14 +9,14 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.consensus.messages import MemberMessage
-from fulmarhold.consensus.node import Node, member_message_handler
+from fulmarhold.consensus.node import TRANSFER_WAIT, Node, member_message_handler
 from fulmarhold.consensus.storage import Storage
 from fulmarhold.consensus.transport import Transport
 from fulmarhold.control.feeds import FeedService
 from fulmarhold.control.formation import Formation
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.statement_file import StatementFile
-from fulmarhold.control.versions import VersionService
+from fulmarhold.control.versions import DECISION_TIMEOUT, VersionService
 from fulmarhold.daemons import spawn_essential
 from fulmarhold.membership.statements import READY, InstanceStatement
 from fulmarhold.observe.traffic import TrafficCounter
@@ -37,6 +37,12 @@
 # Every entry retries within this time: a pause of 60 ms and the network round trips.
 ENTRY_RETRY_MARGIN: Milliseconds = 100.0
 POLL_PERIOD: Milliseconds = 20.0
+# A call is decided within this time after it has arrived, or answered that nothing is certain.
+CALL_DURATION: Milliseconds = DECISION_TIMEOUT + 100.0
+# The time at the end of the grace period that is reserved for ending calls, replies to other
+# instances and a write in progress; less of a short grace period.
+EXIT_RESERVE: Milliseconds = 1_500.0
+MAX_RESERVE_SHARE = 0.25
 # How often the bytes exchanged with other control instances are added to the counters.
 TRAFFIC_PERIOD: Milliseconds = 1_000.0
 
@@ -100,7 +106,7 @@
             for part in (self._formation, self._feeds, self._watch)
         ]
         self._counters.register_gauges(self._gauges)
-        self._greenlets.append(spawn_essential(self.failure, self._serve_operators))
+        self._operators = spawn_essential(self.failure, self._serve_operators)
         self._greenlets.append(spawn_essential(self.failure, self._count_traffic))
 
     def _count_traffic(self) -> None:
@@ -135,13 +141,28 @@
         ]
 
     def stop(self) -> None:
-        """Transfer leadership and stop."""
-        self.node.transfer_leadership()
+        """Answer the calls that have arrived, transfer leadership and stop in the grace period."""
+        grace = self._settings.grace
+        exit_at = self._clock.now() + grace - min(EXIT_RESERVE, MAX_RESERVE_SHARE * grace)
+        # It may not have started to serve yet.
+        self._operators.kill()
         for server in self._servers:
-            server.stop(timeout=1)
+            server.finish(0.0)
+        # Without leadership, the outcome of changes in progress would be unknown.
+        self._finish_calls(min(exit_at, self._clock.now() + CALL_DURATION))
+        self.node.transfer_leadership(min(TRANSFER_WAIT, exit_at - self._clock.now()))
+        # What is left are callers that send or read slowly.
+        self._finish_calls(exit_at)
+        for server in self._servers:
+            server.stop(timeout=0)
+        self._feeds.stop()
+        self._messages.stop()
         gevent.killall(self._greenlets)
         self.node.stop()
-        self._messages.stop()
+
+    def _finish_calls(self, until: Milliseconds) -> None:
+        for server in self._servers:
+            server.finish(until - self._clock.now())
 
     def _gauges(self) -> Iterable[Gauge]:
         yield "control_upstreams_known", {}, float(len(self._feeds.upstreams))
