--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -105,6 +105,7 @@
         first: bool = True,
         seeds: tuple[str, ...] = CONTROL,
         data_centre: str = "a",
+        module: str = "fulmarhold.platform",
     ) -> None:
         role = "entry" if address in ENTRIES else "control"
         folder = self._folder / address
@@ -117,7 +118,7 @@
         settings.write_text(json.dumps(document))
         with (folder / "log").open("ab") as log:
             self._processes[address] = subprocess.Popen(
-                [sys.executable, "-m", "fulmarhold.platform", role],
+                [sys.executable, "-m", module, role],
                 env={**os.environ, "FULMARHOLD_SETTINGS": str(settings)},
                 stdout=log,
                 stderr=log,
--- a/fulmarhold/tests/platform/test_control_stops.py
+++ b/fulmarhold/tests/platform/test_control_stops.py
@@ -22,6 +22,7 @@
     put_configuration,
     wait_for,
 )
+from fulmarhold.tests.platform.slow_disk import SLOW_FILE
 from fulmarhold.web.client import request_json
 
 # The grace period of the settings' default, at whose end the platform kills a process.
@@ -82,10 +83,10 @@
 
 @pytest.fixture
 def control(tmp_path):
-    """Three control instances that have stored version 1."""
+    """Three control instances that have stored version 1, and whose disks can be slowed down."""
     started = PlatformFleet(tmp_path)
     for address in CONTROL:
-        started.start(address)
+        started.start(address, module="fulmarhold.tests.platform.slow_disk")
     assert put_configuration(configuration(1)).status == 200
     for address in CONTROL:
         wait_for(lambda at=address: KeptConnection(at).call("GET", "/api/config"), is_success)
@@ -300,3 +301,22 @@
     status, read = connection.read()
     assert (status, read) == (200, document)
     assert control.wait(stopping) == 0
+
+
+# Guards against changes that are cut, and stops that outlast the grace period, on slow disks.
+@pytest.mark.parametrize("slow", [1, 3])
+def test_changes_on_slow_disks_are_answered_while_the_leader_stops(control, tmp_path, slow):
+    stopping = find_leader()
+    addresses = [stopping, *(item for item in CONTROL if item != stopping)]
+    for address in addresses[:slow]:
+        (tmp_path / address / SLOW_FILE).touch()
+    changes = [gevent.spawn(change, stopping, version) for version in (2, 3)]
+    gevent.sleep(0.1)
+    assert stop(control, stopping) < GRACE_SECONDS
+    statuses = [item.get(timeout=TIMEOUT_SECONDS)[0] for item in changes]
+    # The disks of the other two suffice for a majority.
+    assert statuses == [200, 200] if slow == 1 else set(statuses) == {503}
+    for address in addresses[:slow]:
+        (tmp_path / address / SLOW_FILE).unlink()
+    if slow == 1:
+        assert stored_version(addresses[1]) == 3
