Bound the stop of an entry daemon by its requests' deadlines, and send their answers in full

What callers saw: an answer that a caller read slowly was cut a second after the stop had no request in flight, and one request whose body never arrived kept the entry from stopping at all. Cause: a request counted as complete before its answer was written; the wait for requests had no bound; the wait for connections had one of a second, which idle connections used up. Ruled out: requests with long deadlines (they were waited for). Change: the HTTP server itself waits for the answers to what has arrived, for the longest deadline of the services and 2 s for slow callers, and refuses the rest with 503.

--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -42,6 +42,9 @@
 log = get_logger("entry")
 
 MAINTENANCE_PERIOD: Milliseconds = 100.0
+# How long callers may take to send the rest of a request, and to read an answer, when an entry
+# stops; their requests end by their deadlines.
+SLOW_CALLER_TIME: Milliseconds = 2_000.0
 
 
 class EntryDaemon:
@@ -50,8 +53,6 @@
     def __init__(self, settings: EntrySettings, policies: ServicePolicies | None = None) -> None:
         self._settings = settings
         self._in_flight = 0
-        self._idle = Event()
-        self._idle.set()
         self._drain_requested = Event()
         self.failure: AsyncResult = AsyncResult()
         clock = Clock()
@@ -115,16 +116,15 @@
     def stop(self) -> None:
         """Stop gracefully.
 
-        Serves until no cached address answer contains this entry, finishes the requests in
-        flight, waits until their outcomes are recorded, then stops.
+        Serves until no cached address answer contains this entry, answers the requests that have
+        arrived, waits until their outcomes are recorded, then stops.
         """
         log.info("{} is leaving", self._settings.name)
         self.exchange.announce_state("leaving")
         gevent.sleep(self._addresses.drain_duration / SECOND)
-        self._http.stop_accepting()
-        self._idle.wait()
+        self._http.finish(self._longest_deadline() + SLOW_CALLER_TIME)
+        self._http.stop(timeout=0)
         self._effects.await_settled(SETTLE_TIMEOUT)
-        self._http.stop(timeout=1)
         gevent.killall(self._greenlets)
         self.exchange.stop()
         self.table.close()
@@ -153,12 +153,13 @@
             self.table.maintain()
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
 
+    def _longest_deadline(self) -> Milliseconds:
+        configuration = self.running.configuration
+        services = configuration.services.values() if configuration else ()
+        return max((service.longest_deadline_ms for service in services), default=0.0)
+
     def _update_in_flight(self, change: int) -> None:
         self._in_flight += change
-        if self._in_flight:
-            self._idle.clear()
-        else:
-            self._idle.set()
 
     def _health(self) -> str:
         if self.running.configuration is None:
--- a/fulmarhold/tests/web/test_serving.py
+++ b/fulmarhold/tests/web/test_serving.py
@@ -11,9 +11,9 @@
 from gevent.event import Event
 
 from fulmarhold.fleet.ports import PortAllocator
+from fulmarhold.tests.connections import TIMEOUT_SECONDS, HttpConnection
 from fulmarhold.web.serving import start_server
 
-TIMEOUT_SECONDS = 5.0
 # Far more than the buffers of a loopback connection hold.
 LARGE_BODY = bytes(24 * 1024 * 1024)
 PORTS = PortAllocator()
@@ -59,7 +59,7 @@
         self.server = start_server(application, *self.endpoint)
 
     def connect(self):
-        return Client(self.endpoint)
+        return HttpConnection(self.endpoint)
 
     def stop(self, seconds=TIMEOUT_SECONDS):
         """Stop, and return how many seconds that took."""
@@ -68,32 +68,6 @@
         return time.monotonic() - started_at
 
 
-class Client:
-    """A connection that reads responses one by one."""
-
-    def __init__(self, endpoint):
-        self.socket = gevent.socket.create_connection(endpoint, timeout=TIMEOUT_SECONDS)
-        self._file = self.socket.makefile("rb")
-
-    def send(self, data):
-        self.socket.sendall(data)
-
-    def read(self):
-        """Return status, headers and body; status zero if the response is not whole."""
-        line = self._file.readline()
-        headers = {}
-        while (field := self._file.readline()).strip():
-            name, _, value = field.decode().partition(":")
-            headers[name.lower()] = value.strip().lower()
-        length = int(headers.get("content-length", 0))
-        body = self._file.read(length)
-        is_whole = bool(line) and len(body) == length
-        return (int(line.split(b" ")[1]) if is_whole else 0), headers, body
-
-    def is_closed(self):
-        return self._file.read(1) == b""
-
-
 @pytest.fixture
 def served():
     running = Served()
