Let a stopping control daemon answer its commands before it hands over leadership

What operators saw: a command that waits until its configuration is in force, which takes up to 4.5 s, was accepted and answered 500 when its instance was stopped meanwhile; one without a decision was answered 500 too; a kept connection delayed each stop by a second. Cause: leadership was transferred first, and the server was stopped after one second. Ruled out: forwarded commands; entries' commands are repeated by their client.

--- a/fulmarhold/control/daemon.py
+++ b/fulmarhold/control/daemon.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from fulmarhold.clock import Clock
+from fulmarhold.clock import Clock, Milliseconds
 from fulmarhold.consensus.node import Node
 from fulmarhold.consensus.storage import Storage
 from fulmarhold.consensus.transport import Transport
@@ -15,7 +15,7 @@
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.presence import Presence
 from fulmarhold.control.queries import ControlQueries
-from fulmarhold.control.service import ControlService
+from fulmarhold.control.service import IN_FORCE_TIMEOUT, ControlService
 from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.web.serving import start_server
@@ -26,6 +26,10 @@
 
 log = get_logger("control")
 
+# How long a stopping instance waits for commands: until a configuration that it has accepted is in
+# force. Without a majority, they are not decided in any time.
+COMMAND_TIME: Milliseconds = IN_FORCE_TIMEOUT + 500.0
+
 
 class ControlDaemon:
     """Wires up and runs the parts of one control process."""
@@ -58,10 +62,12 @@
         log.info("{} listening on {}", self._settings.name, self._settings.peer_endpoint)
 
     def stop(self) -> None:
-        """Hand over leadership, end open requests and stop."""
+        """Answer the commands that have arrived, hand over leadership and stop."""
         self._housekeeping.kill()
+        # Without leadership, the outcome of commands in progress would be unknown.
+        self._http.finish(COMMAND_TIME)
         self.node.transfer_leadership()
-        self._http.stop(timeout=1)
-        self.node.stop()
+        self._http.stop(timeout=0)
         self._messages.stop()
+        self.node.stop()
         log.info("{} stopped", self._settings.name)
