Let a collector that stops send the parts that it has, and name what it never sent

What callers saw: when a stopping entry cut its open collections, the asking entry lost the parts that had arrived and waited to share a reply, and took each request for one that may have run, also those that were never sent to an upstream. Cause: the stop of an entry closes the connections under open collections. Ruled out: the wait of the asking entry; it sees the loss at once. Change: CollectorService.end_all sends a last reply for each open collection: the parts that have arrived, 'failed' for what is running, and 'declined' for what was not sent, which the asking entry then sends itself. Test: test_a_collector_that_ends_before_its_parts_sends_those_that_it_has.

--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -78,6 +78,11 @@
         """Decline all further requests, because this entry is about to stop."""
         self._is_stopping = True
 
+    def end_all(self) -> None:
+        """End the open requests with what is collected, because this entry stops now."""
+        for collector in list(self._open):
+            collector.end_early()
+
     def open(self, request: CollectParts, replies: StreamReplies) -> PartCollector:
         """Start to collect the parts of one request."""
         now = self._clock.now()
@@ -192,6 +197,19 @@
             if not keep_work:
                 call.abandon()
 
+    def end_early(self) -> None:
+        """Send the parts that have arrived, and name the others, as the last reply."""
+        if not self._is_open:
+            return
+        open_calls = [call for call in self._calls if not call.is_done]
+        for call in open_calls:
+            kind = Unserved.FAILED if call.was_sent else Unserved.DECLINED
+            self._unserved.append((self._calls[call], kind.value, Decline.STOPPING.value))
+        self._finished_count = len(self._calls)
+        self._reply()
+        for call in open_calls:
+            call.abandon()
+
     def _decline(self, position: int, reason: Decline) -> None:
         self._unserved.append((position, Unserved.DECLINED.value, reason.value))
         self._context.counters.add("collections_declined", reason=reason.value)
--- a/fulmarhold/tests/collecting/test_queries.py
+++ b/fulmarhold/tests/collecting/test_queries.py
@@ -31,6 +31,7 @@
 from fulmarhold.wire.frames import encode_frame
 
 PAUSE_MS = 300.0
+TIMEOUT_SECONDS = 5.0
 
 
 def run_query(shards, collector, **options):
@@ -265,6 +266,42 @@
     assert not collector.service.in_flight
 
 
+class ConnectingPool(ScriptedPool):
+    """A pool whose connections don't come free: it sends nothing."""
+
+    def submit(self, exchange):
+        pass
+
+
+# Guards against parts that a stopping collector holds and doesn't send, and against requests that
+# count as run because their collector stopped before it sent them.
+def test_a_collector_that_ends_before_its_parts_sends_those_that_it_has():
+    shards, beside = split_shards(6, 4)
+    beside["r0"].delay = None
+    beside["r1"] = ConnectingPool("r1-0")
+    shards["r0"].append(RemotePool("r0-1"))
+    collector = ScriptedCollector(beside.values())
+    fixture, query = run_query(shards, collector)
+    running = gevent.spawn(query.run)
+    with gevent.Timeout(TIMEOUT_SECONDS):
+        while len(beside["r0"].sent) < 1 or collector.service.in_flight < 1:
+            gevent.sleep(0.001)
+    # The parts of the other two have arrived and wait for these to share a reply.
+    gevent.sleep(3 * FAST_MS / 1e3)
+    collector.service.end_all()
+    assert not collector.service.in_flight
+    reply = collector.replies[-1]
+    assert reply.is_last and {position for position, _, _ in reply.parts} == {2, 3}
+    assert set(reply.unserved) == {(0, "failed", "stopping"), (1, "declined", "stopping")}
+    assert beside["r0"].withdrawn == beside["r0"].sent
+    outcome = running.get(timeout=TIMEOUT_SECONDS)
+    assert outcome.missing == 0
+    sent = {pool.address for pools in shards.values() for pool in pools if pool.sent}
+    assert {address for address in sent if address.startswith("r")} == {"r0-1", "r1-0"}
+    # Only the request that may have run is repeated.
+    assert fixture.counters.value("extra_attempts", kind="retry", result="sent") == 1
+
+
 @settings(max_examples=25, deadline=None)
 @given(
     delays=st.lists(st.sampled_from([1.0, 4.0, 12.0, 100.0, 270.0, None]), min_size=4, max_size=8),
