Accept in a stop what recent requests of the route show to end before the exit

A request is accepted now if what the last 64 took, waits included, is left with a reserve: nine in ten of them for an idempotent route, all for another one, and nothing is known of a route without any.

--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -20,9 +20,10 @@
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.shard_timing import partial_answer_at
 from fulmarhold.forwarding.single import SingleForward
+from fulmarhold.forwarding.stopping import expected_duration
 from fulmarhold.limits.budget import SlackBudget
 from fulmarhold.limits.retry_after import retry_delay_after_refusal, retry_delay_while_starting
-from fulmarhold.observe.estimates import ReplyEstimates
+from fulmarhold.observe.estimates import RecentLatencies, ReplyEstimates
 from fulmarhold.observe.latency import LatencyHistogram
 from fulmarhold.routing.choice import choosers
 
@@ -83,6 +84,7 @@
         self._refilled_at = clock.now()
         self._budgets: dict[str, SlackBudget] = {}
         self._replies: dict[str, ReplyEstimates] = {}
+        self._durations: dict[str, RecentLatencies] = {}
         self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
         self._open: dict[ShardQuery | SingleForward, tuple[ForwardRequest, Route]] = {}
 
@@ -149,10 +151,13 @@
             outcome = operation.run()
         finally:
             del self._open[operation]
+        elapsed = self._clock.now() - request.received_at
+        if not isinstance(outcome, Refused):
+            self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
         return self._finish(request, route, outcome)
 
     def report_cut(self) -> int:
-        """Log the requests that have no outcome when the process exits; returns their number."""
+        """Log the requests that have no outcome, last before the exit; returns their number."""
         for request, route in self._open.values():
             self._report(request, route, "cut", "process_exit")
         return len(self._open)
@@ -166,23 +171,19 @@
         """Whether there is time for a request before this entry exits."""
         if self._stop_schedule is None:
             return True
-        usual = self._estimates(route).prudent
-        return self._stop_schedule.can_complete(
-            self._clock.now(), deadline_at, usual, is_idempotent=route.is_idempotent
-        )
+        recent = self._durations.get(route.name, RecentLatencies())
+        expected = expected_duration(recent, is_idempotent=route.is_idempotent)
+        return self._stop_schedule.can_complete(self._clock.now(), deadline_at, expected)
 
     def _refuse_stopping(self) -> Refused:
         return Refused(RefusedReason.STOPPING, self._retry_after())
 
-    def _estimates(self, route: Route) -> ReplyEstimates:
-        return self._replies.setdefault(
-            route.name, ReplyEstimates(HEDGE_QUANTILE, INITIAL_HEDGE_DELAY)
-        )
-
     def _operation(
         self, request: ForwardRequest, route: Route, deadline_at: Milliseconds
     ) -> ShardQuery | SingleForward:
-        replies = self._estimates(route)
+        replies = self._replies.setdefault(
+            route.name, ReplyEstimates(HEDGE_QUANTILE, INITIAL_HEDGE_DELAY)
+        )
         context = CallContext(
             request,
             self._codec,
--- a/fulmarhold/forwarding/stopping.py
+++ b/fulmarhold/forwarding/stopping.py
@@ -5,17 +5,20 @@
 from dataclasses import dataclass
 
 from fulmarhold.clock import Milliseconds
+from fulmarhold.observe.estimates import RecentLatencies
 
 # The time at the end of the grace period that is reserved for exiting.
 EXIT_RESERVE: Milliseconds = 400.0
-# The time before the exit in which the last answers are sent: a round trip, and event loop lag.
-SEND_RESERVE: Milliseconds = 200.0
+# The time before the exit in which the last answers are sent: up to a thousand of them.
+SEND_RESERVE: Milliseconds = 400.0
 # The share of the grace period in which only requests in flight are completed.
 COMPLETION_SHARE = 0.3
-# A request is accepted if this multiple of the latency that few replies exceed is left. Where the
-# entry exits first, an idempotent request can be repeated, but the outcome of others is unknown.
-IDEMPOTENT_MARGIN = 3.0
-NON_IDEMPOTENT_MARGIN = 10.0
+# What a request may take beyond what comparable ones took lately.
+DURATION_RESERVE: Milliseconds = 300.0
+# A request that may be repeated is accepted if this share of the recent ones were fast enough: the
+# others can be sent again. The outcome of one that may not be repeated must not become unknown.
+IDEMPOTENT_SHARE = 0.9
+NON_IDEMPOTENT_SHARE = 1.0
 
 
 @dataclass(frozen=True)
@@ -24,12 +27,13 @@
 
     Until `accepts_until` the entry serves callers that still have its address, and afterwards it
     only completes open requests. At `answers_by` every open request gets the outcome that is known
-    by then, and at `exits_by` the process exits, whatever callers have received.
+    by then. The process exits once the answers are sent, at `exits_by` at the latest unless it was
+    held up.
 
     >>> schedule = StopSchedule.plan(0.0, grace=6_000.0, address_lifetime=3_600.0)
     >>> schedule
-    StopSchedule(accepts_until=3600.0, answers_by=5400.0, exits_by=5600.0)
-    >>> schedule.can_complete(3_500.0, 9_000.0, usual=200.0, is_idempotent=False)
+    StopSchedule(accepts_until=3600.0, answers_by=5200.0, exits_by=5600.0)
+    >>> schedule.can_complete(3_500.0, deadline_at=9_000.0, expected=1_500.0)
     False
     """
 
@@ -52,12 +56,21 @@
         return cls(min(now + accepting, answers_by), answers_by, exits_by)
 
     def can_complete(
-        self, now: Milliseconds, deadline_at: Milliseconds, usual: Milliseconds, *,
-        is_idempotent: bool,
-    ) -> bool:  # fmt: skip
-        """Whether a request can be expected to have its outcome before the entry exits.
+        self, now: Milliseconds, deadline_at: Milliseconds, expected: Milliseconds
+    ) -> bool:
+        """Whether a request that is `expected` to take so long ends before the entry exits."""
+        return min(deadline_at, now + expected + DURATION_RESERVE) <= self.answers_by
 
-        `usual` is the latency that few replies to such requests exceed.
-        """
-        margin = IDEMPOTENT_MARGIN if is_idempotent else NON_IDEMPOTENT_MARGIN
-        return min(deadline_at, now + margin * usual) <= self.answers_by
+
+def expected_duration(recent: RecentLatencies, *, is_idempotent: bool) -> Milliseconds:
+    """Return how long a request must be expected to take, by recent ones of the same route.
+
+    Without any, nothing is known of a request that may not be repeated.
+
+    >>> expected_duration(RecentLatencies(), is_idempotent=False)
+    inf
+    """
+    longest = recent.quantile(IDEMPOTENT_SHARE if is_idempotent else NON_IDEMPOTENT_SHARE)
+    if longest is None:
+        return 0.0 if is_idempotent else float("inf")
+    return longest
--- a/fulmarhold/observe/estimates.py
+++ b/fulmarhold/observe/estimates.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
+
 from fulmarhold.clock import Milliseconds
 
 AVERAGE_WEIGHT = 0.15
@@ -9,6 +12,8 @@
 MIN_ESTIMATE: Milliseconds = 0.5
 # Without decay, an upstream or a service that was slow once would be avoided or refused forever.
 ESTIMATE_HALF_LIFE: Milliseconds = 3_000.0
+# How many latencies exact quantiles are taken from.
+RECENT_COUNT = 64
 
 
 def decay(value: Milliseconds, silence: Milliseconds) -> Milliseconds:
@@ -65,11 +70,40 @@
             self.value = max(MIN_ESTIMATE, self.value - step * (1 - self._quantile))
 
 
+class RecentLatencies:
+    """The latest latencies, for exact quantiles that follow a change at once.
+
+    >>> recent = RecentLatencies()
+    >>> recent.quantile(0.9) is None
+    True
+    >>> for latency in range(1, 11):
+    ...     recent.note(float(latency))
+    >>> recent.quantile(0.9), recent.quantile(1.0)
+    (9.0, 10.0)
+    """
+
+    __slots__ = ("_latencies",)
+
+    def __init__(self) -> None:
+        self._latencies: deque[Milliseconds] = deque(maxlen=RECENT_COUNT)
+
+    def note(self, latency: Milliseconds) -> None:
+        """Add one latency, in place of the oldest one."""
+        self._latencies.append(latency)
+
+    def quantile(self, share: float) -> Milliseconds | None:
+        """Return the latency that a share of the latest ones don't exceed, if there are any."""
+        if not self._latencies:
+            return None
+        position = math.ceil(share * len(self._latencies)) - 1
+        return sorted(self._latencies)[max(0, position)]
+
+
 class ReplyEstimates:
     """Latency and size of the replies to one kind of request.
 
-    `typical` is the median latency, `high` the one that few replies exceed and `average` the recent
-    mean; `size` is the average size in bytes, zero before the first reply.
+    `typical` is the median latency and `high` the one that few replies exceed; `size` is the
+    average size in bytes, zero before the first reply.
 
     >>> estimates = ReplyEstimates(0.9, 40.0)
     >>> estimates.note_size(1_000)
@@ -77,31 +111,17 @@
     1000.0
     """
 
-    __slots__ = ("average", "high", "size", "typical")
+    __slots__ = ("high", "size", "typical")
 
     def __init__(self, high_quantile: float, initial: Milliseconds) -> None:
         self.typical = QuantileEstimate(0.5, initial)
         self.high = QuantileEstimate(high_quantile, initial)
-        self.average = LatencyAverage(initial, is_guess=True)
         self.size = 0.0
 
-    @property
-    def prudent(self) -> Milliseconds:
-        """The latency to reckon with: the quantiles follow a change in small steps only.
-
-        >>> estimates = ReplyEstimates(0.9, 40.0)
-        >>> for _ in range(20):
-        ...     estimates.note_latency(2_500.0)
-        >>> estimates.high.value < 120.0, estimates.prudent > 2_000.0
-        (True, True)
-        """
-        return max(self.high.value, self.average.value)
-
     def note_latency(self, latency: Milliseconds) -> None:
         """Update the estimates of latency with one reply."""
         self.typical.update(latency)
         self.high.update(latency)
-        self.average.update(latency)
 
     def note_size(self, size: int) -> None:
         """Update the average size with one reply of `size` bytes."""
