Measure a stop from the signal, and answer open requests whatever goes wrong in it

A signal during the start stops the daemon after it, and the schedule of the stop began then: with a start that took a second more, the process was killed with 3 of 3 requests passed on and unanswered. The handler notes the moment of the signal now, also while the interpreter is busy. The lines of the stop are not subject to the rate limit, the requests without an outcome are logged last, and the last lines wait 100 ms for a slow reader: at 800 open requests 189 answered ones had been logged as cut, and the line of the exit was dropped.

--- a/fulmarhold/control/daemon.py
+++ b/fulmarhold/control/daemon.py
@@ -36,7 +36,7 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
-        clock = Clock()
+        clock = self._clock = Clock()
         counters = Counters()
         machine = ControlMachine()
         presence = Presence(clock)
@@ -61,11 +61,11 @@
         self._housekeeping = gevent.spawn(self._service.run_housekeeping)
         log.info("{} listening on {}", self._settings.name, self._settings.peer_endpoint)
 
-    def stop(self) -> None:
+    def stop(self, told_at: Milliseconds) -> None:
         """Answer the commands that have arrived, hand over leadership and stop."""
         self._housekeeping.kill()
         # Without leadership, the outcome of commands in progress would be unknown.
-        self._http.finish(COMMAND_TIME)
+        self._http.finish(told_at + COMMAND_TIME - self._clock.now())
         self.node.transfer_leadership()
         self._http.stop(timeout=0)
         self._messages.stop()
--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -11,12 +11,15 @@
 import gevent
 from gevent.event import AsyncResult, Event
 
+from fulmarhold.clock import Clock
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.observe.logs import start_logging
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fulmarhold.clock import Milliseconds
+
 EXIT_FAILED = 1
 # Thresholds of the garbage collector: new objects before a collection of the youngest generation,
 # and collections of each generation before one of the next older generation.
@@ -32,7 +35,8 @@
 
     def start(self) -> None: ...
 
-    def stop(self) -> None: ...
+    def stop(self, told_at: Milliseconds) -> None:
+        """Stop as planned; the process is killed a grace period after it was told to, `told_at`."""
 
 
 def spawn_essential(failure: AsyncResult, run: Callable[[], None]) -> gevent.Greenlet:
@@ -84,26 +88,60 @@
     A signal during the start stops it after the start: the daemon may have accepted work already.
     `flush` is called before the error of a failed daemon is printed.
     """
-    ended = Event()
-    gevent.signal_handler(signal.SIGTERM, ended.set)
-    gevent.signal_handler(signal.SIGINT, ended.set)
+    stop_signal = _StopSignal()
     try:
         daemon.start()
         _tune_garbage_collector()
     except FulmarholdError as error:
         print(error, file=sys.stderr)
         return EXIT_FAILED
-    daemon.failure.rawlink(lambda _: ended.set())
-    ended.wait()
+    daemon.failure.rawlink(lambda _: stop_signal.wake())
+    stop_signal.wait()
     if daemon.failure.ready():
         if flush is not None:
             flush()
         print(daemon.failure.exception, file=sys.stderr)
         return EXIT_FAILED
-    daemon.stop()
+    daemon.stop(stop_signal.received_at)
     return 0
 
 
+class _StopSignal:
+    """Waits for SIGTERM or SIGINT, and knows when the first one came.
+
+    A start occupies the event loop, so that its watchers learn of a signal only after it. Handlers
+    of the interpreter run in between; the watchers wake a process that waits in the event loop.
+    """
+
+    def __init__(self) -> None:
+        self._clock = Clock()
+        self._ended = Event()
+        self._received_at: Milliseconds | None = None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._note)
+
+    @property
+    def received_at(self) -> Milliseconds:
+        """When the first signal came, or the present moment if none has."""
+        return self._clock.now() if self._received_at is None else self._received_at
+
+    def wake(self) -> None:
+        """End the wait without a signal."""
+        self._ended.set()
+
+    def wait(self) -> None:
+        """Wait until a signal has come, or until `wake` is called."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._note)
+        if self._received_at is None:
+            self._ended.wait()
+
+    def _note(self, *_: object) -> None:
+        if self._received_at is None:
+            self._received_at = self._clock.now()
+        self._ended.set()
+
+
 def _tune_garbage_collector() -> None:
     """Keep the garbage collector from repeatedly scanning the objects made during the start."""
     gc.collect()
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -55,7 +55,7 @@
         self._in_flight = 0
         self._drain_requested = Event()
         self.failure: AsyncResult = AsyncResult()
-        clock = Clock()
+        clock = self._clock = Clock()
         counters = self.counters = Counters()
         self._lag = LoopLag(clock)
         own = RosterEntry(
@@ -113,7 +113,7 @@
         ]
         log.info("{} is listening on {}", self._settings.name, self._settings.caller_endpoint)
 
-    def stop(self) -> None:
+    def stop(self, told_at: Milliseconds) -> None:
         """Stop gracefully.
 
         Serves until no cached address answer contains this entry, answers the requests that have
@@ -121,7 +121,8 @@
         """
         log.info("{} is leaving", self._settings.name)
         self.exchange.announce_state("leaving")
-        gevent.sleep(self._addresses.drain_duration / SECOND)
+        drained_at = told_at + self._addresses.drain_duration
+        gevent.sleep(max(0.0, drained_at - self._clock.now()) / SECOND)
         self._http.finish(self._longest_deadline() + SLOW_CALLER_TIME)
         self._http.stop(timeout=0)
         self._effects.await_settled(SETTLE_TIMEOUT)
--- a/fulmarhold/observe/events.py
+++ b/fulmarhold/observe/events.py
@@ -25,6 +25,8 @@
 # The share of the rate limit that low-priority events leave to failures and state changes.
 HIGH_PRIORITY_SHARE = 0.5
 FLUSH_PERIOD: Milliseconds = 20.0
+# How long the exit waits for a reader of the log that is slow.
+LAST_FLUSH_TIME: Milliseconds = 100.0
 WRITE_BYTES = 65_536
 STANDARD_OUTPUT = 1
 
@@ -53,12 +55,25 @@
         """Log an event that is dropped before others if the rate limit is reached."""
         self._record(event, fields, reserve=HIGH_PRIORITY_SHARE * LINES_PER_SECOND)
 
+    def record_always(self, event: str, **fields: Any) -> None:
+        """Log an event that comes a few times in the life of a process, beyond the rate limit."""
+        self._append(event, fields)
+
     def _record(self, event: str, fields: dict[str, Any], reserve: float) -> None:
-        if not self._take_token(reserve) or len(self._lines) >= MAX_BUFFERED_LINES:
-            self._dropped[event] += 1
-            self._counters.add("log_lines_dropped", event=event)
-            return
-        self._lines.append(self._encode(event, fields))
+        if self._take_token(reserve):
+            self._append(event, fields)
+        else:
+            self._drop(event)
+
+    def _append(self, event: str, fields: dict[str, Any]) -> None:
+        if len(self._lines) >= MAX_BUFFERED_LINES:
+            self._drop(event)
+        else:
+            self._lines.append(self._encode(event, fields))
+
+    def _drop(self, event: str) -> None:
+        self._dropped[event] += 1
+        self._counters.add("log_lines_dropped", event=event)
 
     def run(self) -> None:
         """Write the buffered lines periodically until killed."""
@@ -89,6 +104,14 @@
                 return
             self._unwritten = self._unwritten[written:]
 
+    def finish(self) -> None:
+        """Write the last lines before the exit, for `LAST_FLUSH_TIME` at most."""
+        until = self._clock.now() + LAST_FLUSH_TIME
+        self.flush()
+        while (self._lines or self._unwritten) and self._clock.now() < until:
+            gevent.sleep(FLUSH_PERIOD / SECOND)
+            self.flush()
+
     def _take_token(self, reserve: float = 0.0) -> bool:
         now = self._clock.now()
         refill = (now - self._refilled_at) / SECOND * LINES_PER_SECOND
--- a/fulmarhold/platform/__main__.py
+++ b/fulmarhold/platform/__main__.py
@@ -49,8 +49,8 @@
     gevent.signal_handler(signal.SIGHUP, watch.reload)
     events.record("started", role=role, seeds=settings.seeds, first_start=settings.is_first_start)
     code = serve_until_stopped(daemon, events.flush)
-    events.record("stopped", code=code)
-    events.flush()
+    events.record_always("stopped", code=code)
+    events.finish()
     return code
 
 
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -140,10 +140,11 @@
             serve_metrics(self._counters, self._settings.metrics_endpoint),
         ]
 
-    def stop(self) -> None:
+    def stop(self, told_at: Milliseconds) -> None:
         """Answer the calls that have arrived, transfer leadership and stop in the grace period."""
-        grace = self._settings.grace
-        exit_at = self._clock.now() + grace - min(EXIT_RESERVE, MAX_RESERVE_SHARE * grace)
+        # The settings may have changed since the start.
+        grace = self._watch.settings.grace
+        exit_at = told_at + grace - min(EXIT_RESERVE, MAX_RESERVE_SHARE * grace)
         # It may not have started to serve yet.
         self._operators.kill()
         for server in self._servers:
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -146,14 +146,30 @@
         self._counters.register_histograms(self.forwarder.histograms)
         self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
 
-    def stop(self) -> None:
+    def stop(self, told_at: Milliseconds) -> None:
         """Leave the directory, serve callers with old directory answers, answer open requests."""
         # The settings may have changed since the start.
         grace = self._watch.settings.grace
-        schedule = StopSchedule.plan(
-            self._clock.now(), grace, DIRECTORY_ANSWER_TTL + LATE_CALLER_MARGIN
-        )
-        self._report_stop("leaving", grace_ms=grace)
+        schedule = StopSchedule.plan(told_at, grace, DIRECTORY_ANSWER_TTL + LATE_CALLER_MARGIN)
+        self._report_stop("leaving", grace_ms=grace, told_ms_ago=self._clock.now() - told_at)
+        try:
+            self._leave(schedule)
+        finally:
+            self.forwarder.end_all()
+            self._collector_service.end_all()
+            # The answers have to be written even if this process was held up until now.
+            self._complete(max(schedule.exits_by, self._clock.now() + SEND_RESERVE))
+        gevent.killall(self._greenlets)
+        self._readiness.stop(timeout=0)
+        self._directory.stop(timeout=0)
+        self._metrics.stop(timeout=0)
+        self._messages.stop()
+        self._collectors.close()
+        self._table.close()
+        self._report_stop("exiting", cut=self.forwarder.report_cut())
+
+    def _leave(self, schedule: StopSchedule) -> None:
+        """Accept what can be completed while callers may use this entry, and complete that."""
         self.watcher.announce(DRAINING)
         self._front.is_closing = True
         self.forwarder.start_stop(schedule)
@@ -163,17 +179,6 @@
         self._collector_service.decline_all()
         self._front.stop_accepting()
         self._complete(schedule.answers_by)
-        self.forwarder.end_all()
-        # The answers have to be written even if this process was held up until now.
-        self._complete(max(schedule.exits_by, self._clock.now() + SEND_RESERVE))
-        self._report_stop("exiting", cut=self.forwarder.report_cut())
-        gevent.killall(self._greenlets)
-        self._readiness.stop(timeout=0)
-        self._directory.stop(timeout=0)
-        self._metrics.stop(timeout=0)
-        self._messages.stop()
-        self._collectors.close()
-        self._table.close()
 
     def _complete(self, until: Milliseconds) -> None:
         """Wait until all callers have their answers and have left, at most until a moment."""
@@ -184,7 +189,7 @@
             gevent.sleep(COMPLETION_PERIOD / SECOND)
 
     def _report_stop(self, phase: str, **fields: float) -> None:
-        self._events.record(
+        self._events.record_always(
             "stopping",
             phase=phase,
             in_flight=self._front.in_flight,
--- a/fulmarhold/standin/process.py
+++ b/fulmarhold/standin/process.py
@@ -12,7 +12,7 @@
 from pydantic import ConfigDict, Field
 
 from fulmarhold.callers.finder import EntryFinder
-from fulmarhold.clock import Clock
+from fulmarhold.clock import Clock, Milliseconds
 from fulmarhold.errors import MalformedInput
 from fulmarhold.membership.records import UpstreamRecord
 from fulmarhold.observe.counters import Counters
@@ -91,7 +91,7 @@
             upstream.start()
         self._greenlets = [gevent.spawn(item.run) for item in self._announcers.values()]
 
-    def stop(self) -> None:
+    def stop(self, told_at: Milliseconds) -> None:
         """Stop all upstreams immediately."""
         gevent.killall(self._greenlets)
         for upstream in self._upstreams.values():
--- a/fulmarhold/tests/control/test_daemon_stop.py
+++ b/fulmarhold/tests/control/test_daemon_stop.py
@@ -9,6 +9,7 @@
 import pytest
 from gevent.event import Event
 
+from fulmarhold.clock import Clock
 from fulmarhold.control.daemon import ControlDaemon
 from fulmarhold.control.messages import Accepted
 from fulmarhold.control.service import IN_FORCE_TIMEOUT, AcceptResult
@@ -43,7 +44,7 @@
     """Stop the daemon and return how many seconds that took."""
     started_at = time.monotonic()
     with gevent.Timeout(LONG_STOP_SECONDS, AssertionError("the stop does not end")):
-        daemon.stop()
+        daemon.stop(Clock().now())
     return time.monotonic() - started_at
 
 
--- a/fulmarhold/tests/entry/test_daemon_stop.py
+++ b/fulmarhold/tests/entry/test_daemon_stop.py
@@ -76,7 +76,7 @@
     """Stop the daemon and return how many seconds that took."""
     started_at = time.monotonic()
     with gevent.Timeout(LONG_STOP_SECONDS, AssertionError("the stop does not end")):
-        served.daemon.stop()
+        served.daemon.stop(Clock().now())
     return time.monotonic() - started_at
 
 
--- a/fulmarhold/tests/platform/test_planned_stops.py
+++ b/fulmarhold/tests/platform/test_planned_stops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 from contextlib import suppress
 from typing import Any
@@ -25,6 +26,18 @@
 STOPPING = ENTRIES[0]
 # Far longer than the grace period of a stop, as for long reconciliations.
 LONG_DEADLINE_MS = 15_000
+GRACE_SECONDS = 6.0
+# Delays the import in the middle of a start, as a slow processor does.
+SLOW_START = """
+import sys, time
+
+class SlowImport:
+    def find_spec(self, name, path=None, target=None):
+        if name == "fulmarhold.platform.interfaces":
+            time.sleep(1.0)
+
+sys.meta_path.insert(0, SlowImport())
+"""
 SHARDS = {"shardServices": ["s1", "s2"], "topK": 5, "minShardShare": 1.0}
 ROUTES: dict[str, dict[str, Any]] = {
     "idempotent": {"service": "s1"},
@@ -162,6 +175,36 @@
     gevent.spawn_later(grace_seconds, fleet.signal, STOPPING, signal.SIGKILL)
 
 
+def send_until_accepted(request_id):
+    """Send a request until it isn't refused; returns its status, or 503 if the port is closed."""
+    status = 503
+    with suppress(OSError):
+        while status == 503:
+            status = KeptConnection().send(request_id)
+            gevent.sleep(0.02)
+    return status
+
+
+# Guards against a grace period that is counted from the end of a slow start and not from the
+# signal, so that the process is killed with requests that it has passed on.
+def test_no_request_is_lost_by_a_stop_that_begins_during_a_slow_start(
+    fleet, upstreams, tmp_path, monkeypatch
+):
+    start_serving(upstreams, **ROUTES["non_idempotent"])
+    fleet.signal(STOPPING, signal.SIGKILL)
+    fleet.wait(STOPPING)
+    upstreams[0].delay = 4 * TIMEOUT_SECONDS
+    (tmp_path / "sitecustomize.py").write_text(SLOW_START)
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path), prepend=os.pathsep)
+    fleet.start(STOPPING, first=False)
+    wait_for(KeptConnection, bool)
+    assert upstreams[0].send_heartbeat().status == 200
+    end_after_grace(fleet, GRACE_SECONDS)
+    callers = [gevent.spawn(send_until_accepted, f"early-{number}") for number in range(3)]
+    statuses = [caller.get(timeout=TIMEOUT_SECONDS) for caller in callers]
+    assert 0 not in statuses, statuses
+
+
 # Guards against a stop that takes as long as the settings allowed when the process started.
 def test_no_request_is_lost_by_a_stop_after_the_grace_period_was_shortened(
     fleet, upstreams, tmp_path
