--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -19,6 +19,7 @@
 from fulmarhold.control.versions import DECISION_TIMEOUT, VersionService
 from fulmarhold.daemons import spawn_essential
 from fulmarhold.membership.statements import READY, InstanceStatement
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.observe.traffic import TrafficCounter
 from fulmarhold.platform.settings_watch import serve_application, serve_metrics
 from fulmarhold.wire.links import Links
@@ -31,6 +32,8 @@
     from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.platform.settings_watch import SettingsWatch
 
+log = get_logger("control")
+
 # How long the interface for operators and upstreams may be delayed in favour of entries. An
 # election takes less once all instances have started, and operators and upstreams retry.
 MAX_OPERATOR_DELAY: Milliseconds = 400.0
@@ -144,6 +147,7 @@
         """Answer the calls that have arrived, transfer leadership and stop in the grace period."""
         grace = self._settings.grace
         exit_at = self._clock.now() + grace - min(EXIT_RESERVE, MAX_RESERVE_SHARE * grace)
+        log.info("stopping, killed after {:.0f} ms; leads: {}", grace, self._leads)
         # It may not have started to serve yet.
         self._operators.kill()
         for server in self._servers:
@@ -151,8 +155,9 @@
         # Without leadership, the outcome of changes in progress would be unknown.
         self._finish_calls(min(exit_at, self._clock.now() + CALL_DURATION))
         self.node.transfer_leadership(min(TRANSFER_WAIT, exit_at - self._clock.now()))
-        # What is left are callers that send or read slowly.
+        log.info("still leads: {}; waits for callers that send or read slowly", self._leads)
         self._finish_calls(exit_at)
+        log.info("ends open feeds and calls")
         for server in self._servers:
             server.stop(timeout=0)
         self._feeds.stop()
@@ -160,6 +165,10 @@
         gevent.killall(self._greenlets)
         self.node.stop()
 
+    @property
+    def _leads(self) -> bool:
+        return self.node.is_formed and self.node.core.is_leader
+
     def _finish_calls(self, until: Milliseconds) -> None:
         for server in self._servers:
             server.finish(until - self._clock.now())
@@ -170,7 +179,7 @@
         yield "control_can_store", {}, float(self.node.can_store)
         if self.node.is_formed:
             core = self.node.core
-            yield "control_leads", {}, float(core.is_leader)
+            yield "control_leads", {}, float(self._leads)
             yield "control_term", {}, float(core.term)
             yield "control_commit_index", {}, float(core.commit_index)
             yield "control_confirmed_age_ms", {}, self.node.confirmed_age()
