--- a/fulmarhold/tests/web/test_serving.py
+++ b/fulmarhold/tests/web/test_serving.py
@@ -4,6 +4,9 @@
 
 import socket
 import time
+from collections import Counter
+from contextlib import suppress
+from random import Random
 
 import falcon
 import gevent
@@ -27,8 +30,12 @@
         self.may_respond = Event()
         self.started = Event()
         self.served = 0
+        self.run = self._wait
 
-    def on_get(self, _, response):
+    def on_get(self, request, response):
+        self.run(request, response)
+
+    def _wait(self, _, response):
         self.started.set()
         self.may_respond.wait()
         self.served += 1
@@ -171,3 +178,41 @@
     served.stop()
     with pytest.raises(ConnectionRefusedError):
         served.connect()
+
+
+# Guards against requests that are read, run and not answered, wherever the stop finds them.
+@pytest.mark.parametrize("seed", range(5))
+def test_as_many_requests_are_answered_as_are_run(served, seed):
+    random = Random(seed)
+    counts: Counter[str] = Counter()
+
+    def run(_, response):
+        counts["run"] += 1
+        gevent.sleep(random.choice([0.0, 0.001, 0.02]))
+        response.data = b"answer"
+
+    served.resource.run = run
+
+    def call():
+        while True:
+            try:
+                connection = served.connect()
+            except ConnectionRefusedError:
+                return
+            is_open = True
+            while is_open:
+                status, headers = 0, {}
+                with suppress(BrokenPipeError, ConnectionResetError):
+                    connection.send(GET % b"")
+                    status, headers, _ = connection.read()
+                if status == 200:
+                    counts["answered"] += 1
+                is_open = status == 200 and headers.get("connection") != "close"
+                gevent.sleep(random.choice([0.0, 0.001, 0.005]))
+
+    callers = [gevent.spawn(call) for _ in range(30)]
+    gevent.sleep(random.uniform(0.2, 0.3))
+    duration = served.stop()
+    gevent.joinall(callers, timeout=TIMEOUT_SECONDS, raise_error=True)
+    assert counts["answered"] == counts["run"] > 0
+    assert duration < TIMEOUT_SECONDS / 2
