--- a/fulmarhold/consensus/storage.py
+++ b/fulmarhold/consensus/storage.py
@@ -158,21 +158,16 @@
         """Save a snapshot piece by piece; raises `StorageFailed`. May run beside other writes."""
         try:
             self._write_snapshot(snapshot)
-        except OSError as error:
+        except (OSError, FulmarholdError) as error:
             raise StorageFailed(f"can't save a snapshot: {error}", step="syncing") from error
 
     def drop_covered(self) -> None:
         """Remove the files that the kept snapshots cover; raises `StorageFailed`."""
-        covered = self.covered_index
-        obsolete = sorted(self._snapshot_paths())[:-SNAPSHOTS_KEPT]
-        for path, following in itertools.pairwise(self._segment_paths()):
-            if _index_in_name(following) <= covered:
-                obsolete.append(path)
         try:
-            for path in obsolete:
+            for path in self._obsolete_paths():
                 path.unlink()
         except OSError as error:
-            raise StorageFailed(f"can't remove {path}: {error}", step="compacting") from error
+            raise StorageFailed(f"can't remove old files: {error}", step="compacting") from error
 
     def close(self) -> None:
         """Close the files and release the lock on the data folder."""
@@ -330,6 +325,14 @@
         first = self._folder / LOG_FILE
         return [first, *later] if first.exists() else later
 
+    def _obsolete_paths(self) -> list[Path]:
+        covered = self.covered_index
+        obsolete = sorted(self._snapshot_paths())[:-SNAPSHOTS_KEPT]
+        for path, following in itertools.pairwise(self._segment_paths()):
+            if _index_in_name(following) <= covered:
+                obsolete.append(path)
+        return obsolete
+
     def _write_atomically(self, name: str, data: bytes) -> None:
         self._write_file(name, data)
         self._sync_folder()
--- a/fulmarhold/tests/consensus/test_storage.py
+++ b/fulmarhold/tests/consensus/test_storage.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from fulmarhold.consensus import records
 from fulmarhold.consensus import storage as storage_module
 from fulmarhold.consensus.messages import KIND_COMMAND, LogEntry, Members, Snapshot
 from fulmarhold.consensus.output import HardState, Output
@@ -314,6 +315,27 @@
     assert (hard_state.term, memory.last_index, memory.snapshot.state) == (8, 8, b"state 6")
 
 
+def test_a_snapshot_that_is_too_large_fails_without_an_unexpected_error(tmp_path, monkeypatch):
+    # Guards against ending the member, again after each start, as it can't save its state.
+    monkeypatch.setattr(records, "MAX_RECORD_BYTES", 1_000)
+    storage = Storage(tmp_path)
+    storage.load()
+    with pytest.raises(StorageFailed, match="exceeds the limit"):
+        storage.save_snapshot(Snapshot(1, 1, MEMBERS, bytes(2_000)))
+    storage.close()
+
+
+def test_old_files_that_can_not_be_listed_fail_without_an_unexpected_error(tmp_path, monkeypatch):
+    def fail(_):
+        raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+    storage = Storage(tmp_path)
+    monkeypatch.setattr(Storage, "_segment_paths", fail)
+    with pytest.raises(StorageFailed, match="can't remove old files"):
+        storage.drop_covered()
+    storage.close()
+
+
 def test_a_write_that_failed_halfway_leaves_no_trace(tmp_path, monkeypatch):
     write_log(tmp_path, 2)
     storage = Storage(tmp_path)
