Keep members that campaign at the same moment from splitting the vote

Cause: with the third disk full, only two voters are left, and each must win the other's vote. Both saw the same last heartbeat, timers run every 40 ms and a pre-vote takes 20 ms there, so both often asked before either had voted. Each was granted the pre-vote, voted for itself and waited for another election timeout.

Ruled out: the member with the full disk, which neither campaigned nor answered; differing logs, which were the same on both.

Change: a member that grants a pre-vote while it asks for one itself gives its own up if the other has the lower identity, as members that have just restarted already do.

Test: test_two_members_that_campaign_at_once_do_not_split_the_vote failed before (no leader after four rounds of messages), passes after.

--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -372,7 +372,13 @@
             self._become_follower(message.term, None)
         up_to_date = self._is_up_to_date(message)
         if message.trial:
-            self._reply_vote(message, granted=up_to_date and message.term > self.term)
+            granted = up_to_date and message.term > self.term
+            asks_too = self.role is Role.CANDIDATE and self._is_pre_vote
+            if granted and asks_too and message.sender < self.identity:
+                # Of several members that ask at once, only the one with the lowest identity may
+                # continue; otherwise they would split the vote.
+                self._become_follower(self.term, None)
+            self._reply_vote(message, granted=granted)
             return
         free = self._hard_state.voted_for in (None, message.sender)
         granted = message.term == self.term and free and up_to_date
--- a/fulmarhold/tests/consensus/test_core_cases.py
+++ b/fulmarhold/tests/consensus/test_core_cases.py
@@ -83,6 +83,19 @@
     assert core.term == 1, "a vote request of a partitioned member must not raise the term"
 
 
+def test_two_members_that_campaign_at_once_do_not_split_the_vote():
+    # Guards against a second election timeout without a leader, e.g. while the third disk is full.
+    cores = {name: make_core(name) for name in ("b", "c")}
+    for core in cores.values():
+        core.tick(5_000.0)
+    for _ in range(4):
+        messages = [item for core in cores.values() for item in core.take_output().messages]
+        for message in messages:
+            if message.recipient in cores:
+                cores[message.recipient].receive(message, 5_010.0)
+    assert [name for name, core in cores.items() if core.is_leader] == ["b"]
+
+
 def test_a_leadership_transfer_does_not_wait_for_the_lease():
     core = make_core()
     core.receive(AppendRequest("c", "c", "a", 1, 1, 1, (), 1, 5_000.0), 5_000.0)
