Let a connection to an unusable address fail its upstream, not the entry

Seen by callers: all entries end at once, again after each restart, and requests are lost or refused, after one heartbeat of another writer names an address such as "::1%lo:9".

Cause: Channel parsed the address, created the socket and called connect_ex without handling their errors. connect_ex of Python resolves what isn't an IP address, and raises instead of returning a code (gaierror, OverflowError, UnicodeError, ValueError); so do int(port) and a process without file descriptors to spare. The error reached the maintenance greenlet, whose end is that of the process.

Ruled out: connect_ex returning an error code, which closes the channel as before.

Change: the attempt is made in one place. Only an IPv4 or IPv6 address without an interface name and a port from 1 to 65535 is tried; what can't be tried is logged, and the channel closes like one that is refused. Host names are never resolved, which would block the event loop.

--- a/fulmarhold/upstreams/channel.py
+++ b/fulmarhold/upstreams/channel.py
@@ -10,15 +10,20 @@
 import gevent
 from geventhttpclient.response import HTTPParseError
 
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.upstreams.protocol import ResponseReader, UpstreamResponse
 from fulmarhold.wire.sockets import prepare_connection
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
 
+log = get_logger("channel")
+
 READABLE = 1
 WRITABLE = 2
 READ_BYTES = 65_536
+MAX_PORT = 65_535
+CONNECT_FAILED = "connect failed"
 # An idle connection is closed this long before its upstream would close it, so that no request is
 # sent while the upstream is closing.
 KEEP_ALIVE_MARGIN: Milliseconds = 700.0
@@ -63,13 +68,16 @@
 
 
 class Channel:
-    """A non-blocking connection that carries one exchange at a time."""
+    """A non-blocking connection that carries one exchange at a time.
+
+    A connection that can't be attempted closes in the next turn of the event loop, like one that is
+    refused.
+    """
 
-    __slots__ = ("_exchange", "_fd", "_keep_alive", "_owner", "_pending", "_reader", "_socket",
+    __slots__ = ("_exchange", "_keep_alive", "_owner", "_pending", "_reader", "_socket",
                  "_watchers", "busy_since", "expires_at", "state", "usable_until")  # fmt: skip
 
     def __init__(self, address: str, owner: ChannelOwner) -> None:
-        host, _, port = address.rpartition(":")
         self._owner = owner
         self._exchange: Exchange | None = None
         self._pending = b""
@@ -79,20 +87,11 @@
         self.expires_at: Milliseconds = float("inf")
         self.usable_until: Milliseconds = float("inf")
         self._keep_alive: Milliseconds = float("inf")
-        self._socket = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
-        self._socket.setblocking(False)
-        prepare_connection(self._socket)
-        loop = gevent.get_hub().loop
-        self._fd = self._socket.fileno()
-        self._watchers: dict[int, Any] = {
-            READABLE: loop.io(self._fd, READABLE),
-            WRITABLE: loop.io(self._fd, WRITABLE),
-        }
-        code = self._socket.connect_ex((host, int(port)))
-        if code in (0, errno.EINPROGRESS):
-            self._watchers[WRITABLE].start(self._on_connected)
-        else:
-            loop.run_callback(self.close, errno.errorcode.get(code, "connect failed"))
+        self._socket: Any = None
+        self._watchers: dict[int, Any] = {}
+        reason = self._start_connecting(address)
+        if reason:
+            gevent.get_hub().loop.run_callback(self.close, reason)
 
     def send(self, exchange: Exchange, now: Milliseconds) -> None:
         """Send the request of an exchange; the channel must be free."""
@@ -129,17 +128,40 @@
         for watcher in self._watchers.values():
             watcher.stop()
             watcher.close()
-        self._socket.close()
+        if self._socket is not None:
+            self._socket.close()
         exchange, self._exchange = self._exchange, None
         self._owner.channel_closed(self, reason)
         if exchange is not None:
             exchange.failed(reason, sent=True)
 
+    def _start_connecting(self, address: str) -> str:
+        """Start the connection attempt and return why it failed, empty if it is in progress."""
+        try:
+            family, target = _socket_address(address)
+            self._socket = socket.socket(family)
+            self._socket.setblocking(False)
+            prepare_connection(self._socket)
+            code = self._socket.connect_ex(target)
+        except (OSError, OverflowError, ValueError) as error:
+            # Without a file descriptor to spare, the code is EMFILE; other errors come from an
+            # address that no connection can be made to.
+            log.warning("no connection to {!r:.80} can be attempted: {!s:.200}", address, error)
+            return errno.errorcode.get(getattr(error, "errno", None) or 0, CONNECT_FAILED)
+        if code not in (0, errno.EINPROGRESS):
+            return errno.errorcode.get(code, CONNECT_FAILED)
+        loop = gevent.get_hub().loop
+        descriptor = self._socket.fileno()
+        for events in (READABLE, WRITABLE):
+            self._watchers[events] = loop.io(descriptor, events)
+        self._watchers[WRITABLE].start(self._on_connected)
+        return ""
+
     def _on_connected(self) -> None:
         self._watchers[WRITABLE].stop()
         code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            self.close(errno.errorcode.get(code, "connect failed"))
+            self.close(errno.errorcode.get(code, CONNECT_FAILED))
             return
         self._watchers[READABLE].start(self._on_readable)
         self.state = ChannelState.FREE
@@ -195,3 +217,17 @@
             self._owner.channel_free(self)
         else:
             self.close("not kept open")
+
+
+def _socket_address(address: str) -> tuple[int, tuple[str, int]]:
+    """Return the family and target of IP:port; raises `OSError` or `ValueError` if it isn't one.
+
+    A host name is refused, because resolving it would block the event loop.
+    """
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    socket.inet_pton(family, host)
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f"the port must be from 1 to {MAX_PORT}")
+    return family, (host, number)
