Refuse heartbeats by which no upstream can be used, at the boundary

Cause: the decoder checked types only. json.loads accepts surrogates (also as raw bytes), UTF-16, NaN and infinity, and integers of any size. ip_address accepts the name of an interface, isdecimal digits of any script. The id of the path was not checked at all, though it is sent in a header field of every request; an id with a line end would have added a field. A refusal that quoted a surrogate was answered 500, one that quoted a long value was longer than a response to a heartbeat may be.

Ruled out: very deep nesting in a heartbeat, which was refused already; the bound now is 32 levels and no longer depends on the stack.

A refusal is a 400 that names the field, a counter by reason, and a log line of bounded length, one a second at most. Configurations are read as before.

Test: tests/platform/test_heartbeats.py.

--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -127,7 +127,11 @@
         from fulmarhold.platform.interfaces import control_application  # noqa: PLC0415
 
         application = control_application(
-            self._versions, self._feeds, self._settings.control_endpoint, self._counters
+            self._versions,
+            self._feeds,
+            self._settings.control_endpoint,
+            self._clock,
+            self._counters,
         )
         self._servers = [
             serve_application(application, self._settings.control_endpoint),
--- a/fulmarhold/platform/documents.py
+++ b/fulmarhold/platform/documents.py
@@ -4,13 +4,23 @@
 
 import json
 import zlib
-from typing import Annotated, Any, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 from msgspec import Meta, Struct, field
+from msgspec.structs import fields
 
 from fulmarhold.clock import Milliseconds
 from fulmarhold.errors import MalformedInput
 from fulmarhold.membership.statements import DRAINING, READY, State, UpstreamStatement
+from fulmarhold.membership.validity import (
+    Ordinal,
+    Slots,
+    Text,
+    WarmUp,
+    check_upstream_address,
+    check_upstream_name,
+)
+from fulmarhold.platform.strict_json import read_strict_object
 from fulmarhold.routes.configuration import (
     CallerLimits,
     Route,
@@ -19,10 +29,15 @@
     WeightedService,
     check_configuration,
 )
-from fulmarhold.settings.structs import decode_struct, require_endpoint
+from fulmarhold.settings.problems import InvalidSettings, Problem
+from fulmarhold.settings.structs import decode_struct
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 # Upper bound on a decompressed document, so that a small input can't exhaust memory.
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+HEARTBEAT = "heartbeat"
 
 Count = Annotated[int, Meta(ge=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -72,19 +87,23 @@
 
 
 class _Heartbeat(Struct, frozen=True):
-    service: Annotated[str, Meta(min_length=1)]
-    address: str
+    service: Annotated[Text, Meta(min_length=1)]
+    address: Text
     # The platform calls a data centre a zone.
-    data_centre: str = field(name="zone")
+    data_centre: Text = field(name="zone")
     state: Literal["ready", "draining"]
-    slots: Annotated[int, Meta(ge=1)]
-    sequence: Count
+    slots: Slots
+    sequence: Ordinal
     # The remaining warm-up time in milliseconds, during which the upstream is slow.
-    warm_up: Annotated[float, Meta(ge=0)] = field(name="warmupLeftMs")
+    warm_up: WarmUp = field(name="warmupLeftMs")
     # The upstream's software version; decoded only to check that it is present.
-    software_version: str = field(name="version")
+    software_version: Text = field(name="version")
     # Unix time of the upstream's start in milliseconds.
-    born: Count = 0
+    born: Ordinal = 0
+
+
+# The fields of a heartbeat by their names on the platform, and the id in its path.
+HEARTBEAT_FIELDS = frozenset({"id", *(item.encode_name for item in fields(_Heartbeat))})
 
 
 def read_json_object(body: bytes) -> dict[str, Any]:
@@ -141,7 +160,8 @@
 
     Raises `MalformedInput` if it can't be parsed and `InvalidSettings` if it isn't valid.
     """
-    values = decode_struct(read_json_object(body), _Heartbeat, "heartbeat")
+    check_id(name)
+    values = decode_struct(read_strict_object(body), _Heartbeat, HEARTBEAT)
     state: State = DRAINING if values.state == "draining" else READY
     return UpstreamStatement(
         name,
@@ -149,13 +169,25 @@
         values.sequence,
         state,
         values.service,
-        require_endpoint(values.address, "address", "heartbeat"),
+        _require(check_upstream_address, values.address, "address"),
         values.data_centre,
         values.slots,
         values.warm_up,
     )
 
 
+def check_id(name: str) -> str:
+    """Return the id of an upstream in a path; raises `InvalidSettings` if it can't be used."""
+    return _require(check_upstream_name, name, "id")
+
+
+def _require(check: Callable[[str], str], value: str, path: str) -> str:
+    try:
+        return check(value)
+    except ValueError as error:
+        raise InvalidSettings(HEARTBEAT, [Problem(path, str(error))]) from error
+
+
 def _route(item: _Route) -> Route:
     services = tuple(WeightedService(part.service, part.weight) for part in item.traffic_split)
     if item.service is not None:
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -8,8 +8,12 @@
 
 from fulmarhold.clock import SECOND
 from fulmarhold.errors import FulmarholdError, MalformedInput
+from fulmarhold.observe.limited import LimitedLog, bounded_text
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.platform.documents import (
+    HEARTBEAT_FIELDS,
     MAX_DOCUMENT_BYTES,
+    check_id,
     decode_configuration,
     decode_heartbeat,
     pack_document,
@@ -22,10 +26,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fulmarhold.clock import Clock
     from fulmarhold.control.feeds import FeedService
     from fulmarhold.control.versions import VersionService
     from fulmarhold.observe.counters import Counters
 
+log = get_logger("heartbeats")
+
 
 class ConfigurationResource:
     """PUT and GET /api/config: operators store and read the configuration."""
@@ -53,23 +60,35 @@
 class HeartbeatResource:
     """PUT and DELETE /api/instances/{name}: upstreams send heartbeats and deregister."""
 
-    def __init__(self, feeds: FeedService, own_endpoint: str, counters: Counters) -> None:
+    def __init__(
+        self, feeds: FeedService, own_endpoint: str, clock: Clock, counters: Counters
+    ) -> None:
         self._feeds = feeds
         # Every control instance serves heartbeats on the same port.
         self._port = own_endpoint.rpartition(":")[2]
         self._counters = counters
+        self._log = LimitedLog(log, clock)
 
     def on_put(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
         try:
             statement = decode_heartbeat(name, read_body(request))
-        except FulmarholdError:
-            self._counters.add("heartbeat_refusals", reason="malformed")
+        except FulmarholdError as error:
+            self._record_refusal(name, error)
             raise
         self._respond(response, self._feeds.record_upstream(statement), statement.data_centre)
 
     def on_delete(self, _: falcon.Request, response: falcon.Response, name: str) -> None:
+        try:
+            check_id(name)
+        except FulmarholdError as error:
+            self._record_refusal(name, error)
+            raise
         self._respond(response, self._feeds.deregister_upstream(name))
 
+    def _record_refusal(self, name: str, error: FulmarholdError) -> None:
+        self._counters.add("heartbeat_refusals", reason=_refusal_reason(error))
+        self._log.warning("refused a heartbeat of {}: {}", name, error)
+
     def _respond(
         self, response: falcon.Response, can_acknowledge: bool, data_centre: str | None = None
     ) -> None:
@@ -112,12 +131,17 @@
 
 
 def control_application(
-    versions: VersionService, feeds: FeedService, own_endpoint: str, counters: Counters
+    versions: VersionService,
+    feeds: FeedService,
+    own_endpoint: str,
+    clock: Clock,
+    counters: Counters,
 ) -> falcon.App:
     """Return the application for operators and upstreams."""
     application = _application()
     application.add_route("/api/config", ConfigurationResource(versions, counters))
-    application.add_route("/api/instances/{name}", HeartbeatResource(feeds, own_endpoint, counters))
+    heartbeats = HeartbeatResource(feeds, own_endpoint, clock, counters)
+    application.add_route("/api/instances/{name}", heartbeats)
     return application
 
 
@@ -146,4 +170,13 @@
 ) -> None:
     is_invalid = isinstance(error, MalformedInput | InvalidSettings)
     response.status = falcon.HTTP_400 if is_invalid else falcon.HTTP_503
-    response.media = {"error": error.message, "step": error.step}
+    response.media = {"error": bounded_text(error.message), "step": error.step}
+
+
+def _refusal_reason(error: FulmarholdError) -> str:
+    """Return `invalid_` and the field that a heartbeat is refused for, `malformed` without one."""
+    if isinstance(error, InvalidSettings):
+        field = error.problems[0].path
+        if field in HEARTBEAT_FIELDS:
+            return f"invalid_{field}"
+    return "malformed"
