Skip statements of earlier releases that can't be used, on control

Seen by callers: control ends at each start, or entries get no feed, for as long as one statement that an earlier release took is kept in the statement file or told by another instance.

Cause: what other control instances and the statement file held was merged unchecked. A field of another type raised TypeError where statements are compared; an integer beyond 64 bits or a surrogate raised where the file is saved (the process ended) or a feed is encoded (no entry was answered).

Ruled out: the checksums of the file, which find damage but not what was written in this way.

Change: FeedService merges only statements within the bounds of membership/validity.py, whatever their origin; the others are counted, and one a second is logged. A departure is logged for a peer only if its name and start are within the bounds.

--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -29,6 +29,7 @@
     ShareStatements,
     WatchFeed,
 )
+from fulmarhold.membership.filtering import StatementFilter
 from fulmarhold.membership.packing import MIN_PACKED_STATEMENTS, pack_statements
 from fulmarhold.membership.statements import (
     DRAINING,
@@ -113,6 +114,7 @@
         self._saved_position = 0
         self._clock = clock
         self._counters = counters
+        self._filter = StatementFilter(log, clock, counters)
         self._source = uuid.uuid4().hex[:12]
         self._changed = Event()
         # The last packed statements, with the positions that they lead from and to.
@@ -188,7 +190,7 @@
     ) -> bool:
         now = self._clock.now()
         is_change = False
-        for statement in statements:
+        for statement in self._filter.usable_upstreams(statements, origin):
             before = self.upstreams.find(statement.name)
             if self.upstreams.apply(statement, now):
                 is_change = True
@@ -207,7 +209,7 @@
         """Answer a feed request as soon as something changed, after `FEED_PERIOD` at the latest."""
         now = self._clock.now()
         is_new = request.watcher.name not in self._watches
-        if self._merge_instances((request.watcher,)) or is_new:
+        if self._merge_instances((request.watcher,), "own statement") or is_new:
             self._sharing.share(instances=(request.watcher,))
         self._watches[request.watcher.name] = _Watch(now, request.watcher.sequence)
         if not self._is_ready:
@@ -284,10 +286,10 @@
             or self._machine.state.routes_version > request.version
         )
 
-    def _merge_instances(self, statements: tuple[InstanceStatement, ...]) -> bool:
+    def _merge_instances(self, statements: tuple[InstanceStatement, ...], origin: str) -> bool:
         now = self._clock.now()
         is_change = False
-        for statement in statements:
+        for statement in self._filter.usable_instances(statements, origin):
             if statement.name == self._own.name and statement.born > self._own.born:
                 # The wall clock went back between two runs of this instance.
                 self._own = replace(self._own, born=statement.born + 1)
@@ -305,7 +307,7 @@
 
     def _handle_shared(self, shared: ShareStatements) -> Done:
         self._merge_upstreams(shared.upstreams, "shared")
-        self._merge_instances(shared.instances)
+        self._merge_instances(shared.instances, "shared")
         self._share_newer(shared)
         return Done()
 
@@ -369,7 +371,7 @@
                     self._merge_upstreams(
                         answer.value.upstreams, "told at start", log_changes=False
                     )
-                    self._merge_instances(answer.value.instances)
+                    self._merge_instances(answer.value.instances, "told at start")
                     if answer.value.is_ready:
                         # A ready peer knows what the others know, one of which may never answer.
                         self._is_ready = True
@@ -425,7 +427,7 @@
             is_latest = known is not None and known.sequence == sequence
             if known is not None and is_latest and known.state not in (LEFT, SILENT):
                 silent = replace(known, state=SILENT)
-                if self._merge_instances((silent,)):
+                if self._merge_instances((silent,), "silent"):
                     self._sharing.share(instances=(silent,))
 
     def _apply_retirements(self) -> None:
--- a/fulmarhold/control/retirement.py
+++ b/fulmarhold/control/retirement.py
@@ -12,6 +12,8 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import RetireUpstream
 from fulmarhold.membership.statements import DRAINING, LEFT, UpstreamStatement
+from fulmarhold.membership.validity import retirement_problem
+from fulmarhold.observe.limited import LimitedLog
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.messages import Done, Failure
 
@@ -37,6 +39,7 @@
         self._machine = machine
         self._sharing = sharing
         self._clock = clock
+        self._refusals = LimitedLog(log, clock)
 
     def apply_retirement(self, statement: UpstreamStatement) -> UpstreamStatement:
         """Return the statement, changed to draining if the log has retired its incarnation."""
@@ -69,6 +72,10 @@
 
     def log_for_peer(self, command: RetireUpstream) -> Any:
         """Log a retirement that another control instance forwards."""
+        problem = retirement_problem(command)
+        if problem:
+            self._refusals.warning("refused to log a departure: {}", problem)
+            return Failure("unusable", problem)
         return Done() if self._log(command) else Failure("not_logged")
 
     def _log(self, command: RetireUpstream) -> bool:
--- a/fulmarhold/membership/validity.py
+++ b/fulmarhold/membership/validity.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from ipaddress import ip_address
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 from msgspec import Meta, Struct
@@ -21,6 +21,9 @@
 )
 from fulmarhold.settings.endpoints import check_endpoint
 
+if TYPE_CHECKING:
+    from fulmarhold.membership.feed import RetireUpstream
+
 MAX_TEXT = 256
 # Integers up to here are exact in JSON and leave room for increments in 64 bits.
 MAX_INTEGER = 2**53
@@ -58,6 +61,11 @@
     is_busy: bool
 
 
+class _Retirement(Struct, frozen=True):
+    name: UpstreamName
+    born: Ordinal
+
+
 def check_upstream_name(name: str) -> str:
     """Return the name of an upstream; raises `ValueError` if it can't be sent in a header field.
 
@@ -104,6 +112,11 @@
     return _field_problem(statement, _Instance)
 
 
+def retirement_problem(command: RetireUpstream) -> str:
+    """Return why a departure can't be logged, with the name of the field; empty if it can."""
+    return _field_problem(command, _Retirement)
+
+
 def _field_problem(statement: object, schema: type) -> str:
     try:
         msgspec.convert(statement, schema, from_attributes=True)
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -311,3 +311,87 @@
     feeds.deregister_upstream("u7")
     states = [item.state for item in whole_feed(feeds, "e").statements()[0]]
     assert states.count(LEFT) == 1 and len(states) == 40
+
+
+# Statements that an earlier release may have kept or passed on, and that can't be used.
+ODD_STATEMENTS = {
+    "interface_name": {"address": "::1%lo:9"},
+    "host_name": {"address": "host.example:9"},
+    "port": {"address": "10.0.0.2:99999"},
+    "no_port": {"address": "10.0.0.2"},
+    "long_address": {"address": "1" * 100_000},
+    "surrogate": {"data_centre": "\ud800"},
+    "long_service": {"service": "s" * 100_000},
+    "born": {"born": 2**64},
+    "sequence": {"sequence": 2**200},
+    "negative": {"born": -1},
+    "slots": {"slots": 10**30},
+    "no_slots": {"slots": 0},
+    "infinity": {"warm_up": float("inf")},
+    "not_a_number": {"warm_up": float("nan")},
+    "header": {"name": "u\r\nMore: 1"},
+    "surrogate_name": {"name": "\udfff"},
+}
+
+
+# Guards against control that ends when it saves or feeds a statement of an earlier release.
+@pytest.mark.parametrize("changes", ODD_STATEMENTS.values(), ids=ODD_STATEMENTS)
+def test_a_shared_statement_that_cannot_be_used_is_skipped_and_the_others_hold(
+    make_feeds, clock, changes
+):
+    feeds, peer, _ = make_feeds()
+    odd = replace(HEARTBEAT, **{"name": "odd", **changes})
+    handlers(feeds).dispatch(ShareStatements((odd, HEARTBEAT), ()))
+    assert feeds.upstreams.all() == [HEARTBEAT]
+    for number in range(10):
+        feeds.record_upstream(replace(HEARTBEAT, name=f"v{number}"))
+    clock.advance(REPORT_PERIOD)
+    feeds.maintain()
+    for message in (whole_feed(feeds, "e"), whole_feed(feeds, "f", accepts_packed=False)):
+        assert len(message.statements()[0]) == 11
+        assert encode_frame(1, message)
+    assert all(encode_frame(1, message) for message in peer.received)
+
+
+@pytest.mark.parametrize("changes", ODD_STATEMENTS.values(), ids=ODD_STATEMENTS)
+def test_a_kept_statement_that_cannot_be_used_is_skipped_and_the_others_hold(
+    make_feeds, monkeypatch, changes
+):
+    odd = replace(HEARTBEAT, **{"name": "odd", **changes})
+    monkeypatch.setattr(StatementFile, "load", lambda _: [odd, HEARTBEAT])
+    feeds, _, _ = make_feeds()
+    assert feeds.upstreams.all() == [HEARTBEAT]
+
+
+# Guards against one entry's statement that keeps control from answering any other entry.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": 2**64},
+        {"born": 2**63, "name": "c"},
+        {"sequence": -1},
+        {"data_centre": "\ud800"},
+        {"name": "n" * 1_000},
+        {"endpoint": "e" * 1_000},
+    ],
+    ids=str,
+)
+def test_an_instance_whose_statement_cannot_be_used_is_not_fed_to_others(make_feeds, changes):
+    feeds, peer, _ = make_feeds()
+    odd = replace(ENTRY, **{"name": "odd", **changes})
+    feeds.watch(WatchFeed(odd, "", 0, 0, 0))
+    handlers(feeds).dispatch(ShareStatements((), (odd,)))
+    reply = whole_feed(feeds, "e")
+    assert {item.name for item in reply.statements()[1]} == {"c", "e"}
+    assert encode_frame(1, reply)
+    run_pending_greenlets()
+    assert all(encode_frame(1, message) for message in peer.received[1:])
+
+
+@pytest.mark.parametrize(
+    "command", [RetireUpstream("u\n", 1, 0.0), RetireUpstream("u" * 9_999, 1, 0.0)], ids=ascii
+)
+def test_a_departure_that_cannot_be_used_is_not_logged(make_feeds, command):
+    feeds, _, machine = make_feeds()
+    assert isinstance(handlers(feeds).dispatch(command), Failure)
+    assert machine.state.retired == {}
--- a/fulmarhold/tests/control/test_statement_file.py
+++ b/fulmarhold/tests/control/test_statement_file.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import astuple, replace
 from typing import TYPE_CHECKING
 
 import gevent
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from fulmarhold.consensus.records import encode_record
 from fulmarhold.control.statement_file import FILE_NAME, StatementFile
 from fulmarhold.membership.statements import READY, UpstreamStatement
 from fulmarhold.observe.counters import Counters
@@ -57,3 +60,65 @@
     else:
         path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x5A]) + whole[at + 1 :])
     assert StatementFile(tmp_path, Counters()).load() in ([], STATEMENTS)
+
+
+def write(folder: Path, *records: object) -> None:
+    (folder / FILE_NAME).write_bytes(b"".join(encode_record(item) for item in records))
+
+
+# Guards against control that ends at each start because of one statement in its file.
+@pytest.mark.parametrize(
+    "odd",
+    [
+        [],
+        ["u3"],
+        ["u3", "born", 1, "ready", "parts", "10.0.0.3:80", "a", 2, 0.0],
+        ["u3", 1, 1, "resting", "parts", "10.0.0.3:80", "a", 2, 0.0],
+        ["u3", 1, 1, "ready", "parts", "10.0.0.3:80", "a", 2, 0.0, "more"],
+        [["u3"], 1, 1, "ready", "parts", "10.0.0.3:80", "a", 2, 0.0],
+        [{}, 1, 1, "ready", "parts", "10.0.0.3:80", "a", 2, 0.0],
+        [b"u3", 1, 1, "ready", "parts", "10.0.0.3:80", "a", 2, 0.0],
+        ["u3", 1, 1, "ready", "parts", "10.0.0.3:80", "a", 2, None],
+        None,
+        7,
+        "u3",
+        {"name": "u3"},
+    ],
+    ids=ascii,
+)
+def test_a_statement_that_cannot_be_read_is_skipped_and_the_others_are_loaded(tmp_path, odd):
+    first, second = (list(astuple(item)) for item in STATEMENTS)
+    write(tmp_path, [first, odd, second])
+    counters = Counters()
+    assert StatementFile(tmp_path, counters).load() == STATEMENTS
+    assert counters.value("statements_skipped", subject="upstream") == 1
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"\xc1",
+        b"\xa1\xff",
+        b"\x91" * 2_000 + b"\xc0",
+        b"\xdd\xff\xff\xff\xff",
+        b"\xc0\xc0",
+        b"\x07",
+    ],
+    ids=lambda data: data[:6].hex(),
+)
+def test_a_record_that_cannot_be_read_loads_as_empty(tmp_path, monkeypatch, payload):
+    monkeypatch.setattr("fulmarhold.consensus.records.msgpack.packb", lambda _: payload)
+    write(tmp_path, None)
+    monkeypatch.undo()
+    counters = Counters()
+    assert StatementFile(tmp_path, counters).load() == []
+    assert counters.value("statement_file_failures", step="loading") == 1
+
+
+# Guards against control that ends when it saves what can't be encoded.
+@pytest.mark.parametrize("changes", [{"born": 2**64}, {"service": "\ud800"}], ids=ascii)
+def test_statements_that_cannot_be_encoded_leave_the_file_as_it_is(tmp_path, changes):
+    file = save(tmp_path)
+    file.save([replace(STATEMENTS[0], **changes)])
+    gevent.sleep(0.05)
+    assert StatementFile(tmp_path, Counters()).load() == STATEMENTS
