Skip fed statements that can't be used, on entries

Seen by callers: entries end, or leave one control instance after the other, while a feed of an earlier release names one upstream or instance that can't be used.

Cause: the watcher stored whatever a feed named. Such a statement reached the upstream table and the header field of its id, and a feed request with a start beyond 64 bits couldn't be encoded.

The rest of the reply holds.

--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -10,6 +10,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import AskConfirmation, Confirmation, FeedReply, WatchFeed
+from fulmarhold.membership.filtering import StatementFilter
 from fulmarhold.membership.statements import (
     LEFT,
     READY,
@@ -73,6 +74,7 @@
         self._clock = clock
         self._counters = counters
         self._traffic = TrafficCounter(own.data_centre, counters)
+        self._filter = StatementFilter(log, clock, counters)
         self._version = 0
         self._source = ""
         self._positions = (0, 0)
@@ -244,7 +246,7 @@
         now = self._clock.now()
         previous_content = self._content_version()
         upstreams, instances = reply.statements()
-        for upstream in upstreams:
+        for upstream in self._filter.usable_upstreams(upstreams, self._endpoint):
             before = self.upstreams.find(upstream.name)
             if self.upstreams.apply(upstream, now):
                 log.info(
@@ -255,7 +257,7 @@
                     upstream.state,
                     before.state if before else "unknown",
                 )
-        for instance in instances:
+        for instance in self._filter.usable_instances(instances, self._endpoint):
             if instance.name != self._own.name:
                 self.instances.apply(instance, now)
             elif instance.born > self._own.born:
--- a/fulmarhold/tests/membership/test_watcher.py
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -4,6 +4,7 @@
 
 import time
 from collections import deque
+from dataclasses import replace
 from types import SimpleNamespace
 
 import gevent
@@ -13,9 +14,10 @@
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.membership import watcher as watching
 from fulmarhold.membership.feed import AskConfirmation, Confirmation, FeedReply
-from fulmarhold.membership.statements import READY, STARTING, InstanceStatement
+from fulmarhold.membership.statements import READY, STARTING, InstanceStatement, UpstreamStatement
 from fulmarhold.membership.watcher import FAILURE_COOLDOWN, FleetWatcher
 from fulmarhold.observe.counters import Counters
+from fulmarhold.tests.control.test_feeds import ODD_STATEMENTS
 
 SEEDS = ("far:1", "farther:1")
 OWN = InstanceStatement("e", 1, 1, STARTING, "entry", "home", "e:80")
@@ -32,6 +34,7 @@
     def __init__(self, clock):
         self.clock, self.asked, self.down, self.ages = clock, [], set(), {}
         self.silent = set()
+        self.upstreams, self.instances = (), CONTROL
         self.counters = Counters()
         self.local_endpoint = ""
         self.steps: deque = deque()
@@ -58,7 +61,7 @@
                 fleet.steps.popleft()()
                 if endpoint in fleet.down:
                     raise PeerUnavailable("down", step="WatchFeed", peer=endpoint)
-                return FeedReply("s", False, age, 1, 1, (), CONTROL, 0, None)
+                return FeedReply("s", False, age, 1, 1, fleet.upstreams, fleet.instances, 0, None)
 
             def take_bytes(self):
                 return 100
@@ -80,11 +83,15 @@
     return instances
 
 
-def follow(fleet, steps):
-    fleet.steps = deque(steps)
-    watcher = FleetWatcher(
+def make_watcher(fleet):
+    return FleetWatcher(
         OWN, lambda: SEEDS, lambda *_: None, lambda: None, fleet.clock, fleet.counters
     )
+
+
+def follow(fleet, steps):
+    fleet.steps = deque(steps)
+    watcher = make_watcher(fleet)
     gevent.spawn(watcher.run).join(timeout=5)
     return fleet.asked
 
@@ -147,3 +154,32 @@
     started = time.monotonic()
     assert follow(fleet, [nothing])[0] == "far:1"
     assert time.monotonic() - started < 0.1
+
+
+UPSTREAM = UpstreamStatement("u", 100, 1, READY, "parts", "10.0.0.1:80", "a", 2)
+
+
+# Guards against entries that end or lose each source, because one fed statement can't be used.
+@pytest.mark.parametrize("changes", ODD_STATEMENTS.values(), ids=ODD_STATEMENTS)
+def test_a_fed_statement_that_cannot_be_used_is_skipped_and_the_others_hold(fleet, changes):
+    odd = replace(UPSTREAM, **{"name": "odd", **changes})
+    fleet.upstreams = (odd, UPSTREAM)
+    watcher = make_watcher(fleet)
+    fleet.steps = deque([nothing, nothing])
+    gevent.spawn(watcher.run).join(timeout=5)
+    assert watcher.upstreams.all() == watcher.serving_upstreams() == [UPSTREAM]
+    assert fleet.asked == ["far:1", "far:1", "near:1"]
+    assert fleet.counters.value("statements_skipped", subject="upstream") == 2
+
+
+# Guards against an entry that ends because another instance's statement names no endpoint.
+@pytest.mark.parametrize("changes", [{"born": 2**64}, {"data_centre": "\ud800"}], ids=ascii)
+def test_a_fed_instance_that_cannot_be_used_is_skipped_and_the_others_hold(fleet, changes):
+    odd = replace(OWN, **{"name": "odd", **changes})
+    fleet.instances = (odd, replace(OWN, born=2**64), *CONTROL)
+    watcher = make_watcher(fleet)
+    fleet.steps = deque([nothing, nothing])
+    gevent.spawn(watcher.run).join(timeout=5)
+    assert watcher.instances.find("odd") is None
+    assert watcher.own.born == OWN.born
+    assert watcher.instances.find("near") is not None
