Confine odd values in messages to one call or one connection

Seen by callers: an entry or control ends, entries time out at every control instance, or a member of control gets no message any more, because of one value or endpoint that another instance stated.

Cause: encode_frame raised OverflowError and UnicodeEncodeError, which neither the server (the caller waited for its timeout) nor the client (the error was no FulmarholdError) expected. Link parsed the endpoint outside of its error handling, and gevent resolved host names. The unpacker reserved space for up to 67 million items announced in five bytes. Errors quoted values of any length.

Change: what can't be encoded is a MalformedInput that names the message; a reply becomes a failure, a stream learns of it. Endpoints that aren't IP:port fail like a peer that is lost. Arrays and maps of a frame hold up to a million items. Quoted values are cut.

--- a/fulmarhold/consensus/transport.py
+++ b/fulmarhold/consensus/transport.py
@@ -9,7 +9,8 @@
 
 from fulmarhold.clock import SECOND
 from fulmarhold.consensus.messages import MemberMessage, PeerMessage
-from fulmarhold.errors import PeerUnavailable
+from fulmarhold.errors import FulmarholdError, PeerUnavailable
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.client import Link
 from fulmarhold.wire.messages import to_values
 
@@ -18,6 +19,8 @@
 
     from fulmarhold.clock import Milliseconds
 
+log = get_logger("transport")
+
 MAX_QUEUE_LENGTH = 512
 SEND_TIMEOUT: Milliseconds = 2_000.0
 
@@ -67,7 +70,9 @@
             try:
                 with gevent.Timeout(SEND_TIMEOUT / SECOND, PeerUnavailable("send timed out")):
                     self.link.send(message)
-            except PeerUnavailable:
+            except FulmarholdError as error:
+                if not isinstance(error, PeerUnavailable):
+                    log.error("a message was not sent: {}", error)
                 # The protocol resends what is lost, and queued messages would arrive stale.
                 while not self._queue.empty():
                     self._queue.get_nowait()
--- a/fulmarhold/upstreams/channel.py
+++ b/fulmarhold/upstreams/channel.py
@@ -12,7 +12,7 @@
 
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.upstreams.protocol import ResponseReader, UpstreamResponse
-from fulmarhold.wire.sockets import prepare_connection
+from fulmarhold.wire.sockets import prepare_connection, socket_address
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
@@ -22,7 +22,6 @@
 READABLE = 1
 WRITABLE = 2
 READ_BYTES = 65_536
-MAX_PORT = 65_535
 CONNECT_FAILED = "connect failed"
 # An idle connection is closed this long before its upstream would close it, so that no request is
 # sent while the upstream is closing.
@@ -138,7 +137,7 @@
     def _start_connecting(self, address: str) -> str:
         """Start the connection attempt and return why it failed, empty if it is in progress."""
         try:
-            family, target = _socket_address(address)
+            family, target = socket_address(address)
             self._socket = socket.socket(family)
             self._socket.setblocking(False)
             prepare_connection(self._socket)
@@ -217,17 +216,3 @@
             self._owner.channel_free(self)
         else:
             self.close("not kept open")
-
-
-def _socket_address(address: str) -> tuple[int, tuple[str, int]]:
-    """Return the family and target of IP:port; raises `OSError` or `ValueError` if it isn't one.
-
-    A host name is refused, because resolving it would block the event loop.
-    """
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    socket.inet_pton(family, host)
-    number = int(port)
-    if not 0 < number <= MAX_PORT:
-        raise ValueError(f"the port must be from 1 to {MAX_PORT}")
-    return family, (host, number)
--- a/fulmarhold/wire/client.py
+++ b/fulmarhold/wire/client.py
@@ -12,11 +12,12 @@
 
 from fulmarhold.clock import SECOND
 from fulmarhold.errors import FulmarholdError, MalformedInput, PeerUnavailable, ReplyTimeout
+from fulmarhold.observe.limited import bounded_text
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.frames import ONE_WAY, FrameDecoder, encode_frame
 from fulmarhold.wire.messages import CancelStream, Failure
 from fulmarhold.wire.server import READ_BYTES
-from fulmarhold.wire.sockets import prepare_connection
+from fulmarhold.wire.sockets import prepare_connection, socket_address
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
@@ -61,8 +62,8 @@
         if not self._receiver.replied(value):
             self._link.forget_stream(self._stream_id)
 
-    def set_exception(self, error: PeerUnavailable) -> None:
-        """Report that the connection is lost."""
+    def set_exception(self, error: FulmarholdError) -> None:
+        """Report that no reply follows."""
         self._receiver.lost(str(error))
 
 
@@ -138,8 +139,9 @@
     def _write_for_stream(self, stream_id: int, request: Any) -> None:
         try:
             self._write(encode_frame(stream_id, request), type(request).__name__)
-        except PeerUnavailable as error:
-            # Already told to the stream if the connection broke; not if it could not be opened.
+        except (PeerUnavailable, MalformedInput) as error:
+            # Already told to the stream if the connection broke; not if it could not be opened, or
+            # the request not be encoded.
             if (stream := self._waiting.pop(stream_id, None)) is not None:
                 stream.set_exception(error)
 
@@ -173,15 +175,14 @@
     def _connect(self, step: str) -> Any:
         if self._socket is not None:
             return self._socket
-        address, _, port = self.endpoint.rpartition(":")
         try:
-            connection = gevent.socket.create_connection(
-                (address, int(port)), timeout=CONNECT_TIMEOUT / SECOND
-            )
+            _, target = socket_address(self.endpoint)
+            connection = gevent.socket.create_connection(target, timeout=CONNECT_TIMEOUT / SECOND)
             connection.settimeout(None)
             prepare_connection(connection)
-        except OSError as error:
-            raise PeerUnavailable(str(error), step=step, peer=self.endpoint) from error
+        except (OSError, ValueError) as error:
+            reason = bounded_text(str(error))
+            raise PeerUnavailable(reason, step=step, peer=bounded_text(self.endpoint)) from error
         self._socket = connection
         self._reader = gevent.spawn(self._read, connection)
         return connection
--- a/fulmarhold/wire/frames.py
+++ b/fulmarhold/wire/frames.py
@@ -13,12 +13,18 @@
     from collections.abc import Iterator
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+# Far above the statements of a fleet. The unpacker reserves space for as many as are announced.
+MAX_ITEMS = 1_000_000
 ONE_WAY = 0
 
 
 def encode_frame(request_id: int, value: Any) -> bytes:
-    """Encode a message as one frame."""
-    packed: bytes = msgpack.packb([request_id, *to_values(value)])
+    """Encode a message as one frame; raises `MalformedInput` for values that have no encoding."""
+    try:
+        packed: bytes = msgpack.packb([request_id, *to_values(value)])
+    except (OverflowError, ValueError, RecursionError) as error:
+        name = type(value).__name__
+        raise MalformedInput(f"{name} can't be encoded: {error!s:.200}", step="encoding") from error
     return packed
 
 
@@ -32,7 +38,11 @@
     """
 
     def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
-        self._unpacker = msgpack.Unpacker(max_buffer_size=max_frame_bytes)
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=max_frame_bytes,
+            max_array_len=min(MAX_ITEMS, max_frame_bytes),
+            max_map_len=min(MAX_ITEMS, max_frame_bytes),
+        )
 
     def feed(self, data: bytes) -> Iterator[tuple[int, Any]]:
         """Yield the request id and the message of each complete frame.
--- a/fulmarhold/wire/messages.py
+++ b/fulmarhold/wire/messages.py
@@ -52,7 +52,7 @@
     try:
         return msgspec.convert(fields, message_type, builtin_types=(bytes,))
     except msgspec.ValidationError as error:
-        raise MalformedInput(f"{tag}: {error}", step="decoding") from error
+        raise MalformedInput(f"{tag}: {error!s:.200}", step="decoding") from error
 
 
 def _validate(message_type: type, fields: Any) -> Any:
@@ -66,7 +66,7 @@
         detail = error.errors()[0]
         path = ".".join(str(part) for part in detail["loc"])
         raise MalformedInput(
-            f"{message_type.__name__}.{path}: {detail['msg']}", step="decoding"
+            f"{message_type.__name__}.{path:.200}: {detail['msg']:.200}", step="decoding"
         ) from error
 
 
--- a/fulmarhold/wire/server.py
+++ b/fulmarhold/wire/server.py
@@ -48,7 +48,7 @@
     def send(self, reply: Any, *, is_last: bool = False) -> None:
         """Send a reply; the peer learns from its content that it is the last one."""
         self.has_ended = self.has_ended or is_last
-        gevent.spawn(self._write, encode_frame(self._stream_id, reply))
+        gevent.spawn(self._write, _encode_reply(self._stream_id, reply))
 
     def end(self) -> None:
         """End the stream without a further reply."""
@@ -131,9 +131,10 @@
         reply = self._reply(value)
         if request_id == ONE_WAY or reply is None:
             return
+        frame = _encode_reply(request_id, reply)
         try:
             with write_lock:
-                connection.sendall(encode_frame(request_id, reply))
+                connection.sendall(frame)
         except OSError:
             self._counters.add("wire_refusals", reason="reply_not_sent")
 
@@ -202,6 +203,15 @@
         self._open = {key: item for key, item in self._open.items() if not item[0].has_ended}
 
 
+def _encode_reply(request_id: int, reply: Any) -> bytes:
+    """Return the frame of a reply, or of a failure if the reply can't be encoded."""
+    try:
+        return encode_frame(request_id, reply)
+    except MalformedInput as error:
+        log.error("reply replaced by a failure: {}", error)
+        return encode_frame(request_id, Failure("failed", str(error)))
+
+
 def listen(address: str, port: int, backlog: int = 1_024) -> Any:
     """Return a listening socket; raises `FulmarholdError` if the port can't be bound."""
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
--- a/fulmarhold/wire/sockets.py
+++ b/fulmarhold/wire/sockets.py
@@ -19,6 +19,24 @@
 TCP_INFO_BYTES = 104
 ROUND_TRIP_OFFSET = 68
 MICROSECONDS_PER_SECOND = 1_000_000
+MAX_PORT = 65_535
+
+
+def socket_address(endpoint: str) -> tuple[int, tuple[str, int]]:
+    """Return the family and target of IP:port; raises `OSError` or `ValueError` if it isn't one.
+
+    A host name is refused, because resolving it would block.
+
+    >>> socket_address("127.0.0.1:80")[1]
+    ('127.0.0.1', 80)
+    """
+    host, _, port = endpoint.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    socket.inet_pton(family, host)
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f"the port must be from 1 to {MAX_PORT}")
+    return family, (host, number)
 
 
 def prepare_connection(connection: Any) -> None:
