Skip a command of the log that can't be read

Seen by callers: a control process ends, and again at each start, once its log holds a command with fields of another type or bytes that aren't msgpack.

Cause: ControlMachine.apply raised, in the loop without which the process ends. encode_command raised OverflowError or UnicodeEncodeError, which its callers don't handle.

Ruled out: skipping commands of an unknown type. A later release may have logged them and others apply them, so that a member that skips them would hold another state. They still end the process.

Change: a command that can't be read changes nothing, on every member alike, and is logged. A command that can't be encoded is refused as malformed before it is proposed.

--- a/fulmarhold/control/machine.py
+++ b/fulmarhold/control/machine.py
@@ -28,7 +28,9 @@
     SettleKey,
     Superseded,
 )
+from fulmarhold.errors import MalformedInput
 from fulmarhold.membership.feed import AcceptVersion, RetireUpstream
+from fulmarhold.observe.logs import get_logger
 from fulmarhold.registry import Registry
 from fulmarhold.wire.messages import from_values, to_values
 
@@ -37,6 +39,8 @@
 
     from fulmarhold.clock import Milliseconds
 
+log = get_logger("machine")
+
 COMMAND_RETENTION: Milliseconds = 24 * HOUR
 CLAIM_RETENTION: Milliseconds = 2 * HOUR
 MAX_CLOCK_SKEW: Milliseconds = 5 * MINUTE
@@ -96,11 +100,26 @@
 
 
 def encode_command(command: Any) -> bytes:
-    """Serialize a command for the replicated log."""
-    packed: bytes = msgpack.packb(to_values(command))
+    """Serialize a command for the replicated log; raises `MalformedInput` if that can't be done."""
+    try:
+        packed: bytes = msgpack.packb(to_values(command))
+    except (OverflowError, ValueError, RecursionError) as error:
+        name = type(command).__name__
+        raise MalformedInput(f"{name} can't be encoded: {error!s:.200}", step="encoding") from error
     return packed
 
 
+def _decode_command(data: bytes) -> Any:
+    """Return a command; raises `MalformedInput` if it can't be read, another error if unknown."""
+    try:
+        values = msgpack.unpackb(data)
+    except (msgpack.UnpackException, ValueError, RecursionError) as error:
+        raise MalformedInput(f"not msgpack: {error!s:.200}", step="decoding") from error
+    if isinstance(values, list) and values and isinstance(values[0], str):
+        appliers.find(values[0])
+    return from_values(values)
+
+
 class ControlMachine:
     """Applies committed commands to the replicated state."""
 
@@ -108,8 +127,16 @@
         self.state = ControlState()
 
     def apply(self, data: bytes) -> Any:
-        """Apply one committed command and return its outcome."""
-        command = from_values(msgpack.unpackb(data))
+        """Apply one committed command and return its outcome.
+
+        A command that can't be read changes nothing, on every member alike. One that is unknown is
+        an error: a later release may have logged it, and others may apply it.
+        """
+        try:
+            command = _decode_command(data)
+        except MalformedInput as error:
+            log.error("skipped a command of the log: {}", error)
+            return None
         self.state.time = max(self.state.time, command.at)
         outcome = appliers.find(type(command).__name__)(self.state, command)
         _prune(self.state)
--- a/fulmarhold/tests/control/test_machine.py
+++ b/fulmarhold/tests/control/test_machine.py
@@ -4,6 +4,7 @@
 
 import uuid
 
+import msgpack
 import pytest
 
 from fulmarhold.clock import HOUR, MINUTE, SECOND
@@ -28,6 +29,8 @@
     SettleKey,
     Superseded,
 )
+from fulmarhold.errors import FulmarholdError, MalformedInput
+from fulmarhold.membership.feed import AcceptVersion, RetireUpstream
 
 START = 1_800_000_000_000.0
 
@@ -172,3 +175,46 @@
     ]:
         apply(command)
         assert machine.state.version == expected
+
+
+# Guards against control that ends at each start, because its log holds a command it can't read.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        b"\xc0\xc0",
+        b"\xa1\xff",
+        b"\x91" * 5_000 + b"\xc0",
+        msgpack.packb(7),
+        msgpack.packb(["RetireUpstream"]),
+        msgpack.packb([7, {}]),
+        msgpack.packb(["RetireUpstream", {"name": "u"}]),
+        msgpack.packb(["RetireUpstream", {"name": 7, "born": 1, "at": 1.0}]),
+        msgpack.packb(["RetireUpstream", {"name": "u", "born": "then", "at": 1.0}]),
+        msgpack.packb(["AcceptVersion", {"version": 7, "document": "text", "at": None}]),
+    ],
+    ids=lambda data: data[:12].hex(),
+)
+def test_a_command_that_cannot_be_read_changes_nothing_and_the_next_ones_hold(machine, data):
+    before = machine.save()
+    assert machine.apply(data) is None
+    assert machine.save() == before
+    machine.apply(encode_command(RetireUpstream("u", 7, START)))
+    assert machine.state.retired == {"u": 7}
+
+
+def test_a_command_of_a_later_release_is_not_skipped(machine):
+    # A member that skipped it would hold another state than those that know it.
+    with pytest.raises(FulmarholdError, match="Later"):
+        machine.apply(msgpack.packb(["Later", {"at": START}]))
+
+
+@pytest.mark.parametrize(
+    "command",
+    [RetireUpstream("u", 2**64, START), RetireUpstream("\ud800", 1, START),
+     AcceptVersion(2**64, b"", START)], ids=ascii,
+)  # fmt: skip
+def test_a_command_that_cannot_be_encoded_is_not_logged(command):
+    with pytest.raises(MalformedInput, match=type(command).__name__):
+        encode_command(command)
