Ignore messages of members with terms or indices that can't be incremented

Seen by callers: control ends at its next election, and again at each start, after another member stated a term near 2**64.

Cause: the term was taken over and stored; the next election's term has no encoding.

Change: protocol_violation bounds terms and indices by 2**53. As before, such a message is logged and ignored.

Test: 9 cases in tests/consensus/test_core_cases.py that failed before; after, all of tests/consensus pass.

--- a/fulmarhold/consensus/messages.py
+++ b/fulmarhold/consensus/messages.py
@@ -10,6 +10,8 @@
 KIND_NOOP = "nothing"
 KIND_COMMAND = "command"
 KIND_MEMBERS = "members"
+# Terms and indices up to here can be incremented and still be stored in 64 bits.
+MAX_NUMBER = 2**53
 
 
 @dataclass(frozen=True)
@@ -158,18 +160,20 @@
     >>> protocol_violation(AppendRequest("c", "a", "b", 1, 4, 1, (entry,), 4, 0.0))
     'entry 6 does not follow 4'
     """
-    if message.term < 0:
-        return f"term {message.term} is negative"
-    if isinstance(message, SnapshotRequest) and message.snapshot.index < 0:
-        return f"snapshot index {message.snapshot.index} is negative"
+    if not 0 <= message.term <= MAX_NUMBER:
+        return f"term {message.term} is negative or too large"
+    if isinstance(message, SnapshotRequest):
+        snapshot = message.snapshot
+        if not (0 <= snapshot.index <= MAX_NUMBER and 0 <= snapshot.term <= MAX_NUMBER):
+            return f"snapshot index {snapshot.index} or term is negative or too large"
     if isinstance(message, AppendRequest):
         return _append_violation(message)
     return ""
 
 
 def _append_violation(message: AppendRequest) -> str:
-    if message.previous_index < 0:
-        return f"previous index {message.previous_index} is negative"
+    if not 0 <= message.previous_index <= MAX_NUMBER:
+        return f"previous index {message.previous_index} is negative or too large"
     last = message.previous_index
     for entry in message.entries:
         if entry.index != last + 1:
--- a/fulmarhold/tests/consensus/test_core_cases.py
+++ b/fulmarhold/tests/consensus/test_core_cases.py
@@ -22,9 +22,12 @@
     AppendRequest,
     LogEntry,
     Members,
+    Snapshot,
+    SnapshotRequest,
     TakeOver,
     VoteReply,
     VoteRequest,
+    protocol_violation,
 )
 from fulmarhold.consensus.output import HardState
 from fulmarhold.consensus.storage import EMPTY_SNAPSHOT
@@ -216,3 +219,27 @@
     core.receive(vote_request(term=9, transfer=True), 20_001.0)
     assert [reply.granted for reply in replies(core, VoteReply)] == [False]
     assert core.term == 9
+
+
+# Guards against a member that takes over a term that it can't store, and then ends at each start.
+@pytest.mark.parametrize(
+    "message",
+    [
+        vote_request(2**64 - 1),
+        vote_request(2**64),
+        VoteReply("c", "b", "a", 2**63, False, False),
+        AppendRequest("c", "b", "a", 2**64 - 1, 1, 1, (), 1, 0.0),
+        AppendRequest("c", "b", "a", 2, 2**64 - 1, 1, (), 1, 0.0),
+        AppendReply("c", "b", "a", 2**64 - 1, True, 1, 0.0),
+        TakeOver("c", "b", "a", 2**64 - 1),
+        SnapshotRequest("c", "b", "a", 2, Snapshot(2**64 - 1, 1, MEMBERS, b""), 0.0),
+        SnapshotRequest("c", "b", "a", 2, Snapshot(1, 2**64 - 1, MEMBERS, b""), 0.0),
+    ],
+    ids=lambda message: type(message).__name__,
+)
+def test_a_message_with_a_number_that_is_too_large_changes_nothing(message):
+    assert "too large" in protocol_violation(message)
+    core = make_core()
+    core.receive(message, 5_000.0)
+    assert core.term == 1 and core.log.last_index == 1
+    assert core.take_output().hard_state is None
