Bound the numbers of an announcement

Seen by callers: an upstream's announcement with an integer beyond 64 bits is held by its entry, whose replies to the other entries then can't be encoded: they lose all upstreams that announce themselves there.

Cause: incarnation, sequence and versions had no upper bound, load none for infinity.

Change: integers up to 2**53 and finite loads; others are refused with the name of the field.

--- a/fulmarhold/membership/records.py
+++ b/fulmarhold/membership/records.py
@@ -8,6 +8,7 @@
 from pydantic import ConfigDict, Field
 
 from fulmarhold.control.messages import EntryState, RosterEntry
+from fulmarhold.membership.validity import MAX_INTEGER
 from fulmarhold.settings.processes import Endpoint, Name
 from fulmarhold.wire.messages import checked_message
 
@@ -15,6 +16,9 @@
 
 UpstreamState = Literal["starting", "serving", "draining"]
 Count = Annotated[int, Field(ge=1, le=1_000_000)]
+# Bounds within which JSON is exact and messages between entries can be encoded.
+Ordinal = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
+Version = Annotated[int, Field(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Label = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 
 
@@ -28,14 +32,14 @@
     shard: Annotated[int, Field(ge=0, le=999_999)]
     layout: Label
     layout_shards: Count
-    versions: Annotated[tuple[int, ...], Field(max_length=16)]
+    versions: Annotated[tuple[Version, ...], Field(max_length=16)]
     address: Endpoint
-    incarnation: Annotated[int, Field(ge=0)]
-    sequence: Annotated[int, Field(ge=0)]
+    incarnation: Ordinal
+    sequence: Ordinal
     slots: Count
     connection_limit: Count
     state: UpstreamState
-    load: Annotated[float, Field(ge=0)] = 0.0
+    load: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0.0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/fulmarhold/tests/entry/test_http.py
+++ b/fulmarhold/tests/entry/test_http.py
@@ -125,6 +125,14 @@
         ({"versions": tuple(range(17))}, "upstream.versions"),
         ({"layout": "a;b"}, "upstream.layout"),
         ({"slots": 0}, "upstream.slots"),
+        ({"address": "::1%lo:80"}, "upstream.address"),
+        ({"address": "127.0.0.1:99999"}, "upstream.address"),
+        ({"incarnation": 2**64}, "upstream.incarnation"),
+        ({"sequence": 2**64}, "upstream.sequence"),
+        ({"versions": (2**64,)}, "upstream.versions.0"),
+        ({"versions": (-(2**64),)}, "upstream.versions.0"),
+        ({"load": float("inf")}, "upstream.load"),
+        ({"load": float("nan")}, "upstream.load"),
     ],
 )
 def test_a_malformed_announcement_is_refused_with_the_name_of_the_field(client, changes, path):
