--- a/fulmarhold/control/statement_file.py
+++ b/fulmarhold/control/statement_file.py
@@ -1,20 +1,25 @@
 """Caches upstream statements in a file, so that control restarts without waiting for heartbeats.
 
-The file may be outdated, truncated or missing. Statements read from it are superseded by newer ones
-like any statement that arrives late. The file is synced, so that it survives power losses.
+The file may be outdated, truncated or missing, and an earlier release may have written it.
+Statements read from it are superseded by newer ones like any statement that arrives late. The file
+is synced, so that it survives power losses.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import os
 from dataclasses import astuple
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
+import msgspec
+from msgpack import UnpackException
 
 from fulmarhold.clock import SECOND
 from fulmarhold.consensus.records import CorruptFile, decode_records, encode_record
 from fulmarhold.consensus.storage import sync_folder
+from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.statements import UpstreamStatement
 from fulmarhold.observe.logs import get_logger
 
@@ -29,6 +34,7 @@
 FILE_NAME = "upstreams.bin"
 # The file matters only after a restart, so it may be outdated for this long after a full disk.
 SAVE_RETRY_PERIOD: Milliseconds = 1_000.0
+FIELD_NAMES = tuple(item.name for item in dataclasses.fields(UpstreamStatement))
 
 
 class StatementFile:
@@ -44,20 +50,33 @@
         """Return the cached statements; none if the file is missing or corrupt."""
         try:
             records = decode_records(self._path, self._path.read_bytes())
-            return [UpstreamStatement(*fields) for value in records.values for fields in value]
+            entries = [fields for value in records.values for fields in value]
         except FileNotFoundError:
             return []
-        except (OSError, CorruptFile, TypeError) as error:
+        except (OSError, CorruptFile, TypeError, ValueError, UnpackException) as error:
             self._counters.add("statement_file_failures", step="loading")
-            log.warning("starting without cached statements: {}", error)
+            log.warning("starting without cached statements: {!s:.300}", error)
             return []
+        statements = []
+        for fields in entries:
+            try:
+                statements.append(_to_statement(fields))
+            except (TypeError, ValueError) as error:
+                self._counters.add("statements_skipped", subject="upstream")
+                log.warning("skipped a cached statement: {!s:.300}", error)
+        return statements
 
     def save(self, statements: list[UpstreamStatement]) -> None:
         """Replace the file in a thread, since a faulty disk may block the write.
 
         One save runs at a time. A save that fails is repeated, or replaced by the next one.
         """
-        self._unsaved = encode_record([astuple(statement) for statement in statements])
+        try:
+            self._unsaved = encode_record([astuple(statement) for statement in statements])
+        except (FulmarholdError, ValueError, OverflowError) as error:
+            self._counters.add("statement_file_failures", step="encoding")
+            log.error("could not encode the statements: {!s:.300}", error)
+            return
         if self._saver is None or self._saver.dead:
             self._saver = gevent.spawn(self._save)
 
@@ -92,3 +111,9 @@
         except OSError as error:
             return error
         return None
+
+
+def _to_statement(fields: Any) -> UpstreamStatement:
+    """Return the statement for its fields; raises `TypeError` or `ValueError` if invalid."""
+    values = dict(zip(FIELD_NAMES[: len(fields)], fields, strict=True))
+    return msgspec.convert(values, UpstreamStatement)
