Let the test of a stopping HTTP interface wait for requests instead of time

On a machine with a load of 31 one of its 5 seeds failed once: no request had run within the 0.2 to 0.3 s that it waited, so that it compared nothing. It now stops the server after 500 to 1,000 requests.

--- a/fulmarhold/tests/web/test_serving.py
+++ b/fulmarhold/tests/web/test_serving.py
@@ -185,9 +185,12 @@
 def test_as_many_requests_are_answered_as_are_run(served, seed):
     random = Random(seed)
     counts: Counter[str] = Counter()
+    may_stop, stop_after = Event(), random.randrange(500, 1_000)
 
     def run(_, response):
         counts["run"] += 1
+        if counts["run"] == stop_after:
+            may_stop.set()
         gevent.sleep(random.choice([0.0, 0.001, 0.02]))
         response.data = b"answer"
 
@@ -211,8 +214,8 @@
                 gevent.sleep(random.choice([0.0, 0.001, 0.005]))
 
     callers = [gevent.spawn(call) for _ in range(30)]
-    gevent.sleep(random.uniform(0.2, 0.3))
+    assert may_stop.wait(TIMEOUT_SECONDS)
     duration = served.stop()
     gevent.joinall(callers, timeout=TIMEOUT_SECONDS, raise_error=True)
-    assert counts["answered"] == counts["run"] > 0
+    assert counts["answered"] == counts["run"] >= stop_after
     assert duration < TIMEOUT_SECONDS / 2
