--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -7,6 +7,7 @@
 
 import gevent
 from gevent.lock import BoundedSemaphore
+from gevent.pool import Group
 
 from fulmarhold.clock import SECOND, Clock, Milliseconds
 from fulmarhold.errors import FulmarholdError, PeerUnavailable
@@ -20,6 +21,7 @@
 from fulmarhold.soak.upstream import SoakUpstream
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
     from random import Random
 
@@ -115,7 +117,7 @@
         self.operator = Operator(self)
         self.upstream_hosts: list[UpstreamHost] = []
         self._sizes = sizes
-        self._greenlets: list[gevent.Greenlet] = []
+        self._greenlets = Group()
 
     def address(self, index: int) -> str:
         """Return the loopback address with the given index in this soak's network."""
@@ -132,10 +134,16 @@
             self.upstream_hosts.append(UpstreamHost(self, index, service))
         self.wait_until_healthy(START_TIMEOUT)
         callers = [Caller(self, self.random) for _ in range(self._sizes.callers)]
-        self._greenlets = [gevent.spawn(caller.run) for caller in callers]
-        self._greenlets.append(gevent.spawn(self.operator.run))
-        self._greenlets += [gevent.spawn(self._probe, entry) for entry in self.entries]
-        self._greenlets.append(gevent.spawn(self._supervise))
+        for caller in callers:
+            self.spawn(caller.run)
+        self.spawn(self.operator.run)
+        for entry in self.entries:
+            self.spawn(self._probe, entry)
+        self.spawn(self._supervise)
+
+    def spawn(self, run: Callable[..., None], *arguments: object) -> gevent.Greenlet:
+        """Run something that ends with this soak at the latest."""
+        return self._greenlets.spawn(run, *arguments)
 
     def wait_until_healthy(self, timeout: Milliseconds) -> None:
         """Wait until entries respond completely and control instances return the newest version.
@@ -170,7 +178,8 @@
 
     def stop(self) -> None:
         """Stop everything that this soak has started."""
-        gevent.killall(self._greenlets)
+        # First what could start a process again.
+        self._greenlets.kill()
         for host in self.upstream_hosts:
             host.upstream.crash()
             host.proxy.stop()
--- a/fulmarhold/soak/processes.py
+++ b/fulmarhold/soak/processes.py
@@ -63,7 +63,12 @@
         return self.folder / "data"
 
     def start(self, *, is_first_start: bool = False) -> None:
-        """Start the process with a settings file in the format that the platform writes."""
+        """Start the process, unless it runs, with a settings file as the platform writes it.
+
+        Faults overlap, so another one may have restarted the process already.
+        """
+        if self.is_running:
+            return
         self.data_folder.mkdir(parents=True, exist_ok=True)
         self.write_settings(is_first_start=is_first_start)
         self.incarnation += 1
@@ -107,11 +112,16 @@
         self.wait_for_exit(KILL_TIMEOUT)
 
     def wait_for_exit(self, timeout: Milliseconds) -> int | None:
-        """Wait for the process to exit; return its exit code, or `None` if it is still running."""
-        until = self._clock.now() + timeout
-        while self.is_running and self._clock.now() < until:
+        """Wait for the process that runs now to exit, and not for one that is started meanwhile.
+
+        Return its exit code, or `None` if it is still running.
+        """
+        process, until = self._process, self._clock.now() + timeout
+        if process is None:
+            return None
+        while process.poll() is None and self._clock.now() < until:
             gevent.sleep(POLL_INTERVAL / SECOND)
-        return self.exit_code
+        return process.poll()
 
     def delete_data(self) -> None:
         """Delete the data folder; the process must have exited."""
--- a/fulmarhold/soak/run.py
+++ b/fulmarhold/soak/run.py
@@ -117,7 +117,7 @@
     for moment, name in plan:
         gevent.sleep(max(0.0, started_at + moment - environment.clock.now()) / SECOND)
         fault_counts[name] += 1
-        greenlets.append(gevent.spawn(faults.find(name), environment))
+        greenlets.append(environment.spawn(faults.find(name), environment))
         if environment.clock.now() > last_checked_at + CHECK_INTERVAL:
             last_checked_at = environment.clock.now()
             if run_checks(environment.observations):
