--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -14,6 +14,7 @@
 from fulmarhold.platform.encoding import CALLER_PORT, CONTROL_PORT, DIRECTORY_PORT
 from fulmarhold.soak.callers import Caller, CallerConnection
 from fulmarhold.soak.checks import VERSION_ROUTE_PREFIX
+from fulmarhold.soak.kinds import ALL, EFFECT, ONE, QUICK_KINDS, SLOW_KINDS, RequestKind
 from fulmarhold.soak.observations import Observations
 from fulmarhold.soak.operator import ALL_SERVICES, SHARD_SETS, Operator
 from fulmarhold.soak.processes import Instance
@@ -43,7 +44,10 @@
 
 @dataclass(frozen=True)
 class FleetSizes:
-    """Number of processes, upstreams per service, and callers in a soak."""
+    """Number of processes, upstreams per service, and callers in a soak.
+
+    Besides these callers, twice as many send requests that take long.
+    """
 
     control: int = 3
     entries: int = 3
@@ -133,9 +137,9 @@
         for index, service in enumerate(services):
             self.upstream_hosts.append(UpstreamHost(self, index, service))
         self.wait_until_healthy(START_TIMEOUT)
-        callers = [Caller(self, self.random) for _ in range(self._sizes.callers)]
-        for caller in callers:
-            self.spawn(caller.run)
+        for kinds in (QUICK_KINDS, SLOW_KINDS, SLOW_KINDS):
+            for _ in range(self._sizes.callers):
+                self.spawn(Caller(self, self.random, kinds).run)
         self.spawn(self.operator.run)
         for entry in self.entries:
             self.spawn(self._probe, entry)
@@ -176,6 +180,10 @@
         """Return the items in a random order."""
         return self.random.sample(items, len(items))
 
+    def sleep_up_to(self, longest: Milliseconds) -> None:
+        """Sleep for a random time."""
+        gevent.sleep(self.random.uniform(0.0, longest) / SECOND)
+
     def stop(self) -> None:
         """Stop everything that this soak has started."""
         # First what could start a process again.
@@ -201,25 +209,18 @@
             if version is None or version < newest:
                 return f"{endpoint} returns version {version} instead of {newest}"
         for entry in self.entries:
-            for target in ("/one/1", "/effect/1", "/all/1"):
-                problem = self._send_directly(entry, target)
+            for kind in (ONE, EFFECT, ALL):
+                problem = self._send_directly(entry, kind)
                 if problem:
-                    return f"{entry.name} responds to {target} with {problem}"
+                    return f"{entry.name} responds to a request of {kind.name} with {problem}"
         return ""
 
-    def _send_directly(self, entry: Instance, target: str) -> str:
+    def _send_directly(self, entry: Instance, kind: RequestKind) -> str:
         try:
             connection = CallerConnection(entry, (entry.address, CALLER_PORT))
         except OSError as error:
             return str(error)
-        is_non_idempotent = target.startswith("/effect/")
-        response = connection.send_request(
-            "POST" if is_non_idempotent else "GET",
-            target,
-            b"",
-            is_idempotent=not is_non_idempotent,
-            observations=self.observations,
-        )
+        response = connection.send_request(kind, f"{kind.prefix}1", self.observations)
         connection.close()
         if response.status != 200:
             return f"status {response.status}"
@@ -258,11 +259,6 @@
                 except (OSError, PeerUnavailable):
                     # The entry is down or frozen, which is recorded as a disturbance elsewhere.
                     break
-                connection.send_request(
-                    "GET",
-                    f"{VERSION_ROUTE_PREFIX}{version}/1",
-                    b"",
-                    is_idempotent=True,
-                    observations=self.observations,
-                )
+                target = f"{VERSION_ROUTE_PREFIX}{version}/1"
+                connection.send_request(ONE, target, self.observations)
                 connection.close()
--- a/fulmarhold/soak/observations.py
+++ b/fulmarhold/soak/observations.py
@@ -22,7 +22,10 @@
 
 @dataclass(frozen=True)
 class SentRequest:
-    """A request as a caller sent it; `entry` and `incarnation` identify the receiving process."""
+    """A request as a caller sent it; `entry` and `incarnation` identify the receiving process.
+
+    `until` is when its deadline or the timeout of its route is reached.
+    """
 
     request_id: str
     method: str
@@ -32,11 +35,15 @@
     entry: str
     incarnation: int
     at: Milliseconds
+    until: Milliseconds = NEVER
 
 
-@dataclass(frozen=True)
+@dataclass
 class Run:
-    """A request as an upstream started to execute it."""
+    """A request that reached an upstream at `at`; its work starts when the upstream has room.
+
+    `broke_off` tells that the upstream ended the connection without a complete response.
+    """
 
     request_id: str
     method: str
@@ -45,6 +52,9 @@
     service: str
     upstream: str
     at: Milliseconds
+    started_at: Milliseconds = NEVER
+    until: Milliseconds = NEVER
+    broke_off: bool = False
 
 
 @dataclass(frozen=True)
@@ -129,6 +139,10 @@
     refused_versions: set[int] = field(default_factory=set)
     reads: list[ReadBack] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    # When each run of a process, by its name and incarnation, was first asked to stop.
+    stops: dict[tuple[str, int], Milliseconds] = field(default_factory=dict)
+    # Names of processes that were told to read their settings again, and when.
+    reloads: list[tuple[str, Milliseconds]] = field(default_factory=list)
     # Violations that were detected while the soak was running.
     violations: list[str] = field(default_factory=list)
 
--- a/fulmarhold/soak/operator.py
+++ b/fulmarhold/soak/operator.py
@@ -18,6 +18,7 @@
 )
 from fulmarhold.soak.callers import HOST
 from fulmarhold.soak.checks import VERSION_ROUTE_PREFIX
+from fulmarhold.soak.kinds import ALL, EFFECT, ONE, SLOW, SLOW_KINDS, RequestKind
 from fulmarhold.soak.observations import ReadBack, SubmittedConfiguration
 from fulmarhold.web.client import request_json
 
@@ -27,12 +28,11 @@
 REQUEST_TIMEOUT: Milliseconds = 1_000.0
 RETRY_INTERVAL: Milliseconds = 200.0
 STORE_TIMEOUT: Milliseconds = 12_000.0
-ROUTE_TIMEOUT: Milliseconds = 1_800.0
 TARGET_LATENCY: Milliseconds = 400.0
 MAX_CONNECTIONS = 60
 SINGLE_SERVICES = ("s1", "s2")
 SHARD_SETS = (("p0", "p1", "p2", "p3"), ("q0", "q1", "q2", "q3", "q4"))
-ALL_SERVICES = (*SINGLE_SERVICES, *SHARD_SETS[0], *SHARD_SETS[1])
+ALL_SERVICES = (*SINGLE_SERVICES, SLOW.name, *SHARD_SETS[0], *SHARD_SETS[1])
 
 
 class Operator:
@@ -57,18 +57,21 @@
             WeightedService(name, random.randint(1, 3)) for name in SINGLE_SERVICES
         )
 
-        def route(prefix: str, *, is_idempotent: bool = True, **changes: Any) -> Route:
+        def route(kind: RequestKind, prefix: str = "", **changes: Any) -> Route:
+            prefix = prefix or kind.prefix
             default = Route(
-                f"r{prefix}", HOST, prefix, is_idempotent, ROUTE_TIMEOUT, TARGET_LATENCY, 1, 2,
+                f"r{prefix}", HOST, prefix, kind.is_idempotent, kind.timeout, TARGET_LATENCY, 1, 2,
                 (WeightedService(single_service, 1),),
             )  # fmt: skip
             return replace(default, **changes)
 
+        slow_service = (WeightedService(SLOW.name, 1),)
         routes = (
-            route("/one/", services=weighted_services),
-            route("/effect/", is_idempotent=False),
-            route("/all/", services=(), shards=shards, top_records=5, least_share=0.5),
-            route(f"{VERSION_ROUTE_PREFIX}{self._version}/"),
+            route(ONE, services=weighted_services),
+            route(EFFECT),
+            route(ALL, services=(), shards=shards, top_records=5, least_share=0.5),
+            *(route(kind, services=slow_service) for kind in SLOW_KINDS),
+            route(ONE, f"{VERSION_ROUTE_PREFIX}{self._version}/"),
         )
         services = {name: UpstreamService(name, MAX_CONNECTIONS) for name in ALL_SERVICES}
         return RouteConfiguration(self._version, routes, services)
--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
+from gevent.lock import BoundedSemaphore
 from gevent.server import StreamServer
 
 from fulmarhold.clock import SECOND, Milliseconds
@@ -14,6 +15,7 @@
 from fulmarhold.membership.statements import DRAINING, READY, State, UpstreamStatement
 from fulmarhold.platform.encoding import HEARTBEAT_PATH, write_heartbeat
 from fulmarhold.platform.headers import NOT_RUN, REQUEST_ID, SIGNATURE, TARGET, UPSTREAM_ID
+from fulmarhold.soak.kinds import SLOW
 from fulmarhold.soak.observations import DrainAcknowledgement, Run, UpstreamReply
 from fulmarhold.web.client import request_json
 
@@ -21,10 +23,17 @@
     from collections.abc import Callable
 
     from fulmarhold.clock import Clock
-    from fulmarhold.soak.observations import Observations
+    from fulmarhold.soak.kinds import SLOW
+from fulmarhold.soak.observations import Observations
 
 RECORDS_PER_REPLY = 4
 RECORD_BYTES = 16
+# Work takes between these multiples of its mean.
+LEAST_WORK, MOST_WORK = 0.17, 1.83
+MEAN_WORK: Milliseconds = 3.0
+MEAN_SLOW_WORK: Milliseconds = 1_200.0
+SLOTS, SLOW_SLOTS = 8, 2
+QUEUED = 8
 ENDLESS_PIECE = b"X-More: 1\r\n" * 1_000
 HEARTBEAT_TIMEOUT: Milliseconds = 1_000.0
 DRAIN_TIMEOUT: Milliseconds = 8_000.0
@@ -48,10 +57,12 @@
     ) -> None:
         clock = observations.clock
         born = int(clock.wall()) + next(_birth_offsets)
+        is_slow = service == SLOW.name
+        slots = SLOW_SLOTS if is_slow else SLOTS
         self.statement = UpstreamStatement(
-            f"i-{born}", born, 0, READY, service, public_address, data_centre, slots=8
+            f"i-{born}", born, 0, READY, service, public_address, data_centre, slots
         )
-        self.work: Milliseconds = 3.0
+        self.work: Milliseconds = MEAN_SLOW_WORK if is_slow else MEAN_WORK
         # Fractions of requests that run without a response, are shed, and hang.
         self.losing = self.shedding = self.hanging = 0.0
         # Fractions of responses that end early, and that go on without end in head or body.
@@ -63,6 +74,9 @@
         self._clock: Clock = clock
         self._random = random
         self._signatures = itertools.count(1)
+        self._slots = BoundedSemaphore(slots)
+        # Requests that run or wait for a slot.
+        self._accepted: list[Run] = []
         self._connections: set[Any] = set()
         self._server = StreamServer(listen, self._serve)
         self._server.start()
@@ -71,6 +85,8 @@
     def crash(self) -> None:
         """Stop abruptly, without announcing it."""
         self.is_stopped = True
+        for run in self._accepted:
+            run.broke_off = True
         self._heartbeats.kill(block=False)
         self._server.stop(timeout=0)
         for connection in list(self._connections):
@@ -149,17 +165,18 @@
         if headers.get(TARGET.lower(), name) != name:
             self._respond(connection, 421, {NOT_RUN: "1", UPSTREAM_ID: name}, b"")
             return True
-        if self._random.random() < self.shedding:
+        is_full = len(self._accepted) >= self.statement.slots + QUEUED
+        if is_full or self._random.random() < self.shedding:
             self._respond(connection, 503, {NOT_RUN: "1", REQUEST_ID: request_id}, b"")
             return True
         service = self.statement.service
-        self._observations.runs[request_id].append(
-            Run(request_id, method, target, body, service, name, self._clock.now())
-        )
-        if self._random.random() < self.hanging:
-            gevent.sleep(10)
-        gevent.sleep(self._random.uniform(0.3, 1.7) * self.work / SECOND)
+        run = Run(request_id, method, target, body, service, name, self._clock.now())
+        self._observations.runs[request_id].append(run)
+        self._work(run)
+        if self.is_stopped:
+            return False
         if self._random.random() < self.losing:
+            run.broke_off = True
             return False
         signature = f"{name}.{next(self._signatures)}"
         records = self._random.randbytes(RECORDS_PER_REPLY * RECORD_BYTES)
@@ -169,6 +186,7 @@
         fields = {SIGNATURE: signature, REQUEST_ID: request_id}
         response = _encode_response(200, fields, records)
         if self._random.random() < self.cutting:
+            run.broke_off = True
             connection.sendall(response[: self._random.randrange(len(response))])
             return False
         if self._random.random() < self.endless:
@@ -176,6 +194,17 @@
         connection.sendall(response)
         return True
 
+    def _work(self, run: Run) -> None:
+        """Wait for a slot and do the work of a request."""
+        self._accepted.append(run)
+        with self._slots:
+            run.started_at = self._clock.now()
+            if self._random.random() < self.hanging:
+                gevent.sleep(10)
+            gevent.sleep(self._random.uniform(LEAST_WORK, MOST_WORK) * self.work / SECOND)
+            run.until = self._clock.now()
+        self._accepted.remove(run)
+
     def _send_without_end(self, connection: Any, response: bytes) -> None:
         """Send the beginning of a response and more of it until the connection is closed."""
         head, _, body = response.partition(b"\r\nContent-Length")
