Soak: stop entries in series, and judge planned stops by the users' rule

The check counted only cuts while a fault of its own waited for the process. It now counts from the signal until a second after the grace period, and the soak kills at its end as the platform does.

--- a/fulmarhold/soak/checks.py
+++ b/fulmarhold/soak/checks.py
@@ -23,6 +23,12 @@
 DRAIN_BOUND: Milliseconds = 3_000.0
 REGRESSION_TOLERANCE: Milliseconds = 250.0
 LOSS_TOLERANCE: Milliseconds = 200.0
+# A process that is asked to stop is killed at the end of the grace period. An entry owes answers
+# until a while after it, but for requests sent early in it whose work lasts until its last part.
+GRACE: Milliseconds = 6_000.0
+STOP_WINDOW: Milliseconds = GRACE + 1_000.0
+EARLY_IN_STOP: Milliseconds = 3_000.0
+LATE_IN_STOP: Milliseconds = GRACE * 5 / 6
 # Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 OK, NOT_FOUND = 200, 404
@@ -226,22 +232,54 @@
 
 @checks.register("a planned stop cuts nothing")
 def check_planned_stops(observations: Observations) -> Iterable[str]:
-    """An entry that is asked to stop responds to every request that it has read."""
+    """An entry that is asked to stop or to reload answers every request that it has read."""
     for response in observations.responses:
         request = response.request
-        was_forwarded = bool(observations.runs.get(request.request_id))
-        if response.status or not (was_forwarded or response.at >= request.at + LOSS_TOLERANCE):
-            continue
-        is_stopping = any(
-            item.is_planned
-            and item.subject == request.entry
-            and item.at <= response.at <= item.until
-            for item in observations.disturbances
-        )
-        if is_stopping and observations.was_undisturbed(
+        work = _planned_work(observations, response) if _is_cut(observations, response) else ""
+        if work and observations.was_undisturbed(
             request.at - UNDISTURBED_WINDOW, response.at, include_planned=False
         ):
-            yield f"{request.entry} was told to stop and lost {request.request_id}"
+            yield f"{request.entry} lost {request.request_id} {work}"
+
+
+def _is_cut(observations: Observations, response: Response) -> bool:
+    """Return whether an entry has read a request and broke off, in time and by itself."""
+    request = response.request
+    runs = observations.runs.get(request.request_id, [])
+    was_read = bool(runs) or response.at >= request.at + LOSS_TOLERANCE
+    broke_off_before = bool(runs) and all(run.broke_off for run in runs)
+    return (
+        response.status == 0 and was_read and response.at < request.until and not broke_off_before
+    )
+
+
+def _planned_work(observations: Observations, response: Response) -> str:
+    """Return the planned work during which an entry must not cut a request, if there is any."""
+    entry, sent_at = response.request.entry, response.request.at
+    stops = [at for (name, _), at in observations.stops.items() if name == entry]
+    if any(_is_excused(observations, response, at) for at in stops):
+        return ""
+    for at in stops:
+        if at <= response.at <= at + STOP_WINDOW:
+            sent, cut = sent_at - at, response.at - at
+            return f"{cut:.0f} ms after it was told to stop, sent {sent:.0f} ms after it"
+    for name, at in observations.reloads:
+        if name == entry and sent_at <= at + APPLY_BOUND and at <= response.at:
+            return f"{response.at - at:.0f} ms after it was told to reload"
+    return ""
+
+
+def _is_excused(observations: Observations, response: Response, stopped_at: Milliseconds) -> bool:
+    """Return whether a request was sent early in a stop and its work lasts until late in it."""
+    late_at, killed_at = stopped_at + LATE_IN_STOP, stopped_at + GRACE
+    return (
+        response.request.at <= stopped_at + EARLY_IN_STOP
+        and response.at >= late_at
+        and any(
+            run.started_at <= min(response.at, killed_at) and run.until >= late_at
+            for run in observations.runs.get(response.request.request_id, [])
+        )
+    )
 
 
 def _route_prefix(target: str) -> str:
--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -4,7 +4,6 @@
 
 import signal
 from collections.abc import Callable
-from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import gevent
@@ -14,10 +13,16 @@
 from fulmarhold.registry import Registry
 from fulmarhold.soak.observations import ALL_SUBJECTS
 from fulmarhold.soak.proxy import NetworkFault, Proxy
+from fulmarhold.soak.restarts import (
+    freeze_for_a_while,
+    kill_and_restart,
+    reload_settings,
+    reserve,
+    stop_and_restart,
+    stop_in_series,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from fulmarhold.soak.environment import Environment, UpstreamHost
     from fulmarhold.soak.processes import Instance
 
@@ -25,10 +30,6 @@
 
 faults: Registry[Fault] = Registry("fault")
 
-# The grace period for a process that is asked to stop, plus time for load on the machine.
-STOP_TIMEOUT: Milliseconds = 9_000.0
-# Time for a restarted control instance to catch up before another may be disturbed.
-CATCH_UP_TIME: Milliseconds = 4_000.0
 DRAINING_SERVICE_TIME: Milliseconds = 3_500.0
 ADDRESS_REUSE_DELAY: Milliseconds = 2_000.0
 GREY_BEHAVIOURS = ("losing", "shedding", "hanging", "work", "cutting", "endless")
@@ -50,49 +51,17 @@
     return environment.random.choice([*environment.control, *environment.entries])
 
 
-@contextmanager
-def _reserve(environment: Environment, instance: Instance | None) -> Iterator[bool]:
-    """Yield whether an instance may be disturbed now; control instances only one at a time.
-
-    `None` stands for all instances. A reservation of control includes `CATCH_UP_TIME`.
-    """
-    if instance is not None and instance.role == "entry":
-        yield True
-        return
-    if not environment.control_lock.acquire(blocking=False):
-        yield False
-        return
-    try:
-        yield True
-        _sleep(CATCH_UP_TIME)
-    finally:
-        environment.control_lock.release()
-
-
-def _kill_and_restart(
-    environment: Environment, instance: Instance, damage: Callable[[], None] = lambda: None
-) -> None:
-    """Kill an instance, apply `damage` to it and restart it."""
-    with _reserve(environment, instance) as is_reserved:
-        if is_reserved:
-            with environment.observations.disturbance("lost", instance.name):
-                instance.kill()
-                damage()
-                _sleep(_random_duration(environment, 0.0, 1_500.0))
-                instance.start()
-
-
 @faults.register("kill")
 def kill(environment: Environment) -> None:
     """Kill a random process."""
-    _kill_and_restart(environment, _any_instance(environment))
+    kill_and_restart(environment, _any_instance(environment))
 
 
 @faults.register("wipe")
 def wipe(environment: Environment) -> None:
     """Kill a control process and delete its data."""
     instance = environment.random.choice(environment.control)
-    _kill_and_restart(environment, instance, instance.delete_data)
+    kill_and_restart(environment, instance, instance.delete_data)
 
 
 @faults.register("torn_log")
@@ -101,14 +70,14 @@
     instance = environment.random.choice(environment.control)
     record = encode_record(["entry", environment.random.randbytes(200)])
     cut = environment.random.randrange(1, len(record) - 1)
-    _kill_and_restart(environment, instance, lambda: instance.append_torn_record(record[:cut]))
+    kill_and_restart(environment, instance, lambda: instance.append_torn_record(record[:cut]))
 
 
 @faults.register("full_disk")
 def full_disk(environment: Environment) -> None:
     """Fill the disk of a control process for a while; it must stay up."""
     instance = environment.random.choice(environment.control)
-    with _reserve(environment, instance) as is_reserved:
+    with reserve(environment, instance) as is_reserved:
         if is_reserved:
             with environment.observations.disturbance("full disk", instance.name):
                 instance.set_disk_full(is_full=True)
@@ -119,7 +88,7 @@
 @faults.register("kill_all")
 def kill_all(environment: Environment) -> None:
     """Kill every process at the same moment."""
-    with _reserve(environment, None) as is_reserved:
+    with reserve(environment, None) as is_reserved:
         if is_reserved:
             with environment.observations.disturbance("all lost", ALL_SUBJECTS):
                 everything = [*environment.control, *environment.entries]
@@ -134,45 +103,29 @@
 @faults.register("terminate")
 def terminate(environment: Environment) -> None:
     """Stop a random process as planned and restart it."""
-    instance = _any_instance(environment)
-    with _reserve(environment, instance) as is_reserved:
-        if not is_reserved:
-            return
-        incarnation = instance.incarnation
-        with environment.observations.disturbance("stopped", instance.name, is_planned=True):
-            instance.send_signal(signal.SIGTERM)
-            code = instance.wait_for_exit(STOP_TIMEOUT)
-            # Skip this if another fault has restarted the process in the meantime.
-            if instance.incarnation == incarnation:
-                if code is None:
-                    environment.observations.violations.append(
-                        f"{instance.name} still ran {STOP_TIMEOUT:.0f} ms later"
-                    )
-                instance.kill()
-                instance.start()
+    stop_and_restart(environment, _any_instance(environment))
+
+
+@faults.register("stop_series")
+def stop_series(environment: Environment) -> None:
+    """Stop entries as planned, one shortly after the other."""
+    stop_in_series(environment)
 
 
 @faults.register("freeze")
 def freeze(environment: Environment) -> None:
     """Suspend a random process for a while."""
     instance = _any_instance(environment)
-    with _reserve(environment, instance) as is_reserved:
+    with reserve(environment, instance) as is_reserved:
         if is_reserved:
-            with environment.observations.disturbance("frozen", instance.name):
-                instance.send_signal(signal.SIGSTOP)
-                _sleep(_random_duration(environment, 200.0, 4_000.0))
-                instance.send_signal(signal.SIGCONT)
+            freeze_for_a_while(environment, instance)
 
 
 @faults.register("reload")
 def reload(environment: Environment) -> None:
-    """Change the seeds in the settings of a random process, with or without SIGHUP."""
-    instance = _any_instance(environment)
-    seeds = tuple(environment.shuffled([control.address for control in environment.control])[:3])
-    with environment.observations.disturbance("reloaded", instance.name, is_planned=True):
-        instance.write_settings(seeds=seeds)
-        if environment.random.random() < 0.7:
-            instance.send_signal(signal.SIGHUP)
+    """Change the settings of a random process, with or without SIGHUP."""
+    by_signal = environment.random.random() < 0.7
+    reload_settings(environment, _any_instance(environment), by_signal=by_signal)
 
 
 def _disturb_network(environment: Environment, proxy: Proxy, subject: str) -> None:
--- a/fulmarhold/soak/run.py
+++ b/fulmarhold/soak/run.py
@@ -23,6 +23,10 @@
 # Mean time between the starts of faults, which may overlap.
 MEAN_FAULT_INTERVAL: Milliseconds = 900.0
 FEW_FAULT_KINDS = 4
+# Planned work only, which must not cut a request.
+PLANNED_FAULTS = (
+    "change", "drain_upstream", "invalid", "race", "reload", "stop_series", "storm", "terminate",
+)  # fmt: skip
 # Maximum time for all running faults to finish after the last one has started.
 FAULT_END_TIMEOUT: Milliseconds = 40_000.0
 # The recovery bound of the user documentation plus time for load on the machine itself.
@@ -99,7 +103,7 @@
     random = Random(f"faults of seed {seed}")
     # With few kinds of faults some subjects stay undisturbed, which some checks require.
     names = sorted(faults)
-    names = random.sample(names, random.choice((FEW_FAULT_KINDS, len(names))))
+    names = random.choice((random.sample(names, FEW_FAULT_KINDS), names, list(PLANNED_FAULTS)))
     plan: list[tuple[Milliseconds, str]] = []
     moment = random.expovariate(1 / MEAN_FAULT_INTERVAL)
     while moment < duration:
--- a/fulmarhold/tests/soak/test_checks.py
+++ b/fulmarhold/tests/soak/test_checks.py
@@ -17,8 +17,12 @@
 from fulmarhold.soak.checks import (
     APPLY_BOUND,
     DRAIN_BOUND,
+    EARLY_IN_STOP,
+    GRACE,
+    LATE_IN_STOP,
     LOSS_TOLERANCE,
     REGRESSION_TOLERANCE,
+    STOP_WINDOW,
     UNDISTURBED_WINDOW,
     checks,
 )
@@ -212,7 +216,7 @@
 
 
 def test_request_lost_in_a_planned_stop_is_a_violation_unless_disturbed(observations):
-    observations.disturbances.append(Disturbance("stopped", "entry", NOW - 10, NOW + 5_000, True))
+    observations.stops["entry", 1] = NOW - 10
     record(observations, make_request(), status=0, at=NOW + LOSS_TOLERANCE - 1)
     assert violated_checks(observations) == []
     forwarded = make_request(request_id="passed on")
@@ -224,6 +228,98 @@
     assert violated_checks(observations) == []
 
 
+LOST = ["a planned stop cuts nothing"]
+
+
+@pytest.mark.parametrize(
+    ("sent", "cut", "is_lost"),
+    [
+        (-100.0, -1.0, False),
+        (-100.0, 10.0, True),
+        (EARLY_IN_STOP + 1, GRACE - 400, True),
+        (GRACE + 10, STOP_WINDOW, True),
+        (GRACE + 10, STOP_WINDOW + 1, False),
+    ],
+)
+def test_stop_counts_from_the_signal_until_a_second_after_the_grace_period(
+    observations, sent, cut, is_lost
+):
+    observations.stops["entry", 1] = NOW
+    observations.stops["other", 1] = NOW + sent
+    request = make_request(at=NOW + sent)
+    record(observations, request, make_run(request), status=0, at=NOW + cut)
+    assert violated_checks(observations) == LOST * is_lost
+
+
+@pytest.mark.parametrize(
+    ("sent", "started", "until", "cut", "is_lost"),
+    [
+        (EARLY_IN_STOP, 4_000, LATE_IN_STOP, GRACE - 400, False),
+        (EARLY_IN_STOP + 1, 4_000, LATE_IN_STOP, GRACE - 400, True),
+        (EARLY_IN_STOP, 4_000, LATE_IN_STOP - 1, GRACE - 400, True),
+        (EARLY_IN_STOP, GRACE - 300, GRACE + 500, GRACE - 400, True),
+        (EARLY_IN_STOP, 4_000, LATE_IN_STOP, LATE_IN_STOP - 1, True),
+        (EARLY_IN_STOP, 4_000, GRACE + 500, GRACE + 100, False),
+    ],
+    ids=["at work", "sent late", "work done", "waits for its work", "cut early", "killed"],
+)
+def test_only_work_in_the_last_part_of_the_grace_period_excuses_a_stop(
+    observations, sent, started, until, cut, is_lost
+):
+    observations.stops["entry", 1] = NOW
+    request = make_request(at=NOW + sent)
+    run = make_run(request, at=NOW + sent)
+    run.started_at, run.until = NOW + started, NOW + until
+    record(observations, request, run, status=0, at=NOW + cut)
+    assert violated_checks(observations) == LOST * is_lost
+
+
+def test_request_whose_deadline_is_reached_is_not_lost(observations):
+    observations.stops["entry", 1] = NOW
+    in_time = replace(make_request(request_id="in time"), until=NOW + 1_001)
+    record(observations, in_time, status=0, at=NOW + 1_000)
+    assert violated_checks(observations) == LOST
+    record(observations, replace(make_request(), until=NOW + 1_000), status=0, at=NOW + 1_000)
+    assert violated_checks(observations) == LOST
+
+
+@pytest.mark.parametrize(
+    ("broken", "is_lost"), [((True,), False), ((True, True), False), ((True, False), True)]
+)
+def test_request_that_every_upstream_broke_off_is_not_lost(observations, broken, is_lost):
+    observations.stops["entry", 1] = NOW
+    request = make_request()
+    runs = [replace(make_run(request), broke_off=broke_off) for broke_off in broken]
+    record(observations, request, *runs, status=0, at=NOW + 1_000)
+    assert violated_checks(observations) == LOST * is_lost
+
+
+@pytest.mark.parametrize(
+    ("sent", "cut", "is_lost"),
+    [
+        (-100, -1, False),
+        (-100, 0, True),
+        (APPLY_BOUND, 9_000, True),
+        (APPLY_BOUND + 1, 9_000, False),
+    ],
+)
+def test_request_that_a_reload_cuts_is_lost(observations, sent, cut, is_lost):
+    observations.reloads += [("entry", NOW), ("other", NOW + sent)]
+    request = make_request(at=NOW + sent)
+    record(observations, request, make_run(request), status=0, at=NOW + cut)
+    assert violated_checks(observations) == LOST * is_lost
+
+
+def test_request_that_a_stop_may_cut_is_not_lost_by_a_reload_meanwhile(observations):
+    request = make_request()
+    run = replace(make_run(request), started_at=NOW + 1, until=NOW + GRACE)
+    record(observations, request, run, status=0, at=NOW + LATE_IN_STOP)
+    observations.reloads.append(("entry", NOW))
+    assert violated_checks(observations) == LOST
+    observations.stops["entry", 1] = NOW
+    assert violated_checks(observations) == []
+
+
 def test_every_check_has_a_test_in_this_file():
     source = Path(__file__).read_text(encoding="utf-8")
     assert [name for name in checks if f'"{name}"' not in source] == []
