--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -128,10 +128,15 @@
         subnet, host = divmod(index, ADDRESSES_PER_SUBNET)
         return f"127.{self._network}.{subnet}.{host + 1}"
 
-    def start(self) -> None:
-        """Start the fleet, wait until it is healthy, then start callers, probes and supervision."""
+    def start(self, first_fault: Callable[[Environment], None] | None = None) -> None:
+        """Start the fleet, wait until it is healthy, then start callers, probes and supervision.
+
+        `first_fault` happens while the fleet starts.
+        """
         for instance in (*self.control, *self.entries):
             instance.start(is_first_start=True)
+        if first_fault is not None:
+            self.spawn(first_fault, self)
         self.operator.store(self.operator.next_configuration())
         services = [name for name in ALL_SERVICES for _ in range(self._sizes.replicas)]
         for index, service in enumerate(services):
--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -18,6 +18,7 @@
     kill_and_restart,
     reload_settings,
     reserve,
+    restart_and_cut_short,
     stop_and_restart,
     stop_in_series,
 )
@@ -121,6 +122,12 @@
             freeze_for_a_while(environment, instance)
 
 
+@faults.register("cut_start")
+def cut_start(environment: Environment) -> None:
+    """Restart a random process, and kill or freeze it while it starts."""
+    restart_and_cut_short(environment, _any_instance(environment))
+
+
 @faults.register("reload")
 def reload(environment: Environment) -> None:
     """Change the settings of a random process, with or without SIGHUP."""
--- a/fulmarhold/soak/restarts.py
+++ b/fulmarhold/soak/restarts.py
@@ -80,6 +80,21 @@
         instance.start()
 
 
+def restart_and_cut_short(environment: Environment, instance: Instance) -> None:
+    """Restart an instance, and kill or freeze its process within `EARLY_TIME`."""
+    with reserve(environment, instance) as is_reserved:
+        if is_reserved:
+            with environment.observations.disturbance("lost", instance.name):
+                instance.kill()
+                instance.start()
+                cut_start_short(environment, instance)
+
+
+def cut_first_start_short(environment: Environment) -> None:
+    """Kill or freeze a control process within `EARLY_TIME` of its first start."""
+    cut_start_short(environment, environment.random.choice(environment.control))
+
+
 def reload_settings(environment: Environment, instance: Instance, *, by_signal: bool) -> None:
     """Change the seeds in the settings of an instance, and tell it to read them or not."""
     seeds = tuple(environment.shuffled([control.address for control in environment.control])[:3])
--- a/fulmarhold/soak/run.py
+++ b/fulmarhold/soak/run.py
@@ -15,7 +15,8 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.soak.checks import checks
 from fulmarhold.soak.environment import Environment, FleetSizes
-from fulmarhold.soak.faults import faults
+from fulmarhold.soak.faults import Fault, faults
+from fulmarhold.soak.restarts import cut_first_start_short
 
 if TYPE_CHECKING:
     from fulmarhold.soak.observations import Observations
@@ -23,6 +24,7 @@
 # Mean time between the starts of faults, which may overlap.
 MEAN_FAULT_INTERVAL: Milliseconds = 900.0
 FEW_FAULT_KINDS = 4
+FIRST_FAULT_SHARE = 0.25
 # Planned work only, which must not cut a request.
 PLANNED_FAULTS = (
     "change", "drain_upstream", "invalid", "race", "reload", "stop_series", "storm", "terminate",
@@ -70,7 +72,7 @@
         fault_counts: Counter[str] = Counter()
         violations: list[str] = []
         try:
-            environment.start()
+            environment.start(plan_first_fault(seed))
             _inject_faults(environment, plan_faults(seed, duration), fault_counts)
             environment.wait_until_healthy(RECOVERY_TIMEOUT)
         except FulmarholdError as error:
@@ -112,6 +114,12 @@
     return plan
 
 
+def plan_first_fault(seed: int) -> Fault | None:
+    """Return the fault that happens while the fleet starts; most seeds have none."""
+    random = Random(f"first fault of seed {seed}")
+    return cut_first_start_short if random.random() < FIRST_FAULT_SHARE else None
+
+
 def _inject_faults(
     environment: Environment, plan: list[tuple[Milliseconds, str]], fault_counts: Counter[str]
 ) -> None:
--- a/fulmarhold/tests/soak/test_processes.py
+++ b/fulmarhold/tests/soak/test_processes.py
@@ -34,12 +34,13 @@
     assert first.poll() == -signal.SIGKILL and entry.is_running and entry.incarnation == 2
 
 
-def test_two_kills_of_one_instance_leave_one_process(environment):
+@pytest.mark.parametrize("fault", ["kill", "cut_start", "terminate"])
+def test_overlapping_faults_of_one_instance_leave_one_process(environment, fault):
     entry = environment.entries[0]
     entry.start()
     started = [entry._process]
-    kills = [gevent.spawn(faults.find("kill"), environment) for _ in range(4)]
-    while not all(item.ready() for item in kills):
+    under_way = [environment.spawn(faults.find(fault), environment) for _ in range(4)]
+    while not all(item.ready() for item in under_way):
         gevent.sleep(0.01)
         if entry._process is not started[-1]:
             started.append(entry._process)
--- a/fulmarhold/tests/soak/test_run.py
+++ b/fulmarhold/tests/soak/test_run.py
@@ -18,7 +18,8 @@
     WeightedService,
 )
 from fulmarhold.soak.faults import faults
-from fulmarhold.soak.run import plan_faults, run_soak
+from fulmarhold.soak.restarts import cut_first_start_short
+from fulmarhold.soak.run import plan_faults, plan_first_fault, run_soak
 
 DURATION = 8_000.0
 
@@ -40,6 +41,12 @@
     assert {name for plan in plans.values() for _, name in plan} == set(faults)
 
 
+def test_a_seed_always_plans_the_same_fault_for_the_first_start():
+    planned = [plan_first_fault(seed) for seed in range(100)]
+    assert planned == [plan_first_fault(seed) for seed in range(100)]
+    assert set(planned) == {None, cut_first_start_short}
+
+
 def test_documents_written_by_the_soak_are_decoded_to_the_same_values():
     statement = UpstreamStatement("i", 7, 3, READY, "s1", "127.0.0.1:80", "a", 4)
     services = {"s1": UpstreamService("s1", 9), "s2": UpstreamService("s2", 9)}
