--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -185,9 +185,9 @@
         """Return the items in a random order."""
         return self.random.sample(items, len(items))
 
-    def sleep_up_to(self, longest: Milliseconds) -> None:
+    def sleep_between(self, shortest: Milliseconds, longest: Milliseconds) -> None:
         """Sleep for a random time."""
-        gevent.sleep(self.random.uniform(0.0, longest) / SECOND)
+        gevent.sleep(self.random.uniform(shortest, longest) / SECOND)
 
     def stop(self) -> None:
         """Stop everything that this soak has started."""
--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -31,23 +31,15 @@
 
 faults: Registry[Fault] = Registry("fault")
 
-DRAINING_SERVICE_TIME: Milliseconds = 3_500.0
+LEAST_DRAIN_TIME: Milliseconds = 3_500.0
+MOST_DRAIN_TIME: Milliseconds = 5_000.0
 ADDRESS_REUSE_DELAY: Milliseconds = 2_000.0
 GREY_BEHAVIOURS = ("losing", "shedding", "hanging", "work", "cutting", "endless")
+GREY_WORK: Milliseconds = 60.0
 STORM_VERSIONS = 8
 STORM_INTERVAL: Milliseconds = 60.0
 
 
-def _sleep(duration: Milliseconds) -> None:
-    gevent.sleep(duration / SECOND)
-
-
-def _random_duration(
-    environment: Environment, minimum: Milliseconds, maximum: Milliseconds
-) -> Milliseconds:
-    return environment.random.uniform(minimum, maximum)
-
-
 def _any_instance(environment: Environment) -> Instance:
     return environment.random.choice([*environment.control, *environment.entries])
 
@@ -82,7 +74,7 @@
         if is_reserved:
             with environment.observations.disturbance("full disk", instance.name):
                 instance.set_disk_full(is_full=True)
-                _sleep(_random_duration(environment, 500.0, 2_000.0))
+                environment.sleep_between(500.0, 2_000.0)
                 instance.set_disk_full(is_full=False)
 
 
@@ -95,7 +87,7 @@
                 everything = [*environment.control, *environment.entries]
                 for instance in everything:
                     instance.send_signal(signal.SIGKILL)
-                _sleep(_random_duration(environment, 100.0, 1_000.0))
+                environment.sleep_between(100.0, 1_000.0)
                 for instance in everything:
                     instance.kill()
                     instance.start()
@@ -141,9 +133,9 @@
         if fault is NetworkFault.NONE:
             proxy.reset_connections()
             return
-        proxy.delay = _random_duration(environment, 5.0, 150.0)
+        proxy.delay = environment.random.uniform(5.0, 150.0)
         proxy.fault = fault
-        _sleep(_random_duration(environment, 300.0, 3_000.0))
+        environment.sleep_between(300.0, 3_000.0)
         proxy.fault = NetworkFault.NONE
         if environment.random.random() < 0.5:
             proxy.reset_connections()
@@ -171,17 +163,14 @@
     attribute = environment.random.choice(GREY_BEHAVIOURS)
     original = getattr(upstream, attribute)
     with environment.observations.disturbance(attribute, host.name):
-        setattr(
-            upstream,
-            attribute,
-            60.0 if attribute == "work" else environment.random.uniform(0.1, 0.8),
-        )
-        _sleep(_random_duration(environment, 500.0, 4_000.0))
+        share = environment.random.uniform(0.1, 0.8)
+        setattr(upstream, attribute, GREY_WORK if attribute == "work" else share)
+        environment.sleep_between(500.0, 4_000.0)
         setattr(upstream, attribute, original)
 
 
 def _restart_upstream(environment: Environment, host: UpstreamHost, service: str) -> None:
-    _sleep(ADDRESS_REUSE_DELAY)
+    gevent.sleep(ADDRESS_REUSE_DELAY / SECOND)
     host.start(service)
 
 
@@ -199,7 +188,7 @@
     """Drain an upstream as planned and start another incarnation at its address."""
     host = environment.random.choice(environment.upstream_hosts)
     with host.lock:
-        host.upstream.drain(DRAINING_SERVICE_TIME + _random_duration(environment, 0.0, 1_500.0))
+        host.upstream.drain(environment.random.uniform(LEAST_DRAIN_TIME, MOST_DRAIN_TIME))
         _restart_upstream(environment, host, host.service)
 
 
@@ -231,10 +220,7 @@
 @faults.register("race")
 def race(environment: Environment) -> None:
     """Submit two configurations concurrently, in random order."""
-    configurations = [
-        environment.operator.next_configuration(),
-        environment.operator.next_configuration(),
-    ]
+    configurations = [environment.operator.next_configuration() for _ in range(2)]
     environment.random.shuffle(configurations)
     gevent.joinall([gevent.spawn(environment.operator.store, item) for item in configurations])
 
@@ -244,10 +230,9 @@
     """Submit configurations in quick succession."""
     greenlets = []
     for _ in range(STORM_VERSIONS):
-        greenlets.append(
-            gevent.spawn(environment.operator.store, environment.operator.next_configuration())
-        )
-        _sleep(STORM_INTERVAL)
+        configuration = environment.operator.next_configuration()
+        greenlets.append(gevent.spawn(environment.operator.store, configuration))
+        gevent.sleep(STORM_INTERVAL / SECOND)
     gevent.joinall(greenlets)
 
 
--- a/fulmarhold/soak/processes.py
+++ b/fulmarhold/soak/processes.py
@@ -86,15 +86,9 @@
     ) -> None:
         """Write the settings file, with the given seeds instead of the original ones if any."""
         document = write_settings(
-            self.name,
-            self.role,
-            self.address,
-            self.data_centre,
-            seeds or self._seeds,
-            str(self.data_folder),
-            self._heartbeat_period,
-            is_first_start=is_first_start,
-        )
+            self.name, self.role, self.address, self.data_centre, seeds or self._seeds,
+            str(self.data_folder), self._heartbeat_period, is_first_start=is_first_start,
+        )  # fmt: skip
         temporary = self._settings_file.with_suffix(".tmp")
         temporary.write_text(json.dumps(document))
         temporary.replace(self._settings_file)
--- a/fulmarhold/soak/restarts.py
+++ b/fulmarhold/soak/restarts.py
@@ -56,7 +56,7 @@
             with environment.observations.disturbance("lost", instance.name):
                 instance.kill()
                 damage()
-                environment.sleep_up_to(1_500.0)
+                environment.sleep_between(0.0, 1_500.0)
                 instance.start()
 
 
@@ -64,19 +64,19 @@
     """Suspend the process of an instance and let it go on."""
     with environment.observations.disturbance("frozen", instance.name):
         instance.send_signal(signal.SIGSTOP)
-        environment.sleep_up_to(LONGEST_FREEZE)
+        environment.sleep_between(0.0, LONGEST_FREEZE)
         instance.send_signal(signal.SIGCONT)
 
 
 def cut_start_short(environment: Environment, instance: Instance) -> None:
     """Kill or freeze the process of an instance that has just been started."""
-    environment.sleep_up_to(EARLY_TIME)
+    environment.sleep_between(0.0, EARLY_TIME)
     if environment.random.random() < 0.5:
         freeze_for_a_while(environment, instance)
         return
     with environment.observations.disturbance("lost", instance.name):
         instance.kill()
-        environment.sleep_up_to(EARLY_TIME / 2)
+        environment.sleep_between(0.0, EARLY_TIME / 2)
         instance.start()
 
 
@@ -114,7 +114,7 @@
             _stop(environment, instance)
             instance.start()
             if environment.random.random() < 0.4:
-                environment.sleep_up_to(EARLY_TIME)
+                environment.sleep_between(0.0, EARLY_TIME)
                 _stop(environment, instance)
                 instance.start()
 
