--- a/fulmarhold/soak/callers.py
+++ b/fulmarhold/soak/callers.py
@@ -50,14 +50,9 @@
         self.is_open = True
 
     def send_request(
-        self,
-        kind: RequestKind,
-        target: str,
-        observations: Observations,
-        *,
-        body: bytes = b"",
+        self, kind: RequestKind, target: str, observations: Observations, *, body: bytes = b"",
         deadline: Milliseconds = QUICK_DEADLINE,
-    ) -> Response:
+    ) -> Response:  # fmt: skip
         """Send a request, wait for its response and record both without checking them."""
         request_id = f"soak-{next(_request_numbers)}"
         clock = observations.clock
--- a/fulmarhold/soak/checks.py
+++ b/fulmarhold/soak/checks.py
@@ -55,14 +55,10 @@
 def check_refusals_did_not_run(observations: Observations) -> Iterable[str]:
     """A request whose response says that it did not run has not run and does not run later."""
     for response in observations.responses:
-        if response.status in NOT_RUN_STATUSES and observations.runs.get(
-            response.request.request_id
-        ):
-            upstreams = [run.upstream for run in observations.runs[response.request.request_id]]
-            yield (
-                f"{response.request.request_id} was answered {response.status} "
-                f"and ran at {upstreams}"
-            )
+        request_id = response.request.request_id
+        upstreams = [run.upstream for run in observations.runs.get(request_id, ())]
+        if response.status in NOT_RUN_STATUSES and upstreams:
+            yield f"{request_id} was answered {response.status} and ran at {upstreams}"
 
 
 @checks.register("requests run as sent")
@@ -73,11 +69,9 @@
         for run in runs:
             if request is None:
                 yield f"{run.upstream} ran {request_id!r}, which nobody sent"
-            elif (run.method, run.target, run.body) != (
-                request.method,
-                request.target,
-                request.body,
-            ):
+                continue
+            sent = request.method, request.target, request.body
+            if (run.method, run.target, run.body) != sent:
                 yield f"{run.upstream} ran {request_id} changed: {run.method} {run.target}"
 
 
--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -240,12 +240,9 @@
                     continue
                 now = self.clock.now()
                 if self.observations.was_undisturbed(
-                    now - FAULT_EXIT_WINDOW,
-                    now,
-                    (instance.name,),
-                    include_planned=False,
+                    now - FAULT_EXIT_WINDOW, now, (instance.name,), include_planned=False,
                     except_for=HARMLESS_FAULTS,
-                ):
+                ):  # fmt: skip
                     self.observations.violations.append(
                         f"{instance.name} ended by itself with {instance.exit_code}"
                     )
--- a/fulmarhold/soak/processes.py
+++ b/fulmarhold/soak/processes.py
@@ -28,14 +28,9 @@
     """A daemon that can be restarted at the same address."""
 
     def __init__(
-        self,
-        role: str,
-        address: str,
-        data_centre: str,
-        seeds: tuple[str, ...],
-        folder: Path,
+        self, role: str, address: str, data_centre: str, seeds: tuple[str, ...], folder: Path,
         heartbeat_period: Milliseconds,
-    ) -> None:
+    ) -> None:  # fmt: skip
         self.role = role
         self.address = address
         self.name = f"{role}-{address}"
--- a/fulmarhold/soak/run.py
+++ b/fulmarhold/soak/run.py
@@ -81,14 +81,9 @@
             environment.stop()
         violations += run_checks(environment.observations)
         responses = environment.observations.responses
-        return Result(
-            seed,
-            tuple(violations),
-            dict(fault_counts),
-            len(responses),
-            sum(response.status == 200 for response in responses),
-            len(environment.observations.submitted),
-        )
+        served = sum(response.status == 200 for response in responses)
+        versions = len(environment.observations.submitted)
+        return Result(seed, tuple(violations), dict(fault_counts), len(responses), served, versions)
 
 
 def run_checks(observations: Observations) -> list[str]:
--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -45,16 +45,10 @@
     """One incarnation of an upstream; `public_address` is the address that it announces."""
 
     def __init__(
-        self,
-        service: str,
-        listen: tuple[str, int],
-        public_address: str,
-        data_centre: str,
-        control_endpoints: Callable[[], list[str]],
-        heartbeat_period: Milliseconds,
-        observations: Observations,
-        random: Random,
-    ) -> None:
+        self, service: str, listen: tuple[str, int], public_address: str, data_centre: str,
+        control_endpoints: Callable[[], list[str]], heartbeat_period: Milliseconds,
+        observations: Observations, random: Random,
+    ) -> None:  # fmt: skip
         clock = observations.clock
         born = int(clock.wall()) + next(_birth_offsets)
         is_slow = service == SLOW.name
