--- a/fulmarhold/tests/soak/test_checks.py
+++ b/fulmarhold/tests/soak/test_checks.py
@@ -237,6 +237,7 @@
         (-100.0, -1.0, False),
         (-100.0, 10.0, True),
         (EARLY_IN_STOP + 1, GRACE - 400, True),
+        (GRACE + 10, GRACE + 900, True),
         (GRACE + 10, STOP_WINDOW, True),
         (GRACE + 10, STOP_WINDOW + 1, False),
     ],
--- a/fulmarhold/tests/soak/test_run.py
+++ b/fulmarhold/tests/soak/test_run.py
@@ -19,9 +19,10 @@
 )
 from fulmarhold.soak.faults import faults
 from fulmarhold.soak.restarts import cut_first_start_short
-from fulmarhold.soak.run import plan_faults, plan_first_fault, run_soak
+from fulmarhold.soak.run import PLANNED_FAULTS, plan_faults, plan_first_fault, run_soak
 
 DURATION = 8_000.0
+PLANNED = set(PLANNED_FAULTS)
 
 
 @pytest.mark.parametrize("seed", [11])
@@ -39,6 +40,8 @@
         assert moments == sorted(moments)
         assert all(0 <= moment < DURATION for moment in moments)
     assert {name for plan in plans.values() for _, name in plan} == set(faults)
+    planned_only = [plan for plan in plans.values() if {name for _, name in plan} <= PLANNED]
+    assert 20 <= len(planned_only) <= 50
 
 
 def test_a_seed_always_plans_the_same_fault_for_the_first_start():
