--- a/fulmarhold/soak/run.py
+++ b/fulmarhold/soak/run.py
@@ -99,8 +99,10 @@
     """
     random = Random(f"faults of seed {seed}")
     # With few kinds of faults some subjects stay undisturbed, which some checks require.
-    names = sorted(faults)
-    names = random.choice((random.sample(names, FEW_FAULT_KINDS), names, list(PLANNED_FAULTS)))
+    scope = random.choice(("all", "few", "planned"))
+    names = list(PLANNED_FAULTS) if scope == "planned" else sorted(faults)
+    if scope == "few":
+        names = random.sample(names, FEW_FAULT_KINDS)
     plan: list[tuple[Milliseconds, str]] = []
     moment = random.expovariate(1 / MEAN_FAULT_INTERVAL)
     while moment < duration:
