--- a/fulmarhold/soak/checks.py
+++ b/fulmarhold/soak/checks.py
@@ -240,7 +240,7 @@
     """Return whether an entry has read a request and broke off, in time and by itself."""
     request = response.request
     runs = observations.runs.get(request.request_id, [])
-    was_read = bool(runs) or response.at >= request.at + LOSS_TOLERANCE
+    was_read = bool(runs) or observations.time_between(request.at, response.at) >= LOSS_TOLERANCE
     broke_off_before = bool(runs) and all(run.broke_off for run in runs)
     return (
         response.status == 0 and was_read and response.at < request.until and not broke_off_before
--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -35,6 +35,7 @@
 FIRST_NETWORK, NETWORK_COUNT = 60, 190
 START_TIMEOUT: Milliseconds = 30_000.0
 POLL_INTERVAL: Milliseconds = 100.0
+PAUSE_RESOLUTION: Milliseconds = 10.0
 RESTART_DELAY: Milliseconds = 300.0
 # For this long after a fault, a process may exit without a violation.
 FAULT_EXIT_WINDOW: Milliseconds = 3_000.0
@@ -149,6 +150,7 @@
         for entry in self.entries:
             self.spawn(self._probe, entry)
         self.spawn(self._supervise)
+        self.spawn(self._observe_pauses)
 
     def spawn(self, run: Callable[..., None], *arguments: object) -> gevent.Greenlet:
         """Run something that ends with this soak at the latest."""
@@ -231,6 +233,14 @@
             return f"status {response.status}"
         return f"{response.missing} parts missing" if response.missing else ""
 
+    def _observe_pauses(self) -> None:
+        while True:
+            due_at = self.clock.now() + PAUSE_RESOLUTION
+            gevent.sleep(PAUSE_RESOLUTION / SECOND)
+            now = self.clock.now()
+            if now > due_at + PAUSE_RESOLUTION:
+                self.observations.pauses.append((due_at, now))
+
     def _supervise(self) -> None:
         """Restart processes that exit by themselves, as the platform does."""
         while True:
--- a/fulmarhold/soak/observations.py
+++ b/fulmarhold/soak/observations.py
@@ -139,6 +139,8 @@
     refused_versions: set[int] = field(default_factory=set)
     reads: list[ReadBack] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    # Spans of time in which the soak itself did not run, so that its measurements are late.
+    pauses: list[tuple[Milliseconds, Milliseconds]] = field(default_factory=list)
     # When each run of a process, by its name and incarnation, was first asked to stop.
     stops: dict[tuple[str, int], Milliseconds] = field(default_factory=dict)
     # Names of processes that were told to read their settings again, and when.
@@ -178,6 +180,11 @@
             for item in self.disturbances
         )
 
+    def time_between(self, start: Milliseconds, end: Milliseconds) -> Milliseconds:
+        """Return the time from `start` to `end` without the pauses of the soak."""
+        paused = sum(max(0.0, min(end, to) - max(start, at)) for at, to in self.pauses)
+        return end - start - paused
+
     def newest_acknowledged(self, before: Milliseconds) -> int:
         """Return the highest version acknowledged before a time, or 0 if there is none."""
         return max(
--- a/fulmarhold/tests/soak/test_checks.py
+++ b/fulmarhold/tests/soak/test_checks.py
@@ -321,6 +321,18 @@
     assert violated_checks(observations) == []
 
 
+def test_time_in_which_the_soak_did_not_run_is_not_held_against_an_entry(observations):
+    observations.stops["entry", 1] = NOW
+    observations.pauses += [(NOW - 50, NOW + 30), (NOW + 100, NOW + 170)]
+    record(observations, make_request(), status=0, at=NOW + LOSS_TOLERANCE + 99)
+    assert violated_checks(observations) == []
+    record(observations, make_request(request_id="late"), status=0, at=NOW + LOSS_TOLERANCE + 100)
+    assert violated_checks(observations) == LOST
+    forwarded = make_request(request_id="passed on")
+    record(observations, forwarded, make_run(forwarded), status=0, at=NOW + 20)
+    assert violated_checks(observations) == LOST * 2
+
+
 def test_every_check_has_a_test_in_this_file():
     source = Path(__file__).read_text(encoding="utf-8")
     assert [name for name in checks if f'"{name}"' not in source] == []
