--- a/fulmarhold/soak/processes.py
+++ b/fulmarhold/soak/processes.py
@@ -38,6 +38,7 @@
         self.folder = folder / self.name
         # Counts the starts: some guarantees hold only within one run of the process.
         self.incarnation = 0
+        self.started_at: Milliseconds = 0.0
         # A process that exits while this is set has exited by itself.
         self.should_run = False
         self._seeds = seeds
@@ -68,6 +69,7 @@
         self.write_settings(is_first_start=is_first_start)
         self.incarnation += 1
         self.should_run = True
+        self.started_at = self._clock.now()
         with (self.folder / "log").open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "fulmarhold.platform", self.role],
--- a/fulmarhold/soak/restarts.py
+++ b/fulmarhold/soak/restarts.py
@@ -144,7 +144,10 @@
         if observations.was_undisturbed(
             started_at, environment.clock.now(), (instance.name,), include_planned=False
         ):
-            observations.violations.append(f"{instance.name} still ran {GRACE:.0f} ms later")
+            age = started_at - instance.started_at
+            observations.violations.append(
+                f"{instance.name}, told to stop {age:.0f} ms after its start, ran {GRACE:.0f} ms on"
+            )
         instance.kill()
 
 
--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -192,6 +192,8 @@
         """Wait for a slot and do the work of a request."""
         self._accepted.append(run)
         with self._slots:
+            if self.is_stopped:
+                return
             run.started_at = self._clock.now()
             if self._random.random() < self.hanging:
                 gevent.sleep(10)
