--- a/fulmarhold/tests/soak/test_run.py
+++ b/fulmarhold/tests/soak/test_run.py
@@ -25,7 +25,8 @@
 PLANNED = set(PLANNED_FAULTS)
 
 
-@pytest.mark.parametrize("seed", [11])
+# Seed 27 plans nothing but planned work, and lost requests on 2cd6338.
+@pytest.mark.parametrize("seed", [11, 27])
 def test_short_soak_violates_no_guarantee(seed, tmp_path):
     result = run_soak(seed, DURATION, folder=tmp_path)
     assert result.violations == (), str(result)
