--- a/fulmarhold/soak/checks.py
+++ b/fulmarhold/soak/checks.py
@@ -218,10 +218,7 @@
             yield f"version {read.version} was refused and is read back"
     for response in observations.responses:
         if response.status == OK and _route_version(response) in observations.refused_versions:
-            yield (
-                f"{response.request.entry} obeys version {_route_version(response)}, "
-                "which was refused"
-            )
+            yield f"{response.request.entry} obeys {response.request.target}, which was refused"
 
 
 @checks.register("a planned stop cuts nothing")
@@ -242,9 +239,8 @@
     runs = observations.runs.get(request.request_id, [])
     was_read = bool(runs) or observations.time_between(request.at, response.at) >= LOSS_TOLERANCE
     broke_off_before = bool(runs) and all(run.broke_off for run in runs)
-    return (
-        response.status == 0 and was_read and response.at < request.until and not broke_off_before
-    )
+    in_time = response.at < request.until
+    return response.status == 0 and was_read and in_time and not broke_off_before
 
 
 def _planned_work(observations: Observations, response: Response) -> str:
@@ -283,8 +279,5 @@
 
 def _route_version(response: Response) -> int | None:
     prefix = _route_prefix(response.request.target)
-    return (
-        int(prefix[len(VERSION_ROUTE_PREFIX) : -1])
-        if prefix.startswith(VERSION_ROUTE_PREFIX)
-        else None
-    )
+    is_versioned = prefix.startswith(VERSION_ROUTE_PREFIX)
+    return int(prefix[len(VERSION_ROUTE_PREFIX) : -1]) if is_versioned else None
--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -138,7 +138,7 @@
             instance.start(is_first_start=True)
         if first_fault is not None:
             self.spawn(first_fault, self)
-        self.operator.store(self.operator.next_configuration())
+        self.operator.store_next()
         services = [name for name in ALL_SERVICES for _ in range(self._sizes.replicas)]
         for index, service in enumerate(services):
             self.upstream_hosts.append(UpstreamHost(self, index, service))
--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -18,7 +18,6 @@
     kill_and_restart,
     reload_settings,
     reserve,
-    restart_and_cut_short,
     stop_and_restart,
     stop_in_series,
 )
@@ -93,18 +92,15 @@
                     instance.start()
 
 
+faults.register("stop_series")(stop_in_series)
+
+
 @faults.register("terminate")
 def terminate(environment: Environment) -> None:
     """Stop a random process as planned and restart it."""
     stop_and_restart(environment, _any_instance(environment))
 
 
-@faults.register("stop_series")
-def stop_series(environment: Environment) -> None:
-    """Stop entries as planned, one shortly after the other."""
-    stop_in_series(environment)
-
-
 @faults.register("freeze")
 def freeze(environment: Environment) -> None:
     """Suspend a random process for a while."""
@@ -117,7 +113,7 @@
 @faults.register("cut_start")
 def cut_start(environment: Environment) -> None:
     """Restart a random process, and kill or freeze it while it starts."""
-    restart_and_cut_short(environment, _any_instance(environment))
+    kill_and_restart(environment, _any_instance(environment), is_cut_short=True)
 
 
 @faults.register("reload")
@@ -199,11 +195,8 @@
     if one.service == other.service:
         return
     first, second = sorted((one, other), key=lambda host: host.name)
-    with (
-        first.lock,
-        second.lock,
-        environment.observations.disturbance("addresses change", ALL_SUBJECTS),
-    ):
+    disturbance = environment.observations.disturbance("addresses change", ALL_SUBJECTS)
+    with first.lock, second.lock, disturbance:
         one.upstream.crash()
         other.upstream.crash()
         service, other_service = one.service, other.service
@@ -214,7 +207,7 @@
 @faults.register("change")
 def change(environment: Environment) -> None:
     """Submit a new configuration."""
-    environment.operator.store(environment.operator.next_configuration())
+    environment.operator.store_next()
 
 
 @faults.register("race")
@@ -230,8 +223,7 @@
     """Submit configurations in quick succession."""
     greenlets = []
     for _ in range(STORM_VERSIONS):
-        configuration = environment.operator.next_configuration()
-        greenlets.append(gevent.spawn(environment.operator.store, configuration))
+        greenlets.append(environment.spawn(environment.operator.store_next))
         gevent.sleep(STORM_INTERVAL / SECOND)
     gevent.joinall(greenlets)
 
--- a/fulmarhold/soak/observations.py
+++ b/fulmarhold/soak/observations.py
@@ -159,14 +159,9 @@
             disturbance.until = self.clock.now()
 
     def was_undisturbed(
-        self,
-        start: Milliseconds,
-        end: Milliseconds,
-        subjects: tuple[str, ...] = (),
-        *,
-        include_planned: bool = True,
-        except_for: tuple[str, ...] = (),
-    ) -> bool:
+        self, start: Milliseconds, end: Milliseconds, subjects: tuple[str, ...] = (), *,
+        include_planned: bool = True, except_for: tuple[str, ...] = (),
+    ) -> bool:  # fmt: skip
         """Return whether no disturbance of the subjects overlaps the interval.
 
         Without subjects, every disturbance counts but those named in `except_for`.
--- a/fulmarhold/soak/operator.py
+++ b/fulmarhold/soak/operator.py
@@ -42,11 +42,6 @@
         self._environment = environment
         self._version = 0
 
-    @property
-    def version(self) -> int:
-        """The highest version generated so far."""
-        return self._version
-
     def next_configuration(self) -> RouteConfiguration:
         """Return the next configuration; version numbers increase in steps of random size."""
         random = self._environment.random
@@ -76,6 +71,10 @@
         services = {name: UpstreamService(name, MAX_CONNECTIONS) for name in ALL_SERVICES}
         return RouteConfiguration(self._version, routes, services)
 
+    def store_next(self) -> None:
+        """Submit the next configuration."""
+        self.store(self.next_configuration())
+
     def store(self, configuration: RouteConfiguration) -> None:
         """Submit a configuration, retrying at random control instances until it is acknowledged."""
         observations = self._environment.observations
@@ -86,8 +85,9 @@
         while observations.clock.now() < sent_at + STORE_TIMEOUT:
             status = self._put(document)
             if status == 200:
+                now = observations.clock.now()
                 observations.submitted[version] = SubmittedConfiguration(
-                    configuration, sent_at, observations.clock.now()
+                    configuration, sent_at, now
                 )
                 return
             if status and 400 <= status < 500:
--- a/fulmarhold/soak/restarts.py
+++ b/fulmarhold/soak/restarts.py
@@ -50,9 +50,10 @@
 
 
 def kill_and_restart(
-    environment: Environment, instance: Instance, damage: Callable[[], None] = lambda: None
-) -> None:
-    """Kill an instance, apply `damage` to it and restart it."""
+    environment: Environment, instance: Instance, damage: Callable[[], None] = lambda: None, *,
+    is_cut_short: bool = False,
+) -> None:  # fmt: skip
+    """Kill an instance, apply `damage` to it and restart it; at times cut the start short."""
     with reserve(environment, instance) as is_reserved:
         if is_reserved:
             with environment.observations.disturbance("lost", instance.name):
@@ -60,6 +61,8 @@
                 damage()
                 environment.sleep_between(0.0, 1_500.0)
                 instance.start()
+                if is_cut_short:
+                    cut_start_short(environment, instance)
 
 
 def freeze_for_a_while(environment: Environment, instance: Instance) -> None:
@@ -82,16 +85,6 @@
         instance.start()
 
 
-def restart_and_cut_short(environment: Environment, instance: Instance) -> None:
-    """Restart an instance, and kill or freeze its process within `EARLY_TIME`."""
-    with reserve(environment, instance) as is_reserved:
-        if is_reserved:
-            with environment.observations.disturbance("lost", instance.name):
-                instance.kill()
-                instance.start()
-                cut_start_short(environment, instance)
-
-
 def cut_first_start_short(environment: Environment) -> None:
     """Kill or freeze a control process within `EARLY_TIME` of its first start."""
     cut_start_short(environment, environment.random.choice(environment.control))
@@ -162,18 +155,10 @@
     instance.send_signal(signal.SIGTERM)
 
 
-def _change(environment: Environment, _: Instance) -> None:
-    environment.spawn(environment.operator.store, environment.operator.next_configuration())
-
-
-def _reload(environment: Environment, instance: Instance) -> None:
-    reload_settings(environment, instance, by_signal=True)
-
-
 # What happens in the middle of a planned stop: nothing, a second request to stop, or changes.
-_INTERRUPTIONS: tuple[Callable[[Environment, Instance], None], ...] = (
+_INTERRUPTIONS: tuple[Callable[[Environment, Instance], object], ...] = (
     lambda *_: None,
     _ask_to_stop,
-    _change,
-    _reload,
+    lambda environment, _: environment.spawn(environment.operator.store_next),
+    lambda environment, instance: reload_settings(environment, instance, by_signal=True),
 )
--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -107,19 +108,16 @@
             gevent.sleep(self._period / SECOND)
 
     def _announce(self, state: State) -> bool:
-        previous = self.statement
-        self.statement = UpstreamStatement(
-            previous.name, previous.born, previous.sequence + 1, state, previous.service,
-            previous.address, previous.data_centre, previous.slots,
-        )  # fmt: skip
+        sequence = self.statement.sequence + 1
+        self.statement = replace(self.statement, sequence=sequence, state=state)
         return self._call("PUT", write_heartbeat(self.statement))
 
     def _call(self, method: str, body: Any) -> bool:
         endpoints = self._control_endpoints()
         self._random.shuffle(endpoints)
+        path = HEARTBEAT_PATH + self.statement.name
         for endpoint in endpoints:
             try:
-                path = HEARTBEAT_PATH + self.statement.name
                 response = request_json(
                     endpoint, method, path, body=body, timeout=HEARTBEAT_TIMEOUT
                 )
@@ -157,11 +155,12 @@
     ) -> bool:
         name, request_id = self.statement.name, headers.get(REQUEST_ID.lower(), "")
         if headers.get(TARGET.lower(), name) != name:
-            self._respond(connection, 421, {NOT_RUN: "1", UPSTREAM_ID: name}, b"")
+            connection.sendall(_encode_response(421, {NOT_RUN: "1", UPSTREAM_ID: name}, b""))
             return True
         is_full = len(self._accepted) >= self.statement.slots + QUEUED
         if is_full or self._random.random() < self.shedding:
-            self._respond(connection, 503, {NOT_RUN: "1", REQUEST_ID: request_id}, b"")
+            fields = {NOT_RUN: "1", REQUEST_ID: request_id}
+            connection.sendall(_encode_response(503, fields, b""))
             return True
         service = self.statement.service
         run = Run(request_id, method, target, body, service, name, self._clock.now())
@@ -174,9 +173,8 @@
             return False
         signature = f"{name}.{next(self._signatures)}"
         records = self._random.randbytes(RECORDS_PER_REPLY * RECORD_BYTES)
-        self._observations.upstream_replies[signature] = UpstreamReply(
-            request_id, service, 200, records
-        )
+        reply = UpstreamReply(request_id, service, 200, records)
+        self._observations.upstream_replies[signature] = reply
         fields = {SIGNATURE: signature, REQUEST_ID: request_id}
         response = _encode_response(200, fields, records)
         if self._random.random() < self.cutting:
@@ -210,9 +208,6 @@
             connection.sendall(ENDLESS_PIECE)
             gevent.sleep(0)
 
-    def _respond(self, connection: Any, status: int, headers: dict[str, str], body: bytes) -> None:
-        connection.sendall(_encode_response(status, headers, body))
-
 
 def _encode_response(status: int, headers: dict[str, str], body: bytes) -> bytes:
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", "Keep-Alive: timeout=4"]
