--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -12,6 +12,7 @@
 from fulmarhold.consensus.records import encode_record
 from fulmarhold.registry import Registry
 from fulmarhold.soak.observations import ALL_SUBJECTS
+from fulmarhold.soak.odd_writer import send_odd_heartbeats
 from fulmarhold.soak.proxy import NetworkFault, Proxy
 from fulmarhold.soak.restarts import (
     freeze_for_a_while,
@@ -204,6 +205,12 @@
         other.start(service)
 
 
+@faults.register("odd_heartbeats")
+def odd_heartbeats(environment: Environment) -> None:
+    """Send heartbeats that name no usable upstream; no process may end."""
+    send_odd_heartbeats(environment)
+
+
 @faults.register("change")
 def change(environment: Environment) -> None:
     """Submit a new configuration."""
--- /dev/null
+++ b/fulmarhold/soak/odd_writer.py
@@ -0,0 +1,56 @@
+"""Sends heartbeats that name no usable upstream, as another writer of the platform might."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent.socket
+
+from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.platform.encoding import CONTROL_PORT, HEARTBEAT_PATH
+
+if TYPE_CHECKING:
+    from fulmarhold.soak.environment import Environment
+
+TIMEOUT: Milliseconds = 1_000.0
+STATEMENTS = 5
+# Values in JSON as they are sent. Nothing listens at the discard port.
+USUAL = {
+    "service": b'"s1"', "address": b'"127.0.0.1:9"', "zone": b'"a"', "version": b'"v1"',
+    "slots": b"2", "state": b'"ready"', "warmupLeftMs": b"0", "sequence": b"1",
+    "born": b"1700000000000",
+}  # fmt: skip
+NESTED = b"[" * 50_000 + b"]" * 50_000
+NUMBERS = (b"1e400", b"9" * 5_000, b"-9223372036854775809", b"NaN", b'"2"', b"null", NESTED)
+TEXTS = (b'"\xff"', b'"\xed\xa0\x80"', b'"\\ud800"', b'"\\u0000"', b"7", b"null", NESTED)
+ADDRESSES = (
+    b'"::1%lo:9"', b'"[fe80::1%lo]:9"', b'"127.0.0.1:65536"', b'"127.0.0.1:-1"', b'"127.0.0.1"',
+    *TEXTS,
+)  # fmt: skip
+ODD = {
+    "service": TEXTS, "address": ADDRESSES, "zone": TEXTS, "version": TEXTS, "slots": NUMBERS,
+    "state": TEXTS, "warmupLeftMs": NUMBERS, "sequence": NUMBERS, "born": NUMBERS,
+}  # fmt: skip
+
+
+def write_odd_heartbeat(field: str, value: bytes) -> bytes:
+    """Return the body of a heartbeat in which one field has another value than usual."""
+    values = USUAL | {field: value}
+    return b"{" + b",".join(b'"%s":%s' % (k.encode(), v) for k, v in values.items()) + b"}"
+
+
+def send_odd_heartbeats(environment: Environment) -> None:
+    """Send heartbeats that have one odd value each to random control instances."""
+    for number in range(STATEMENTS):
+        field = environment.random.choice(list(ODD))
+        body = write_odd_heartbeat(field, environment.random.choice(ODD[field]))
+        head = f"PUT {HEARTBEAT_PATH}i-odd-{number} HTTP/1.1\r\nHost: odd\r\n"
+        head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        endpoint = environment.random.choice(environment.control).address, CONTROL_PORT
+        try:
+            with gevent.socket.create_connection(endpoint, timeout=TIMEOUT / SECOND) as connection:
+                connection.sendall(head.encode() + body)
+                connection.recv(1)
+        except OSError:
+            # The control instance is down or frozen, which is recorded elsewhere.
+            continue
