--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -7,12 +7,14 @@
 
 import gevent
 from gevent.lock import BoundedSemaphore
+from gevent.pool import Group
 
 from fulmarhold.clock import SECOND, Clock, Milliseconds
 from fulmarhold.errors import FulmarholdError, PeerUnavailable
 from fulmarhold.platform.encoding import CALLER_PORT, CONTROL_PORT, DIRECTORY_PORT
 from fulmarhold.soak.callers import Caller, CallerConnection
 from fulmarhold.soak.checks import VERSION_ROUTE_PREFIX
+from fulmarhold.soak.kinds import ALL, EFFECT, ONE, QUICK_KINDS, SLOW_KINDS, RequestKind
 from fulmarhold.soak.observations import Observations
 from fulmarhold.soak.operator import ALL_SERVICES, SHARD_SETS, Operator
 from fulmarhold.soak.processes import Instance
@@ -20,6 +22,7 @@
 from fulmarhold.soak.upstream import SoakUpstream
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
     from random import Random
 
@@ -32,6 +35,7 @@
 FIRST_NETWORK, NETWORK_COUNT = 60, 190
 START_TIMEOUT: Milliseconds = 30_000.0
 POLL_INTERVAL: Milliseconds = 100.0
+PAUSE_RESOLUTION: Milliseconds = 10.0
 RESTART_DELAY: Milliseconds = 300.0
 # For this long after a fault, a process may exit without a violation.
 FAULT_EXIT_WINDOW: Milliseconds = 3_000.0
@@ -41,7 +45,10 @@
 
 @dataclass(frozen=True)
 class FleetSizes:
-    """Number of processes, upstreams per service, and callers in a soak."""
+    """Number of processes, upstreams per service, and callers in a soak.
+
+    Besides these callers, twice as many send requests that take long.
+    """
 
     control: int = 3
     entries: int = 3
@@ -115,27 +122,39 @@
         self.operator = Operator(self)
         self.upstream_hosts: list[UpstreamHost] = []
         self._sizes = sizes
-        self._greenlets: list[gevent.Greenlet] = []
+        self._greenlets = Group()
 
     def address(self, index: int) -> str:
         """Return the loopback address with the given index in this soak's network."""
         subnet, host = divmod(index, ADDRESSES_PER_SUBNET)
         return f"127.{self._network}.{subnet}.{host + 1}"
 
-    def start(self) -> None:
-        """Start the fleet, wait until it is healthy, then start callers, probes and supervision."""
+    def start(self, first_fault: Callable[[Environment], None] | None = None) -> None:
+        """Start the fleet, wait until it is healthy, then start callers, probes and supervision.
+
+        `first_fault` happens while the fleet starts.
+        """
         for instance in (*self.control, *self.entries):
             instance.start(is_first_start=True)
-        self.operator.store(self.operator.next_configuration())
+        if first_fault is not None:
+            self.spawn(first_fault, self)
+        self.operator.store_next()
         services = [name for name in ALL_SERVICES for _ in range(self._sizes.replicas)]
         for index, service in enumerate(services):
             self.upstream_hosts.append(UpstreamHost(self, index, service))
         self.wait_until_healthy(START_TIMEOUT)
-        callers = [Caller(self, self.random) for _ in range(self._sizes.callers)]
-        self._greenlets = [gevent.spawn(caller.run) for caller in callers]
-        self._greenlets.append(gevent.spawn(self.operator.run))
-        self._greenlets += [gevent.spawn(self._probe, entry) for entry in self.entries]
-        self._greenlets.append(gevent.spawn(self._supervise))
+        for kinds in (QUICK_KINDS, SLOW_KINDS, SLOW_KINDS):
+            for _ in range(self._sizes.callers):
+                self.spawn(Caller(self, self.random, kinds).run)
+        self.spawn(self.operator.run)
+        for entry in self.entries:
+            self.spawn(self._probe, entry)
+        self.spawn(self._supervise)
+        self.spawn(self._observe_pauses)
+
+    def spawn(self, run: Callable[..., None], *arguments: object) -> gevent.Greenlet:
+        """Run something that ends with this soak at the latest."""
+        return self._greenlets.spawn(run, *arguments)
 
     def wait_until_healthy(self, timeout: Milliseconds) -> None:
         """Wait until entries respond completely and control instances return the newest version.
@@ -168,9 +187,14 @@
         """Return the items in a random order."""
         return self.random.sample(items, len(items))
 
+    def sleep_between(self, shortest: Milliseconds, longest: Milliseconds) -> None:
+        """Sleep for a random time."""
+        gevent.sleep(self.random.uniform(shortest, longest) / SECOND)
+
     def stop(self) -> None:
         """Stop everything that this soak has started."""
-        gevent.killall(self._greenlets)
+        # First what could start a process again.
+        self._greenlets.kill()
         for host in self.upstream_hosts:
             host.upstream.crash()
             host.proxy.stop()
@@ -192,30 +216,31 @@
             if version is None or version < newest:
                 return f"{endpoint} returns version {version} instead of {newest}"
         for entry in self.entries:
-            for target in ("/one/1", "/effect/1", "/all/1"):
-                problem = self._send_directly(entry, target)
+            for kind in (ONE, EFFECT, ALL):
+                problem = self._send_directly(entry, kind)
                 if problem:
-                    return f"{entry.name} responds to {target} with {problem}"
+                    return f"{entry.name} responds to a request of {kind.name} with {problem}"
         return ""
 
-    def _send_directly(self, entry: Instance, target: str) -> str:
+    def _send_directly(self, entry: Instance, kind: RequestKind) -> str:
         try:
             connection = CallerConnection(entry, (entry.address, CALLER_PORT))
         except OSError as error:
             return str(error)
-        is_non_idempotent = target.startswith("/effect/")
-        response = connection.send_request(
-            "POST" if is_non_idempotent else "GET",
-            target,
-            b"",
-            is_idempotent=not is_non_idempotent,
-            observations=self.observations,
-        )
+        response = connection.send_request(kind, f"{kind.prefix}1", self.observations)
         connection.close()
         if response.status != 200:
             return f"status {response.status}"
         return f"{response.missing} parts missing" if response.missing else ""
 
+    def _observe_pauses(self) -> None:
+        while True:
+            due_at = self.clock.now() + PAUSE_RESOLUTION
+            gevent.sleep(PAUSE_RESOLUTION / SECOND)
+            now = self.clock.now()
+            if now > due_at + PAUSE_RESOLUTION:
+                self.observations.pauses.append((due_at, now))
+
     def _supervise(self) -> None:
         """Restart processes that exit by themselves, as the platform does."""
         while True:
@@ -225,12 +250,9 @@
                     continue
                 now = self.clock.now()
                 if self.observations.was_undisturbed(
-                    now - FAULT_EXIT_WINDOW,
-                    now,
-                    (instance.name,),
-                    include_planned=False,
+                    now - FAULT_EXIT_WINDOW, now, (instance.name,), include_planned=False,
                     except_for=HARMLESS_FAULTS,
-                ):
+                ):  # fmt: skip
                     self.observations.violations.append(
                         f"{instance.name} ended by itself with {instance.exit_code}"
                     )
@@ -249,11 +271,6 @@
                 except (OSError, PeerUnavailable):
                     # The entry is down or frozen, which is recorded as a disturbance elsewhere.
                     break
-                connection.send_request(
-                    "GET",
-                    f"{VERSION_ROUTE_PREFIX}{version}/1",
-                    b"",
-                    is_idempotent=True,
-                    observations=self.observations,
-                )
+                target = f"{VERSION_ROUTE_PREFIX}{version}/1"
+                connection.send_request(ONE, target, self.observations)
                 connection.close()
--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -4,7 +4,6 @@
 
 import signal
 from collections.abc import Callable
-from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import gevent
@@ -13,11 +12,18 @@
 from fulmarhold.consensus.records import encode_record
 from fulmarhold.registry import Registry
 from fulmarhold.soak.observations import ALL_SUBJECTS
+from fulmarhold.soak.odd_writer import send_odd_heartbeats
 from fulmarhold.soak.proxy import NetworkFault, Proxy
+from fulmarhold.soak.restarts import (
+    freeze_for_a_while,
+    kill_and_restart,
+    reload_settings,
+    reserve,
+    stop_and_restart,
+    stop_in_series,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from fulmarhold.soak.environment import Environment, UpstreamHost
     from fulmarhold.soak.processes import Instance
 
@@ -25,74 +31,30 @@
 
 faults: Registry[Fault] = Registry("fault")
 
-# The grace period for a process that is asked to stop, plus time for load on the machine.
-STOP_TIMEOUT: Milliseconds = 9_000.0
-# Time for a restarted control instance to catch up before another may be disturbed.
-CATCH_UP_TIME: Milliseconds = 4_000.0
-DRAINING_SERVICE_TIME: Milliseconds = 3_500.0
+LEAST_DRAIN_TIME: Milliseconds = 3_500.0
+MOST_DRAIN_TIME: Milliseconds = 5_000.0
 ADDRESS_REUSE_DELAY: Milliseconds = 2_000.0
 GREY_BEHAVIOURS = ("losing", "shedding", "hanging", "work", "cutting", "endless")
+GREY_WORK: Milliseconds = 60.0
 STORM_VERSIONS = 8
 STORM_INTERVAL: Milliseconds = 60.0
 
 
-def _sleep(duration: Milliseconds) -> None:
-    gevent.sleep(duration / SECOND)
-
-
-def _random_duration(
-    environment: Environment, minimum: Milliseconds, maximum: Milliseconds
-) -> Milliseconds:
-    return environment.random.uniform(minimum, maximum)
-
-
 def _any_instance(environment: Environment) -> Instance:
     return environment.random.choice([*environment.control, *environment.entries])
 
 
-@contextmanager
-def _reserve(environment: Environment, instance: Instance | None) -> Iterator[bool]:
-    """Yield whether an instance may be disturbed now; control instances only one at a time.
-
-    `None` stands for all instances. A reservation of control includes `CATCH_UP_TIME`.
-    """
-    if instance is not None and instance.role == "entry":
-        yield True
-        return
-    if not environment.control_lock.acquire(blocking=False):
-        yield False
-        return
-    try:
-        yield True
-        _sleep(CATCH_UP_TIME)
-    finally:
-        environment.control_lock.release()
-
-
-def _kill_and_restart(
-    environment: Environment, instance: Instance, damage: Callable[[], None] = lambda: None
-) -> None:
-    """Kill an instance, apply `damage` to it and restart it."""
-    with _reserve(environment, instance) as is_reserved:
-        if is_reserved:
-            with environment.observations.disturbance("lost", instance.name):
-                instance.kill()
-                damage()
-                _sleep(_random_duration(environment, 0.0, 1_500.0))
-                instance.start()
-
-
 @faults.register("kill")
 def kill(environment: Environment) -> None:
     """Kill a random process."""
-    _kill_and_restart(environment, _any_instance(environment))
+    kill_and_restart(environment, _any_instance(environment))
 
 
 @faults.register("wipe")
 def wipe(environment: Environment) -> None:
     """Kill a control process and delete its data."""
     instance = environment.random.choice(environment.control)
-    _kill_and_restart(environment, instance, instance.delete_data)
+    kill_and_restart(environment, instance, instance.delete_data)
 
 
 @faults.register("torn_log")
@@ -101,78 +63,65 @@
     instance = environment.random.choice(environment.control)
     record = encode_record(["entry", environment.random.randbytes(200)])
     cut = environment.random.randrange(1, len(record) - 1)
-    _kill_and_restart(environment, instance, lambda: instance.append_torn_record(record[:cut]))
+    kill_and_restart(environment, instance, lambda: instance.append_torn_record(record[:cut]))
 
 
 @faults.register("full_disk")
 def full_disk(environment: Environment) -> None:
     """Fill the disk of a control process for a while; it must stay up."""
     instance = environment.random.choice(environment.control)
-    with _reserve(environment, instance) as is_reserved:
+    with reserve(environment, instance) as is_reserved:
         if is_reserved:
             with environment.observations.disturbance("full disk", instance.name):
                 instance.set_disk_full(is_full=True)
-                _sleep(_random_duration(environment, 500.0, 2_000.0))
+                environment.sleep_between(500.0, 2_000.0)
                 instance.set_disk_full(is_full=False)
 
 
 @faults.register("kill_all")
 def kill_all(environment: Environment) -> None:
     """Kill every process at the same moment."""
-    with _reserve(environment, None) as is_reserved:
+    with reserve(environment, None) as is_reserved:
         if is_reserved:
             with environment.observations.disturbance("all lost", ALL_SUBJECTS):
                 everything = [*environment.control, *environment.entries]
                 for instance in everything:
                     instance.send_signal(signal.SIGKILL)
-                _sleep(_random_duration(environment, 100.0, 1_000.0))
+                environment.sleep_between(100.0, 1_000.0)
                 for instance in everything:
                     instance.kill()
                     instance.start()
 
 
+faults.register("stop_series")(stop_in_series)
+
+
 @faults.register("terminate")
 def terminate(environment: Environment) -> None:
     """Stop a random process as planned and restart it."""
-    instance = _any_instance(environment)
-    with _reserve(environment, instance) as is_reserved:
-        if not is_reserved:
-            return
-        incarnation = instance.incarnation
-        with environment.observations.disturbance("stopped", instance.name, is_planned=True):
-            instance.send_signal(signal.SIGTERM)
-            code = instance.wait_for_exit(STOP_TIMEOUT)
-            # Skip this if another fault has restarted the process in the meantime.
-            if instance.incarnation == incarnation:
-                if code is None:
-                    environment.observations.violations.append(
-                        f"{instance.name} still ran {STOP_TIMEOUT:.0f} ms later"
-                    )
-                instance.kill()
-                instance.start()
+    stop_and_restart(environment, _any_instance(environment))
 
 
 @faults.register("freeze")
 def freeze(environment: Environment) -> None:
     """Suspend a random process for a while."""
     instance = _any_instance(environment)
-    with _reserve(environment, instance) as is_reserved:
+    with reserve(environment, instance) as is_reserved:
         if is_reserved:
-            with environment.observations.disturbance("frozen", instance.name):
-                instance.send_signal(signal.SIGSTOP)
-                _sleep(_random_duration(environment, 200.0, 4_000.0))
-                instance.send_signal(signal.SIGCONT)
+            freeze_for_a_while(environment, instance)
+
+
+@faults.register("cut_start")
+def cut_start(environment: Environment) -> None:
+    """Restart a random process, and kill or freeze it while it starts."""
+    kill_and_restart(environment, _any_instance(environment), is_cut_short=True)
 
 
 @faults.register("reload")
 def reload(environment: Environment) -> None:
-    """Change the seeds in the settings of a random process, with or without SIGHUP."""
-    instance = _any_instance(environment)
-    seeds = tuple(environment.shuffled([control.address for control in environment.control])[:3])
-    with environment.observations.disturbance("reloaded", instance.name, is_planned=True):
-        instance.write_settings(seeds=seeds)
-        if environment.random.random() < 0.7:
-            instance.send_signal(signal.SIGHUP)
+    """Change the settings of a random process, with or without SIGHUP."""
+    by_signal = environment.random.random() < 0.7
+    reload_settings(environment, _any_instance(environment), by_signal=by_signal)
 
 
 def _disturb_network(environment: Environment, proxy: Proxy, subject: str) -> None:
@@ -181,9 +130,9 @@
         if fault is NetworkFault.NONE:
             proxy.reset_connections()
             return
-        proxy.delay = _random_duration(environment, 5.0, 150.0)
+        proxy.delay = environment.random.uniform(5.0, 150.0)
         proxy.fault = fault
-        _sleep(_random_duration(environment, 300.0, 3_000.0))
+        environment.sleep_between(300.0, 3_000.0)
         proxy.fault = NetworkFault.NONE
         if environment.random.random() < 0.5:
             proxy.reset_connections()
@@ -211,17 +160,14 @@
     attribute = environment.random.choice(GREY_BEHAVIOURS)
     original = getattr(upstream, attribute)
     with environment.observations.disturbance(attribute, host.name):
-        setattr(
-            upstream,
-            attribute,
-            60.0 if attribute == "work" else environment.random.uniform(0.1, 0.8),
-        )
-        _sleep(_random_duration(environment, 500.0, 4_000.0))
+        share = environment.random.uniform(0.1, 0.8)
+        setattr(upstream, attribute, GREY_WORK if attribute == "work" else share)
+        environment.sleep_between(500.0, 4_000.0)
         setattr(upstream, attribute, original)
 
 
 def _restart_upstream(environment: Environment, host: UpstreamHost, service: str) -> None:
-    _sleep(ADDRESS_REUSE_DELAY)
+    gevent.sleep(ADDRESS_REUSE_DELAY / SECOND)
     host.start(service)
 
 
@@ -239,7 +185,7 @@
     """Drain an upstream as planned and start another incarnation at its address."""
     host = environment.random.choice(environment.upstream_hosts)
     with host.lock:
-        host.upstream.drain(DRAINING_SERVICE_TIME + _random_duration(environment, 0.0, 1_500.0))
+        host.upstream.drain(environment.random.uniform(LEAST_DRAIN_TIME, MOST_DRAIN_TIME))
         _restart_upstream(environment, host, host.service)
 
 
@@ -250,11 +196,8 @@
     if one.service == other.service:
         return
     first, second = sorted((one, other), key=lambda host: host.name)
-    with (
-        first.lock,
-        second.lock,
-        environment.observations.disturbance("addresses change", ALL_SUBJECTS),
-    ):
+    disturbance = environment.observations.disturbance("addresses change", ALL_SUBJECTS)
+    with first.lock, second.lock, disturbance:
         one.upstream.crash()
         other.upstream.crash()
         service, other_service = one.service, other.service
@@ -262,19 +205,22 @@
         other.start(service)
 
 
+@faults.register("odd_heartbeats")
+def odd_heartbeats(environment: Environment) -> None:
+    """Send heartbeats that name no usable upstream; no process may end."""
+    send_odd_heartbeats(environment)
+
+
 @faults.register("change")
 def change(environment: Environment) -> None:
     """Submit a new configuration."""
-    environment.operator.store(environment.operator.next_configuration())
+    environment.operator.store_next()
 
 
 @faults.register("race")
 def race(environment: Environment) -> None:
     """Submit two configurations concurrently, in random order."""
-    configurations = [
-        environment.operator.next_configuration(),
-        environment.operator.next_configuration(),
-    ]
+    configurations = [environment.operator.next_configuration() for _ in range(2)]
     environment.random.shuffle(configurations)
     gevent.joinall([gevent.spawn(environment.operator.store, item) for item in configurations])
 
@@ -284,10 +230,8 @@
     """Submit configurations in quick succession."""
     greenlets = []
     for _ in range(STORM_VERSIONS):
-        greenlets.append(
-            gevent.spawn(environment.operator.store, environment.operator.next_configuration())
-        )
-        _sleep(STORM_INTERVAL)
+        greenlets.append(environment.spawn(environment.operator.store_next))
+        gevent.sleep(STORM_INTERVAL / SECOND)
     gevent.joinall(greenlets)
 
 
--- a/fulmarhold/soak/observations.py
+++ b/fulmarhold/soak/observations.py
@@ -22,7 +22,10 @@
 
 @dataclass(frozen=True)
 class SentRequest:
-    """A request as a caller sent it; `entry` and `incarnation` identify the receiving process."""
+    """A request as a caller sent it; `entry` and `incarnation` identify the receiving process.
+
+    `until` is when its deadline or the timeout of its route is reached.
+    """
 
     request_id: str
     method: str
@@ -32,11 +35,15 @@
     entry: str
     incarnation: int
     at: Milliseconds
+    until: Milliseconds = NEVER
 
 
-@dataclass(frozen=True)
+@dataclass
 class Run:
-    """A request as an upstream started to execute it."""
+    """A request that reached an upstream at `at`; its work starts when the upstream has room.
+
+    `broke_off` tells that the upstream ended the connection without a complete response.
+    """
 
     request_id: str
     method: str
@@ -45,6 +52,9 @@
     service: str
     upstream: str
     at: Milliseconds
+    started_at: Milliseconds = NEVER
+    until: Milliseconds = NEVER
+    broke_off: bool = False
 
 
 @dataclass(frozen=True)
@@ -129,6 +139,12 @@
     refused_versions: set[int] = field(default_factory=set)
     reads: list[ReadBack] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    # Spans of time in which the soak itself did not run, so that its measurements are late.
+    pauses: list[tuple[Milliseconds, Milliseconds]] = field(default_factory=list)
+    # When each run of a process, by its name and incarnation, was first asked to stop.
+    stops: dict[tuple[str, int], Milliseconds] = field(default_factory=dict)
+    # Names of processes that were told to read their settings again, and when.
+    reloads: list[tuple[str, Milliseconds]] = field(default_factory=list)
     # Violations that were detected while the soak was running.
     violations: list[str] = field(default_factory=list)
 
@@ -143,14 +159,9 @@
             disturbance.until = self.clock.now()
 
     def was_undisturbed(
-        self,
-        start: Milliseconds,
-        end: Milliseconds,
-        subjects: tuple[str, ...] = (),
-        *,
-        include_planned: bool = True,
-        except_for: tuple[str, ...] = (),
-    ) -> bool:
+        self, start: Milliseconds, end: Milliseconds, subjects: tuple[str, ...] = (), *,
+        include_planned: bool = True, except_for: tuple[str, ...] = (),
+    ) -> bool:  # fmt: skip
         """Return whether no disturbance of the subjects overlaps the interval.
 
         Without subjects, every disturbance counts but those named in `except_for`.
@@ -164,6 +175,11 @@
             for item in self.disturbances
         )
 
+    def time_between(self, start: Milliseconds, end: Milliseconds) -> Milliseconds:
+        """Return the time from `start` to `end` without the pauses of the soak."""
+        paused = sum(max(0.0, min(end, to) - max(start, at)) for at, to in self.pauses)
+        return end - start - paused
+
     def newest_acknowledged(self, before: Milliseconds) -> int:
         """Return the highest version acknowledged before a time, or 0 if there is none."""
         return max(
--- a/fulmarhold/soak/processes.py
+++ b/fulmarhold/soak/processes.py
@@ -28,14 +28,9 @@
     """A daemon that can be restarted at the same address."""
 
     def __init__(
-        self,
-        role: str,
-        address: str,
-        data_centre: str,
-        seeds: tuple[str, ...],
-        folder: Path,
+        self, role: str, address: str, data_centre: str, seeds: tuple[str, ...], folder: Path,
         heartbeat_period: Milliseconds,
-    ) -> None:
+    ) -> None:  # fmt: skip
         self.role = role
         self.address = address
         self.name = f"{role}-{address}"
@@ -43,6 +38,7 @@
         self.folder = folder / self.name
         # Counts the starts: some guarantees hold only within one run of the process.
         self.incarnation = 0
+        self.started_at: Milliseconds = 0.0
         # A process that exits while this is set has exited by itself.
         self.should_run = False
         self._seeds = seeds
@@ -63,11 +59,17 @@
         return self.folder / "data"
 
     def start(self, *, is_first_start: bool = False) -> None:
-        """Start the process with a settings file in the format that the platform writes."""
+        """Start the process, unless it runs, with a settings file as the platform writes it.
+
+        Faults overlap, so another one may have restarted the process already.
+        """
+        if self.is_running:
+            return
         self.data_folder.mkdir(parents=True, exist_ok=True)
         self.write_settings(is_first_start=is_first_start)
         self.incarnation += 1
         self.should_run = True
+        self.started_at = self._clock.now()
         with (self.folder / "log").open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "fulmarhold.platform", self.role],
@@ -81,15 +83,9 @@
     ) -> None:
         """Write the settings file, with the given seeds instead of the original ones if any."""
         document = write_settings(
-            self.name,
-            self.role,
-            self.address,
-            self.data_centre,
-            seeds or self._seeds,
-            str(self.data_folder),
-            self._heartbeat_period,
-            is_first_start=is_first_start,
-        )
+            self.name, self.role, self.address, self.data_centre, seeds or self._seeds,
+            str(self.data_folder), self._heartbeat_period, is_first_start=is_first_start,
+        )  # fmt: skip
         temporary = self._settings_file.with_suffix(".tmp")
         temporary.write_text(json.dumps(document))
         temporary.replace(self._settings_file)
@@ -107,11 +103,16 @@
         self.wait_for_exit(KILL_TIMEOUT)
 
     def wait_for_exit(self, timeout: Milliseconds) -> int | None:
-        """Wait for the process to exit; return its exit code, or `None` if it is still running."""
-        until = self._clock.now() + timeout
-        while self.is_running and self._clock.now() < until:
+        """Wait for the process that runs now to exit, and not for one that is started meanwhile.
+
+        Return its exit code, or `None` if it is still running.
+        """
+        process, until = self._process, self._clock.now() + timeout
+        if process is None:
+            return None
+        while process.poll() is None and self._clock.now() < until:
             gevent.sleep(POLL_INTERVAL / SECOND)
-        return self.exit_code
+        return process.poll()
 
     def delete_data(self) -> None:
         """Delete the data folder; the process must have exited."""
--- a/fulmarhold/soak/run.py
+++ b/fulmarhold/soak/run.py
@@ -15,7 +15,8 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.soak.checks import checks
 from fulmarhold.soak.environment import Environment, FleetSizes
-from fulmarhold.soak.faults import faults
+from fulmarhold.soak.faults import Fault, faults
+from fulmarhold.soak.restarts import cut_first_start_short
 
 if TYPE_CHECKING:
     from fulmarhold.soak.observations import Observations
@@ -23,6 +24,11 @@
 # Mean time between the starts of faults, which may overlap.
 MEAN_FAULT_INTERVAL: Milliseconds = 900.0
 FEW_FAULT_KINDS = 4
+FIRST_FAULT_SHARE = 0.25
+# Planned work only, which must not cut a request.
+PLANNED_FAULTS = (
+    "change", "drain_upstream", "invalid", "race", "reload", "stop_series", "storm", "terminate",
+)  # fmt: skip
 # Maximum time for all running faults to finish after the last one has started.
 FAULT_END_TIMEOUT: Milliseconds = 40_000.0
 # The recovery bound of the user documentation plus time for load on the machine itself.
@@ -66,7 +72,7 @@
         fault_counts: Counter[str] = Counter()
         violations: list[str] = []
         try:
-            environment.start()
+            environment.start(plan_first_fault(seed))
             _inject_faults(environment, plan_faults(seed, duration), fault_counts)
             environment.wait_until_healthy(RECOVERY_TIMEOUT)
         except FulmarholdError as error:
@@ -75,14 +81,9 @@
             environment.stop()
         violations += run_checks(environment.observations)
         responses = environment.observations.responses
-        return Result(
-            seed,
-            tuple(violations),
-            dict(fault_counts),
-            len(responses),
-            sum(response.status == 200 for response in responses),
-            len(environment.observations.submitted),
-        )
+        served = sum(response.status == 200 for response in responses)
+        versions = len(environment.observations.submitted)
+        return Result(seed, tuple(violations), dict(fault_counts), len(responses), served, versions)
 
 
 def run_checks(observations: Observations) -> list[str]:
@@ -98,8 +99,10 @@
     """
     random = Random(f"faults of seed {seed}")
     # With few kinds of faults some subjects stay undisturbed, which some checks require.
-    names = sorted(faults)
-    names = random.sample(names, random.choice((FEW_FAULT_KINDS, len(names))))
+    scope = random.choice(("all", "few", "planned"))
+    names = list(PLANNED_FAULTS) if scope == "planned" else sorted(faults)
+    if scope == "few":
+        names = random.sample(names, FEW_FAULT_KINDS)
     plan: list[tuple[Milliseconds, str]] = []
     moment = random.expovariate(1 / MEAN_FAULT_INTERVAL)
     while moment < duration:
@@ -108,6 +111,12 @@
     return plan
 
 
+def plan_first_fault(seed: int) -> Fault | None:
+    """Return the fault that happens while the fleet starts; most seeds have none."""
+    random = Random(f"first fault of seed {seed}")
+    return cut_first_start_short if random.random() < FIRST_FAULT_SHARE else None
+
+
 def _inject_faults(
     environment: Environment, plan: list[tuple[Milliseconds, str]], fault_counts: Counter[str]
 ) -> None:
@@ -117,7 +126,7 @@
     for moment, name in plan:
         gevent.sleep(max(0.0, started_at + moment - environment.clock.now()) / SECOND)
         fault_counts[name] += 1
-        greenlets.append(gevent.spawn(faults.find(name), environment))
+        greenlets.append(environment.spawn(faults.find(name), environment))
         if environment.clock.now() > last_checked_at + CHECK_INTERVAL:
             last_checked_at = environment.clock.now()
             if run_checks(environment.observations):
--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import itertools
+from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 import gevent
+from gevent.lock import BoundedSemaphore
 from gevent.server import StreamServer
 
 from fulmarhold.clock import SECOND, Milliseconds
@@ -14,6 +16,7 @@
 from fulmarhold.membership.statements import DRAINING, READY, State, UpstreamStatement
 from fulmarhold.platform.encoding import HEARTBEAT_PATH, write_heartbeat
 from fulmarhold.platform.headers import NOT_RUN, REQUEST_ID, SIGNATURE, TARGET, UPSTREAM_ID
+from fulmarhold.soak.kinds import SLOW
 from fulmarhold.soak.observations import DrainAcknowledgement, Run, UpstreamReply
 from fulmarhold.web.client import request_json
 
@@ -21,10 +24,17 @@
     from collections.abc import Callable
 
     from fulmarhold.clock import Clock
-    from fulmarhold.soak.observations import Observations
+    from fulmarhold.soak.kinds import SLOW
+from fulmarhold.soak.observations import Observations
 
 RECORDS_PER_REPLY = 4
 RECORD_BYTES = 16
+# Work takes between these multiples of its mean.
+LEAST_WORK, MOST_WORK = 0.17, 1.83
+MEAN_WORK: Milliseconds = 3.0
+MEAN_SLOW_WORK: Milliseconds = 1_200.0
+SLOTS, SLOW_SLOTS = 8, 2
+QUEUED = 8
 ENDLESS_PIECE = b"X-More: 1\r\n" * 1_000
 HEARTBEAT_TIMEOUT: Milliseconds = 1_000.0
 DRAIN_TIMEOUT: Milliseconds = 8_000.0
@@ -36,22 +46,18 @@
     """One incarnation of an upstream; `public_address` is the address that it announces."""
 
     def __init__(
-        self,
-        service: str,
-        listen: tuple[str, int],
-        public_address: str,
-        data_centre: str,
-        control_endpoints: Callable[[], list[str]],
-        heartbeat_period: Milliseconds,
-        observations: Observations,
-        random: Random,
-    ) -> None:
+        self, service: str, listen: tuple[str, int], public_address: str, data_centre: str,
+        control_endpoints: Callable[[], list[str]], heartbeat_period: Milliseconds,
+        observations: Observations, random: Random,
+    ) -> None:  # fmt: skip
         clock = observations.clock
         born = int(clock.wall()) + next(_birth_offsets)
+        is_slow = service == SLOW.name
+        slots = SLOW_SLOTS if is_slow else SLOTS
         self.statement = UpstreamStatement(
-            f"i-{born}", born, 0, READY, service, public_address, data_centre, slots=8
+            f"i-{born}", born, 0, READY, service, public_address, data_centre, slots
         )
-        self.work: Milliseconds = 3.0
+        self.work: Milliseconds = MEAN_SLOW_WORK if is_slow else MEAN_WORK
         # Fractions of requests that run without a response, are shed, and hang.
         self.losing = self.shedding = self.hanging = 0.0
         # Fractions of responses that end early, and that go on without end in head or body.
@@ -63,6 +69,9 @@
         self._clock: Clock = clock
         self._random = random
         self._signatures = itertools.count(1)
+        self._slots = BoundedSemaphore(slots)
+        # Requests that run or wait for a slot.
+        self._accepted: list[Run] = []
         self._connections: set[Any] = set()
         self._server = StreamServer(listen, self._serve)
         self._server.start()
@@ -71,6 +80,8 @@
     def crash(self) -> None:
         """Stop abruptly, without announcing it."""
         self.is_stopped = True
+        for run in self._accepted:
+            run.broke_off = True
         self._heartbeats.kill(block=False)
         self._server.stop(timeout=0)
         for connection in list(self._connections):
@@ -97,19 +108,16 @@
             gevent.sleep(self._period / SECOND)
 
     def _announce(self, state: State) -> bool:
-        previous = self.statement
-        self.statement = UpstreamStatement(
-            previous.name, previous.born, previous.sequence + 1, state, previous.service,
-            previous.address, previous.data_centre, previous.slots,
-        )  # fmt: skip
+        sequence = self.statement.sequence + 1
+        self.statement = replace(self.statement, sequence=sequence, state=state)
         return self._call("PUT", write_heartbeat(self.statement))
 
     def _call(self, method: str, body: Any) -> bool:
         endpoints = self._control_endpoints()
         self._random.shuffle(endpoints)
+        path = HEARTBEAT_PATH + self.statement.name
         for endpoint in endpoints:
             try:
-                path = HEARTBEAT_PATH + self.statement.name
                 response = request_json(
                     endpoint, method, path, body=body, timeout=HEARTBEAT_TIMEOUT
                 )
@@ -147,28 +155,30 @@
     ) -> bool:
         name, request_id = self.statement.name, headers.get(REQUEST_ID.lower(), "")
         if headers.get(TARGET.lower(), name) != name:
-            self._respond(connection, 421, {NOT_RUN: "1", UPSTREAM_ID: name}, b"")
+            connection.sendall(_encode_response(421, {NOT_RUN: "1", UPSTREAM_ID: name}, b""))
             return True
-        if self._random.random() < self.shedding:
-            self._respond(connection, 503, {NOT_RUN: "1", REQUEST_ID: request_id}, b"")
+        is_full = len(self._accepted) >= self.statement.slots + QUEUED
+        if is_full or self._random.random() < self.shedding:
+            fields = {NOT_RUN: "1", REQUEST_ID: request_id}
+            connection.sendall(_encode_response(503, fields, b""))
             return True
         service = self.statement.service
-        self._observations.runs[request_id].append(
-            Run(request_id, method, target, body, service, name, self._clock.now())
-        )
-        if self._random.random() < self.hanging:
-            gevent.sleep(10)
-        gevent.sleep(self._random.uniform(0.3, 1.7) * self.work / SECOND)
+        run = Run(request_id, method, target, body, service, name, self._clock.now())
+        self._observations.runs[request_id].append(run)
+        self._work(run)
+        if self.is_stopped:
+            return False
         if self._random.random() < self.losing:
+            run.broke_off = True
             return False
         signature = f"{name}.{next(self._signatures)}"
         records = self._random.randbytes(RECORDS_PER_REPLY * RECORD_BYTES)
-        self._observations.upstream_replies[signature] = UpstreamReply(
-            request_id, service, 200, records
-        )
+        reply = UpstreamReply(request_id, service, 200, records)
+        self._observations.upstream_replies[signature] = reply
         fields = {SIGNATURE: signature, REQUEST_ID: request_id}
         response = _encode_response(200, fields, records)
         if self._random.random() < self.cutting:
+            run.broke_off = True
             connection.sendall(response[: self._random.randrange(len(response))])
             return False
         if self._random.random() < self.endless:
@@ -176,6 +186,19 @@
         connection.sendall(response)
         return True
 
+    def _work(self, run: Run) -> None:
+        """Wait for a slot and do the work of a request."""
+        self._accepted.append(run)
+        with self._slots:
+            if self.is_stopped:
+                return
+            run.started_at = self._clock.now()
+            if self._random.random() < self.hanging:
+                gevent.sleep(10)
+            gevent.sleep(self._random.uniform(LEAST_WORK, MOST_WORK) * self.work / SECOND)
+            run.until = self._clock.now()
+        self._accepted.remove(run)
+
     def _send_without_end(self, connection: Any, response: bytes) -> None:
         """Send the beginning of a response and more of it until the connection is closed."""
         head, _, body = response.partition(b"\r\nContent-Length")
@@ -185,9 +208,6 @@
             connection.sendall(ENDLESS_PIECE)
             gevent.sleep(0)
 
-    def _respond(self, connection: Any, status: int, headers: dict[str, str], body: bytes) -> None:
-        connection.sendall(_encode_response(status, headers, body))
-
 
 def _encode_response(status: int, headers: dict[str, str], body: bytes) -> bytes:
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", "Keep-Alive: timeout=4"]
--- a/fulmarhold/tests/soak/test_run.py
+++ b/fulmarhold/tests/soak/test_run.py
@@ -18,12 +18,15 @@
     WeightedService,
 )
 from fulmarhold.soak.faults import faults
-from fulmarhold.soak.run import plan_faults, run_soak
+from fulmarhold.soak.restarts import cut_first_start_short
+from fulmarhold.soak.run import PLANNED_FAULTS, plan_faults, plan_first_fault, run_soak
 
 DURATION = 8_000.0
+PLANNED = set(PLANNED_FAULTS)
 
 
-@pytest.mark.parametrize("seed", [11])
+# Seed 27 plans nothing but planned work, and lost requests on 2cd6338.
+@pytest.mark.parametrize("seed", [11, 27])
 def test_short_soak_violates_no_guarantee(seed, tmp_path):
     result = run_soak(seed, DURATION, folder=tmp_path)
     assert result.violations == (), str(result)
@@ -38,6 +41,14 @@
         assert moments == sorted(moments)
         assert all(0 <= moment < DURATION for moment in moments)
     assert {name for plan in plans.values() for _, name in plan} == set(faults)
+    planned_only = [plan for plan in plans.values() if {name for _, name in plan} <= PLANNED]
+    assert 20 <= len(planned_only) <= 50
+
+
+def test_a_seed_always_plans_the_same_fault_for_the_first_start():
+    planned = [plan_first_fault(seed) for seed in range(100)]
+    assert planned == [plan_first_fault(seed) for seed in range(100)]
+    assert set(planned) == {None, cut_first_start_short}
 
 
 def test_documents_written_by_the_soak_are_decoded_to_the_same_values():
