--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -94,6 +94,7 @@
 
 
 faults.register("stop_series")(stop_in_series)
+faults.register("odd_heartbeats")(send_odd_heartbeats)
 
 
 @faults.register("terminate")
@@ -205,12 +206,6 @@
         other.start(service)
 
 
-@faults.register("odd_heartbeats")
-def odd_heartbeats(environment: Environment) -> None:
-    """Send heartbeats that name no usable upstream; no process may end."""
-    send_odd_heartbeats(environment)
-
-
 @faults.register("change")
 def change(environment: Environment) -> None:
     """Submit a new configuration."""
--- a/fulmarhold/soak/odd_writer.py
+++ b/fulmarhold/soak/odd_writer.py
@@ -24,13 +24,16 @@
 NUMBERS = (b"1e400", b"9" * 5_000, b"-9223372036854775809", b"NaN", b'"2"', b"null", NESTED)
 TEXTS = (b'"\xff"', b'"\xed\xa0\x80"', b'"\\ud800"', b'"\\u0000"', b"7", b"null", NESTED)
 ADDRESSES = (
-    b'"::1%lo:9"', b'"[fe80::1%lo]:9"', b'"127.0.0.1:65536"', b'"127.0.0.1:-1"', b'"127.0.0.1"',
-    *TEXTS,
-)  # fmt: skip
-ODD = {
-    "service": TEXTS, "address": ADDRESSES, "zone": TEXTS, "version": TEXTS, "slots": NUMBERS,
-    "state": TEXTS, "warmupLeftMs": NUMBERS, "sequence": NUMBERS, "born": NUMBERS,
-}  # fmt: skip
+    b'"::1%lo:9"',
+    b'"[fe80::1%lo]:9"',
+    b'"127.0.0.1:65536"',
+    b'"127.0.0.1:-1"',
+    b'"127.0.0.1"',
+)
+ODD: dict[str, tuple[bytes, ...]] = {
+    field: TEXTS if value[:1] == b'"' else NUMBERS for field, value in USUAL.items()
+}
+ODD["address"] += ADDRESSES
 
 
 def write_odd_heartbeat(field: str, value: bytes) -> bytes:
