--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import os
-import select
 from collections import deque
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -21,7 +20,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.server import listen
-from fulmarhold.wire.sockets import prepare_connection, round_trip
+from fulmarhold.wire.sockets import has_input, prepare_connection, round_trip
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -157,7 +156,7 @@
         if server is None:
             return
         until = self.clock.now() + LAST_ACCEPT_TIME
-        while self.clock.now() < until and _is_readable(server.socket.fileno()):
+        while self.clock.now() < until and has_input(server.socket.fileno()):
             gevent.sleep(ACCEPT_PAUSE / SECOND)
         server.stop_accepting()
         server.close()
@@ -242,7 +241,8 @@
     @property
     def _has_input(self) -> bool:
         """Whether bytes have arrived that were not read yet."""
-        return _is_readable(self._socket.fileno())
+        descriptor = self._socket.fileno()
+        return descriptor >= 0 and has_input(descriptor)
 
     @property
     def _has_further_request(self) -> bool:
@@ -445,12 +445,3 @@
                 pass
         except (OSError, TimeoutError):
             self._server.counters.add("caller_connections_lost", reason="while_closing")
-
-
-def _is_readable(descriptor: int) -> bool:
-    """Whether a socket has input, or connections to accept, at this moment."""
-    if descriptor < 0:
-        return False
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    return bool(poll.poll(0))
--- a/fulmarhold/web/server.py
+++ b/fulmarhold/web/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 from typing import TYPE_CHECKING, Any
 
@@ -11,6 +10,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.observe.logs import get_logger
+from fulmarhold.wire.sockets import has_input
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,7 +105,7 @@
         try:
             has_begun = self.server.wait_for_bytes(lambda: self.rfile.peek(1))
         except _Idle:
-            has_begun = _has_arrived(self.socket)
+            has_begun = has_input(self.socket.fileno())
         return str(super().read_requestline()) if has_begun else ""
 
     def finalize_headers(self) -> None:
@@ -136,10 +136,3 @@
             self.socket.shutdown(socket.SHUT_RD)
         except OSError as error:
             log.info("response to {} not sent: {}", self.client_address, error)
-
-
-def _has_arrived(connection: Any) -> bool:
-    """Whether bytes can be read from a connection without waiting."""
-    poll = select.poll()
-    poll.register(connection.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
--- a/fulmarhold/wire/sockets.py
+++ b/fulmarhold/wire/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 from typing import Any
@@ -56,3 +57,10 @@
         raise OSError("the kernel does not report a round-trip time")
     microseconds: int = struct.unpack_from("I", info, ROUND_TRIP_OFFSET)[0]
     return microseconds * SECOND / MICROSECONDS_PER_SECOND
+
+
+def has_input(descriptor: int) -> bool:
+    """Whether a socket has bytes to read, or connections to accept, at this moment."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
