--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -54,6 +54,8 @@
 # How long an entry may still be called after the last directory answer that lists it expires: the
 # answer may have been in transit, and callers may be opening a connection at that moment.
 LATE_CALLER_MARGIN: Milliseconds = 600.0
+# How long the interfaces beside that for callers may take to send their last responses.
+CLOSING_TIME: Milliseconds = 200.0
 # How often a stopping entry looks whether it has answered all requests.
 COMPLETION_PERIOD: Milliseconds = 10.0
 # The average event loop lag above which an entry counts as busy, and below which it no longer does:
@@ -160,10 +162,11 @@
             # The answers have to be written even if this process was held up until now.
             self._complete(max(schedule.exits_by, self._clock.now() + SEND_RESERVE))
         gevent.killall(self._greenlets)
-        self._readiness.stop(timeout=0)
-        self._directory.stop(timeout=0)
-        self._metrics.stop(timeout=0)
-        self._messages.stop()
+        servers = [
+            gevent.spawn(server.stop, timeout=0)
+            for server in (self._readiness, self._directory, self._metrics, self._messages)
+        ]
+        gevent.joinall(servers, timeout=CLOSING_TIME / SECOND)
         self._collectors.close()
         self._table.close()
         self._report_stop("exiting", cut=self.forwarder.report_cut())
