Refuse configurations that a reader can't read in full, or that are ambiguous

A new configuration is read strictly now and refused with the field's name; stored ones of earlier releases are decoded as before, so that entries go on with them. A damaged packed document is malformed input.

--- a/fulmarhold/platform/documents.py
+++ b/fulmarhold/platform/documents.py
@@ -28,6 +28,7 @@
     UpstreamService,
     WeightedService,
     check_configuration,
+    check_new_configuration,
 )
 from fulmarhold.settings.problems import InvalidSettings, Problem
 from fulmarhold.settings.structs import decode_struct
@@ -117,8 +118,20 @@
     return value
 
 
+def decode_new_configuration(body: bytes) -> RouteConfiguration:
+    """Decode and validate a configuration that an operator sends.
+
+    Raises `MalformedInput` if it can't be read in full and `InvalidSettings` if it isn't valid.
+    Stored configurations of earlier releases are decoded with `decode_configuration`.
+    """
+    read_strict_object(body)
+    configuration = decode_configuration(body)
+    check_new_configuration(configuration)
+    return configuration
+
+
 def decode_configuration(body: bytes) -> RouteConfiguration:
-    """Decode and validate an operator's configuration.
+    """Decode and validate a stored configuration.
 
     Raises `MalformedInput` if it can't be parsed and `InvalidSettings` if it isn't valid.
     """
@@ -147,9 +160,12 @@
 
 
 def unpack_document(document: bytes) -> bytes:
-    """Decompress a configuration; raises `MalformedInput` if it is larger than allowed."""
+    """Decompress a configuration; raises `MalformedInput` if it is damaged or too large."""
     inflater = zlib.decompressobj()
-    body = inflater.decompress(document, MAX_DOCUMENT_BYTES)
+    try:
+        body = inflater.decompress(document, MAX_DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise MalformedInput(f"the document is damaged: {error}", step="unpacking") from error
     if inflater.unconsumed_tail:
         raise MalformedInput("the document is larger than allowed", step="unpacking")
     return body
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -14,8 +14,8 @@
     HEARTBEAT_FIELDS,
     MAX_DOCUMENT_BYTES,
     check_id,
-    decode_configuration,
     decode_heartbeat,
+    decode_new_configuration,
     pack_document,
     unpack_document,
 )
@@ -43,7 +43,7 @@
 
     def on_put(self, request: falcon.Request, response: falcon.Response) -> None:
         body = read_body(request, MAX_DOCUMENT_BYTES)
-        version = decode_configuration(body).version
+        version = decode_new_configuration(body).version
         self._versions.store(version, pack_document(body))
         response.media = {"version": version}
 
--- a/fulmarhold/routes/configuration.py
+++ b/fulmarhold/routes/configuration.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
 
+from fulmarhold.clock import HOUR
 from fulmarhold.settings.problems import InvalidSettings, Problem
 
 if TYPE_CHECKING:
@@ -21,6 +22,11 @@
 DEFAULT_BODY_BYTES = 262_144
 DEFAULT_HEADER_TIMEOUT: Milliseconds = 3_000.0
 DEFAULT_IDLE_TIMEOUT: Milliseconds = 15_000.0
+# Larger numbers are not exact in JSON, or can't be stored.
+MAX_VERSION = 2**53
+MAX_DURATION: Milliseconds = 24 * HOUR
+# In bytes, milliseconds or units of weight.
+MAX_LIMIT = 2**31 - 1
 
 
 @dataclass(frozen=True)
@@ -87,17 +93,34 @@
     limits: CallerLimits = CallerLimits()
 
 
+def check_new_configuration(configuration: RouteConfiguration) -> None:
+    """Raise `InvalidSettings` with all problems of a configuration that is to be accepted.
+
+    One that an earlier release has accepted is only checked with `check_configuration`.
+    """
+    problems = [*_duplicate_problems((item.host.lower(), item) for item in configuration.routes)]
+    if not 0 <= configuration.version <= MAX_VERSION:
+        problems.append(Problem("version", f"must be from 0 to {MAX_VERSION}"))
+    for route in configuration.routes:
+        problems.extend(_new_route_problems(route, configuration.services))
+    for name, value in asdict(configuration.limits).items():
+        if not 0 < value <= MAX_LIMIT:
+            problems.append(Problem(f"limits.{name}", f"must be above 0, and {MAX_LIMIT} at most"))
+    if problems:
+        raise InvalidSettings(f"configuration {configuration.version}", problems)
+
+
 def check_configuration(configuration: RouteConfiguration) -> None:
     """Raise `InvalidSettings` with all problems of a configuration, if it has any."""
-    problems = [*_duplicate_problems(configuration.routes)]
+    problems = [*_duplicate_problems((item.host, item) for item in configuration.routes)]
     for route in configuration.routes:
         problems.extend(_route_problems(route, configuration.services))
     if problems:
         raise InvalidSettings(f"configuration {configuration.version}", problems)
 
 
-def _duplicate_problems(routes: Iterable[Route]) -> Iterable[Problem]:
-    occurrences = Counter((route.host, route.path_prefix) for route in routes)
+def _duplicate_problems(routes: Iterable[tuple[str, Route]]) -> Iterable[Problem]:
+    occurrences = Counter((host, route.path_prefix) for host, route in routes)
     for (host, prefix), count in occurrences.items():
         if count > 1:
             yield Problem(f"routes.{host}{prefix}", f"is defined {count} times")
@@ -114,3 +137,17 @@
         yield Problem(path, "has weights that add up to zero")
     if route.timeout <= 0:
         yield Problem(path, f"has the timeout {route.timeout:g} ms, which must be above 0")
+
+
+def _new_route_problems(route: Route, services: dict[str, UpstreamService]) -> Iterable[Problem]:
+    path = f"routes.{route.name}"
+    if route.shards:
+        for item in route.services:
+            if item.service not in services:
+                yield Problem(path, f"names the unknown service {item.service!r:.60}")
+    for field, value in (("timeout", route.timeout), ("target latency", route.target_latency)):
+        if not 0 <= value <= MAX_DURATION:
+            yield Problem(path, f"has the {field} {value:g} ms, which must be from 0 to a day")
+    for item in route.services:
+        if not item.weight <= MAX_LIMIT:
+            yield Problem(path, f"has the weight {item.weight:g}, which is too large")
--- a/fulmarhold/tests/platform/test_documents.py
+++ b/fulmarhold/tests/platform/test_documents.py
@@ -14,6 +14,7 @@
 from fulmarhold.platform.documents import (
     decode_configuration,
     decode_heartbeat,
+    decode_new_configuration,
     pack_document,
     unpack_document,
 )
@@ -200,3 +201,52 @@
 def test_an_error_names_the_invalid_setting(changes, named):
     with pytest.raises(FulmarholdError, match=named):
         decode_settings({**SETTINGS, **changes}, "settings")
+
+
+def with_route(**changes):
+    return {**CONFIGURATION, "routes": [{**CONFIGURATION["routes"][0], **changes}]}
+
+
+ROUTE = CONFIGURATION["routes"][0]
+# Configurations that some reader can't read, or that are obeyed in part only.
+UNREADABLE = {
+    "surrogate": json.dumps(with_route(name="\ud800")).encode(),
+    "surrogate bytes": json.dumps(CONFIGURATION).encode().replace(b'"r1"', b'"\xed\xa0\x80"'),
+    "not UTF-8": json.dumps(CONFIGURATION).encode().replace(b'"r1"', b'"\xff"'),
+    "UTF-16": json.dumps(CONFIGURATION).encode("utf-16"),
+    "not a number": json.dumps(with_route(timeoutMs=float("nan"))).encode(),
+    "infinity": json.dumps(with_route(timeoutMs=float("inf"))).encode(),
+    "overflow": json.dumps(CONFIGURATION).encode().replace(b"1200", b"1e999"),
+    "endless timeout": json.dumps(with_route(timeoutMs=10**12)).encode(),
+    "version": json.dumps({**CONFIGURATION, "version": 2**64}).encode(),
+    "negative version": json.dumps({**CONFIGURATION, "version": -1}).encode(),
+    "nesting": json.dumps({**CONFIGURATION, "more": json.loads("[" * 50 + "]" * 50)}).encode(),
+    "unknown service beside shards": json.dumps(with_route(service="unknown")).encode(),
+    "hosts in two cases": json.dumps(
+        {**CONFIGURATION, "routes": [ROUTE, {**ROUTE, "name": "r2", "host": "H.example"}]}
+    ).encode(),
+    "no limit": json.dumps({**CONFIGURATION, "limits": {"maxBodyBytes": 0}}).encode(),
+}
+
+
+# Guards against acknowledging a configuration that can't be read back or isn't obeyed as a whole.
+@pytest.mark.parametrize("body", UNREADABLE.values(), ids=UNREADABLE)
+def test_a_configuration_that_is_not_readable_or_ambiguous_is_refused(body):
+    with pytest.raises(FulmarholdError):
+        decode_new_configuration(body)
+
+
+def test_a_configuration_that_is_valid_is_accepted_as_it_is_decoded_later():
+    body = json.dumps(CONFIGURATION).encode()
+    assert decode_new_configuration(body) == decode_configuration(body)
+
+
+# Guards against entries that can't apply what an earlier release has accepted.
+def test_a_stored_configuration_of_an_earlier_release_is_still_decoded():
+    stored = {**with_route(service="unknown"), "limits": {"maxBodyBytes": 0}}
+    assert decode_configuration(json.dumps(stored).encode()).version == CONFIGURATION["version"]
+
+
+def test_a_damaged_packed_document_is_malformed_input():
+    with pytest.raises(FulmarholdError):
+        unpack_document(b"\x00" + pack_document(b"{}"))
