Let only upstreams of configured services compete for an address

Of the statements for an address only those of the services in force count now. An address that really is used again is still safe: its new owner rejects requests that name the previous one, and takes over once a configuration names its service.

Test: membership/test_watcher.py; before, the statement that started last owned the address whatever its service.

--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -27,7 +27,7 @@
 from fulmarhold.wire.links import Links
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Container
 
     from fulmarhold.clock import Clock
     from fulmarhold.observe.counters import Counters
@@ -100,13 +100,14 @@
         if self._endpoint:
             gevent.spawn(self._send_state)
 
-    def serving_upstreams(self) -> list[UpstreamStatement]:
-        """Return the upstreams that own their address and are ready by their newest statement."""
-        return [
-            statement
-            for statement in owners_by_address(self.upstreams.all()).values()
-            if statement.state == READY
-        ]
+    def serving_upstreams(self, services: Container[str]) -> list[UpstreamStatement]:
+        """Return the upstreams of some services that own their address and are ready.
+
+        A statement of another service, which may be unknown, takes no address from them. Where an
+        address is used again, its new owner rejects requests that name the previous one.
+        """
+        stated = [item for item in self.upstreams.all() if item.service in services]
+        return [item for item in owners_by_address(stated).values() if item.state == READY]
 
     def entries(self) -> list[InstanceStatement]:
         """Return the entries that serve callers now."""
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -225,7 +225,9 @@
 
     def _update_fleet(self) -> None:
         """Update the active entries and the upstream table from the watcher."""
-        upstreams = self.watcher.serving_upstreams()
+        routes = self.forwarder.routes
+        services = routes.configuration.services if routes else ()
+        upstreams = self.watcher.serving_upstreams(services)
         self._active = self._active_entries(upstreams)
         self._settling.update({item.name for item in self._active}, self._clock.now())
         self._collectors.update(self._active)
--- a/fulmarhold/tests/membership/test_watcher.py
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -167,7 +167,7 @@
     watcher = make_watcher(fleet)
     fleet.steps = deque([nothing, nothing])
     gevent.spawn(watcher.run).join(timeout=5)
-    assert watcher.upstreams.all() == watcher.serving_upstreams() == [UPSTREAM]
+    assert watcher.upstreams.all() == watcher.serving_upstreams(("parts",)) == [UPSTREAM]
     assert fleet.asked == ["far:1", "far:1", "near:1"]
     assert fleet.counters.value("statements_skipped", subject="upstream") == 2
 
@@ -183,3 +183,16 @@
     assert watcher.instances.find("odd") is None
     assert watcher.own.born == OWN.born
     assert watcher.instances.find("near") is not None
+
+
+# Guards against an upstream that is out of use because another writer has stated its address.
+def test_a_statement_of_an_unknown_service_takes_no_address_from_an_upstream(fleet):
+    stranger = replace(UPSTREAM, name="stranger", service="unnamed", born=UPSTREAM.born + 1)
+    successor = replace(UPSTREAM, name="successor", service="more", born=UPSTREAM.born + 2)
+    fleet.upstreams = (UPSTREAM, stranger)
+    watcher = make_watcher(fleet)
+    fleet.steps = deque([nothing, nothing])
+    gevent.spawn(watcher.run).join(timeout=5)
+    assert watcher.serving_upstreams({"parts"}) == [UPSTREAM]
+    watcher.upstreams.apply(successor, 0.0)
+    assert watcher.serving_upstreams({"parts", "more"}) == [successor]
