Found the cluster by a vote of the first seeds, so that no single member is required

Cause: only the process with the lowest seed address formed the cluster, and only while its own bootstrap was true; nobody else could. Node.form also wrote the first log entry before the name of the cluster, so a process killed between the two came back with a log and no cluster, and joining then would append that entry again. If only the founder held the entry and it lost its disk, the members that had joined knew no voters.

Ruled out: another rule for who forms (the next lowest after a while) can found two clusters.

Change: the seeds agree on the cluster and its voters with one instance of Paxos (consensus/founding.py, without I/O; control/founding.py asks and answers). A vote is synced before it is answered and stays valid with bootstrap false; a majority decides; a later round proposes again what may be decided. A member with an empty disk has a vote only with bootstrap true and if no seed that answers knows its endpoint by another identity or belongs to a cluster. A member that accepted the cluster joins it with the first entry.

Limit: if a member that holds a decided vote loses its disk and comes back with bootstrap still true while no seed that knew it answers, it can't be told from a first start. The platform sets bootstrap to false after the loss of a disk; then it has no vote.

--- a/fulmarhold/consensus/node.py
+++ b/fulmarhold/consensus/node.py
@@ -42,6 +42,7 @@
     from collections.abc import Callable, Iterable
 
     from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.consensus.founding import FoundingVote
     from fulmarhold.consensus.transport import Transport
 
 log = get_logger("consensus")
@@ -137,6 +138,15 @@
     def cluster(self) -> str:
         return self._storage.identity.cluster
 
+    @property
+    def founding_vote(self) -> FoundingVote | None:
+        """The stored vote of this member in the founding of its cluster, if it takes part."""
+        return self._storage.founding_vote
+
+    def store_founding_vote(self, vote: FoundingVote) -> None:
+        """Store a vote in the founding; raises `StorageFailed`."""
+        self._storage.store_founding_vote(vote)
+
     @property
     def core(self) -> RaftCore:
         """The Raft core; raises `NotFormed` before this instance forms or joins a cluster."""
@@ -219,11 +229,28 @@
         if not self.cluster:
             # The identity is new and random, so the sender can know it only from the members of
             # the cluster that has admitted this instance.
-            self._storage.join_cluster(message.cluster)
-            self._start_core(HardState(), MemoryLog(EMPTY_SNAPSHOT))
-            log.info("joined cluster {}", message.cluster)
+            try:
+                self._join(message.cluster)
+            except StorageFailed as error:
+                log.error("can't join cluster {} yet: {}", message.cluster, error)
+                return
         self._events.put(lambda core: core.receive(message, self._clock.now()))
 
+    def _join(self, cluster: str) -> None:
+        """Join a running cluster, with its first entry if this member has accepted it.
+
+        The member that founded it may have been the only other one to hold the entry.
+        """
+        vote = self.founding_vote
+        accepted = vote.accepted if vote else None
+        is_founder = accepted is not None and self.identity in accepted.voters
+        if accepted is not None and is_founder and accepted.cluster == cluster:
+            self.form(cluster, accepted.voters)
+            return
+        self._storage.join_cluster(cluster)
+        self._start_core(HardState(), MemoryLog(EMPTY_SNAPSHOT))
+        log.info("joined cluster {}", cluster)
+
     def _grant_for_lost_identity(self, endpoint: str, message: PeerMessage) -> None:
         """Grant a restart vote for the identity that this endpoint had before it lost its disk.
 
--- a/fulmarhold/consensus/storage.py
+++ b/fulmarhold/consensus/storage.py
@@ -10,8 +10,10 @@
 from io import FileIO
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import xxhash
 
+from fulmarhold.consensus.founding import FoundingVote
 from fulmarhold.consensus.memory import MemoryLog
 from fulmarhold.consensus.messages import LogEntry, Members, Snapshot
 from fulmarhold.consensus.output import HardState, Output
@@ -26,6 +28,7 @@
 log = get_logger("storage")
 
 IDENTITY_FILE = "identity.bin"
+FOUNDING_FILE = "founding.bin"
 # The first segment of the log; later ones also carry the index before their first entry.
 LOG_FILE = "log.bin"
 LOG_SUFFIX = ".bin"
@@ -88,6 +91,7 @@
         self._lock = self._acquire_lock()
         self._is_identity_stored = True
         self.identity = self._load_identity()
+        self.founding_vote = self._load_founding_vote()
         spread = xxhash.xxh32_intdigest(self.identity.member.encode()) / 2**32
         self._compaction_factor = 1.0 + COMPACTION_SPREAD * spread
 
@@ -111,6 +115,16 @@
         self.identity = Identity(self.identity.member, cluster)
         self._is_identity_stored = False
 
+    def store_founding_vote(self, vote: FoundingVote) -> None:
+        """Store and sync this member's vote in the founding; raises `StorageFailed`."""
+        try:
+            if not self._is_identity_stored:
+                self._store_identity()
+            self._write_atomically(FOUNDING_FILE, encode_record(msgspec.to_builtins(vote)))
+        except OSError as error:
+            raise StorageFailed(f"can't store the vote: {error}", step="founding") from error
+        self.founding_vote = vote
+
     def load(self) -> tuple[HardState, MemoryLog]:
         """Load the synced state; raises `CorruptFile` if a file is damaged."""
         values: list[Any] = []
@@ -209,6 +223,15 @@
             log.warning("the new identity is not stored yet: {}", error)
         return self.identity
 
+    def _load_founding_vote(self) -> FoundingVote | None:
+        path = self._folder / FOUNDING_FILE
+        if not path.exists():
+            return None
+        records = decode_records(path, path.read_bytes())
+        if len(records.values) != 1:
+            raise CorruptFile(path, records.length, "the vote is incomplete")
+        return msgspec.convert(records.values[0], FoundingVote)
+
     def _store_identity(self) -> None:
         record = encode_record([self.identity.member, self.identity.cluster])
         self._write_atomically(IDENTITY_FILE, record)
--- a/fulmarhold/control/formation.py
+++ b/fulmarhold/control/formation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import uuid
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -10,9 +9,11 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.consensus.core import NotLeader
+from fulmarhold.consensus.founding import FoundingRequest
+from fulmarhold.control.founding import Founder
 from fulmarhold.control.voter_changes import MemberHealth, admit, next_members
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.membership.feed import IdentityReply, IdentityRequest, JoinCluster
+from fulmarhold.membership.feed import JoinCluster
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.links import Links
 from fulmarhold.wire.messages import Done, Failure
@@ -51,14 +52,14 @@
         self._node = node
         self._own_endpoint = own_endpoint
         self._seeds = seeds
-        self._is_first_start = is_first_start
         self._target_voters = target_voters
         self._clock = clock
         self._links = Links()
+        self._founder = Founder(node, own_endpoint, seeds, is_first_start, self._call, clock)
 
     def register(self, server: MessageServer) -> None:
         """Register the handlers of the messages that form and join a cluster."""
-        server.handle(IdentityRequest, self._handle_identity)
+        server.handle(FoundingRequest, self._founder.handle)
         server.handle(JoinCluster, self._handle_join)
 
     def run(self) -> None:
@@ -72,29 +73,15 @@
 
     def _step(self) -> None:
         if not self._node.is_formed:
-            seeds = self._seeds()
-            if self._is_first_start and seeds and min(seeds) == self._own_endpoint:
-                self._form(seeds)
-            else:
+            if self._founder.takes_part:
+                self._founder.step()
+            if not self._node.is_formed:
                 self._ask_to_join()
         elif self._node.core.is_leader:
             self._reconcile_members()
         elif self._node.confirmed_age() > REJOIN_TIMEOUT:
             self._ask_to_join()
 
-    def _form(self, seeds: tuple[str, ...]) -> None:
-        voters = {self._node.identity: self._own_endpoint}
-        for endpoint in seeds:
-            if endpoint == self._own_endpoint:
-                continue
-            reply = self._call(endpoint, IdentityRequest())
-            if reply.cluster:
-                log.info("{} already belongs to a cluster; asking to join it", endpoint)
-                self._is_first_start = False
-                return
-            voters[reply.identity] = endpoint
-        self._node.form(uuid.uuid4().hex, voters)
-
     def _ask_to_join(self) -> None:
         known = self._node.core.members.all_members.values() if self._node.is_formed else ()
         request = JoinCluster(self._node.identity, self._own_endpoint)
@@ -107,9 +94,6 @@
             except FulmarholdError as error:
                 log.debug("{} did not admit this instance: {}", endpoint, error)
 
-    def _handle_identity(self, _: IdentityRequest) -> IdentityReply:
-        return IdentityReply(self._node.identity, self._node.cluster)
-
     def _handle_join(self, request: JoinCluster) -> Any:
         if not self._node.is_formed:
             return Failure("not_formed")
--- a/fulmarhold/membership/feed.py
+++ b/fulmarhold/membership/feed.py
@@ -116,19 +116,6 @@
     endpoint: str
 
 
-@message
-class IdentityRequest:
-    """Asks a control instance for its identity, before a cluster is formed."""
-
-
-@message
-class IdentityReply:
-    """Tells the identity of a control instance and the cluster that it belongs to, if any."""
-
-    identity: str
-    cluster: str
-
-
 @message
 class SubmitVersion:
     """Forwards an operator's configuration to the leader."""
