--- a/fulmarhold/tests/wire/test_odd_values.py
+++ b/fulmarhold/tests/wire/test_odd_values.py
@@ -11,7 +11,7 @@
 
 from fulmarhold.errors import FulmarholdError, MalformedInput, PeerUnavailable
 from fulmarhold.fleet.ports import PortAllocator
-from fulmarhold.membership.feed import AskStatements, IdentityReply, ReadVersion, VersionRead
+from fulmarhold.membership.feed import AskStatements, JoinCluster, ReadVersion, VersionRead
 from fulmarhold.observe.counters import Counters
 from fulmarhold.tests.wire.test_wire import Receiver
 from fulmarhold.wire.client import CallFailed, Link
@@ -19,7 +19,7 @@
 from fulmarhold.wire.messages import Done
 from fulmarhold.wire.server import MessageServer
 
-UNENCODABLE = [VersionRead(2**64, b""), IdentityReply("\ud800", "")]
+UNENCODABLE = [VersionRead(2**64, b""), JoinCluster("\ud800", "")]
 
 
 def deep(levels):
