Ignore signals once a daemon has stopped

A process that had stopped as planned, and had written 'stopped' with code 0, was killed by a second SIGTERM (exit -15): since the interpreter knows the handler, and restores the default at its own exit.

--- a/fulmarhold/daemons.py
+++ b/fulmarhold/daemons.py
@@ -103,6 +103,7 @@
         print(daemon.failure.exception, file=sys.stderr)
         return EXIT_FAILED
     daemon.stop(stop_signal.received_at)
+    stop_signal.ignore()
     return 0
 
 
@@ -136,6 +137,11 @@
         if self._received_at is None:
             self._ended.wait()
 
+    def ignore(self) -> None:
+        """Ignore further signals: the interpreter's exit would let them end the process."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
+
     def _note(self, *_: object) -> None:
         if self._received_at is None:
             self._received_at = self._clock.now()
