--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -15,6 +15,7 @@
 from fulmarhold.forwarding.request import ForwardRequest, Verdict
 from fulmarhold.forwarding.shard_timing import STRAGGLER_SHARE, straggler_hedge_delay
 from fulmarhold.limits.budget import ExtraLoadBudget
+from fulmarhold.limits.memory import Holder
 from fulmarhold.observe.estimates import ReplyEstimates
 from fulmarhold.routing.choice import choosers
 
@@ -24,6 +25,7 @@
 
     from fulmarhold.clock import Clock
     from fulmarhold.forwarding.codec import UpstreamCodec
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.observe.counters import Counters
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routing.replica import Replica
@@ -55,8 +57,10 @@
         random: Random,
         counters: Counters,
         events: EventLog,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._table = table
+        self._memory = memory
         self._codec = codec
         self._clock = clock
         self._random = random
@@ -110,6 +114,8 @@
             events=self._events,
             useful_until=now + request.useful_for,
             is_urgent=request.is_urgent,
+            top_records=request.top_records,
+            held=self._memory.open_fixed(Holder.REPLY) if self._memory else None,
         )
         replicas = [self._table.find(name) for name in request.upstreams]
         collector = PartCollector(context, replicas, request.top_records, replies, self._open)
@@ -249,6 +255,8 @@
         self._replies.end()
         for call in self._calls:
             call.close()
+        if self._context.held is not None:
+            self._context.held.release()
         own = gevent.getcurrent()
         for timer in self._timers:
             if timer is not own:
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -23,6 +23,7 @@
 from fulmarhold.gather.query import QueryRunner
 from fulmarhold.gather.services import ServicePolicies
 from fulmarhold.limits.admission import Admission
+from fulmarhold.limits.memory import MEBIBYTE, MemoryBudget, held_bytes_limit
 from fulmarhold.membership.announced import AnnouncedSet
 from fulmarhold.membership.directory import Directory
 from fulmarhold.membership.exchange import MembershipExchange
@@ -68,7 +69,9 @@
         self.exchange = MembershipExchange(
             own, self.running, self._announced, self.directory, control, clock, counters
         )
-        self.table = RoutingTable(self.directory, self.running, clock, counters)
+        limit = held_bytes_limit(settings.memory_mebibytes * MEBIBYTE)
+        self._memory = MemoryBudget(limit, clock, counters)
+        self.table = RoutingTable(self.directory, self.running, clock, counters, self._memory)
         self._addresses = EntryAddresses(own, self.running, self.directory, self.exchange)
         self._effects = EffectRunner(
             settings.name, self.table, self.directory, control, clock, counters
@@ -152,6 +155,7 @@
     def _run_maintenance(self) -> None:
         while True:
             self.table.maintain()
+            self._memory.check_relief()
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
 
     def _longest_deadline(self) -> Milliseconds:
@@ -178,6 +182,7 @@
         yield "entry_loop_lag_ms", {}, self._lag.value
         yield "entry_in_flight", {}, float(self._in_flight)
         yield from self.request_handler.gauges()
+        yield from self._memory.gauges()
         replicas = list(self.table.replicas)
         yield "entry_upstreams", {}, float(len(replicas))
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
 from fulmarhold.forwarding.attempt import FIRST, HEDGE, RETRY, CallAttempt
+from fulmarhold.forwarding.records import RECORD_BYTES, greatest_records
 from fulmarhold.forwarding.request import FailedReason, RefusedReason, Verdict
 from fulmarhold.routing.choice import candidates, timely_local
 
@@ -21,6 +23,8 @@
 # A replica in another data centre is an alternative to the best one up to this multiple of its
 # expected latency: what is gained by asking for many parts together is worth that much time.
 REMOTE_CHOICE_FACTOR = 1.5
+# A part up to this size is kept as it is until the answer is merged.
+KEPT_WHOLE_BYTES = 4_096
 
 
 class CallOwner(Protocol):
@@ -191,7 +195,7 @@
         if self._is_closed:
             return
         if self.is_done:
-            self.reply = reply
+            self.reply = self._keep(reply)
         else:
             self.attempt_replied(attempt, reply)
 
@@ -206,6 +210,7 @@
         """Handle a complete response to this request."""
         if self.is_done or self._is_closed:
             return
+        reply = self._keep(reply)
         match reply.verdict:
             case Verdict.SUCCESS:
                 self.reply = reply
@@ -229,6 +234,16 @@
         else:
             self._retry_or_finish(RefusedReason.UNREACHABLE, None, None)
 
+    def _keep(self, reply: Reply) -> Reply:
+        """Account for a reply until the request has its outcome; returns what has to be kept."""
+        context = self._context
+        size = len(reply.body)
+        if size > KEPT_WHOLE_BYTES and 0 < context.top_records * RECORD_BYTES < size:
+            reply = replace(reply, body=greatest_records((reply.body,), context.top_records))
+        if context.held is not None:
+            context.held.grow(len(reply.body))
+        return reply
+
     def _retry_or_finish(
         self, refusal: RefusedReason | None, failure: FailedReason | None, reply: Reply | None
     ) -> None:
--- a/fulmarhold/forwarding/codec.py
+++ b/fulmarhold/forwarding/codec.py
@@ -14,7 +14,7 @@
     """Encodes requests to upstreams and interprets their responses."""
 
     def prepare(self, request: ForwardRequest) -> tuple[bytes, bytes]:
-        """Return the bytes before and after the headers that differ between upstreams."""
+        """Return the head without the headers that differ between upstreams, and the body."""
 
     def encode(self, prepared: tuple[bytes, bytes], upstream: str, left: Milliseconds) -> bytes:
         """Return the request bytes for the incarnation `upstream`, which has `left` ms to reply."""
--- a/fulmarhold/forwarding/context.py
+++ b/fulmarhold/forwarding/context.py
@@ -10,6 +10,7 @@
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.forwarding.request import ForwardRequest
+    from fulmarhold.limits.memory import FixedHolding
     from fulmarhold.observe.counters import Counters
     from fulmarhold.observe.estimates import ReplyEstimates
     from fulmarhold.observe.events import EventLog
@@ -35,11 +36,17 @@
         *,
         useful_until: Milliseconds,
         is_urgent: bool = True,
+        top_records: int = 0,
+        held: FixedHolding | None = None,
     ) -> None:
         self.request = request
         # When replies start to be late, and whether no route has a higher priority.
         self.useful_until = useful_until
         self.is_urgent = is_urgent
+        # How many records of a part can be in the answer; zero if replies are no parts.
+        self.top_records = top_records
+        # Accounts for the replies until the request has its outcome.
+        self.held = held
         self.codec = codec
         self.prepared = codec.prepare(request)
         self.deadline_at = deadline_at
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 from fulmarhold.forwarding.single import SingleForward
 from fulmarhold.forwarding.stopping import expected_duration
 from fulmarhold.limits.budget import SlackBudget
+from fulmarhold.limits.memory import Holder
 from fulmarhold.limits.retry_after import retry_delay_after_refusal, retry_delay_while_starting
 from fulmarhold.observe.estimates import RecentLatencies, ReplyEstimates
 from fulmarhold.observe.latency import LatencyHistogram
@@ -36,6 +37,7 @@
     from fulmarhold.forwarding.stopping import StopSchedule
     from fulmarhold.forwarding.upstreams import UpstreamTable
     from fulmarhold.limits.budget import ExtraLoadBound
+    from fulmarhold.limits.memory import FixedHolding, MemoryBudget
     from fulmarhold.observe.counters import Counters, Histogram
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routes.configuration import Route
@@ -64,8 +66,10 @@
         counters: Counters,
         events: EventLog,
         find_collectors: Callable[[], Mapping[str, Collector]] = dict,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._find_collectors = find_collectors
+        self._memory = memory
         self._table = table
         self._codec = codec
         self._bound = bound
@@ -144,13 +148,19 @@
         )
         if not self._can_complete(route, deadline_at):
             return self._finish(request, route, self._refuse_stopping())
-        operation = self._operation(request, route, deadline_at)
+        if not self._has_memory(request, route):
+            refusal = Refused(RefusedReason.NO_MEMORY, self._retry_after())
+            return self._finish(request, route, refusal)
+        held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
+        operation = self._operation(request, route, deadline_at, held)
         on_disconnect(operation.caller_gone)
         self._open[operation] = request, route
         try:
             outcome = operation.run()
         finally:
             del self._open[operation]
+            if held is not None:
+                held.release()
         elapsed = self._clock.now() - request.received_at
         if not isinstance(outcome, Refused):
             self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
@@ -175,11 +185,22 @@
         expected = expected_duration(recent, is_idempotent=route.is_idempotent)
         return self._stop_schedule.can_complete(self._clock.now(), deadline_at, expected)
 
+    def _has_memory(self, request: ForwardRequest, route: Route) -> bool:
+        """Whether there is memory for the replies to one more request."""
+        if self._memory is None:
+            return True
+        is_urgent = route.rank <= self._most_urgent
+        return self._memory.may_admit(request.owners, is_urgent=is_urgent)
+
     def _refuse_stopping(self) -> Refused:
         return Refused(RefusedReason.STOPPING, self._retry_after())
 
     def _operation(
-        self, request: ForwardRequest, route: Route, deadline_at: Milliseconds
+        self,
+        request: ForwardRequest,
+        route: Route,
+        deadline_at: Milliseconds,
+        held: FixedHolding | None,
     ) -> ShardQuery | SingleForward:
         replies = self._replies.setdefault(
             route.name, ReplyEstimates(HEDGE_QUANTILE, INITIAL_HEDGE_DELAY)
@@ -200,6 +221,8 @@
                 request.received_at, route.target_latency, request.round_trip, request.is_first
             ),
             is_urgent=route.rank <= self._most_urgent,
+            top_records=route.top_records if route.shards else 0,
+            held=held,
         )
         if route.shards:
             return ShardQuery(
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -16,7 +16,8 @@
 
     `request_id` identifies this attempt of the caller. `deadline_at` is a time on this entry's
     clock. `is_first` tells that the caller had to connect for this request. `round_trip` is the
-    round trip time to the caller, zero if unknown.
+    round trip time to the caller, zero if unknown. `owners` names those whose share of the memory
+    the request and its answer take.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     deadline_at: Milliseconds
     is_first: bool = False
     round_trip: Milliseconds = 0.0
+    owners: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
@@ -45,6 +47,7 @@
     NO_TIME = "no_time"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
+    NO_MEMORY = "no_memory"
 
 
 class FailedReason(Enum):
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -16,6 +16,7 @@
     from collections.abc import Iterable
 
     from fulmarhold.clock import Clock
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.membership.statements import UpstreamStatement
     from fulmarhold.observe.counters import Counters
     from fulmarhold.routes.configuration import RouteConfiguration
@@ -46,8 +47,15 @@
 class UpstreamTable:
     """Replicas by service; each is kept as long as its incarnation is known to serve."""
 
-    def __init__(self, data_centre: str, clock: Clock, counters: Counters) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        clock: Clock,
+        counters: Counters,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self._data_centre = data_centre
+        self._memory = memory
         self._clock = clock
         self._counters = counters
         self._traffic = TrafficCounter(data_centre, counters)
@@ -158,7 +166,9 @@
         return self._typical_latencies[kind]
 
     def _make_replica(self, statement: UpstreamStatement, limit: int) -> Replica:
-        pool = ConnectionPool(statement.address, limit, 0, self._clock, self._counters)
+        pool = ConnectionPool(
+            statement.address, limit, 0, self._clock, self._counters, self._memory
+        )
         return Replica(
             ServingUpstream(statement),
             pool,
--- /dev/null
+++ b/fulmarhold/limits/memory.py
@@ -0,0 +1,296 @@
+"""One bound on the bytes that a process holds for others: responses, answers and request bodies.
+
+Bytes are held in two ways. A response that is still being received can give way: its connection is
+closed and its request fails. Whatever can't give way any more, because a caller will get it or has
+sent it, is fixed. The bound is kept by refusing fixed bytes that don't fit, and by letting
+responses give way to each other and to fixed bytes.
+
+An upstream that sends bytes without end must not cost the requests of others. So the upstream whose
+unfinished responses cost most gives way first, where the cost of a response is its size times the
+time since its first byte: a sound response is held for a short time, however large it is.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fulmarhold.clock import Milliseconds
+from fulmarhold.observe.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fulmarhold.clock import Clock
+    from fulmarhold.observe.counters import Counters, Gauge
+
+log = get_logger("memory")
+
+MEBIBYTE = 1024 * 1024
+# The memory of a process whose settings name no limit.
+DEFAULT_PROCESS_BYTES = 256 * MEBIBYTE
+# What a process needs without any request: code, the state of the fleet, connections.
+AT_REST_BYTES = 80 * MEBIBYTE
+# The part of the rest that may be held. Data is copied while it is decoded, merged and sent, and
+# the kernel holds bytes that have arrived and are not read yet.
+HELD_SHARE = 0.5
+# The part of the process limit that may be held however small that limit is.
+MIN_HELD_SHARE = 0.25
+# The part of the bound that one upstream, one caller or one client account may take: less than what
+# may be fixed before requests of others are refused.
+OWNER_SHARE = 0.4
+# Shares of the bound that may be fixed before new requests are refused, the urgent ones last.
+ADMITTED_SHARE = 0.5
+URGENT_ADMITTED_SHARE = 0.75
+# Below this share of the bound, the memory is no longer reported as short.
+RELIEVED_SHARE = 0.25
+
+
+class Holder(Enum):
+    """What bytes are held for."""
+
+    # Responses of upstreams that are not complete.
+    RESPONSE = "response"
+    # Complete responses of upstreams whose request has no outcome yet.
+    REPLY = "reply"
+    # Answers that are being sent to callers.
+    ANSWER = "answer"
+    # Requests of callers, from their first byte until they are answered.
+    REQUEST = "request"
+
+
+class Shortage(Enum):
+    """What was done because the bound was reached."""
+
+    RESPONSE_DROPPED = "response_dropped"
+    REQUEST_REFUSED = "request_refused"
+    BODY_REFUSED = "body_refused"
+
+
+def held_bytes_limit(process_bytes: int) -> int:
+    """Return how many bytes may be held by a process that may use `process_bytes` of memory.
+
+    >>> held_bytes_limit(300 * MEBIBYTE) // MEBIBYTE, held_bytes_limit(100 * MEBIBYTE) // MEBIBYTE
+    (110, 25)
+    """
+    usable = process_bytes or DEFAULT_PROCESS_BYTES
+    return int(max(MIN_HELD_SHARE * usable, HELD_SHARE * (usable - AT_REST_BYTES)))
+
+
+class MemoryBudget:
+    """The bytes that a process holds for others, and their bound.
+
+    >>> from fulmarhold.clock import ManualClock
+    >>> from fulmarhold.observe.counters import Counters
+    >>> budget = MemoryBudget(1_000, ManualClock(), Counters())
+    >>> body = budget.open_fixed(Holder.REQUEST, ("caller",))
+    >>> body.try_grow(400), body.try_grow(400)
+    (True, False)
+    >>> body.release()
+    >>> budget.held
+    0
+    """
+
+    def __init__(self, limit: int, clock: Clock, counters: Counters) -> None:
+        self._limit = limit
+        self._clock = clock
+        self._counters = counters
+        self._fixed: dict[Holder, int] = dict.fromkeys(Holder, 0)
+        self._fixed_total = 0
+        self._fixed_by_owner: dict[str, int] = {}
+        self._responses: set[ResponseHolding] = set()
+        self._responses_total = 0
+        self._responses_by_upstream: dict[str, int] = {}
+        self._is_short = False
+
+    @property
+    def limit(self) -> int:
+        return self._limit
+
+    @property
+    def held(self) -> int:
+        return self._fixed_total + self._responses_total
+
+    @property
+    def is_short(self) -> bool:
+        """Whether the bound was reached, and the bytes held have not become far fewer since."""
+        return self._is_short
+
+    def open_response(self, upstream: str, give_way: Callable[[], None]) -> ResponseHolding:
+        """Hold a response that is being received; `give_way` has to end it and release it."""
+        return ResponseHolding(self, upstream, give_way, self._clock.now())
+
+    def open_fixed(self, holder: Holder, owners: tuple[str, ...] = ()) -> FixedHolding:
+        """Hold bytes that can't give way, on behalf of `owners`."""
+        return FixedHolding(self, holder, owners)
+
+    def may_admit(self, owners: tuple[str, ...], *, is_urgent: bool) -> bool:
+        """Whether there is room for a new request of `owners`; a refusal is counted."""
+        share = URGENT_ADMITTED_SHARE if is_urgent else ADMITTED_SHARE
+        if self._fixed_total <= share * self._limit and self._have_share(owners, 0):
+            return True
+        self._report(Shortage.REQUEST_REFUSED)
+        return False
+
+    def fits(self, owners: tuple[str, ...], size: int) -> bool:
+        """Whether there is room for fixed bytes now; a refusal is counted."""
+        is_free = self._fixed_total + size <= URGENT_ADMITTED_SHARE * self._limit
+        if is_free and self._have_share(owners, size):
+            return True
+        self._report(Shortage.BODY_REFUSED)
+        return False
+
+    def check_relief(self) -> None:
+        """Report that memory is no longer short once it isn't; called periodically."""
+        if self._is_short and self.held <= RELIEVED_SHARE * self._limit:
+            self._is_short = False
+            log.info("memory is no longer short, {} of {} bytes are held", self.held, self._limit)
+
+    def gauges(self) -> Iterable[Gauge]:
+        """Yield the bound, and the bytes held by what they are held for."""
+        yield "memory_limit_bytes", {}, float(self._limit)
+        for holder, size in self._fixed.items():
+            held = self._responses_total if holder is Holder.RESPONSE else size
+            yield "memory_held_bytes", {"holder": holder.value}, float(held)
+
+    # Called by holdings
+
+    def add_response(self, holding: ResponseHolding, size: int) -> None:
+        """Add bytes of an unfinished response, and let responses give way where it is too much."""
+        self._responses.add(holding)
+        self._count_response(holding.upstream, size)
+        if self._responses_by_upstream.get(holding.upstream, 0) > OWNER_SHARE * self._limit:
+            self._drop_costliest(holding.upstream)
+        self._make_room()
+
+    def remove_response(self, holding: ResponseHolding) -> None:
+        """Remove a response that has ended."""
+        self._responses.discard(holding)
+        self._count_response(holding.upstream, -holding.size)
+
+    def try_add_fixed(self, holder: Holder, owners: tuple[str, ...], size: int) -> bool:
+        """Add fixed bytes if there is room for them; responses give way to them."""
+        if not self.fits(owners, size):
+            return False
+        self.add_fixed(holder, owners, size)
+        return True
+
+    def add_fixed(self, holder: Holder, owners: tuple[str, ...], size: int) -> None:
+        """Add or, with a negative size, remove fixed bytes, whether there is room or not."""
+        self._fixed[holder] += size
+        self._fixed_total += size
+        for owner in owners:
+            total = self._fixed_by_owner.get(owner, 0) + size
+            if total:
+                self._fixed_by_owner[owner] = total
+            else:
+                self._fixed_by_owner.pop(owner, None)
+        self._make_room()
+
+    def _have_share(self, owners: tuple[str, ...], size: int) -> bool:
+        share = OWNER_SHARE * self._limit
+        return all(self._fixed_by_owner.get(owner, 0) + size <= share for owner in owners)
+
+    def _count_response(self, upstream: str, size: int) -> None:
+        self._responses_total += size
+        total = self._responses_by_upstream.get(upstream, 0) + size
+        if total:
+            self._responses_by_upstream[upstream] = total
+        else:
+            self._responses_by_upstream.pop(upstream, None)
+
+    def _make_room(self) -> None:
+        """Let responses give way until no more bytes are held than may be, or none is left."""
+        while self._responses and self.held > self._limit:
+            now = self._clock.now()
+            costs: dict[str, tuple[float, int]] = {}
+            for item in self._responses:
+                cost, size = costs.get(item.upstream, (0.0, 0))
+                costs[item.upstream] = cost + item.cost(now), size + item.size
+            self._drop_costliest(max(costs, key=costs.__getitem__))
+
+    def _drop_costliest(self, upstream: str) -> None:
+        """Let the costliest unfinished response of an upstream give way."""
+        now = self._clock.now()
+        own = (item for item in self._responses if item.upstream == upstream)
+        dropped = max(own, key=lambda item: (item.cost(now), item.size))
+        self._report(Shortage.RESPONSE_DROPPED)
+        dropped.give_way()
+        # Whoever was told has released it; if not, this must still end.
+        dropped.release()
+
+    def _report(self, shortage: Shortage) -> None:
+        self._counters.add("memory_shortages", result=shortage.value)
+        if not self._is_short:
+            self._is_short = True
+            log.warning(
+                "memory is short: {} of {} bytes are held, {} of them by responses in progress; "
+                "first result: {}",
+                self.held,
+                self._limit,
+                self._responses_total,
+                shortage.value,
+            )
+
+
+class ResponseHolding:
+    """The bytes of one unfinished response."""
+
+    __slots__ = ("_budget", "_started_at", "give_way", "size", "upstream")
+
+    def __init__(
+        self,
+        budget: MemoryBudget,
+        upstream: str,
+        give_way: Callable[[], None],
+        started_at: Milliseconds,
+    ) -> None:
+        self._budget = budget
+        self._started_at = started_at
+        self.upstream = upstream
+        self.give_way = give_way
+        self.size = 0
+
+    def grow(self, size: int) -> None:
+        """Add bytes; this response or others may have given way when this returns."""
+        self.size += size
+        self._budget.add_response(self, size)
+
+    def release(self) -> None:
+        """Give all bytes back; may be called more than once."""
+        self._budget.remove_response(self)
+        self.size = 0
+
+    def cost(self, now: Milliseconds) -> float:
+        """Return the bytes held times the duration for which they are held."""
+        return self.size * (now - self._started_at)
+
+
+class FixedHolding:
+    """Bytes that can't give way, held on behalf of some owners."""
+
+    __slots__ = ("_budget", "_holder", "_owners", "size")
+
+    def __init__(self, budget: MemoryBudget, holder: Holder, owners: tuple[str, ...]) -> None:
+        self._budget = budget
+        self._holder = holder
+        self._owners = owners
+        self.size = 0
+
+    def try_grow(self, size: int) -> bool:
+        """Add bytes if there is room for them; returns whether there is."""
+        if not self._budget.try_add_fixed(self._holder, self._owners, size):
+            return False
+        self.size += size
+        return True
+
+    def grow(self, size: int) -> None:
+        """Add bytes that have to be held, such as those of a response that has been counted."""
+        self.size += size
+        self._budget.add_fixed(self._holder, self._owners, size)
+
+    def release(self) -> None:
+        """Give all bytes back; may be called more than once."""
+        if self.size:
+            self._budget.add_fixed(self._holder, self._owners, -self.size)
+            self.size = 0
--- a/fulmarhold/platform/encoding.py
+++ b/fulmarhold/platform/encoding.py
@@ -29,6 +29,7 @@
     *,
     is_first_start: bool,
     tolerated_failures: int = 1,
+    memory_mebibytes: float = 300.0,
 ) -> dict[str, Any]:
     """Return the content of a settings file; `seeds` are addresses of control instances."""
     endpoints = (
@@ -51,6 +52,7 @@
         "dataDir": data_folder,
         "heartbeatMs": heartbeat_period,
         "faultTolerance": {"machines": tolerated_failures},
+        "limits": {"memoryMb": memory_mebibytes},
     }
 
 
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -15,6 +15,7 @@
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.stopping import SEND_RESERVE, StopSchedule
 from fulmarhold.forwarding.upstreams import UpstreamTable
+from fulmarhold.limits.memory import MemoryBudget, held_bytes_limit
 from fulmarhold.membership.coalescing import CoalescedUpdate
 from fulmarhold.membership.preference import (
     active_entries,
@@ -78,7 +79,8 @@
         self._random = Random()
         self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
-        self._table = UpstreamTable(settings.data_centre, clock, counters)
+        self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
+        self._table = UpstreamTable(settings.data_centre, clock, counters, self._memory)
         self._active: list[InstanceStatement] = []
         self._settling = Settling(clock.now())
         self._fleet_update = CoalescedUpdate(self._update_fleet, MIN_UPDATE_INTERVAL, clock)
@@ -95,7 +97,7 @@
         collector_port = int(settings.collector_endpoint.rpartition(":")[2])
         self._collectors = Collectors(own, collector_port, clock, counters)
         self._collector_service = CollectorService(
-            self._table, codec, clock, self._random, counters, events
+            self._table, codec, clock, self._random, counters, events, self._memory
         )
         self._messages = MessageServer(settings.collector_endpoint, counters)
         self._collector_service.register(self._messages)
@@ -107,6 +109,7 @@
             counters,
             events,
             self._collectors.usable,
+            self._memory,
         )
         self.watcher = FleetWatcher(
             own,
@@ -117,7 +120,12 @@
             counters,
         )
         self._front = FrontServer(
-            settings.caller_endpoint, self._handle_request, self._limits, clock, counters
+            settings.caller_endpoint,
+            self._handle_request,
+            self._limits,
+            clock,
+            counters,
+            self._memory,
         )
 
     def start(self) -> None:
@@ -267,6 +275,7 @@
             self._table.maintain()
             self._collectors.maintain()
             self.forwarder.refill_budgets()
+            self._memory.check_relief()
             self._announce_load()
 
     def _announce_load(self) -> None:
@@ -290,4 +299,5 @@
         yield "entry_collections", {}, float(self._collector_service.in_flight)
         yield "entry_caller_connections", {}, float(self._front.connections)
         yield "entry_upstreams", {}, float(len(replicas))
+        yield from self._memory.gauges()
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -53,18 +53,18 @@
     """Encodes requests to upstreams and interprets their responses."""
 
     def prepare(self, request: ForwardRequest) -> tuple[bytes, bytes]:
-        """Return the bytes before and after the headers that differ between upstreams."""
+        """Return the head without the headers that differ between upstreams, and the body."""
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         lines += [f"{key}: {value}" for key, value in request.headers]
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(request.body)}")
-        return "\r\n".join(lines).encode("latin-1"), b"\r\n\r\n" + request.body
+        return "\r\n".join(lines).encode("latin-1"), request.body
 
     def encode(self, prepared: tuple[bytes, bytes], upstream: str, left: Milliseconds) -> bytes:
         """Return the request bytes for one upstream."""
-        head, tail = prepared
-        instance_headers = f"\r\n{TIME_LEFT}: {max(1, int(left))}\r\n{TARGET}: {upstream}"
-        return head + instance_headers.encode("latin-1") + tail
+        head, body = prepared
+        own = f"\r\n{TIME_LEFT}: {max(1, int(left))}\r\n{TARGET}: {upstream}\r\n\r\n"
+        return b"".join((head, own.encode("latin-1"), body))
 
     def read(self, response: UpstreamResponse, request_id: str) -> Reply:
         """Return a response to the request `request_id` with its classification."""
@@ -94,6 +94,7 @@
         raw.received_at + allowed,
         raw.is_first,
         raw.round_trip,
+        raw.owners,
     )
 
 
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -13,6 +13,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.limits.budget import ExtraLoadBound
+from fulmarhold.limits.memory import MEBIBYTE
 from fulmarhold.settings.problems import MAX_FILE_BYTES, InvalidSettings, Problem
 from fulmarhold.settings.structs import decode_struct, require_endpoint
 
@@ -40,6 +41,11 @@
     max_ttl_seconds: float = field(default=5.0, name="ttl_max_s")
 
 
+class _Limits(Struct, frozen=True):
+    # Of one process; zero if it is not limited.
+    memory_mebibytes: Annotated[float, Meta(ge=0)] = field(default=0.0, name="memoryMb")
+
+
 class _Addresses(Struct, frozen=True):
     # The endpoint for callers.
     callers: str | None = field(default=None, name="front")
@@ -64,6 +70,7 @@
     heartbeat_period: Milliseconds = field(default=1_200.0, name="heartbeatMs")
     fault_tolerance: _Tolerance = field(default=_Tolerance(), name="faultTolerance")
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 @dataclass(frozen=True)
@@ -87,6 +94,8 @@
     voters: int
     extra_load: ExtraLoadBound
     grace: Milliseconds
+    # How much memory the process may use, zero if that is not limited.
+    memory_bytes: int = 0
 
 
 def settings_path() -> Path:
@@ -146,4 +155,5 @@
             values.bounds.retry_window_seconds * SECOND,
         ),
         grace=values.bounds.grace_seconds * SECOND,
+        memory_bytes=int(values.limits.memory_mebibytes * MEBIBYTE),
     )
--- a/fulmarhold/routing/table.py
+++ b/fulmarhold/routing/table.py
@@ -14,6 +14,7 @@
 
     from fulmarhold.clock import Clock
     from fulmarhold.configuration import Configuration, ServiceConfiguration
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.membership.directory import Directory, KnownUpstream
     from fulmarhold.membership.running import RunningState
     from fulmarhold.observe.counters import Counters
@@ -44,8 +45,14 @@
     """
 
     def __init__(
-        self, directory: Directory, running: RunningState, clock: Clock, counters: Counters
+        self,
+        directory: Directory,
+        running: RunningState,
+        clock: Clock,
+        counters: Counters,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = memory
         self._directory = directory
         self._running = running
         self._clock = clock
@@ -115,7 +122,12 @@
             service.connections_per_entry, max(1, upstream.record.connection_limit // entries)
         )
         pool = ConnectionPool(
-            upstream.record.address, limit, service.warm_connections, self._clock, self._counters
+            upstream.record.address,
+            limit,
+            service.warm_connections,
+            self._clock,
+            self._counters,
+            self._memory,
         )
         return Replica(
             upstream, pool, service.ejection_ms, service.slow_start_ms, self._clock.now()
--- a/fulmarhold/settings/processes.py
+++ b/fulmarhold/settings/processes.py
@@ -7,6 +7,7 @@
 
 from pydantic import AfterValidator, ConfigDict, Field
 
+from fulmarhold.limits.memory import DEFAULT_PROCESS_BYTES, MEBIBYTE
 from fulmarhold.settings.endpoints import check_address, check_endpoint
 
 STRICT = ConfigDict(extra="forbid")
@@ -41,6 +42,7 @@
     peer_port: Port
     control: Annotated[tuple[Endpoint, ...], Field(min_length=1, max_length=7)]
     log: LogSettings = field(default_factory=LogSettings)
+    memory_mebibytes: Annotated[int, Field(ge=64)] = DEFAULT_PROCESS_BYTES // MEBIBYTE
 
     @property
     def caller_endpoint(self) -> str:
--- a/fulmarhold/soak/environment.py
+++ b/fulmarhold/soak/environment.py
@@ -246,6 +246,10 @@
         while True:
             gevent.sleep(POLL_INTERVAL / SECOND)
             for instance in (*self.control, *self.entries):
+                if instance.is_over_memory:
+                    self.observations.violations.append(
+                        f"{instance.name} used more memory than it may"
+                    )
                 if not instance.should_run or instance.is_running:
                     continue
                 now = self.clock.now()
--- a/fulmarhold/soak/processes.py
+++ b/fulmarhold/soak/processes.py
@@ -9,19 +9,33 @@
 import signal
 import subprocess
 import sys
-from typing import TYPE_CHECKING
+from pathlib import Path
 
 import gevent
 
 from fulmarhold.clock import SECOND, Clock, Milliseconds
+from fulmarhold.limits.memory import MEBIBYTE
 from fulmarhold.platform.encoding import write_settings
 from fulmarhold.platform.settings import SETTINGS_VARIABLE
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 POLL_INTERVAL: Milliseconds = 10.0
 KILL_TIMEOUT: Milliseconds = 10_000.0
+# What the settings allow a process: the least of the users' machines.
+MEMORY_MEBIBYTES = 160
+
+
+def peak_memory(process: int) -> int:
+    """Return the largest resident size that a process has had, in bytes; zero once it is gone.
+
+    >>> peak_memory(os.getpid()) > 0
+    True
+    """
+    try:
+        fields = Path(f"/proc/{process}/status").read_text(encoding="ascii").splitlines()
+    except FileNotFoundError:
+        return 0
+    sizes = (line.split()[1] for line in fields if line.startswith("VmHWM:"))
+    return sum(int(kibibytes) * 1024 for kibibytes in sizes)
 
 
 class Instance:
@@ -50,6 +64,12 @@
     def is_running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def is_over_memory(self) -> bool:
+        """Whether the process has used more memory than its settings allow."""
+        process = self._process
+        return process is not None and peak_memory(process.pid) > MEMORY_MEBIBYTES * MEBIBYTE
+
     @property
     def exit_code(self) -> int | None:
         return self._process.poll() if self._process is not None else None
@@ -85,6 +105,7 @@
         document = write_settings(
             self.name, self.role, self.address, self.data_centre, seeds or self._seeds,
             str(self.data_folder), self._heartbeat_period, is_first_start=is_first_start,
+            memory_mebibytes=MEMORY_MEBIBYTES,
         )  # fmt: skip
         temporary = self._settings_file.with_suffix(".tmp")
         temporary.write_text(json.dumps(document))
--- /dev/null
+++ b/fulmarhold/tests/forwarding/test_memory.py
@@ -0,0 +1,108 @@
+"""What forwarding holds for a request, and requests for which there is no memory.
+
+No network: scripted connection pools complete the exchanges from greenlets.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from fulmarhold.clock import Clock
+from fulmarhold.forwarding.codec import UpstreamCodec
+from fulmarhold.forwarding.forwarder import Forwarder
+from fulmarhold.forwarding.records import RECORD_BYTES, greatest_records
+from fulmarhold.forwarding.request import ForwardRequest, Refused, RefusedReason, Reply, Verdict
+from fulmarhold.forwarding.upstreams import UpstreamTable
+from fulmarhold.limits.budget import ExtraLoadBound
+from fulmarhold.limits.memory import ADMITTED_SHARE, Holder, MemoryBudget
+from fulmarhold.observe.counters import Counters
+from fulmarhold.observe.events import EventLog
+from fulmarhold.routes.configuration import Route, RouteConfiguration, WeightedService
+from fulmarhold.routes.table import RouteTable
+from fulmarhold.tests.forwarding.scripted import ForwardingFixture, ScriptedCodec, shards
+
+LIMIT = 1_000_000
+TOP = 3
+# Records of a part, which is far larger than what can be in the answer.
+RECORDS = 1_000
+
+
+class LargePartsCodec(ScriptedCodec):
+    def read(self, response, request_id):
+        records = [f"{response.address}-{number}".encode() for number in range(RECORDS)]
+        body = b"".join(record.ljust(RECORD_BYTES, b"0") for record in records)
+        return Reply(response.verdict, 200, (), body, f"stamp-{response.address}")
+
+
+def test_a_part_is_held_only_as_far_as_it_can_be_in_the_answer():
+    fixture, memory = ForwardingFixture(), MemoryBudget(LIMIT, Clock(), Counters())
+    context = fixture.context
+    context.codec, context.top_records = LargePartsCodec(), TOP
+    context.held = memory.open_fixed(Holder.REPLY)
+    query = fixture.scatter(shards(4), top=TOP)
+    outcome = query.run()
+    assert memory.held == 4 * TOP * RECORD_BYTES
+    parts = (LargePartsCodec().read(pools.replicas[0].pool, "").body for pools in query.calls)
+    assert outcome.records == greatest_records(parts, TOP)
+    assert context.replies.size > TOP * RECORD_BYTES, "the size on the wire is still known"
+
+
+class Forwarding:
+    """A forwarder with an urgent and another route, without upstreams."""
+
+    def __init__(self):
+        clock, counters = Clock(), Counters()
+        self.memory = MemoryBudget(LIMIT, clock, counters)
+        codec: UpstreamCodec = ScriptedCodec()
+        self.forwarder = Forwarder(
+            UpstreamTable("a", clock, counters, self.memory),
+            codec,
+            ExtraLoadBound(0.2, 10.0, 10_000.0),
+            clock,
+            counters,
+            EventLog("test", clock, counters),
+            memory=self.memory,
+        )
+        services = (WeightedService("s", 1),)
+        routes = tuple(
+            Route(name, "h", f"/{name}/", True, 400.0, 100.0, rank, 2, services)
+            for rank, name in enumerate(("urgent", "other"))
+        )
+        self.forwarder.use(RouteTable(RouteConfiguration(1, routes, {})))
+        self._clock = clock
+
+    def send(self, name):
+        now = self._clock.now()
+        request = ForwardRequest("id", "GET", f"/{name}/", "h", (), b"", now, now + 400.0)
+        return self.forwarder.forward(request, lambda callback: None)
+
+
+# Guards against new work that is taken while what callers wait for fills the memory.
+@pytest.mark.parametrize(
+    ("share", "reasons"),
+    [
+        (ADMITTED_SHARE, [RefusedReason.NO_UPSTREAM, RefusedReason.NO_UPSTREAM]),
+        (ADMITTED_SHARE + 0.1, [RefusedReason.NO_UPSTREAM, RefusedReason.NO_MEMORY]),
+        (1.0, [RefusedReason.NO_MEMORY, RefusedReason.NO_MEMORY]),
+    ],
+)
+def test_without_memory_new_requests_are_refused_at_once_the_least_urgent_first(share, reasons):
+    forwarding = Forwarding()
+    answers = forwarding.memory.open_fixed(Holder.ANSWER)
+    answers.grow(int(share * LIMIT))
+    outcomes = [forwarding.send(name) for name in ("urgent", "other")]
+    assert [outcome.reason for outcome in outcomes] == reasons
+    assert all(isinstance(item, Refused) and item.retry_after > 0 for item in outcomes)
+    answers.release()
+    assert forwarding.memory.held == 0
+
+
+def test_a_failed_request_leaves_nothing_held():
+    fixture, memory = ForwardingFixture(), MemoryBudget(LIMIT, Clock(), Counters())
+    fixture.context.held = held = memory.open_fixed(Holder.REPLY)
+    pools = shards(1)["s0"]
+    for pool in pools:
+        pool.verdict, pool.status = Verdict.FAILURE, 500
+    fixture.single(pools).run()
+    held.release()
+    assert memory.held == 0
--- /dev/null
+++ b/fulmarhold/tests/limits/test_memory.py
@@ -0,0 +1,189 @@
+"""The bound on what a process holds for others: who gives way, who is refused, and no leaks."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarhold.clock import ManualClock
+from fulmarhold.limits.memory import (
+    ADMITTED_SHARE,
+    OWNER_SHARE,
+    URGENT_ADMITTED_SHARE,
+    Holder,
+    MemoryBudget,
+    Shortage,
+)
+from fulmarhold.observe.counters import Counters
+
+LIMIT = 1_000
+
+
+class Fixture:
+    """A budget, and responses that record whether they gave way."""
+
+    def __init__(self):
+        self.clock, self.counters = ManualClock(), Counters()
+        self.budget = MemoryBudget(LIMIT, self.clock, self.counters)
+        self.dropped = []
+
+    def respond(self, upstream, size, after=0.0):
+        """Receive `size` bytes from an upstream, and the last of them `after` the first."""
+        response = self.budget.open_response(upstream, lambda: self._drop(upstream, response))
+        self.clock.advance(after)
+        response.grow(size)
+        return response
+
+    def _drop(self, upstream, response):
+        self.dropped.append(upstream)
+        response.release()
+
+    def shortages(self, result):
+        return self.counters.value("memory_shortages", result=result.value)
+
+    def hold(self, size, owner="caller a", holder=Holder.ANSWER):
+        held = self.budget.open_fixed(holder, (owner,))
+        held.grow(size)
+        return held
+
+
+@pytest.fixture
+def memory():
+    return Fixture()
+
+
+# Guards against an upstream that takes the memory of others by sending without end: each case lists
+# upstreams with the sizes of their unfinished responses, oldest first, and who gives way.
+@pytest.mark.parametrize(
+    ("responses", "expected"),
+    [
+        ([("a", 300), ("b", 300), ("c", 300)], []),
+        ([("a", 390), ("b", 390), ("c", 390)], ["a"]),
+        ([("faulty", 100)] * 5, ["faulty"]),
+        ([("faulty", 50)] * 8 + [("sound", 390)], []),
+        ([("faulty", 50)] * 8 + [("other", 300), ("sound", 390)], ["faulty", "faulty"]),
+        ([(f"faulty-{number}", 100) for number in range(7)] + [("sound", 390)], ["faulty-0"]),
+    ],
+    ids=["room", "oldest", "one upstream", "share", "most in all", "a sound one among faulty ones"],
+)
+def test_the_upstream_whose_unfinished_responses_cost_most_gives_way(memory, responses, expected):
+    for upstream, size in responses:
+        memory.respond(upstream, size)
+        memory.clock.advance(10.0)
+    assert memory.dropped == expected
+    assert memory.budget.held <= LIMIT
+    assert memory.shortages(Shortage.RESPONSE_DROPPED) == len(expected)
+
+
+def test_a_large_response_at_once_does_not_give_way_to_many_that_are_slow(memory):
+    slow = [memory.respond(f"slow-{number}", 20, after=50.0) for number in range(30)]
+    sound = memory.respond("sound", 390)
+    for response in slow:
+        memory.clock.advance(1.0)
+        response.grow(20)
+    assert sound.size == 390
+    assert "sound" not in memory.dropped
+
+
+def test_unfinished_responses_give_way_to_what_callers_wait_for(memory):
+    memory.respond("a", 390)
+    memory.respond("b", 390)
+    memory.clock.advance(1.0)
+    memory.hold(350)
+    assert len(memory.dropped) == 1
+    assert memory.budget.held <= LIMIT
+
+
+@pytest.mark.parametrize(
+    ("share", "admits_urgent", "admits_others"),
+    [
+        (ADMITTED_SHARE, True, True),
+        (ADMITTED_SHARE + 0.01, True, False),
+        (URGENT_ADMITTED_SHARE, True, False),
+        (URGENT_ADMITTED_SHARE + 0.01, False, False),
+    ],
+)
+def test_new_requests_are_refused_the_least_urgent_first(
+    memory, share, admits_urgent, admits_others
+):
+    for number in range(10):
+        memory.hold(share * LIMIT / 10, owner=f"caller {number}")
+    assert memory.budget.may_admit(("caller b",), is_urgent=True) is admits_urgent
+    assert memory.budget.may_admit(("caller b",), is_urgent=False) is admits_others
+    refused = (not admits_urgent) + (not admits_others)
+    assert memory.shortages(Shortage.REQUEST_REFUSED) == refused
+
+
+def test_unfinished_responses_do_not_keep_new_requests_out(memory):
+    for number in range(10):
+        memory.respond(f"faulty-{number}", 100)
+    assert memory.budget.may_admit(("caller a",), is_urgent=False)
+
+
+def test_one_caller_or_account_can_not_take_the_room_of_others(memory):
+    memory.hold(OWNER_SHARE * LIMIT + 1, owner="caller a")
+    assert not memory.budget.may_admit(("caller a", "account x"), is_urgent=True)
+    assert memory.budget.may_admit(("caller b", "account x"), is_urgent=False)
+    body = memory.budget.open_fixed(Holder.REQUEST, ("caller a",))
+    assert not body.try_grow(1)
+    assert memory.budget.open_fixed(Holder.REQUEST, ("caller b",)).try_grow(100)
+
+
+def test_a_shortage_is_reported_until_most_of_the_memory_is_free(memory):
+    held = memory.hold(700)
+    assert not memory.budget.may_admit((), is_urgent=False)
+    memory.budget.check_relief()
+    assert memory.budget.is_short
+    held.release()
+    memory.budget.check_relief()
+    assert not memory.budget.is_short
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("receive", "grow", "finish", "body", "answer", "release", "wait")),
+        st.integers(0, 5),
+        st.integers(0, 400),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(steps=STEPS)
+def test_in_any_order_the_bound_holds_and_nothing_is_left_over(steps):
+    memory = Fixture()
+    responses, fixed = [], []
+    for event, number, size in steps:
+        match event:
+            case "receive":
+                responses.append(memory.respond(f"upstream {number}", size))
+            case "grow" if responses:
+                responses[number % len(responses)].grow(size)
+            case "finish" if responses:
+                # A complete response becomes one that can't give way any more.
+                response = responses.pop(number % len(responses))
+                received = response.size
+                response.release()
+                fixed.append(memory.hold(received, holder=Holder.REPLY))
+            case "body":
+                body = memory.budget.open_fixed(Holder.REQUEST, (f"caller {number}",))
+                body.try_grow(size)
+                fixed.append(body)
+            case "answer" if memory.budget.may_admit((), is_urgent=True):
+                fixed.append(memory.hold(size // 8))
+            case "release" if fixed:
+                fixed.pop(number % len(fixed)).release()
+            case "wait":
+                memory.clock.advance(float(size))
+        held = sum(item.size for item in (*responses, *fixed))
+        assert memory.budget.held == held
+        assert min(item.size for item in (*responses, *fixed, memory.hold(0))) >= 0
+        fixed_bytes = sum(item.size for item in fixed)
+        assert held <= max(LIMIT, fixed_bytes)
+    for item in (*responses, *fixed):
+        item.release()
+        item.release()
+    assert memory.budget.held == 0
+    assert all(value == 0 for _, _, value in list(memory.budget.gauges())[1:])
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -19,6 +19,7 @@
 
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.platform.encoding import CALLER_PORT, CONTROL_PORT, write_settings
+from fulmarhold.soak.processes import peak_memory
 from fulmarhold.web.client import request_json
 
 if TYPE_CHECKING:
@@ -107,6 +108,7 @@
         seeds: tuple[str, ...] = CONTROL,
         data_centre: str = "a",
         module: str = "fulmarhold.platform",
+        memory_mebibytes: float = 300.0,
     ) -> None:
         role = "entry" if address in ENTRIES else "control"
         folder = self._folder / address
@@ -114,7 +116,7 @@
         settings = folder / "settings.json"
         document = write_settings(
             f"{role}-{address}", role, address, data_centre, seeds, str(folder), 1_200.0,
-            is_first_start=first,
+            is_first_start=first, memory_mebibytes=memory_mebibytes,
         )  # fmt: skip
         settings.write_text(json.dumps(document))
         with (folder / "log").open("ab") as log:
@@ -131,6 +133,10 @@
     def process_id(self, address: str) -> int:
         return self._processes[address].pid
 
+    def peak_memory(self, address: str) -> int:
+        """Return the largest resident size that a process has had, in bytes."""
+        return peak_memory(self.process_id(address))
+
     def exit_code(self, address: str) -> int | None:
         return self._processes[address].poll()
 
--- a/fulmarhold/tests/soak/test_processes.py
+++ b/fulmarhold/tests/soak/test_processes.py
@@ -8,7 +8,8 @@
 import gevent
 import pytest
 
-from fulmarhold.soak.environment import Environment, FleetSizes
+from fulmarhold.clock import SECOND
+from fulmarhold.soak.environment import POLL_INTERVAL, Environment, FleetSizes
 from fulmarhold.soak.faults import faults
 
 SEED = 7
@@ -67,3 +68,15 @@
     environment.stop()
     gevent.sleep(LONGEST_RESTART)
     assert not entry.is_running
+
+
+def test_a_process_that_uses_more_memory_than_it_may_is_noticed(environment, monkeypatch):
+    entry = environment.entries[0]
+    entry.start()
+    environment.spawn(environment._supervise)
+    gevent.sleep(2 * POLL_INTERVAL / SECOND)
+    assert environment.observations.violations == []
+    monkeypatch.setattr("fulmarhold.soak.processes.MEMORY_MEBIBYTES", 1)
+    while not environment.observations.violations:
+        gevent.sleep(POLL_INTERVAL / SECOND)
+    assert "used more memory than it may" in environment.observations.violations[0]
--- a/fulmarhold/tests/upstreams/test_endless_responses.py
+++ b/fulmarhold/tests/upstreams/test_endless_responses.py
@@ -9,10 +9,19 @@
 import pytest
 
 from fulmarhold.clock import Clock
+from fulmarhold.limits.memory import MemoryBudget
 from fulmarhold.observe.counters import Counters
 from fulmarhold.tests.upstreams.test_connections import OK, Request, Upstream, ask
+from fulmarhold.upstreams.channel import NO_MEMORY, READ_BYTES
 from fulmarhold.upstreams.pool import OVERDUE_MARGIN, ConnectionPool
-from fulmarhold.upstreams.protocol import MAX_HEAD_BYTES, MAX_RESPONSE_BYTES
+from fulmarhold.upstreams.protocol import (
+    BLOCK_BYTES,
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
+    MAX_RESPONSE_BYTES,
+    ResponseReader,
+)
 
 PIECE_BYTES = 16_384
 # What the kernel buffers on both sides of a loopback connection, far below the smallest excess
@@ -112,3 +121,61 @@
     assert waiting.outcome().body == b"{}"
     upstream.stop()
     pool.close()
+
+
+def read_response(data, piece_bytes):
+    """Return the reader of a response, once it is complete or too large."""
+    reader = ResponseReader()
+    for start in range(0, len(data), piece_bytes):
+        reader.feed(data[start : start + piece_bytes])
+        if reader.is_too_large or reader.is_complete:
+            break
+    return reader
+
+
+CHUNK = b"2\r\nbb\r\n"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+# Guards against responses that cost far more memory or time than their bytes suggest.
+@pytest.mark.parametrize("piece_bytes", [100, READ_BYTES])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\n" + b"A:\r\n" * (MAX_HEADER_FIELDS + 1) + b"\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (MAX_RESPONSE_BYTES + 1),
+        CHUNKED_HEAD + CHUNK * (MAX_FRAMING_BYTES // 5),
+    ],
+    ids=["header fields", "announced length", "short chunks"],
+)
+def test_what_is_too_large_is_found_as_soon_as_it_is_known(data, piece_bytes):
+    assert read_response(data, piece_bytes).is_too_large
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 1_000, BLOCK_BYTES, 3 * BLOCK_BYTES + 1])
+def test_a_body_in_chunks_of_any_size_is_whole(chunk_bytes):
+    body = bytes(number % 251 for number in range(20 * min(chunk_bytes, BLOCK_BYTES)))
+    chunks = [body[at : at + chunk_bytes] for at in range(0, len(body), chunk_bytes)]
+    framed = b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks)
+    reader = read_response(CHUNKED_HEAD + framed + b"0\r\n\r\n", READ_BYTES)
+    assert reader.is_complete and not reader.is_too_large
+    assert reader.take().body == body
+
+
+# Guards against an upstream whose endless responses take the memory of others' responses.
+def test_unfinished_responses_give_way_and_their_upstream_is_at_fault():
+    endless = EndlessUpstream(*ENDLESS["body without length"][:2])
+    sound = Upstream([OK])
+    memory = MemoryBudget(1_000_000, Clock(), Counters())
+    pools = [
+        ConnectionPool(upstream.endpoint, 4, 0, Clock(), Counters(), memory)
+        for upstream in (endless, sound)
+    ]
+    requests = [Request() for _ in range(4)]
+    for request in requests:
+        pools[0].submit(request)
+    assert ask(pools[1]).body == b"{}"
+    assert [request.outcome() for request in requests] == [(NO_MEMORY, True)] * 4
+    assert memory.held == 0
+    for upstream in (endless, sound):
+        upstream.stop()
--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -17,12 +17,14 @@
 from fulmarhold.clock import SECOND, Clock
 from fulmarhold.fleet.ports import PortAllocator
 from fulmarhold.forwarding.stopping import StopSchedule
+from fulmarhold.limits.memory import Holder, MemoryBudget
 from fulmarhold.observe.counters import Counters
 from fulmarhold.routes.configuration import CallerLimits
 from fulmarhold.web.front import FrontServer, RawResponse
 
 LIMITS = CallerLimits(header_bytes=1_000, body_bytes=500, header_timeout=300.0, idle_timeout=2_000)
 TIMEOUT_SECONDS = 5.0
+MEMORY_BYTES = 1_000_000
 PORTS = PortAllocator()
 
 
@@ -32,11 +34,12 @@
     def __init__(self):
         self.requests = []
         self.counters = Counters()
+        self.memory = MemoryBudget(MEMORY_BYTES, Clock(), self.counters)
         self.answer = lambda request, on_disconnect: RawResponse(200, (("X-A", "1"),), request.body)
         port = PORTS.allocate()
         self.endpoint = ("127.0.0.1", port)
         self.server = FrontServer(
-            f"127.0.0.1:{port}", self._handle, lambda: LIMITS, Clock(), self.counters
+            f"127.0.0.1:{port}", self._handle, lambda: LIMITS, Clock(), self.counters, self.memory
         )
         self.server.start()
 
@@ -329,3 +332,68 @@
         while part := connection.recv(65_536):
             received += part
     assert [part.split(b" ")[0] for part in received.split(b"HTTP/1.1 ")[1:]] == [b"200", b"200"]
+
+
+HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n64\r\n" + b"a" * 100
+
+
+# Guards against an entry that reads requests until it has no memory left.
+@pytest.mark.parametrize(
+    "data",
+    [HEAD + b"Content-Length: 100\r\n\r\n", HEAD + b"Content-Length: 100\r\n\r\n" + b"a" * 100,
+     CHUNKED, HEAD[:-10]],
+    ids=["announced", "whole", "chunked", "head"],
+)  # fmt: skip
+def test_a_request_for_which_there_is_no_memory_is_refused_as_not_run(served, data):
+    others = served.memory.open_fixed(Holder.ANSWER)
+    others.grow(MEMORY_BYTES)
+    response = served.exchange(data).lower()
+    assert response.startswith(b"http/1.1 503 ") and b"\r\nretry-after: 0." in response
+    assert served.requests == []
+    others.release()
+    assert served.memory.held == 0
+
+
+def test_requests_and_answers_are_counted_until_their_callers_have_them(served):
+    running = Event()
+
+    def answer(request, on_disconnect):
+        running.wait()
+        return RawResponse(200, (), b"b" * 1_000)
+
+    served.answer = answer
+    with served.connect() as first, served.connect() as second:
+        for connection in (first, second):
+            connection.sendall(HEAD + b"Content-Length: 100\r\n\r\n" + b"a" * 100)
+        while len(served.requests) < 2:
+            gevent.sleep(0.001)
+        assert served.memory.held == 200
+        # A pipelined request counts as well.
+        first.sendall(HEAD + b"Content-Length: 100\r\n\r\n" + b"a" * 100)
+        while served.memory.held == 200:
+            gevent.sleep(0.001)
+        running.set()
+        assert receive_response(second)[1] == b"b" * 1_000
+        received = b""
+        while received.count(b"b" * 1_000) < 2:
+            received += first.recv(65_536)
+    while served.server.connections:
+        gevent.sleep(0.001)
+    assert served.memory.held == 0
+    assert {request.owners for request in served.requests} == {("caller 127.0.0.1", "account h")}
+
+
+def test_an_answer_counts_while_its_caller_does_not_read_it(served):
+    body = b"b" * 16_000_000
+    served.answer = lambda request, on_disconnect: RawResponse(200, (), body)
+    with served.connect() as connection:
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not served.memory.held:
+            gevent.sleep(0.001)
+        assert served.memory.held == len(body)
+        assert not served.memory.may_admit(("caller 127.0.0.1",), is_urgent=True)
+        assert receive_response(connection)[1] == body
+    while served.server.connections:
+        gevent.sleep(0.001)
+    assert served.memory.held == 0
--- a/fulmarhold/upstreams/channel.py
+++ b/fulmarhold/upstreams/channel.py
@@ -16,13 +16,16 @@
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
+    from fulmarhold.limits.memory import MemoryBudget, ResponseHolding
 
 log = get_logger("channel")
 
 READABLE = 1
 WRITABLE = 2
-READ_BYTES = 65_536
+# Small, so that one connection with costly input does not hold up the others for long.
+READ_BYTES = 16_384
 CONNECT_FAILED = "connect failed"
+NO_MEMORY = "no memory for the response"
 # An idle connection is closed this long before its upstream would close it, so that no request is
 # sent while the upstream is closing.
 KEEP_ALIVE_MARGIN: Milliseconds = 700.0
@@ -48,6 +51,13 @@
 class ChannelOwner(Protocol):
     """Receives the state changes of a channel."""
 
+    @property
+    def address(self) -> str: ...
+
+    @property
+    def memory(self) -> MemoryBudget | None:
+        """What bounds the bytes of unfinished responses, if anything does."""
+
     def channel_opened(self, channel: Channel) -> None: ...
 
     def channel_free(self, channel: Channel) -> None: ...
@@ -73,13 +83,14 @@
     refused.
     """
 
-    __slots__ = ("_exchange", "_keep_alive", "_owner", "_pending", "_reader", "_socket",
+    __slots__ = ("_exchange", "_held", "_keep_alive", "_owner", "_pending", "_reader", "_socket",
                  "_watchers", "busy_since", "expires_at", "state", "usable_until")  # fmt: skip
 
     def __init__(self, address: str, owner: ChannelOwner) -> None:
         self._owner = owner
         self._exchange: Exchange | None = None
-        self._pending = b""
+        self._held: ResponseHolding | None = None
+        self._pending = memoryview(b"")
         self._reader = ResponseReader()
         self.state = ChannelState.CONNECTING
         self.busy_since: Milliseconds = 0.0
@@ -108,7 +119,7 @@
             self.close("connection lost")
             return
         if sent < len(data):
-            self._pending = data[sent:]
+            self._pending = memoryview(data)[sent:]
             self._watchers[WRITABLE].start(self._on_writable)
 
     def carries(self, exchange: Exchange) -> bool:
@@ -129,6 +140,7 @@
             watcher.close()
         if self._socket is not None:
             self._socket.close()
+        self._release()
         exchange, self._exchange = self._exchange, None
         self._owner.channel_closed(self, reason)
         if exchange is not None:
@@ -199,13 +211,33 @@
         except HTTPParseError:
             self.close("malformed response")
             return
-        if self._reader.is_complete:
-            self._finish(self._exchange)
-        elif self._reader.is_too_large:
+        if self._reader.is_too_large:
             self.close("response too large")
+        elif self._reader.is_complete:
+            self._finish(self._exchange)
+        else:
+            self._hold(len(data))
+
+    def _hold(self, size: int) -> None:
+        """Account for bytes of an unfinished response, which may close this connection."""
+        memory = self._owner.memory
+        if memory is None:
+            return
+        if self._held is None:
+            self._held = memory.open_response(self._owner.address, self._give_way)
+        self._held.grow(size)
+
+    def _give_way(self) -> None:
+        self.close(NO_MEMORY)
+
+    def _release(self) -> None:
+        held, self._held = self._held, None
+        if held is not None:
+            held.release()
 
     def _finish(self, exchange: Exchange) -> None:
         response = self._reader.take()
+        self._release()
         if response.keep_alive is not None:
             self._keep_alive = max(0.0, response.keep_alive - KEEP_ALIVE_MARGIN)
         self._exchange = None
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Clock, Milliseconds
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.observe.counters import Counters
 
 CONNECT_TIMEOUT: Milliseconds = 1_000.0
@@ -42,12 +43,22 @@
 
 
 class ConnectionPool:
-    """At most `limit` connections to `address`; further requests wait in FIFO order."""
+    """At most `limit` connections to `address`; further requests wait in FIFO order.
+
+    `memory` bounds the bytes of unfinished responses, together with everything else that it counts.
+    """
 
     def __init__(
-        self, address: str, limit: int, warm: int, clock: Clock, counters: Counters
+        self,
+        address: str,
+        limit: int,
+        warm: int,
+        clock: Clock,
+        counters: Counters,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.address = address
+        self.memory = memory
         self.limit = limit
         self._warm = min(warm, limit)
         self._clock = clock
--- a/fulmarhold/upstreams/protocol.py
+++ b/fulmarhold/upstreams/protocol.py
@@ -26,6 +26,12 @@
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # Bytes received until the head of a response is complete, interim responses before it included.
 MAX_HEAD_BYTES = 64 * 1024
+# Each field takes far more memory than its bytes.
+MAX_HEADER_FIELDS = 256
+# Bytes of a response beside its body. Short chunks cost processor time out of proportion.
+MAX_FRAMING_BYTES = 128 * 1024
+# The size of the blocks in which a body is collected.
+BLOCK_BYTES = 64 * 1024
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 LENGTH_HEADERS = ("content-length", "transfer-encoding")
 
@@ -109,8 +115,9 @@
         self._field = ""
         self._value = ""
         self._in_value = False
-        self._body: list[bytes] = []
+        self._body: list[bytearray] = []
         self._received = 0
+        self._body_bytes = 0
         self._is_complete = False
         # Set when a second response follows one request, or the end of the stream ends a response:
         # the connection can't be reused.
@@ -122,8 +129,21 @@
 
     @property
     def is_too_large(self) -> bool:
-        """Whether more bytes have arrived than the response or its head may have."""
-        return self._received > (MAX_RESPONSE_BYTES if self._has_headers else MAX_HEAD_BYTES)
+        """Whether the response or its head has, or announces, more bytes than it may have."""
+        if len(self._headers) > MAX_HEADER_FIELDS:
+            return True
+        if not self._has_headers:
+            return self._received > MAX_HEAD_BYTES
+        return (
+            self._received > MAX_RESPONSE_BYTES
+            or self._received - self._body_bytes > MAX_FRAMING_BYTES
+            or (not self._is_complete and self._announced_length > MAX_RESPONSE_BYTES)
+        )
+
+    @property
+    def _announced_length(self) -> int:
+        values = (value for name, value in self._headers if name.lower() == "content-length")
+        return max((int(value) for value in values if value.isdecimal()), default=0)
 
     def feed(self, data: str | bytes) -> None:
         """Parse the next bytes of the connection; raises `HTTPParseError` if they are no HTTP."""
@@ -146,7 +166,8 @@
         )
         self._is_complete = False
         self._has_headers = False
-        self._received = 0
+        self._body = []
+        self._received = self._body_bytes = 0
         return response
 
     def end_of_stream(self) -> bool:
@@ -192,13 +213,25 @@
 
     def _on_body(self, data: bytes) -> None:
         if not self._must_close:
-            self._body.append(bytes(data))
+            self._body_bytes += len(data)
+            if self._body:
+                self._append_to_body(data)
+            else:
+                self._body.append(bytearray(data))
 
     def _on_message_complete(self) -> None:
         is_interim = self._status < STATUS_OK
         self._is_complete = self._is_complete or not is_interim
         self._has_headers = self._has_headers and not is_interim
 
+    def _append_to_body(self, data: bytes) -> None:
+        # Short pieces share a block, since each would take more memory than its bytes. One block
+        # for the whole body would be moved as it grows, which leaves gaps in the heap.
+        if len(self._body[-1]) + len(data) <= BLOCK_BYTES:
+            self._body[-1] += data
+        else:
+            self._body.append(bytearray(data))
+
     def _flush_header(self) -> None:
         # Fields after the head are a trailer, which must not pass for fields of the head.
         if self._field and not self._must_close and not self._has_headers:
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -10,6 +10,7 @@
 from collections import deque
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -18,6 +19,8 @@
 from gevent.server import StreamServer
 
 from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.limits.memory import Holder
+from fulmarhold.limits.retry_after import retry_delay_after_refusal
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.server import listen
 from fulmarhold.wire.sockets import has_input, prepare_connection, round_trip
@@ -26,6 +29,7 @@
     from collections.abc import Callable, Iterator
 
     from fulmarhold.clock import Clock
+    from fulmarhold.limits.memory import FixedHolding, MemoryBudget
     from fulmarhold.observe.counters import Counters
     from fulmarhold.routes.configuration import CallerLimits
 
@@ -44,6 +48,8 @@
 # Before the port is closed, connections that wait are accepted for this long at most: callers may
 # open new ones as fast as they are accepted.
 LAST_ACCEPT_TIME: Milliseconds = 100.0
+# A body up to this size is copied, to send it together with the head.
+MAX_COPIED_BODY_BYTES = 16 * 1024
 # Lets the event loop look for connections.
 ACCEPT_PAUSE: Milliseconds = 1.0
 
@@ -60,7 +66,8 @@
     """A request as received; `target` is the undecoded path with the query.
 
     `is_first` is set for the first request on a connection. `round_trip` is the network round-trip
-    time to the caller, or zero if unknown.
+    time to the caller, or zero if unknown. `owners` names the caller and its account, for their
+    shares of the memory.
     """
 
     method: str
@@ -70,6 +77,7 @@
     received_at: Milliseconds
     is_first: bool = False
     round_trip: Milliseconds = 0.0
+    owners: tuple[str, ...] = ()
 
     def header(self, name: str) -> str:
         """Return the first value of a header by its lower-case name, or an empty string."""
@@ -94,6 +102,13 @@
         self.reason = reason
 
 
+class NoMemory(BadRequest):
+    """There is no room for the request now; it was not run, and may be sent again."""
+
+    def __init__(self) -> None:
+        super().__init__(503, "no_memory")
+
+
 DisconnectCallback = "Callable[[Callable[[], None]], None]"
 
 
@@ -111,8 +126,11 @@
         limits: Callable[[], CallerLimits],
         clock: Clock,
         counters: Counters,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._endpoint = endpoint
+        self._random = Random()
+        self.memory = memory
         self.handle = handle
         self.limits = limits
         self.clock = clock
@@ -140,6 +158,15 @@
         finally:
             self._in_flight -= 1
 
+    def refuse(self, error: BadRequest) -> RawResponse:
+        """Return the response to a request that can't be read, or for which there is no room."""
+        if not isinstance(error, NoMemory):
+            self.counters.add("caller_requests_malformed", reason=error.reason)
+            return RawResponse(error.status, body=error.reason.encode())
+        delay = retry_delay_after_refusal(self._random)
+        headers = (("Retry-After", f"{delay / SECOND:.3f}"),)
+        return RawResponse(error.status, headers, error.reason.encode())
+
     def start(self) -> None:
         """Start listening; raises `FulmarholdError` if the port can't be bound."""
         address, _, port = self._endpoint.rpartition(":")
@@ -166,8 +193,8 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def _serve(self, connection: Any, _: Any) -> None:
-        served = _Connection(self, connection)
+    def _serve(self, connection: Any, peer: tuple[str, int]) -> None:
+        served = _Connection(self, connection, peer[0])
         self._connections.add(served)
         try:
             served.run()
@@ -176,6 +203,7 @@
         finally:
             self._connections.discard(served)
             connection.close()
+            served.release()
 
 
 @dataclass
@@ -193,8 +221,10 @@
 class _Connection:
     """A caller's connection; the parser callbacks fill a queue of complete requests."""
 
-    def __init__(self, server: FrontServer, connection: Any) -> None:
+    def __init__(self, server: FrontServer, connection: Any, caller: str) -> None:
         self._server = server
+        self._owners: tuple[str, ...] = (f"caller {caller}",)
+        self._held: FixedHolding | None = None
         self._socket = connection
         self._parser = httptools.HttpRequestParser(self)
         self._requests: deque[tuple[RawRequest, bool]] = deque()
@@ -216,10 +246,8 @@
             try:
                 request = self._next_request()
             except BadRequest as error:
-                self._server.counters.add("caller_requests_malformed", reason=error.reason)
                 with self._server.answering():
-                    response = RawResponse(error.status, body=error.reason.encode())
-                    self._send(response, "", close=True)
+                    self._send(self._server.refuse(error), "", close=True)
                     self._linger()
                 return
             if request is None:
@@ -227,6 +255,14 @@
             with self._server.answering():
                 if not self._answer(*request):
                     return
+            if not self._has_begun_another:
+                self.release()
+
+    def release(self) -> None:
+        """Give back the memory that requests of this connection were counted with."""
+        held, self._held = self._held, None
+        if held is not None:
+            held.release()
 
     def close_if_idle(self) -> None:
         """Close the connection if it is waiting for a request, and none has arrived."""
@@ -244,6 +280,11 @@
         descriptor = self._socket.fileno()
         return descriptor >= 0 and has_input(descriptor)
 
+    @property
+    def _has_begun_another(self) -> bool:
+        """Whether a part of the next request has been read."""
+        return bool(self._requests or self._read_ahead or self._partial)
+
     @property
     def _has_further_request(self) -> bool:
         """Whether the caller has sent more behind the request that is being answered."""
@@ -256,11 +297,32 @@
             return False
         # Nothing can be answered behind a response that closes the connection.
         close = not keep_open or (self._server.is_closing and not self._has_further_request)
-        self._send(response, request.method, close=close)
+        memory = self._server.memory
+        answer = memory.open_fixed(Holder.ANSWER, request.owners) if memory else None
+        try:
+            if answer is not None:
+                answer.grow(len(response.body))
+            self._send(response, request.method, close=close)
+        finally:
+            if answer is not None:
+                answer.release()
         if close:
             self._linger()
         return not close
 
+    def _hold(self, size: int) -> None:
+        """Account for bytes of a request; raises `NoMemory` if there is no room for them."""
+        if not self._try_hold(size):
+            raise NoMemory
+
+    def _try_hold(self, size: int) -> bool:
+        memory = self._server.memory
+        if memory is None:
+            return True
+        if self._held is None:
+            self._held = memory.open_fixed(Holder.REQUEST, self._owners)
+        return self._held.try_grow(size)
+
     def _measure_round_trip(self) -> Milliseconds:
         try:
             return round_trip(self._socket)
@@ -321,6 +383,7 @@
         partial = self._partial
         if partial is not None and not partial.has_head:
             self._check_head_size()
+            self._hold(len(data))
 
     def _check_head_size(self) -> None:
         if self._head_bytes > self._limits.header_bytes:
@@ -357,6 +420,10 @@
         length = fields.get("content-length", "0")
         if length.isdecimal() and int(length) > self._limits.body_bytes:
             raise BadRequest(413, "the body is too large")
+        self._owners = (self._owners[0], f"account {fields.get('host', '')}")
+        memory = self._server.memory
+        if memory is not None and length.isdecimal() and not memory.fits(self._owners, int(length)):
+            raise NoMemory
         self._expects_continue = fields.get("expect", "").lower() == "100-continue"
 
     def on_body(self, data: bytes) -> None:
@@ -367,6 +434,7 @@
         partial.body_bytes += len(data)
         if partial.body_bytes > self._limits.body_bytes:
             raise BadRequest(413, "the body is too large")
+        self._hold(len(data))
 
     def on_message_complete(self) -> None:
         partial, self._partial = self._partial, None
@@ -380,6 +448,7 @@
             partial.started_at,
             self._is_first,
             self._round_trip,
+            self._owners,
         )
         self._is_first = False
         self._requests.append((request, self._parser.should_keep_alive()))
@@ -413,7 +482,8 @@
         except OSError:
             data = b""
         self._read_ahead += data
-        if data and len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
+        has_room = len(self._read_ahead) < MAX_READ_AHEAD_BYTES and self._try_hold(len(data))
+        if data and has_room:
             return
         watcher.stop()
         if not data:
@@ -434,7 +504,13 @@
             lines.append(f"Keep-Alive: timeout={idle_seconds}")
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         self._socket.settimeout(SEND_TIMEOUT / SECOND)
-        self._socket.sendall(head if method == "HEAD" else head + response.body)
+        if method == "HEAD":
+            self._socket.sendall(head)
+        elif len(response.body) <= MAX_COPIED_BODY_BYTES:
+            self._socket.sendall(head + response.body)
+        else:
+            self._socket.sendall(head)
+            self._socket.sendall(response.body)
 
     def _linger(self) -> None:
         """Shut down the sending side and drain input, so that no reset discards the response."""
