Bound the memory that bodies take at control

Cause: the size of a text was taken for the size of its values, and each body had a bound without one on their sum.

Bodies being read count against the memory budget of the process, and are refused with 503 once there is no room; one caller has two fifths.

Tests: test_heartbeats.py, two cases. Before, the first body was decoded and the second acknowledged.

--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -18,6 +18,7 @@
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.control.versions import DECISION_TIMEOUT, VersionService
 from fulmarhold.daemons import spawn_essential
+from fulmarhold.limits.memory import MemoryBudget, held_bytes_limit
 from fulmarhold.membership.statements import READY, InstanceStatement
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.observe.traffic import TrafficCounter
@@ -92,6 +93,7 @@
             clock,
         )
         self._versions = VersionService(self.node, machine, clock, counters)
+        self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
         self._clock = clock
         self._counters = counters
         self._servers: list[Any] = []
@@ -115,6 +117,7 @@
     def _count_traffic(self) -> None:
         while True:
             gevent.sleep(TRAFFIC_PERIOD / SECOND)
+            self._memory.check_relief()
             for purpose, links in (
                 ("log", self._transport.links()),
                 ("statements", self._links.all()),
@@ -141,6 +144,7 @@
             self._settings.control_endpoint,
             self._clock,
             self._counters,
+            self._memory,
         )
         self._servers = [
             serve_application(application, self._settings.control_endpoint),
@@ -182,6 +186,7 @@
         yield "control_upstreams_known", {}, float(len(self._feeds.upstreams))
         yield "control_instances_known", {}, float(len(self._feeds.instances))
         yield "control_can_store", {}, float(self.node.can_store)
+        yield from self._memory.gauges()
         if self.node.is_formed:
             core = self.node.core
             yield "control_leads", {}, float(self._leads)
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -21,7 +21,7 @@
 )
 from fulmarhold.platform.settings import DIRECTORY_ANSWER_TTL
 from fulmarhold.settings.problems import InvalidSettings
-from fulmarhold.web.serving import read_body
+from fulmarhold.web.serving import LARGEST_BODY_BYTES, held_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,6 +29,7 @@
     from fulmarhold.clock import Clock
     from fulmarhold.control.feeds import FeedService
     from fulmarhold.control.versions import VersionService
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.observe.counters import Counters
 
 log = get_logger("heartbeats")
@@ -37,14 +38,15 @@
 class ConfigurationResource:
     """PUT and GET /api/config: operators store and read the configuration."""
 
-    def __init__(self, versions: VersionService, counters: Counters) -> None:
+    def __init__(self, versions: VersionService, counters: Counters, memory: MemoryBudget) -> None:
+        self._memory = memory
         self._versions = versions
         self._counters = counters
 
     def on_put(self, request: falcon.Request, response: falcon.Response) -> None:
-        body = read_body(request, MAX_DOCUMENT_BYTES)
-        version = decode_new_configuration(body).version
-        self._versions.store(version, pack_document(body))
+        with held_body(request, MAX_DOCUMENT_BYTES, self._memory) as body:
+            version = decode_new_configuration(body).version
+            self._versions.store(version, pack_document(body))
         response.media = {"version": version}
 
     def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
@@ -61,8 +63,14 @@
     """PUT and DELETE /api/instances/{name}: upstreams send heartbeats and deregister."""
 
     def __init__(
-        self, feeds: FeedService, own_endpoint: str, clock: Clock, counters: Counters
+        self,
+        feeds: FeedService,
+        own_endpoint: str,
+        clock: Clock,
+        counters: Counters,
+        memory: MemoryBudget,
     ) -> None:
+        self._memory = memory
         self._feeds = feeds
         # Every control instance serves heartbeats on the same port.
         self._port = own_endpoint.rpartition(":")[2]
@@ -71,7 +79,8 @@
 
     def on_put(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
         try:
-            statement = decode_heartbeat(name, read_body(request))
+            with held_body(request, LARGEST_BODY_BYTES, self._memory) as body:
+                statement = decode_heartbeat(name, body)
         except FulmarholdError as error:
             self._record_refusal(name, error)
             raise
@@ -136,11 +145,12 @@
     own_endpoint: str,
     clock: Clock,
     counters: Counters,
+    memory: MemoryBudget,
 ) -> falcon.App:
     """Return the application for operators and upstreams."""
     application = _application()
-    application.add_route("/api/config", ConfigurationResource(versions, counters))
-    heartbeats = HeartbeatResource(feeds, own_endpoint, clock, counters)
+    application.add_route("/api/config", ConfigurationResource(versions, counters, memory))
+    heartbeats = HeartbeatResource(feeds, own_endpoint, clock, counters, memory)
     application.add_route("/api/instances/{name}", heartbeats)
     return application
 
--- a/fulmarhold/platform/strict_json.py
+++ b/fulmarhold/platform/strict_json.py
@@ -8,6 +8,8 @@
 from fulmarhold.errors import MalformedInput
 
 MAX_NESTING = 32
+# Each value takes many times the memory of its shortest text.
+MAX_VALUES = 1_000_000
 STEP = "reading the body"
 
 
@@ -15,8 +17,12 @@
     """Return the JSON object in a body of UTF-8 text.
 
     Raises `MalformedInput` for bytes or escapes that aren't Unicode text, numbers that JSON doesn't
-    have, and values nested deeper than `MAX_NESTING`; the last two name the field if possible.
+    have, more than `MAX_VALUES` values, and values nested deeper than `MAX_NESTING`; the first and
+    the last name the field if possible.
     """
+    # Counts separators in texts as well, which real bodies have far fewer of.
+    if sum(map(body.count, (b",", b"[", b"{"))) > MAX_VALUES:
+        raise MalformedInput(f"the body holds more than {MAX_VALUES} values", step=STEP)
     try:
         value = json.loads(body.decode("utf-8-sig"), parse_constant=_refuse_constant)
     except (ValueError, RecursionError) as error:
--- a/fulmarhold/tests/platform/test_heartbeats.py
+++ b/fulmarhold/tests/platform/test_heartbeats.py
@@ -11,9 +11,12 @@
 from falcon import testing
 
 from fulmarhold.clock import ManualClock
+from fulmarhold.errors import MalformedInput
+from fulmarhold.limits.memory import Holder, MemoryBudget
 from fulmarhold.membership.packing import pack_statements, unpack_statements
 from fulmarhold.observe.counters import Counters
 from fulmarhold.platform.interfaces import control_application
+from fulmarhold.platform.strict_json import MAX_VALUES, read_strict_object
 from fulmarhold.tests.platform.test_documents import HEARTBEAT, encode, without
 
 if TYPE_CHECKING:
@@ -42,7 +45,10 @@
             deregister_upstream=self._deregister,
             control_endpoint_in=lambda _: None,
         )
-        application = control_application(versions, feeds, "10.0.0.1:80", self.clock, self.counters)
+        self.memory = MemoryBudget(1_000_000, self.clock, self.counters)
+        application = control_application(
+            versions, feeds, "10.0.0.1:80", self.clock, self.counters, self.memory
+        )
         self._client = testing.TestClient(application)
 
     def put(self, body, path=PATH):
@@ -243,3 +249,21 @@
     [statement] = control.recorded
     assert unpack_statements(pack_statements([statement], ())) == ((statement,), ())
     assert msgpack.unpackb(msgpack.packb(vars(statement))) == vars(statement)
+
+
+# Guards against a control instance that reads bodies until it has no memory left.
+def test_a_heartbeat_for_which_there_is_no_memory_is_refused_as_not_taken(control):
+    others = control.memory.open_fixed(Holder.REQUEST, ("caller other",))
+    others.grow(750_000)
+    assert control.put(encode(HEARTBEAT)).status_code == 503
+    assert control.recorded == []
+    others.release()
+    assert control.put(encode(HEARTBEAT)).status_code == 200
+    assert control.memory.held == 0
+
+
+def test_a_body_with_too_many_values_is_refused(control):
+    with pytest.raises(MalformedInput, match=f"more than {MAX_VALUES} values"):
+        read_strict_object(b"[" * (MAX_VALUES + 1))
+    body = encode(HEARTBEAT, extra=[0] * 1_000)
+    assert control.put(body).status_code == 200
--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -3,24 +3,28 @@
 from __future__ import annotations
 
 import json
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
 import falcon
 from gevent.pool import Pool
 
 from fulmarhold.errors import FulmarholdError, MalformedInput
+from fulmarhold.limits.memory import Holder
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.web.server import ApplicationServer
 from fulmarhold.wire.server import listen
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.observe.counters import Counters
 
 log = get_logger("web")
 
 LARGEST_BODY_BYTES = 64 * 1024
+READ_BYTES = 65_536
 MAX_CONNECTIONS = 2_048
 
 
@@ -28,6 +32,10 @@
     """The body of a request is larger than its interface accepts."""
 
 
+class NoMemory(FulmarholdError):
+    """There is no room for the body of a request now."""
+
+
 class MetricsResource:
     """GET /metrics: the counters in the Prometheus text format."""
 
@@ -90,6 +98,33 @@
     return body
 
 
+@contextmanager
+def held_body(request: falcon.Request, max_bytes: int, memory: MemoryBudget) -> Iterator[bytes]:
+    """Yield the body of a request, and count it as held until the request is handled.
+
+    Raises `BodyTooLarge` above `max_bytes`, and `NoMemory` once there is no room for more of it.
+    """
+    held = memory.open_fixed(Holder.REQUEST, (f"caller {request.remote_addr}",))
+    length = request.content_length or 0
+    if length > max_bytes:
+        raise BodyTooLarge(f"the body is larger than {max_bytes} bytes", step="reading the body")
+    pieces: list[bytes] = []
+    try:
+        while piece := request.bounded_stream.read(READ_BYTES):
+            if not held.try_grow(len(piece)):
+                raise NoMemory("no memory is left for the body", step="reading the body")
+            pieces.append(piece)
+            if held.size > max_bytes:
+                raise BodyTooLarge(
+                    f"the body is larger than {max_bytes} bytes", step="reading the body"
+                )
+        body = b"".join(pieces)
+        pieces.clear()
+        yield body
+    finally:
+        held.release()
+
+
 def read_json(request: falcon.Request, max_bytes: int = LARGEST_BODY_BYTES) -> dict[str, Any]:
     """Return the body as a JSON object; raises `MalformedInput` if it is not one."""
     try:
