Let go of replies and requests as soon as a request has its outcome

Cause: an operation, its calls and their attempts refer to each other, and the garbage collector, which alone frees them, runs by the number of new objects. An idle caller's connection kept the callback of its last request, and so the operation as well.

Ruled out: the kernel's buffers, which took the answers at once; a leak of the response reader, which starts anew for each response.

Change: calls are released with the outcome, and by a collector when it ends, which abandons before that. A connection forgets its callback.

--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -198,10 +198,10 @@
         """Send no more replies, because the asking entry needs none."""
         if not self._is_open:
             return
-        self._end()
-        for call in self._calls:
-            if not keep_work:
+        if not keep_work:
+            for call in self._calls:
                 call.abandon()
+        self._end()
 
     def end_early(self) -> None:
         """Send the parts that have arrived, and name the others, as the last reply."""
@@ -212,9 +212,9 @@
             kind = Unserved.FAILED if call.was_sent else Unserved.DECLINED
             self._unserved.append((self._calls[call], kind.value, Decline.STOPPING.value))
         self._finished_count = len(self._calls)
-        self._reply()
         for call in open_calls:
             call.abandon()
+        self._reply()
 
     def _decline(self, position: int, reason: Decline) -> None:
         self._unserved.append((position, Unserved.DECLINED.value, reason.value))
@@ -255,6 +255,7 @@
         self._replies.end()
         for call in self._calls:
             call.close()
+            call.release()
         if self._context.held is not None:
             self._context.held.release()
         own = gevent.getcurrent()
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -33,6 +33,16 @@
     def call_finished(self, call: ServiceCall) -> None: ...
 
 
+class _NoOwner:
+    """Stands for the owner of a call that was released."""
+
+    def call_finished(self, call: ServiceCall) -> None:
+        pass
+
+
+NO_OWNER = _NoOwner()
+
+
 class ServiceCall:
     """Obtains one reply from a service, with as few attempts as necessary."""
 
@@ -180,6 +190,17 @@
         for attempt in self._attempts:
             attempt.abandon()
 
+    def release(self) -> None:
+        """Let go of everything that the closed call refers to.
+
+        Calls, their owners and attempts refer to each other. Without this, replies and requests
+        would stay in memory until the garbage collector finds them.
+        """
+        self._is_closed = True
+        self._attempts = []
+        self._owner = NO_OWNER
+        self.reply = None
+
     # Callbacks of the attempts
 
     def note_latency(self, latency: Milliseconds) -> None:
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -159,6 +159,7 @@
             outcome = operation.run()
         finally:
             del self._open[operation]
+            operation.release()
             if held is not None:
                 held.release()
         elapsed = self._clock.now() - request.received_at
--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -151,6 +151,12 @@
         self._is_ended = True
         self._wake.set()
 
+    def release(self) -> None:
+        """Let go of the calls; there is an outcome."""
+        for call in self._calls:
+            call.release()
+        self._collections = []
+
     def call_finished(self, call: ServiceCall) -> None:
         """Handle a call that has its part, or will not get one."""
         self._open_count -= 1
--- a/fulmarhold/forwarding/single.py
+++ b/fulmarhold/forwarding/single.py
@@ -62,6 +62,10 @@
         self._is_ended = True
         self._wake.set()
 
+    def release(self) -> None:
+        """Let go of the call; there is an outcome."""
+        self._call.release()
+
     def call_finished(self, _: ServiceCall) -> None:
         """End the wait: the call has its reply, or will not get one."""
         self._wake.set()
--- a/fulmarhold/tests/forwarding/test_memory.py
+++ b/fulmarhold/tests/forwarding/test_memory.py
@@ -5,6 +5,10 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
+
+import gevent
 import pytest
 
 from fulmarhold.clock import Clock
@@ -19,7 +23,12 @@
 from fulmarhold.observe.events import EventLog
 from fulmarhold.routes.configuration import Route, RouteConfiguration, WeightedService
 from fulmarhold.routes.table import RouteTable
-from fulmarhold.tests.forwarding.scripted import ForwardingFixture, ScriptedCodec, shards
+from fulmarhold.tests.forwarding.scripted import (
+    ForwardingFixture,
+    ScriptedCodec,
+    ScriptedPool,
+    shards,
+)
 
 LIMIT = 1_000_000
 TOP = 3
@@ -106,3 +115,27 @@
     fixture.single(pools).run()
     held.release()
     assert memory.held == 0
+
+
+# Guards against replies that stay in memory until the garbage collector finds them.
+@pytest.mark.parametrize("kind", ["single", "shards", "hedged"])
+def test_a_reply_is_gone_with_its_outcome_without_the_garbage_collector(kind):
+    fixture = ForwardingFixture()
+    if kind == "shards":
+        operation = fixture.scatter(shards(3))
+    else:
+        slow, fast = ScriptedPool("0", delay=30.0), ScriptedPool("1")
+        fast.load = 1
+        operation = fixture.single([slow, fast], hedge_after=5.0 if kind == "hedged" else 1_000.0)
+    gc.collect()
+    gc.disable()
+    try:
+        operation.run()
+        calls = operation.calls if kind == "shards" else [operation._call]
+        replies = [weakref.ref(call.reply) for call in calls]
+        operation.release()
+        del calls, operation
+        gevent.sleep(0.04)
+        assert [reply() for reply in replies] == [None] * len(replies)
+    finally:
+        gc.enable()
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -218,3 +218,13 @@
 
 def wait_for_status(entry, path="/a/x", status=200):
     return wait_for(lambda: send_request(entry, path), lambda answer: answer[0] == status)
+
+
+def read_metrics(address):
+    """Return the metrics of an instance as text; raises `OSError` if they can't be read."""
+    with gevent.socket.create_connection((address, METRICS_PORT), timeout=5.0) as connection:
+        connection.sendall(b"GET /metrics HTTP/1.0\r\nHost: m\r\n\r\n")
+        received = b""
+        while part := connection.recv(65_536):
+            received += part
+    return received.decode()
--- a/fulmarhold/tests/platform/test_fleet.py
+++ b/fulmarhold/tests/platform/test_fleet.py
@@ -14,7 +14,6 @@
 from fulmarhold.tests.platform.fleet import (
     CONTROL,
     ENTRIES,
-    METRICS_PORT,
     NETWORK,
     RECORD,
     SUCCESSORS,
@@ -24,6 +23,7 @@
     Upstream,
     configuration,
     put_configuration,
+    read_metrics,
     send_request,
     wait_for,
     wait_for_status,
@@ -134,7 +134,7 @@
 
 def is_voter(address):
     """Whether a control instance knows three voters and a recent majority, itself among them."""
-    metrics = send_metrics_request(address)
+    metrics = read_metrics(address)
     lines = (line.partition(" ") for line in metrics.splitlines())
     values = {name: value for name, _, value in lines}
     return values.get("fulmarhold_control_votes") == "1.0" and (
@@ -143,15 +143,6 @@
     )
 
 
-def send_metrics_request(address):
-    with gevent.socket.create_connection((address, METRICS_PORT), timeout=5.0) as connection:
-        connection.sendall(b"GET /metrics HTTP/1.0\r\nHost: m\r\n\r\n")
-        received = b""
-        while part := connection.recv(65_536):
-            received += part
-    return received.decode()
-
-
 def test_control_instances_are_replaced_until_none_of_the_first_seeds_is_left(fleet, upstreams):
     leaving, staying = upstreams
     shards = {"shardServices": ["s1", "s2"], "topK": 5, "minShardShare": 0.5}
@@ -231,7 +222,7 @@
         wait_for(lambda to=entry: send_request(to), lambda found: "parts: 0" in found[1])
 
     def collected_bytes():
-        lines = send_metrics_request(ENTRIES[0]).splitlines()
+        lines = read_metrics(ENTRIES[0]).splitlines()
         return [line for line in lines if "peer_bytes" in line and 'purpose="collect"' in line]
 
     def ask_until_collected():
--- a/fulmarhold/tests/platform/test_full_disks.py
+++ b/fulmarhold/tests/platform/test_full_disks.py
@@ -15,10 +15,10 @@
 from fulmarhold.tests.platform.fleet import (
     CONTROL,
     CONTROL_PORT,
-    METRICS_PORT,
     SUCCESSORS,
     PlatformFleet,
     configuration,
+    read_metrics,
     wait_for,
 )
 from fulmarhold.web.client import request_json
@@ -77,12 +77,9 @@
 
 def gauge(address, name):
     """Return a gauge of a control process; raises `OSError` if it can't be read."""
-    with gevent.socket.create_connection((address, METRICS_PORT), timeout=5.0) as connection:
-        connection.sendall(b"GET /metrics HTTP/1.0\r\nHost: m\r\n\r\n")
-        received = b""
-        while part := connection.recv(65_536):
-            received += part
-    found = re.search(rf"^fulmarhold_control_{name} ([0-9.]+)$", received.decode(), re.MULTILINE)
+    found = re.search(
+        rf"^fulmarhold_control_{name} ([0-9.]+)$", read_metrics(address), re.MULTILINE
+    )
     return float(found[1]) if found else 0.0
 
 
--- a/fulmarhold/tests/platform/test_memory.py
+++ b/fulmarhold/tests/platform/test_memory.py
@@ -8,21 +8,26 @@
 import pytest
 
 from fulmarhold.limits.memory import MEBIBYTE
+from fulmarhold.platform.encoding import CALLER_PORT
 from fulmarhold.tests.platform.fleet import (
     CONTROL,
     ENTRIES,
     NETWORK,
+    RECORD,
+    TIMEOUT_SECONDS,
     UPSTREAM_HOST,
     PlatformFleet,
     Upstream,
     configuration,
     put_configuration,
+    read_metrics,
     send_request,
     wait_for,
     wait_for_status,
 )
 
 ENTRY = ENTRIES[0]
+SHORTAGES = "fulmarhold_memory_shortages_total"
 # The smallest limit of the users' machines.
 LIMIT_MEBIBYTES = 160
 SPARE_SHARE = 0.1
@@ -35,6 +40,11 @@
 # A response of `LENGTH` bytes would be complete after about a second.
 SLOW_PIECE_SECONDS = 0.004
 SOUND_SHARE = 0.99
+# Callers that take memory: their answers or bodies together are several times the limit.
+GREEDY_CALLERS = 150
+BODY_BYTES = 3_000_000
+OTHER_HOST = "other.example"
+OTHER_CALLER = "127.0.0.9"
 
 
 class EndlessUpstream(Upstream):
@@ -89,7 +99,11 @@
 def serve(upstreams):
     document = configuration(3, service="s1")
     sound = document["routes"][0]
-    document["routes"].append({**sound, "name": "r2", "pathPrefix": "/b/", "service": "s2"})
+    document["routes"] += [
+        {**sound, "name": "r2", "pathPrefix": "/b/", "service": "s2"},
+        {**sound, "name": "r3", "host": OTHER_HOST},
+    ]
+    document["limits"] = {"maxBodyBytes": BODY_BYTES}
     for service in document["services"]:
         service["maxConnections"] = 2 * CALLERS
     assert put_configuration(document).status == 200
@@ -139,3 +153,70 @@
     assert set(faulty_statuses) <= {502, 503, 504}
     assert len(faulty_statuses) == CALLERS * REQUESTS_EACH
     assert all(upstream.targets for upstream in faulty)
+
+
+class Connection:
+    """A caller's connection that sends a request, or a part of one, and does not read."""
+
+    def __init__(self, number, body_bytes=0, path="/b/x", host="h.example", caller="127.0.0.1"):
+        self._socket = gevent.socket.create_connection(
+            (ENTRY, CALLER_PORT), timeout=TIMEOUT_SECONDS, source_address=(caller, 0)
+        )
+        length = f"Content-Length: {body_bytes}\r\n" if body_bytes else ""
+        self._socket.sendall(
+            f"POST {path} HTTP/1.1\r\nHost: {host}\r\nX-Fulmarhold-Attempt-Id: greedy-{number}\r\n"
+            f"X-Fulmarhold-Request-Deadline: 4000\r\n{length}\r\n".encode()
+        )
+
+    def send(self, data):
+        with suppress(OSError):
+            self._socket.sendall(data)
+
+    def read_status(self):
+        return int(self._socket.recv(65_536).split(b" ")[1])
+
+    def close(self):
+        self._socket.close()
+
+
+def refused_for_memory():
+    lines = (line for line in read_metrics(ENTRY).splitlines() if line.startswith(SHORTAGES))
+    return sum(float(line.split()[-1]) for line in lines if "refused" in line)
+
+
+def check_that_others_are_served(fleet):
+    for number in range(20):
+        other = Connection(f"other-{number}", path="/a/x", host=OTHER_HOST, caller=OTHER_CALLER)
+        assert other.read_status() == 200
+        other.close()
+    peak = fleet.peak_memory(ENTRY) / MEBIBYTE
+    assert peak <= (1 - SPARE_SHARE) * LIMIT_MEBIBYTES, f"{peak:.0f} MiB"
+
+
+# Guards against an entry that keeps the answers of callers that don't read, or of past requests.
+def test_callers_that_do_not_read_their_answers_cost_bounded_memory(fleet, started):
+    started += [
+        Upstream(f"{NETWORK}.{UPSTREAM_HOST}", "s1"),
+        Upstream(f"{NETWORK}.{UPSTREAM_HOST + 1}", "s2", records=BODY_BYTES // len(RECORD)),
+    ]
+    serve(started)
+    callers = [Connection(number) for number in range(GREEDY_CALLERS)]
+    wait_for(lambda: len(started[1].targets), lambda sent: sent >= GREEDY_CALLERS / 2)
+    check_that_others_are_served(fleet)
+    for caller in callers:
+        caller.close()
+
+
+# Guards against an entry that reads large bodies of many callers at once, without a bound.
+def test_callers_that_send_large_bodies_cost_bounded_memory(fleet, started):
+    started += [
+        Upstream(f"{NETWORK}.{UPSTREAM_HOST + number}", f"s{number + 1}") for number in (0, 1)
+    ]
+    serve(started)
+    callers = [Connection(number, BODY_BYTES) for number in range(GREEDY_CALLERS)]
+    sending = [gevent.spawn(caller.send, b"b" * (BODY_BYTES - 1)) for caller in callers]
+    wait_for(refused_for_memory, lambda refused: refused >= GREEDY_CALLERS / 2)
+    check_that_others_are_served(fleet)
+    gevent.killall(sending)
+    for caller in callers:
+        caller.close()
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -469,6 +469,8 @@
         finally:
             watcher.stop()
             watcher.close()
+            # It refers to the operation, and so to the response, which an idle connection must not.
+            self._on_disconnect = None
 
     def _set_on_disconnect(self, callback: Callable[[], None]) -> None:
         self._on_disconnect = callback
