Tolerate a missing memory limit, and check for room only where a request has a body

A review of the budget: `limits` or `memoryMb` without a value would have kept a daemon from starting. A request without a body was refused by the reader of requests once memory was short, whatever its rank and without a line that names it; the forwarder decides on those. The end of a caller's connection could count as a shortage.

--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -42,8 +42,8 @@
 
 
 class _Limits(Struct, frozen=True):
-    # Of one process; zero if it is not limited.
-    memory_mebibytes: Annotated[float, Meta(ge=0)] = field(default=0.0, name="memoryMb")
+    # Of one process.
+    memory_mebibytes: Annotated[float, Meta(ge=0)] | None = field(default=None, name="memoryMb")
 
 
 class _Addresses(Struct, frozen=True):
@@ -70,7 +70,7 @@
     heartbeat_period: Milliseconds = field(default=1_200.0, name="heartbeatMs")
     fault_tolerance: _Tolerance = field(default=_Tolerance(), name="faultTolerance")
     bounds: _Bounds = _Bounds()
-    limits: _Limits = _Limits()
+    limits: _Limits | None = None
 
 
 @dataclass(frozen=True)
@@ -122,7 +122,7 @@
 def decode_settings(document: Any, source: str) -> PlatformSettings:
     """Decode the values of a settings file; unknown fields are ignored."""
     values = decode_struct(document, _SettingsFile, source)
-    addresses = values.addresses
+    addresses, limits = values.addresses, values.limits or _Limits()
     endpoints = {
         "bindAddresses.front": addresses.callers,
         "bindAddresses.readinessAddress": addresses.readiness,
@@ -155,5 +155,5 @@
             values.bounds.retry_window_seconds * SECOND,
         ),
         grace=values.bounds.grace_seconds * SECOND,
-        memory_bytes=int(values.limits.memory_mebibytes * MEBIBYTE),
+        memory_bytes=int(limits.memory_mebibytes or 0) * MEBIBYTE,
     )
--- a/fulmarhold/tests/platform/test_documents.py
+++ b/fulmarhold/tests/platform/test_documents.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from fulmarhold.errors import FulmarholdError
+from fulmarhold.limits.memory import MEBIBYTE
 from fulmarhold.membership.statements import DRAINING, READY
 from fulmarhold.platform.documents import (
     decode_configuration,
@@ -196,6 +197,7 @@
         ({"internalPortRange": [1]}, "internalPortRange"),
         ({"bindAddresses": {"front": "x"}}, "front"),
         ({"faultTolerance": {"machines": -1}}, "machines"),
+        ({"limits": {"memoryMb": -1}}, "memoryMb"),
     ],
 )
 def test_an_error_names_the_invalid_setting(changes, named):
@@ -203,6 +205,20 @@
         decode_settings({**SETTINGS, **changes}, "settings")
 
 
+@pytest.mark.parametrize(
+    ("changes", "mebibytes"),
+    [
+        ({}, 0),
+        ({"limits": None}, 0),
+        ({"limits": {"memoryMb": None}}, 0),
+        ({"limits": {"memoryMb": 296, "cores": 1}}, 296),
+    ],
+)
+def test_the_memory_limit_may_be_missing(changes, mebibytes):
+    decoded = decode_settings({**SETTINGS, **changes}, "settings")
+    assert decoded.memory_bytes == mebibytes * MEBIBYTE
+
+
 def with_route(**changes):
     return {**CONFIGURATION, "routes": [{**CONFIGURATION["routes"][0], **changes}]}
 
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -421,8 +421,8 @@
         if length.isdecimal() and int(length) > self._limits.body_bytes:
             raise BadRequest(413, "the body is too large")
         self._owners = (self._owners[0], f"account {fields.get('host', '')}")
-        memory = self._server.memory
-        if memory is not None and length.isdecimal() and not memory.fits(self._owners, int(length)):
+        memory, size = self._server.memory, int(length) if length.isdecimal() else 0
+        if memory is not None and size and not memory.fits(self._owners, size):
             raise NoMemory
         self._expects_continue = fields.get("expect", "").lower() == "100-continue"
 
@@ -484,8 +484,8 @@
         except OSError:
             data = b""
         self._read_ahead += data
-        has_room = len(self._read_ahead) < MAX_READ_AHEAD_BYTES and self._try_hold(len(data))
-        if data and has_room:
+        is_full = len(self._read_ahead) >= MAX_READ_AHEAD_BYTES
+        if data and not is_full and self._try_hold(len(data)):
             return
         watcher.stop()
         if not data:
