--- a/fulmarhold/tests/platform/test_memory.py
+++ b/fulmarhold/tests/platform/test_memory.py
@@ -8,7 +8,7 @@
 import pytest
 
 from fulmarhold.limits.memory import MEBIBYTE
-from fulmarhold.platform.encoding import CALLER_PORT
+from fulmarhold.platform.encoding import CALLER_PORT, CONTROL_PORT
 from fulmarhold.tests.platform.fleet import (
     CONTROL,
     ENTRIES,
@@ -45,6 +45,11 @@
 BODY_BYTES = 3_000_000
 OTHER_HOST = "other.example"
 OTHER_CALLER = "127.0.0.9"
+CONTROL_LIMIT_MEBIBYTES = 256
+# Operators that send documents of almost the largest size at once, each from its own address.
+OPERATORS = 30
+DOCUMENT_BYTES = 15 * 1024 * 1024
+HEARTBEATS = 300
 
 
 class EndlessUpstream(Upstream):
@@ -90,7 +95,7 @@
 def fleet(tmp_path):
     running = PlatformFleet(tmp_path)
     for address in CONTROL:
-        running.start(address)
+        running.start(address, memory_mebibytes=CONTROL_LIMIT_MEBIBYTES)
     running.start(ENTRY, memory_mebibytes=LIMIT_MEBIBYTES)
     yield running
     running.kill()
@@ -220,3 +225,34 @@
     gevent.killall(sending)
     for caller in callers:
         caller.close()
+
+
+def send_document(number, statuses):
+    """Send most of a large document, and the rest once the others have been sent as well."""
+    head = f"PUT /api/config HTTP/1.1\r\nHost: c\r\nContent-Length: {DOCUMENT_BYTES}\r\n\r\n"
+    with (
+        gevent.socket.create_connection(
+            (CONTROL[0], CONTROL_PORT), TIMEOUT_SECONDS, source_address=(f"127.0.1.{number + 1}", 0)
+        ) as connection,
+        suppress(OSError),
+    ):
+        connection.sendall(head.encode() + b'{"a": "' + b"a" * (DOCUMENT_BYTES - 100))
+        statuses.append(int(connection.recv(65_536).split(b" ")[1]))
+
+
+# Guards against a control instance that reads large documents of many operators at once.
+def test_large_documents_at_once_cost_control_bounded_memory(fleet, started):
+    started += [
+        Upstream(f"{NETWORK}.{UPSTREAM_HOST + number}", f"s{number + 1}") for number in (0, 1)
+    ]
+    serve(started)
+    statuses: list[int] = []
+    sending = [gevent.spawn(send_document, number, statuses) for number in range(OPERATORS)]
+    wait_for(lambda: len(statuses), lambda refused: refused >= OPERATORS / 2)
+    for _ in range(HEARTBEATS):
+        assert started[0].send_heartbeat(control=CONTROL[0]).status == 200
+    gevent.killall(sending)
+    assert put_configuration({**configuration(4, service="s1")}, CONTROL[0]).status == 200
+    assert set(statuses) == {503}
+    peak = fleet.peak_memory(CONTROL[0]) / MEBIBYTE
+    assert peak <= (1 - SPARE_SHARE) * CONTROL_LIMIT_MEBIBYTES, f"{peak:.0f} MiB"
