Send nothing to an address that answers for another upstream, even if no other replica is left

Cause: all upstreams of a shard had crashed, and a new upstream of another service started at the address of one of them. Every request of the dead shard went there first and was rejected with 421, 184 times in 6 s, since ejected replicas are used where no other is left. Each of these arrivals is extra load for the service that is there now, which no budget counts. The class: the last resort for a replica that may be ill was applied to one that is known not to be there.

Ruled out: new entries' first tokens (four entries started in that window), the budgets' refill, hedges of unsent attempts.

Change: a replica whose address has another owner gets nothing for 10 s, about as long as control remembers a silent upstream, and requests that wait for a connection to it go elsewhere. A shard without any other is refused at once, or left out.

--- a/fulmarhold/forwarding/attempt.py
+++ b/fulmarhold/forwarding/attempt.py
@@ -57,9 +57,9 @@
         return self._context.deadline_at
 
     def may_send(self) -> bool:
-        """Whether the attempt is still needed and its deadline has not passed."""
-        context = self._context
-        return not self.is_done and context.clock.now() < context.deadline_at
+        """Whether the attempt is still needed and in time, and its upstream still there."""
+        now = self._context.clock.now()
+        return not self.is_done and now < self._context.deadline_at and self.replica.is_live(now)
 
     def encode(self) -> bytes:
         """Return the bytes of the request; called at the moment of sending."""
@@ -109,7 +109,7 @@
             self._call.note_latency(elapsed)
             context.replies.note_size(len(reply.body))
         elif reply.verdict is Verdict.OTHER_OWNER:
-            self.replica.note_unreachable(now)
+            self.replica.note_superseded(now)
         elif reply.status >= 500 or reply.verdict is Verdict.NOT_RUN:
             self._note_failure(now)
         if reply.verdict is not Verdict.SUCCESS:
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -97,10 +97,11 @@
     def start(self) -> None:
         """Send the first attempt."""
         self._budget.earn(1)
-        if not self._replicas:
+        replicas = self._untried()
+        if not replicas:
             self._refuse(RefusedReason.NO_UPSTREAM)
         else:
-            self._send(self._untried(), FIRST)
+            self._send(replicas, FIRST)
 
     def start_remote(self, attempt: Attempt) -> None:
         """Take an attempt that another entry makes as the first one."""
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -25,6 +25,9 @@
 # An unresponsive upstream gets one request per period, which detects its recovery; a hedge covers
 # that request.
 PROBE_PERIOD: Milliseconds = 1_000.0
+# How long an upstream whose address answers for another one gets no request. Control forgets a
+# silent upstream after about as long; one that is there all the same is tried again.
+SUPERSEDED_FOR: Milliseconds = 10_000.0
 # A reply that took more than this multiple of the usual latency may have been delayed by a pause.
 PAUSE_FACTOR = 2.0
 # The failure share averages over about the last ten replies and halves in FAILURE_HALF_LIFE
@@ -93,6 +96,7 @@
         self._has_own_estimate = False
         self.concurrency = ConcurrencyLimit()
         self.ejected_until: Milliseconds = float("-inf")
+        self._superseded_until: Milliseconds = float("-inf")
         self._ejection = ejection
         self._slow_start = slow_start
         self.is_local = is_local
@@ -118,8 +122,8 @@
         return self.upstream.record.address, self.upstream.record.incarnation
 
     def is_live(self, now: Milliseconds) -> bool:
-        """Whether the lease of the upstream is still valid."""
-        return self.upstream.is_live(now)
+        """Whether the lease of the upstream is still valid, and its address still its own."""
+        return now >= self._superseded_until and self.upstream.is_live(now)
 
     def is_ejected(self, now: Milliseconds) -> bool:
         """Whether it is excluded from selection for now, after failures."""
@@ -233,6 +237,14 @@
         """Record that the upstream is not at its address; ejects the replica at once."""
         self.ejected_until = max(self.ejected_until, now + self._ejection)
 
+    def note_superseded(self, now: Milliseconds) -> None:
+        """Record that another upstream answers at its address.
+
+        Unlike one that is ejected, it gets no request even if there is no other replica: each one
+        would be extra load for the upstream that is there now.
+        """
+        self._superseded_until = now + SUPERSEDED_FOR
+
     def _update_failure_share(self, failed: float, now: Milliseconds) -> None:
         share = self._decayed_failure_share(now)
         self._failure_share = share + FAILURE_WEIGHT * (failed - share)
