Check what failed replies hold before it is given back

The test released everything itself before it looked, so that it could not fail. It now requires that both failed replies are held until the outcome.

--- a/fulmarhold/tests/forwarding/test_memory.py
+++ b/fulmarhold/tests/forwarding/test_memory.py
@@ -106,13 +106,14 @@
     assert forwarding.memory.held == 0
 
 
-def test_a_failed_request_leaves_nothing_held():
+def test_failed_replies_are_held_until_the_outcome():
     fixture, memory = ForwardingFixture(), MemoryBudget(LIMIT, Clock(), Counters())
     fixture.context.held = held = memory.open_fixed(Holder.REPLY)
     pools = shards(1)["s0"]
     for pool in pools:
         pool.verdict, pool.status = Verdict.FAILURE, 500
     fixture.single(pools).run()
+    assert memory.held == len(pools) * RECORD_BYTES
     held.release()
     assert memory.held == 0
 
