Let the bound on memory follow the number of upstreams

An entry of 256 MiB with 4,000 upstreams needs 201 MiB for its state, but held up to 88 MiB for others: the memory at rest was a constant, enough for some 700 upstreams.

--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -155,6 +155,8 @@
     def _run_maintenance(self) -> None:
         while True:
             self.table.maintain()
+            process_bytes = self._settings.memory_mebibytes * MEBIBYTE
+            self._memory.resize(held_bytes_limit(process_bytes, len(self.table.replicas)))
             self._memory.check_relief()
             gevent.sleep(MAINTENANCE_PERIOD / SECOND)
 
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -13,7 +13,7 @@
 from fulmarhold.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection
 
     from fulmarhold.clock import Clock
     from fulmarhold.limits.memory import MemoryBudget
@@ -67,7 +67,7 @@
         self._typical_latencies: dict[tuple[str, ...], QuantileEstimate] = {}
 
     @property
-    def replicas(self) -> Iterable[Replica]:
+    def replicas(self) -> Collection[Replica]:
         return self._replicas.values()
 
     def of_service(self, service: str) -> list[Replica]:
--- a/fulmarhold/limits/memory.py
+++ b/fulmarhold/limits/memory.py
@@ -35,6 +35,12 @@
 DEFAULT_PROCESS_BYTES = 256 * MEBIBYTE
 # What a process needs without any request: code, the state of the fleet, connections.
 AT_REST_BYTES = 80 * MEBIBYTE
+# The number of upstreams whose state is a part of that, and the memory of each further one with its
+# connections.
+UPSTREAMS_AT_REST = 700
+UPSTREAM_BYTES = 40 * 1024
+# The part of the limit that is usable for the rest however many upstreams there are.
+MIN_USABLE_SHARE = 0.2
 # The part of the rest that may be held. Data is copied while it is decoded, merged and sent, and
 # the kernel holds bytes that have arrived and are not read yet.
 HELD_SHARE = 0.5
@@ -76,13 +82,19 @@
     BODY_REFUSED = "body_refused"
 
 
-def held_bytes_limit(process_bytes: int) -> int:
+def held_bytes_limit(process_bytes: int, upstreams: int = 0) -> int:
     """Return how many bytes may be held by a process that may use `process_bytes` of memory.
 
+    `upstreams` is the number of upstreams that the process is connected to.
+
     >>> held_bytes_limit(300 * MEBIBYTE) // MEBIBYTE, held_bytes_limit(100 * MEBIBYTE) // MEBIBYTE
     (110, 25)
+    >>> held_bytes_limit(300 * MEBIBYTE, upstreams=4_000) // MEBIBYTE
+    45
     """
-    usable = process_bytes or DEFAULT_PROCESS_BYTES
+    whole = process_bytes or DEFAULT_PROCESS_BYTES
+    fleet = max(0, upstreams - UPSTREAMS_AT_REST) * UPSTREAM_BYTES
+    usable = max(whole - fleet, MIN_USABLE_SHARE * whole)
     return int(max(MIN_HELD_SHARE * usable, HELD_SHARE * (usable - AT_REST_BYTES)))
 
 
@@ -155,6 +167,11 @@
         self._report(Shortage.BODY_REFUSED)
         return False
 
+    def resize(self, limit: int) -> None:
+        """Change the bound; unfinished responses give way to a smaller one."""
+        self._limit = limit
+        self._make_room()
+
     def check_relief(self) -> None:
         """Report that memory is no longer short once it isn't; called periodically."""
         if self._is_short and self.held <= RELIEVED_SHARE * self._limit:
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -275,6 +275,8 @@
             self._table.maintain()
             self._collectors.maintain()
             self.forwarder.refill_budgets()
+            limit = held_bytes_limit(self._settings.memory_bytes, len(self._table.replicas))
+            self._memory.resize(limit)
             self._memory.check_relief()
             self._announce_load()
 
--- a/fulmarhold/routing/table.py
+++ b/fulmarhold/routing/table.py
@@ -10,7 +10,7 @@
 from fulmarhold.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from fulmarhold.clock import Clock
     from fulmarhold.configuration import Configuration, ServiceConfiguration
@@ -63,7 +63,7 @@
         self._built_from: object = None
 
     @property
-    def replicas(self) -> Iterable[Replica]:
+    def replicas(self) -> Collection[Replica]:
         return self._replicas.values()
 
     def snapshots(self, service: str) -> tuple[SnapshotReplicas, ...]:
--- a/fulmarhold/tests/limits/test_memory.py
+++ b/fulmarhold/tests/limits/test_memory.py
@@ -9,12 +9,15 @@
 from fulmarhold.clock import ManualClock
 from fulmarhold.limits.memory import (
     ADMITTED_SHARE,
+    MEBIBYTE,
     OWNER_SHARE,
     OWNER_TOTAL_SHARE,
+    UPSTREAMS_AT_REST,
     URGENT_ADMITTED_SHARE,
     Holder,
     MemoryBudget,
     Shortage,
+    held_bytes_limit,
 )
 from fulmarhold.observe.counters import Counters
 
@@ -165,6 +168,34 @@
     assert other.size == 380
 
 
+# Guards against an entry that counts on memory which the state of a large fleet takes already.
+@pytest.mark.parametrize(
+    ("limit", "upstreams", "expected"),
+    [
+        (300, 0, 110),
+        (300, UPSTREAMS_AT_REST, 110),
+        (300, 4_000, 45),
+        (256, 4_000, 31),
+        (160, 4_000, 8),
+        (160, 100_000, 8),
+        (160, 0, 40),
+    ],
+)
+def test_what_may_be_held_follows_the_limit_and_the_number_of_upstreams(limit, upstreams, expected):
+    assert held_bytes_limit(limit * MEBIBYTE, upstreams) // MEBIBYTE == expected
+
+
+def test_unfinished_responses_give_way_to_a_smaller_bound(memory):
+    for number in range(3):
+        memory.respond(f"upstream {number}", 300)
+        memory.clock.advance(10.0)
+    memory.budget.resize(LIMIT)
+    assert memory.dropped == []
+    memory.budget.resize(LIMIT // 2)
+    assert memory.dropped == ["upstream 0", "upstream 1"]
+    assert memory.budget.limit == LIMIT // 2
+
+
 def test_a_shortage_is_reported_until_most_of_the_memory_is_free(memory):
     held = memory.hold(700)
     assert not memory.budget.may_admit((), is_urgent=False)
--- a/fulmarhold/tests/platform/test_memory.py
+++ b/fulmarhold/tests/platform/test_memory.py
@@ -7,7 +7,7 @@
 import gevent
 import pytest
 
-from fulmarhold.limits.memory import MEBIBYTE
+from fulmarhold.limits.memory import MEBIBYTE, UPSTREAMS_AT_REST, held_bytes_limit
 from fulmarhold.platform.encoding import CALLER_PORT, CONTROL_PORT
 from fulmarhold.tests.platform.fleet import (
     CONTROL,
@@ -18,6 +18,7 @@
     UPSTREAM_HOST,
     PlatformFleet,
     Upstream,
+    born,
     configuration,
     put_configuration,
     read_metrics,
@@ -30,6 +31,7 @@
 SHORTAGES = "fulmarhold_memory_shortages_total"
 OUTCOMES = "fulmarhold_requests_total"
 HELD = "fulmarhold_memory_held_bytes"
+LIMIT = "fulmarhold_memory_limit_bytes"
 # The smallest limit of the users' machines.
 LIMIT_MEBIBYTES = 160
 SPARE_SHARE = 0.1
@@ -52,6 +54,7 @@
 OPERATORS = 30
 DOCUMENT_BYTES = 15 * 1024 * 1024
 HEARTBEATS = 300
+LARGE_FLEET = UPSTREAMS_AT_REST + 200
 
 
 class EndlessUpstream(Upstream):
@@ -116,7 +119,8 @@
     assert put_configuration(document).status == 200
     for upstream in upstreams:
         wait_for(upstream.send_heartbeat, lambda answer: answer.status == 200)
-    wait_for_status(ENTRY)
+    if upstreams:
+        wait_for_status(ENTRY)
 
 
 def keep_known(upstreams):
@@ -162,6 +166,26 @@
     assert all(upstream.targets for upstream in faulty)
 
 
+class ReportedUpstream(Upstream):
+    """Only reports to control; nothing listens at its address."""
+
+    def __init__(self, number):
+        address = f"127.60.{number // 250}.{number % 250 + 1}"
+        self.address, self.service, self.data_centre = address, "s1", "a"
+        self.name, self.born, self.sequence = f"i-{address}", next(born), 0
+
+
+# Guards against an entry that counts on memory which the state of a large fleet takes already.
+def test_what_an_entry_may_hold_follows_the_number_of_upstreams(fleet):
+    serve([])
+    before = read_counter(LIMIT)
+    for number in range(LARGE_FLEET):
+        assert ReportedUpstream(number).send_heartbeat().status == 200
+    expected = held_bytes_limit(LIMIT_MEBIBYTES * MEBIBYTE, LARGE_FLEET)
+    assert expected < before
+    wait_for(lambda: read_counter(LIMIT), lambda limit: limit == expected)
+
+
 class Connection:
     """A caller's connection that sends a request, or a part of one, and does not read."""
 
