--- a/fulmarhold/tests/platform/test_memory.py
+++ b/fulmarhold/tests/platform/test_memory.py
@@ -77,13 +77,21 @@
             connection.recv(65_536)
 
 
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+WITH_LENGTH = HEAD + b"Content-Length: %d\r\n\r\n" % LENGTH
 KINDS = {
-    "short chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"2\r\nbb\r\n", 0.0),
-    "chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"1000\r\n%b\r\n" % (4096 * b"b"), 0.0),
-    "chunk extensions": (b"Transfer-Encoding: chunked\r\n\r\n1;", b"e", 0.0),
-    "no length": (b"\r\n", b"b", 0.0),
-    "a length, never reached": (b"Content-Length: %d\r\n\r\n" % LENGTH, b"b", SLOW_PIECE_SECONDS),
-    "headers": (b"", b"A:\r\n", 0.0),
+    "short chunks": (CHUNKED, b"2\r\nbb\r\n", 0.0),
+    "chunks": (CHUNKED, b"1000\r\n%b\r\n" % (4096 * b"b"), 0.0),
+    "chunk extensions": (CHUNKED + b"1;", b"e", 0.0),
+    "no length": (HEAD + b"\r\n", b"b", 0.0),
+    "a length, never reached": (WITH_LENGTH, b"b", SLOW_PIECE_SECONDS),
+    "headers": (HEAD, b"A:\r\n", 0.0),
+    "header line": (HEAD + b"X-Long: ", b"a", 0.0),
+    "header name": (HEAD, b"a", 0.0),
+    "status line": (b"HTTP/1.1 200 ", b"O", 0.0),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n", 0.0),
+    "trailer": (CHUNKED + b"0\r\n", b"X-More: 1\r\n", 0.0),
 }
 
 
@@ -139,10 +147,9 @@
 # there are, until it has no memory left and the requests of all callers end with it.
 @pytest.mark.parametrize(("start", "piece", "pause"), KINDS.values(), ids=KINDS.keys())
 def test_upstreams_that_send_without_end_cost_bounded_memory(fleet, started, start, piece, pause):
-    head = b"HTTP/1.1 200 OK\r\n" + start
     piece *= PIECE_BYTES // len(piece)
     hosts = range(UPSTREAM_HOST + 1, UPSTREAM_HOST + 1 + FAULTY_UPSTREAMS)
-    faulty = [EndlessUpstream(f"{NETWORK}.{host}", "s2", head, piece, pause) for host in hosts]
+    faulty = [EndlessUpstream(f"{NETWORK}.{host}", "s2", start, piece, pause) for host in hosts]
     sound = Upstream(f"{NETWORK}.{UPSTREAM_HOST}", "s1")
     started += [sound, *faulty]
     serve(started)
--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -6,7 +6,7 @@
 import struct
 import threading
 import time
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 
 import gevent
 import pytest
@@ -17,7 +17,7 @@
 from fulmarhold.clock import SECOND, Clock
 from fulmarhold.fleet.ports import PortAllocator
 from fulmarhold.forwarding.stopping import StopSchedule
-from fulmarhold.limits.memory import Holder, MemoryBudget
+from fulmarhold.limits.memory import Holder, MemoryBudget, Shortage
 from fulmarhold.observe.counters import Counters
 from fulmarhold.routes.configuration import CallerLimits
 from fulmarhold.web.front import FrontServer, RawResponse
@@ -43,6 +43,11 @@
         )
         self.server.start()
 
+    @property
+    def shortages(self):
+        counts = (self.counters.value("memory_shortages", result=item.value) for item in Shortage)
+        return sum(counts)
+
     def _handle(self, request, on_disconnect):
         self.requests.append(request)
         return self.answer(request, on_disconnect)
@@ -338,6 +343,15 @@
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n64\r\n" + b"a" * 100
 
 
+@contextmanager
+def fill_memory(served):
+    """Hold all memory for others; nothing of it is left over afterwards."""
+    others = served.memory.open_fixed(Holder.ANSWER)
+    others.grow(MEMORY_BYTES)
+    yield
+    others.release()
+
+
 # Guards against an entry that reads requests until it has no memory left.
 @pytest.mark.parametrize(
     "data",
@@ -346,15 +360,43 @@
     ids=["announced", "whole", "chunked", "head"],
 )  # fmt: skip
 def test_a_request_for_which_there_is_no_memory_is_refused_as_not_run(served, data):
-    others = served.memory.open_fixed(Holder.ANSWER)
-    others.grow(MEMORY_BYTES)
-    response = served.exchange(data).lower()
+    with fill_memory(served):
+        response = served.exchange(data).lower()
     assert response.startswith(b"http/1.1 503 ") and b"\r\nretry-after: 0." in response
     assert served.requests == []
-    others.release()
+    assert served.shortages > 0
     assert served.memory.held == 0
 
 
+# Guards against requests that the reader refuses by itself where the forwarder knows their rank.
+@pytest.mark.parametrize(
+    "head", [b"GET / HTTP/1.1\r\n", HEAD[:17], HEAD[:17] + b"Content-Length: 0\r\n"]
+)
+def test_without_memory_a_request_without_a_body_is_passed_on(served, head):
+    with fill_memory(served):
+        response = served.exchange(head + b"Host: h\r\n\r\n")
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert served.shortages == 0
+
+
+def test_without_memory_the_end_of_a_connection_is_no_shortage(served):
+    running, disconnected = Event(), Event()
+
+    def answer(request, on_disconnect):
+        on_disconnect(disconnected.set)
+        running.set()
+        disconnected.wait()
+        return RawResponse(200, (), b"")
+
+    served.answer = answer
+    with fill_memory(served):
+        with served.connect() as connection:
+            connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            assert running.wait(timeout=5)
+        assert disconnected.wait(timeout=5)
+    assert served.shortages == 0
+
+
 def test_requests_and_answers_are_counted_until_their_callers_have_them(served):
     running = Event()
 
