Answer the requests before one that can't be read

A caller that sends a valid request and one that can't be read in one piece got 400, 413 or 431 as its only answer, and the valid request never ran; in two pieces it got 200 first.

Cause: the parser raises where a read can't be understood, and the refusal ended the connection with complete requests still queued. Ruled out: the parser, which reports the first request as complete before it raises.

The refusal is kept, and follows the answers to what came before it.

--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -228,6 +228,8 @@
         self._socket = connection
         self._parser = httptools.HttpRequestParser(self)
         self._requests: deque[tuple[RawRequest, bool]] = deque()
+        # Why what comes after the requests that were read can't be.
+        self._refusal: BadRequest | None = None
         self._partial: _PartialRequest | None = None
         self._head_bytes = 0
         self._read_ahead = b""
@@ -283,12 +285,12 @@
     @property
     def _has_begun_another(self) -> bool:
         """Whether a part of the next request has been read."""
-        return bool(self._requests or self._read_ahead or self._partial)
+        return bool(self._requests or self._refusal or self._read_ahead or self._partial)
 
     @property
     def _has_further_request(self) -> bool:
         """Whether the caller has sent more behind the request that is being answered."""
-        return bool(self._requests or self._read_ahead or self._has_input)
+        return bool(self._requests or self._refusal or self._read_ahead or self._has_input)
 
     def _answer(self, request: RawRequest, keep_open: bool) -> bool:
         """Handle a request and send the response; returns whether the connection stays open."""
@@ -335,12 +337,19 @@
     def _next_request(self) -> tuple[RawRequest, bool] | None:
         self._limits = self._server.limits()
         while not self._requests:
+            if self._refusal is not None:
+                raise self._refusal
             data, self._read_ahead = self._read_ahead, b""
             if not data:
                 data = self._receive()
                 if not data:
                     return None
-            self._feed(data)
+            try:
+                self._feed(data)
+            except BadRequest as error:
+                # The requests before it are answered first.
+                self._refusal = error
+                continue
             if self._expects_continue and not self._requests:
                 self._expects_continue = False
                 self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
