Derive the soak's usual heartbeat from the adapter

The writer of odd heartbeats had its own copy of the platform's field names and values. It starts from the body that the adapter writes now; the odd values and their number are the same.

--- a/fulmarhold/soak/odd_writer.py
+++ b/fulmarhold/soak/odd_writer.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING
 
 import gevent.socket
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.platform.encoding import CONTROL_PORT, HEARTBEAT_PATH
+from fulmarhold.membership.statements import READY, UpstreamStatement
+from fulmarhold.platform.encoding import CONTROL_PORT, HEARTBEAT_PATH, write_heartbeat
 
 if TYPE_CHECKING:
     from fulmarhold.soak.environment import Environment
 
 TIMEOUT: Milliseconds = 1_000.0
 STATEMENTS = 5
-# Values in JSON as they are sent. Nothing listens at the discard port.
-USUAL = {
-    "service": b'"s1"', "address": b'"127.0.0.1:9"', "zone": b'"a"', "version": b'"v1"',
-    "slots": b"2", "state": b'"ready"', "warmupLeftMs": b"0", "sequence": b"1",
-    "born": b"1700000000000",
-}  # fmt: skip
+# Nothing listens at the discard port.
+STATEMENT = UpstreamStatement("i-odd", 1_700_000_000_000, 1, READY, "s1", "127.0.0.1:9", "a", 2)
+# Values in JSON as they are sent.
+USUAL = {key: json.dumps(value).encode() for key, value in write_heartbeat(STATEMENT).items()}
 NESTED = b"[" * 50_000 + b"]" * 50_000
 NUMBERS = (b"1e400", b"9" * 5_000, b"-9223372036854775809", b"NaN", b'"2"', b"null", NESTED)
 TEXTS = (b'"\xff"', b'"\xed\xa0\x80"', b'"\\ud800"', b'"\\u0000"', b"7", b"null", NESTED)
