Check the keys of client accounts before a request is forwarded

A configuration with accounts makes requests carry a key, except on public routes. The key is taken out of what upstreams and collectors get, a forged account header is removed, and the account's name takes its place. An account's priority precedes that of the route, for this entry and for collectors, and memory is counted by account. Two accounts with one key are refused; the error names the accounts.

Without accounts, both headers pass unchanged as before.

--- /dev/null
+++ b/fulmarhold/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts of callers: their keys, and what each of them may use."""
--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -12,7 +12,7 @@
 from fulmarhold.forwarding.call import ServiceCall
 from fulmarhold.forwarding.context import CallContext
 from fulmarhold.forwarding.records import greatest_records
-from fulmarhold.forwarding.request import ForwardRequest, Verdict
+from fulmarhold.forwarding.request import ForwardRequest, Verdict, account_owners
 from fulmarhold.forwarding.shard_timing import STRAGGLER_SHARE, straggler_hedge_delay
 from fulmarhold.limits.budget import ExtraLoadBudget
 from fulmarhold.limits.memory import Holder
@@ -99,6 +99,8 @@
             request.body,
             now,
             now + request.left,
+            owners=account_owners(request.account),
+            account=request.account,
         )
         context = CallContext(
             forwarded,
@@ -115,7 +117,7 @@
             useful_until=now + request.useful_for,
             is_urgent=request.is_urgent,
             top_records=request.top_records,
-            held=self._memory.open_fixed(Holder.REPLY) if self._memory else None,
+            held=self._memory.open_fixed(Holder.REPLY, forwarded.owners) if self._memory else None,
         )
         replicas = [self._table.find(name) for name in request.upstreams]
         collector = PartCollector(context, replicas, request.top_records, replies, self._open)
--- a/fulmarhold/collecting/messages.py
+++ b/fulmarhold/collecting/messages.py
@@ -35,7 +35,8 @@
     """Asks a collector to send a request to `upstreams`, by name, and to merge their parts.
 
     `left` is the time in milliseconds until the deadline, `useful_for` that until the asking entry
-    may answer without the parts that are missing.
+    may answer without the parts that are missing. `account` is the client account of the request,
+    if there is one; an earlier release names none.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     left: float
     useful_for: float
     is_urgent: bool
+    account: str = ""
 
 
 @message
--- a/fulmarhold/collecting/remote.py
+++ b/fulmarhold/collecting/remote.py
@@ -76,6 +76,7 @@
                 context.deadline_at - self._sent_at,
                 max(0.0, context.useful_until - self._sent_at),
                 context.is_urgent,
+                request.account,
             ),
             self,
         )
--- a/fulmarhold/forwarding/codec.py
+++ b/fulmarhold/forwarding/codec.py
@@ -13,6 +13,12 @@
 class UpstreamCodec(Protocol):
     """Encodes requests to upstreams and interprets their responses."""
 
+    def for_account(self, request: ForwardRequest, account: str) -> ForwardRequest:
+        """Return a request as upstreams may see it: without its key, and with its account's name.
+
+        The name is empty for a request that needs no account.
+        """
+
     def prepare(self, request: ForwardRequest) -> tuple[bytes, bytes]:
         """Return the head without the headers that differ between upstreams, and the body."""
 
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from fulmarhold.accounts.keys import KeyTable
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
 from fulmarhold.forwarding.request import (
@@ -16,6 +17,8 @@
     Refused,
     RefusedReason,
     Relayed,
+    Unauthorized,
+    UnauthorizedReason,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.shard_timing import partial_answer_at
@@ -40,7 +43,7 @@
     from fulmarhold.limits.memory import FixedHolding, MemoryBudget
     from fulmarhold.observe.counters import Counters, Histogram
     from fulmarhold.observe.events import EventLog
-    from fulmarhold.routes.configuration import Route
+    from fulmarhold.routes.configuration import ClientAccount, Route, RouteConfiguration
     from fulmarhold.routes.table import RouteTable
 
 # Requests are hedged once they take longer than this share of replies; the budget of extra
@@ -80,6 +83,8 @@
         self._started_at = clock.now()
         self._choose = choosers.find("least_expected")
         self._routes: RouteTable | None = None
+        # Set if the configuration has accounts.
+        self._keys: KeyTable[ClientAccount] | None = None
         self._most_urgent = 0
         self._stop_schedule: StopSchedule | None = None
         self._is_refusing = False
@@ -99,7 +104,9 @@
     def use(self, routes: RouteTable) -> None:
         """Switch to a newer configuration; requests in progress keep the previous one."""
         self._routes = routes
-        self._most_urgent = min((item.rank for item in routes.configuration.routes), default=0)
+        accounts = routes.configuration.accounts
+        self._keys = None if accounts is None else KeyTable(accounts)
+        self._most_urgent = min(_ranks(routes.configuration), default=0)
 
     def start_stop(self, schedule: StopSchedule) -> None:
         """Accept only requests that can be expected to end before this entry exits."""
@@ -143,16 +150,25 @@
         route = self._routes.find(request.host, request.path)
         if route is None:
             return self._finish(request, None, NoRoute(self._routes.configuration.version))
+        account = None
+        if self._keys is not None:
+            if not route.is_public:
+                account = self._keys.find(request.key)
+                if account is None:
+                    return self._finish(request, route, _unauthorized(request))
+            request = self._codec.for_account(request, account.name if account else "")
+        rank = route.rank if account is None or account.rank is None else account.rank
+        is_urgent = rank <= self._most_urgent
         deadline_at = (
             min(request.deadline_at, request.received_at + route.timeout) - DEADLINE_RESERVE
         )
         if not self._can_complete(route, deadline_at):
             return self._finish(request, route, self._refuse_stopping())
-        if not self._has_memory(request, route):
+        if not self._has_memory(request, is_urgent=is_urgent):
             refusal = Refused(RefusedReason.NO_MEMORY, self._retry_after())
             return self._finish(request, route, refusal)
         held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
-        operation = self._operation(request, route, deadline_at, held)
+        operation = self._operation(request, route, deadline_at, held, is_urgent=is_urgent)
         on_disconnect(operation.caller_gone)
         self._open[operation] = request, route
         try:
@@ -186,11 +202,10 @@
         expected = expected_duration(recent, is_idempotent=route.is_idempotent)
         return self._stop_schedule.can_complete(self._clock.now(), deadline_at, expected)
 
-    def _has_memory(self, request: ForwardRequest, route: Route) -> bool:
+    def _has_memory(self, request: ForwardRequest, *, is_urgent: bool) -> bool:
         """Whether there is memory for the replies to one more request."""
         if self._memory is None:
             return True
-        is_urgent = route.rank <= self._most_urgent
         return self._memory.may_admit(request.owners, is_urgent=is_urgent)
 
     def _refuse_stopping(self) -> Refused:
@@ -202,6 +217,8 @@
         route: Route,
         deadline_at: Milliseconds,
         held: FixedHolding | None,
+        *,
+        is_urgent: bool,
     ) -> ShardQuery | SingleForward:
         replies = self._replies.setdefault(
             route.name, ReplyEstimates(HEDGE_QUANTILE, INITIAL_HEDGE_DELAY)
@@ -221,7 +238,7 @@
             useful_until=partial_answer_at(
                 request.received_at, route.target_latency, request.round_trip, request.is_first
             ),
-            is_urgent=route.rank <= self._most_urgent,
+            is_urgent=is_urgent,
             top_records=route.top_records if route.shards else 0,
             held=held,
         )
@@ -271,6 +288,7 @@
         note_event(
             "request",
             request=request.request_id,
+            **({"account": request.account} if request.account else {}),
             route=route.name if route else "",
             version=self._routes.configuration.version if self._routes else 0,
             outcome=name,
@@ -294,3 +312,23 @@
             return "failed", failed.value
         case NoRoute():
             return "no_route", "no_route"
+        case Unauthorized(reason=unauthorized):
+            return "unauthorized", unauthorized.value
+
+
+def _unauthorized(request: ForwardRequest) -> Unauthorized:
+    is_unknown = bool(request.key)
+    return Unauthorized(
+        UnauthorizedReason.KEY_UNKNOWN if is_unknown else UnauthorizedReason.KEY_MISSING
+    )
+
+
+def _ranks(configuration: RouteConfiguration) -> Iterable[int]:
+    """Yield the priorities that requests can have."""
+    accounts = configuration.accounts
+    for route in configuration.routes:
+        if accounts is None or route.is_public or any(item.rank is None for item in accounts):
+            yield route.rank
+    for account in accounts or ():
+        if account.rank is not None:
+            yield account.rank
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from fulmarhold.clock import Milliseconds
@@ -17,26 +17,35 @@
     `request_id` identifies this attempt of the caller. `deadline_at` is a time on this entry's
     clock. `is_first` tells that the caller had to connect for this request. `round_trip` is the
     round trip time to the caller, zero if unknown. `owners` names those whose share of the memory
-    the request and its answer take.
+    the request and its answer take. `key` is the key that the caller sent. `account` is the name of
+    the client account that it belongs to, empty if none is needed; it is set when the key has been
+    checked.
     """
 
     request_id: str
     method: str
     target: str
     host: str
-    headers: Headers
+    headers: Headers = field(repr=False)
     body: bytes
     received_at: Milliseconds
     deadline_at: Milliseconds
     is_first: bool = False
     round_trip: Milliseconds = 0.0
     owners: tuple[str, ...] = ()
+    key: bytes = field(default=b"", repr=False)
+    account: str = ""
 
     @property
     def path(self) -> str:
         return self.target.partition("?")[0]
 
 
+def account_owners(account: str) -> tuple[str, ...]:
+    """Return the owners of what is held for requests of a client account, if there is one."""
+    return (f"client account {account}",) if account else ()
+
+
 class RefusedReason(Enum):
     """Why a request was not run."""
 
@@ -114,6 +123,20 @@
     version: int
 
 
+class UnauthorizedReason(Enum):
+    """Why a request that needs the key of an account has none."""
+
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+
+
+@dataclass(frozen=True)
+class Unauthorized:
+    """The route needs the key of a client account, and the request has none that is valid."""
+
+    reason: UnauthorizedReason
+
+
 @dataclass(frozen=True)
 class Failed:
     """The request may have been run, and there is no answer."""
@@ -122,4 +145,4 @@
     detail: str = ""
 
 
-Outcome = Relayed | Gathered | Refused | NoRoute | Failed
+Outcome = Relayed | Gathered | Refused | NoRoute | Unauthorized | Failed
--- a/fulmarhold/platform/documents.py
+++ b/fulmarhold/platform/documents.py
@@ -9,6 +9,7 @@
 from msgspec import Meta, Struct, field
 from msgspec.structs import fields
 
+from fulmarhold.accounts.keys import digest_of_key
 from fulmarhold.clock import Milliseconds
 from fulmarhold.errors import MalformedInput
 from fulmarhold.membership.statements import DRAINING, READY, State, UpstreamStatement
@@ -23,6 +24,7 @@
 from fulmarhold.platform.strict_json import read_strict_object
 from fulmarhold.routes.configuration import (
     CallerLimits,
+    ClientAccount,
     Route,
     RouteConfiguration,
     UpstreamService,
@@ -42,6 +44,8 @@
 
 Count = Annotated[int, Meta(ge=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
+Key = Annotated[str, Meta(min_length=1)]
+Quota = Annotated[float, Meta(ge=0)]
 
 
 class _Weighted(Struct, frozen=True):
@@ -65,6 +69,8 @@
     shards: tuple[str, ...] = field(default=(), name="shardServices")
     top_records: Count = field(default=0, name="topK")
     least_share: Share = field(default=0.0, name="minShardShare")
+    # Whether requests need no key.
+    is_public: bool = field(default=False, name="public")
 
 
 class _Service(Struct, frozen=True):
@@ -80,11 +86,23 @@
     idle_timeout: float = field(default=CallerLimits.idle_timeout, name="idleTimeoutMs")
 
 
+class _Account(Struct, frozen=True):
+    name: str
+    keys: tuple[Key, ...] = field(default=(), name="apiKeys")
+    # The priority of its requests; zero is the most urgent.
+    rank: int | None = field(default=None, name="priority")
+    # Requests per second and in a burst, over all entries together; zero is no limit.
+    rate: Quota | None = field(default=None, name="ratePerS")
+    burst: Quota | None = None
+
+
 class _Configuration(Struct, frozen=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    # The platform calls a client account a tenant.
+    accounts: tuple[_Account, ...] | None = field(default=None, name="tenants")
 
 
 class _Heartbeat(Struct, frozen=True):
@@ -149,6 +167,7 @@
             values.limits.header_timeout,
             values.limits.idle_timeout,
         ),
+        None if values.accounts is None else tuple(map(_account, values.accounts)),
     )
     check_configuration(configuration)
     return configuration
@@ -221,4 +240,10 @@
         item.shards,
         item.top_records,
         item.least_share,
+        item.is_public,
     )
+
+
+def _account(item: _Account) -> ClientAccount:
+    digests = frozenset(digest_of_key(key.encode("utf-8", "surrogatepass")) for key in item.keys)
+    return ClientAccount(item.name, digests, item.rank, item.rate or 0.0, item.burst or 0.0)
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import SECOND
@@ -14,7 +15,9 @@
     Refused,
     Relayed,
     Reply,
+    Unauthorized,
     Verdict,
+    account_owners,
 )
 from fulmarhold.web.front import RawRequest, RawResponse
 
@@ -37,6 +40,11 @@
 PART_SIGNATURES = "X-Fulmarhold-Part-Stamps"
 # The number of shards without a partial response, not their names.
 PARTS_MISSING = "X-Fulmarhold-Missing-Parts"
+# Carries the key of a client account, which no upstream may see.
+KEY = "Authorization"
+KEY_SCHEME = "bearer"
+# The client account of a request; the platform calls it a tenant.
+ACCOUNT = "X-Fulmarhold-Tenant"
 
 # Headers that are valid for one connection only, and those that this side writes itself.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -44,6 +52,8 @@
      "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect")
 )  # fmt: skip
 _REPLACED_HEADERS = frozenset((TIME_LEFT.lower(), TARGET.lower()))
+# Replaced only where the configuration has accounts.
+_ACCOUNT_HEADERS = frozenset((KEY.lower(), ACCOUNT.lower()))
 MISDIRECTED = 421
 # Used when a caller sends no deadline, so that only the route's timeout applies.
 DEFAULT_TIME_LEFT: Milliseconds = 600_000.0
@@ -52,6 +62,16 @@
 class PlatformCodec:
     """Encodes requests to upstreams and interprets their responses."""
 
+    def for_account(self, request: ForwardRequest, account: str) -> ForwardRequest:
+        """Return a request without its key, and with the header of its account if it has one."""
+        headers = tuple(item for item in request.headers if item[0].lower() not in _ACCOUNT_HEADERS)
+        if not account:
+            return replace(request, headers=headers, key=b"")
+        # The account takes the place of the host, which stands for it elsewhere.
+        owners = (*request.owners[:1], *account_owners(account))
+        headers = (*headers, (ACCOUNT, account))
+        return replace(request, headers=headers, key=b"", account=account, owners=owners)
+
     def prepare(self, request: ForwardRequest) -> tuple[bytes, bytes]:
         """Return the head without the headers that differ between upstreams, and the body."""
         lines = [f"{request.method} {request.target} HTTP/1.1"]
@@ -95,9 +115,19 @@
         raw.is_first,
         raw.round_trip,
         raw.owners,
+        _read_key(raw),
     )
 
 
+def _read_key(raw: RawRequest) -> bytes:
+    """Return the key of a request; empty if it has none, or more than one header that may."""
+    values = [value for key, value in raw.headers if key.lower() == KEY.lower()]
+    if len(values) != 1:
+        return b""
+    scheme, _, key = values[0].partition(" ")
+    return key.strip().encode("latin-1") if scheme.lower() == KEY_SCHEME else b""
+
+
 def write_outcome(outcome: Outcome) -> RawResponse:
     """Convert an outcome to the response that is sent to the caller."""
     match outcome:
@@ -111,6 +141,9 @@
             return RawResponse(503, headers, reason.value.encode())
         case NoRoute():
             return RawResponse(404, body=b"no route")
+        case Unauthorized(unauthorized):
+            headers = (("WWW-Authenticate", "Bearer"),)
+            return RawResponse(401, headers, unauthorized.value.encode())
         case Failed(reason, detail):
             status = 504 if reason is FailedReason.DEADLINE else 502
             return RawResponse(status, body=f"{reason.value} {detail}".strip().encode())
--- a/fulmarhold/routes/configuration.py
+++ b/fulmarhold/routes/configuration.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from typing import TYPE_CHECKING
 
+from fulmarhold.accounts.keys import accounts_sharing_a_key
 from fulmarhold.clock import HOUR
 from fulmarhold.settings.problems import InvalidSettings, Problem
 
@@ -27,6 +29,8 @@
 MAX_DURATION: Milliseconds = 24 * HOUR
 # In bytes, milliseconds or units of weight.
 MAX_LIMIT = 2**31 - 1
+# The name of an account is sent to upstreams in a header.
+ACCOUNT_NAME_PATTERN = re.compile(r"[!-~]([ -~]{0,126}[!-~])?")
 
 
 @dataclass(frozen=True)
@@ -57,6 +61,8 @@
     shards: tuple[str, ...] = ()
     top_records: int = 0
     least_share: float = 0.0
+    # Whether requests need no key where the configuration has accounts.
+    is_public: bool = False
 
     @property
     def service_names(self) -> tuple[str, ...]:
@@ -73,6 +79,21 @@
     health_path: str = "/health"
 
 
+@dataclass(frozen=True)
+class ClientAccount:
+    """A client account, with digests instead of its keys.
+
+    `rank` is the priority of its requests, which takes precedence over that of the route if it is
+    set. All entries together admit `rate` requests per second and `burst` more; zero is no limit.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = field(default=frozenset(), repr=False)
+    rank: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+
+
 @dataclass(frozen=True)
 class CallerLimits:
     """Limits on the size of requests, in bytes, and on timeouts, in milliseconds."""
@@ -85,12 +106,16 @@
 
 @dataclass(frozen=True)
 class RouteConfiguration:
-    """All routes and services of one version."""
+    """All routes, services and accounts of one version.
+
+    If `accounts` is set, even to none, requests need the key of an account.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, UpstreamService]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[ClientAccount, ...] | None = None
 
 
 def check_new_configuration(configuration: RouteConfiguration) -> None:
@@ -103,6 +128,7 @@
         problems.append(Problem("version", f"must be from 0 to {MAX_VERSION}"))
     for route in configuration.routes:
         problems.extend(_new_route_problems(route, configuration.services))
+    problems.extend(_new_account_problems(configuration.accounts or ()))
     for name, value in asdict(configuration.limits).items():
         if not 0 < value <= MAX_LIMIT:
             problems.append(Problem(f"limits.{name}", f"must be above 0, and {MAX_LIMIT} at most"))
@@ -115,6 +141,10 @@
     problems = [*_duplicate_problems((item.host, item) for item in configuration.routes)]
     for route in configuration.routes:
         problems.extend(_route_problems(route, configuration.services))
+    for number, account in enumerate(configuration.accounts or ()):
+        if not ACCOUNT_NAME_PATTERN.fullmatch(account.name):
+            text = "must be 1 to 128 printable ASCII characters without spaces at the ends"
+            problems.append(Problem(f"accounts[{number}].name", text))
     if problems:
         raise InvalidSettings(f"configuration {configuration.version}", problems)
 
@@ -145,9 +175,21 @@
         for item in route.services:
             if item.service not in services:
                 yield Problem(path, f"names the unknown service {item.service!r:.60}")
-    for field, value in (("timeout", route.timeout), ("target latency", route.target_latency)):
+    for name, value in (("timeout", route.timeout), ("target latency", route.target_latency)):
         if not 0 <= value <= MAX_DURATION:
-            yield Problem(path, f"has the {field} {value:g} ms, which must be from 0 to a day")
+            yield Problem(path, f"has the {name} {value:g} ms, which must be from 0 to a day")
     for item in route.services:
         if not item.weight <= MAX_LIMIT:
             yield Problem(path, f"has the weight {item.weight:g}, which is too large")
+
+
+def _new_account_problems(accounts: tuple[ClientAccount, ...]) -> Iterable[Problem]:
+    for name, count in Counter(account.name for account in accounts).items():
+        if count > 1:
+            yield Problem(f"accounts.{name:.130}", f"is defined {count} times")
+    for first, second in accounts_sharing_a_key(accounts):
+        yield Problem(f"accounts.{second:.130}", f"shares a key with the account {first!r:.130}")
+    for account in accounts:
+        for name, value in (("rate", account.rate), ("burst", account.burst)):
+            if not value <= MAX_LIMIT:
+                yield Problem(f"accounts.{account.name:.130}", f"has a {name} that is too large")
--- /dev/null
+++ b/fulmarhold/tests/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fulmarhold.accounts."""
--- a/fulmarhold/tests/collecting/test_queries.py
+++ b/fulmarhold/tests/collecting/test_queries.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 
 import gevent
 import pytest
@@ -338,3 +339,16 @@
     bodies = [address.encode().ljust(16, b"0") for address in served]
     assert outcome.records == greatest_records(bodies, top)
     assert elapsed_ms(fixture) - suspended.total < 300.0
+
+
+# Guards against upstreams that are told another account, or another urgency, through a collector.
+def test_a_collector_is_told_the_account_and_the_urgency_of_a_request():
+    shards, beside = split_shards(1, 1)
+    collector = ScriptedCollector(beside.values())
+    fixture, query = run_query(shards, collector)
+    headers = (("X-Own", "1"), ("X-Account", "one"))
+    fixture.context.request = replace(fixture.request, account="one", headers=headers)
+    fixture.context.is_urgent = False
+    query.run()
+    (asked,) = collector.requests
+    assert (asked.account, asked.headers, asked.is_urgent) == ("one", headers, False)
--- a/fulmarhold/tests/forwarding/scripted.py
+++ b/fulmarhold/tests/forwarding/scripted.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 import gevent
@@ -60,6 +61,9 @@
 
 
 class ScriptedCodec:
+    def for_account(self, request, account):
+        return replace(request, account=account, key=b"")
+
     def prepare(self, request):
         return b"", b""
 
--- a/fulmarhold/tests/platform/test_documents.py
+++ b/fulmarhold/tests/platform/test_documents.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fulmarhold.accounts.keys import digest_of_key
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.limits.memory import MEBIBYTE
 from fulmarhold.membership.statements import DRAINING, READY
@@ -263,6 +264,44 @@
     assert decode_configuration(json.dumps(stored).encode()).version == CONFIGURATION["version"]
 
 
+ACCOUNT = {"name": "one", "apiKeys": ["secret-1", "secret-1"], "priority": 0, "ratePerS": 2.5}
+ACCOUNTS = [ACCOUNT, {"name": "two", "apiKeys": ["secret-2"], "burst": None}]
+
+
+def test_accounts_are_decoded_without_their_keys():
+    route = {**ROUTE, "public": True}
+    body = encode(CONFIGURATION, tenants=ACCOUNTS, routes=[route])
+    decoded = decode_new_configuration(body)
+    first, second = decoded.accounts or ()
+    assert (first.name, first.rank, first.rate, first.burst) == ("one", 0, 2.5, 0.0)
+    assert (second.name, second.rank, second.rate) == ("two", None, 0.0)
+    assert first.key_digests == {digest_of_key(b"secret-1")}
+    assert decoded.routes[0].is_public and "secret" not in repr(decoded)
+    assert decode_configuration(encode(CONFIGURATION, tenants=[])).accounts == ()
+    assert decode_configuration(encode(CONFIGURATION)).accounts is None
+
+
+# Guards against a key of two accounts, headers that an account's name breaks, and keys in errors.
+@pytest.mark.parametrize(
+    ("account", "named"),
+    [
+        ({"name": "three", "apiKeys": ["secret-3", "secret-2"]}, "three.*two"),
+        ({"name": "one", "apiKeys": ["secret-3"]}, "one"),
+        ({"name": "a\r\nb", "apiKeys": ["secret-3"]}, "name"),
+        ({"name": "", "apiKeys": []}, "name"),
+        ({"name": "three", "apiKeys": [""]}, "apiKeys"),
+        ({"name": "three", "apiKeys": "secret-3"}, "apiKeys"),
+        ({"name": "three", "apiKeys": {"secret-3": 1}}, "apiKeys"),
+        ({"name": "three", "apiKeys": ["secret-3"], "ratePerS": -1}, "ratePerS"),
+        ({"name": "three", "apiKeys": ["secret-3"], "burst": "secret-3"}, "burst"),
+    ],
+)
+def test_accounts_that_are_invalid_are_refused_without_naming_a_key(account, named):
+    with pytest.raises(FulmarholdError, match=named) as raised:
+        decode_new_configuration(encode(CONFIGURATION, tenants=[*ACCOUNTS, account]))
+    assert "secret" not in str(raised.value)
+
+
 def test_a_damaged_packed_document_is_malformed_input():
     with pytest.raises(FulmarholdError):
         unpack_document(b"\x00" + pack_document(b"{}"))
--- a/fulmarhold/tests/platform/test_headers.py
+++ b/fulmarhold/tests/platform/test_headers.py
@@ -12,6 +12,8 @@
     Refused,
     RefusedReason,
     Relayed,
+    Unauthorized,
+    UnauthorizedReason,
     Verdict,
 )
 from fulmarhold.platform.headers import PlatformCodec, read_request, write_outcome
@@ -61,6 +63,42 @@
     ]
 
 
+KEY = ("Authorization", "Bearer secret")
+FORGED = ("x-fulmarhold-TENANT", "forged")
+
+
+@pytest.mark.parametrize(
+    ("headers", "key"),
+    [
+        ([KEY], b"secret"),
+        ([("authorization", "bearer  secret ")], b"secret"),
+        ([("Authorization", "Basic secret")], b""),
+        ([("Authorization", "Bearer")], b""),
+        ([("Authorization", "secret")], b""),
+        ([KEY, KEY], b""),
+        ([("Connection", "authorization"), KEY], b"secret"),
+        ([], b""),
+    ],
+)
+def test_the_key_is_read_from_one_header_of_its_scheme(headers, key):
+    request = read_request(raw(*headers, FORGED))
+    assert request.key == key and "secret" not in repr(request)
+
+
+# Guards against upstreams that see a key or take an account's name from a caller.
+@pytest.mark.parametrize("account", ["one", ""])
+def test_where_accounts_are_checked_only_the_system_names_one_and_keys_stay_here(account):
+    request = read_request(raw(KEY, FORGED, ("X-Two", "1"), ("AUTHORIZATION", "Basic secret")))
+    passed = PlatformCodec().for_account(request, account)
+    own = (("X-Fulmarhold-Tenant", "one"),) if account else ()
+    assert passed.headers == (("Host", "h.example"), ECHO, ("X-Two", "1"), *own)
+    assert (passed.key, passed.account) == (b"", account)
+
+
+def test_without_accounts_both_headers_pass_unchanged():
+    assert read_request(raw(KEY, FORGED)).headers[-2:] == (KEY, FORGED)
+
+
 @pytest.mark.parametrize(
     ("given", "verdict"),
     [
@@ -97,6 +135,7 @@
         ),
         (Refused(RefusedReason.NO_UPSTREAM, 250.0), 503, (("Retry-After", "0.250"),)),
         (NoRoute(3), 404, ()),
+        (Unauthorized(UnauthorizedReason.KEY_MISSING), 401, (("WWW-Authenticate", "Bearer"),)),
         (Failed(FailedReason.DEADLINE), 504, ()),
         (Failed(FailedReason.CONNECTION_LOST), 502, ()),
         (Failed(FailedReason.PARTS_MISSING), 502, ()),
