--- a/fulmarhold/tests/collecting/test_queries.py
+++ b/fulmarhold/tests/collecting/test_queries.py
@@ -343,7 +343,7 @@
 
 # Guards against upstreams that are told another account, or another urgency, through a collector.
 def test_a_collector_is_told_the_account_and_the_urgency_of_a_request():
-    shards, beside = split_shards(1, 1)
+    shards, beside = split_shards(6, 4)
     collector = ScriptedCollector(beside.values())
     fixture, query = run_query(shards, collector)
     headers = (("X-Own", "1"), ("X-Account", "one"))
