--- a/fulmarhold/tests/platform/test_memory.py
+++ b/fulmarhold/tests/platform/test_memory.py
@@ -32,6 +32,7 @@
 OUTCOMES = "fulmarhold_requests_total"
 HELD = "fulmarhold_memory_held_bytes"
 LIMIT = "fulmarhold_memory_limit_bytes"
+UPSTREAMS = "fulmarhold_entry_upstreams"
 # The smallest limit of the users' machines.
 LIMIT_MEBIBYTES = 160
 SPARE_SHARE = 0.1
@@ -129,6 +130,8 @@
         wait_for(upstream.send_heartbeat, lambda answer: answer.status == 200)
     if upstreams:
         wait_for_status(ENTRY)
+        # The feed may bring them one after the other.
+        wait_for(lambda: read_counter(UPSTREAMS), lambda known: known == len(upstreams))
 
 
 def keep_known(upstreams):
@@ -190,6 +193,12 @@
     def report(control):
         """Report a share of the fleet; all of it must be known before the first is silent."""
         numbers = range(control, LARGE_FLEET, len(CONTROL))
+        # Control serves upstreams only a while after it listens to other instances.
+        first = ReportedUpstream(control)
+        wait_for(
+            lambda: first.send_heartbeat(control=CONTROL[control]),
+            lambda answer: answer.status == 200,
+        )
         answers = [
             ReportedUpstream(item).send_heartbeat(control=CONTROL[control]) for item in numbers
         ]
