Answer in one place whether new work may go to an upstream

First attempts, hedges, waiting requests and collectors each checked the lease, the ejection and the limit in their own way, and nothing could say why or until when an upstream is passed over.

Reasons that forbid work remove a replica from the candidates also if it is the last one; the others only prefer replicas without them, as before. A pool asks its gate before it opens a connection. Nothing decodes the signals yet.

--- a/fulmarhold/limits/retry_after.py
+++ b/fulmarhold/limits/retry_after.py
@@ -24,6 +24,12 @@
 # Range of the delay after other refusals; random, so that callers do not retry in one burst.
 MIN_REFUSAL_DELAY: Milliseconds = 40.0
 MAX_REFUSAL_DELAY: Milliseconds = 160.0
+# The part of the time it has left that a caller waits at most.
+HONOURED_SHARE = 1 / 3
+# After a pause of all upstreams, callers return over this share of the time that it lasted, and
+# over this range of a cap that would otherwise have them return at one moment.
+RETURN_SHARE = 0.25
+CAP_RANGE = 0.2
 
 
 def retry_delay_while_starting(uptime: Milliseconds, random: Random) -> Milliseconds:
@@ -40,3 +46,21 @@
 def retry_delay_after_refusal(random: Random) -> Milliseconds:
     """Return the retry delay after a single request was refused."""
     return random.uniform(MIN_REFUSAL_DELAY, MAX_REFUSAL_DELAY)
+
+
+def retry_delay_after_pause(wait: Milliseconds, left: Milliseconds, random: Random) -> Milliseconds:
+    """Return the retry delay if the first upstream wants work in `wait` ms.
+
+    `left` is what the caller has left, of which it waits for a third at most.
+
+    >>> from random import Random
+    >>> 900 <= retry_delay_after_pause(900.0, 6_000.0, Random(1)) <= 1_125
+    True
+    >>> 800 <= retry_delay_after_pause(20_000.0, 3_000.0, Random(1)) <= 1_000
+    True
+    """
+    cap = max(0.0, HONOURED_SHARE * left)
+    earliest = max(MIN_REFUSAL_DELAY, wait)
+    latest = max(MAX_REFUSAL_DELAY, earliest * (1 + RETURN_SHARE))
+    earliest = min(earliest, (1 - CAP_RANGE) * cap)
+    return random.uniform(earliest, min(latest, cap))
--- a/fulmarhold/routing/choice.py
+++ b/fulmarhold/routing/choice.py
@@ -7,6 +7,7 @@
 
 from fulmarhold.clock import Milliseconds
 from fulmarhold.registry import Registry
+from fulmarhold.routing.availability import Availability, Reason
 from fulmarhold.routing.replica import Replica
 
 Chooser = Callable[[Sequence[Replica], Random, Milliseconds], Replica]
@@ -60,11 +61,33 @@
 def candidates(
     replicas: Sequence[Replica], tried: Sequence[Replica], now: Milliseconds
 ) -> list[Replica]:
-    """Return the replicas to choose from: live, not tried yet, and not ejected if possible.
+    """Return the replicas to choose from: not held back, not tried yet, not ejected if possible.
 
     If all remaining replicas are ejected they are returned nevertheless, so that ejection never
     removes the last replica of a shard.
     """
-    live = [item for item in replicas if item not in tried and item.is_live(now)]
+    live = [item for item in replicas if item not in tried and item.held_back(now).reason is None]
     healthy = [item for item in live if not item.is_ejected(now)]
     return healthy or live
+
+
+def wanting_first(
+    replicas: Sequence[Replica], now: Milliseconds
+) -> tuple[Replica, Availability] | None:
+    """Return the replica that wants work again first, if all are held back by what they said.
+
+    That is the one whose pause ends first, or one that leaves if none pauses.
+    """
+    found: tuple[Replica, Availability] | None = None
+    earliest = float("inf")
+    for replica in replicas:
+        held = replica.held_back(now)
+        if held.reason is None:
+            return None
+        if held.reason is Reason.PAUSED:
+            until = now if held.until is None else held.until
+            if until < earliest:
+                found, earliest = (replica, held), until
+        elif held.reason is Reason.LEAVING and found is None:
+            found = replica, held
+    return found
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -6,6 +6,13 @@
 
 from fulmarhold.limits.concurrency import ConcurrencyLimit
 from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, decay
+from fulmarhold.routing.availability import (
+    AVAILABLE,
+    DRAINED,
+    AnswerSignals,
+    Availability,
+    Reason,
+)
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
@@ -87,9 +94,12 @@
         now: Milliseconds,
         *,
         is_local: bool = True,
+        signals: AnswerSignals | None = None,
     ) -> None:
         self.upstream = upstream
         self.pool = pool
+        pool.gate = self
+        self.signals = signals or AnswerSignals()
         self.latency = LatencyAverage(INITIAL_LATENCY, is_guess=True)
         # Set if there are other replicas of the same kind.
         self.typical_latency: QuantileEstimate | None = None
@@ -125,6 +135,51 @@
         """Whether the lease of the upstream is still valid, and its address still its own."""
         return now >= self._superseded_until and self.upstream.is_live(now)
 
+    def availability(self, now: Milliseconds, *, is_urgent: bool) -> Availability:
+        """Return why new work should not go to the upstream now, if there is a reason."""
+        held = self.held_back(now)
+        if held.reason is not None:
+            return held
+        if self.is_ejected(now):
+            return Availability(Reason.EJECTED, until=self.ejected_until)
+        if not self.is_responsive(now):
+            return Availability(Reason.UNRESPONSIVE, since=self._unanswered_since)
+        if not self.may_send(now, is_urgent=is_urgent):
+            return Availability(Reason.AT_LIMIT)
+        return AVAILABLE
+
+    def held_back(self, now: Milliseconds, *, is_admitted: bool = False) -> Availability:
+        """Return why no request may go to the upstream even if there is no other, if so.
+
+        With `is_admitted`, the answer is for a request that is already counted in the pool's load.
+        """
+        if not self.signals.is_clear:
+            held = self.signals.held_back(0 if is_admitted else self.pool.load, now)
+            if held.reason is not None:
+                return held
+        if now < self._superseded_until:
+            since = self._superseded_until - SUPERSEDED_FOR
+            return Availability(Reason.SUPERSEDED, since, self._superseded_until)
+        return AVAILABLE if self.upstream.is_live(now) else DRAINED
+
+    def may_connect(self, now: Milliseconds) -> bool:
+        """Whether connections to the upstream may be opened."""
+        return self.signals.is_clear or self.held_back(now, is_admitted=True).may_connect
+
+    def note_leaving(self, source: str, now: Milliseconds) -> bool:
+        """Record that an answer says that the upstream leaves; returns whether that is new."""
+        is_new = self.signals.note_leaving(source, now)
+        self.pool.close_when_idle()
+        return is_new
+
+    def note_pause(
+        self, length: Milliseconds, source: str, now: Milliseconds, spread: float
+    ) -> bool:
+        """Record that an answer asks for no work for `length` ms; returns whether that is new."""
+        is_new = self.signals.note_pause(length, source, now, spread)
+        self.pool.fail_waiting("upstream paused")
+        return is_new
+
     def is_ejected(self, now: Milliseconds) -> bool:
         """Whether it is excluded from selection for now, after failures."""
         return now < self.ejected_until
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -42,6 +42,12 @@
         """Whether it may still be sent; if not, `failed` is called with `sent=False`."""
 
 
+class Gate(Protocol):
+    """Decides whether connections may be opened."""
+
+    def may_connect(self, now: Milliseconds) -> bool: ...
+
+
 class ConnectionPool:
     """At most `limit` connections to `address`; further requests wait in FIFO order.
 
@@ -59,6 +65,7 @@
     ) -> None:
         self.address = address
         self.memory = memory
+        self.gate: Gate | None = None
         self.limit = limit
         self._warm = min(warm, limit)
         self._clock = clock
@@ -83,6 +90,12 @@
     def connections(self) -> int:
         return len(self._channels)
 
+    @property
+    def _may_open(self) -> bool:
+        if self._closed:
+            return False
+        return self.gate is None or self.gate.may_connect(self._clock.now())
+
     @property
     def _should_open(self) -> bool:
         """Whether one more connection is wanted and likely to be accepted.
@@ -137,8 +150,7 @@
             request.failed(CONNECT_REFUSED, sent=False)
         else:
             self._waiting.append(request)
-            if self._should_open:
-                self._open(now)
+            self._open_if_wanted()
 
     def _take_free(self, now: Milliseconds) -> Channel | None:
         """Return the most recently used free connection; close those that are about to expire."""
@@ -171,7 +183,7 @@
         accepted = sum(1 for at in self._channels.values() if now > at + ACCEPTED_AFTER)
         self._known_capacity = max(self._known_capacity, accepted)
         is_cold = len(self._channels) < self._warm and now >= self._connect_after
-        if (is_cold or self._should_open) and not self._closed:
+        if (is_cold or self._should_open) and self._may_open:
             self._open(now)
 
     def close(self) -> None:
@@ -179,14 +191,20 @@
         self._closed = True
         for channel in list(self._channels):
             channel.close("pool closed")
-        self._fail_waiting("pool closed")
+        self.fail_waiting("pool closed")
 
     def close_when_idle(self) -> None:
         """Close the free connections now and the others after their response."""
         self._closed = True
-        for channel in list(self._free):
+        for channel in [*self._free, *self._connecting]:
             channel.close("upstream left")
-        self._fail_waiting("upstream left")
+        self.fail_waiting("upstream left")
+
+    def fail_waiting(self, reason: str) -> None:
+        """Fail the requests that wait for a connection; none of them was sent."""
+        waiting, self._waiting = self._waiting, deque()
+        for request in waiting:
+            request.failed(reason, sent=False)
 
     def take_bytes(self) -> int:
         """Return how many bytes were sent and received since the last call."""
@@ -257,20 +275,15 @@
         if opened_at is not None and (is_excess or reason.startswith(("E", "connect"))):
             self._connect_after = self._clock.now() + RECONNECT_DELAY
             if not self._channels:
-                self._fail_waiting(CONNECT_REFUSED)
+                self.fail_waiting(CONNECT_REFUSED)
         else:
             self._open_if_wanted()
 
     def _open_if_wanted(self) -> None:
-        if self._should_open and not self._closed:
+        if self._should_open and self._may_open:
             self._open(self._clock.now())
 
     def _open(self, now: Milliseconds) -> None:
         channel = Channel(self.address, self)
         self._channels[channel] = now
         self._connecting.add(channel)
-
-    def _fail_waiting(self, reason: str) -> None:
-        waiting, self._waiting = self._waiting, deque()
-        for request in waiting:
-            request.failed(reason, sent=False)
