Let collectors tell the asking entry who leaves or pauses

A collector took such an answer for itself only, and the asking entry sent its next request to the same upstream. Replies name the incarnations now, with the request whose answer said so; the field has a default, so that an earlier release on either side still works. A collector declines what it holds back, which ejects nothing at the asking entry.

--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -8,7 +8,13 @@
 import gevent
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.collecting.messages import CollectedParts, CollectParts, Decline, Unserved
+from fulmarhold.collecting.messages import (
+    CollectedParts,
+    CollectParts,
+    Decline,
+    HeldBackUpstream,
+    Unserved,
+)
 from fulmarhold.forwarding.call import ServiceCall
 from fulmarhold.forwarding.context import CallContext
 from fulmarhold.forwarding.records import greatest_records
@@ -17,10 +23,11 @@
 from fulmarhold.limits.budget import ExtraLoadBudget
 from fulmarhold.limits.memory import Holder
 from fulmarhold.observe.estimates import ReplyEstimates
+from fulmarhold.routing.availability import Reason
 from fulmarhold.routing.choice import choosers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable, Iterator
     from random import Random
 
     from fulmarhold.clock import Clock
@@ -35,6 +42,13 @@
 DELIVERY_RESERVE: Milliseconds = 10.0
 # Parts that arrive after the first reply wait this long for others, to share a reply.
 LATE_REPLY_DELAY: Milliseconds = 5.0
+DECLINES = {
+    Reason.LEAVING: Decline.LEAVING,
+    Reason.PAUSED: Decline.PAUSED,
+    Reason.EJECTED: Decline.EJECTED,
+    Reason.UNRESPONSIVE: Decline.UNRESPONSIVE,
+    Reason.AT_LIMIT: Decline.CONGESTED,
+}
 # A collector sends each request to the one upstream that it was asked for; the asking entry, which
 # knows all attempts of the query, decides on hedges and retries.
 ATTEMPTS = 1
@@ -244,12 +258,27 @@
             for call, reply in zip(calls, replies, strict=True)
         )
         records = greatest_records((reply.body for reply in replies), self._top_records)
+        positions = [item[0] for item in (*parts, *unserved)]
+        signals = tuple(self._signals(positions))
         if is_last:
             self._end()
         self._replies.send(
-            CollectedParts(parts, records, tuple(unserved), is_last), is_last=is_last
+            CollectedParts(parts, records, tuple(unserved), is_last, signals), is_last=is_last
         )
 
+    def _signals(self, positions: Iterable[int]) -> Iterator[HeldBackUpstream]:
+        """Yield which upstreams leave or pause, as their answers have said."""
+        now = self._context.clock.now()
+        for position in positions:
+            replica = self._replicas[position]
+            if replica is None or replica.signals.is_clear:
+                continue
+            held = replica.held_back(now, is_admitted=True)
+            left = 0.0 if held.until is None else held.until - now
+            if held.reason in (Reason.LEAVING, Reason.PAUSED):
+                born = replica.upstream.record.incarnation
+                yield HeldBackUpstream(position, born, held.reason.value, left, held.source)
+
     def _end(self) -> None:
         self._open_collectors.discard(self)
         self._replies.end()
@@ -272,15 +301,8 @@
 
 def _reason_to_decline(replica: Replica, context: CallContext, now: Milliseconds) -> Decline | None:
     """Return why no request should be sent to an upstream now, if there is a reason."""
-    if not replica.is_live(now):
-        return Decline.UNKNOWN
-    if replica.is_ejected(now):
-        return Decline.EJECTED
-    if not replica.is_responsive(now):
-        return Decline.UNRESPONSIVE
-    if not replica.may_send(now, is_urgent=context.is_urgent):
-        return Decline.CONGESTED
-    return None
+    reason = replica.availability(now, is_urgent=context.is_urgent).reason
+    return None if reason is None else DECLINES.get(reason, Decline.UNKNOWN)
 
 
 def _describe_failure(call: ServiceCall) -> tuple[str, str]:
--- a/fulmarhold/collecting/messages.py
+++ b/fulmarhold/collecting/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
 
 from fulmarhold.wire.messages import message
@@ -26,6 +27,9 @@
     UNRESPONSIVE = "unresponsive"
     # It has as much work as it finishes in time.
     CONGESTED = "congested"
+    # It has said that it leaves, or that it wants no work for a while.
+    LEAVING = "leaving"
+    PAUSED = "paused"
     # The collector is about to stop.
     STOPPING = "stopping"
 
@@ -50,16 +54,33 @@
     is_urgent: bool
 
 
+@dataclass(frozen=True)
+class HeldBackUpstream:
+    """An incarnation of the upstream at `position` in the request that leaves or pauses.
+
+    `reason` is `leaving` or `paused`, the latter for `left` more milliseconds; the answer to the
+    request `source` has said so.
+    """
+
+    position: int
+    born: int
+    reason: str
+    left: float
+    source: str
+
+
 @message
 class CollectedParts:
     """Parts that were collected since the last reply to the same request.
 
     Each of `parts` is the position of an upstream in the request, the signature of its part, and
     its latency in milliseconds; `records` are the greatest ones of these parts together. Each of
-    `unserved` is a position, a value of `Unserved` and a reason.
+    `unserved` is a position, a value of `Unserved` and a reason. `signals` names those of these
+    upstreams that leave or pause.
     """
 
     parts: tuple[tuple[int, str, int], ...]
     records: bytes
     unserved: tuple[tuple[int, str, str], ...]
     is_last: bool
+    signals: tuple[HeldBackUpstream, ...] = ()
--- a/fulmarhold/collecting/remote.py
+++ b/fulmarhold/collecting/remote.py
@@ -4,9 +4,17 @@
 
 from typing import TYPE_CHECKING, Any, Protocol
 
-from fulmarhold.collecting.messages import CollectedParts, CollectParts, Decline, Unserved
+from fulmarhold.collecting.messages import (
+    CollectedParts,
+    CollectParts,
+    Decline,
+    HeldBackUpstream,
+    Unserved,
+)
 from fulmarhold.forwarding.attempt import FIRST
 from fulmarhold.forwarding.request import Reply, Verdict
+from fulmarhold.forwarding.signals import note_leaving, note_pause
+from fulmarhold.routing.availability import Reason
 from fulmarhold.routing.replica import UNRESPONSIVE_AFTER
 
 if TYPE_CHECKING:
@@ -105,6 +113,8 @@
             self.lost(f"unexpected reply {value!r:.80}")
             return False
         self._has_replied = True
+        for signal in value.signals:
+            self._apply(signal)
         now = self._context.clock.now()
         slowest = max((latency for _, _, latency in value.parts), default=0)
         # The way to the collector and back, and its wait for the slowest of the parts.
@@ -120,8 +130,20 @@
             self._stream = None
         return not value.is_last
 
+    def _apply(self, signal: HeldBackUpstream) -> None:
+        """Hold back an upstream that has told the collector that it leaves or pauses."""
+        replica = self._attempts[signal.position].replica
+        if replica.upstream.record.incarnation != signal.born:
+            return
+        via = self.collector_name
+        if signal.reason == Reason.LEAVING.value:
+            note_leaving(replica, signal.source, self._context, via)
+        elif signal.reason == Reason.PAUSED.value:
+            note_pause(replica, signal.left, signal.source, self._context, via)
+
     def _are_known(self, value: CollectedParts) -> bool:
         positions = [item[0] for item in (*value.parts, *value.unserved)]
+        positions += [item.position for item in value.signals]
         return all(0 <= position < len(self._attempts) for position in positions)
 
     def lost(self, reason: str) -> None:
@@ -193,6 +215,7 @@
         self.is_done = True
         self.replica.note_reply()
         self.replica.note_success(latency, now)
+        self.replica.signals.note_good_answer(self.sent_at or now, now)
         self._call.note_latency(latency)
         reply = Reply(Verdict.SUCCESS, COLLECTED_STATUS, (), records, signature)
         self._call.collected(self, reply)
@@ -207,20 +230,28 @@
             case Unserved.DECLINED:
                 self._declined(reason, now)
             case Unserved.NOT_RUN:
-                self.replica.note_failure(now)
+                self._note_failure(now)
                 self._call.attempt_replied(
                     self, Reply(Verdict.NOT_RUN, NOT_RUN_STATUS, (), b"", "")
                 )
             case Unserved.FAILED:
-                self.replica.note_failure(now)
+                self._note_failure(now)
                 self._call.attempt_failed(self, reason)
 
+    def _note_failure(self, now: Milliseconds) -> None:
+        if not self.replica.signals.is_paused(now):
+            self.replica.note_failure(now)
+
     def _declined(self, reason: str, now: Milliseconds) -> None:
         self.sent_at, self.may_have_run = None, False
         if reason in (Decline.UNKNOWN.value, Decline.STOPPING.value):
             # That is about the collector, and this entry may send the request itself.
             self._call.declined(self)
             return
+        if reason in (Decline.LEAVING.value, Decline.PAUSED.value):
+            # This entry must not ask it either, and it is not in ill health.
+            self._call.attempt_failed(self, reason)
+            return
         # The next queries ask another upstream for a moment.
         self.replica.note_unreachable(now)
         if reason == Decline.CONGESTED.value:
--- a/fulmarhold/tests/collecting/test_queries.py
+++ b/fulmarhold/tests/collecting/test_queries.py
@@ -14,7 +14,7 @@
 
 from fulmarhold.collecting.messages import CollectedParts
 from fulmarhold.forwarding.records import greatest_records
-from fulmarhold.forwarding.request import Failed, FailedReason, Gathered, Verdict
+from fulmarhold.forwarding.request import Failed, FailedReason, Gathered, Pause, Refused, Verdict
 from fulmarhold.limits.budget import SlackBudget
 from fulmarhold.routing.replica import UNRESPONSIVE_AFTER
 from fulmarhold.tests.collecting.scripted import (
@@ -338,3 +338,45 @@
     bodies = [address.encode().ljust(16, b"0") for address in served]
     assert outcome.records == greatest_records(bodies, top)
     assert elapsed_ms(fixture) - suspended.total < 300.0
+
+
+@pytest.mark.parametrize(
+    ("said", "verdict", "reason"),
+    [
+        ({"is_leaving": True}, Verdict.SUCCESS, "leaving"),
+        ({"is_leaving": True}, Verdict.NOT_RUN, "leaving"),
+        ({"pause": Pause(900.0)}, Verdict.NOT_RUN, "paused"),
+    ],
+)
+def test_a_collector_tells_the_asking_entry_that_an_upstream_leaves_or_pauses(
+    said, verdict, reason
+):
+    shards, beside = split_shards(6, 4)
+    beside["r0"].said, beside["r0"].verdict = said, verdict
+    beside["r0"].status = 200 if verdict is Verdict.SUCCESS else 503
+    collector = ScriptedCollector(beside.values())
+    fixture, query = run_query(shards, collector)
+    assert query.run().missing == (verdict is not Verdict.SUCCESS)
+    told = {call.service: call.replicas[0] for call in query.calls}
+    held = told["r0"].held_back(fixture.clock.now())
+    assert (held.reason.value, held.source) == (reason, "id")
+    assert not told["r0"].is_ejected(fixture.clock.now())
+    assert all(told[name].signals.is_clear for name in told if name != "r0")
+    # An entry that does not know yet is told by the decline, and asks the upstream neither.
+    fixture, query = run_query(shards, collector)
+    assert query.run().missing == 1
+    assert query.calls[6].replicas[0].held_back(fixture.clock.now()).reason is held.reason
+    assert len(beside["r0"].sent) == 1 and not shards["r0"][0].sent
+    assert collector.counters.value("collections_declined", reason=reason) == 1
+
+
+def test_a_query_is_refused_before_it_is_sent_if_too_many_shards_pause():
+    shards, _ = split_shards(8, 0)
+    fixture, query = run_query(shards, ScriptedCollector([]))
+    for number, call in enumerate(query.calls[:3]):
+        call.replicas[0].note_pause(50.0 + 10.0 * number, "r", fixture.clock.now(), 0.0)
+    outcome = query.run()
+    assert isinstance(outcome, Refused) and outcome.reason.value == "paused"
+    # With two shards missing the answer is good enough: the first pause to end matters.
+    assert outcome.retry_after >= 45.0
+    assert not any(pools[0].sent for pools in shards.values())
