Check leaving and pausing upstreams in the soak

Upstreams of the soak now say in answers that they leave, and ask for pauses with 429 or 503; two faults play this. One check finds requests that reach an upstream after an entry has passed on that it leaves, the other more than two requests in a pause; requests over shards are left out there, since a collector may have sent them.

--- a/fulmarhold/soak/checks.py
+++ b/fulmarhold/soak/checks.py
@@ -11,7 +11,13 @@
 
 if TYPE_CHECKING:
     from fulmarhold.routes.configuration import Route
-    from fulmarhold.soak.observations import Observations, Response
+    from fulmarhold.soak.observations import (
+        Observations,
+        PauseAnswer,
+        Response,
+        Run,
+        SentRequest,
+    )
 
 Check = Callable[["Observations"], Iterable[str]]
 
@@ -21,6 +27,10 @@
 UNDISTURBED_WINDOW: Milliseconds = 4_000.0
 APPLY_BOUND: Milliseconds = 3_000.0
 DRAIN_BOUND: Milliseconds = 3_000.0
+# When an entry must have stopped sending to an upstream that asked for a pause, and how many
+# requests may reach the upstream from then to the end of the pause.
+PAUSE_BOUND: Milliseconds = 500.0
+MOST_IN_PAUSE = 2
 REGRESSION_TOLERANCE: Milliseconds = 250.0
 LOSS_TOLERANCE: Milliseconds = 200.0
 # A process that is asked to stop is killed at the end of the grace period. An entry owes answers
@@ -163,6 +173,61 @@
                 yield f"{run.upstream} ran {run.request_id} {run.at - at:.0f} ms after its leave"
 
 
+@checks.register("nothing reaches an upstream that says that it leaves")
+def check_leaving_answers(observations: Observations) -> Iterable[str]:
+    """An upstream gets nothing `DRAIN_BOUND` ms after an entry has passed on that it leaves."""
+    passed_on: dict[tuple[str, int, str], Milliseconds] = {}
+    for response in observations.responses:
+        request = response.request
+        for signature in (response.signature, *response.signatures):
+            reply = observations.upstream_replies.get(signature)
+            if reply is not None and reply.leaving:
+                key = request.entry, request.incarnation, reply.leaving
+                passed_on[key] = min(response.at, passed_on.get(key, response.at))
+    for upstream, request, _ in _arrivals(observations):
+        at = passed_on.get((request.entry, request.incarnation, upstream))
+        if at is not None and request.at > at + DRAIN_BOUND:
+            yield f"{upstream} got {request.request_id} {request.at - at:.0f} ms after its leave"
+
+
+@checks.register("little reaches an upstream that pauses")
+def check_pauses(observations: Observations) -> Iterable[str]:
+    """`MOST_IN_PAUSE` requests of an entry reach an upstream that has asked it for a pause.
+
+    Requests over shards don't count, since another entry may have sent them.
+    """
+    arrivals: dict[tuple[str, int, str], list[Milliseconds]] = {}
+    for upstream, request, at in _arrivals(observations):
+        if not any(_shard_routes(observations, _route_prefix(request.target))):
+            arrivals.setdefault((request.entry, request.incarnation, upstream), []).append(at)
+    for pause in observations.pause_answers:
+        request = observations.sent_requests[pause.request_id]
+        if any(_shard_routes(observations, _route_prefix(request.target))):
+            continue
+        late = [
+            at
+            for at in arrivals[request.entry, request.incarnation, pause.upstream]
+            if at < pause.until and observations.time_between(pause.at, at) > PAUSE_BOUND
+        ]
+        involved = request.entry, pause.place
+        if len(late) > MOST_IN_PAUSE and observations.was_undisturbed(
+            pause.at, pause.until, involved
+        ):
+            yield f"{pause.upstream} got {len(late)} requests in the pause of {pause.request_id}"
+
+
+def _arrivals(
+    observations: Observations,
+) -> Iterable[tuple[str, SentRequest, Milliseconds]]:
+    """Yield the requests of callers that reached an upstream, run or not, and when."""
+    runs = [run for runs in observations.runs.values() for run in runs]
+    reached: list[Run | PauseAnswer] = [*runs, *observations.pause_answers]
+    for item in reached:
+        request = observations.sent_requests.get(item.request_id)
+        if request is not None:
+            yield item.upstream, request, item.at
+
+
 @checks.register("versions only grow in one life of an entry")
 def check_version_regression(observations: Observations) -> Iterable[str]:
     """An entry that has used a version never routes a later request by an older one."""
--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -33,6 +33,8 @@
 
 LEAST_DRAIN_TIME: Milliseconds = 3_500.0
 MOST_DRAIN_TIME: Milliseconds = 5_000.0
+LEAST_PAUSE: Milliseconds = 600.0
+MOST_PAUSE: Milliseconds = 3_000.0
 ADDRESS_REUSE_DELAY: Milliseconds = 2_000.0
 GREY_BEHAVIOURS = ("losing", "shedding", "hanging", "work", "cutting", "endless")
 GREY_WORK: Milliseconds = 60.0
@@ -190,6 +192,26 @@
         _restart_upstream(environment, host, host.service)
 
 
+@faults.register("leave_by_answer")
+def leave_by_answer(environment: Environment) -> None:
+    """Let an upstream say in its answers only that it leaves, and replace it later."""
+    host = environment.random.choice(environment.upstream_hosts)
+    with host.lock, environment.observations.disturbance("leaves by answer", host.name):
+        host.upstream.is_leaving = True
+        environment.sleep_between(LEAST_DRAIN_TIME, MOST_DRAIN_TIME)
+        host.upstream.crash()
+        _restart_upstream(environment, host, host.service)
+
+
+@faults.register("pause_upstream")
+def pause_upstream(environment: Environment) -> None:
+    """Let an upstream ask for no work for a while."""
+    upstream = environment.random.choice(environment.upstream_hosts).upstream
+    length = environment.random.uniform(LEAST_PAUSE, MOST_PAUSE)
+    upstream.pausing_until = environment.clock.now() + length
+    gevent.sleep(length / SECOND)
+
+
 @faults.register("reuse_address")
 def reuse_address(environment: Environment) -> None:
     """Crash two upstreams of different services and restart each at the other's address."""
--- a/fulmarhold/soak/observations.py
+++ b/fulmarhold/soak/observations.py
@@ -59,12 +59,16 @@
 
 @dataclass(frozen=True)
 class UpstreamReply:
-    """A response that an upstream sent, stored under its signature."""
+    """A response that an upstream sent, stored under its signature.
+
+    `leaving` is the name of the upstream if the response says that it leaves.
+    """
 
     request_id: str
     service: str
     status: int
     body: bytes
+    leaving: str = ""
 
 
 @dataclass(frozen=True)
@@ -91,6 +95,20 @@
     at: Milliseconds
 
 
+@dataclass(frozen=True)
+class PauseAnswer:
+    """An upstream answered a request at `at` that it wants no work until `until`.
+
+    `place` is where the upstream runs.
+    """
+
+    upstream: str
+    place: str
+    request_id: str
+    at: Milliseconds
+    until: Milliseconds
+
+
 @dataclass(frozen=True)
 class SubmittedConfiguration:
     """A configuration that was sent; `acknowledged_at` is `NEVER` until it is acknowledged."""
@@ -135,6 +153,7 @@
     upstream_replies: dict[str, UpstreamReply] = field(default_factory=dict)
     responses: list[Response] = field(default_factory=list)
     drain_acknowledgements: list[DrainAcknowledgement] = field(default_factory=list)
+    pause_answers: list[PauseAnswer] = field(default_factory=list)
     submitted: dict[int, SubmittedConfiguration] = field(default_factory=dict)
     refused_versions: set[int] = field(default_factory=set)
     reads: list[ReadBack] = field(default_factory=list)
--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -15,9 +15,17 @@
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.membership.statements import DRAINING, READY, State, UpstreamStatement
 from fulmarhold.platform.encoding import HEARTBEAT_PATH, write_heartbeat
-from fulmarhold.platform.headers import NOT_RUN, REQUEST_ID, SIGNATURE, TARGET, UPSTREAM_ID
+from fulmarhold.platform.headers import (
+    LEAVING,
+    NOT_RUN,
+    REQUEST_ID,
+    RETRY_AFTER,
+    SIGNATURE,
+    TARGET,
+    UPSTREAM_ID,
+)
 from fulmarhold.soak.kinds import SLOW
-from fulmarhold.soak.observations import DrainAcknowledgement, Run, UpstreamReply
+from fulmarhold.soak.observations import DrainAcknowledgement, PauseAnswer, Run, UpstreamReply
 from fulmarhold.web.client import request_json
 
 if TYPE_CHECKING:
@@ -62,6 +70,9 @@
         self.losing = self.shedding = self.hanging = 0.0
         # Fractions of responses that end early, and that go on without end in head or body.
         self.cutting = self.endless = 0.0
+        # Whether its answers say that it leaves, and until when that it wants no work.
+        self.is_leaving = False
+        self.pausing_until: Milliseconds = 0.0
         self.is_stopped = False
         self._control_endpoints = control_endpoints
         self._period = heartbeat_period
@@ -157,6 +168,9 @@
         if headers.get(TARGET.lower(), name) != name:
             connection.sendall(_encode_response(421, {NOT_RUN: "1", UPSTREAM_ID: name}, b""))
             return True
+        if self._clock.now() < self.pausing_until:
+            connection.sendall(self._ask_for_pause(request_id))
+            return True
         is_full = len(self._accepted) >= self.statement.slots + QUEUED
         if is_full or self._random.random() < self.shedding:
             fields = {NOT_RUN: "1", REQUEST_ID: request_id}
@@ -173,9 +187,12 @@
             return False
         signature = f"{name}.{next(self._signatures)}"
         records = self._random.randbytes(RECORDS_PER_REPLY * RECORD_BYTES)
-        reply = UpstreamReply(request_id, service, 200, records)
+        leaving = name if self.is_leaving else ""
+        reply = UpstreamReply(request_id, service, 200, records, leaving)
         self._observations.upstream_replies[signature] = reply
         fields = {SIGNATURE: signature, REQUEST_ID: request_id}
+        if leaving:
+            fields[self._random.choice(LEAVING)] = "1"
         response = _encode_response(200, fields, records)
         if self._random.random() < self.cutting:
             run.broke_off = True
@@ -186,6 +203,17 @@
         connection.sendall(response)
         return True
 
+    def _ask_for_pause(self, request_id: str) -> bytes:
+        """Record and return the response that asks for no work until the pause ends."""
+        name, now = self.statement.name, self._clock.now()
+        place = f"place-{self.statement.address.rpartition(':')[0]}"
+        answer = PauseAnswer(name, place, request_id, now, self.pausing_until)
+        self._observations.pause_answers.append(answer)
+        seconds = f"{(self.pausing_until - now) / SECOND:.3f}"
+        status = self._random.choice((429, 503))
+        fields = {NOT_RUN: "1", REQUEST_ID: request_id, RETRY_AFTER: seconds}
+        return _encode_response(status, fields, b"")
+
     def _work(self, run: Run) -> None:
         """Wait for a slot and do the work of a request."""
         self._accepted.append(run)
--- a/fulmarhold/tests/soak/test_checks.py
+++ b/fulmarhold/tests/soak/test_checks.py
@@ -21,6 +21,8 @@
     GRACE,
     LATE_IN_STOP,
     LOSS_TOLERANCE,
+    MOST_IN_PAUSE,
+    PAUSE_BOUND,
     REGRESSION_TOLERANCE,
     STOP_WINDOW,
     UNDISTURBED_WINDOW,
@@ -31,6 +33,7 @@
     Disturbance,
     DrainAcknowledgement,
     Observations,
+    PauseAnswer,
     ReadBack,
     Response,
     Run,
@@ -200,6 +203,51 @@
     assert violated_checks(observations) == ["a version is in force in time"]
 
 
+@pytest.mark.parametrize("sent", [DRAIN_BOUND, DRAIN_BOUND + 1])
+@pytest.mark.parametrize("entry", ["entry", "other"])
+def test_request_to_an_upstream_whose_leave_the_entry_has_passed_on(observations, sent, entry):
+    observations.upstream_replies["sig"] = UpstreamReply("r", "s1", 200, A, leaving="u1")
+    first = make_request()
+    record(observations, first, make_run(first), status=200, at=NOW + 2, signature="sig", body=A)
+    later = replace(make_request(request_id="later", at=NOW + 2 + sent), entry=entry)
+    record(observations, later, make_run(later))
+    is_violated = entry == "entry" and sent > DRAIN_BOUND
+    name = "nothing reaches an upstream that says that it leaves"
+    assert violated_checks(observations) == [name] * is_violated
+
+
+@pytest.mark.parametrize(
+    ("count", "after", "target", "disturbed", "is_violated"),
+    [
+        (MOST_IN_PAUSE + 1, PAUSE_BOUND + 1, "/one/1", "", True),
+        (MOST_IN_PAUSE, PAUSE_BOUND + 1, "/one/1", "", False),
+        (MOST_IN_PAUSE + 1, PAUSE_BOUND, "/one/1", "", False),
+        (MOST_IN_PAUSE + 1, 2_000.0, "/one/1", "", False),
+        (MOST_IN_PAUSE + 1, PAUSE_BOUND + 1, "/all/1", "", False),
+        (MOST_IN_PAUSE + 1, PAUSE_BOUND + 1, "/one/1", "entry", False),
+        (MOST_IN_PAUSE + 1, PAUSE_BOUND + 1, "/one/1", "place", False),
+    ],
+)
+def test_requests_to_an_upstream_that_pauses(
+    observations, count, after, target, disturbed, is_violated
+):
+    first = make_request(target)
+    record(observations, first)
+    answers = [PauseAnswer("u1", "place", "r", NOW, NOW + 2_000)]
+    for number in range(count):
+        request = make_request(target, f"late {number}", NOW)
+        record(observations, request, *[make_run(request, at=NOW + after)] * (number > 0))
+    answers.append(PauseAnswer("u1", "place", "late 0", NOW + after, NOW + 2_000))
+    observations.pause_answers = answers
+    if disturbed:
+        observations.disturbances.append(Disturbance("frozen", disturbed, NOW, NOW + 1))
+    service = "s1" if target == "/one/1" else "p1"
+    for runs in observations.runs.values():
+        runs[:] = [replace(run, service=service) for run in runs]
+    name = "little reaches an upstream that pauses"
+    assert violated_checks(observations) == [name] * is_violated
+
+
 def test_reads_that_are_stale_or_differ_from_what_was_sent(observations):
     observations.reads = [
         ReadBack(2, APPLY_BOUND, True),
--- a/fulmarhold/tests/soak/test_upstream.py
+++ b/fulmarhold/tests/soak/test_upstream.py
@@ -53,6 +53,18 @@
         assert len(beside) <= SLOW_SLOTS and run.at <= run.started_at < run.until
 
 
+def test_upstream_says_that_it_leaves_and_asks_for_pauses(upstream):
+    upstream.is_leaving = True
+    assert send(1) == [b"200"]
+    (reply,) = upstream._observations.upstream_replies.values()
+    assert reply.leaving == upstream.statement.name
+    upstream.pausing_until = upstream._clock.now() + 60_000.0
+    assert send(2) in ([b"429"], [b"503"])
+    (pause,) = upstream._observations.pause_answers
+    assert (pause.request_id, pause.place) == ("r2", f"place-{ADDRESS[0]}")
+    assert "r2" not in upstream._observations.runs
+
+
 def test_upstream_that_crashes_breaks_off_what_runs_and_what_waits(upstream):
     upstream.work = 1_000.0
     sent = [gevent.spawn(send, number) for number in range(SLOW_SLOTS + 1)]
