--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -10,7 +10,7 @@
 from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.observe.traffic import TrafficCounter
-from fulmarhold.routing.availability import AnswerSignals, Reason
+from fulmarhold.routing.availability import AnswerSignals, Availability, Reason
 from fulmarhold.routing.replica import INITIAL_LATENCY, Replica
 from fulmarhold.upstreams.pool import ConnectionPool
 
@@ -21,6 +21,7 @@
     from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.membership.statements import UpstreamStatement
     from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.events import EventLog
     from fulmarhold.routes.configuration import RouteConfiguration
 
 log = get_logger("upstreams")
@@ -55,7 +56,9 @@
         clock: Clock,
         counters: Counters,
         memory: MemoryBudget | None = None,
+        events: EventLog | None = None,
     ) -> None:
+        self._events = events
         self._data_centre = data_centre
         self._memory = memory
         self._clock = clock
@@ -157,15 +160,19 @@
             replica.pool.close_when_idle()
         ended = replica.signals.end_pause(now)
         if ended is not None:
+            self._report_used_again(replica, ended, now)
+
+    def _report_used_again(self, replica: Replica, ended: Availability, now: Milliseconds) -> None:
+        self._counters.add("upstreams_used_again", reason=Reason.PAUSED.value)
+        if self._events is not None:
             record = replica.upstream.record
-            self._counters.add("upstreams_used_again", reason=Reason.PAUSED.value)
-            log.info(
-                "upstream {} of {} is used again, after the pause that the answer to request {}"
-                " began {:.0f} ms ago",
-                record.name,
-                record.service,
-                ended.source,
-                now - (ended.since or now),
+            self._events.record(
+                "upstream_used_again",
+                request=ended.source,
+                service=record.service,
+                upstream=record.name,
+                reason=Reason.PAUSED.value,
+                after_ms=now - (ended.since or now),
             )
 
     def _count_traffic(self, replica: Replica) -> None:
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -81,7 +81,7 @@
         self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
-        self._table = UpstreamTable(settings.data_centre, clock, counters, self._memory)
+        self._table = UpstreamTable(settings.data_centre, clock, counters, self._memory, events)
         self._active: list[InstanceStatement] = []
         self._settling = Settling(clock.now())
         self._fleet_update = CoalescedUpdate(self._update_fleet, MIN_UPDATE_INTERVAL, clock)
--- a/fulmarhold/routing/availability.py
+++ b/fulmarhold/routing/availability.py
@@ -100,9 +100,12 @@
     [<Reason.PAUSED: 'paused'>, None]
     """
 
-    __slots__ = ("_leaving", "_paused", "_returned_at", "_until")
+    __slots__ = ("_leaving", "_paused", "_returned_at", "_until", "is_clear")
 
     def __init__(self) -> None:
+        # Whether nothing holds the upstream back. Not computed, because it is read for every
+        # candidate of every request.
+        self.is_clear = True
         self._leaving: Availability | None = None
         # Kept until the load has returned in full; `_until` is when the pause itself ends.
         self._paused: Availability | None = None
@@ -110,11 +113,6 @@
         # When the first good answer to a request arrived that was sent after the pause.
         self._returned_at: Milliseconds | None = None
 
-    @property
-    def is_clear(self) -> bool:
-        """Whether nothing holds the upstream back."""
-        return self._leaving is None and self._paused is None
-
     @property
     def is_leaving(self) -> bool:
         return self._leaving is not None
@@ -141,6 +139,7 @@
         if self._leaving is not None:
             return False
         self._leaving = Availability(Reason.LEAVING, now, None, source)
+        self.is_clear = False
         return True
 
     def note_pause(
@@ -156,6 +155,7 @@
         held = self._paused
         is_new = held is None or self._returned_at is not None
         self._returned_at = None
+        self.is_clear = False
         if held is None or is_new:
             self._paused = Availability(Reason.PAUSED, now, self._until, source)
         else:
@@ -174,6 +174,7 @@
         if paused is None or not self._has_returned(now):
             return None
         self._paused = self._returned_at = None
+        self.is_clear = self._leaving is None
         return paused
 
     def _return_limit(self, now: Milliseconds) -> int:
--- a/fulmarhold/tests/forwarding/modelled.py
+++ b/fulmarhold/tests/forwarding/modelled.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 from contextlib import contextmanager
 from dataclasses import replace
 from random import Random
@@ -18,6 +19,7 @@
 from fulmarhold.forwarding.upstreams import UpstreamTable
 from fulmarhold.membership.statements import READY, UpstreamStatement
 from fulmarhold.observe.counters import Counters
+from fulmarhold.observe.events import EventLog
 from fulmarhold.routes.configuration import RouteConfiguration, UpstreamService
 from fulmarhold.tests.forwarding.scripted import ForwardingFixture
 from fulmarhold.upstreams.channel import ChannelState
@@ -92,7 +94,8 @@
         services = {"s": UpstreamService("s", connections)}
         self.configuration = RouteConfiguration(1, (), services)
         self.clock, self.counters = ManualClock(1_000.0), Counters()
-        self.table = UpstreamTable("a", self.clock, self.counters)
+        self.events = EventLog("test", self.clock, self.counters)
+        self.table = UpstreamTable("a", self.clock, self.counters, events=self.events)
         self.statements: dict[str, Any] = {}
         self.opening: list[Any] = []
         self.channels: list[Any] = []
@@ -123,6 +126,11 @@
     def busy(self):
         return [item for item in self.channels if item.state is ChannelState.BUSY]
 
+    def log(self, event):
+        """Return the fields of the logged events of a kind."""
+        lines = [json.loads(line) for line in self.events._lines]
+        return [line for line in lines if line["event"] == event]
+
     def idle(self):
         return [item for item in self.channels if item.state is ChannelState.FREE]
 
@@ -143,6 +151,7 @@
         fixture = ForwardingFixture(deadline=deadline)
         context, now = fixture.context, self.clock.now()
         context.clock, context.codec, context.deadline_at = self.clock, ModelCodec(), now + deadline
+        context.events, context.counters = self.events, self.counters
         context.useful_until, context.random = now + deadline / 2, self.random
         context.request = replace(
             fixture.request, request_id=f"r{number}", received_at=now, deadline_at=now + deadline
--- a/fulmarhold/tests/forwarding/test_leaving_and_pausing.py
+++ b/fulmarhold/tests/forwarding/test_leaving_and_pausing.py
@@ -113,6 +113,12 @@
         model.clock.advance(left - 1.0)
         model.refuse(deadline)
         assert model.reached == reached
+        # An operator finds the pause of a refused request by the id of the answer that began it.
+        refusal, began = model.log("refused_held_back")[0], model.log("upstream_held_back")
+        (cause,) = [line for line in began if line["request"] == refusal["source"]]
+        assert (cause["upstream"], cause["reason"], cause["asked_ms"]) == ("a", "paused", PAUSE)
+        assert len(began) == len(NAMES)
+        assert model.counters.value("upstreams_held_back", reason="paused") == len(NAMES)
 
 
 def test_pauses_that_end_together_end_in_steps():
@@ -131,6 +137,7 @@
             model.step(started_at + 100.0 * number + 60.0 - model.clock.now())
         assert most_open == [1, 2, 4, 8, 14]
         assert model.counters.value("upstreams_used_again", reason="paused") == len(NAMES)
+        assert {line["upstream"] for line in model.log("upstream_used_again")} == set(NAMES)
 
 
 def test_a_replica_that_pauses_all_the_time_costs_one_request_a_pause():
