--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -79,7 +79,7 @@
 
     def run(self) -> Outcome:
         """Call the shards, wait for their parts, hedge late calls and return the outcome."""
-        refusal = self._refusal_if_held_back()
+        refusal = self._refusal_if_held_back(self._started_at)
         if refusal is not None:
             return refusal
         first_hedge_at = max(self._started_at + self._hedge_after, self._hedge_not_before)
@@ -101,11 +101,9 @@
             collection.finish()
         return outcome
 
-    def _refusal_if_held_back(self) -> Refused | None:
+    def _refusal_if_held_back(self, now: Milliseconds) -> Refused | None:
         """Refuse if the required parts can't come because of what upstreams said."""
-        held = [
-            item for call in self._calls if (item := call.held_back(self._started_at)) is not None
-        ]
+        held = [item for call in self._calls if (item := call.held_back(now)) is not None]
         needed = self._required - (self._total - len(held))
         return refuse_held_back(self._context, held, needed) if held and needed > 0 else None
 
@@ -239,6 +237,10 @@
             self._abandon()
             reason = RefusedReason.STOPPING if self._is_ended else RefusedReason.NO_UPSTREAM
             return Refused(reason, self._retry_after())
+        if not any(call.can_have_run for call in self._calls):
+            refusal = self._refusal_if_held_back(self._context.clock.now())
+            if refusal is not None:
+                return refusal
         if self._is_ended:
             self._abandon()
             return Failed(FailedReason.STOPPING, f"{len(parts)} of {self._required} parts")
--- a/fulmarhold/tests/collecting/test_queries.py
+++ b/fulmarhold/tests/collecting/test_queries.py
@@ -370,6 +370,15 @@
     assert collector.counters.value("collections_declined", reason=reason) == 1
 
 
+def test_a_query_whose_upstreams_all_ask_for_a_pause_is_refused_as_not_run():
+    shards, _ = split_shards(8, 0)
+    for pools in shards.values():
+        pools[0].said, pools[0].verdict = {"pause": Pause(50.0)}, Verdict.NOT_RUN
+    _, query = run_query(shards, ScriptedCollector([]))
+    outcome = query.run()
+    assert isinstance(outcome, Refused) and outcome.reason.value == "paused"
+
+
 def test_a_query_is_refused_before_it_is_sent_if_too_many_shards_pause():
     shards, _ = split_shards(8, 0)
     fixture, query = run_query(shards, ScriptedCollector([]))
