Hold back the sender of a 421, and spread returns over the pause's length

A 421 speaks for the upstream that it names: one that leaves and answers at another one's former address was not held back by it.

Callers returned within a quarter of what was left of the pause, so that those refused near its end returned together. They return over half of its length now, which adds twice the usual rate at most. (Calculated, not measured.)

--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -130,6 +130,7 @@
             is_urgent=request.is_urgent,
             top_records=request.top_records,
             held=self._memory.open_fixed(Holder.REPLY) if self._memory else None,
+            find_upstream=self._table.find,
         )
         replicas = [self._table.find(name) for name in request.upstreams]
         collector = PartCollector(context, replicas, request.top_records, replies, self._open)
--- a/fulmarhold/forwarding/context.py
+++ b/fulmarhold/forwarding/context.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from fulmarhold.clock import Clock, Milliseconds
@@ -15,6 +16,7 @@
     from fulmarhold.observe.estimates import ReplyEstimates
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routing.choice import Chooser
+    from fulmarhold.routing.replica import Replica
 
 
 class CallContext:
@@ -38,6 +40,7 @@
         is_urgent: bool = True,
         top_records: int = 0,
         held: FixedHolding | None = None,
+        find_upstream: Callable[[str], Replica | None] = lambda _: None,
     ) -> None:
         self.request = request
         # When replies start to be late, and whether no route has a higher priority.
@@ -47,6 +50,8 @@
         self.top_records = top_records
         # Accounts for the replies until the request has its outcome.
         self.held = held
+        # Finds an upstream that serves by its name.
+        self.find_upstream = find_upstream
         self.codec = codec
         self.prepared = codec.prepare(request)
         self.deadline_at = deadline_at
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -224,6 +224,7 @@
             is_urgent=route.rank <= self._most_urgent,
             top_records=route.top_records if route.shards else 0,
             held=held,
+            find_upstream=self._table.find,
         )
         if route.shards:
             return ShardQuery(
--- a/fulmarhold/forwarding/refusals.py
+++ b/fulmarhold/forwarding/refusals.py
@@ -26,8 +26,9 @@
     left = context.request.deadline_at - now
     if availability.reason is Reason.PAUSED:
         reason = RefusedReason.PAUSED
-        wait = max(0.0, (availability.until or now) - now)
-        retry_after = retry_delay_after_pause(wait, left, context.random)
+        until, since = availability.until or now, availability.since or now
+        length = until - since if until > now else 0.0
+        retry_after = retry_delay_after_pause(max(0.0, until - now), length, left, context.random)
     else:
         reason = RefusedReason.LEAVING
         retry_after = retry_delay_after_refusal(context.random)
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -90,7 +90,8 @@
 class Reply:
     """An upstream's response, with its classification and the signature that proves its origin.
 
-    `is_leaving` and `pause` are what it says about further work.
+    `is_leaving` and `pause` are what it says about further work. `sender` names the upstream that
+    answered if it is not the one that was asked.
     """
 
     verdict: Verdict
@@ -100,6 +101,7 @@
     signature: str
     is_leaving: bool = False
     pause: Pause | None = None
+    sender: str = ""
 
     @property
     def is_pausing(self) -> bool:
--- a/fulmarhold/forwarding/signals.py
+++ b/fulmarhold/forwarding/signals.py
@@ -15,6 +15,11 @@
 
 def note_reply_signals(replica: Replica, reply: Reply, context: CallContext) -> None:
     """Apply what a reply says about further work for its upstream."""
+    if reply.sender:
+        sender = context.find_upstream(reply.sender)
+        if sender is None:
+            return
+        replica = sender
     source = context.request.request_id
     pause = reply.pause
     if pause is not None:
--- a/fulmarhold/limits/retry_after.py
+++ b/fulmarhold/limits/retry_after.py
@@ -26,9 +26,10 @@
 MAX_REFUSAL_DELAY: Milliseconds = 160.0
 # The part of the time it has left that a caller waits at most.
 HONOURED_SHARE = 1 / 3
-# After a pause of all upstreams, callers return over this share of the time that it lasted, and
-# over this range of a cap that would otherwise have them return at one moment.
-RETURN_SHARE = 0.25
+# After a pause of all upstreams, callers return over this share of its length, so that those who
+# were refused in it add twice their usual rate; and over this range of the cap on their time, so
+# that they do not return at one moment then either.
+RETURN_SHARE = 0.5
 CAP_RANGE = 0.2
 
 
@@ -48,19 +49,22 @@
     return random.uniform(MIN_REFUSAL_DELAY, MAX_REFUSAL_DELAY)
 
 
-def retry_delay_after_pause(wait: Milliseconds, left: Milliseconds, random: Random) -> Milliseconds:
+def retry_delay_after_pause(
+    wait: Milliseconds, length: Milliseconds, left: Milliseconds, random: Random
+) -> Milliseconds:
     """Return the retry delay if the first upstream wants work in `wait` ms.
 
-    `left` is what the caller has left, of which it waits for a third at most.
+    Its whole pause takes `length` ms. `left` is what the caller has left, of which it waits for a
+    third at most.
 
     >>> from random import Random
-    >>> 900 <= retry_delay_after_pause(900.0, 6_000.0, Random(1)) <= 1_125
+    >>> 300 <= retry_delay_after_pause(300.0, 1_000.0, 6_000.0, Random(1)) <= 800
     True
-    >>> 800 <= retry_delay_after_pause(20_000.0, 3_000.0, Random(1)) <= 1_000
+    >>> 800 <= retry_delay_after_pause(20_000.0, 30_000.0, 3_000.0, Random(1)) <= 1_000
     True
     """
     cap = max(0.0, HONOURED_SHARE * left)
     earliest = max(MIN_REFUSAL_DELAY, wait)
-    latest = max(MAX_REFUSAL_DELAY, earliest * (1 + RETURN_SHARE))
+    latest = earliest + max(MAX_REFUSAL_DELAY - MIN_REFUSAL_DELAY, RETURN_SHARE * length)
     earliest = min(earliest, (1 - CAP_RANGE) * cap)
     return random.uniform(earliest, min(latest, cap))
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -83,13 +83,17 @@
         verdict = _classify(response, request_id, signature)
         headers = _end_to_end(response.headers)
         reply = Reply(verdict, response.status, headers, response.body, signature)
-        if not _is_from_target(response, request_id, verdict):
+        echoed = response.header(REQUEST_ID.lower())
+        if echoed and echoed != request_id:
+            # The answer to another request, perhaps of another upstream.
             return reply
         is_leaving = any(response.header(name.lower()).strip() == "1" for name in LEAVING)
         pause = _read_pause(response)
         if not is_leaving and pause is None:
             return reply
-        return replace(reply, is_leaving=is_leaving, pause=pause)
+        is_other = verdict is Verdict.OTHER_OWNER
+        sender = response.header(UPSTREAM_ID.lower()) if is_other else ""
+        return replace(reply, is_leaving=is_leaving, pause=pause, sender=sender)
 
 
 def read_request(raw: RawRequest) -> ForwardRequest:
@@ -148,12 +152,6 @@
     return Verdict.FAILURE
 
 
-def _is_from_target(response: UpstreamResponse, request_id: str, verdict: Verdict) -> bool:
-    """Whether nothing indicates that another upstream than the one that was asked has answered."""
-    echoed = response.header(REQUEST_ID.lower())
-    return verdict is not Verdict.OTHER_OWNER and (not echoed or echoed == request_id)
-
-
 def _read_pause(response: UpstreamResponse) -> Pause | None:
     value = response.header(RETRY_AFTER.lower()).strip()
     if response.status not in PAUSE_STATUSES or not value:
--- a/fulmarhold/tests/forwarding/modelled.py
+++ b/fulmarhold/tests/forwarding/modelled.py
@@ -141,7 +141,7 @@
         self.reached[key] = self.reached.get(key, 0) + 1
 
     def note_answer(self, key, reply):
-        if reply.is_leaving:
+        if reply.is_leaving and not reply.sender:
             self.left.add(key)
         if reply.is_pausing:
             until = self.clock.now() + reply.pause.length
--- a/fulmarhold/tests/forwarding/test_leaving_and_pausing.py
+++ b/fulmarhold/tests/forwarding/test_leaving_and_pausing.py
@@ -150,6 +150,18 @@
         assert not replica.is_ejected(model.clock.now()) and replica.concurrency.value == 8.0
 
 
+def test_a_leave_said_by_the_new_owner_of_an_address_holds_back_that_one_only():
+    with fleet("a", "b") as model:
+        model.send()
+        other = replace(NOT_RUN, verdict=Verdict.OTHER_OWNER, status=421, is_leaving=True)
+        (channel,) = model.busy()
+        asked, sender = channel.key[0], {"a": "b", "b": "a"}[channel.key[0]]
+        channel.exchange._context.find_upstream = model.table.find
+        channel.answer(replace(other, sender=sender))
+        assert not model.table.find(asked).signals.is_leaving
+        assert model.table.find(sender).signals.is_leaving
+
+
 def test_a_pause_without_the_guarantee_is_not_passed_on_as_not_run():
     with fleet("a") as model:
         call = model.send()
--- a/fulmarhold/tests/platform/test_headers.py
+++ b/fulmarhold/tests/platform/test_headers.py
@@ -90,8 +90,8 @@
         (response(200, ECHO, STAMP, LEAVING), True, None),
         (response(404, ("x-fulmarhold-SERVER-leaving", " 1 ")), True, None),
         (response(200, ECHO, STAMP, ("Server-Leaving", "0")), False, None),
-        # Another upstream has answered.
-        (response(421, ("X-Fulmarhold-Instance-Id", "i-2"), LEAVING), False, None),
+        (response(421, ("X-Fulmarhold-Instance-Id", "i-2"), LEAVING), True, None),
+        # The answer to another request.
         (response(200, ("X-Fulmarhold-Attempt-Id", "id-0"), STAMP, LEAVING), False, None),
         (response(503, LEAVING, ("Retry-After", "2")), True, Pause(2_000.0)),
         (response(429, ("retry-after", " 0.25")), False, Pause(250.0)),
@@ -113,6 +113,7 @@
 def test_what_a_response_says_about_further_work_is_decoded(given, is_leaving, pause):
     reply = PlatformCodec().read(given, "id-1")
     assert (reply.is_leaving, reply.pause) == (is_leaving, pause)
+    assert reply.sender == ("i-2" if given.status == 421 else "")
     assert reply.is_pausing == (pause is not None and not pause.is_ignored)
 
 
