--- a/fulmarhold/tests/forwarding/test_leaving_and_pausing.py
+++ b/fulmarhold/tests/forwarding/test_leaving_and_pausing.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from fulmarhold.forwarding.request import Refused, RefusedReason, Verdict
+from fulmarhold.routing.choice import candidates
 from fulmarhold.tests.forwarding.modelled import (
     DONE,
     LEAVING,
@@ -140,6 +141,37 @@
         assert {line["upstream"] for line in model.log("upstream_used_again")} == set(NAMES)
 
 
+# Guards against callers that were refused during a pause and return in a burst after it, which
+# the steps then refuse again.
+@pytest.mark.parametrize(("length", "deadline"), [(600.0, 4_000.0), (2_000.0, 10_000.0)])
+def test_callers_that_return_after_a_pause_of_all_replicas_come_spread(length, deadline):
+    with fleet(*NAMES, connections=40) as model:
+        model.behaviour = lambda *_: pausing(length)
+        model.run(20.0, between=0.5)
+        model.behaviour = lambda *_: DONE
+        ends_at = model.clock.now() + 3 * length
+        returning: list[tuple[float, int, float]] = []
+        lost, per_period, reached = 0, [0], sum(model.reached.values())
+        while (now := model.clock.now()) < ends_at:
+            due = [item for item in returning if item[0] <= now]
+            returning = [item for item in returning if item[0] > now]
+            for _, tries, until in [(now, 0, now + deadline), *due]:
+                if candidates(model.table.of_service("s"), [], now):
+                    model.send(until - now)
+                elif tries == 2:
+                    lost += 1
+                else:
+                    delay = model.refuse(until - now).retry_after
+                    returning.append((now + delay, tries + 1, until))
+            model.step(2.0)
+            per_period[-1] += sum(model.reached.values()) - reached
+            reached = sum(model.reached.values())
+            if model.clock.now() % 50.0 < 2.0:
+                per_period.append(0)
+        # The usual rate is 25 in a period, and half a caller a millisecond is refused in the pause.
+        assert max(per_period) <= 4 * 25 and lost <= 0.15 * 0.5 * length
+
+
 def test_a_replica_that_pauses_all_the_time_costs_one_request_a_pause():
     with fleet(*NAMES) as model:
         model.behaviour = lambda record, _: pausing(200.0) if record.name == "a" else DONE
