--- a/fulmarhold/tests/forwarding/scripted.py
+++ b/fulmarhold/tests/forwarding/scripted.py
@@ -7,6 +7,7 @@
 
 from dataclasses import replace
 from random import Random
+from typing import Any
 
 import gevent
 
@@ -36,6 +37,8 @@
     """Completes each exchange after a delay with a given verdict, or never."""
 
     data_centre = HOME
+    # Fields of the replies that say something about further work.
+    said: dict[str, Any] = {}
 
     def __init__(self, address, delay=FAST_MS, verdict=Verdict.SUCCESS, status=200):
         self.address, self.delay, self.verdict, self.status = address, delay, verdict, status
@@ -59,6 +62,12 @@
     def longest_wait(self, now):
         return 0.0
 
+    def close_when_idle(self):
+        self.connections = 0
+
+    def fail_waiting(self, reason):
+        pass
+
 
 class ScriptedCodec:
     def for_account(self, request, account):
@@ -72,7 +81,8 @@
 
     def read(self, response, request_id):
         body = response.address.encode().ljust(16, b"0")
-        return Reply(response.verdict, response.status, (), body, f"stamp-{response.address}")
+        stamp = f"stamp-{response.address}"
+        return Reply(response.verdict, response.status, (), body, stamp, **response.said)
 
 
 def make_replica(pool, data_centre=HOME):
