Replicate which data centres are evacuated, and feed the set to entries

Cause: operators need to take a data centre out of use, and the order has to survive in the same way as a configuration.

A command names the number of orders applied before it and has no effect after another one: an order that was delayed, on its way or in the log, can't undo one that was acknowledged since.

Feeds without orders are encoded as before (test).

--- a/fulmarhold/bench/micro.py
+++ b/fulmarhold/bench/micro.py
@@ -10,8 +10,9 @@
 from fulmarhold.clock import Clock
 from fulmarhold.configuration import configuration_to_document
 from fulmarhold.consensus.messages import AppendRequest, MemberMessage
-from fulmarhold.control.machine import Claim, ControlMachine
+from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.messages import EntrySync, RosterEntry, SyncReply
+from fulmarhold.control.state import Claim
 from fulmarhold.demo.run import DEPLOYMENTS, EXAMPLES
 from fulmarhold.membership.announced import AnnouncedSet
 from fulmarhold.membership.directory import Directory
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -13,6 +13,7 @@
 
 import gevent
 from gevent.event import Event
+from msgspec import UNSET
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.control.differences import DigestMismatches
@@ -79,10 +80,14 @@
 
 @dataclass
 class _Watch:
-    """The time of an entry's last feed request, and the sequence of the statement in it."""
+    """The time of an entry's last feed request, and the sequence of the statement in it.
+
+    `evacuations_version` is that of the last set of evacuated data centres that it was sent.
+    """
 
     at: Milliseconds
     sequence: int
+    evacuations_version: int = 0
 
 
 class FeedService:
@@ -128,6 +133,7 @@
         self._is_stopping = False
         self._first_feed_at: Milliseconds | None = None
         self._version = 0
+        self._evacuations_version = 0
         self._last_report_at = clock.now()
         self.instances.apply(own, clock.now())
 
@@ -209,21 +215,28 @@
     def watch(self, request: WatchFeed) -> Any:
         """Answer a feed request as soon as something changed, after `FEED_PERIOD` at the latest."""
         now = self._clock.now()
-        is_new = request.watcher.name not in self._watches
-        if self._merge_instances((request.watcher,), "own statement") or is_new:
+        name = request.watcher.name
+        before = self._watches.get(name)
+        if self._merge_instances((request.watcher,), "own statement") or before is None:
             self._sharing.share(instances=(request.watcher,))
-        self._watches[request.watcher.name] = _Watch(now, request.watcher.sequence)
+        watched = _Watch(now, request.watcher.sequence)
+        is_whole = request.source != self._source
+        if before is not None and not is_whole:
+            watched.evacuations_version = before.evacuations_version
+        self._watches[name] = watched
         if not self._is_ready:
             return Failure("catching_up")
-        is_whole = request.source != self._source
         if not is_whole:
             self._await_change(request, now + FEED_PERIOD)
         if self._is_stopping:
             return Failure("stopping")
         upstream_position = 0 if is_whole else request.upstream_position
         instance_position = 0 if is_whole else request.instance_position
-        self._watches[request.watcher.name] = _Watch(self._clock.now(), request.watcher.sequence)
         state = self._machine.state
+        self._watches[name] = _Watch(
+            self._clock.now(), request.watcher.sequence, state.evacuations.version
+        )
+        has_evacuations = state.evacuations.version > _evacuations_version(request)
         is_newer = state.routes_version > request.version
         confirmed_age = min(self._node.confirmed_age(), NEVER_CONFIRMED_AGE)
         if self._first_feed_at is None and is_newer and confirmed_age < FEED_PERIOD:
@@ -244,6 +257,7 @@
             state.routes_version,
             state.routes_document if is_newer else None,
             packed,
+            state.evacuations if has_evacuations else UNSET,
         )
 
     def _pack(
@@ -287,8 +301,20 @@
         return (
             self.upstreams.position > request.upstream_position
             or self._machine.state.routes_version > request.version
+            or self._has_new_evacuations(request)
         )
 
+    def _has_new_evacuations(self, request: WatchFeed) -> bool:
+        """Whether there is a set of evacuated data centres that the watcher was not sent yet.
+
+        An entry of an earlier release ignores the set and never has it. It is sent the set with
+        each reply, but must not be answered at once each time.
+        """
+        watched = self._watches.get(request.watcher.name)
+        sent = watched.evacuations_version if watched is not None else 0
+        known = max(sent, _evacuations_version(request))
+        return self._machine.state.evacuations.version > known
+
     def _merge_instances(self, statements: tuple[InstanceStatement, ...], origin: str) -> bool:
         now = self._clock.now()
         is_change = False
@@ -417,9 +443,11 @@
         self._notify()
 
     def on_command_applied(self) -> None:
-        """Wake the watchers if a newer configuration was applied; called after each change."""
-        if self._machine.state.routes_version > self._version:
-            self._version = self._machine.state.routes_version
+        """Wake the watchers for newer configurations and evacuations; called after each change."""
+        state = self._machine.state
+        newest = state.routes_version, state.evacuations.version
+        if newest != (self._version, self._evacuations_version):
+            self._version, self._evacuations_version = newest
             self._notify()
 
     def _expire_entries(self, now: Milliseconds) -> None:
@@ -465,6 +493,11 @@
                     self._sharing.share((silent,))
 
 
+def _evacuations_version(request: WatchFeed) -> int:
+    version = request.evacuations_version
+    return 0 if version is UNSET else version
+
+
 def _conflicting(
     store: StatementStore[Statement], received: tuple[Statement, ...]
 ) -> tuple[Statement, ...]:
--- a/fulmarhold/control/machine.py
+++ b/fulmarhold/control/machine.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import msgpack
@@ -24,11 +24,23 @@
     ClaimRefused,
     CommandRefused,
     RemoveEntry,
-    RosterEntry,
     SettleKey,
     Superseded,
 )
+from fulmarhold.control.state import (
+    Claim,
+    ControlState,
+    Outcome,
+    RecordedOutcome,
+    decode_state,
+    encode_state,
+)
 from fulmarhold.errors import MalformedInput
+from fulmarhold.membership.evacuation import (
+    EvacuationOrdered,
+    EvacuationOutdated,
+    SetEvacuation,
+)
 from fulmarhold.membership.feed import AcceptVersion, RetireUpstream
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.registry import Registry
@@ -50,51 +62,8 @@
 # Retired upstreams that are kept; beyond this number the oldest are dropped. It is many times what
 # an hour of releases retires, at about 60 bytes each.
 MAX_RETIRED_UPSTREAMS = 4_096
-
-Outcome = Accepted | Superseded | CommandRefused
-
-
-@dataclass(frozen=True)
-class RecordedOutcome:
-    """The first outcome of a command id, with a digest of the command that had it."""
-
-    digest: str
-    outcome: Outcome
-
-
-@dataclass(frozen=True)
-class Claim:
-    """The claim of an idempotency key: the attempt that holds it, and its answer once settled.
-
-    `ended_attempts` were not run; a delayed claim of one of them is refused.
-    """
-
-    digest: str
-    attempt: str
-    entry: str
-    settled: bool = False
-    answer: bytes = b""
-    ended_attempts: tuple[str, ...] = ()
-
-
-@dataclass
-class ControlState:
-    """The state that every control member replicates."""
-
-    revision: int = 0
-    version: int = 0
-    document: dict[str, Any] | None = None
-    accepted_by: str = ""
-    accepted_at: Milliseconds = 0.0
-    time: Milliseconds = 0.0
-    pruned_at: Milliseconds = 0.0
-    roster: dict[str, RosterEntry] = field(default_factory=dict)
-    commands: dict[str, RecordedOutcome] = field(default_factory=dict)
-    claims: dict[str, Claim] = field(default_factory=dict)
-    routes_version: int = 0
-    routes_document: bytes = b""
-    retired: dict[str, int] = field(default_factory=dict)
-
+# Evacuated data centres; many times what a deployment has, so that odd orders fill no memory.
+MAX_EVACUATED = 256
 
 appliers: Registry[Callable[[ControlState, Any], Any]] = Registry("command")
 
@@ -144,71 +113,11 @@
 
     def save(self) -> bytes:
         """Serialize the whole state into a snapshot."""
-        state = self.state
-        packed: bytes = msgpack.packb(
-            {
-                "scalars": [
-                    state.revision,
-                    state.version,
-                    state.document,
-                    state.accepted_by,
-                    state.accepted_at,
-                    state.time,
-                    state.pruned_at,
-                ],
-                "roster": [
-                    [item.name, item.data_centre, item.caller_endpoint, item.peer_endpoint]
-                    for item in state.roster.values()
-                ],
-                "commands": [
-                    [command_id, item.digest, to_values(item.outcome)]
-                    for command_id, item in state.commands.items()
-                ],
-                "claims": [
-                    [
-                        key,
-                        item.digest,
-                        item.attempt,
-                        item.entry,
-                        item.settled,
-                        item.answer,
-                        item.ended_attempts,
-                    ]
-                    for key, item in state.claims.items()
-                ],
-                "routes": [state.routes_version, state.routes_document],
-                "retired": list(state.retired.items()),
-            }
-        )
-        return packed
+        return encode_state(self.state)
 
     def restore(self, data: bytes) -> None:
         """Replace the state by a snapshot that `save` returned."""
-        values = msgpack.unpackb(data)
-        revision, version, document, accepted_by, accepted_at, time, pruned_at = values["scalars"]
-        # Snapshots of earlier releases contain neither routes nor retired upstreams.
-        routes_version, routes_document = values.get("routes", (0, b""))
-        self.state = ControlState(
-            revision,
-            version,
-            document,
-            accepted_by,
-            accepted_at,
-            time,
-            pruned_at,
-            roster={item[0]: RosterEntry(*item) for item in values["roster"]},
-            commands={
-                command_id: RecordedOutcome(digest, from_values(outcome))
-                for command_id, digest, outcome in values["commands"]
-            },
-            claims={
-                key: Claim(digest, attempt, entry, settled, answer, tuple(ended_attempts))
-                for key, digest, attempt, entry, settled, answer, ended_attempts in values["claims"]
-            },
-            routes_version=routes_version,
-            routes_document=routes_document,
-            retired=dict(values.get("retired", ())),
-        )
+        self.state = decode_state(data)
 
 
 @appliers.register(AcceptConfiguration.__name__)
@@ -307,6 +216,21 @@
         del state.retired[next(iter(state.retired))]
 
 
+@appliers.register(SetEvacuation.__name__)
+def _set_evacuation(
+    state: ControlState, command: SetEvacuation
+) -> EvacuationOrdered | EvacuationOutdated | CommandRefused:
+    if command.base != state.evacuation_orders:
+        return EvacuationOutdated(state.evacuation_orders)
+    before = state.evacuations
+    after = before.with_order(command.data_centre, is_evacuated=command.is_evacuated)
+    if len(after.data_centres) > MAX_EVACUATED:
+        return CommandRefused(f"{MAX_EVACUATED} data centres are evacuated already")
+    state.evacuation_orders += 1
+    state.evacuations = after
+    return EvacuationOrdered(after != before, after)
+
+
 def _identifier_refusal(
     state: ControlState, identifier: str, retention: Milliseconds
 ) -> str | None:
--- a/fulmarhold/membership/feed.py
+++ b/fulmarhold/membership/feed.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from msgspec import UNSET, UnsetType
+
+from fulmarhold.membership.evacuation import Evacuations
 from fulmarhold.membership.packing import Statements, unpack_statements
 from fulmarhold.membership.statements import InstanceStatement, UpstreamStatement
 from fulmarhold.wire.messages import message
@@ -13,7 +16,8 @@
 
     `source` and the positions are those of the last reply; `version` is the newest configuration
     that the watcher has. `accepts_packed` tells that the watcher can unpack statements; an earlier
-    release cannot.
+    release cannot. `evacuations_version` is that of the set of evacuated data centres that the
+    watcher has; it is unset, and not sent, while that is the empty first one.
     """
 
     watcher: InstanceStatement
@@ -22,6 +26,7 @@
     instance_position: int
     version: int
     accepts_packed: bool = False
+    evacuations_version: int | UnsetType = UNSET
 
 
 @message
@@ -30,7 +35,8 @@
 
     `confirmed_age` tells how many milliseconds ago a majority confirmed the leader of this
     instance; `configuration` is omitted unless it is newer than the watcher's. Many statements are
-    in `packed` instead of `upstreams` and `instances`.
+    in `packed` instead of `upstreams` and `instances`. `evacuations` is unset, and not sent, unless
+    it is newer than the watcher's.
     """
 
     source: str
@@ -43,6 +49,7 @@
     version: int
     configuration: bytes | None
     packed: bytes = b""
+    evacuations: Evacuations | UnsetType = UNSET
 
     def statements(self) -> Statements:
         """Return the statements of the reply; raises `MalformedInput` if they can't be unpacked."""
--- a/fulmarhold/membership/validity.py
+++ b/fulmarhold/membership/validity.py
@@ -33,6 +33,8 @@
 Text = Annotated[str, Meta(max_length=MAX_TEXT, pattern=r"\A[^\ud800-\udfff]*\Z")]
 # The name of an upstream is sent in a header field.
 UpstreamName = Annotated[str, Meta(max_length=128, pattern=r"\A[!-~]+\Z")]
+# The name of a data centre in an operator's order, which is part of a path.
+DataCentreName = Annotated[str, Meta(pattern=r"\A[A-Za-z0-9_][A-Za-z0-9._-]{0,63}\Z")]
 Ordinal = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
 WarmUp = Annotated[float, Meta(ge=0, le=24 * HOUR)]
@@ -78,6 +80,21 @@
         raise ValueError("must be 1 to 128 visible ASCII characters") from None
 
 
+def check_data_centre_name(name: str) -> str:
+    """Return the name of a data centre; raises `ValueError` if it is no valid identifier.
+
+    >>> check_data_centre_name("north-2")
+    'north-2'
+    """
+    try:
+        return msgspec.convert(name, DataCentreName)
+    except (msgspec.ValidationError, UnicodeError):
+        raise ValueError(
+            "must be 1 to 64 letters, digits, underscores, dots or hyphens, and begin with a "
+            "letter, digit or underscore"
+        ) from None
+
+
 def check_upstream_address(address: str) -> str:
     """Return an IP:port at which one host can be reached; raises `ValueError` for others.
 
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from msgspec import UNSET
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
+from fulmarhold.membership.evacuation import Evacuations
 from fulmarhold.membership.feed import AskConfirmation, Confirmation, FeedReply, WatchFeed
 from fulmarhold.membership.filtering import StatementFilter
 from fulmarhold.membership.statements import (
@@ -67,6 +69,7 @@
     ) -> None:
         self.upstreams: StatementStore[UpstreamStatement] = StatementStore()
         self.instances: StatementStore[InstanceStatement] = StatementStore()
+        self._evacuations = Evacuations()
         self._own = own
         self._seeds = seeds
         self._apply_configuration = apply_configuration
@@ -86,6 +89,11 @@
     def own(self) -> InstanceStatement:
         return self._own
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The newest set of evacuated data centres; kept when contact with control is lost."""
+        return self._evacuations
+
     @property
     def feed_age(self) -> Milliseconds:
         """Time since a majority of control last confirmed the data that this entry has."""
@@ -240,7 +248,12 @@
 
     def _feed_request(self) -> WatchFeed:
         return WatchFeed(
-            self._own, self._source, *self._positions, self._version, accepts_packed=True
+            self._own,
+            self._source,
+            *self._positions,
+            self._version,
+            accepts_packed=True,
+            evacuations_version=self._evacuations.version or UNSET,
         )
 
     def _apply_reply(self, reply: FeedReply, asked_at: Milliseconds) -> None:
@@ -266,6 +279,8 @@
                 self._own = replace(self._own, born=instance.born + 1)
         self._source = reply.source
         self._positions = (reply.upstream_position, reply.instance_position)
+        # Before a first configuration, with which this entry starts to serve.
+        self._apply_evacuations(reply)
         is_confirmed = reply.confirmed_age <= MAX_CONFIRMATION_AGE
         # The first configuration must be the newest; later ones only have to be newer.
         may_apply = is_confirmed or self._version > 0
@@ -279,8 +294,28 @@
         self.upstreams.forget_ended(now)
         self.instances.forget_ended(now)
 
-    def _content_version(self) -> tuple[int, int, int]:
-        return self.upstreams.position, self.instances.position, self._version
+    def _apply_evacuations(self, reply: FeedReply) -> None:
+        """Take over a newer set; even one that is not confirmed recently was accepted once."""
+        newer, before = reply.evacuations, self._evacuations
+        if newer is UNSET or newer.version <= before.version:
+            return
+        self._evacuations = newer
+        self._counters.add("evacuations_applied")
+        log.info(
+            "evacuated data centres are {}, were {}; from {}, confirmed {:.0f} ms ago",
+            newer,
+            before,
+            self._endpoint,
+            reply.confirmed_age,
+        )
+
+    def _content_version(self) -> tuple[int, int, int, int]:
+        return (
+            self.upstreams.position,
+            self.instances.position,
+            self._version,
+            self._evacuations.version,
+        )
 
     def _count_traffic(self, link: Link) -> None:
         source = self._control_instances().get(link.endpoint)
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -13,6 +13,7 @@
 from fulmarhold.clock import ManualClock
 from fulmarhold.control import feeds as feeds_module
 from fulmarhold.control.feeds import (
+    FEED_PERIOD,
     INSTANCE_BATCH_TIME,
     REPORT_PERIOD,
     REPORT_TIMEOUT,
@@ -21,6 +22,7 @@
 from fulmarhold.control.machine import ControlMachine, encode_command
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.errors import PeerUnavailable
+from fulmarhold.membership.evacuation import Evacuations, SetEvacuation
 from fulmarhold.membership.feed import (
     AllStatements,
     AskStatements,
@@ -41,7 +43,7 @@
 )
 from fulmarhold.observe.counters import Counters
 from fulmarhold.wire.frames import encode_frame
-from fulmarhold.wire.messages import Failure
+from fulmarhold.wire.messages import Failure, from_values, to_values
 
 HEARTBEAT = UpstreamStatement("u", 100, 1, READY, "parts", "10.0.0.1:80", "a", 2)
 ENTRY = InstanceStatement("e", 5, 1, STARTING, "entry", "a", "10.0.1.1:80")
@@ -410,3 +412,71 @@
     feeds, _, machine = make_feeds()
     assert isinstance(handlers(feeds).dispatch(command), Failure)
     assert machine.state.retired == {}
+
+
+def evacuate(feeds, machine, data_centre):
+    base = machine.state.evacuation_orders
+    machine.apply(encode_command(SetEvacuation(data_centre, True, base, 0.0)))
+    feeds.on_command_applied()
+
+
+def next_request(reply, **changes):
+    return replace(
+        WatchFeed(ENTRY, reply.source, reply.upstream_position, reply.instance_position, 0),
+        **changes,
+    )
+
+
+def ask(feeds, request):
+    answer = gevent.spawn(feeds.watch, request)
+    run_pending_greenlets()
+    return answer
+
+
+def test_an_evacuation_is_fed_at_once_and_only_to_those_that_lack_it(make_feeds, clock):
+    feeds, _, machine = make_feeds()
+    whole = feeds.watch(WatchFeed(ENTRY, "", 0, 0, 0))
+    answer = ask(feeds, next_request(whole))
+    assert not answer.ready()
+    evacuate(feeds, machine, "a")
+    reply = answer.get(timeout=5)
+    assert reply.evacuations == Evacuations(1, ("a",))
+    assert from_values(to_values(reply)) == reply
+    has_it = ask(feeds, next_request(reply, evacuations_version=1))
+    assert not has_it.ready()
+    clock.advance(FEED_PERIOD)
+    feeds._notify()
+    assert "evacuations" not in to_values(has_it.get(timeout=5))[1]
+    assert feeds.watch(WatchFeed(replace(ENTRY, name="f"), "", 0, 0, 0)).evacuations == (
+        Evacuations(1, ("a",))
+    )
+
+
+# Guards against feeds that are answered without pause, since an earlier release has no set; and
+# against an entry that never gets it because one reply was lost.
+def test_an_entry_that_does_not_take_the_set_over_gets_it_once_a_period(make_feeds, clock):
+    feeds, _, machine = make_feeds()
+    evacuate(feeds, machine, "a")
+    whole = feeds.watch(WatchFeed(ENTRY, "", 0, 0, 0))
+    for _ in range(3):
+        answer = ask(feeds, next_request(whole))
+        assert not answer.ready()
+        clock.advance(FEED_PERIOD)
+        feeds._notify()
+        assert answer.get(timeout=5).evacuations == Evacuations(1, ("a",))
+    evacuate(feeds, machine, "b")
+    assert ask(feeds, next_request(whole)).get(timeout=5).evacuations.version == 2
+
+
+# Guards against feeds that grow in deployments that evacuate nothing.
+def test_feeds_without_an_evacuation_are_encoded_as_in_an_earlier_release(make_feeds):
+    feeds, _, _ = make_feeds()
+    request = WatchFeed(ENTRY, "", 0, 0, 0)
+    assert list(to_values(request)[1]) == [
+        "watcher", "source", "upstream_position", "instance_position", "version",
+        "accepts_packed",
+    ]  # fmt: skip
+    assert list(to_values(feeds.watch(request))[1]) == [
+        "source", "is_whole", "confirmed_age", "upstream_position", "instance_position",
+        "upstreams", "instances", "version", "configuration", "packed",
+    ]  # fmt: skip
--- a/fulmarhold/tests/control/test_machine.py
+++ b/fulmarhold/tests/control/test_machine.py
@@ -12,6 +12,7 @@
     CLAIM_RETENTION,
     COMMAND_RETENTION,
     MAX_CLOCK_SKEW,
+    MAX_EVACUATED,
     ControlMachine,
     encode_command,
 )
@@ -30,6 +31,12 @@
     Superseded,
 )
 from fulmarhold.errors import FulmarholdError, MalformedInput
+from fulmarhold.membership.evacuation import (
+    EvacuationOrdered,
+    EvacuationOutdated,
+    Evacuations,
+    SetEvacuation,
+)
 from fulmarhold.membership.feed import AcceptVersion, RetireUpstream
 
 START = 1_800_000_000_000.0
@@ -218,3 +225,47 @@
 def test_a_command_that_cannot_be_encoded_is_not_logged(command):
     with pytest.raises(MalformedInput, match=type(command).__name__):
         encode_command(command)
+
+
+def test_orders_change_the_evacuated_data_centres_and_the_version_only_if_they_differ(apply):
+    for base, (data_centre, is_evacuated, expected) in enumerate(
+        [
+            ("a", False, Evacuations()),
+            ("b", True, Evacuations(1, ("b",))),
+            ("b", True, Evacuations(1, ("b",))),
+            ("a", True, Evacuations(2, ("a", "b"))),
+            ("b", False, Evacuations(3, ("a",))),
+            ("b", False, Evacuations(3, ("a",))),
+            ("a", False, Evacuations(4)),
+        ]
+    ):
+        outcome = apply(SetEvacuation(data_centre, is_evacuated, base, START))
+        assert outcome.evacuations == expected
+
+
+# Guards against an order that is delayed and undoes one that was acknowledged after it.
+@pytest.mark.parametrize("later", [("a", False), ("a", True), ("b", True)])
+def test_a_delayed_order_has_no_effect_once_another_one_was_applied(apply, machine, later):
+    assert apply(SetEvacuation(*later, 0, START)).evacuations
+    before = machine.state.evacuations
+    assert apply(SetEvacuation("a", True, 0, START)) == EvacuationOutdated(1)
+    assert machine.state.evacuations == before
+
+
+# Guards against odd orders that fill the memory of control and the feeds.
+def test_the_number_of_evacuated_data_centres_is_bounded(apply, machine):
+    for number in range(MAX_EVACUATED):
+        machine.apply(encode_command(SetEvacuation(f"c{number}", True, number, START)))
+    refused = apply(SetEvacuation("one-more", True, MAX_EVACUATED, START))
+    assert isinstance(refused, CommandRefused)
+    ended = apply(SetEvacuation("c0", False, MAX_EVACUATED, START))
+    assert isinstance(ended, EvacuationOrdered) and ended.is_change
+
+
+def test_a_snapshot_without_orders_is_that_of_an_earlier_release(machine):
+    machine.apply(encode_command(RetireUpstream("u", 7, START)))
+    saved = machine.save()
+    assert b"evacuations" not in saved
+    machine.apply(encode_command(SetEvacuation("a", True, 0, START)))
+    machine.restore(saved)
+    assert machine.state.evacuations == Evacuations() and machine.state.retired == {"u": 7}
--- a/fulmarhold/tests/membership/test_watcher.py
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -13,6 +13,7 @@
 from fulmarhold.clock import ManualClock
 from fulmarhold.errors import PeerUnavailable
 from fulmarhold.membership import watcher as watching
+from fulmarhold.membership.evacuation import Evacuations
 from fulmarhold.membership.feed import AskConfirmation, Confirmation, FeedReply
 from fulmarhold.membership.statements import READY, STARTING, InstanceStatement, UpstreamStatement
 from fulmarhold.membership.watcher import FAILURE_COOLDOWN, FleetWatcher
@@ -83,9 +84,9 @@
     return instances
 
 
-def make_watcher(fleet):
+def make_watcher(fleet, apply_configuration=lambda *_: None):
     return FleetWatcher(
-        OWN, lambda: SEEDS, lambda *_: None, lambda: None, fleet.clock, fleet.counters
+        OWN, lambda: SEEDS, apply_configuration, lambda: None, fleet.clock, fleet.counters
     )
 
 
@@ -196,3 +197,33 @@
     assert watcher.serving_upstreams({"parts"}) == [UPSTREAM]
     watcher.upstreams.apply(successor, 0.0)
     assert watcher.serving_upstreams({"parts", "more"}) == [successor]
+
+
+def reply_with(evacuations=None, *, version=0, age=FRESH_AGE):
+    reply = FeedReply("s", False, age, 1, 1, (), (), version, b"c" if version else None)
+    return replace(reply, evacuations=evacuations) if evacuations else reply
+
+
+# Guards against a starting entry that serves before it knows what is evacuated.
+def test_the_set_is_known_before_the_first_configuration_is_applied(fleet):
+    seen = []
+    watcher = make_watcher(fleet, lambda *_: seen.append(watcher.evacuations))
+    watcher._apply_reply(reply_with(Evacuations(2, ("a",)), version=5), 0.0)
+    assert seen == [Evacuations(2, ("a",))]
+
+
+@pytest.mark.parametrize(
+    ("later", "kept"),
+    [
+        (reply_with(), 2),
+        (reply_with(Evacuations(1, ("z",))), 2),
+        (reply_with(Evacuations(2, ("z",))), 2),
+        (reply_with(Evacuations(3)), 3),
+        (reply_with(Evacuations(3), age=STALE_AGE), 3),
+    ],
+)
+def test_only_a_newer_set_is_taken_over_and_asked_for(fleet, later, kept):
+    watcher = make_watcher(fleet)
+    watcher._apply_reply(reply_with(Evacuations(2, ("a",))), 0.0)
+    watcher._apply_reply(later, 0.0)
+    assert watcher.evacuations.version == watcher._feed_request().evacuations_version == kept
