Leave the upstreams of evacuated data centres out on the platform

Cause: entries knew no set of evacuated data centres, and operators had no way to order one.

Change: POST and DELETE /api/evacuations/{name}; the entry leaves the upstreams of evacuated data centres out of its table, so that waiting requests are withdrawn and idle connections close. A collector that leaves an upstream out declines it as `evacuated` and not as `unknown`: the asking entry, which may not have been told yet, used to send the request itself after `unknown`. An order whose operator has closed the connection is not submitted, since a suspended instance finds it only after it was sent elsewhere.

The collector test fails with `unknown`.

--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -45,6 +45,8 @@
 
     def find(self, name: str) -> Replica | None: ...
 
+    def is_evacuated(self, name: str) -> bool: ...
+
 
 class CollectorService:
     """Answers the requests of other entries for parts of upstreams beside this one."""
@@ -117,11 +119,17 @@
             top_records=request.top_records,
             held=self._memory.open_fixed(Holder.REPLY) if self._memory else None,
         )
-        replicas = [self._table.find(name) for name in request.upstreams]
-        collector = PartCollector(context, replicas, request.top_records, replies, self._open)
+        targets = [self._find_target(name) for name in request.upstreams]
+        collector = PartCollector(context, targets, request.top_records, replies, self._open)
         collector.start(is_stopping=self._is_stopping)
         return collector
 
+    def _find_target(self, name: str) -> Replica | Decline:
+        replica = self._table.find(name)
+        if replica is not None:
+            return replica
+        return Decline.EVACUATED if self._table.is_evacuated(name) else Decline.UNKNOWN
+
 
 class PartCollector:
     """Collects the parts of one request and replies with them in as few messages as is timely."""
@@ -129,19 +137,19 @@
     def __init__(
         self,
         context: CallContext,
-        replicas: list[Replica | None],
+        targets: list[Replica | Decline],
         top_records: int,
         replies: StreamReplies,
         open_collectors: set[PartCollector],
     ) -> None:
         self._context = context
-        self._replicas = replicas
+        self._targets = targets
         self._top_records = top_records
         self._replies = replies
         self._open_collectors = open_collectors
         self._started_at = context.clock.now()
         self._reply_by = context.useful_until - DELIVERY_RESERVE
-        self._threshold = math.ceil(STRAGGLER_SHARE * len(replicas))
+        self._threshold = math.ceil(STRAGGLER_SHARE * len(targets))
         self._calls: dict[ServiceCall, int] = {}
         self._unsent: list[ServiceCall] = []
         self._unserved: list[tuple[int, str, str]] = []
@@ -158,18 +166,18 @@
         """Send the request to the upstreams that are fit for it, and decline the others."""
         context = self._context
         now = self._started_at
-        for position, replica in enumerate(self._replicas):
+        for position, target in enumerate(self._targets):
             if is_stopping:
                 self._decline(position, Decline.STOPPING)
-            elif replica is None:
-                self._decline(position, Decline.UNKNOWN)
-            elif (reason := _reason_to_decline(replica, context, now)) is not None:
+            elif isinstance(target, Decline):
+                self._decline(position, target)
+            elif (reason := _reason_to_decline(target, context, now)) is not None:
                 self._decline(position, reason)
             else:
-                service = replica.upstream.record.service
+                service = target.upstream.record.service
                 # The asking entry accounts for the extra load; no attempt here is an extra one.
                 budget = ExtraLoadBudget(0.0, 0)
-                self._calls[ServiceCall(service, [replica], budget, context, self)] = position
+                self._calls[ServiceCall(service, [target], budget, context, self)] = position
         self._open_collectors.add(self)
         for call in list(self._calls):
             call.start()
--- a/fulmarhold/collecting/messages.py
+++ b/fulmarhold/collecting/messages.py
@@ -22,6 +22,8 @@
     """Why a collector did not send a request to an upstream."""
 
     UNKNOWN = "unknown"
+    # Its data centre is evacuated, which the asking entry may not know yet.
+    EVACUATED = "evacuated"
     EJECTED = "ejected"
     UNRESPONSIVE = "unresponsive"
     # It has as much work as it finishes in time.
--- a/fulmarhold/collecting/remote.py
+++ b/fulmarhold/collecting/remote.py
@@ -223,8 +223,8 @@
             return
         # The next queries ask another upstream for a moment.
         self.replica.note_unreachable(now)
-        if reason == Decline.CONGESTED.value:
-            # One more request would be late, from here too.
+        if reason in (Decline.CONGESTED.value, Decline.EVACUATED.value):
+            # One more request would be late, or must not be sent, from here too.
             self._call.attempt_failed(self, reason)
         else:
             self._call.declined(self)
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -13,7 +13,7 @@
 from fulmarhold.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from fulmarhold.clock import Clock
     from fulmarhold.limits.memory import MemoryBudget
@@ -62,6 +62,7 @@
         self._replicas: dict[tuple[str, int], Replica] = {}
         self._by_service: dict[str, list[Replica]] = {}
         self._by_name: dict[str, Replica] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._draining: list[Replica] = []
         self._unresponsive: set[tuple[str, int]] = set()
         self._typical_latencies: dict[tuple[str, ...], QuantileEstimate] = {}
@@ -78,6 +79,10 @@
         """Return the replica that is the upstream with this name, if it serves."""
         return self._by_name.get(name)
 
+    def is_evacuated(self, name: str) -> bool:
+        """Whether the upstream with this name is left out because of an evacuation."""
+        return name in self._evacuated
+
     def update(
         self,
         upstreams: list[UpstreamStatement],
@@ -85,11 +90,14 @@
         entries: int,
         *,
         keep_warm: bool,
+        evacuated: Iterable[str] = (),
     ) -> None:
         """Set which upstreams serve, and how many entries share their connections.
 
-        With `keep_warm`, connections are opened before any request needs them.
+        With `keep_warm`, connections are opened before any request needs them. `evacuated` names
+        upstreams that are left out though they serve.
         """
+        self._evacuated = frozenset(evacuated)
         before, self._replicas, self._by_service = self._replicas, {}, {}
         self._by_name = {}
         typical_before, self._typical_latencies = self._typical_latencies, {}
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -12,11 +12,13 @@
 from fulmarhold.consensus.node import TRANSFER_WAIT, Node, member_message_handler
 from fulmarhold.consensus.storage import Storage
 from fulmarhold.consensus.transport import Transport
+from fulmarhold.control.evacuations import EvacuationService
 from fulmarhold.control.feeds import FeedService
 from fulmarhold.control.formation import Formation
+from fulmarhold.control.leader import DECISION_TIMEOUT
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.statement_file import StatementFile
-from fulmarhold.control.versions import DECISION_TIMEOUT, VersionService
+from fulmarhold.control.versions import VersionService
 from fulmarhold.daemons import spawn_essential
 from fulmarhold.limits.memory import MemoryBudget, held_bytes_limit
 from fulmarhold.membership.statements import READY, InstanceStatement
@@ -93,13 +95,14 @@
             clock,
         )
         self._versions = VersionService(self.node, machine, clock, counters)
+        self._evacuations = EvacuationService(self.node, machine, clock, counters)
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
         self._clock = clock
         self._counters = counters
         self._servers: list[Any] = []
         self._messages = MessageServer(settings.peer_endpoint, counters)
         self._messages.handle(MemberMessage, member_message_handler(self.node))
-        for part in (self._feeds, self._formation, self._versions):
+        for part in (self._feeds, self._formation, self._versions, self._evacuations):
             part.register(self._messages)
 
     def start(self) -> None:
@@ -145,6 +148,7 @@
             self._clock,
             self._counters,
             self._memory,
+            self._evacuations,
         )
         self._servers = [
             serve_application(application, self._settings.control_endpoint),
@@ -187,6 +191,7 @@
         yield "control_instances_known", {}, float(len(self._feeds.instances))
         yield "control_can_store", {}, float(self.node.can_store)
         yield from self._memory.gauges()
+        yield from self._evacuations.gauges()
         if self.node.is_formed:
             core = self.node.core
             yield "control_leads", {}, float(self._leads)
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -82,6 +82,8 @@
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
         self._table = UpstreamTable(settings.data_centre, clock, counters, self._memory)
         self._active: list[InstanceStatement] = []
+        # The upstreams that would serve, but are in evacuated data centres.
+        self._evacuated: list[UpstreamStatement] = []
         self._settling = Settling(clock.now())
         self._fleet_update = CoalescedUpdate(self._update_fleet, MIN_UPDATE_INTERVAL, clock)
         own = InstanceStatement(
@@ -235,7 +237,10 @@
         """Update the active entries and the upstream table from the watcher."""
         routes = self.forwarder.routes
         services = routes.configuration.services if routes else ()
-        upstreams = self.watcher.serving_upstreams(services)
+        serving = self.watcher.serving_upstreams(services)
+        evacuated = self.watcher.evacuations.data_centres
+        upstreams = [item for item in serving if item.data_centre not in evacuated]
+        self._evacuated = [item for item in serving if item.data_centre in evacuated]
         self._active = self._active_entries(upstreams)
         self._settling.update({item.name for item in self._active}, self._clock.now())
         self._collectors.update(self._active)
@@ -254,6 +259,7 @@
             routes.configuration,
             entries,
             keep_warm=is_active and self._settling.is_settled,
+            evacuated=[item.name for item in self._evacuated],
         )
 
     def _active_entries(self, upstreams: list[UpstreamStatement]) -> list[InstanceStatement]:
@@ -301,5 +307,9 @@
         yield "entry_collections", {}, float(self._collector_service.in_flight)
         yield "entry_caller_connections", {}, float(self._front.connections)
         yield "entry_upstreams", {}, float(len(replicas))
+        evacuations = self.watcher.evacuations
+        yield "entry_evacuated_data_centres", {}, float(len(evacuations.data_centres))
+        yield "entry_evacuations_version", {}, float(evacuations.version)
+        yield "entry_upstreams_evacuated", {}, float(len(self._evacuated))
         yield from self._memory.gauges()
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -21,12 +21,13 @@
 )
 from fulmarhold.platform.settings import DIRECTORY_ANSWER_TTL
 from fulmarhold.settings.problems import InvalidSettings
-from fulmarhold.web.serving import LARGEST_BODY_BYTES, held_body
+from fulmarhold.web.serving import LARGEST_BODY_BYTES, held_body, is_connected
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fulmarhold.clock import Clock
+    from fulmarhold.control.evacuations import EvacuationService
     from fulmarhold.control.feeds import FeedService
     from fulmarhold.control.versions import VersionService
     from fulmarhold.limits.memory import MemoryBudget
@@ -59,6 +60,28 @@
         response.data = unpack_document(latest.document)
 
 
+class EvacuationResource:
+    """POST and DELETE /api/evacuations/{name}: operators evacuate a data centre, or end that."""
+
+    def __init__(self, evacuations: EvacuationService) -> None:
+        self._evacuations = evacuations
+
+    def on_post(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
+        self._order(request, response, name, is_evacuated=True)
+
+    def on_delete(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
+        self._order(request, response, name, is_evacuated=False)
+
+    def _order(
+        self, request: falcon.Request, response: falcon.Response, name: str, *, is_evacuated: bool
+    ) -> None:
+        ordered = self._evacuations.order(
+            name, is_evacuated=is_evacuated, is_wanted=lambda: is_connected(request)
+        )
+        # The platform calls a data centre a zone.
+        response.media = {"evacuated": ordered.data_centres, "version": ordered.version}
+
+
 class HeartbeatResource:
     """PUT and DELETE /api/instances/{name}: upstreams send heartbeats and deregister."""
 
@@ -146,10 +169,13 @@
     clock: Clock,
     counters: Counters,
     memory: MemoryBudget,
+    evacuations: EvacuationService,
 ) -> falcon.App:
     """Return the application for operators and upstreams."""
     application = _application()
     application.add_route("/api/config", ConfigurationResource(versions, counters, memory))
+    # With a converter that takes slashes, a name that contains one is answered as invalid.
+    application.add_route("/api/evacuations/{name:path}", EvacuationResource(evacuations))
     heartbeats = HeartbeatResource(feeds, own_endpoint, clock, counters, memory)
     application.add_route("/api/instances/{name}", heartbeats)
     return application
--- a/fulmarhold/tests/collecting/scripted.py
+++ b/fulmarhold/tests/collecting/scripted.py
@@ -31,9 +31,13 @@
 
     def __init__(self, pools):
         self.replicas = {pool.address: make_replica(pool) for pool in pools}
+        self.evacuated = set()
 
     def find(self, name):
-        return self.replicas.get(name)
+        return None if name in self.evacuated else self.replicas.get(name)
+
+    def is_evacuated(self, name):
+        return name in self.evacuated
 
 
 class ScriptedReplies:
--- a/fulmarhold/tests/collecting/test_queries.py
+++ b/fulmarhold/tests/collecting/test_queries.py
@@ -77,6 +77,24 @@
     assert all(len(shards[name][0].sent) == 1 for name in beside)
 
 
+# Guards against an entry that sends a request to an upstream itself, because it has not been told
+# yet of the evacuation for which the collector has declined.
+@pytest.mark.parametrize("has_replica", [False, True])
+def test_a_part_that_is_declined_for_an_evacuation_is_not_fetched_from_there(has_replica):
+    shards, beside = split_shards(6, 5)
+    if has_replica:
+        shards["r1"].append(RemotePool("r1-1"))
+        shards["r1"][1].data_centre = "elsewhere"
+        shards["r1"][1].delay = 2 * FAST_MS
+    collector = ScriptedCollector(beside.values())
+    collector.table.evacuated.add("r1-0")
+    _, query = run_query(shards, collector, share=0.5)
+    outcome = query.run()
+    assert outcome.missing == (0 if has_replica else 1)
+    assert not shards["r1"][0].sent and not beside["r1"].sent
+    assert collector.counters.value("collections_declined", reason="evacuated") == 1
+
+
 def test_small_parts_are_fetched_without_a_collector():
     shards, beside = split_shards(6, 6)
     collector = ScriptedCollector(beside.values())
--- a/fulmarhold/tests/control/test_evacuation_model.py
+++ b/fulmarhold/tests/control/test_evacuation_model.py
@@ -61,8 +61,9 @@
         if snapshot:
             self.machine.restore(snapshot)
         node: Any = self
+        links: Any = self
         self.service = EvacuationService(node, self.machine, self.world.clock, Counters())
-        self.service._leader._links = self
+        self.service._leader._links = links
         self.core = SimpleNamespace(is_leader=self.leads)
 
     # As the node of its service
--- a/fulmarhold/tests/control/test_machine.py
+++ b/fulmarhold/tests/control/test_machine.py
@@ -246,7 +246,8 @@
 # Guards against an order that is delayed and undoes one that was acknowledged after it.
 @pytest.mark.parametrize("later", [("a", False), ("a", True), ("b", True)])
 def test_a_delayed_order_has_no_effect_once_another_one_was_applied(apply, machine, later):
-    assert apply(SetEvacuation(*later, 0, START)).evacuations
+    data_centre, is_evacuated = later
+    assert apply(SetEvacuation(data_centre, is_evacuated, 0, START)).evacuations
     before = machine.state.evacuations
     assert apply(SetEvacuation("a", True, 0, START)) == EvacuationOutdated(1)
     assert machine.state.evacuations == before
--- a/fulmarhold/tests/membership/test_watcher.py
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -206,8 +206,8 @@
 
 # Guards against a starting entry that serves before it knows what is evacuated.
 def test_the_set_is_known_before_the_first_configuration_is_applied(fleet):
-    seen = []
-    watcher = make_watcher(fleet, lambda *_: seen.append(watcher.evacuations))
+    seen: list[Evacuations] = []
+    watcher: FleetWatcher = make_watcher(fleet, lambda *_: seen.append(watcher.evacuations))
     watcher._apply_reply(reply_with(Evacuations(2, ("a",)), version=5), 0.0)
     assert seen == [Evacuations(2, ("a",))]
 
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -47,10 +47,18 @@
         self.data_centre, self.records = data_centre, records
         self.name, self.born, self.sequence = f"i-{address}", next(born), 0
         self.targets = []
+        self.connections = 0
         self._server = StreamServer((address, UPSTREAM_PORT), self._serve)
         self._server.start()
 
     def _serve(self, connection, _):
+        self.connections += 1
+        try:
+            self._answer(connection)
+        finally:
+            self.connections -= 1
+
+    def _answer(self, connection):
         file = connection.makefile("rb")
         while line := file.readline():
             headers = {}
--- a/fulmarhold/tests/platform/test_heartbeats.py
+++ b/fulmarhold/tests/platform/test_heartbeats.py
@@ -40,6 +40,7 @@
         self.deregistered: list[str] = []
         self.counters, self.clock = Counters(), ManualClock()
         versions: Any = None
+        evacuations: Any = None
         feeds: Any = SimpleNamespace(
             record_upstream=self._record,
             deregister_upstream=self._deregister,
@@ -47,7 +48,7 @@
         )
         self.memory = MemoryBudget(1_000_000, self.clock, self.counters)
         application = control_application(
-            versions, feeds, "10.0.0.1:80", self.clock, self.counters, self.memory
+            versions, feeds, "10.0.0.1:80", self.clock, self.counters, self.memory, evacuations
         )
         self._client = testing.TestClient(application)
 
--- a/fulmarhold/web/server.py
+++ b/fulmarhold/web/server.py
@@ -19,6 +19,8 @@
 
 # How long connections may take to send a last response, or to close, at the end of the stop.
 LAST_RESPONSE_TIME: Milliseconds = 100.0
+# The key of the connection's socket in the environment of a request.
+CONNECTION = "fulmarhold.connection"
 STOPPED_STATUS = "503 Service Unavailable"
 STOPPED_BODY = b'{"error": "this instance is stopping"}'
 
@@ -101,6 +103,9 @@
 
 
 class _Handler(WSGIHandler):
+    def get_environ(self) -> dict[str, Any]:
+        return {**super().get_environ(), CONNECTION: self.socket}
+
     def read_requestline(self) -> str:
         try:
             has_begun = self.server.wait_for_bytes(lambda: self.rfile.peek(1))
--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -12,8 +12,9 @@
 from fulmarhold.errors import FulmarholdError, MalformedInput
 from fulmarhold.limits.memory import Holder
 from fulmarhold.observe.logs import get_logger
-from fulmarhold.web.server import ApplicationServer
+from fulmarhold.web.server import CONNECTION, ApplicationServer
 from fulmarhold.wire.server import listen
+from fulmarhold.wire.sockets import has_ended
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -125,6 +126,16 @@
         held.release()
 
 
+def is_connected(request: falcon.Request) -> bool:
+    """Whether the caller of a request still waits for the response.
+
+    A process that was suspended finds requests whose callers have given up since, and may have sent
+    them again elsewhere.
+    """
+    connection = request.env.get(CONNECTION)
+    return connection is None or not has_ended(connection)
+
+
 def read_json(request: falcon.Request, max_bytes: int = LARGEST_BODY_BYTES) -> dict[str, Any]:
     """Return the body as a JSON object; raises `MalformedInput` if it is not one."""
     try:
--- a/fulmarhold/wire/sockets.py
+++ b/fulmarhold/wire/sockets.py
@@ -59,6 +59,16 @@
     return microseconds * SECOND / MICROSECONDS_PER_SECOND
 
 
+def has_ended(connection: Any) -> bool:
+    """Whether the peer has closed a connection, with nothing left to read from it."""
+    if not has_input(connection.fileno()):
+        return False
+    try:
+        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        return True
+
+
 def has_input(descriptor: int) -> bool:
     """Whether a socket has bytes to read, or connections to accept, at this moment."""
     poll = select.poll()
