Order evacuations on the project's own interface

Cause: only the platform's interface could evacuate a data centre.

Change: POST /commands/evacuate and /commands/restore, GET /queries/evacuations, and on the command line `evacuate`, `restore` and `evacuations`. Entries get the set with their sync reply and leave the upstreams out of the routing table. Upstreams did not name their data centre: an announcement may hold `data_centre` now, which entries relay in a message of its own, since an earlier release refuses records with further fields. Without it nothing is affected and every message is as before.

--- a/fulmarhold/__main__.py
+++ b/fulmarhold/__main__.py
@@ -13,7 +13,7 @@
 from fulmarhold import __version__
 from fulmarhold.configuration import configuration_to_document
 from fulmarhold.errors import FulmarholdError
-from fulmarhold.operators.commands import clusters, configurations, questionnaires
+from fulmarhold.operators.commands import clusters, configurations, evacuations, questionnaires
 from fulmarhold.operators.control import read_query
 from fulmarhold.operators.queries import questionnaires as questionnaire_queries
 from fulmarhold.operators.queries.status import format_status
@@ -132,6 +132,27 @@
     print(f"removed {identity}")
 
 
+@application.command
+def evacuate(data_centre: str, *, control: ControlEndpoints) -> None:
+    """Have entries send nothing to the upstreams of a data centre."""
+    evacuated = evacuations.order_evacuation(control, data_centre, is_evacuated=True)
+    print(f"evacuated: {', '.join(evacuated)}")
+
+
+@application.command
+def restore(data_centre: str, *, control: ControlEndpoints) -> None:
+    """End the evacuation of a data centre."""
+    evacuated = evacuations.order_evacuation(control, data_centre, is_evacuated=False)
+    print(f"evacuated: {', '.join(evacuated) or 'none'}")
+
+
+@application.command(name="evacuations")
+def list_evacuations(*, control: ControlEndpoints) -> None:
+    """Show the evacuated data centres."""
+    answer = read_query(control, "evacuations")
+    print(f"evacuated: {', '.join(answer['data_centres']) or 'none'}")
+
+
 @application.command
 def drain(entry: str) -> None:
     """Announce that an entry, named by its caller endpoint, is leaving; the entry keeps serving."""
--- a/fulmarhold/control/daemon.py
+++ b/fulmarhold/control/daemon.py
@@ -11,6 +11,7 @@
 from fulmarhold.consensus.node import Node
 from fulmarhold.consensus.storage import Storage
 from fulmarhold.consensus.transport import Transport
+from fulmarhold.control.evacuations import EvacuationService
 from fulmarhold.control.http import operator_application
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.presence import Presence
@@ -47,9 +48,14 @@
         self._service = ControlService(self.node, machine, presence, clock, counters)
         queries = ControlQueries(settings, self.node, machine, presence, clock)
         counters.register_gauges(queries.gauges)
-        self._application = operator_application(self._service, queries, self.node, counters)
+        evacuations = EvacuationService(self.node, machine, clock, counters)
+        counters.register_gauges(evacuations.gauges)
+        self._application = operator_application(
+            self._service, queries, self.node, counters, evacuations
+        )
         self._messages = MessageServer(settings.peer_endpoint, counters)
         self._service.register(self._messages)
+        evacuations.register(self._messages)
 
     def start(self) -> None:
         """Load the durable state, start this member and listen for entries and operators."""
--- a/fulmarhold/control/http.py
+++ b/fulmarhold/control/http.py
@@ -9,15 +9,17 @@
 
 from fulmarhold.consensus.core import MembershipRefused, NotLeader
 from fulmarhold.consensus.node import NotFormed, OutcomeUnknown
+from fulmarhold.control.leader import Undecided
 from fulmarhold.control.messages import Accepted, CommandRefused, Superseded
 from fulmarhold.errors import FulmarholdError, MalformedInput
 from fulmarhold.settings.loading import InvalidSettings
-from fulmarhold.web.serving import make_application, read_json
+from fulmarhold.web.serving import is_connected, make_application, read_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fulmarhold.consensus.node import Node
+    from fulmarhold.control.evacuations import EvacuationService
     from fulmarhold.control.queries import ControlQueries
     from fulmarhold.control.service import AcceptResult, ControlService
     from fulmarhold.observe.counters import Counters
@@ -66,6 +68,23 @@
         return falcon.HTTP_200, {"outcome": "removed"}
 
 
+class EvacuationResource:
+    """POST /commands/evacuate and /commands/restore: the body names the data centre."""
+
+    def __init__(self, evacuations: EvacuationService, *, is_evacuated: bool) -> None:
+        self._evacuations = evacuations
+        self._is_evacuated = is_evacuated
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        data_centre = _field(read_json(request), "data_centre", str)
+        ordered = self._evacuations.order(
+            data_centre,
+            is_evacuated=self._is_evacuated,
+            is_wanted=lambda: is_connected(request),
+        )
+        response.media = {"version": ordered.version, "data_centres": ordered.data_centres}
+
+
 class QueryResource:
     """GET /queries/NAME: reads state; linearizable unless the answer says `stale`."""
 
@@ -74,6 +93,7 @@
             "identity": queries.identity,
             "status": queries.status,
             "configuration": queries.configuration,
+            "evacuations": queries.evacuations,
         }
 
     def on_get(self, _: falcon.Request, response: falcon.Response, name: str) -> None:
@@ -83,15 +103,22 @@
 
 
 def operator_application(
-    service: ControlService, queries: ControlQueries, node: Node, counters: Counters
+    service: ControlService,
+    queries: ControlQueries,
+    node: Node,
+    counters: Counters,
+    evacuations: EvacuationService,
 ) -> falcon.App:
     """Return the operators' interface as a WSGI application."""
     application = make_application(counters, queries.health)
-    for error_type in (NotLeader, NotFormed, OutcomeUnknown):
+    for error_type in (NotLeader, NotFormed, OutcomeUnknown, Undecided):
         application.add_error_handler(error_type, _answer_unavailable)
     application.add_error_handler(InvalidSettings, _answer_invalid)
     application.add_error_handler(MembershipRefused, _answer_refused)
     application.add_route("/commands/{name}", CommandResource(service, node))
+    for name, is_evacuated in (("evacuate", True), ("restore", False)):
+        resource = EvacuationResource(evacuations, is_evacuated=is_evacuated)
+        application.add_route(f"/commands/{name}", resource)
     application.add_route("/queries/{name}", QueryResource(queries))
     return application
 
--- a/fulmarhold/control/messages.py
+++ b/fulmarhold/control/messages.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from typing import Any, Literal
 
+from msgspec import UNSET, UnsetType
+
+from fulmarhold.membership.evacuation import Evacuations
 from fulmarhold.wire.messages import message
 
 EntryState = Literal["starting", "serving", "leaving", "left"]
@@ -125,13 +128,18 @@
 
 @message
 class EntrySync:
-    """Reports the state that an entry runs, and asks whether it is still the accepted one."""
+    """Reports the state that an entry runs, and asks whether it is still the accepted one.
+
+    `evacuations_version` is unset, and not sent, while the entry has the empty first set of
+    evacuated data centres.
+    """
 
     entry: RosterEntry
     incarnation: float
     version: int
     revision: int
     state: EntryState
+    evacuations_version: int | UnsetType = UNSET
 
 
 @message
@@ -139,13 +147,15 @@
     """The accepted state at some time after the request was sent.
 
     `document` and `roster` are omitted if the entry's version is current, `document` also if its
-    revision is current, since most versions differ in the roster only.
+    revision is current, since most versions differ in the roster only. `evacuations` is unset, and
+    not sent, unless it is newer than the entry's.
     """
 
     version: int
     revision: int
     document: dict[str, Any] | None
     roster: tuple[RosterEntry, ...] | None
+    evacuations: Evacuations | UnsetType = UNSET
 
 
 @message
--- a/fulmarhold/control/queries.py
+++ b/fulmarhold/control/queries.py
@@ -60,6 +60,15 @@
             "configuration": state.document,
         }
 
+    def evacuations(self) -> dict[str, Any]:
+        """Return the evacuated data centres."""
+        evacuations = self._machine.state.evacuations
+        return {
+            "stale": not self._node.can_serve_reads(),
+            "version": evacuations.version,
+            "data_centres": list(evacuations.data_centres),
+        }
+
     def status(self) -> dict[str, Any]:
         """Return cluster members, roster, and the version that each entry runs."""
         state = self._machine.state
--- a/fulmarhold/control/service.py
+++ b/fulmarhold/control/service.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
+from msgspec import UNSET
 
 from fulmarhold.clock import MINUTE, SECOND
 from fulmarhold.configuration import configuration_from_document
@@ -98,11 +99,13 @@
         self._presence.record(sync)
         self._update_roster(sync)
         state = self._machine.state
+        known = 0 if sync.evacuations_version is UNSET else sync.evacuations_version
+        evacuations = state.evacuations if state.evacuations.version > known else UNSET
         if sync.version == state.version:
-            return SyncReply(state.version, state.revision, None, None)
+            return SyncReply(state.version, state.revision, None, None, evacuations)
         roster = tuple(state.roster.values())
         document = None if sync.revision == state.revision else state.document
-        return SyncReply(state.version, state.revision, document, roster)
+        return SyncReply(state.version, state.revision, document, roster, evacuations)
 
     def claim(self, command: ClaimKey) -> Any:
         """Claim an idempotency key through the replicated log."""
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -181,6 +181,9 @@
         yield "entry_revision", {}, float(self.running.revision)
         yield "entry_version", {}, float(self.running.version)
         yield "entry_confirmed", {}, float(self.running.is_confirmed)
+        evacuations = self.running.evacuations
+        yield "entry_evacuated_data_centres", {}, float(len(evacuations.data_centres))
+        yield "entry_evacuations_version", {}, float(evacuations.version)
         yield "entry_loop_lag_ms", {}, self._lag.value
         yield "entry_in_flight", {}, float(self._in_flight)
         yield from self.request_handler.gauges()
--- a/fulmarhold/membership/announced.py
+++ b/fulmarhold/membership/announced.py
@@ -36,6 +36,11 @@
 
     record: UpstreamRecord
     valid_until: Milliseconds
+    data_centre: str = ""
+
+    def data_centre_of(self, _: str) -> str:
+        """Return the data centre that the upstream has named, or an empty string."""
+        return self.data_centre
 
 
 class AnnouncedSet:
@@ -79,10 +84,15 @@
             if previous is not None and record.order > previous.record.order:
                 self._remove(record.address)
             return False
-        if previous is not None and _have_same_content(previous.record, record):
+        data_centre = announcement.data_centre
+        if (
+            previous is not None
+            and _have_same_content(previous.record, record)
+            and previous.data_centre == data_centre
+        ):
             previous.record, previous.valid_until = record, valid_until
         else:
-            self._held[record.address] = LeasedRecord(record, valid_until)
+            self._held[record.address] = LeasedRecord(record, valid_until, data_centre)
             self.version += 1
         return True
 
@@ -107,6 +117,10 @@
         """Return the records that hold a lease from this entry."""
         return tuple(held.record for held in self._held.values())
 
+    def data_centres(self) -> dict[str, str]:
+        """Return the data centres of the records whose upstreams have named them, by address."""
+        return {key: held.data_centre for key, held in self._held.items() if held.data_centre}
+
     def _remove(self, address: str) -> None:
         del self._held[address]
         self.version += 1
--- a/fulmarhold/membership/directory.py
+++ b/fulmarhold/membership/directory.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from fulmarhold.membership.records import LocatedPeerReply
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -23,9 +25,14 @@
     source: str = ""
     set_version: int = 0
     records: dict[str, UpstreamRecord] = field(default_factory=dict)
+    data_centres: dict[str, str] = field(default_factory=dict)
     valid_until: Milliseconds = float("-inf")
     state: str = "unknown"
 
+    def data_centre_of(self, address: str) -> str:
+        """Return the data centre that an upstream has named, or an empty string."""
+        return self.data_centres.get(address, "")
+
 
 @dataclass(frozen=True)
 class KnownUpstream:
@@ -34,6 +41,13 @@
     record: UpstreamRecord
     holders: tuple[LeasedRecord | RelayedSet, ...]
 
+    @property
+    def data_centre(self) -> str:
+        """The data centre that the upstream has named to a holder, or an empty string."""
+        address = self.record.address
+        named = (holder.data_centre_of(address) for holder in self.holders)
+        return next(filter(None, named), "")
+
     def is_live(self, now: Milliseconds) -> bool:
         """Whether any lease for it still runs; nothing may be sent to it otherwise."""
         return any(holder.valid_until > now for holder in self.holders)
@@ -78,6 +92,7 @@
         if reply.records is not None:
             relayed.source, relayed.set_version = reply.source, reply.set_version
             relayed.records = {record.address: record for record in reply.records}
+            relayed.data_centres = reply.data_centres if isinstance(reply, LocatedPeerReply) else {}
             self._changes += 1
         elif (reply.source, reply.set_version) != (relayed.source, relayed.set_version):
             return
--- a/fulmarhold/membership/exchange.py
+++ b/fulmarhold/membership/exchange.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent.event import Event
+from msgspec import UNSET
 
 from fulmarhold.clock import SECOND
 from fulmarhold.control.messages import EntrySync, NotLeading, RosterEntry, SyncReply
@@ -15,6 +16,7 @@
     ConfigurationRequest,
     PeerPoll,
     PeerReply,
+    located_reply,
 )
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.settings.loading import InvalidSettings
@@ -26,6 +28,7 @@
     from fulmarhold.control.messages import EntryState
     from fulmarhold.membership.announced import AnnouncedSet
     from fulmarhold.membership.directory import Directory
+    from fulmarhold.membership.evacuation import Evacuations
     from fulmarhold.membership.running import RunningState
     from fulmarhold.observe.counters import Counters
     from fulmarhold.wire.server import MessageServer
@@ -116,13 +119,15 @@
             self._announced.source,
             self._announced.version,
         )
-        return PeerReply(
+        reply = PeerReply(
             self._announced.source,
             self._announced.version,
             None if is_unchanged else self._announced.records(),
             self.state,
             self._running.version,
         )
+        data_centres = {} if is_unchanged else self._announced.data_centres()
+        return located_reply(reply, data_centres) if data_centres else reply
 
     def answer_configuration(self, request: ConfigurationRequest) -> ConfigurationReply:
         """Return the roster that this entry runs, and the configuration if the peer lacks it."""
@@ -148,13 +153,21 @@
     def _sync_request(self) -> EntrySync:
         running = self._running
         return EntrySync(
-            self._own, self._incarnation, running.version, running.revision, self.state
+            self._own,
+            self._incarnation,
+            running.version,
+            running.revision,
+            self.state,
+            running.evacuations.version or UNSET,
         )
 
     def _apply_sync_reply(self, reply: SyncReply | NotLeading, asked_at: Milliseconds) -> bool:
         """Apply a reply and return whether this entry moved to a newer version."""
         if not isinstance(reply, SyncReply):
             return False
+        # Before a first version, with which this entry starts to serve.
+        if reply.evacuations is not UNSET:
+            self._apply_evacuations(reply.evacuations)
         if reply.roster is not None and self._apply_version(
             reply.version, reply.revision, reply.document, reply.roster
         ):
@@ -166,6 +179,12 @@
         self._running.confirm_by_control(reply.version, asked_at)
         return False
 
+    def _apply_evacuations(self, evacuations: Evacuations) -> None:
+        before = self._running.evacuations
+        if self._running.apply_evacuations(evacuations):
+            self._counters.add("evacuations_applied")
+            log.info("evacuated data centres are {}, were {}", evacuations, before)
+
     def _apply_version(
         self,
         version: int,
--- a/fulmarhold/membership/records.py
+++ b/fulmarhold/membership/records.py
@@ -8,7 +8,7 @@
 from pydantic import ConfigDict, Field
 
 from fulmarhold.control.messages import EntryState, RosterEntry
-from fulmarhold.membership.validity import MAX_INTEGER
+from fulmarhold.membership.validity import MAX_INTEGER, MAX_TEXT
 from fulmarhold.settings.processes import Endpoint, Name
 from fulmarhold.wire.messages import checked_message
 
@@ -19,6 +19,7 @@
 # Bounds within which JSON is exact and messages between entries can be encoded.
 Ordinal = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 Version = Annotated[int, Field(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+DataCentre = Annotated[str, Field(max_length=MAX_TEXT)]
 Label = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 
 
@@ -49,12 +50,17 @@
 
 @dataclass(frozen=True)
 class Announcement:
-    """A record with the token of the last reply, which bounds how old the announcement can be."""
+    """A record with the token of the last reply, which bounds how old the announcement can be.
+
+    An upstream that names no data centre is not affected by evacuations. The name is not part of
+    the record, because entries of an earlier release refuse records with unknown fields.
+    """
 
     __pydantic_config__ = STRICT
 
     upstream: UpstreamRecord
     token: Annotated[str, Field(max_length=64)] = ""
+    data_centre: DataCentre = ""
 
 
 @checked_message
@@ -81,6 +87,23 @@
     version: int
 
 
+@checked_message
+class LocatedPeerReply(PeerReply):
+    """A reply with records whose upstreams have named their data centres, by address.
+
+    Sent only where there are such upstreams: an earlier release does not know the message.
+    """
+
+    data_centres: dict[str, DataCentre]
+
+
+def located_reply(reply: PeerReply, data_centres: dict[str, str]) -> LocatedPeerReply:
+    """Return a reply with the data centres of its records."""
+    return LocatedPeerReply(
+        reply.source, reply.set_version, reply.records, reply.state, reply.version, data_centres
+    )
+
+
 @checked_message
 class ConfigurationRequest:
     """Asks another entry which configuration it runs; `revision` is the one the sender has."""
--- a/fulmarhold/membership/running.py
+++ b/fulmarhold/membership/running.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarhold.configuration import configuration_from_document
+from fulmarhold.membership.evacuation import Evacuations
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -49,8 +50,14 @@
         self.document: dict[str, Any] | None = None
         self.configuration: Configuration | None = None
         self.roster: dict[str, RosterEntry] = {}
+        self._evacuations = Evacuations()
         self.learned_from_control = False
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The newest set of evacuated data centres; kept when contact with control is lost."""
+        return self._evacuations
+
     @property
     def lease(self) -> Milliseconds:
         """How long one confirmation is valid, in milliseconds."""
@@ -90,6 +97,13 @@
         self.roster = {entry.name: entry for entry in roster}
         return True
 
+    def apply_evacuations(self, evacuations: Evacuations) -> bool:
+        """Switch to a newer set of evacuated data centres and return whether it was newer."""
+        if evacuations.version <= self._evacuations.version:
+            return False
+        self._evacuations = evacuations
+        return True
+
     def confirm_by_control(self, version: int, asked_at: Milliseconds) -> None:
         """Record that control's leader, asked at `asked_at`, named `version` as the current one."""
         if version == self.version:
--- a/fulmarhold/routing/table.py
+++ b/fulmarhold/routing/table.py
@@ -89,7 +89,8 @@
 
     def _refresh(self) -> None:
         configuration = self._running.configuration
-        state = (self._directory.generation, self._running.version)
+        evacuations = self._running.evacuations
+        state = (self._directory.generation, self._running.version, evacuations.version)
         if state == self._built_from or configuration is None:
             return
         self._built_from = state
@@ -97,6 +98,7 @@
             upstream
             for upstream in self._directory.known()
             if upstream.record.service in configuration.services
+            and upstream.data_centre not in evacuations.data_centres
         ]
         self._update_replicas(known, configuration)
         self._snapshots = _group_snapshots(self._replicas.values())
--- a/fulmarhold/standin/announcer.py
+++ b/fulmarhold/standin/announcer.py
@@ -29,8 +29,11 @@
 class Announcer:
     """Keeps one upstream announced; an unresponsive entry delays no announcement to others."""
 
-    def __init__(self, upstream: StandinUpstream, finder: EntryFinder) -> None:
+    def __init__(
+        self, upstream: StandinUpstream, finder: EntryFinder, data_centre: str = ""
+    ) -> None:
         self._upstream = upstream
+        self._data_centre = data_centre
         self._finder = finder
         self._sessions: dict[str, _AnnouncementSession] = {}
 
@@ -62,15 +65,18 @@
             self._sessions.pop(endpoint).stop()
         for endpoint in entries:
             if endpoint not in self._sessions:
-                self._sessions[endpoint] = _AnnouncementSession(self._upstream, endpoint)
+                self._sessions[endpoint] = _AnnouncementSession(
+                    self._upstream, endpoint, self._data_centre
+                )
 
 
 class _AnnouncementSession:
     """Announces one upstream to one entry, at the period that the entry returns."""
 
-    def __init__(self, upstream: StandinUpstream, endpoint: str) -> None:
+    def __init__(self, upstream: StandinUpstream, endpoint: str, data_centre: str) -> None:
         self.is_due = Event()
         self._upstream = upstream
+        self._data_centre = data_centre
         self._endpoint = endpoint
         self._client = JsonClient(endpoint, REQUEST_TIMEOUT)
         self._clock = Clock()
@@ -95,6 +101,8 @@
         for _ in range(2):
             record = replace(self._upstream.record, load=self._upstream.load)
             body = {"upstream": asdict(record), "token": self._token}
+            if self._data_centre:
+                body["data_centre"] = self._data_centre
             try:
                 answer = self._client.request("POST", "/announce", body=body)
             except PeerUnavailable:
--- a/fulmarhold/standin/process.py
+++ b/fulmarhold/standin/process.py
@@ -73,7 +73,9 @@
                 clock,
             )
             self._upstreams[server.record.address] = upstream
-            self._announcers[server.record.address] = Announcer(upstream, finder)
+            self._announcers[server.record.address] = Announcer(
+                upstream, finder, settings.data_centre
+            )
         self._commands: dict[str, Callable[[StandinUpstream, dict[str, Any]], None]] = {
             "behave": self._behave,
             "announce": self._announce,
