--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -281,13 +281,13 @@
         """Yield which upstreams leave or pause, as their answers have said."""
         now = self._context.clock.now()
         for position in positions:
-            replica = self._replicas[position]
-            if replica is None or replica.signals.is_clear:
+            target = self._targets[position]
+            if isinstance(target, Decline) or target.signals.is_clear:
                 continue
-            held = replica.held_back(now, is_admitted=True)
+            held = target.held_back(now, is_admitted=True)
             left = 0.0 if held.until is None else held.until - now
             if held.reason in (Reason.LEAVING, Reason.PAUSED):
-                born = replica.upstream.record.incarnation
+                born = target.upstream.record.incarnation
                 yield HeldBackUpstream(position, born, held.reason.value, left, held.source)
 
     def _end(self) -> None:
--- a/fulmarhold/tests/forwarding/modelled.py
+++ b/fulmarhold/tests/forwarding/modelled.py
@@ -77,6 +77,9 @@
 
 
 class ModelCodec:
+    def for_account(self, request, account):
+        return replace(request, account=account, key=b"")
+
     def prepare(self, request):
         return b"", b""
 
