Evacuate a data centre in a third of the soak's seeds

Cause: the soak did not know evacuations.

Change: the fault `evacuate`, drawn apart so that the recorded seeds keep their other faults, and the check "nothing reaches an evacuated data centre". Runs record the data centre of their upstream. The plan's test counts an evacuation as planned work.

--- a/fulmarhold/soak/checks.py
+++ b/fulmarhold/soak/checks.py
@@ -21,6 +21,7 @@
 UNDISTURBED_WINDOW: Milliseconds = 4_000.0
 APPLY_BOUND: Milliseconds = 3_000.0
 DRAIN_BOUND: Milliseconds = 3_000.0
+EVACUATION_BOUND: Milliseconds = 5_000.0
 REGRESSION_TOLERANCE: Milliseconds = 250.0
 LOSS_TOLERANCE: Milliseconds = 200.0
 # A process that is asked to stop is killed at the end of the grace period. An entry owes answers
@@ -163,6 +164,24 @@
                 yield f"{run.upstream} ran {run.request_id} {run.at - at:.0f} ms after its leave"
 
 
+@checks.register("nothing reaches an evacuated data centre")
+def check_evacuations(observations: Observations) -> Iterable[str]:
+    """Nothing runs in a data centre later than `EVACUATION_BOUND` ms after its evacuation."""
+    for evacuation in observations.evacuations:
+        since = evacuation.acknowledged_at
+        for run in (item for runs in observations.runs.values() for item in runs):
+            is_late = since + EVACUATION_BOUND < run.at < evacuation.ended_at
+            if run.data_centre != evacuation.data_centre or not is_late:
+                continue
+            request = observations.sent_requests.get(run.request_id)
+            involved = (*observations.control_names, request.entry) if request is not None else ()
+            if observations.was_undisturbed(since - UNDISTURBED_WINDOW, run.at, involved):
+                yield (
+                    f"{run.upstream} ran {run.request_id} {run.at - since:.0f} ms after "
+                    f"{run.data_centre} was evacuated"
+                )
+
+
 @checks.register("versions only grow in one life of an entry")
 def check_version_regression(observations: Observations) -> Iterable[str]:
     """An entry that has used a version never routes a later request by an older one."""
--- a/fulmarhold/soak/faults.py
+++ b/fulmarhold/soak/faults.py
@@ -11,7 +11,8 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.consensus.records import encode_record
 from fulmarhold.registry import Registry
-from fulmarhold.soak.observations import ALL_SUBJECTS
+from fulmarhold.soak.checks import EVACUATION_BOUND
+from fulmarhold.soak.observations import ALL_SUBJECTS, Evacuation
 from fulmarhold.soak.odd_writer import send_odd_heartbeats
 from fulmarhold.soak.proxy import NetworkFault, Proxy
 from fulmarhold.soak.restarts import (
@@ -38,6 +39,9 @@
 GREY_WORK: Milliseconds = 60.0
 STORM_VERSIONS = 8
 STORM_INTERVAL: Milliseconds = 60.0
+# How much longer than its bound an evacuation lasts, so that there is something to check.
+LEAST_EVACUATED, MOST_EVACUATED = 1_000.0, 4_000.0
+EVACUATE = "evacuate"
 
 
 def _any_instance(environment: Environment) -> Instance:
@@ -237,3 +241,22 @@
         environment.operator.send_invalid()
     else:
         environment.operator.send_conflicting()
+
+
+@faults.register(EVACUATE)
+def evacuate(environment: Environment) -> None:
+    """Evacuate a data centre for a while."""
+    observations, operator = environment.observations, environment.operator
+    data_centre = environment.random.choice(
+        sorted({host.upstream.statement.data_centre for host in environment.upstream_hosts})
+    )
+    if operator.order_evacuation(data_centre, is_evacuated=True):
+        evacuation = Evacuation(data_centre, observations.clock.now())
+        observations.evacuations.append(evacuation)
+        environment.sleep_between(
+            EVACUATION_BOUND + LEAST_EVACUATED, EVACUATION_BOUND + MOST_EVACUATED
+        )
+        evacuation.ended_at = observations.clock.now()
+    # An order that was not acknowledged may be in force as well.
+    if not operator.order_evacuation(data_centre, is_evacuated=False):
+        observations.violations.append(f"the evacuation of {data_centre} could not be ended")
--- a/fulmarhold/soak/observations.py
+++ b/fulmarhold/soak/observations.py
@@ -55,6 +55,7 @@
     started_at: Milliseconds = NEVER
     until: Milliseconds = NEVER
     broke_off: bool = False
+    data_centre: str = ""
 
 
 @dataclass(frozen=True)
@@ -91,6 +92,15 @@
     at: Milliseconds
 
 
+@dataclass
+class Evacuation:
+    """A data centre that was evacuated from `acknowledged_at` until its end was ordered."""
+
+    data_centre: str
+    acknowledged_at: Milliseconds
+    ended_at: Milliseconds = NEVER
+
+
 @dataclass(frozen=True)
 class SubmittedConfiguration:
     """A configuration that was sent; `acknowledged_at` is `NEVER` until it is acknowledged."""
@@ -135,6 +145,7 @@
     upstream_replies: dict[str, UpstreamReply] = field(default_factory=dict)
     responses: list[Response] = field(default_factory=list)
     drain_acknowledgements: list[DrainAcknowledgement] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
     submitted: dict[int, SubmittedConfiguration] = field(default_factory=dict)
     refused_versions: set[int] = field(default_factory=set)
     reads: list[ReadBack] = field(default_factory=list)
--- a/fulmarhold/soak/operator.py
+++ b/fulmarhold/soak/operator.py
@@ -9,7 +9,7 @@
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import PeerUnavailable
-from fulmarhold.platform.encoding import CONFIGURATION_PATH, write_configuration
+from fulmarhold.platform.encoding import CONFIGURATION_PATH, EVACUATION_PATH, write_configuration
 from fulmarhold.routes.configuration import (
     Route,
     RouteConfiguration,
@@ -120,6 +120,23 @@
             )
             self._put(write_configuration(replace(submitted, routes=conflicting)))
 
+    def order_evacuation(self, data_centre: str, *, is_evacuated: bool) -> bool:
+        """Send an order to random control instances until it is acknowledged; return whether."""
+        clock = self._environment.observations.clock
+        until = clock.now() + STORE_TIMEOUT
+        method = "POST" if is_evacuated else "DELETE"
+        while clock.now() < until:
+            status = self._send(method, EVACUATION_PATH + data_centre)
+            if 200 <= status < 300:
+                return True
+            if 400 <= status < 500:
+                self._environment.observations.violations.append(
+                    f"{method} of the evacuation of {data_centre} was answered {status}"
+                )
+                return False
+            gevent.sleep(RETRY_INTERVAL / SECOND)
+        return False
+
     def read(self, endpoint: str) -> int | None:
         """Read the configuration from one control instance; return its version, if there is one."""
         observations = self._environment.observations
@@ -145,11 +162,13 @@
             self.read(self._environment.random.choice(self._environment.control_endpoints()))
 
     def _put(self, document: dict[str, Any]) -> int:
+        return self._send("PUT", CONFIGURATION_PATH, document)
+
+    def _send(self, method: str, path: str, body: Any = None) -> int:
+        """Return the status of the answer of a random control instance, or 0 without one."""
         endpoint = self._environment.random.choice(self._environment.control_endpoints())
         try:
-            response = request_json(
-                endpoint, "PUT", CONFIGURATION_PATH, body=document, timeout=REQUEST_TIMEOUT
-            )
+            response = request_json(endpoint, method, path, body=body, timeout=REQUEST_TIMEOUT)
         except PeerUnavailable:
             return 0
         return response.status
--- a/fulmarhold/soak/run.py
+++ b/fulmarhold/soak/run.py
@@ -15,7 +15,7 @@
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.soak.checks import checks
 from fulmarhold.soak.environment import Environment, FleetSizes
-from fulmarhold.soak.faults import Fault, faults
+from fulmarhold.soak.faults import EVACUATE, Fault, faults
 from fulmarhold.soak.restarts import cut_first_start_short
 
 if TYPE_CHECKING:
@@ -25,6 +25,8 @@
 MEAN_FAULT_INTERVAL: Milliseconds = 900.0
 FEW_FAULT_KINDS = 4
 FIRST_FAULT_SHARE = 0.25
+# The share of seeds in which a data centre is evacuated, once.
+EVACUATION_SHARE = 0.3
 # Planned work only, which must not cut a request.
 PLANNED_FAULTS = (
     "change", "drain_upstream", "invalid", "race", "reload", "stop_series", "storm", "terminate",
@@ -100,7 +102,7 @@
     random = Random(f"faults of seed {seed}")
     # With few kinds of faults some subjects stay undisturbed, which some checks require.
     scope = random.choice(("all", "few", "planned"))
-    names = list(PLANNED_FAULTS) if scope == "planned" else sorted(faults)
+    names = list(PLANNED_FAULTS) if scope == "planned" else sorted(set(faults) - {EVACUATE})
     if scope == "few":
         names = random.sample(names, FEW_FAULT_KINDS)
     plan: list[tuple[Milliseconds, str]] = []
@@ -108,7 +110,11 @@
     while moment < duration:
         plan.append((moment, random.choice(names)))
         moment += random.expovariate(1 / MEAN_FAULT_INTERVAL)
-    return plan
+    # Drawn apart, so that the seeds of earlier failures keep their other faults.
+    apart = Random(f"evacuation of seed {seed}")
+    if apart.random() < EVACUATION_SHARE:
+        plan.append((apart.uniform(0.0, duration), EVACUATE))
+    return sorted(plan)
 
 
 def plan_first_fault(seed: int) -> Fault | None:
--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -164,6 +164,7 @@
             return True
         service = self.statement.service
         run = Run(request_id, method, target, body, service, name, self._clock.now())
+        run.data_centre = self.statement.data_centre
         self._observations.runs[request_id].append(run)
         self._work(run)
         if self.is_stopped:
--- a/fulmarhold/tests/soak/test_checks.py
+++ b/fulmarhold/tests/soak/test_checks.py
@@ -18,6 +18,7 @@
     APPLY_BOUND,
     DRAIN_BOUND,
     EARLY_IN_STOP,
+    EVACUATION_BOUND,
     GRACE,
     LATE_IN_STOP,
     LOSS_TOLERANCE,
@@ -30,6 +31,7 @@
     ALL_SUBJECTS,
     Disturbance,
     DrainAcknowledgement,
+    Evacuation,
     Observations,
     ReadBack,
     Response,
@@ -176,6 +178,25 @@
     assert violated_checks(observations) == []
 
 
+def test_run_in_an_evacuated_data_centre_is_a_violation_unless_disturbed_or_ended(observations):
+    ended_at = NOW + EVACUATION_BOUND + 1_000
+    observations.evacuations.append(Evacuation("a", NOW, ended_at))
+    for name, place, at in (
+        ("in time", "a", NOW + EVACUATION_BOUND),
+        ("elsewhere", "b", NOW + EVACUATION_BOUND + 1),
+        ("after its end", "a", ended_at),
+    ):
+        request = make_request(request_id=name)
+        record(observations, request, replace(make_run(request, at=at), data_centre=place))
+    assert violated_checks(observations) == []
+    late = make_request(request_id="late")
+    run = replace(make_run(late, at=NOW + EVACUATION_BOUND + 1), data_centre="a")
+    record(observations, late, run)
+    assert violated_checks(observations) == ["nothing reaches an evacuated data centre"]
+    observations.disturbances.append(Disturbance("frozen", "entry", NOW - UNDISTURBED_WINDOW, NOW))
+    assert violated_checks(observations) == []
+
+
 def test_entry_that_returns_to_an_older_version(observations):
     observations.submitted[5] = make_submitted(5, sent_at=NOW)
     record(observations, make_request("/at/5/1", "new"), status=200, at=NOW, signature="n")
--- a/fulmarhold/tests/soak/test_run.py
+++ b/fulmarhold/tests/soak/test_run.py
@@ -17,12 +17,13 @@
     UpstreamService,
     WeightedService,
 )
-from fulmarhold.soak.faults import faults
+from fulmarhold.soak.faults import EVACUATE, faults
 from fulmarhold.soak.restarts import cut_first_start_short
 from fulmarhold.soak.run import PLANNED_FAULTS, plan_faults, plan_first_fault, run_soak
 
 DURATION = 8_000.0
-PLANNED = set(PLANNED_FAULTS)
+# An evacuation is planned work too, which is drawn apart from the others.
+PLANNED = {*PLANNED_FAULTS, EVACUATE}
 
 
 # Seed 27 plans nothing but planned work, and lost requests on 2cd6338.
