--- a/fulmarhold/tests/control/test_evacuation_model.py
+++ b/fulmarhold/tests/control/test_evacuation_model.py
@@ -40,6 +40,8 @@
 SCHEDULE_SEED = 20_261_206
 INSTANCES = 3
 DATA_CENTRES = ("a", "b")
+# How long operators wait for an answer.
+PATIENCE = 1_000.0
 ENTRY = InstanceStatement("e", 1, 1, STARTING, "entry", "a", "e:80")
 EVENT_WEIGHTS = {
     "order": 20, "commit": 20, "lose_proposal": 2, "deliver": 20, "lose_message": 2, "apply": 10,
@@ -148,6 +150,7 @@
             data_centre=data_centre,
             is_evacuated=self.random.random() < 0.5,
             sent_in=self.event,
+            sent_at=self.clock.now(),
             ended_in=None,
             is_acknowledged=False,
         )
@@ -159,9 +162,9 @@
             except Undecided:
                 return
             else:
-                order.is_acknowledged = True
+                order.is_acknowledged = order.ended_in is None
             finally:
-                order.ended_in = self.event
+                order.ended_in = order.ended_in or self.event
 
         instance.greenlets.append(gevent.spawn(run))
 
@@ -197,6 +200,9 @@
             if self.clock.now() >= until and not result.ready():
                 result.set_exception(error("no answer in time"))
         self.waiting = [item for item in self.waiting if not item[0].ready()]
+        for order in self.orders:
+            if order.ended_in is None and self.clock.now() >= order.sent_at + PATIENCE:
+                order.ended_in = self.event
 
     def feed(self, instance):
         evacuations = instance.machine.state.evacuations
