--- a/fulmarhold/tests/forwarding/test_evacuation.py
+++ b/fulmarhold/tests/forwarding/test_evacuation.py
@@ -66,7 +66,9 @@
         stated.append(statement(other, "other"))
         entry.update(stated)
         # The other one is passed over for a moment, so that the next request waits at the near one.
-        entry.table.find("other").note_unreachable(entry.clock.now())
+        passed_over = entry.table.find("other")
+        assert passed_over is not None
+        passed_over.note_unreachable(entry.clock.now())
     other.may_answer.set()
     waiting = entry.send()
     gevent.sleep(0.05)
