Confirm a follower's state as of its own stamp, not of the receipt

Replies to the leader now carry the follower's time. The leader's next request repeats the newest such stamp with the age of its quorum, once it has committed in its term; the follower counts the state as of the stamp less that age. The number of messages stays the same, except for one request per follower and term that brings the first confirmation without waiting for a heartbeat. A leader of an earlier release confirms by the time of receipt as before.

Tests of consensus, control, wire and the fleet's start pass.

--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from fulmarhold.consensus.confirmation import Confirmation
 from fulmarhold.consensus.followers import Followers
 from fulmarhold.consensus.memory import MemoryLog, pack_members
 from fulmarhold.consensus.messages import (
@@ -112,7 +113,7 @@
         self._followers = Followers(identity)
         self._first_index_of_term = 0
         self._transfer_deadline: Milliseconds | None = None
-        self._caught_up_at = float("-inf")
+        self._confirmation = Confirmation()
         # If all voters have restarted within this window, no leader and no lease can be left, and
         # they can elect a leader without waiting for an election timeout.
         self._restart_window_end = now + MIN_ELECTION_TIMEOUT if has_history else float("-inf")
@@ -165,7 +166,7 @@
         """Return when this member last knew that it had committed all its leader's commits."""
         if self.is_leader:
             return self.quorum_acknowledged_at(now) if self.has_committed_in_term else float("-inf")
-        return self._caught_up_at
+        return self._confirmation.confirmed_at
 
     def quorum_acknowledged_at(self, now: Milliseconds) -> Milliseconds:
         """Return the latest time as of which a quorum has acknowledged this leader."""
@@ -515,8 +516,21 @@
             entries,
             self.commit_index,
             now,
+            echoes=True,
+            echo=self._echo_for(identity, now),
         )
 
+    def _echo_for(self, identity: str, now: Milliseconds) -> tuple[int, float, float] | None:
+        """Return the newest stamp of a member, and the time since a quorum confirmed this leader.
+
+        `None` until it has sent one, and while this leader may lack commits of an earlier one.
+        """
+        follower = self._followers.find(identity)
+        age = now - self.confirmed_at(now)
+        if follower is None or follower.stamp is None or age == float("inf"):
+            return None
+        return (*follower.stamp, age)
+
     def _send_snapshot(self, identity: str, follower: Follower, now: Milliseconds) -> None:
         if now < follower.snapshot_sent_at + SNAPSHOT_RESEND_PERIOD:
             return
@@ -535,6 +549,7 @@
         if not self.is_leader or message.term < self.term or follower is None:
             return
         follower.record_reply(message.sent_at, message.match_index, success=message.success)
+        is_first_stamp = follower.record_stamp(message.stamp)
         committed = self.commit_index
         if message.success:
             self._advance_commit()
@@ -543,7 +558,10 @@
             # that they need not wait for the next heartbeat.
             self._replicate(now)
             return
-        if self.is_leader and follower.next_index <= self.log.last_index:
+        # Entries can't follow a member before it is confirmed, so the first echo doesn't wait for
+        # the next heartbeat.
+        is_unconfirmed = is_first_stamp and self.has_committed_in_term
+        if self.is_leader and (is_unconfirmed or follower.next_index <= self.log.last_index):
             self._replicate_to(message.sender, now)
 
     def _advance_commit(self) -> None:
@@ -562,33 +580,34 @@
 
     def _on_append(self, message: AppendRequest, now: Milliseconds) -> None:
         if message.term < self.term:
-            self._reply_append(message.sender, message.sent_at, False, self.log.last_index)
+            self._reply_append(message.sender, message.sent_at, False, self.log.last_index, now)
             return
         self._accept_leader(message.sender, message.term, now)
         if message.previous_index < self.commit_index:
-            self._merge_committed_prefix(message)
-            self._record_caught_up(message.commit, now)
+            self._merge_committed_prefix(message, now)
+            self._record_caught_up(message, now)
             return
         if self.log.term_at(message.previous_index) != message.previous_term:
             hint = min(self.log.last_index, message.previous_index - 1)
-            self._reply_append(message.sender, message.sent_at, False, max(hint, self.commit_index))
+            match_index = max(hint, self.commit_index)
+            self._reply_append(message.sender, message.sent_at, False, match_index, now)
             return
         self._merge(message.entries)
         match_index = message.previous_index + len(message.entries)
         self._advance_commit_from_leader(min(message.commit, match_index))
-        self._record_caught_up(message.commit, now)
-        self._reply_append(message.sender, message.sent_at, True, match_index)
+        self._record_caught_up(message, now)
+        self._reply_append(message.sender, message.sent_at, True, match_index, now)
 
-    def _record_caught_up(self, leader_commit: int, now: Milliseconds) -> None:
-        if self.commit_index >= leader_commit:
-            self._caught_up_at = now
+    def _record_caught_up(self, message: AppendRequest, now: Milliseconds) -> None:
+        if self.commit_index >= message.commit:
+            self._confirmation.record(message, now)
 
-    def _merge_committed_prefix(self, message: AppendRequest) -> None:
+    def _merge_committed_prefix(self, message: AppendRequest, now: Milliseconds) -> None:
         newer = [entry for entry in message.entries if entry.index > self.commit_index]
         self._merge(tuple(newer))
         match_index = newer[-1].index if newer else self.commit_index
         self._advance_commit_from_leader(min(message.commit, match_index))
-        self._reply_append(message.sender, message.sent_at, True, match_index)
+        self._reply_append(message.sender, message.sent_at, True, match_index, now)
 
     def _merge(self, entries: tuple[LogEntry, ...]) -> None:
         for entry in entries:
@@ -627,7 +646,7 @@
 
     def _on_snapshot(self, message: SnapshotRequest, now: Milliseconds) -> None:
         if message.term < self.term:
-            self._reply_append(message.sender, message.sent_at, False, self.log.last_index)
+            self._reply_append(message.sender, message.sent_at, False, self.log.last_index, now)
             return
         self._accept_leader(message.sender, message.term, now)
         snapshot = message.snapshot
@@ -640,14 +659,26 @@
             self._output.truncate_from = None
             self._output.entries = []
             self._output.committed = []
-        self._reply_append(message.sender, message.sent_at, True, self.commit_index)
+        self._reply_append(message.sender, message.sent_at, True, self.commit_index, now)
 
     def _reply_append(
-        self, leader: str, sent_at: Milliseconds, success: bool, match_index: int
+        self,
+        leader: str,
+        sent_at: Milliseconds,
+        success: bool,
+        match_index: int,
+        now: Milliseconds,
     ) -> None:
         self._send(
             AppendReply(
-                self.cluster, self.identity, leader, self.term, success, match_index, sent_at
+                self.cluster,
+                self.identity,
+                leader,
+                self.term,
+                success,
+                match_index,
+                sent_at,
+                self._confirmation.stamp(now),
             )
         )
 
--- a/fulmarhold/consensus/followers.py
+++ b/fulmarhold/consensus/followers.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterable
 
     from fulmarhold.clock import Milliseconds
-    from fulmarhold.consensus.messages import Members
+    from fulmarhold.consensus.messages import Members, Stamp
 
 
 @dataclass
@@ -20,6 +20,17 @@
     match_index: int = 0
     acknowledged_at: Milliseconds = float("-inf")
     snapshot_sent_at: Milliseconds = float("-inf")
+    # The newest stamp of its replies, which the next request repeats.
+    stamp: Stamp | None = None
+
+    def record_stamp(self, stamp: Stamp | None) -> bool:
+        """Keep the stamp of a reply if it is newer; returns whether it is the first one."""
+        is_first = self.stamp is None
+        if stamp is not None and (self.stamp is None or stamp[0] != self.stamp[0]):
+            self.stamp = stamp
+        elif stamp is not None and self.stamp is not None:
+            self.stamp = max(self.stamp, stamp)
+        return is_first and self.stamp is not None
 
     def record_reply(self, sent_at: Milliseconds, match_index: int, *, success: bool) -> None:
         """Update the progress from the reply to a request that the leader sent at `sent_at`."""
--- a/fulmarhold/consensus/messages.py
+++ b/fulmarhold/consensus/messages.py
@@ -7,6 +7,8 @@
 
 from fulmarhold.wire.messages import message
 
+# A follower's token for its present run, and its time.
+Stamp = tuple[int, float]
 KIND_NOOP = "nothing"
 KIND_COMMAND = "command"
 KIND_MEMBERS = "members"
@@ -90,7 +92,9 @@
 class AppendRequest:
     """Replicates the entries after `previous_index`; a heartbeat if there are none.
 
-    `sent_at` is on the leader's clock; the reply repeats it.
+    `sent_at` is on the leader's clock; the reply repeats it. `echo` is the newest stamp that the
+    leader has from the recipient, and the milliseconds since a quorum confirmed the leader; it is
+    missing until there is both. A leader of an earlier release never `echoes`.
     """
 
     cluster: str
@@ -102,13 +106,16 @@
     entries: tuple[LogEntry, ...]
     commit: int
     sent_at: float
+    echoes: bool = False
+    echo: tuple[int, float, float] | None = None
 
 
 @message
 class AppendReply:
     """Tells the leader up to which index the sender's synced log matches the leader's.
 
-    Without `success`, `match_index` is a hint for the index from which the leader retries.
+    Without `success`, `match_index` is a hint for the index from which the leader retries. `stamp`
+    comes back in the leader's next request; an earlier release sends none.
     """
 
     cluster: str
@@ -118,6 +125,7 @@
     success: bool
     match_index: int
     sent_at: float
+    stamp: Stamp | None = None
 
 
 @message
