Accept keys only while the knowledge of them is confirmed, where that is strict

With strictRevoke, an entry refuses keyed requests with 503 once its configuration was last confirmed over 0.8 of revokeMs ago, by the clock that counts suspension and from the time at which it asked. Public routes are served on. A configuration that arrived and could not be applied confirms nothing: the watcher took it as applied, and keys of the one before stayed valid.

Without strictRevoke, no request is treated differently.

--- a/fulmarhold/accounts/keys.py
+++ b/fulmarhold/accounts/keys.py
@@ -1,4 +1,11 @@
-"""Looks up the client account that a key belongs to.
+"""Decides which client account a request belongs to, by its key.
+
+Load: every request of a deployment with accounts, and floods of requests with unknown keys; a
+decision takes one digest and one look-up.
+
+Where withdrawn keys have to end in time on every entry, also on one that is cut off or was
+suspended, a key is accepted only while the entry's knowledge of the keys was confirmed a bounded
+time ago. Past that, whether a key is valid is unknown, so that it is refused as such.
 
 Keys are held as digests only, so that no dump, representation or log line of this state contains
 one.
@@ -9,11 +16,18 @@
 import hashlib
 import hmac
 import secrets
+from enum import Enum
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from fulmarhold.clock import Milliseconds
+
+# The part of the time in which a withdrawn key has to end that the knowledge of keys may be old.
+# The rest covers the drift between the clocks of instances.
+CONFIRMED_SHARE = 0.8
+
 # Digests differ between processes: neither a digest that leaks nor the duration of look-ups tells
 # anything about a key.
 _PROCESS_SECRET = secrets.token_bytes(32)
@@ -28,9 +42,27 @@
     def key_digests(self) -> frozenset[bytes]: ...
 
 
+class KeyRefusal(Enum):
+    """Why a request that needs a key is not accepted."""
+
+    MISSING = "key_missing"
+    UNKNOWN = "key_unknown"
+    # It is not known whether the key is valid now.
+    UNCONFIRMED = "keys_unconfirmed"
+
+
 Account = TypeVar("Account", bound=KeyHolder)
 
 
+def max_confirmed_age(revoke_within: Milliseconds | None) -> Milliseconds:
+    """Return how old the knowledge of keys may be if withdrawn keys end in `revoke_within` ms.
+
+    >>> max_confirmed_age(5_000.0), max_confirmed_age(None)
+    (4000.0, inf)
+    """
+    return float("inf") if revoke_within is None else CONFIRMED_SHARE * revoke_within
+
+
 def digest_of_key(key: bytes) -> bytes:
     """Return the digest under which this process knows a key."""
     return hashlib.blake2b(key, key=_PROCESS_SECRET, digest_size=32).digest()
@@ -75,6 +107,20 @@
         for digest in shared:
             del self._accounts[digest]
 
+    def check(
+        self, key: bytes, confirmed_age: Milliseconds, max_age: Milliseconds
+    ) -> Account | KeyRefusal:
+        """Return the account of a request's key, or why the request is refused.
+
+        `confirmed_age` is the time since the knowledge of the keys was last confirmed.
+        """
+        # An infinite bound accepts knowledge that was never confirmed.
+        if not confirmed_age <= max_age:
+            return KeyRefusal.UNCONFIRMED
+        if not key:
+            return KeyRefusal.MISSING
+        return self.find(key) or KeyRefusal.UNKNOWN
+
     def find(self, key: bytes) -> Account | None:
         """Return the account that a key belongs to, or `None`."""
         if not key:
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -5,9 +5,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from fulmarhold.accounts.keys import KeyTable
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
+from fulmarhold.forwarding.identification import Identification, Identified, possible_ranks
 from fulmarhold.forwarding.request import (
     Failed,
     ForwardRequest,
@@ -18,7 +18,6 @@
     RefusedReason,
     Relayed,
     Unauthorized,
-    UnauthorizedReason,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.shard_timing import partial_answer_at
@@ -43,7 +42,7 @@
     from fulmarhold.limits.memory import FixedHolding, MemoryBudget
     from fulmarhold.observe.counters import Counters, Histogram
     from fulmarhold.observe.events import EventLog
-    from fulmarhold.routes.configuration import ClientAccount, Route, RouteConfiguration
+    from fulmarhold.routes.configuration import Route
     from fulmarhold.routes.table import RouteTable
 
 # Requests are hedged once they take longer than this share of replies; the budget of extra
@@ -70,6 +69,8 @@
         events: EventLog,
         find_collectors: Callable[[], Mapping[str, Collector]] = dict,
         memory: MemoryBudget | None = None,
+        confirmed_age: Callable[[], Milliseconds] = lambda: 0.0,
+        max_key_age: Callable[[], Milliseconds] = lambda: float("inf"),
     ) -> None:
         self._find_collectors = find_collectors
         self._memory = memory
@@ -83,8 +84,7 @@
         self._started_at = clock.now()
         self._choose = choosers.find("least_expected")
         self._routes: RouteTable | None = None
-        # Set if the configuration has accounts.
-        self._keys: KeyTable[ClientAccount] | None = None
+        self._identification = Identification(codec, self._random, confirmed_age, max_key_age)
         self._most_urgent = 0
         self._stop_schedule: StopSchedule | None = None
         self._is_refusing = False
@@ -104,9 +104,8 @@
     def use(self, routes: RouteTable) -> None:
         """Switch to a newer configuration; requests in progress keep the previous one."""
         self._routes = routes
-        accounts = routes.configuration.accounts
-        self._keys = None if accounts is None else KeyTable(accounts)
-        self._most_urgent = min(_ranks(routes.configuration), default=0)
+        self._identification.use(routes.configuration)
+        self._most_urgent = min(possible_ranks(routes.configuration), default=0)
 
     def start_stop(self, schedule: StopSchedule) -> None:
         """Accept only requests that can be expected to end before this entry exits."""
@@ -150,15 +149,11 @@
         route = self._routes.find(request.host, request.path)
         if route is None:
             return self._finish(request, None, NoRoute(self._routes.configuration.version))
-        account = None
-        if self._keys is not None:
-            if not route.is_public:
-                account = self._keys.find(request.key)
-                if account is None:
-                    return self._finish(request, route, _unauthorized(request))
-            request = self._codec.for_account(request, account.name if account else "")
-        rank = route.rank if account is None or account.rank is None else account.rank
-        is_urgent = rank <= self._most_urgent
+        identified = self._identification.identify(request, route)
+        if not isinstance(identified, Identified):
+            return self._finish(request, route, identified)
+        request = identified.request
+        is_urgent = identified.rank <= self._most_urgent
         deadline_at = (
             min(request.deadline_at, request.received_at + route.timeout) - DEADLINE_RESERVE
         )
@@ -314,21 +309,3 @@
             return "no_route", "no_route"
         case Unauthorized(reason=unauthorized):
             return "unauthorized", unauthorized.value
-
-
-def _unauthorized(request: ForwardRequest) -> Unauthorized:
-    is_unknown = bool(request.key)
-    return Unauthorized(
-        UnauthorizedReason.KEY_UNKNOWN if is_unknown else UnauthorizedReason.KEY_MISSING
-    )
-
-
-def _ranks(configuration: RouteConfiguration) -> Iterable[int]:
-    """Yield the priorities that requests can have."""
-    accounts = configuration.accounts
-    for route in configuration.routes:
-        if accounts is None or route.is_public or any(item.rank is None for item in accounts):
-            yield route.rank
-    for account in accounts or ():
-        if account.rank is not None:
-            yield account.rank
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from fulmarhold.accounts.keys import KeyRefusal
 from fulmarhold.clock import Milliseconds
 
 Headers = tuple[tuple[str, str], ...]
@@ -57,6 +58,8 @@
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
     NO_MEMORY = "no_memory"
+    # Whether the key is still valid is not known.
+    KEYS_UNCONFIRMED = "keys_unconfirmed"
 
 
 class FailedReason(Enum):
@@ -123,18 +126,11 @@
     version: int
 
 
-class UnauthorizedReason(Enum):
-    """Why a request that needs the key of an account has none."""
-
-    KEY_MISSING = "key_missing"
-    KEY_UNKNOWN = "key_unknown"
-
-
 @dataclass(frozen=True)
 class Unauthorized:
     """The route needs the key of a client account, and the request has none that is valid."""
 
-    reason: UnauthorizedReason
+    reason: KeyRefusal
 
 
 @dataclass(frozen=True)
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -76,6 +76,8 @@
         self._traffic = TrafficCounter(own.data_centre, counters)
         self._filter = StatementFilter(log, clock, counters)
         self._version = 0
+        # Whether the configuration of that version is in use.
+        self._is_applied = True
         self._source = ""
         self._positions = (0, 0)
         self._endpoint = ""
@@ -271,8 +273,11 @@
         may_apply = is_confirmed or self._version > 0
         if may_apply and reply.configuration is not None and reply.version > self._version:
             self._version = reply.version
+            self._is_applied = False
             self._apply_configuration(reply.version, reply.configuration)
-        if is_confirmed:
+            self._is_applied = True
+        # What is in use is confirmed, not what was received and could not be applied.
+        if is_confirmed and self._is_applied and self._version >= reply.version:
             self._confirmed_at = max(self._confirmed_at, asked_at - reply.confirmed_age)
         if self._content_version() != previous_content:
             self._on_change()
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import AsyncResult
 
+from fulmarhold.accounts.keys import max_confirmed_age
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.collecting.collector import CollectorService
 from fulmarhold.collecting.collectors import Collectors
@@ -110,6 +111,8 @@
             events,
             self._collectors.usable,
             self._memory,
+            confirmed_age=lambda: self.watcher.feed_age,
+            max_key_age=lambda: max_confirmed_age(watch.settings.revoke_within),
         )
         self.watcher = FleetWatcher(
             own,
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -39,6 +39,9 @@
     retry_window_seconds: Annotated[float, Meta(gt=0)] = field(default=10.0, name="retryWindowS")
     grace_seconds: float = field(default=6.0, name="graceS")
     max_ttl_seconds: float = field(default=5.0, name="ttl_max_s")
+    # Whether the time in which withdrawn keys end holds on instances without contact, too.
+    is_revoke_strict: bool = field(default=False, name="strictRevoke")
+    revoke_within: Annotated[Milliseconds, Meta(gt=0)] = field(default=5_000.0, name="revokeMs")
 
 
 class _Limits(Struct, frozen=True):
@@ -96,6 +99,9 @@
     grace: Milliseconds
     # How much memory the process may use, zero if that is not limited.
     memory_bytes: int = 0
+    # After this time no instance accepts a withdrawn key, even without contact; `None` if only
+    # instances in contact with control have to end it.
+    revoke_within: Milliseconds | None = None
 
 
 def settings_path() -> Path:
@@ -156,4 +162,5 @@
         ),
         grace=values.bounds.grace_seconds * SECOND,
         memory_bytes=int(limits.memory_mebibytes or 0) * MEBIBYTE,
+        revoke_within=values.bounds.revoke_within if values.bounds.is_revoke_strict else None,
     )
--- a/fulmarhold/tests/consensus/test_confirmation.py
+++ b/fulmarhold/tests/consensus/test_confirmation.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -15,7 +16,13 @@
 
 from fulmarhold.consensus.core import HEARTBEAT_PERIOD, RaftCore
 from fulmarhold.consensus.memory import MemoryLog, pack_members
-from fulmarhold.consensus.messages import KIND_MEMBERS, AppendRequest, LogEntry, Members
+from fulmarhold.consensus.messages import (
+    KIND_MEMBERS,
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    Members,
+)
 from fulmarhold.consensus.output import HardState
 from fulmarhold.consensus.storage import EMPTY_SNAPSHOT
 from fulmarhold.membership.watcher import MAX_CONFIRMATION_AGE
@@ -141,6 +148,33 @@
     assert trio.age("b") == 0.0
 
 
+# Guards against an echo that is taken for more than it says, or that says nothing.
+@pytest.mark.parametrize(
+    ("stamped_ago", "quorum_age", "commit", "age"),
+    [
+        (30.0, 70.0, 1, 100.0),
+        (30.0, 0.0, 1, 30.0),
+        (30.0, 70.0, 2, float("inf")),
+        (-1.0, 70.0, 1, float("inf")),
+        (30.0, -1.0, 1, float("inf")),
+        (30.0, float("nan"), 1, float("inf")),
+    ],
+)
+def test_an_echo_confirms_its_stamp_less_the_age_of_the_quorum(
+    stamped_ago, quorum_age, commit, age
+):
+    trio = Trio()
+    trio.start("b")
+    core, now = trio.cores["b"], trio.at("b")
+    request = AppendRequest("c", "a", "b", 9, 1, 1, (), commit, 0.0, echoes=True)
+    core.receive(request, now - 50.0)
+    (reply,) = core.take_output().messages
+    assert isinstance(reply, AppendReply) and reply.stamp
+    echo = reply.stamp[0], now - stamped_ago, quorum_age
+    core.receive(replace(request, echo=echo), now)
+    assert trio.age("b") == age
+
+
 class ConfirmingCluster(Cluster):
     """A cluster that notes when each commit could be acknowledged first, and suspends members."""
 
--- a/fulmarhold/tests/forwarding/test_accounts.py
+++ b/fulmarhold/tests/forwarding/test_accounts.py
@@ -9,7 +9,13 @@
 from fulmarhold.accounts.keys import digest_of_key
 from fulmarhold.clock import ManualClock
 from fulmarhold.forwarding.forwarder import Forwarder
-from fulmarhold.forwarding.request import ForwardRequest, NoRoute, Refused, Unauthorized
+from fulmarhold.forwarding.request import (
+    ForwardRequest,
+    NoRoute,
+    Refused,
+    RefusedReason,
+    Unauthorized,
+)
 from fulmarhold.limits.budget import ExtraLoadBound
 from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.events import EventLog
@@ -42,7 +48,8 @@
 
 
 class Forwarding:
-    def __init__(self, accounts=ACCOUNTS):
+    def __init__(self, accounts=ACCOUNTS, *, age=0.0, max_age=float("inf")):
+        self.age = age
         self.clock, self.counters, self.memory = ManualClock(), Counters(), RecordingMemory()
         nothing: Any = None
         memory: Any = self.memory
@@ -54,6 +61,8 @@
             self.counters,
             EventLog("test", self.clock, self.counters),
             memory=memory,
+            confirmed_age=lambda: self.age,
+            max_key_age=lambda: max_age,
         )
         if accounts != "unknown":
             self.use(accounts)
@@ -101,6 +110,27 @@
     assert forwarding.counters.value("requests", outcome="unauthorized", reason="key_unknown") == 1
 
 
+# Guards against withdrawn keys on an entry that does not hear of it, and against refusing more.
+@pytest.mark.parametrize(
+    ("path", "key", "age", "max_age", "reason"),
+    [
+        ("keyed", b"k1", 4_000.0, 4_000.0, RefusedReason.NO_MEMORY),
+        ("keyed", b"k1", 4_000.1, 4_000.0, RefusedReason.KEYS_UNCONFIRMED),
+        ("keyed", b"wrong", 4_000.1, 4_000.0, RefusedReason.KEYS_UNCONFIRMED),
+        ("keyed", b"", float("inf"), 4_000.0, RefusedReason.KEYS_UNCONFIRMED),
+        ("public", b"k1", float("inf"), 4_000.0, RefusedReason.NO_MEMORY),
+        ("keyed", b"k1", float("inf"), float("inf"), RefusedReason.NO_MEMORY),
+    ],
+)
+def test_keys_are_accepted_while_the_knowledge_of_them_is_confirmed(
+    path, key, age, max_age, reason
+):
+    forwarding = Forwarding(age=age, max_age=max_age)
+    outcome = forwarding.send(path, key)
+    assert isinstance(outcome, Refused)
+    assert outcome.reason is reason and outcome.retry_after > 0
+
+
 # Guards against a background account that counts as urgent because of the route it uses.
 @pytest.mark.parametrize(
     ("accounts", "path", "key", "is_urgent"),
--- a/fulmarhold/tests/platform/test_documents.py
+++ b/fulmarhold/tests/platform/test_documents.py
@@ -220,6 +220,20 @@
     assert decoded.memory_bytes == mebibytes * MEBIBYTE
 
 
+@pytest.mark.parametrize(
+    ("bounds", "within"),
+    [
+        ({}, None),
+        ({"revokeMs": 4_000}, None),
+        ({"strictRevoke": True}, 5_000.0),
+        ({"strictRevoke": True, "revokeMs": 2_500}, 2_500.0),
+    ],
+)
+def test_the_bound_on_withdrawn_keys_holds_everywhere_only_if_it_is_strict(bounds, within):
+    decoded = decode_settings({**SETTINGS, "bounds": bounds}, "settings")
+    assert decoded.revoke_within == within
+
+
 def with_route(**changes):
     return {**CONFIGURATION, "routes": [{**CONFIGURATION["routes"][0], **changes}]}
 
--- a/fulmarhold/tests/platform/test_headers.py
+++ b/fulmarhold/tests/platform/test_headers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fulmarhold.accounts.keys import KeyRefusal
 from fulmarhold.forwarding.request import (
     Failed,
     FailedReason,
@@ -13,7 +14,6 @@
     RefusedReason,
     Relayed,
     Unauthorized,
-    UnauthorizedReason,
     Verdict,
 )
 from fulmarhold.platform.headers import PlatformCodec, read_request, write_outcome
@@ -135,7 +135,7 @@
         ),
         (Refused(RefusedReason.NO_UPSTREAM, 250.0), 503, (("Retry-After", "0.250"),)),
         (NoRoute(3), 404, ()),
-        (Unauthorized(UnauthorizedReason.KEY_MISSING), 401, (("WWW-Authenticate", "Bearer"),)),
+        (Unauthorized(KeyRefusal.MISSING), 401, (("WWW-Authenticate", "Bearer"),)),
         (Failed(FailedReason.DEADLINE), 504, ()),
         (Failed(FailedReason.CONNECTION_LOST), 502, ()),
         (Failed(FailedReason.PARTS_MISSING), 502, ()),
