--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -46,7 +46,8 @@
         self.address, self.service, self.delay = address, service, delay
         self.data_centre, self.records = data_centre, records
         self.name, self.born, self.sequence = f"i-{address}", next(born), 0
-        self.targets = []
+        self.targets: list[str] = []
+        self.headers: list[dict[str, str]] = []
         self._server = StreamServer((address, UPSTREAM_PORT), self._serve)
         self._server.start()
 
@@ -58,6 +59,7 @@
                 key, _, value = field.decode().partition(":")
                 headers[key.lower()] = value.strip()
             self.targets.append(line.split(b" ")[1].decode())
+            self.headers.append(headers)
             gevent.sleep(self.delay)
             is_meant = headers["x-fulmarhold-target-instance"] == self.name
             body = RECORD * self.records if is_meant else b""
@@ -109,6 +111,7 @@
         data_centre: str = "a",
         module: str = "fulmarhold.platform",
         memory_mebibytes: float = 300.0,
+        bounds: dict[str, Any] | None = None,
     ) -> None:
         role = "entry" if address in ENTRIES else "control"
         folder = self._folder / address
@@ -118,7 +121,7 @@
             f"{role}-{address}", role, address, data_centre, seeds, str(folder), 1_200.0,
             is_first_start=first, memory_mebibytes=memory_mebibytes,
         )  # fmt: skip
-        settings.write_text(json.dumps(document))
+        settings.write_text(json.dumps({**document, "bounds": bounds or {}}))
         with (folder / "log").open("ab") as log:
             self._processes[address] = subprocess.Popen(
                 [sys.executable, "-m", module, role],
@@ -200,14 +203,16 @@
     return wait_for(attempt, lambda answer: answer.status in (200, 400))
 
 
-def send_request(entry, path="/a/x", request_id="id-1"):
+def send_request(entry, path="/a/x", request_id="id-1", headers=()):
     """Send a request over a new connection; returns status, headers and body."""
     with gevent.socket.create_connection(
         (entry, CALLER_PORT), timeout=TIMEOUT_SECONDS
     ) as connection:
         connection.sendall(
             f"GET {path} HTTP/1.1\r\nHost: h.example\r\nX-Fulmarhold-Attempt-Id: {request_id}\r\n"
-            "X-Fulmarhold-Request-Deadline: 4000\r\nConnection: close\r\n\r\n".encode()
+            "X-Fulmarhold-Request-Deadline: 4000\r\nConnection: close\r\n"
+            f"{''.join(f'{name}: {value}' + chr(13) + chr(10) for name, value in headers)}"
+            "\r\n".encode()
         )
         received = b""
         while part := connection.recv(65_536):
