Count results by account, and log which accounts give way

fulmarhold_account_requests_total has the account and its result, for at most 100 accounts; others share a label. A line tells when an account gives way to others, with its demand and its usual one, and when it no longer does. The reports of outcomes move from the forwarder to a module of their own.

--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -133,23 +133,23 @@
 
     def is_congested(self, now: Milliseconds) -> bool:
         """Whether all responsive upstreams already have as much work as they finish in time."""
-        responsive = [item for item in self._untried() if item.is_responsive(now)]
-        is_urgent, claim = self._context.is_urgent, self._context.claim
-        return bool(responsive) and not any(
-            item.may_send(now, is_urgent=is_urgent, claim=claim) for item in responsive
-        )
+        return self._are_congested(self._untried(), now)
 
-    def _reason_to_give_way(self, replicas: list[Replica]) -> RefusedReason | None:
-        context = self._context
-        if context.claim is None:
-            return None
-        now, is_any_responsive = context.clock.now(), False
+    def _are_congested(self, replicas: list[Replica], now: Milliseconds) -> bool:
+        is_urgent, claim = self._context.is_urgent, self._context.claim
+        is_any_responsive = False
         for item in replicas:
             if item.is_responsive(now):
+                if item.may_send(now, is_urgent=is_urgent, claim=claim):
+                    return False
                 is_any_responsive = True
-                if item.may_send(now, is_urgent=context.is_urgent, claim=context.claim):
-                    return None
-        return context.reason_to_give_way(now) if is_any_responsive else None
+        return is_any_responsive
+
+    def _reason_to_give_way(self, replicas: list[Replica]) -> RefusedReason | None:
+        now = self._context.clock.now()
+        if self._context.claim is None or not self._are_congested(replicas, now):
+            return None
+        return self._context.reason_to_give_way(now)
 
     def count_left_out(self) -> None:
         """Count that the call was left out because its reply would not arrive in time."""
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -9,16 +9,13 @@
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
 from fulmarhold.forwarding.identification import Identification, Identified, possible_ranks
+from fulmarhold.forwarding.reporting import RequestReports, outcome_labels
 from fulmarhold.forwarding.request import (
-    Failed,
     ForwardRequest,
-    Gathered,
     NoRoute,
     Outcome,
     Refused,
     RefusedReason,
-    Relayed,
-    Unauthorized,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.shard_timing import partial_answer_at
@@ -33,7 +30,6 @@
 )
 from fulmarhold.limits.sharing import FairShares
 from fulmarhold.observe.estimates import RecentLatencies, ReplyEstimates
-from fulmarhold.observe.latency import LatencyHistogram
 from fulmarhold.routing.choice import choosers
 
 if TYPE_CHECKING:
@@ -113,13 +109,17 @@
         self._budgets: dict[str, SlackBudget] = {}
         self._replies: dict[str, ReplyEstimates] = {}
         self._durations: dict[str, RecentLatencies] = {}
-        self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
+        self._reports = RequestReports(clock, counters, events)
         self._open: dict[ShardQuery | SingleForward, tuple[ForwardRequest, Route]] = {}
 
     @property
     def routes(self) -> RouteTable | None:
         return self._routes
 
+    @property
+    def _version(self) -> int:
+        return self._routes.configuration.version if self._routes else 0
+
     def use(self, routes: RouteTable) -> None:
         """Switch to a newer configuration; requests in progress keep the previous one."""
         self._routes = routes
@@ -157,6 +157,7 @@
         self._refilled_at = now
         for budget in self._budgets.values():
             budget.refill(windows)
+        self._reports.check_relief(now)
 
     def forward(
         self, request: ForwardRequest, on_disconnect: Callable[[Callable[[], None]], None]
@@ -210,13 +211,12 @@
     def report_cut(self) -> int:
         """Log the requests that have no outcome, last before the exit; returns their number."""
         for request, route in self._open.values():
-            self._report(request, route, "cut", "process_exit")
+            self._reports.report(request, route, self._version, "cut", "process_exit")
         return len(self._open)
 
     def histograms(self) -> Iterable[Histogram]:
         """Yield the histograms of request latency by outcome and reason."""
-        for (outcome, reason), histogram in self._histograms.items():
-            yield "request_latency_ms", {"outcome": outcome, "reason": reason}, histogram
+        return self._reports.histograms()
 
     def _can_complete(self, route: Route, deadline_at: Milliseconds) -> bool:
         """Whether there is time for a request before this entry exits."""
@@ -234,6 +234,8 @@
             return refusal
         now = self._clock.now()
         claim.note_shortage(now)
+        if refusal.reason is RefusedReason.ACCOUNT_EXCESS:
+            self._reports.note_excess(claim, now)
         left = request.deadline_at - now
         drained = self._shares.drained_per_second(now)
         return replace(refusal, retry_after=self._returns.assign(now, left, drained, self._random))
@@ -313,42 +315,5 @@
         return retry_delay_after_refusal(self._random)
 
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
-        self._report(request, route, *_outcome_labels(outcome))
+        self._reports.report(request, route, self._version, *outcome_labels(outcome))
         return outcome
-
-    def _report(self, request: ForwardRequest, route: Route | None, name: str, reason: str) -> None:
-        elapsed = self._clock.now() - request.received_at
-        self._counters.add("requests", outcome=name, reason=reason)
-        self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
-        # Complete answers within the target are dropped first; operators ask about late ones too.
-        is_ordinary = name == "answered" and (route is None or elapsed <= route.target_latency)
-        note_event = self._events.record_low_priority if is_ordinary else self._events.record
-        note_event(
-            "request",
-            request=request.request_id,
-            **({"account": request.account} if request.account else {}),
-            route=route.name if route else "",
-            version=self._routes.configuration.version if self._routes else 0,
-            outcome=name,
-            reason=reason,
-            elapsed_ms=elapsed,
-            target_ms=route.target_latency if route else 0.0,
-            left_ms=request.deadline_at - self._clock.now(),
-            round_trip_ms=request.round_trip,
-        )
-
-
-def _outcome_labels(outcome: Outcome) -> tuple[str, str]:
-    match outcome:
-        case Relayed(reply):
-            return ("answered" if reply.status < 400 else "passed_failure"), str(reply.status)
-        case Gathered(missing=missing):
-            return ("partial", "late_parts") if missing else ("answered", "whole")
-        case Refused(reason=refused):
-            return "refused", refused.value
-        case Failed(reason=failed):
-            return "failed", failed.value
-        case NoRoute():
-            return "no_route", "no_route"
-        case Unauthorized(reason=unauthorized):
-            return "unauthorized", unauthorized.value
--- a/fulmarhold/limits/sharing.py
+++ b/fulmarhold/limits/sharing.py
@@ -124,6 +124,10 @@
         """The usual demand of the account in requests per second."""
         return self._account.weight
 
+    def demand(self, now: Milliseconds) -> float:
+        """Return what the account asked for recently, in requests per second."""
+        return self._account.demand.at(now)
+
     def note_sent(self, now: Milliseconds) -> None:
         """Record that an upstream serves the request."""
         self._account.served.add(now)
--- a/fulmarhold/tests/forwarding/test_accounts.py
+++ b/fulmarhold/tests/forwarding/test_accounts.py
@@ -4,11 +4,18 @@
 
 from typing import Any
 
+import logbook
 import pytest
 
 from fulmarhold.accounts.keys import digest_of_key
 from fulmarhold.clock import ManualClock
 from fulmarhold.forwarding.forwarder import Forwarder
+from fulmarhold.forwarding.reporting import (
+    MAX_COUNTED_ACCOUNTS,
+    OTHER_ACCOUNTS,
+    RELIEF_TIME,
+    RequestReports,
+)
 from fulmarhold.forwarding.request import (
     ForwardRequest,
     NoRoute,
@@ -17,6 +24,7 @@
     Unauthorized,
 )
 from fulmarhold.limits.budget import ExtraLoadBound
+from fulmarhold.limits.sharing import FairShares
 from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.events import EventLog
 from fulmarhold.routes.configuration import (
@@ -151,3 +159,38 @@
     forwarding = Forwarding(accounts)
     forwarding.send(path, key)
     assert forwarding.memory.asked == [is_urgent]
+
+
+# Guards against metrics that grow with the number of accounts.
+def test_results_are_counted_for_a_bounded_number_of_accounts():
+    counters = Counters()
+    events = EventLog("test", ManualClock(), counters)
+    reports = RequestReports(ManualClock(), counters, events)
+    for number in range(MAX_COUNTED_ACCOUNTS + 20):
+        for _ in range(2):
+            reports.count_for_account(f"a{number}", "answered")
+    assert counters.value("account_requests", account="a7", result="answered") == 2
+    assert counters.value("account_requests", account=OTHER_ACCOUNTS, result="answered") == 40
+    assert counters.value("account_requests", account="a110", result="answered") == 0
+
+
+def test_a_refused_request_is_counted_by_account_and_reason():
+    forwarding = Forwarding()
+    forwarding.send("keyed", b"k1")
+    labels = {"account": "plain", "result": "refused_no_memory"}
+    assert forwarding.counters.value("account_requests", **labels) == 1
+
+
+def test_an_account_that_gives_way_is_logged_when_that_begins_and_ends():
+    shares = FairShares()
+    shares.use([("one", 0.0)])
+    claim: Any = shares.claim("one", 0, 0.0)
+    counters = Counters()
+    reports = RequestReports(ManualClock(), counters, EventLog("test", ManualClock(), counters))
+    with logbook.TestHandler() as lines:
+        for now in (0.0, 100.0, 4_000.0):
+            reports.note_excess(claim, now)
+            reports.check_relief(now)
+        reports.check_relief(4_000.0 + RELIEF_TIME + 1)
+    messages = [record.message for record in lines.records]
+    assert len(messages) == 2 and "gives way" in messages[0] and "no longer" in messages[1]
