--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -120,9 +120,7 @@
             useful_until=now + request.useful_for,
             is_urgent=request.is_urgent,
             top_records=request.top_records,
-            claim=(
-                self._shares.claim(request.account, request.rank, now) if self._shares else None
-            ),
+            flow=(self._shares.flow(request.account, request.rank, now) if self._shares else None),
             held=self._memory.open_fixed(Holder.REPLY, forwarded.owners) if self._memory else None,
         )
         replicas = [self._table.find(name) for name in request.upstreams]
@@ -286,7 +284,7 @@
         return Decline.EJECTED
     if not replica.is_responsive(now):
         return Decline.UNRESPONSIVE
-    if not replica.may_send(now, is_urgent=context.is_urgent, claim=context.claim):
+    if not replica.may_send(now, is_urgent=context.is_urgent, flow=context.flow):
         return Decline.CONGESTED
     return None
 
--- a/fulmarhold/collecting/remote.py
+++ b/fulmarhold/collecting/remote.py
@@ -77,7 +77,7 @@
                 max(0.0, context.useful_until - self._sent_at),
                 context.is_urgent,
                 request.account,
-                context.claim.rank if context.claim is not None else 0,
+                context.flow.rank if context.flow is not None else 0,
             ),
             self,
         )
--- a/fulmarhold/forwarding/attempt.py
+++ b/fulmarhold/forwarding/attempt.py
@@ -12,7 +12,7 @@
     from fulmarhold.clock import Milliseconds
     from fulmarhold.forwarding.call import ServiceCall
     from fulmarhold.forwarding.context import CallContext
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.routing.replica import Replica
     from fulmarhold.upstreams.protocol import UpstreamResponse
 
@@ -63,8 +63,8 @@
         return self._context.request.owners
 
     @property
-    def claim(self) -> Claim | None:
-        return self._context.claim
+    def flow(self) -> Flow | None:
+        return self._context.flow
 
     def may_send(self) -> bool:
         """Whether the attempt is still needed and in time, and its upstream still there."""
@@ -76,8 +76,8 @@
         context = self._context
         self.sent_at = context.clock.now()
         self.may_have_run = True
-        if context.claim is not None:
-            context.claim.note_sent(self.sent_at)
+        if context.flow is not None:
+            context.flow.note_sent(self.sent_at)
         left = context.deadline_at - self.sent_at
         return context.codec.encode(context.prepared, self.replica.upstream.record.name, left)
 
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -136,18 +136,18 @@
         return self._are_congested(self._untried(), now)
 
     def _are_congested(self, replicas: list[Replica], now: Milliseconds) -> bool:
-        is_urgent, claim = self._context.is_urgent, self._context.claim
+        is_urgent, flow = self._context.is_urgent, self._context.flow
         is_any_responsive = False
         for item in replicas:
             if item.is_responsive(now):
-                if item.may_send(now, is_urgent=is_urgent, claim=claim):
+                if item.may_send(now, is_urgent=is_urgent, flow=flow):
                     return False
                 is_any_responsive = True
         return is_any_responsive
 
     def _reason_to_give_way(self, replicas: list[Replica]) -> RefusedReason | None:
         now = self._context.clock.now()
-        if self._context.claim is None or not self._are_congested(replicas, now):
+        if self._context.flow is None or not self._are_congested(replicas, now):
             return None
         return self._context.reason_to_give_way(now)
 
@@ -347,7 +347,7 @@
         return [
             item
             for item in responsive
-            if item.may_send(now, is_urgent=is_urgent, claim=self._context.claim)
+            if item.may_send(now, is_urgent=is_urgent, flow=self._context.flow)
         ] or responsive
 
     def _count(self, kind: str, result: str) -> None:
--- a/fulmarhold/forwarding/context.py
+++ b/fulmarhold/forwarding/context.py
@@ -13,7 +13,7 @@
     from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.forwarding.request import ForwardRequest
     from fulmarhold.limits.memory import FixedHolding
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.observe.counters import Counters
     from fulmarhold.observe.estimates import ReplyEstimates
     from fulmarhold.observe.events import EventLog
@@ -41,7 +41,7 @@
         is_urgent: bool = True,
         top_records: int = 0,
         held: FixedHolding | None = None,
-        claim: Claim | None = None,
+        flow: Flow | None = None,
     ) -> None:
         self.request = request
         # When replies start to be late, and whether no route has a higher priority.
@@ -51,8 +51,8 @@
         self.top_records = top_records
         # Accounts for the replies until the request has its outcome.
         self.held = held
-        # What the request may claim of scarce room; only where there are accounts.
-        self.claim = claim
+        # Decides how the request shares scarce room; only where there are accounts.
+        self.flow = flow
         self.codec = codec
         self.prepared = codec.prepare(request)
         self.deadline_at = deadline_at
@@ -67,9 +67,9 @@
 
     def reason_to_give_way(self, now: Milliseconds) -> RefusedReason | None:
         """Return why the request is refused now that room is short, or `None` if it isn't."""
-        if self.claim is None:
+        if self.flow is None:
             return None
-        self.claim.note_shortage(now)
-        if self.claim.is_excess(now):
+        self.flow.note_shortage(now)
+        if self.flow.is_excess(now):
             return RefusedReason.ACCOUNT_EXCESS
         return None if self.is_urgent else RefusedReason.OVERLOADED
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -42,7 +42,7 @@
     from fulmarhold.forwarding.upstreams import UpstreamTable
     from fulmarhold.limits.budget import ExtraLoadBound
     from fulmarhold.limits.memory import FixedHolding, MemoryBudget
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.observe.counters import Counters, Histogram
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routes.configuration import Route
@@ -184,14 +184,14 @@
         )
         if not self._can_complete(route, deadline_at):
             return self._finish(request, route, self._refuse_stopping())
-        claim = self._shares.claim(request.account, identified.rank, self._clock.now())
-        if not self._has_memory(request, claim, is_urgent=is_urgent):
+        flow = self._shares.flow(request.account, identified.rank, self._clock.now())
+        if not self._has_memory(request, flow, is_urgent=is_urgent):
             refusal = self._schedule_return(
-                request, claim, Refused(RefusedReason.NO_MEMORY, self._retry_after())
+                request, flow, Refused(RefusedReason.NO_MEMORY, self._retry_after())
             )
             return self._finish(request, route, refusal)
         held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
-        operation = self._operation(request, route, deadline_at, held, claim, is_urgent=is_urgent)
+        operation = self._operation(request, route, deadline_at, held, flow, is_urgent=is_urgent)
         on_disconnect(operation.caller_gone)
         self._open[operation] = request, route
         try:
@@ -205,7 +205,7 @@
         if not isinstance(outcome, Refused):
             self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
         else:
-            outcome = self._schedule_return(request, claim, outcome)
+            outcome = self._schedule_return(request, flow, outcome)
         return self._finish(request, route, outcome)
 
     def report_cut(self) -> int:
@@ -227,24 +227,24 @@
         return self._stop_schedule.can_complete(self._clock.now(), deadline_at, expected)
 
     def _schedule_return(
-        self, request: ForwardRequest, claim: Claim | None, refusal: Refused
+        self, request: ForwardRequest, flow: Flow | None, refusal: Refused
     ) -> Refused:
         """Return a refusal with the time at which its caller should return, if room is short."""
-        if claim is None or refusal.reason not in SHORTAGES:
+        if flow is None or refusal.reason not in SHORTAGES:
             return refusal
         now = self._clock.now()
-        claim.note_shortage(now)
+        flow.note_shortage(now)
         if refusal.reason is RefusedReason.ACCOUNT_EXCESS:
-            self._reports.note_excess(claim, now)
+            self._reports.note_excess(flow, now)
         left = request.deadline_at - now
         drained = self._shares.drained_per_second(now)
         return replace(refusal, retry_after=self._returns.assign(now, left, drained, self._random))
 
-    def _has_memory(self, request: ForwardRequest, claim: Claim | None, *, is_urgent: bool) -> bool:
+    def _has_memory(self, request: ForwardRequest, flow: Flow | None, *, is_urgent: bool) -> bool:
         """Whether there is memory for the replies to one more request."""
         if self._memory is None:
             return True
-        return self._memory.may_admit(request.owners, is_urgent=is_urgent, claim=claim)
+        return self._memory.may_admit(request.owners, is_urgent=is_urgent, flow=flow)
 
     def _refuse_stopping(self) -> Refused:
         return Refused(RefusedReason.STOPPING, self._retry_after())
@@ -255,7 +255,7 @@
         route: Route,
         deadline_at: Milliseconds,
         held: FixedHolding | None,
-        claim: Claim | None,
+        flow: Flow | None,
         *,
         is_urgent: bool,
     ) -> ShardQuery | SingleForward:
@@ -280,7 +280,7 @@
             is_urgent=is_urgent,
             top_records=route.top_records if route.shards else 0,
             held=held,
-            claim=claim,
+            flow=flow,
         )
         if route.shards:
             return ShardQuery(
--- a/fulmarhold/forwarding/reporting.py
+++ b/fulmarhold/forwarding/reporting.py
@@ -21,7 +21,7 @@
 
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.forwarding.request import ForwardRequest, Outcome
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.observe.counters import Counters, Histogram
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routes.configuration import Route
@@ -88,16 +88,16 @@
                 self._counted_accounts.add(account)
         self._counters.add("account_requests", account=account, result=result)
 
-    def note_excess(self, claim: Claim, now: Milliseconds) -> None:
+    def note_excess(self, flow: Flow, now: Milliseconds) -> None:
         """Record that a request of an account gave way; logged when it is the first."""
-        if claim.account not in self._excess_at:
+        if flow.account not in self._excess_at:
             log.warning(
                 "account {!r} gives way to others: it asks for {:.1f} requests/s, usually {:.1f}",
-                claim.account,
-                claim.demand(now),
-                claim.weight,
+                flow.account,
+                flow.demand(now),
+                flow.weight,
             )
-        self._excess_at[claim.account] = now
+        self._excess_at[flow.account] = now
 
     def check_relief(self, now: Milliseconds) -> None:
         """Log which accounts give way no longer; called periodically."""
--- a/fulmarhold/gather/subrequest.py
+++ b/fulmarhold/gather/subrequest.py
@@ -53,7 +53,7 @@
     __slots__ = ("_is_over", "kind", "owner", "part", "replica", "sent_at", "shard")
     # Requests of the own interface name no caller or client account.
     memory_owners = ()
-    claim = None
+    flow = None
 
     def __init__(
         self, owner: AttemptOwner, shard: int, replica: Replica, part: str, kind: AttemptKind
@@ -152,7 +152,7 @@
     """Tells an upstream that the response to a part is no longer needed."""
 
     memory_owners = ()
-    claim = None
+    flow = None
 
     def __init__(self, address: str, part: str, expires_at: Milliseconds) -> None:
         self.expires_at = expires_at
--- a/fulmarhold/limits/concurrency.py
+++ b/fulmarhold/limits/concurrency.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
 
 # Initial limit, at which nothing is limited; a healthy upstream has far fewer open requests.
 MAX_LIMIT = 8.0
@@ -58,7 +58,7 @@
         now: Milliseconds,
         *,
         is_urgent: bool,
-        claim: Claim | None = None,
+        flow: Flow | None = None,
     ) -> bool:
         """Whether one more request may be sent while `open_requests` are unanswered.
 
@@ -67,8 +67,8 @@
         if self.value >= MAX_LIMIT:
             return True
         allowed = self.value if is_urgent else LESS_URGENT_SHARE * self.value
-        if claim is not None:
-            allowed *= claim.room_share(now)
+        if flow is not None:
+            allowed *= flow.room_share(now)
         if allowed >= 1:
             return open_requests < int(allowed)
         pause = self._latency * (1 / allowed - 1)
--- a/fulmarhold/limits/memory.py
+++ b/fulmarhold/limits/memory.py
@@ -27,7 +27,7 @@
     from collections.abc import Callable, Iterable
 
     from fulmarhold.clock import Clock
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.observe.counters import Counters, Gauge
 
 log = get_logger("memory")
@@ -154,15 +154,15 @@
         return FixedHolding(self, holder, owners)
 
     def may_admit(
-        self, owners: tuple[str, ...], *, is_urgent: bool, claim: Claim | None = None
+        self, owners: tuple[str, ...], *, is_urgent: bool, flow: Flow | None = None
     ) -> bool:
         """Whether there is room for a new request of `owners`; a refusal is counted.
 
         Accounts that ask for more than usual are refused earlier than others.
         """
         share = URGENT_ADMITTED_SHARE if is_urgent else ADMITTED_SHARE
-        if claim is not None and self._fixed_total > MIN_ROOM_SHARE * share * self._limit:
-            share *= claim.room_share(self._clock.now())
+        if flow is not None and self._fixed_total > MIN_ROOM_SHARE * share * self._limit:
+            share *= flow.room_share(self._clock.now())
         if self._fixed_total <= share * self._limit and self._have_share(owners, 0):
             return True
         self._report(Shortage.REQUEST_REFUSED)
--- a/fulmarhold/limits/sharing.py
+++ b/fulmarhold/limits/sharing.py
@@ -8,7 +8,7 @@
 learned while there is room: a flood that causes a shortage doesn't become usual while it lasts. If
 all accounts send more than usual, none of them stands out and all are treated alike.
 
-While there is room, nothing is decided here, and without accounts there are no claims.
+While there is room, nothing is decided here, and without accounts requests belong to no flow.
 """
 
 from __future__ import annotations
@@ -105,8 +105,8 @@
             self.usual = min(self.usual, self._quota)
 
 
-class Claim:
-    """What a request can claim: its urgency, and the standing of its account."""
+class Flow:
+    """What a request belongs to when room is short: an account, and its priority there."""
 
     __slots__ = ("_account", "_shares", "rank")
 
@@ -156,10 +156,10 @@
     >>> shares = FairShares()
     >>> shares.use([("small", 0.0), ("large", 0.0)])
     >>> for moment in range(0, 30_000, 100):
-    ...     small, large = shares.claim("small", 0, moment), shares.claim("large", 0, moment)
+    ...     small, large = shares.flow("small", 0, moment), shares.flow("large", 0, moment)
     >>> for moment in range(30_000, 32_000, 10):
     ...     shares.note_shortage(moment)
-    ...     flood = shares.claim("small", 0, moment)
+    ...     flood = shares.flow("small", 0, moment)
     >>> flood.is_excess(32_000), large.is_excess(32_000)
     (True, False)
     """
@@ -186,10 +186,10 @@
         self._entries = max(1, entries)
         self._set_rates()
 
-    def claim(self, account: str, rank: int, now: Milliseconds) -> Claim | None:
-        """Record a request and return its claim, or `None` without accounts.
+    def flow(self, account: str, rank: int, now: Milliseconds) -> Flow | None:
+        """Record a request and return its flow, or `None` without accounts.
 
-        `account` is empty for requests that need none; these share one standing.
+        `account` is empty for requests that need none; these count as one account.
         """
         if self._rates is None:
             return None
@@ -201,7 +201,7 @@
             known = self._accounts[account] = _Account(account, quota, self._entries)
         known.demand.add(now)
         known.learn(now, is_short=now < self._short_until)
-        return Claim(self, known, rank)
+        return Flow(self, known, rank)
 
     def note_sent(self, now: Milliseconds) -> None:
         """Record that an upstream serves a request."""
--- a/fulmarhold/limits/waiting.py
+++ b/fulmarhold/limits/waiting.py
@@ -4,7 +4,7 @@
 
 The most urgent requests go first, and among them those of the account that got least recently,
 relative to what it usually asks for. Requests of one account stay in order. Without accounts,
-requests have no claims and all of them stay in order.
+requests belong to no flow and all of them stay in order.
 """
 
 from __future__ import annotations
@@ -16,20 +16,20 @@
     from collections.abc import Iterator
 
     from fulmarhold.clock import Milliseconds
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
 
 
-class Claiming(Protocol):
-    """A request with its claim, if there are accounts."""
+class HasFlow(Protocol):
+    """A request that belongs to a flow, if there are accounts."""
 
     @property
-    def claim(self) -> Claim | None: ...
+    def flow(self) -> Flow | None: ...
 
 
-Waiter = TypeVar("Waiter", bound=Claiming)
-# Those without a claim come first: they are few, sent before a configuration with accounts.
+Waiter = TypeVar("Waiter", bound=HasFlow)
+# Those of no flow come first: they are few, sent before a configuration with accounts.
 _Line = tuple[int, str]
-_NO_CLAIM: _Line = (-(2**31), "")
+_NO_FLOW: _Line = (-(2**31), "")
 
 
 class WaitingQueue(Generic[Waiter]):
@@ -95,20 +95,20 @@
         self.length += 1
 
     def _order(self, line: _Line, now: Milliseconds) -> tuple[int, float]:
-        claim = self._lines[line][0].claim
-        return line[0], claim.served(now) if claim is not None else 0.0
+        flow = self._lines[line][0].flow
+        return line[0], flow.served(now) if flow is not None else 0.0
 
     def _pressure(
         self, line: _Line, newcomer: Waiter, now: Milliseconds
     ) -> tuple[int, float, float]:
         """Return how much a line has: the least urgent, then the longest for its account."""
         waiting = self._lines.get(line, ())
-        claim = waiting[0].claim if waiting else newcomer.claim
-        if claim is None:
+        flow = waiting[0].flow if waiting else newcomer.flow
+        if flow is None:
             return line[0], 0.0, 0.0
-        return line[0], len(waiting) / claim.weight, claim.served(now)
+        return line[0], len(waiting) / flow.weight, flow.served(now)
 
 
-def _line_of(waiter: Claiming) -> _Line:
-    claim = waiter.claim
-    return _NO_CLAIM if claim is None else (claim.rank, claim.account)
+def _line_of(waiter: HasFlow) -> _Line:
+    flow = waiter.flow
+    return _NO_FLOW if flow is None else (flow.rank, flow.account)
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.upstreams.pool import ConnectionPool
 
 INITIAL_LATENCY: Milliseconds = 5.0
@@ -148,9 +148,9 @@
             return now > self._sent_at + PROBE_PERIOD
         return not self.is_stalled(now)
 
-    def may_send(self, now: Milliseconds, *, is_urgent: bool, claim: Claim | None = None) -> bool:
+    def may_send(self, now: Milliseconds, *, is_urgent: bool, flow: Flow | None = None) -> bool:
         """Whether the concurrency limit admits one more request now."""
-        return self.concurrency.may_send(self.pool.load, now, is_urgent=is_urgent, claim=claim)
+        return self.concurrency.may_send(self.pool.load, now, is_urgent=is_urgent, flow=flow)
 
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
         """Return the expected latency of a new request.
--- a/fulmarhold/tests/forwarding/test_accounts.py
+++ b/fulmarhold/tests/forwarding/test_accounts.py
@@ -43,7 +43,7 @@
     def __init__(self):
         self.asked = []
 
-    def may_admit(self, owners, *, is_urgent, claim):
+    def may_admit(self, owners, *, is_urgent, flow):
         self.asked.append(is_urgent)
         return False
 
@@ -184,12 +184,12 @@
 def test_an_account_that_gives_way_is_logged_when_that_begins_and_ends():
     shares = FairShares()
     shares.use([("one", 0.0)])
-    claim: Any = shares.claim("one", 0, 0.0)
+    flow: Any = shares.flow("one", 0, 0.0)
     counters = Counters()
     reports = RequestReports(ManualClock(), counters, EventLog("test", ManualClock(), counters))
     with logbook.TestHandler() as lines:
         for now in (0.0, 100.0, 4_000.0):
-            reports.note_excess(claim, now)
+            reports.note_excess(flow, now)
             reports.check_relief(now)
         reports.check_relief(4_000.0 + RELIEF_TIME + 1)
     messages = [record.message for record in lines.records]
--- a/fulmarhold/tests/forwarding/test_short_room.py
+++ b/fulmarhold/tests/forwarding/test_short_room.py
@@ -22,19 +22,19 @@
 
 
 def known_shares(now, excess=1_000):
-    """Return shares of two accounts with the same usual demand, and the last claim of each.
+    """Return shares of two accounts with the same usual demand, and the last flow of each.
 
     `flood` has sent `excess` requests more than usual just now.
     """
     shares = FairShares()
     shares.use([("usual", 5.0), ("flood", 5.0)])
-    claims: dict[str, Any] = {}
+    flows: dict[str, Any] = {}
     for number in range(10):
         for account in ("usual", "flood"):
-            claims[account] = shares.claim(account, 1, now - 2_000.0 + 200.0 * number)
+            flows[account] = shares.flow(account, 1, now - 2_000.0 + 200.0 * number)
     for _ in range(excess):
-        claims["flood"] = shares.claim("flood", 1, now)
-    return claims
+        flows["flood"] = shares.flow("flood", 1, now)
+    return flows
 
 
 class Congested(ForwardingFixture):
@@ -42,7 +42,7 @@
         super().__init__()
         self.now = self.clock.now()
         self.is_congested = is_congested
-        self.context.claim = known_shares(self.now)[account] if account else None
+        self.context.flow = known_shares(self.now)[account] if account else None
         self.context.is_urgent = is_urgent
 
     def call(self, service, pools, owner):
@@ -90,14 +90,14 @@
 def test_memory_is_refused_first_to_the_account_that_asks_for_more_than_usual():
     clock = Clock()
     memory = MemoryBudget(1_000_000, clock, Counters())
-    claims = known_shares(clock.now())
+    flows = known_shares(clock.now())
     held = memory.open_fixed(Holder.ANSWER)
     admitted = {}
     for share in (0.4, 0.8, 1.1):
         held.grow(int(share * ADMITTED_SHARE * memory.limit) - held.size)
         admitted[share] = [
-            memory.may_admit((), is_urgent=False, claim=claim)
-            for claim in (claims["usual"], claims["flood"], None)
+            memory.may_admit((), is_urgent=False, flow=flow)
+            for flow in (flows["usual"], flows["flood"], None)
         ]
     assert admitted == {0.4: [True] * 3, 0.8: [True, False, True], 1.1: [False] * 3}
 
@@ -112,12 +112,12 @@
 # Guards against an upstream whose places are all taken by requests of one account that wait.
 def test_a_full_queue_gives_the_place_of_a_flood_to_another_account():
     clock = Clock()
-    claims = known_shares(clock.now())
+    flows = known_shares(clock.now())
     pool = ConnectionPool("127.0.0.1:9", 0, 0, clock, Counters())
-    flood = [Waiting(claim=claims["flood"]) for _ in range(MAX_QUEUE_LENGTH + 1)]
+    flood = [Waiting(flow=flows["flood"]) for _ in range(MAX_QUEUE_LENGTH + 1)]
     for request in flood:
         pool.submit(request)  # type: ignore[arg-type]
-    other = Waiting(claim=claims["usual"])
+    other = Waiting(flow=flows["usual"])
     pool.submit(other)  # type: ignore[arg-type]
     assert other.failure is None and pool.load == MAX_QUEUE_LENGTH
     failed = [number for number, item in enumerate(flood) if item.failure]
--- a/fulmarhold/tests/limits/test_sharing.py
+++ b/fulmarhold/tests/limits/test_sharing.py
@@ -47,11 +47,11 @@
 
     def arrive(self, account, rank):
         self.sent[account, rank] = self.sent.get((account, rank), 0) + 1
-        claim: Any = self.shares.claim(account, rank, self.now)
-        request = SimpleNamespace(claim=claim, key=(account, rank), until=self.now + TIMEOUT)
+        flow: Any = self.shares.flow(account, rank, self.now)
+        request = SimpleNamespace(flow=flow, key=(account, rank), until=self.now + TIMEOUT)
         if len(self.queue) > QUEUE_LIMIT / 2:
-            claim.note_shortage(self.now)
-            if claim.is_excess(self.now):
+            flow.note_shortage(self.now)
+            if flow.is_excess(self.now):
                 return
         self.queue.offer(request, self.now)
 
@@ -60,7 +60,7 @@
         if request.until < self.now:
             return
         self.credit -= 1
-        request.claim.note_sent(self.now)
+        request.flow.note_sent(self.now)
         self.served[request.key] = self.served.get(request.key, 0) + 1
 
     def forget(self):
@@ -140,14 +140,14 @@
     assert min(shares) > 0.85 * average(shares)
 
 
-def test_without_accounts_there_are_no_claims():
+def test_without_accounts_there_are_no_flows():
     shares = FairShares()
-    assert shares.claim("a", 0, 0.0) is None
+    assert shares.flow("a", 0, 0.0) is None
     shares.use([("a", 0.0)])
-    unknown = shares.claim("unknown", 0, 0.0)
+    unknown = shares.flow("unknown", 0, 0.0)
     assert unknown is not None and unknown.account == ""
     shares.use(None)
-    assert shares.claim("a", 0, 0.0) is None
+    assert shares.flow("a", 0, 0.0) is None
 
 
 @settings(max_examples=200, deadline=None)
@@ -163,8 +163,8 @@
     for number, (step, rank, account) in enumerate(steps):
         now = 10.0 * number
         if step == "add":
-            claim = None if account is None else shares.claim(account, rank, now)
-            added.append(SimpleNamespace(claim=claim, number=number))
+            flow = None if account is None else shares.flow(account, rank, now)
+            added.append(SimpleNamespace(flow=flow, number=number))
             displaced = queue.offer(added[-1], now)
             ended += [] if displaced is None else [displaced]
         elif len(queue) and step == "take":
@@ -173,8 +173,8 @@
             ended.append(taken)
             line = [item for item in waiting if same_line(item, taken)]
             assert taken.number == min(item.number for item in line)
-            least = min((item.claim.rank for item in waiting if item.claim), default=0)
-            assert taken.claim is None or taken.claim.rank == least
+            least = min((item.flow.rank for item in waiting if item.flow), default=0)
+            assert taken.flow is None or taken.flow.rank == least
         elif len(queue):
             ended.append(list(queue)[-1])
             queue.remove(ended[-1])
@@ -184,6 +184,6 @@
 
 
 def same_line(item, other):
-    if item.claim is None or other.claim is None:
-        return item.claim is other.claim
-    return (item.claim.rank, item.claim.account) == (other.claim.rank, other.claim.account)
+    if item.flow is None or other.flow is None:
+        return item.flow is other.flow
+    return (item.flow.rank, item.flow.account) == (other.flow.rank, other.flow.account)
--- a/fulmarhold/tests/upstreams/test_connections.py
+++ b/fulmarhold/tests/upstreams/test_connections.py
@@ -61,7 +61,7 @@
     """An exchange that records its response or failure."""
 
     memory_owners = ("caller a",)
-    claim = None
+    flow = None
 
     def __init__(self, trusted=True, wanted=True, expires_at=float("inf")):
         self.ended = gevent.event.AsyncResult()
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.limits.memory import MemoryBudget
-    from fulmarhold.limits.sharing import Claim
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.observe.counters import Counters
 
 CONNECT_TIMEOUT: Milliseconds = 1_000.0
@@ -40,8 +40,8 @@
     """An exchange that can expire while it waits for a connection."""
 
     @property
-    def claim(self) -> Claim | None:
-        """Its claim on scarce room, if there are accounts."""
+    def flow(self) -> Flow | None:
+        """The flow that it belongs to, if there are accounts."""
 
     def may_send(self) -> bool:
         """Whether it may still be sent; if not, `failed` is called with `sent=False`."""
@@ -50,7 +50,7 @@
 class ConnectionPool:
     """At most `limit` connections to `address`; further requests wait.
 
-    They wait in FIFO order, unless they have claims of accounts.
+    They wait in FIFO order, unless they belong to flows of accounts.
 
     `memory` bounds the bytes of unfinished responses, together with everything else that it counts.
     """
