Refuse excess on an overloaded entry, and work that can't end in time

An account that asks for more than usual is refused while the event loop lags by 30 ms or more. Where all upstreams are congested and the soonest reply is expected after the deadline, the request is refused at once instead of at its deadline. Both apply to flows only, that is to configurations with accounts.

--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -149,7 +149,11 @@
         now = self._context.clock.now()
         if self._context.flow is None or not self._are_congested(replicas, now):
             return None
-        return self._context.reason_to_give_way(now)
+        reason = self._context.reason_to_give_way(now)
+        soonest = min(item.expected_latency(now) for item in replicas)
+        if reason is None and now + soonest > self._context.deadline_at:
+            return RefusedReason.NO_TIME
+        return reason
 
     def count_left_out(self) -> None:
         """Count that the call was left out because its reply would not arrive in time."""
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -63,6 +63,7 @@
         RefusedReason.ACCOUNT_EXCESS,
         RefusedReason.OVERLOADED,
         RefusedReason.UPSTREAMS_FULL,
+        RefusedReason.NO_TIME,
         RefusedReason.NO_MEMORY,
     )
 )
@@ -84,6 +85,7 @@
         confirmed_age: Callable[[], Milliseconds] = lambda: 0.0,
         max_key_age: Callable[[], Milliseconds] = lambda: float("inf"),
         shares: FairShares | None = None,
+        is_overloaded: Callable[[], bool] = lambda: False,
     ) -> None:
         self._find_collectors = find_collectors
         self._memory = memory
@@ -98,6 +100,7 @@
         self._choose = choosers.find("least_expected")
         self._routes: RouteTable | None = None
         self._shares = shares or FairShares()
+        self._is_overloaded = is_overloaded
         self._returns = ReturnSchedule()
         self._identification = Identification(codec, self._random, confirmed_age, max_key_age)
         self._most_urgent = 0
@@ -185,10 +188,9 @@
         if not self._can_complete(route, deadline_at):
             return self._finish(request, route, self._refuse_stopping())
         flow = self._shares.flow(request.account, identified.rank, self._clock.now())
-        if not self._has_memory(request, flow, is_urgent=is_urgent):
-            refusal = self._schedule_return(
-                request, flow, Refused(RefusedReason.NO_MEMORY, self._retry_after())
-            )
+        reason = self._shortage(request, flow, is_urgent=is_urgent)
+        if reason is not None:
+            refusal = self._schedule_return(request, flow, Refused(reason, self._retry_after()))
             return self._finish(request, route, refusal)
         held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
         operation = self._operation(request, route, deadline_at, held, flow, is_urgent=is_urgent)
@@ -240,11 +242,19 @@
         drained = self._shares.drained_per_second(now)
         return replace(refusal, retry_after=self._returns.assign(now, left, drained, self._random))
 
-    def _has_memory(self, request: ForwardRequest, flow: Flow | None, *, is_urgent: bool) -> bool:
-        """Whether there is memory for the replies to one more request."""
+    def _shortage(
+        self, request: ForwardRequest, flow: Flow | None, *, is_urgent: bool
+    ) -> RefusedReason | None:
+        """Return why this entry has no room for one more request, or `None` if it has."""
+        if flow is not None and self._is_overloaded():
+            now = self._clock.now()
+            flow.note_shortage(now)
+            if flow.is_excess(now):
+                return RefusedReason.ACCOUNT_EXCESS
         if self._memory is None:
-            return True
-        return self._memory.may_admit(request.owners, is_urgent=is_urgent, flow=flow)
+            return None
+        may_admit = self._memory.may_admit(request.owners, is_urgent=is_urgent, flow=flow)
+        return None if may_admit else RefusedReason.NO_MEMORY
 
     def _refuse_stopping(self) -> Refused:
         return Refused(RefusedReason.STOPPING, self._retry_after())
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -65,6 +65,9 @@
 # a fraction of the shortest latency target (64 ms), and far above the lag of an idle entry.
 BUSY_LAG: Milliseconds = 12.0
 IDLE_LAG: Milliseconds = 4.0
+# Above this lag, accounts that ask for more than usual are refused: about half of the shortest
+# latency target is lost before a request is read.
+OVERLOADED_LAG: Milliseconds = 30.0
 
 
 class PlatformEntry:
@@ -115,6 +118,7 @@
             confirmed_age=lambda: self.watcher.feed_age,
             max_key_age=lambda: max_confirmed_age(watch.settings.revoke_within),
             shares=shares,
+            is_overloaded=lambda: self._lag.value > OVERLOADED_LAG,
         )
         self.watcher = FleetWatcher(
             own,
--- a/fulmarhold/tests/forwarding/test_accounts.py
+++ b/fulmarhold/tests/forwarding/test_accounts.py
@@ -57,7 +57,7 @@
 
 class Forwarding:
     def __init__(self, accounts=ACCOUNTS, *, age=0.0, max_age=float("inf")):
-        self.age = age
+        self.age, self.is_overloaded = age, False
         self.clock, self.counters, self.memory = ManualClock(), Counters(), RecordingMemory()
         nothing: Any = None
         memory: Any = self.memory
@@ -71,6 +71,7 @@
             memory=memory,
             confirmed_age=lambda: self.age,
             max_key_age=lambda: max_age,
+            is_overloaded=lambda: self.is_overloaded,
         )
         if accounts != "unknown":
             self.use(accounts)
@@ -194,3 +195,21 @@
         reports.check_relief(4_000.0 + RELIEF_TIME + 1)
     messages = [record.message for record in lines.records]
     assert len(messages) == 2 and "gives way" in messages[0] and "no longer" in messages[1]
+
+
+# Guards against an entry whose processor one account takes from the others.
+def test_an_overloaded_entry_refuses_the_account_that_asks_for_more_than_usual():
+    forwarding = Forwarding()
+    for _ in range(100):
+        for key in (b"k1", b"k2"):
+            forwarding.send("keyed", key)
+        forwarding.clock.advance(100.0)
+    reasons = {}
+    for is_overloaded in (False, True):
+        forwarding.is_overloaded = is_overloaded
+        for _ in range(200):
+            reasons[is_overloaded] = [forwarding.send("keyed", key).reason for key in (b"k1",)]
+        reasons[is_overloaded].append(forwarding.send("keyed", b"k2").reason)
+    # The memory of this fixture refuses whatever gets that far.
+    assert reasons[False] == [RefusedReason.NO_MEMORY] * 2
+    assert reasons[True] == [RefusedReason.ACCOUNT_EXCESS, RefusedReason.NO_MEMORY]
--- a/fulmarhold/tests/forwarding/test_short_room.py
+++ b/fulmarhold/tests/forwarding/test_short_room.py
@@ -102,6 +102,19 @@
     assert admitted == {0.4: [True] * 3, 0.8: [True, False, True], 1.1: [False] * 3}
 
 
+# Guards against requests that wait for a reply that can't come in time.
+def test_work_that_cant_end_in_time_is_refused_at_once():
+    fixture = Congested("usual")
+    pools = [ScriptedPool("0"), ScriptedPool("1")]
+    forward = fixture.single(pools)
+    for replica in forward._call.replicas:
+        replica.latency.value = 2 * (fixture.context.deadline_at - fixture.now)
+        replica._has_own_estimate = True
+    outcome = forward.run()
+    assert isinstance(outcome, Refused) and outcome.reason is RefusedReason.NO_TIME
+    assert not pools[0].sent and not pools[1].sent, "not run"
+
+
 class Waiting(SimpleNamespace):
     failure = None
 
