--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -33,6 +33,7 @@
     from fulmarhold.clock import Clock
     from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.limits.memory import MemoryBudget
+    from fulmarhold.limits.sharing import FairShares
     from fulmarhold.observe.counters import Counters
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routing.replica import Replica
@@ -74,7 +75,9 @@
         counters: Counters,
         events: EventLog,
         memory: MemoryBudget | None = None,
+        shares: FairShares | None = None,
     ) -> None:
+        self._shares = shares
         self._table = table
         self._memory = memory
         self._codec = codec
@@ -133,6 +136,7 @@
             useful_until=now + request.useful_for,
             is_urgent=request.is_urgent,
             top_records=request.top_records,
+            flow=(self._shares.flow(request.account, request.rank, now) if self._shares else None),
             held=self._memory.open_fixed(Holder.REPLY, forwarded.owners) if self._memory else None,
             find_upstream=self._table.find,
         )
@@ -312,7 +316,7 @@
 
 def _reason_to_decline(replica: Replica, context: CallContext, now: Milliseconds) -> Decline | None:
     """Return why no request should be sent to an upstream now, if there is a reason."""
-    reason = replica.availability(now, is_urgent=context.is_urgent).reason
+    reason = replica.availability(now, is_urgent=context.is_urgent, flow=context.flow).reason
     return None if reason is None else DECLINES.get(reason, Decline.UNKNOWN)
 
 
--- a/fulmarhold/collecting/remote.py
+++ b/fulmarhold/collecting/remote.py
@@ -85,6 +85,7 @@
                 max(0.0, context.useful_until - self._sent_at),
                 context.is_urgent,
                 request.account,
+                context.flow.rank if context.flow is not None else 0,
             ),
             self,
         )
--- a/fulmarhold/forwarding/attempt.py
+++ b/fulmarhold/forwarding/attempt.py
@@ -13,6 +13,7 @@
     from fulmarhold.clock import Milliseconds
     from fulmarhold.forwarding.context import CallContext
     from fulmarhold.forwarding.request import Reply
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.routing.replica import Replica
     from fulmarhold.upstreams.protocol import UpstreamResponse
 
@@ -75,6 +76,10 @@
     def memory_owners(self) -> tuple[str, ...]:
         return self._context.request.owners
 
+    @property
+    def flow(self) -> Flow | None:
+        return self._context.flow
+
     def may_send(self) -> bool:
         """Whether the attempt is still needed and in time, and its upstream not held back."""
         now = self._context.clock.now()
@@ -87,6 +92,8 @@
         context = self._context
         self.sent_at = context.clock.now()
         self.may_have_run = True
+        if context.flow is not None:
+            context.flow.note_sent(self.sent_at)
         left = context.deadline_at - self.sent_at
         return context.codec.encode(context.prepared, self.replica.upstream.record.name, left)
 
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -99,12 +99,14 @@
         """Return which upstream wants work first, if all are held back by what they said."""
         return wanting_first(self._replicas, now)
 
-    def start(self) -> None:
-        """Send the first attempt."""
+    def start(self, *, gives_way: bool = False) -> None:
+        """Send the first attempt; a call that `gives_way` is refused where room is short."""
         self._budget.earn(1)
         replicas = self._untried()
         if not replicas:
             self._refuse(RefusedReason.NO_UPSTREAM)
+        elif gives_way and (reason := self._reason_to_give_way(replicas)) is not None:
+            self._refuse(reason)
         else:
             self._send(replicas, FIRST)
 
@@ -136,11 +138,27 @@
 
     def is_congested(self, now: Milliseconds) -> bool:
         """Whether all responsive upstreams already have as much work as they finish in time."""
-        responsive = [item for item in self._untried() if item.is_responsive(now)]
-        is_urgent = self._context.is_urgent
-        return bool(responsive) and not any(
-            item.may_send(now, is_urgent=is_urgent) for item in responsive
-        )
+        return self._are_congested(self._untried(), now)
+
+    def _are_congested(self, replicas: list[Replica], now: Milliseconds) -> bool:
+        is_urgent, flow = self._context.is_urgent, self._context.flow
+        is_any_responsive = False
+        for item in replicas:
+            if item.is_responsive(now):
+                if item.may_send(now, is_urgent=is_urgent, flow=flow):
+                    return False
+                is_any_responsive = True
+        return is_any_responsive
+
+    def _reason_to_give_way(self, replicas: list[Replica]) -> RefusedReason | None:
+        now = self._context.clock.now()
+        if self._context.flow is None or not self._are_congested(replicas, now):
+            return None
+        reason = self._context.reason_to_give_way(now)
+        soonest = min(item.expected_latency(now) for item in replicas)
+        if reason is None and now + soonest > self._context.deadline_at:
+            return RefusedReason.NO_TIME
+        return reason
 
     def count_left_out(self) -> None:
         """Count that the call was left out because its reply would not arrive in time."""
@@ -341,7 +359,9 @@
         responsive = [item for item in replicas if item.is_responsive(now)] or replicas
         is_urgent = self._context.is_urgent
         return [
-            item for item in responsive if item.may_send(now, is_urgent=is_urgent)
+            item
+            for item in responsive
+            if item.may_send(now, is_urgent=is_urgent, flow=self._context.flow)
         ] or responsive
 
     def _count(self, kind: str, result: str) -> None:
--- a/fulmarhold/forwarding/context.py
+++ b/fulmarhold/forwarding/context.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from fulmarhold.forwarding.request import RefusedReason
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
@@ -12,6 +14,7 @@
     from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.forwarding.request import ForwardRequest
     from fulmarhold.limits.memory import FixedHolding
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.observe.counters import Counters
     from fulmarhold.observe.estimates import ReplyEstimates
     from fulmarhold.observe.events import EventLog
@@ -41,6 +44,7 @@
         top_records: int = 0,
         held: FixedHolding | None = None,
         find_upstream: Callable[[str], Replica | None] = lambda _: None,
+        flow: Flow | None = None,
     ) -> None:
         self.request = request
         # When replies start to be late, and whether no route has a higher priority.
@@ -52,6 +56,8 @@
         self.held = held
         # Finds an upstream that serves by its name.
         self.find_upstream = find_upstream
+        # Decides how the request shares scarce room; only where there are accounts.
+        self.flow = flow
         self.codec = codec
         self.prepared = codec.prepare(request)
         self.deadline_at = deadline_at
@@ -63,3 +69,12 @@
         self.random = random
         self.counters = counters
         self.events = events
+
+    def reason_to_give_way(self, now: Milliseconds) -> RefusedReason | None:
+        """Return why the request is refused now that room is short, or `None` if it isn't."""
+        if self.flow is None:
+            return None
+        self.flow.note_shortage(now)
+        if self.flow.is_excess(now):
+            return RefusedReason.ACCOUNT_EXCESS
+        return None if self.is_urgent else RefusedReason.OVERLOADED
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -2,23 +2,20 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING
 
-from fulmarhold.accounts.keys import KeyTable
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
+from fulmarhold.forwarding.identification import Identification, Identified, possible_ranks
+from fulmarhold.forwarding.reporting import RequestReports, outcome_labels
 from fulmarhold.forwarding.request import (
-    Failed,
     ForwardRequest,
-    Gathered,
     NoRoute,
     Outcome,
     Refused,
     RefusedReason,
-    Relayed,
-    Unauthorized,
-    UnauthorizedReason,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.shard_timing import partial_answer_at
@@ -26,9 +23,13 @@
 from fulmarhold.forwarding.stopping import expected_duration
 from fulmarhold.limits.budget import SlackBudget
 from fulmarhold.limits.memory import Holder
-from fulmarhold.limits.retry_after import retry_delay_after_refusal, retry_delay_while_starting
+from fulmarhold.limits.retry_after import (
+    ReturnSchedule,
+    retry_delay_after_refusal,
+    retry_delay_while_starting,
+)
+from fulmarhold.limits.sharing import FairShares
 from fulmarhold.observe.estimates import RecentLatencies, ReplyEstimates
-from fulmarhold.observe.latency import LatencyHistogram
 from fulmarhold.routing.choice import choosers
 
 if TYPE_CHECKING:
@@ -41,9 +42,10 @@
     from fulmarhold.forwarding.upstreams import UpstreamTable
     from fulmarhold.limits.budget import ExtraLoadBound
     from fulmarhold.limits.memory import FixedHolding, MemoryBudget
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.observe.counters import Counters, Histogram
     from fulmarhold.observe.events import EventLog
-    from fulmarhold.routes.configuration import ClientAccount, Route, RouteConfiguration
+    from fulmarhold.routes.configuration import Route
     from fulmarhold.routes.table import RouteTable
 
 # Requests are hedged once they take longer than this share of replies; the budget of extra
@@ -55,6 +57,16 @@
 SINGLE_HEDGE_FACTOR = 2.0
 # The outcome is decided this long before the deadline, to leave time for its way to the caller.
 DEADLINE_RESERVE: Milliseconds = 5.0
+# Refusals after which callers return as fast as work drains.
+SHORTAGES = frozenset(
+    (
+        RefusedReason.ACCOUNT_EXCESS,
+        RefusedReason.OVERLOADED,
+        RefusedReason.UPSTREAMS_FULL,
+        RefusedReason.NO_TIME,
+        RefusedReason.NO_MEMORY,
+    )
+)
 
 
 class Forwarder:
@@ -70,6 +82,10 @@
         events: EventLog,
         find_collectors: Callable[[], Mapping[str, Collector]] = dict,
         memory: MemoryBudget | None = None,
+        confirmed_age: Callable[[], Milliseconds] = lambda: 0.0,
+        max_key_age: Callable[[], Milliseconds] = lambda: float("inf"),
+        shares: FairShares | None = None,
+        is_overloaded: Callable[[], bool] = lambda: False,
     ) -> None:
         self._find_collectors = find_collectors
         self._memory = memory
@@ -83,8 +99,10 @@
         self._started_at = clock.now()
         self._choose = choosers.find("least_expected")
         self._routes: RouteTable | None = None
-        # Set if the configuration has accounts.
-        self._keys: KeyTable[ClientAccount] | None = None
+        self._shares = shares or FairShares()
+        self._is_overloaded = is_overloaded
+        self._returns = ReturnSchedule()
+        self._identification = Identification(codec, self._random, confirmed_age, max_key_age)
         self._most_urgent = 0
         self._stop_schedule: StopSchedule | None = None
         self._is_refusing = False
@@ -94,19 +112,26 @@
         self._budgets: dict[str, SlackBudget] = {}
         self._replies: dict[str, ReplyEstimates] = {}
         self._durations: dict[str, RecentLatencies] = {}
-        self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
+        self._reports = RequestReports(clock, counters, events)
         self._open: dict[ShardQuery | SingleForward, tuple[ForwardRequest, Route]] = {}
 
     @property
     def routes(self) -> RouteTable | None:
         return self._routes
 
+    @property
+    def _version(self) -> int:
+        return self._routes.configuration.version if self._routes else 0
+
     def use(self, routes: RouteTable) -> None:
         """Switch to a newer configuration; requests in progress keep the previous one."""
         self._routes = routes
+        self._identification.use(routes.configuration)
         accounts = routes.configuration.accounts
-        self._keys = None if accounts is None else KeyTable(accounts)
-        self._most_urgent = min(_ranks(routes.configuration), default=0)
+        self._shares.use(
+            None if accounts is None else ((item.name, item.rate) for item in accounts)
+        )
+        self._most_urgent = min(possible_ranks(routes.configuration), default=0)
 
     def start_stop(self, schedule: StopSchedule) -> None:
         """Accept only requests that can be expected to end before this entry exits."""
@@ -123,6 +148,7 @@
 
     def share_slack(self, entries: int) -> None:
         """Set how many entries share the slack of extra attempts of each service."""
+        self._shares.share(entries)
         self._slack = self._bound.slack / max(1, entries)
         for budget in self._budgets.values():
             budget.resize(self._slack)
@@ -134,6 +160,7 @@
         self._refilled_at = now
         for budget in self._budgets.values():
             budget.refill(windows)
+        self._reports.check_relief(now)
 
     def forward(
         self, request: ForwardRequest, on_disconnect: Callable[[Callable[[], None]], None]
@@ -150,25 +177,23 @@
         route = self._routes.find(request.host, request.path)
         if route is None:
             return self._finish(request, None, NoRoute(self._routes.configuration.version))
-        account = None
-        if self._keys is not None:
-            if not route.is_public:
-                account = self._keys.find(request.key)
-                if account is None:
-                    return self._finish(request, route, _unauthorized(request))
-            request = self._codec.for_account(request, account.name if account else "")
-        rank = route.rank if account is None or account.rank is None else account.rank
-        is_urgent = rank <= self._most_urgent
+        identified = self._identification.identify(request, route)
+        if not isinstance(identified, Identified):
+            return self._finish(request, route, identified)
+        request = identified.request
+        is_urgent = identified.rank <= self._most_urgent
         deadline_at = (
             min(request.deadline_at, request.received_at + route.timeout) - DEADLINE_RESERVE
         )
         if not self._can_complete(route, deadline_at):
             return self._finish(request, route, self._refuse_stopping())
-        if not self._has_memory(request, is_urgent=is_urgent):
-            refusal = Refused(RefusedReason.NO_MEMORY, self._retry_after())
+        flow = self._shares.flow(request.account, identified.rank, self._clock.now())
+        reason = self._shortage(request, flow, is_urgent=is_urgent)
+        if reason is not None:
+            refusal = self._schedule_return(request, flow, Refused(reason, self._retry_after()))
             return self._finish(request, route, refusal)
         held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
-        operation = self._operation(request, route, deadline_at, held, is_urgent=is_urgent)
+        operation = self._operation(request, route, deadline_at, held, flow, is_urgent=is_urgent)
         on_disconnect(operation.caller_gone)
         self._open[operation] = request, route
         try:
@@ -181,18 +206,19 @@
         elapsed = self._clock.now() - request.received_at
         if not isinstance(outcome, Refused):
             self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
+        else:
+            outcome = self._schedule_return(request, flow, outcome)
         return self._finish(request, route, outcome)
 
     def report_cut(self) -> int:
         """Log the requests that have no outcome, last before the exit; returns their number."""
         for request, route in self._open.values():
-            self._report(request, route, "cut", "process_exit")
+            self._reports.report(request, route, self._version, "cut", "process_exit")
         return len(self._open)
 
     def histograms(self) -> Iterable[Histogram]:
         """Yield the histograms of request latency by outcome and reason."""
-        for (outcome, reason), histogram in self._histograms.items():
-            yield "request_latency_ms", {"outcome": outcome, "reason": reason}, histogram
+        return self._reports.histograms()
 
     def _can_complete(self, route: Route, deadline_at: Milliseconds) -> bool:
         """Whether there is time for a request before this entry exits."""
@@ -202,11 +228,33 @@
         expected = expected_duration(recent, is_idempotent=route.is_idempotent)
         return self._stop_schedule.can_complete(self._clock.now(), deadline_at, expected)
 
-    def _has_memory(self, request: ForwardRequest, *, is_urgent: bool) -> bool:
-        """Whether there is memory for the replies to one more request."""
+    def _schedule_return(
+        self, request: ForwardRequest, flow: Flow | None, refusal: Refused
+    ) -> Refused:
+        """Return a refusal with the time at which its caller should return, if room is short."""
+        if flow is None or refusal.reason not in SHORTAGES:
+            return refusal
+        now = self._clock.now()
+        flow.note_shortage(now)
+        if refusal.reason is RefusedReason.ACCOUNT_EXCESS:
+            self._reports.note_excess(flow, now)
+        left = request.deadline_at - now
+        drained = self._shares.drained_per_second(now)
+        return replace(refusal, retry_after=self._returns.assign(now, left, drained, self._random))
+
+    def _shortage(
+        self, request: ForwardRequest, flow: Flow | None, *, is_urgent: bool
+    ) -> RefusedReason | None:
+        """Return why this entry has no room for one more request, or `None` if it has."""
+        if flow is not None and self._is_overloaded():
+            now = self._clock.now()
+            flow.note_shortage(now)
+            if flow.is_excess(now):
+                return RefusedReason.ACCOUNT_EXCESS
         if self._memory is None:
-            return True
-        return self._memory.may_admit(request.owners, is_urgent=is_urgent)
+            return None
+        may_admit = self._memory.may_admit(request.owners, is_urgent=is_urgent, flow=flow)
+        return None if may_admit else RefusedReason.NO_MEMORY
 
     def _refuse_stopping(self) -> Refused:
         return Refused(RefusedReason.STOPPING, self._retry_after())
@@ -217,6 +265,7 @@
         route: Route,
         deadline_at: Milliseconds,
         held: FixedHolding | None,
+        flow: Flow | None,
         *,
         is_urgent: bool,
     ) -> ShardQuery | SingleForward:
@@ -242,6 +291,7 @@
             top_records=route.top_records if route.shards else 0,
             held=held,
             find_upstream=self._table.find,
+            flow=flow,
         )
         if route.shards:
             return ShardQuery(
@@ -276,60 +326,5 @@
         return retry_delay_after_refusal(self._random)
 
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
-        self._report(request, route, *_outcome_labels(outcome))
+        self._reports.report(request, route, self._version, *outcome_labels(outcome))
         return outcome
-
-    def _report(self, request: ForwardRequest, route: Route | None, name: str, reason: str) -> None:
-        elapsed = self._clock.now() - request.received_at
-        self._counters.add("requests", outcome=name, reason=reason)
-        self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
-        # Complete answers within the target are dropped first; operators ask about late ones too.
-        is_ordinary = name == "answered" and (route is None or elapsed <= route.target_latency)
-        note_event = self._events.record_low_priority if is_ordinary else self._events.record
-        note_event(
-            "request",
-            request=request.request_id,
-            **({"account": request.account} if request.account else {}),
-            route=route.name if route else "",
-            version=self._routes.configuration.version if self._routes else 0,
-            outcome=name,
-            reason=reason,
-            elapsed_ms=elapsed,
-            target_ms=route.target_latency if route else 0.0,
-            left_ms=request.deadline_at - self._clock.now(),
-            round_trip_ms=request.round_trip,
-        )
-
-
-def _outcome_labels(outcome: Outcome) -> tuple[str, str]:
-    match outcome:
-        case Relayed(reply):
-            return ("answered" if reply.status < 400 else "passed_failure"), str(reply.status)
-        case Gathered(missing=missing):
-            return ("partial", "late_parts") if missing else ("answered", "whole")
-        case Refused(reason=refused):
-            return "refused", refused.value
-        case Failed(reason=failed):
-            return "failed", failed.value
-        case NoRoute():
-            return "no_route", "no_route"
-        case Unauthorized(reason=unauthorized):
-            return "unauthorized", unauthorized.value
-
-
-def _unauthorized(request: ForwardRequest) -> Unauthorized:
-    is_unknown = bool(request.key)
-    return Unauthorized(
-        UnauthorizedReason.KEY_UNKNOWN if is_unknown else UnauthorizedReason.KEY_MISSING
-    )
-
-
-def _ranks(configuration: RouteConfiguration) -> Iterable[int]:
-    """Yield the priorities that requests can have."""
-    accounts = configuration.accounts
-    for route in configuration.routes:
-        if accounts is None or route.is_public or any(item.rank is None for item in accounts):
-            yield route.rank
-    for account in accounts or ():
-        if account.rank is not None:
-            yield account.rank
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from fulmarhold.accounts.keys import KeyRefusal
 from fulmarhold.clock import Milliseconds
 
 Headers = tuple[tuple[str, str], ...]
@@ -59,6 +60,10 @@
     NO_MEMORY = "no_memory"
     PAUSED = "paused"
     LEAVING = "leaving"
+    # Room was short, and the account asks for more than usual.
+    ACCOUNT_EXCESS = "account_excess"
+    # Whether the key is still valid is not known.
+    KEYS_UNCONFIRMED = "keys_unconfirmed"
 
 
 class FailedReason(Enum):
@@ -157,18 +162,11 @@
     version: int
 
 
-class UnauthorizedReason(Enum):
-    """Why a request that needs the key of an account has none."""
-
-    KEY_MISSING = "key_missing"
-    KEY_UNKNOWN = "key_unknown"
-
-
 @dataclass(frozen=True)
 class Unauthorized:
     """The route needs the key of a client account, and the request has none that is valid."""
 
-    reason: UnauthorizedReason
+    reason: KeyRefusal
 
 
 @dataclass(frozen=True)
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import AsyncResult
 
+from fulmarhold.accounts.keys import max_confirmed_age
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.collecting.collector import CollectorService
 from fulmarhold.collecting.collectors import Collectors
@@ -16,6 +17,7 @@
 from fulmarhold.forwarding.stopping import SEND_RESERVE, StopSchedule
 from fulmarhold.forwarding.upstreams import UpstreamTable
 from fulmarhold.limits.memory import MemoryBudget, held_bytes_limit
+from fulmarhold.limits.sharing import FairShares
 from fulmarhold.membership.coalescing import CoalescedUpdate
 from fulmarhold.membership.preference import (
     active_entries,
@@ -64,6 +66,9 @@
 # a fraction of the shortest latency target (64 ms), and far above the lag of an idle entry.
 BUSY_LAG: Milliseconds = 12.0
 IDLE_LAG: Milliseconds = 4.0
+# Above this lag, accounts that ask for more than usual are refused: about half of the shortest
+# latency target is lost before a request is read.
+OVERLOADED_LAG: Milliseconds = 30.0
 
 
 class PlatformEntry:
@@ -96,11 +101,11 @@
             settings.data_centre,
             settings.caller_endpoint,
         )
-        codec = PlatformCodec()
+        codec, shares = PlatformCodec(), FairShares()
         collector_port = int(settings.collector_endpoint.rpartition(":")[2])
         self._collectors = Collectors(own, collector_port, clock, counters)
         self._collector_service = CollectorService(
-            self._table, codec, clock, self._random, counters, events, self._memory
+            self._table, codec, clock, self._random, counters, events, self._memory, shares
         )
         self._messages = MessageServer(settings.collector_endpoint, counters)
         self._collector_service.register(self._messages)
@@ -113,6 +118,10 @@
             events,
             self._collectors.usable,
             self._memory,
+            confirmed_age=lambda: self.watcher.feed_age,
+            max_key_age=lambda: max_confirmed_age(watch.settings.revoke_within),
+            shares=shares,
+            is_overloaded=lambda: self._lag.value > OVERLOADED_LAG,
         )
         self.watcher = FleetWatcher(
             own,
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.upstreams.pool import ConnectionPool
 
 INITIAL_LATENCY: Milliseconds = 5.0
@@ -135,7 +136,9 @@
         """Whether the lease of the upstream is still valid, and its address still its own."""
         return now >= self._superseded_until and self.upstream.is_live(now)
 
-    def availability(self, now: Milliseconds, *, is_urgent: bool) -> Availability:
+    def availability(
+        self, now: Milliseconds, *, is_urgent: bool, flow: Flow | None = None
+    ) -> Availability:
         """Return why new work should not go to the upstream now, if there is a reason."""
         held = self.held_back(now)
         if held.reason is not None:
@@ -144,7 +147,7 @@
             return Availability(Reason.EJECTED, until=self.ejected_until)
         if not self.is_responsive(now):
             return Availability(Reason.UNRESPONSIVE, since=self._unanswered_since)
-        if not self.may_send(now, is_urgent=is_urgent):
+        if not self.may_send(now, is_urgent=is_urgent, flow=flow):
             return Availability(Reason.AT_LIMIT)
         return AVAILABLE
 
@@ -202,9 +205,9 @@
             return now > self._sent_at + PROBE_PERIOD
         return not self.is_stalled(now)
 
-    def may_send(self, now: Milliseconds, *, is_urgent: bool) -> bool:
+    def may_send(self, now: Milliseconds, *, is_urgent: bool, flow: Flow | None = None) -> bool:
         """Whether the concurrency limit admits one more request now."""
-        return self.concurrency.may_send(self.pool.load, now, is_urgent=is_urgent)
+        return self.concurrency.may_send(self.pool.load, now, is_urgent=is_urgent, flow=flow)
 
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
         """Return the expected latency of a new request.
--- a/fulmarhold/tests/forwarding/test_accounts.py
+++ b/fulmarhold/tests/forwarding/test_accounts.py
@@ -4,13 +4,27 @@
 
 from typing import Any
 
+import logbook
 import pytest
 
 from fulmarhold.accounts.keys import digest_of_key
 from fulmarhold.clock import ManualClock
 from fulmarhold.forwarding.forwarder import Forwarder
-from fulmarhold.forwarding.request import ForwardRequest, NoRoute, Refused, Unauthorized
+from fulmarhold.forwarding.reporting import (
+    MAX_COUNTED_ACCOUNTS,
+    OTHER_ACCOUNTS,
+    RELIEF_TIME,
+    RequestReports,
+)
+from fulmarhold.forwarding.request import (
+    ForwardRequest,
+    NoRoute,
+    Refused,
+    RefusedReason,
+    Unauthorized,
+)
 from fulmarhold.limits.budget import ExtraLoadBound
+from fulmarhold.limits.sharing import FairShares
 from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.events import EventLog
 from fulmarhold.routes.configuration import (
@@ -29,7 +43,7 @@
     def __init__(self):
         self.asked = []
 
-    def may_admit(self, owners, *, is_urgent):
+    def may_admit(self, owners, *, is_urgent, flow):
         self.asked.append(is_urgent)
         return False
 
@@ -42,7 +56,8 @@
 
 
 class Forwarding:
-    def __init__(self, accounts=ACCOUNTS):
+    def __init__(self, accounts=ACCOUNTS, *, age=0.0, max_age=float("inf")):
+        self.age, self.is_overloaded = age, False
         self.clock, self.counters, self.memory = ManualClock(), Counters(), RecordingMemory()
         nothing: Any = None
         memory: Any = self.memory
@@ -54,6 +69,9 @@
             self.counters,
             EventLog("test", self.clock, self.counters),
             memory=memory,
+            confirmed_age=lambda: self.age,
+            max_key_age=lambda: max_age,
+            is_overloaded=lambda: self.is_overloaded,
         )
         if accounts != "unknown":
             self.use(accounts)
@@ -101,6 +119,27 @@
     assert forwarding.counters.value("requests", outcome="unauthorized", reason="key_unknown") == 1
 
 
+# Guards against withdrawn keys on an entry that does not hear of it, and against refusing more.
+@pytest.mark.parametrize(
+    ("path", "key", "age", "max_age", "reason"),
+    [
+        ("keyed", b"k1", 4_000.0, 4_000.0, RefusedReason.NO_MEMORY),
+        ("keyed", b"k1", 4_000.1, 4_000.0, RefusedReason.KEYS_UNCONFIRMED),
+        ("keyed", b"wrong", 4_000.1, 4_000.0, RefusedReason.KEYS_UNCONFIRMED),
+        ("keyed", b"", float("inf"), 4_000.0, RefusedReason.KEYS_UNCONFIRMED),
+        ("public", b"k1", float("inf"), 4_000.0, RefusedReason.NO_MEMORY),
+        ("keyed", b"k1", float("inf"), float("inf"), RefusedReason.NO_MEMORY),
+    ],
+)
+def test_keys_are_accepted_while_the_knowledge_of_them_is_confirmed(
+    path, key, age, max_age, reason
+):
+    forwarding = Forwarding(age=age, max_age=max_age)
+    outcome = forwarding.send(path, key)
+    assert isinstance(outcome, Refused)
+    assert outcome.reason is reason and outcome.retry_after > 0
+
+
 # Guards against a background account that counts as urgent because of the route it uses.
 @pytest.mark.parametrize(
     ("accounts", "path", "key", "is_urgent"),
@@ -121,3 +160,56 @@
     forwarding = Forwarding(accounts)
     forwarding.send(path, key)
     assert forwarding.memory.asked == [is_urgent]
+
+
+# Guards against metrics that grow with the number of accounts.
+def test_results_are_counted_for_a_bounded_number_of_accounts():
+    counters = Counters()
+    events = EventLog("test", ManualClock(), counters)
+    reports = RequestReports(ManualClock(), counters, events)
+    for number in range(MAX_COUNTED_ACCOUNTS + 20):
+        for _ in range(2):
+            reports.count_for_account(f"a{number}", "answered")
+    assert counters.value("account_requests", account="a7", result="answered") == 2
+    assert counters.value("account_requests", account=OTHER_ACCOUNTS, result="answered") == 40
+    assert counters.value("account_requests", account="a110", result="answered") == 0
+
+
+def test_a_refused_request_is_counted_by_account_and_reason():
+    forwarding = Forwarding()
+    forwarding.send("keyed", b"k1")
+    labels = {"account": "plain", "result": "refused_no_memory"}
+    assert forwarding.counters.value("account_requests", **labels) == 1
+
+
+def test_an_account_that_gives_way_is_logged_when_that_begins_and_ends():
+    shares = FairShares()
+    shares.use([("one", 0.0)])
+    flow: Any = shares.flow("one", 0, 0.0)
+    counters = Counters()
+    reports = RequestReports(ManualClock(), counters, EventLog("test", ManualClock(), counters))
+    with logbook.TestHandler() as lines:
+        for now in (0.0, 100.0, 4_000.0):
+            reports.note_excess(flow, now)
+            reports.check_relief(now)
+        reports.check_relief(4_000.0 + RELIEF_TIME + 1)
+    messages = [record.message for record in lines.records]
+    assert len(messages) == 2 and "gives way" in messages[0] and "no longer" in messages[1]
+
+
+# Guards against an entry whose processor one account takes from the others.
+def test_an_overloaded_entry_refuses_the_account_that_asks_for_more_than_usual():
+    forwarding = Forwarding()
+    for _ in range(100):
+        for key in (b"k1", b"k2"):
+            forwarding.send("keyed", key)
+        forwarding.clock.advance(100.0)
+    reasons = {}
+    for is_overloaded in (False, True):
+        forwarding.is_overloaded = is_overloaded
+        for _ in range(200):
+            reasons[is_overloaded] = [forwarding.send("keyed", key).reason for key in (b"k1",)]
+        reasons[is_overloaded].append(forwarding.send("keyed", b"k2").reason)
+    # The memory of this fixture refuses whatever gets that far.
+    assert reasons[False] == [RefusedReason.NO_MEMORY] * 2
+    assert reasons[True] == [RefusedReason.ACCOUNT_EXCESS, RefusedReason.NO_MEMORY]
--- a/fulmarhold/upstreams/pool.py
+++ b/fulmarhold/upstreams/pool.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
 import gevent
 
 from fulmarhold.clock import SECOND
+from fulmarhold.limits.waiting import WaitingQueue
 from fulmarhold.upstreams.channel import Channel, ChannelState, Exchange
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.limits.memory import MemoryBudget
+    from fulmarhold.limits.sharing import Flow
     from fulmarhold.observe.counters import Counters
 
 CONNECT_TIMEOUT: Milliseconds = 1_000.0
@@ -38,6 +39,10 @@
 class Request(Exchange, Protocol):
     """An exchange that can expire while it waits for a connection."""
 
+    @property
+    def flow(self) -> Flow | None:
+        """The flow that it belongs to, if there are accounts."""
+
     def may_send(self) -> bool:
         """Whether it may still be sent; if not, `failed` is called with `sent=False`."""
 
@@ -49,7 +54,9 @@
 
 
 class ConnectionPool:
-    """At most `limit` connections to `address`; further requests wait in FIFO order.
+    """At most `limit` connections to `address`; further requests wait.
+
+    They wait in FIFO order, unless they belong to flows of accounts.
 
     `memory` bounds the bytes of unfinished responses, together with everything else that it counts.
     """
@@ -73,7 +80,7 @@
         self._free: list[Channel] = []
         self._channels: dict[Channel, Milliseconds] = {}
         self._connecting: set[Channel] = set()
-        self._waiting: deque[Request] = deque()
+        self._waiting: WaitingQueue[Request] = WaitingQueue(MAX_QUEUE_LENGTH)
         self._closed = False
         self._connect_after: Milliseconds = float("-inf")
         # The number of connections that the upstream is known to accept; one more may be tried.
@@ -84,7 +91,7 @@
     def load(self) -> int:
         """The number of requests that are waiting or sent and unanswered."""
         # Computed without a search: it is read for every candidate of every sub-request.
-        return len(self._channels) - len(self._free) - len(self._connecting) + len(self._waiting)
+        return len(self._channels) - len(self._free) - len(self._connecting) + self._waiting.length
 
     @property
     def connections(self) -> int:
@@ -144,13 +151,14 @@
             request.failed("pool closed", sent=False)
         elif channel := self._take_free(now):
             channel.send(request, now)
-        elif len(self._waiting) >= MAX_QUEUE_LENGTH:
-            request.failed("queue full", sent=False)
         elif now < self._connect_after and not self._channels:
             request.failed(CONNECT_REFUSED, sent=False)
         else:
-            self._waiting.append(request)
-            self._open_if_wanted()
+            displaced = self._waiting.offer(request, now)
+            if displaced is not None:
+                displaced.failed("queue full", sent=False)
+            if displaced is not request:
+                self._open_if_wanted()
 
     def _take_free(self, now: Milliseconds) -> Channel | None:
         """Return the most recently used free connection; close those that are about to expire."""
@@ -202,8 +210,7 @@
 
     def fail_waiting(self, reason: str) -> None:
         """Fail the requests that wait for a connection; none of them was sent."""
-        waiting, self._waiting = self._waiting, deque()
-        for request in waiting:
+        for request in self._waiting.clear():
             request.failed(reason, sent=False)
 
     def take_bytes(self) -> int:
@@ -253,7 +260,7 @@
             channel.close("upstream left")
             return
         while self._waiting:
-            request = self._waiting.popleft()
+            request = self._waiting.take(self._clock.now())
             if request.may_send():
                 channel.send(request, self._clock.now())
                 return
