Limit accounts to their quota over all entries

Entries report what they hold and used to the leader of control, which grants tokens; a request beyond the quota is refused with 429 and Retry-After. Deployments without accounts, and accounts without a rate, exchange no message.

--- a/fulmarhold/accounts/account_state.py
+++ b/fulmarhold/accounts/account_state.py
@@ -15,7 +15,9 @@
 
 # How long the tokens that an entry wants to hold are expected to last. Bridges an election, and is
 # less than tokens are valid.
-HORIZON: Milliseconds = 1_500.0
+HORIZON: Milliseconds = 2_000.0
+# The same while the leader has too few: others need them more.
+EXHAUSTED_HORIZON: Milliseconds = 500.0
 # Fewer requests than this in `HORIZON` need no token in advance.
 FEW_REQUESTS = 0.1
 
@@ -98,6 +100,9 @@
         self.mark += 1
 
     def wanted_level(self, now: Milliseconds) -> int:
-        """Return how many tokens the expected requests need."""
-        expected = self.demand.rate(now) * HORIZON
-        return 0 if expected < FEW_REQUESTS else math.ceil(expected) + 1
+        """Return how many tokens the expected requests need in addition to the reserve."""
+        horizon = EXHAUSTED_HORIZON if self.is_exhausted else HORIZON
+        expected = self.demand.rate(now) * horizon
+        if expected < FEW_REQUESTS:
+            return 0
+        return max(0, math.ceil(expected) + 1 - int(self.reserve.content))
--- a/fulmarhold/accounts/bucket.py
+++ b/fulmarhold/accounts/bucket.py
@@ -30,9 +30,16 @@
 MAX_RESERVE_SHARE = 0.9
 # With less capacity, the leader could never grant a token. The fill is lowered instead.
 MIN_CAPACITY = 2.0
+# Nor could it keep up with the rate: tokens count as outstanding for a report period and a round
+# trip after their use.
+MIN_CAPACITY_TIME: Milliseconds = 500.0
 # The share of the capacity that may be outstanding. The rest is what a new leader may grant while
 # it does not know what its predecessor has granted.
-MAX_OUTSTANDING_SHARE = 0.7
+MAX_OUTSTANDING_SHARE = 0.85
+# The part of the available tokens that an entry is granted at most: if it holds some already, and
+# if it holds none.
+STOCKED_PART = 0.25
+EMPTY_PART = 0.5
 
 
 @dataclass(frozen=True)
@@ -88,7 +95,8 @@
     usable = (1 - MARGIN) * overage
     reserve = max(RESERVE_SHARE * usable, min(MAX_RESERVE_SHARE * usable, SMALL_RESERVE))
     available = limit.burst + usable - reserve
-    capacity = max(available, min(MIN_CAPACITY, limit.rate * seconds + available))
+    least = max(MIN_CAPACITY, limit.rate * MIN_CAPACITY_TIME / SECOND)
+    capacity = max(available, min(least, limit.rate * seconds + available))
     rate = limit.rate - (capacity - available) / seconds
     return QuotaParts(reserve, capacity, MAX_OUTSTANDING_SHARE * capacity, rate / SECOND)
 
@@ -122,14 +130,15 @@
         room = max(0.0, capacity - self.outstanding)
         self.content = min(self.content + rate * elapsed, room)
 
-    def grant(self, wanted: int, parts: QuotaParts) -> int:
+    def grant(self, wanted: int, parts: QuotaParts, held: int = 0) -> int:
         """Return how many of the wanted tokens are granted, and record them as outstanding.
 
-        While tokens are short, an entry gets half of them at most, so that some are left for the
+        While tokens are short, an entry gets a part of them at most, so that some are left for the
         others that report next.
         """
         room = min(self.content, parts.max_outstanding - self.outstanding)
-        granted = int(min(wanted, max(room / 2, min(room, 1.0))))
+        part = STOCKED_PART if held else EMPTY_PART
+        granted = int(min(wanted, max(part * room, min(room, 1.0))))
         if granted <= 0:
             return 0
         self.content -= granted
--- a/fulmarhold/accounts/leases.py
+++ b/fulmarhold/accounts/leases.py
@@ -30,7 +30,7 @@
 # leader; half of the default window, so that a lower limit is binding one window after the change.
 LEASE: Milliseconds = 2_500.0
 # Two reports, and the round trip to another region.
-NEW_LEASE: Milliseconds = 700.0
+NEW_LEASE: Milliseconds = 500.0
 # How much later the leader ends a session than the entry: a share for clocks that run at different
 # speeds, and a fixed part for rounding.
 EXPIRY_FACTOR = 1.01
@@ -176,7 +176,7 @@
             return GrantItem(item.account, 0, False)
         bucket.settle(recorded, held, unused)
         self._fill(item.account, bucket, now)
-        granted = bucket.grant(item.wanted, self._parts(item.account)) if item.wanted > 0 else 0
+        granted = bucket.grant(max(0, item.wanted), self._parts(item.account), held)
         if held + granted:
             session.held[item.account] = held + granted
         return GrantItem(item.account, granted, granted < item.wanted)
--- a/fulmarhold/accounts/quota.py
+++ b/fulmarhold/accounts/quota.py
@@ -251,11 +251,12 @@
 
     def _is_due(self, account: AccountState, now: Milliseconds) -> bool:
         level = account.wanted_level(now)
+        use_period = REPORT_PERIOD if account.is_exhausted else USE_PERIOD
         return (
             account.is_reserve_used
             or account.total < LOW_SHARE * level
             or account.held > HIGH_SHARE * level
-            or (account.used > 0 and now >= account.reported_at + USE_PERIOD)
+            or (account.used > 0 and now >= account.reported_at + use_period)
         )
 
     def _item(self, name: str, now: Milliseconds) -> ReportItem:
--- a/fulmarhold/accounts/reserve.py
+++ b/fulmarhold/accounts/reserve.py
@@ -149,6 +149,11 @@
         self._filled_at: Milliseconds = -NEVER
         self._used_at: Milliseconds = -NEVER
 
+    @property
+    def content(self) -> float:
+        """How many requests it has."""
+        return self._content
+
     @property
     def used_at(self) -> Milliseconds:
         """When it was last used."""
--- /dev/null
+++ b/fulmarhold/control/quota_client.py
@@ -0,0 +1,133 @@
+"""Exchanges an entry's reports and the leader's grants."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+
+from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.control.messages import NotLeading
+from fulmarhold.control.quota_messages import GrantQuotas, encode_report
+from fulmarhold.errors import FulmarholdError
+from fulmarhold.observe.limited import LimitedLog
+from fulmarhold.observe.logs import get_logger
+from fulmarhold.wire.client import Link
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarhold.accounts.leases import Report
+    from fulmarhold.accounts.quota import EntryQuota
+    from fulmarhold.clock import Clock
+    from fulmarhold.observe.counters import Counters
+    from fulmarhold.observe.events import EventLog
+    from fulmarhold.observe.traffic import TrafficCounter
+
+log = get_logger("quotas")
+
+# How often it is checked whether something has to be reported: while accounts have limits, and
+# otherwise.
+CHECK_PERIOD: Milliseconds = 50.0
+UNUSED_CHECK_PERIOD: Milliseconds = 250.0
+# Two round trips between regions. A later answer could not be told from that to the next report.
+ANSWER_TIMEOUT: Milliseconds = 400.0
+# Pause after a failure, while a leader is elected.
+RETRY_PAUSE: Milliseconds = 100.0
+
+
+class QuotaClient:
+    """Reports to the leader, which any control instance names.
+
+    `sources` returns the endpoints of control instances, the preferred one first, and
+    `data_centre_of` the data centre of an endpoint.
+    """
+
+    def __init__(
+        self,
+        quota: EntryQuota,
+        sources: Callable[[], list[str]],
+        data_centre_of: Callable[[str], str],
+        traffic: TrafficCounter,
+        clock: Clock,
+        counters: Counters,
+        events: EventLog,
+    ) -> None:
+        self._quota = quota
+        self._sources = sources
+        self._data_centre_of = data_centre_of
+        self._traffic = traffic
+        self._clock = clock
+        self._counters = counters
+        self._events = events
+        self._failures = LimitedLog(log, clock)
+        self._link: Link | None = None
+        self._attempt = 0
+
+    def run(self) -> None:
+        """Report whatever has changed, until killed."""
+        while True:
+            period = CHECK_PERIOD if self._quota.has_limits else UNUSED_CHECK_PERIOD
+            gevent.sleep(period / SECOND)
+            self._log_changes()
+            asked_at = self._clock.now()
+            report = self._quota.report(asked_at)
+            if report is not None:
+                self._exchange(report, asked_at)
+
+    def close(self) -> None:
+        """Close the connection to the leader."""
+        if self._link is not None:
+            self._link.close()
+            self._link = None
+
+    def _exchange(self, report: Report, asked_at: Milliseconds) -> None:
+        link = self._link or self._next_link()
+        try:
+            answer = link.call(encode_report(report), ANSWER_TIMEOUT)
+        except FulmarholdError as error:
+            self._counters.add("quota_exchanges", result=type(error).__name__)
+            self._failures.warning("report of quotas failed: {}", error)
+            self._switch_to(None)
+            gevent.sleep(RETRY_PAUSE / SECOND)
+            return
+        finally:
+            self._traffic.add("quotas", link.take_bytes(), self._data_centre_of(link.endpoint))
+        if isinstance(answer, GrantQuotas):
+            is_used = self._quota.accept(answer.grant(), report, asked_at, self._clock.now())
+            self._counters.add("quota_exchanges", result="granted" if is_used else "late")
+        elif isinstance(answer, NotLeading):
+            self._counters.add("quota_exchanges", result="not_leading")
+            self._switch_to(answer.leader)
+            if answer.leader is None or answer.leader == link.endpoint:
+                gevent.sleep(RETRY_PAUSE / SECOND)
+        else:
+            self._counters.add("quota_exchanges", result="ignored")
+
+    def _next_link(self) -> Link:
+        """Return a link to the next control instance."""
+        sources = self._sources()
+        endpoint = sources[self._attempt % len(sources)]
+        self._attempt += 1
+        self._link = Link(endpoint)
+        return self._link
+
+    def _switch_to(self, leader: str | None) -> None:
+        """Use another connection for the next report."""
+        self.close()
+        if leader is not None:
+            self._attempt = 0
+            self._link = Link(leader)
+
+    def _log_changes(self) -> None:
+        for change in self._quota.take_changes(self._clock.now()):
+            name = "account_at_limit" if change.is_limited else "account_below_limit"
+            self._events.record(
+                name,
+                account=change.account,
+                rate_per_s=change.rate,
+                demand_per_s=change.demand,
+                held=change.held,
+                refused=change.refused,
+                contact_age_ms=change.contact_age,
+            )
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from fulmarhold.accounts.account_state import ADMITTED, Admitted, QuotaExceeded
 from fulmarhold.accounts.keys import KeyTable
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
@@ -34,6 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+    from fulmarhold.accounts.account_state import QuotaUnknown
+    from fulmarhold.accounts.gate import AccountGate
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.collecting.remote import Collector
     from fulmarhold.forwarding.codec import UpstreamCodec
@@ -70,7 +73,9 @@
         events: EventLog,
         find_collectors: Callable[[], Mapping[str, Collector]] = dict,
         memory: MemoryBudget | None = None,
+        gate: AccountGate | None = None,
     ) -> None:
+        self._gate = gate
         self._find_collectors = find_collectors
         self._memory = memory
         self._table = table
@@ -167,6 +172,9 @@
         if not self._has_memory(request, is_urgent=is_urgent):
             refusal = Refused(RefusedReason.NO_MEMORY, self._retry_after())
             return self._finish(request, route, refusal)
+        admission = self._gate.admit(account.name) if self._gate and account else ADMITTED
+        if not isinstance(admission, Admitted):
+            return self._finish(request, route, _beyond_quota(admission))
         held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
         operation = self._operation(request, route, deadline_at, held, is_urgent=is_urgent)
         on_disconnect(operation.caller_gone)
@@ -179,7 +187,11 @@
             if held is not None:
                 held.release()
         elapsed = self._clock.now() - request.received_at
-        if not isinstance(outcome, Refused):
+        if isinstance(outcome, Refused):
+            if self._gate and account:
+                # Refused requests have not run and never will.
+                self._gate.give_back(account.name, admission)
+        else:
             self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
         return self._finish(request, route, outcome)
 
@@ -316,6 +328,12 @@
             return "unauthorized", unauthorized.value
 
 
+def _beyond_quota(admission: QuotaExceeded | QuotaUnknown) -> Refused:
+    is_known = isinstance(admission, QuotaExceeded)
+    reason = RefusedReason.QUOTA_EXCEEDED if is_known else RefusedReason.QUOTA_UNKNOWN
+    return Refused(reason, admission.retry_after)
+
+
 def _unauthorized(request: ForwardRequest) -> Unauthorized:
     is_unknown = bool(request.key)
     return Unauthorized(
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -57,6 +57,8 @@
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
     NO_MEMORY = "no_memory"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNKNOWN = "quota_unknown"
 
 
 class FailedReason(Enum):
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -91,6 +91,16 @@
         """Time since a majority of control last confirmed the data that this entry has."""
         return self._clock.now() - self._confirmed_at
 
+    def control_endpoints(self) -> list[str]:
+        """Return the endpoints of control instances, that of the followed one first."""
+        followed = [self._endpoint] if self._endpoint else []
+        return list(dict.fromkeys((*followed, *self._sources())))
+
+    def control_data_centre(self, endpoint: str) -> str:
+        """Return the data centre of a control instance, empty if that is unknown."""
+        instance = self._control_instances().get(endpoint)
+        return instance.data_centre if instance else ""
+
     def announce(self, state: State, is_busy: bool = False) -> None:
         """Change the state of this instance and send it to the source at once."""
         sequence = self._own.sequence + 1
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -15,6 +15,7 @@
 from fulmarhold.control.feeds import FeedService
 from fulmarhold.control.formation import Formation
 from fulmarhold.control.machine import ControlMachine
+from fulmarhold.control.quotas import QuotaService
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.control.versions import DECISION_TIMEOUT, VersionService
 from fulmarhold.daemons import spawn_essential
@@ -22,6 +23,7 @@
 from fulmarhold.membership.statements import READY, InstanceStatement
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.observe.traffic import TrafficCounter
+from fulmarhold.platform.documents import decode_configuration, unpack_document
 from fulmarhold.platform.settings_watch import serve_application, serve_metrics
 from fulmarhold.wire.links import Links
 from fulmarhold.wire.server import MessageServer
@@ -29,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from fulmarhold.accounts.bucket import QuotaLimit
     from fulmarhold.clock import Clock
     from fulmarhold.observe.counters import Counters, Gauge
     from fulmarhold.platform.settings_watch import SettingsWatch
@@ -93,13 +96,16 @@
             clock,
         )
         self._versions = VersionService(self.node, machine, clock, counters)
+        self._quotas = QuotaService(
+            self.node, machine, _decode_limits, settings.quota_bound, clock, counters
+        )
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
         self._clock = clock
         self._counters = counters
         self._servers: list[Any] = []
         self._messages = MessageServer(settings.peer_endpoint, counters)
         self._messages.handle(MemberMessage, member_message_handler(self.node))
-        for part in (self._feeds, self._formation, self._versions):
+        for part in (self._feeds, self._formation, self._versions, self._quotas):
             part.register(self._messages)
 
     def start(self) -> None:
@@ -108,7 +114,7 @@
         self._messages.start()
         self._greenlets = [
             spawn_essential(self.failure, part.run)
-            for part in (self._formation, self._feeds, self._watch)
+            for part in (self._formation, self._feeds, self._watch, self._quotas)
         ]
         self._counters.register_gauges(self._gauges)
         self._operators = spawn_essential(self.failure, self._serve_operators)
@@ -187,6 +193,7 @@
         yield "control_instances_known", {}, float(len(self._feeds.instances))
         yield "control_can_store", {}, float(self.node.can_store)
         yield from self._memory.gauges()
+        yield from self._quotas.gauges()
         if self.node.is_formed:
             core = self.node.core
             yield "control_leads", {}, float(self._leads)
@@ -195,3 +202,8 @@
             yield "control_confirmed_age_ms", {}, self.node.confirmed_age()
             yield "control_voters", {}, float(len(core.members.voters))
             yield "control_votes", {}, float(core.identity in core.members.voters)
+
+
+def _decode_limits(document: bytes) -> dict[str, QuotaLimit]:
+    """Return the quotas in a stored configuration."""
+    return decode_configuration(unpack_document(document)).quota_limits
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -8,9 +8,12 @@
 import gevent
 from gevent.event import AsyncResult
 
+from fulmarhold.accounts.gate import AccountGate
+from fulmarhold.accounts.quota import EntryQuota
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.collecting.collector import CollectorService
 from fulmarhold.collecting.collectors import Collectors
+from fulmarhold.control.quota_client import QuotaClient
 from fulmarhold.daemons import spawn_essential
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.stopping import SEND_RESERVE, StopSchedule
@@ -27,6 +30,7 @@
 from fulmarhold.membership.watcher import FleetWatcher
 from fulmarhold.observe.lag import LoopLag
 from fulmarhold.observe.logs import get_logger
+from fulmarhold.observe.traffic import TrafficCounter
 from fulmarhold.platform.documents import decode_configuration, unpack_document
 from fulmarhold.platform.headers import PlatformCodec, read_request, write_outcome
 from fulmarhold.platform.settings import DIRECTORY_ANSWER_TTL
@@ -93,6 +97,9 @@
             settings.data_centre,
             settings.caller_endpoint,
         )
+        self._quota = EntryQuota(
+            own.name, own.born, settings.quota_bound, self._random, clock.now()
+        )
         codec = PlatformCodec()
         collector_port = int(settings.collector_endpoint.rpartition(":")[2])
         self._collectors = Collectors(own, collector_port, clock, counters)
@@ -110,6 +117,7 @@
             events,
             self._collectors.usable,
             self._memory,
+            AccountGate(self._quota, clock, counters),
         )
         self.watcher = FleetWatcher(
             own,
@@ -119,6 +127,15 @@
             clock,
             counters,
         )
+        self._quota_client = QuotaClient(
+            self._quota,
+            self.watcher.control_endpoints,
+            self.watcher.control_data_centre,
+            TrafficCounter(settings.data_centre, counters),
+            clock,
+            counters,
+            events,
+        )
         self._front = FrontServer(
             settings.caller_endpoint,
             self._handle_request,
@@ -137,6 +154,7 @@
             spawn_essential(self.failure, self._watch.run),
             spawn_essential(self.failure, self._maintain),
             spawn_essential(self.failure, self._lag.run),
+            spawn_essential(self.failure, self._quota_client.run),
         ]
         gevent.sleep(0)
         # Accept callers before this import: importing the web framework takes as long as receiving
@@ -176,6 +194,7 @@
         ]
         gevent.joinall(servers, timeout=CLOSING_TIME / SECOND)
         self._collectors.close()
+        self._quota_client.close()
         self._table.close()
         self._report_stop("exiting", cut=self.forwarder.report_cut())
 
@@ -225,6 +244,7 @@
     def _apply_configuration(self, version: int, document: bytes) -> None:
         routes = RouteTable(decode_configuration(unpack_document(document)))
         self.forwarder.use(routes)
+        self._quota.use_limits(routes.configuration.quota_limits, self._clock.now())
         # The upstreams of a new route must be in the table before requests arrive for it.
         self._fleet_update.expedite()
         log.info("configuration version {} applied, {} routes", version, len(routes))
@@ -237,7 +257,9 @@
         services = routes.configuration.services if routes else ()
         upstreams = self.watcher.serving_upstreams(services)
         self._active = self._active_entries(upstreams)
-        self._settling.update({item.name for item in self._active}, self._clock.now())
+        names, now = {item.name for item in self._active}, self._clock.now()
+        self._settling.update(names, now)
+        self._quota.update_active(names, now)
         self._collectors.update(self._active)
         self._update_upstreams(upstreams)
 
@@ -274,6 +296,7 @@
             self._fleet_update.run_pending()
             self._table.maintain()
             self._collectors.maintain()
+            self._quota.note_contact(self._clock.now() - self.watcher.feed_age)
             self.forwarder.refill_budgets()
             limit = held_bytes_limit(self._settings.memory_bytes, len(self._table.replicas))
             self._memory.resize(limit)
@@ -301,5 +324,7 @@
         yield "entry_collections", {}, float(self._collector_service.in_flight)
         yield "entry_caller_connections", {}, float(self._front.connections)
         yield "entry_upstreams", {}, float(len(replicas))
+        yield "account_tokens_held", {}, float(self._quota.held)
+        yield "account_states", {}, float(self._quota.accounts)
         yield from self._memory.gauges()
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -13,6 +13,7 @@
     Gathered,
     NoRoute,
     Refused,
+    RefusedReason,
     Relayed,
     Reply,
     Unauthorized,
@@ -138,7 +139,8 @@
             return RawResponse(200, parts, records)
         case Refused(reason, retry_after):
             headers = (("Retry-After", f"{retry_after / SECOND:.3f}"),)
-            return RawResponse(503, headers, reason.value.encode())
+            status = 429 if reason is RefusedReason.QUOTA_EXCEEDED else 503
+            return RawResponse(status, headers, reason.value.encode())
         case NoRoute():
             return RawResponse(404, body=b"no route")
         case Unauthorized(unauthorized):
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -10,6 +10,7 @@
 
 from msgspec import Meta, Struct, field
 
+from fulmarhold.accounts.bucket import QuotaBound
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.limits.budget import ExtraLoadBound
@@ -24,6 +25,7 @@
 # Also named in the deployment file: the platform scrapes every instance's metrics on this port.
 METRICS_PORT = 9_464
 SETTINGS_VARIABLE = "FULMARHOLD_SETTINGS"
+DEFAULT_QUOTA_BOUND = QuotaBound()
 
 
 Count = Annotated[int, Meta(ge=0)]
@@ -39,6 +41,9 @@
     retry_window_seconds: Annotated[float, Meta(gt=0)] = field(default=10.0, name="retryWindowS")
     grace_seconds: float = field(default=6.0, name="graceS")
     max_ttl_seconds: float = field(default=5.0, name="ttl_max_s")
+    quota_window_seconds: Annotated[float, Meta(gt=0)] = field(default=5.0, name="quotaWindowS")
+    quota_overage: Annotated[float, Meta(ge=0)] = field(default=0.1, name="quotaOverage")
+    quota_slack: Annotated[float, Meta(ge=0)] = field(default=20.0, name="quotaSlack")
 
 
 class _Limits(Struct, frozen=True):
@@ -96,6 +101,7 @@
     grace: Milliseconds
     # How much memory the process may use, zero if that is not limited.
     memory_bytes: int = 0
+    quota_bound: QuotaBound = DEFAULT_QUOTA_BOUND
 
 
 def settings_path() -> Path:
@@ -156,4 +162,9 @@
         ),
         grace=values.bounds.grace_seconds * SECOND,
         memory_bytes=int(limits.memory_mebibytes or 0) * MEBIBYTE,
+        quota_bound=QuotaBound(
+            values.bounds.quota_window_seconds * SECOND,
+            values.bounds.quota_overage,
+            values.bounds.quota_slack,
+        ),
     )
--- a/fulmarhold/routes/configuration.py
+++ b/fulmarhold/routes/configuration.py
@@ -10,6 +10,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import TYPE_CHECKING
 
+from fulmarhold.accounts.bucket import QuotaLimit
 from fulmarhold.accounts.keys import accounts_sharing_a_key
 from fulmarhold.clock import HOUR
 from fulmarhold.settings.problems import InvalidSettings, Problem
@@ -117,6 +118,12 @@
     limits: CallerLimits = CallerLimits()
     accounts: tuple[ClientAccount, ...] | None = None
 
+    @property
+    def quota_limits(self) -> dict[str, QuotaLimit]:
+        """The quotas of the accounts that have one."""
+        accounts = self.accounts or ()
+        return {item.name: QuotaLimit(item.rate, item.burst) for item in accounts if item.rate > 0}
+
 
 def check_new_configuration(configuration: RouteConfiguration) -> None:
     """Raise `InvalidSettings` with all problems of a configuration that is to be accepted.
--- a/fulmarhold/tests/accounts/model.py
+++ b/fulmarhold/tests/accounts/model.py
@@ -31,7 +31,7 @@
         self.name = name
         self.quota: Any = None
         self.born = 0
-        self.is_open = False
+        self.open_report: Any = None
         self.is_cut = False
         self.suspended_until = 0.0
         self.limits_version = 0
@@ -81,7 +81,7 @@
         """Replace an entry by a new run that knows nothing but the configuration."""
         entry.born += 1
         entry.quota = EntryQuota(entry.name, entry.born, self.bound, self.random, self.now)
-        entry.is_open, entry.suspended_until = False, 0.0
+        entry.open_report, entry.suspended_until = None, 0.0
         entry.limits_version = 0
         entry.next_contact = self.now
         self._contact(entry)
@@ -178,16 +178,16 @@
         if not entry.is_cut and self.now >= entry.next_contact:
             entry.next_contact = self.now + CONTACT_PERIOD
             self._contact(entry)
-        if entry.is_open:
+        if entry.open_report is not None:
             return
         report = entry.quota.report(self.now)
         if report is None:
             return
         self.messages += 1
         self.items += len(report.items)
-        entry.is_open = True
+        entry.open_report = report
         quota, asked_at = entry.quota, self.now
-        self.at(self.now + REPLY_TIMEOUT, lambda: self._close(entry, quota))
+        self.at(self.now + REPLY_TIMEOUT, lambda: self._close(entry, report))
         if not entry.is_cut:
             self.at(self.now + self.delay(), lambda: self._answer(entry, quota, report, asked_at))
 
@@ -219,8 +219,8 @@
             )
             return
         quota.accept(grant, report, asked_at, self.now)
-        self._close(entry, quota)
+        self._close(entry, report)
 
-    def _close(self, entry: ModelEntry, quota: Any) -> None:
-        if entry.quota is quota:
-            entry.is_open = False
+    def _close(self, entry: ModelEntry, report: Report) -> None:
+        if entry.open_report is report:
+            entry.open_report = None
--- a/fulmarhold/tests/accounts/test_quota_bound.py
+++ b/fulmarhold/tests/accounts/test_quota_bound.py
@@ -48,7 +48,7 @@
 # Sequences that random ones seldom contain: each breaks the bound if one rule is left out.
 HOLD_ON_FIRST = (("trickle", {0}, 10, 70.0), ("suspend", 0, 2_000.0))
 EVERYONE = set(range(ENTRIES))
-CASES = {
+CASES: dict[str, list[tuple[Any, ...]]] = {
     "two leaders in short order": [
         *HOLD_ON_FIRST, ("elect", True), ("wait", 90.0), ("trickle", {1}, 2, 70.0),
         ("suspend", 1, 2_000.0), ("elect", True), ("trickle", {2}, 2, 70.0),
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -58,6 +58,7 @@
                 key, _, value = field.decode().partition(":")
                 headers[key.lower()] = value.strip()
             self.targets.append(line.split(b" ")[1].decode())
+            self._note()
             gevent.sleep(self.delay)
             is_meant = headers["x-fulmarhold-target-instance"] == self.name
             body = RECORD * self.records if is_meant else b""
@@ -72,6 +73,9 @@
                 )
             )
 
+    def _note(self):
+        """Note a request, for tests that need more than its target."""
+
     def send_heartbeat(self, state="ready", control=CONTROL[0]):
         self.sequence += 1
         body = {
@@ -200,14 +204,14 @@
     return wait_for(attempt, lambda answer: answer.status in (200, 400))
 
 
-def send_request(entry, path="/a/x", request_id="id-1"):
+def send_request(entry, path="/a/x", request_id="id-1", fields=""):
     """Send a request over a new connection; returns status, headers and body."""
     with gevent.socket.create_connection(
         (entry, CALLER_PORT), timeout=TIMEOUT_SECONDS
     ) as connection:
         connection.sendall(
             f"GET {path} HTTP/1.1\r\nHost: h.example\r\nX-Fulmarhold-Attempt-Id: {request_id}\r\n"
-            "X-Fulmarhold-Request-Deadline: 4000\r\nConnection: close\r\n\r\n".encode()
+            f"X-Fulmarhold-Request-Deadline: 4000\r\n{fields}Connection: close\r\n\r\n".encode()
         )
         received = b""
         while part := connection.recv(65_536):
