--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from fulmarhold.accounts.account_state import ADMITTED, Admitted, QuotaExceeded
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
 from fulmarhold.forwarding.identification import Identification, Identified, possible_ranks
@@ -35,6 +36,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+    from fulmarhold.accounts.account_state import QuotaUnknown
+    from fulmarhold.accounts.gate import AccountGate
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.collecting.remote import Collector
     from fulmarhold.forwarding.codec import UpstreamCodec
@@ -86,7 +89,9 @@
         max_key_age: Callable[[], Milliseconds] = lambda: float("inf"),
         shares: FairShares | None = None,
         is_overloaded: Callable[[], bool] = lambda: False,
+        gate: AccountGate | None = None,
     ) -> None:
+        self._gate = gate
         self._find_collectors = find_collectors
         self._memory = memory
         self._table = table
@@ -192,6 +197,10 @@
         if reason is not None:
             refusal = self._schedule_return(request, flow, Refused(reason, self._retry_after()))
             return self._finish(request, route, refusal)
+        account = identified.account
+        admission = self._gate.admit(account.name) if self._gate and account else ADMITTED
+        if not isinstance(admission, Admitted):
+            return self._finish(request, route, _beyond_quota(admission))
         held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
         operation = self._operation(request, route, deadline_at, held, flow, is_urgent=is_urgent)
         on_disconnect(operation.caller_gone)
@@ -204,10 +213,13 @@
             if held is not None:
                 held.release()
         elapsed = self._clock.now() - request.received_at
-        if not isinstance(outcome, Refused):
-            self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
-        else:
+        if isinstance(outcome, Refused):
+            if self._gate and account:
+                # Refused requests have not run and never will.
+                self._gate.give_back(account.name, admission)
             outcome = self._schedule_return(request, flow, outcome)
+        else:
+            self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
         return self._finish(request, route, outcome)
 
     def report_cut(self) -> int:
@@ -328,3 +340,9 @@
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
         self._reports.report(request, route, self._version, *outcome_labels(outcome))
         return outcome
+
+
+def _beyond_quota(admission: QuotaExceeded | QuotaUnknown) -> Refused:
+    is_known = isinstance(admission, QuotaExceeded)
+    reason = RefusedReason.QUOTA_EXCEEDED if is_known else RefusedReason.QUOTA_UNKNOWN
+    return Refused(reason, admission.retry_after)
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -64,6 +64,8 @@
     ACCOUNT_EXCESS = "account_excess"
     # Whether the key is still valid is not known.
     KEYS_UNCONFIRMED = "keys_unconfirmed"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNKNOWN = "quota_unknown"
 
 
 class FailedReason(Enum):
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -8,10 +8,13 @@
 import gevent
 from gevent.event import AsyncResult
 
+from fulmarhold.accounts.gate import AccountGate
 from fulmarhold.accounts.keys import max_confirmed_age
+from fulmarhold.accounts.quota import EntryQuota
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.collecting.collector import CollectorService
 from fulmarhold.collecting.collectors import Collectors
+from fulmarhold.control.quota_client import QuotaClient
 from fulmarhold.daemons import spawn_essential
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.stopping import SEND_RESERVE, StopSchedule
@@ -29,6 +32,7 @@
 from fulmarhold.membership.watcher import FleetWatcher
 from fulmarhold.observe.lag import LoopLag
 from fulmarhold.observe.logs import get_logger
+from fulmarhold.observe.traffic import TrafficCounter
 from fulmarhold.platform.documents import decode_configuration, unpack_document
 from fulmarhold.platform.headers import PlatformCodec, read_request, write_outcome
 from fulmarhold.platform.settings import DIRECTORY_ANSWER_TTL
@@ -101,6 +105,9 @@
             settings.data_centre,
             settings.caller_endpoint,
         )
+        self._quota = EntryQuota(
+            own.name, own.born, settings.quota_bound, self._random, clock.now()
+        )
         codec, shares = PlatformCodec(), FairShares()
         collector_port = int(settings.collector_endpoint.rpartition(":")[2])
         self._collectors = Collectors(own, collector_port, clock, counters)
@@ -122,6 +129,7 @@
             max_key_age=lambda: max_confirmed_age(watch.settings.revoke_within),
             shares=shares,
             is_overloaded=lambda: self._lag.value > OVERLOADED_LAG,
+            gate=AccountGate(self._quota, clock, counters),
         )
         self.watcher = FleetWatcher(
             own,
@@ -131,6 +139,15 @@
             clock,
             counters,
         )
+        self._quota_client = QuotaClient(
+            self._quota,
+            self.watcher.control_endpoints,
+            self.watcher.control_data_centre,
+            TrafficCounter(settings.data_centre, counters),
+            clock,
+            counters,
+            events,
+        )
         self._front = FrontServer(
             settings.caller_endpoint,
             self._handle_request,
@@ -149,6 +166,7 @@
             spawn_essential(self.failure, self._watch.run),
             spawn_essential(self.failure, self._maintain),
             spawn_essential(self.failure, self._lag.run),
+            spawn_essential(self.failure, self._quota_client.run),
         ]
         gevent.sleep(0)
         # Accept callers before this import: importing the web framework takes as long as receiving
@@ -188,6 +206,7 @@
         ]
         gevent.joinall(servers, timeout=CLOSING_TIME / SECOND)
         self._collectors.close()
+        self._quota_client.close()
         self._table.close()
         self._report_stop("exiting", cut=self.forwarder.report_cut())
 
@@ -237,6 +256,7 @@
     def _apply_configuration(self, version: int, document: bytes) -> None:
         routes = RouteTable(decode_configuration(unpack_document(document)))
         self.forwarder.use(routes)
+        self._quota.use_limits(routes.configuration.quota_limits, self._clock.now())
         # The upstreams of a new route must be in the table before requests arrive for it.
         self._fleet_update.expedite()
         log.info("configuration version {} applied, {} routes", version, len(routes))
@@ -252,7 +272,9 @@
         upstreams = [item for item in serving if item.data_centre not in evacuated]
         self._evacuated = [item for item in serving if item.data_centre in evacuated]
         self._active = self._active_entries(upstreams)
-        self._settling.update({item.name for item in self._active}, self._clock.now())
+        names, now = {item.name for item in self._active}, self._clock.now()
+        self._settling.update(names, now)
+        self._quota.update_active(names, now)
         self._collectors.update(self._active)
         self._update_upstreams(upstreams)
 
@@ -290,6 +312,7 @@
             self._fleet_update.run_pending()
             self._table.maintain()
             self._collectors.maintain()
+            self._quota.note_contact(self._clock.now() - self.watcher.feed_age)
             self.forwarder.refill_budgets()
             limit = held_bytes_limit(self._settings.memory_bytes, len(self._table.replicas))
             self._memory.resize(limit)
@@ -324,5 +347,7 @@
         yield "entry_evacuated_data_centres", {}, float(len(evacuations.data_centres))
         yield "entry_evacuations_version", {}, float(evacuations.version)
         yield "entry_upstreams_evacuated", {}, float(len(self._evacuated))
+        yield "account_tokens_held", {}, float(self._quota.held)
+        yield "account_states", {}, float(self._quota.accounts)
         yield from self._memory.gauges()
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -10,6 +10,7 @@
 
 from msgspec import Meta, Struct, field
 
+from fulmarhold.accounts.bucket import QuotaBound
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.limits.budget import ExtraLoadBound
@@ -24,6 +25,7 @@
 # Also named in the deployment file: the platform scrapes every instance's metrics on this port.
 METRICS_PORT = 9_464
 SETTINGS_VARIABLE = "FULMARHOLD_SETTINGS"
+DEFAULT_QUOTA_BOUND = QuotaBound()
 
 
 Count = Annotated[int, Meta(ge=0)]
@@ -42,6 +44,9 @@
     # Whether the time in which withdrawn keys end holds on instances without contact, too.
     is_revoke_strict: bool = field(default=False, name="strictRevoke")
     revoke_within: Annotated[Milliseconds, Meta(gt=0)] = field(default=5_000.0, name="revokeMs")
+    quota_window_seconds: Annotated[float, Meta(gt=0)] = field(default=5.0, name="quotaWindowS")
+    quota_overage: Annotated[float, Meta(ge=0)] = field(default=0.1, name="quotaOverage")
+    quota_slack: Annotated[float, Meta(ge=0)] = field(default=20.0, name="quotaSlack")
 
 
 class _Limits(Struct, frozen=True):
@@ -102,6 +107,7 @@
     # After this time no instance accepts a withdrawn key, even without contact; `None` if only
     # instances in contact with control have to end it.
     revoke_within: Milliseconds | None = None
+    quota_bound: QuotaBound = DEFAULT_QUOTA_BOUND
 
 
 def settings_path() -> Path:
@@ -163,4 +169,9 @@
         grace=values.bounds.grace_seconds * SECOND,
         memory_bytes=int(limits.memory_mebibytes or 0) * MEBIBYTE,
         revoke_within=values.bounds.revoke_within if values.bounds.is_revoke_strict else None,
+        quota_bound=QuotaBound(
+            values.bounds.quota_window_seconds * SECOND,
+            values.bounds.quota_overage,
+            values.bounds.quota_slack,
+        ),
     )
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -68,6 +68,7 @@
                 headers[key.lower()] = value.strip()
             self.targets.append(line.split(b" ")[1].decode())
             self.headers.append(headers)
+            self._note()
             gevent.sleep(self.delay)
             is_meant = headers["x-fulmarhold-target-instance"] == self.name
             body = RECORD * self.records if is_meant else b""
@@ -82,6 +83,9 @@
                 )
             )
 
+    def _note(self):
+        """Note a request, for tests that need more than its target."""
+
     def send_heartbeat(self, state="ready", control=CONTROL[0]):
         self.sequence += 1
         body = {
