Pace requests to started, recovered and slow upstreams by their replies

Cause: the fixed slow start made a new upstream ten times less attractive for a fixed time, whatever its replies said, and did nothing at recoveries. When all replicas of a shard start, it limits nothing, as all are equally unattractive.

Change: limits/pace.py limits an entry to its part of a share of the upstream's slots. The share grows with good rounds of replies and falls with the first one that queued. Replicas restart it at starts, ejections and after silence.

--- a/fulmarhold/effects/dispatch.py
+++ b/fulmarhold/effects/dispatch.py
@@ -42,7 +42,7 @@
 from fulmarhold.gather.query import choose_snapshot
 from fulmarhold.gather.subrequest import Attempt, AttemptKind
 from fulmarhold.observe.logs import get_logger
-from fulmarhold.routing.choice import candidates
+from fulmarhold.routing.choice import candidates, with_room
 from fulmarhold.upstreams.protocol import Part, RequestTemplate
 
 if TYPE_CHECKING:
@@ -252,7 +252,7 @@
     def _send(self, kind: AttemptKind) -> None:
         now = self.clock.now()
         replicas = self._snapshot.shards.get(self._shard, ())
-        untried = candidates(replicas, self._tried, now)
+        untried = with_room(candidates(replicas, self._tried, now), now)
         if not untried:
             self._result.set(NotRun(NotRunReason.NO_LIVE_REPLICA, f"shard {self._shard}"))
             return
--- a/fulmarhold/forwarding/call.py
+++ b/fulmarhold/forwarding/call.py
@@ -8,7 +8,7 @@
 from fulmarhold.forwarding.attempt import FIRST, HEDGE, RETRY, CallAttempt
 from fulmarhold.forwarding.records import RECORD_BYTES, greatest_records
 from fulmarhold.forwarding.request import FailedReason, RefusedReason, Verdict
-from fulmarhold.routing.choice import candidates, timely_local
+from fulmarhold.routing.choice import candidates, timely_local, with_room
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -330,9 +330,8 @@
         """Return the replicas that reply and have room, or what comes nearest to that."""
         responsive = [item for item in replicas if item.is_responsive(now)] or replicas
         is_urgent = self._context.is_urgent
-        return [
-            item for item in responsive if item.may_send(now, is_urgent=is_urgent)
-        ] or responsive
+        usable = [item for item in responsive if item.may_send(now, is_urgent=is_urgent)]
+        return with_room(usable or responsive, now)
 
     def _count(self, kind: str, result: str) -> None:
         self._context.counters.add("extra_attempts", kind=kind, result=result)
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import Milliseconds
+from fulmarhold.limits.pace import PaceReason
 from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.observe.traffic import TrafficCounter
@@ -13,7 +16,7 @@
 from fulmarhold.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from fulmarhold.clock import Clock
     from fulmarhold.limits.memory import MemoryBudget
@@ -63,13 +66,22 @@
         self._by_service: dict[str, list[Replica]] = {}
         self._by_name: dict[str, Replica] = {}
         self._draining: list[Replica] = []
-        self._unresponsive: set[tuple[str, int]] = set()
+        self._unresponsive: dict[tuple[str, int], Milliseconds] = {}
+        # Upstreams that are not used at full pace, and since when.
+        self._paced: dict[tuple[str, int], Milliseconds] = {}
+        self._entries = 1
+        self._random = Random()
         self._typical_latencies: dict[tuple[str, ...], QuantileEstimate] = {}
 
     @property
     def replicas(self) -> Collection[Replica]:
         return self._replicas.values()
 
+    def paces(self) -> Iterable[tuple[PaceReason, int]]:
+        """Return the number of upstreams that are not used at full pace, by reason."""
+        reasons = Counter(item.pace.reason for item in self._replicas.values())
+        return [(reason, reasons[reason]) for reason in PaceReason]
+
     def of_service(self, service: str) -> list[Replica]:
         """Return the replicas of a service."""
         return self._by_service.get(service, [])
@@ -90,6 +102,9 @@
 
         With `keep_warm`, connections are opened before any request needs them.
         """
+        self._entries = entries
+        # What an entry that starts finds serving has not just started.
+        is_first = not self._replicas
         before, self._replicas, self._by_service = self._replicas, {}, {}
         self._by_name = {}
         typical_before, self._typical_latencies = self._typical_latencies, {}
@@ -102,15 +117,18 @@
             replica = before.pop(key, None)
             typical = self._typical_latency(statement.service, configuration, typical_before)
             if replica is None or replica.address != statement.address:
-                replica = self._make_replica(statement, limit)
+                is_starting = statement.warm_up > 0 or not is_first
+                replica = self._make_replica(statement, limit, is_starting=is_starting)
             replica.typical_latency = typical
             replica.upstream = ServingUpstream(statement)
+            replica.share_pace(entries)
             replica.pool.resize(limit, WARM_CONNECTIONS if keep_warm else 0)
             self._replicas[key] = replica
             self._by_name[statement.name] = replica
             self._by_service.setdefault(statement.service, []).append(replica)
         for replica in before.values():
-            self._unresponsive.discard(replica.key)
+            self._unresponsive.pop(replica.key, None)
+            self._paced.pop(replica.key, None)
             replica.pool.close_when_idle()
             self._draining.append(replica)
         self.maintain()
@@ -122,6 +140,7 @@
             replica.pool.maintain()
             self._count_traffic(replica)
             self._log_responsiveness(replica, now)
+            self._log_pace(replica, now)
         for replica in self._draining:
             replica.pool.maintain()
             self._count_traffic(replica)
@@ -137,12 +156,40 @@
             return
         record = replica.upstream.record
         if is_unresponsive:
-            self._unresponsive.add(replica.key)
+            self._unresponsive[replica.key] = now
             log.info("upstream {} of {} has stopped replying", record.name, record.service)
         else:
-            self._unresponsive.discard(replica.key)
+            replica.note_responsive_again(now - self._unresponsive.pop(replica.key), now)
             log.info("upstream {} of {} replies again", record.name, record.service)
 
+    def _log_pace(self, replica: Replica, now: Milliseconds) -> None:
+        pace, key = replica.pace, replica.key
+        if pace.is_full == (key not in self._paced):
+            return
+        record = replica.upstream.record
+        if pace.reason is None:
+            since = self._paced.pop(key)
+            log.info(
+                "upstream {} of {} is used at full pace again after {:.0f} ms",
+                record.name,
+                record.service,
+                now - since,
+            )
+            return
+        self._paced[key] = now
+        self._counters.add("upstreams_paced", reason=pace.reason.value)
+        log.info(
+            "upstream {} of {} is used at {:.2f} of its {} slots, shared by {} entries: {}, "
+            "its usual latency is {} ms",
+            record.name,
+            record.service,
+            pace.share,
+            record.slots,
+            self._entries,
+            pace.reason.value,
+            "unknown" if pace.usual_latency is None else round(pace.usual_latency),
+        )
+
     def close(self) -> None:
         """Close every connection."""
         for replica in [*self._replicas.values(), *self._draining]:
@@ -165,7 +212,9 @@
             )
         return self._typical_latencies[kind]
 
-    def _make_replica(self, statement: UpstreamStatement, limit: int) -> Replica:
+    def _make_replica(
+        self, statement: UpstreamStatement, limit: int, *, is_starting: bool
+    ) -> Replica:
         pool = ConnectionPool(
             statement.address, limit, 0, self._clock, self._counters, self._memory
         )
@@ -173,9 +222,11 @@
             ServingUpstream(statement),
             pool,
             EJECTION_TIME,
-            statement.warm_up,
             self._clock.now(),
             is_local=statement.data_centre == self._data_centre,
+            is_starting=is_starting,
+            entries=self._entries,
+            phase=self._random.random(),
         )
 
 
--- a/fulmarhold/gather/scatter.py
+++ b/fulmarhold/gather/scatter.py
@@ -11,7 +11,7 @@
 from fulmarhold.clock import SECOND
 from fulmarhold.gather.outcome import Answered, Coverage, MissingReason, Snapshot
 from fulmarhold.gather.subrequest import Attempt, AttemptKind
-from fulmarhold.routing.choice import candidates
+from fulmarhold.routing.choice import candidates, with_room
 from fulmarhold.upstreams.protocol import Part
 
 if TYPE_CHECKING:
@@ -168,7 +168,8 @@
     def _candidates(self, shard_number: int) -> list[Replica]:
         replicas = self._snapshot.shards.get(shard_number, ())
         tried = [attempt.replica for attempt in self._shards[shard_number].attempts]
-        return candidates(replicas, tried, self.clock.now())
+        now = self.clock.now()
+        return with_room(candidates(replicas, tried, now), now)
 
     def _send(self, shard_number: int, replicas: list[Replica], kind: AttemptKind) -> None:
         replica = self._policy.choose(replicas, self._random, self.clock.now())
--- a/fulmarhold/gather/subrequest.py
+++ b/fulmarhold/gather/subrequest.py
@@ -81,6 +81,7 @@
     def encode(self) -> bytes:
         """Return the encoded request and record the send time; called right before sending."""
         self.sent_at = self.owner.clock.now()
+        self.replica.pace.note_sent(self.sent_at)
         remaining = self.owner.deadline_at - self.sent_at
         return self.owner.template.encode(self.replica.pool.address, self.part, remaining)
 
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -301,5 +301,7 @@
         yield "entry_collections", {}, float(self._collector_service.in_flight)
         yield "entry_caller_connections", {}, float(self._front.connections)
         yield "entry_upstreams", {}, float(len(replicas))
+        for reason, count in self._table.paces():
+            yield "entry_upstreams_paced", {"reason": reason.value}, float(count)
         yield from self._memory.gauges()
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/questionnaire/derive.py
+++ b/fulmarhold/questionnaire/derive.py
@@ -186,7 +186,7 @@
 
 @_service("slow_start_ms", "connection_cost_ms")
 def _slow_start(_: Questionnaire, service: ServiceAnswers) -> float:
-    """A cold upstream ramps up to its full share of requests over this time."""
+    """Above zero, a new upstream is used at a limited pace until its replies are good."""
     return max(2_000.0, 500 * service.connection_cost_ms)
 
 
--- a/fulmarhold/routing/choice.py
+++ b/fulmarhold/routing/choice.py
@@ -57,6 +57,11 @@
     return timely or replicas
 
 
+def with_room(replicas: list[Replica], now: Milliseconds) -> list[Replica]:
+    """Return the replicas whose pace admits one more request, or else all."""
+    return [item for item in replicas if item.has_room(now)] or replicas
+
+
 def candidates(
     replicas: Sequence[Replica], tried: Sequence[Replica], now: Milliseconds
 ) -> list[Replica]:
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from fulmarhold.limits.concurrency import ConcurrencyLimit
+from fulmarhold.limits.pace import Pace, PaceReason
 from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, decay
 
 if TYPE_CHECKING:
@@ -14,7 +15,6 @@
 INITIAL_LATENCY: Milliseconds = 5.0
 FAILURES_BEFORE_EJECTION = 3
 MAX_EJECTION_DOUBLINGS = 4
-MIN_SLOW_START_FACTOR = 0.1
 # A request that has waited this many times the typical latency, and at least MIN_STALL, indicates
 # a stalled upstream.
 STALL_FACTOR = 3.0
@@ -25,6 +25,10 @@
 # An unresponsive upstream gets one request per period, which detects its recovery; a hedge covers
 # that request.
 PROBE_PERIOD: Milliseconds = 1_000.0
+# An upstream that was unresponsive for longer than this, and than several of its usual latencies,
+# counts as recovered when it replies again. Pauses of healthy upstreams are shorter.
+RECOVERY_AFTER: Milliseconds = 1_000.0
+RECOVERY_FACTOR = 3.0
 # How long an upstream whose address answers for another one gets no request. Control forgets a
 # silent upstream after about as long; one that is there all the same is tried again.
 SUPERSEDED_FOR: Milliseconds = 10_000.0
@@ -75,7 +79,9 @@
 class Replica(Generic[Upstream]):
     """Latency and health of one incarnation of an upstream, as this entry has observed them.
 
-    `typical_latency` is the median latency of the replicas of the same kind, if known.
+    `typical_latency` is the median latency of the replicas of the same kind, if known. One that
+    `is_starting` is used at a limited pace until its replies show that it bears more; `phase`, from
+    0 to 1, spreads the first requests of many entries.
     """
 
     def __init__(
@@ -83,10 +89,12 @@
         upstream: Upstream,
         pool: ConnectionPool,
         ejection: Milliseconds,
-        slow_start: Milliseconds,
         now: Milliseconds,
         *,
         is_local: bool = True,
+        is_starting: bool = False,
+        entries: int = 1,
+        phase: float = 1.0,
     ) -> None:
         self.upstream = upstream
         self.pool = pool
@@ -98,11 +106,9 @@
         self.ejected_until: Milliseconds = float("-inf")
         self._superseded_until: Milliseconds = float("-inf")
         self._ejection = ejection
-        self._slow_start = slow_start
         self.is_local = is_local
         self._distance_penalty = 0.0 if is_local else OTHER_DATA_CENTRE_PENALTY
         self._distance_factor = 1.0 if is_local else OTHER_DATA_CENTRE_FACTOR
-        self._started_at = now
         self._estimate_updated_at = now
         self._consecutive_failures = 0
         self._consecutive_ejections = 0
@@ -112,6 +118,9 @@
         self._pause_seen_at: Milliseconds | None = None
         self._sent_at: Milliseconds = float("-inf")
         self._unanswered_since: Milliseconds | None = None
+        self.pace = Pace(upstream.record.slots, entries, phase)
+        if is_starting:
+            self._restart_pace(PaceReason.STARTED, now)
 
     @property
     def address(self) -> str:
@@ -148,13 +157,23 @@
         return not self.is_stalled(now)
 
     def may_send(self, now: Milliseconds, *, is_urgent: bool) -> bool:
-        """Whether the concurrency limit admits one more request now."""
+        """Whether the concurrency limit, and the pace after a start, admit one more request now."""
+        if self.pace.is_held_back and not self.pace.has_room(now):
+            return False
         return self.concurrency.may_send(self.pool.load, now, is_urgent=is_urgent)
 
+    def has_room(self, now: Milliseconds) -> bool:
+        """Whether its pace admits one more request now; always true at full pace."""
+        return self.pace.has_room(now)
+
+    def share_pace(self, entries: int) -> None:
+        """Set how many entries share the slots of the upstream."""
+        self.pace.resize(self.upstream.record.slots, entries)
+
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
         """Return the expected latency of a new request.
 
-        Includes queueing, slow start, and penalties for failures and for another data centre.
+        Includes queueing, and penalties for failures and for another data centre.
         """
         slots = self.upstream.record.slots
         extra = FAILURE_PENALTY * self._decayed_failure_share(now) + self._distance_penalty
@@ -162,11 +181,12 @@
             base_latency = self._estimated_latency * (1 + self.pool.load / slots)
         else:
             base_latency = self._decayed_latency(now)
-        return self._distance_factor * base_latency / self._slow_start_factor(now) + extra
+        return self._distance_factor * base_latency + extra
 
     def note_sent(self, now: Milliseconds) -> None:
         """Record that a request was sent."""
         self._sent_at = now
+        self.pace.note_sent(now)
         if self._unanswered_since is None:
             self._unanswered_since = now
 
@@ -181,6 +201,8 @@
         self._update_failure_share(0.0, now)
         if self.typical_latency is not None:
             self.typical_latency.update(latency)
+        typical = self.typical_latency.value if self.typical_latency is not None else None
+        self.pace.note_success(latency, typical, now)
         if not self._was_single_pause(latency, now):
             self._update_estimate(latency, now)
 
@@ -224,6 +246,7 @@
         """Record a failure; return whether it ejects the replica."""
         self._consecutive_failures += 1
         self._update_failure_share(1.0, now)
+        self.pace.note_failure(now)
         if self._consecutive_failures < FAILURES_BEFORE_EJECTION or self.is_ejected(now):
             return False
         doublings = min(self._consecutive_ejections, MAX_EJECTION_DOUBLINGS)
@@ -231,11 +254,22 @@
         self._consecutive_ejections += 1
         # After the ejection ends, a single failure ejects the replica again.
         self._consecutive_failures = FAILURES_BEFORE_EJECTION - 1
+        self._restart_pace(PaceReason.RECOVERED, self.ejected_until)
         return True
 
     def note_unreachable(self, now: Milliseconds) -> None:
         """Record that the upstream is not at its address; ejects the replica at once."""
         self.ejected_until = max(self.ejected_until, now + self._ejection)
+        self._restart_pace(PaceReason.RECOVERED, self.ejected_until)
+
+    def note_responsive_again(self, silent_for: Milliseconds, now: Milliseconds) -> None:
+        """Record that it replies again, after it was unresponsive for `silent_for` ms."""
+        if silent_for > max(RECOVERY_AFTER, RECOVERY_FACTOR * self._estimated_latency):
+            self._restart_pace(PaceReason.RECOVERED, now)
+
+    def note_pause_ended(self, now: Milliseconds) -> None:
+        """Record that a time ends at which the upstream asked for no work."""
+        self._restart_pace(PaceReason.PAUSED, now)
 
     def note_superseded(self, now: Milliseconds) -> None:
         """Record that another upstream answers at its address.
@@ -270,7 +304,7 @@
         # further.
         return max(decayed, min(estimate, TYPICAL_LATENCY_SHARE * self.typical_latency.value))
 
-    def _slow_start_factor(self, now: Milliseconds) -> float:
-        if self._slow_start <= 0:
-            return 1.0
-        return min(1.0, max(MIN_SLOW_START_FACTOR, (now - self._started_at) / self._slow_start))
+    def _restart_pace(self, reason: PaceReason, now: Milliseconds) -> None:
+        typical = self.typical_latency
+        usual = typical.value if typical is not None else self._estimated_latency
+        self.pace.restart(reason, usual, now)
--- a/fulmarhold/routing/table.py
+++ b/fulmarhold/routing/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import Milliseconds
@@ -57,6 +58,7 @@
         self._running = running
         self._clock = clock
         self._counters = counters
+        self._random = Random()
         self._replicas: dict[tuple[str, int], Replica] = {}
         self._draining_pools: list[ConnectionPool] = []
         self._snapshots: dict[str, tuple[SnapshotReplicas, ...]] = {}
@@ -110,6 +112,7 @@
             if replica is None:
                 replica = self._make_replica(upstream, service, configuration.entries)
             replica.upstream = upstream
+            replica.share_pace(configuration.entries)
             self._replicas[key] = replica
         for replica in previous.values():
             replica.pool.close_when_idle()
@@ -130,7 +133,13 @@
             self._memory,
         )
         return Replica(
-            upstream, pool, service.ejection_ms, service.slow_start_ms, self._clock.now()
+            upstream,
+            pool,
+            service.ejection_ms,
+            self._clock.now(),
+            is_starting=service.slow_start_ms > 0,
+            entries=entries,
+            phase=self._random.random(),
         )
 
 
