Hold back requests to cold upstreams of services with warmupPerS

Change: services have warmupS and warmupPerS, the settings warmupOverage and warmupSlack. Heartbeats that state a new or longer warm-up reach entries, which they did not before, and so does the header of an answer. Routing leaves out a cold upstream once this entry's part of its bound is used up; waiting requests ask again when they get a connection; collectors decline with the reason cold.

--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -274,6 +274,8 @@
     """Return why no request should be sent to an upstream now, if there is a reason."""
     if not replica.is_live(now):
         return Decline.UNKNOWN
+    if not replica.bears_one_more(now):
+        return Decline.COLD
     if replica.is_ejected(now):
         return Decline.EJECTED
     if not replica.is_responsive(now):
--- a/fulmarhold/collecting/messages.py
+++ b/fulmarhold/collecting/messages.py
@@ -26,6 +26,8 @@
     UNRESPONSIVE = "unresponsive"
     # It has as much work as it finishes in time.
     CONGESTED = "congested"
+    # It is cold, and the collector's part of what it bears is used up.
+    COLD = "cold"
     # The collector is about to stop.
     STOPPING = "stopping"
 
--- a/fulmarhold/collecting/remote.py
+++ b/fulmarhold/collecting/remote.py
@@ -217,7 +217,7 @@
 
     def _declined(self, reason: str, now: Milliseconds) -> None:
         self.sent_at, self.may_have_run = None, False
-        if reason in (Decline.UNKNOWN.value, Decline.STOPPING.value):
+        if reason in (Decline.UNKNOWN.value, Decline.STOPPING.value, Decline.COLD.value):
             # That is about the collector, and this entry may send the request itself.
             self._call.declined(self)
             return
--- a/fulmarhold/forwarding/attempt.py
+++ b/fulmarhold/forwarding/attempt.py
@@ -64,13 +64,15 @@
     def may_send(self) -> bool:
         """Whether the attempt is still needed and in time, and its upstream still there."""
         now = self._context.clock.now()
-        return not self.is_done and now < self._context.deadline_at and self.replica.is_live(now)
+        is_due = not self.is_done and now < self._context.deadline_at
+        return is_due and self.replica.is_live(now) and self.replica.bears_one_more(now)
 
     def encode(self) -> bytes:
         """Return the bytes of the request; called at the moment of sending."""
         context = self._context
         self.sent_at = context.clock.now()
         self.may_have_run = True
+        self.replica.note_transmitted(self.sent_at)
         left = context.deadline_at - self.sent_at
         return context.codec.encode(context.prepared, self.replica.upstream.record.name, left)
 
@@ -98,6 +100,8 @@
         now = context.clock.now()
         reply = context.codec.read(response, context.request.request_id)
         self.replica.note_reply()
+        if reply.warm_up:
+            self.replica.note_cold(reply.warm_up, now)
         if reply.verdict is Verdict.WRONG_ECHO:
             self._report_failure("wrong_echo", response.status, now)
             self._note_failure(now)
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -74,13 +74,17 @@
 
 @dataclass(frozen=True)
 class Reply:
-    """An upstream's response, with its classification and the signature that proves its origin."""
+    """An upstream's response, with its classification and the signature that proves its origin.
+
+    `warm_up` is for how many ms the upstream says that it stays cold, zero if it says nothing.
+    """
 
     verdict: Verdict
     status: int
     headers: Headers
     body: bytes
     signature: str
+    warm_up: Milliseconds = 0.0
 
 
 @dataclass(frozen=True)
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -8,6 +8,14 @@
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import Milliseconds
+from fulmarhold.limits.cold import (
+    DEFAULT_BOUND,
+    WINDOW,
+    ColdGate,
+    EntryShares,
+    WarmUpBound,
+    warm_up_left,
+)
 from fulmarhold.limits.pace import PaceReason
 from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.observe.logs import get_logger
@@ -22,7 +30,7 @@
     from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.membership.statements import UpstreamStatement
     from fulmarhold.observe.counters import Counters
-    from fulmarhold.routes.configuration import RouteConfiguration
+    from fulmarhold.routes.configuration import RouteConfiguration, UpstreamService
 
 log = get_logger("upstreams")
 
@@ -56,7 +64,10 @@
         clock: Clock,
         counters: Counters,
         memory: MemoryBudget | None = None,
+        own: str = "",
     ) -> None:
+        self._shares = EntryShares(own)
+        self._cold: set[tuple[str, int]] = set()
         self._data_centre = data_centre
         self._memory = memory
         self._clock = clock
@@ -82,6 +93,11 @@
         reasons = Counter(item.pace.reason for item in self._replicas.values())
         return [(reason, reasons[reason]) for reason in PaceReason]
 
+    @property
+    def cold(self) -> int:
+        """The number of upstreams that are cold."""
+        return len(self._cold)
+
     def of_service(self, service: str) -> list[Replica]:
         """Return the replicas of a service."""
         return self._by_service.get(service, [])
@@ -97,11 +113,16 @@
         entries: int,
         *,
         keep_warm: bool,
+        active: Collection[str] = (),
+        warm_up_bound: WarmUpBound = DEFAULT_BOUND,
     ) -> None:
         """Set which upstreams serve, and how many entries share their connections.
 
-        With `keep_warm`, connections are opened before any request needs them.
+        With `keep_warm`, connections are opened before any request needs them. `active` names the
+        entries that share what cold upstreams bear; without it, those get nothing.
         """
+        now = self._clock.now()
+        self._shares.update(active, now)
         self._entries = entries
         # What an entry that starts finds serving has not just started.
         is_first = not self._replicas
@@ -120,7 +141,9 @@
                 is_starting = statement.warm_up > 0 or not is_first
                 replica = self._make_replica(statement, limit, is_starting=is_starting)
             replica.typical_latency = typical
+            known = replica.upstream.record
             replica.upstream = ServingUpstream(statement)
+            self._update_cold(replica, known, service, warm_up_bound, is_first=is_first)
             replica.share_pace(entries)
             replica.pool.resize(limit, WARM_CONNECTIONS if keep_warm else 0)
             self._replicas[key] = replica
@@ -129,10 +152,41 @@
         for replica in before.values():
             self._unresponsive.pop(replica.key, None)
             self._paced.pop(replica.key, None)
+            self._cold.discard(replica.key)
             replica.pool.close_when_idle()
             self._draining.append(replica)
         self.maintain()
 
+    def note_contact(self, age: Milliseconds) -> None:
+        """Set how long ago control confirmed what this entry knows; called periodically."""
+        now = self._clock.now()
+        self._shares.note_contact(now - age, now)
+
+    def _update_cold(
+        self,
+        replica: Replica,
+        known: UpstreamStatement,
+        service: UpstreamService,
+        bound: WarmUpBound,
+        *,
+        is_first: bool,
+    ) -> None:
+        """Set until when an upstream is cold; `known` is the statement that was last used."""
+        if service.warm_up_rate <= 0:
+            replica.cold = None
+            return
+        now, statement = self._clock.now(), replica.upstream.record
+        if replica.cold is None:
+            name = f"{statement.name}/{statement.born}"
+            replica.cold = ColdGate(self._shares, name, bound, service.warm_up_rate)
+            age = self._clock.wall() - statement.born
+            remaining = warm_up_left(service.warm_up, age, is_new=not is_first)
+            replica.note_cold(max(statement.warm_up, remaining), now)
+        else:
+            replica.cold.resize(bound, service.warm_up_rate)
+            if statement.sequence != known.sequence:
+                replica.note_cold(statement.warm_up, now)
+
     def maintain(self) -> None:
         """Close idle and overdue connections and open warm ones; called periodically."""
         now = self._clock.now()
@@ -141,6 +195,7 @@
             self._count_traffic(replica)
             self._log_responsiveness(replica, now)
             self._log_pace(replica, now)
+            self._log_cold(replica, now)
         for replica in self._draining:
             replica.pool.maintain()
             self._count_traffic(replica)
@@ -190,6 +245,29 @@
             "unknown" if pace.usual_latency is None else round(pace.usual_latency),
         )
 
+    def _log_cold(self, replica: Replica, now: Milliseconds) -> None:
+        gate, key, record = replica.cold, replica.key, replica.upstream.record
+        is_cold = gate is not None and gate.is_cold(now)
+        if is_cold == (key in self._cold):
+            return
+        if gate is not None and is_cold:
+            self._cold.add(key)
+            self._counters.add("upstreams_cold")
+            log.info(
+                "upstream {} of {} is cold for {:.0f} ms: at most {:g} requests a second may reach "
+                "it, this entry's part is {} in {:.0f} ms",
+                record.name,
+                record.service,
+                gate.cold_until - now,
+                gate.total,
+                gate.part(now),
+                WINDOW,
+            )
+        else:
+            self._cold.discard(key)
+            replica.note_warm(now)
+            log.info("upstream {} of {} is no longer cold", record.name, record.service)
+
     def close(self) -> None:
         """Close every connection."""
         for replica in [*self._replicas.values(), *self._draining]:
--- a/fulmarhold/limits/cold.py
+++ b/fulmarhold/limits/cold.py
@@ -41,6 +41,8 @@
 # The rest covers requests that are delayed for longer, and sets of entries that follow each other
 # faster than entries learn of them.
 PLANNED_SHARE = 0.8
+# By how much the wall clock of an upstream's machine may be behind that of this entry's.
+CLOCK_TOLERANCE: Milliseconds = 60_000.0
 
 
 @dataclass(frozen=True)
@@ -59,6 +61,9 @@
         return rate * self.overage + self.slack
 
 
+DEFAULT_BOUND = WarmUpBound()
+
+
 @dataclass(frozen=True)
 class _View:
     """A set of active entries, and until when this entry believed in it."""
@@ -100,7 +105,7 @@
             return
         self._past = [item for item in self._past if item.held_until > now - VIEW_HOLD]
         self._past.append(_View(self._names, now))
-        if now <= self._usable_from:
+        if not self.is_in_contact(now):
             # Sets that this entry never heard of may have followed each other in between.
             self._past.append(_View(frozenset(), now))
         self._names = frozenset(names)
@@ -128,9 +133,7 @@
     __slots__ = ("_bound", "_cold_until", "_last_sent_at", "_parts", "_quiet_until", "_rate",
                  "_sent", "_shares", "_upstream", "_version")  # fmt: skip
 
-    def __init__(
-        self, shares: EntryShares, upstream: str, bound: WarmUpBound, rate: float
-    ) -> None:
+    def __init__(self, shares: EntryShares, upstream: str, bound: WarmUpBound, rate: float) -> None:
         self._shares = shares
         self._upstream = upstream
         self._bound = bound
@@ -147,6 +150,11 @@
     def cold_until(self) -> Milliseconds:
         return self._cold_until
 
+    @property
+    def total(self) -> float:
+        """How many requests of all entries may reach the upstream within a second."""
+        return self._bound.total(self._rate)
+
     def is_cold(self, now: Milliseconds) -> bool:
         """Whether the upstream is cold and has a bound."""
         return now < self._cold_until and self._rate > 0
@@ -170,7 +178,7 @@
         """Return how many requests this entry may send within `WINDOW` ms."""
         if self._version != self._shares.version:
             self._version = self._shares.version
-            total = int(PLANNED_SHARE * self._bound.total(self._rate))
+            total = int(PLANNED_SHARE * self.total)
             self._parts = [
                 (view.held_until, own_part(self._upstream, self._shares.own, view.names, total))
                 for view in self._shares.views
@@ -196,6 +204,22 @@
             self._sent.clear()
 
 
+def warm_up_left(warm_up: Milliseconds, age: Milliseconds, *, is_new: bool) -> Milliseconds:
+    """Return how long an upstream of a service with `warm_up` stays cold after its start.
+
+    `age` is the time since its start by wall clocks, which may disagree. They only tell one that
+    started long ago, and is back, from one that `is_new` to this entry because it has just started.
+
+    >>> warm_up_left(8_000.0, -500.0, is_new=False), warm_up_left(8_000.0, 3_000.0, is_new=False)
+    (8000.0, 5000.0)
+    >>> warm_up_left(8_000.0, 30_000.0, is_new=True), warm_up_left(8_000.0, 9e9, is_new=True)
+    (8000.0, 0.0)
+    """
+    if is_new and age <= warm_up + CLOCK_TOLERANCE:
+        return warm_up
+    return max(0.0, warm_up - max(0.0, age))
+
+
 def own_part(upstream: str, own: str, names: Collection[str], total: int) -> int:
     """Return the part of `own` of `total` requests, all of which `names` share.
 
--- a/fulmarhold/membership/statements.py
+++ b/fulmarhold/membership/statements.py
@@ -121,12 +121,16 @@
         return self._digest[1]
 
     def apply(self, statement: Statement, now: Milliseconds) -> bool:
-        """Apply a statement and return whether it changes more than sequence and warm-up."""
+        """Apply a statement and return whether it changes what readers need.
+
+        That is more than the sequence, or a warm-up that does not just run down.
+        """
         held = self._stored.get(statement.name)
         if held is not None:
             if not _supersedes(statement, held.statement):
                 return False
-            if _content(statement) == _content(held.statement):
+            is_cold_again = _warm_up(statement) > _warm_up(held.statement)
+            if not is_cold_again and _content(statement) == _content(held.statement):
                 held.statement = statement
                 return False
         self.position += 1
@@ -166,7 +170,15 @@
     return new.state == SILENT != old.state
 
 
+def _warm_up(statement: _Statement) -> Milliseconds:
+    """Return how long an upstream still is cold; instances never are."""
+    return statement.warm_up if isinstance(statement, UpstreamStatement) else 0.0
+
+
 def _content(statement: _Statement) -> tuple[object, ...]:
-    """Return the fields that matter to readers; sequence and warm-up change constantly."""
+    """Return the fields that matter to readers; sequence and warm-up change constantly.
+
+    Readers know themselves when a warm-up ends, so only one that begins or grows is a change.
+    """
     values = vars(statement)
     return tuple(value for key, value in values.items() if key not in ("sequence", "warm_up"))
--- a/fulmarhold/platform/documents.py
+++ b/fulmarhold/platform/documents.py
@@ -9,7 +9,7 @@
 from msgspec import Meta, Struct, field
 from msgspec.structs import fields
 
-from fulmarhold.clock import Milliseconds
+from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import MalformedInput
 from fulmarhold.membership.statements import DRAINING, READY, State, UpstreamStatement
 from fulmarhold.membership.validity import (
@@ -71,6 +71,8 @@
     name: str
     health_path: str = field(default="/health", name="healthPath")
     connection_limit: Annotated[int, Meta(ge=1)] = field(default=1, name="maxConnections")
+    warm_up_seconds: float = field(default=0.0, name="warmupS")
+    warm_up_rate: float = field(default=0.0, name="warmupPerS")
 
 
 class _Limits(Struct, frozen=True):
@@ -140,7 +142,13 @@
         values.version,
         tuple(_route(item) for item in values.routes),
         {
-            item.name: UpstreamService(item.name, item.connection_limit, item.health_path)
+            item.name: UpstreamService(
+                item.name,
+                item.connection_limit,
+                item.health_path,
+                item.warm_up_seconds * SECOND,
+                item.warm_up_rate,
+            )
             for item in values.services
         },
         CallerLimits(
--- a/fulmarhold/platform/encoding.py
+++ b/fulmarhold/platform/encoding.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from fulmarhold.membership.statements import UpstreamStatement
-    from fulmarhold.routes.configuration import Route, RouteConfiguration
+    from fulmarhold.routes.configuration import Route, RouteConfiguration, UpstreamService
 
 CALLER_PORT, READINESS_PORT, CONTROL_PORT, DIRECTORY_PORT = 8226, 8227, 8224, 8225
 INTERNAL_PORTS = (7740, 7755)
@@ -82,6 +82,7 @@
                 "name": item.name,
                 "healthPath": item.health_path,
                 "maxConnections": item.connection_limit,
+                **_write_warm_up(item),
             }
             for item in configuration.services.values()
         ],
@@ -110,6 +111,12 @@
     return list(document["addrs"]), float(document["ttl_s"]) * SECOND
 
 
+def _write_warm_up(service: UpstreamService) -> dict[str, Any]:
+    if not service.warm_up_rate:
+        return {}
+    return {"warmupS": service.warm_up / SECOND, "warmupPerS": service.warm_up_rate}
+
+
 def _write_route(route: Route) -> dict[str, Any]:
     document: dict[str, Any] = {
         "name": route.name,
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -80,7 +80,9 @@
         self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
-        self._table = UpstreamTable(settings.data_centre, clock, counters, self._memory)
+        self._table = UpstreamTable(
+            settings.data_centre, clock, counters, self._memory, settings.name
+        )
         self._active: list[InstanceStatement] = []
         self._settling = Settling(clock.now())
         self._fleet_update = CoalescedUpdate(self._update_fleet, MIN_UPDATE_INTERVAL, clock)
@@ -254,6 +256,8 @@
             routes.configuration,
             entries,
             keep_warm=is_active and self._settling.is_settled,
+            active=[item.name for item in self._active],
+            warm_up_bound=self._watch.settings.warm_up,
         )
 
     def _active_entries(self, upstreams: list[UpstreamStatement]) -> list[InstanceStatement]:
@@ -272,6 +276,7 @@
             if self._settling.check(self._clock.now()):
                 self._fleet_update.run()
             self._fleet_update.run_pending()
+            self._table.note_contact(self.watcher.feed_age)
             self._table.maintain()
             self._collectors.maintain()
             self.forwarder.refill_budgets()
@@ -301,6 +306,7 @@
         yield "entry_collections", {}, float(self._collector_service.in_flight)
         yield "entry_caller_connections", {}, float(self._front.connections)
         yield "entry_upstreams", {}, float(len(replicas))
+        yield "entry_upstreams_cold", {}, float(self._table.cold)
         for reason, count in self._table.paces():
             yield "entry_upstreams_paced", {"reason": reason.value}, float(count)
         yield from self._memory.gauges()
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-from fulmarhold.clock import SECOND
+from fulmarhold.clock import HOUR, SECOND, Milliseconds
 from fulmarhold.forwarding.request import (
     Failed,
     FailedReason,
@@ -19,7 +20,6 @@
 from fulmarhold.web.front import RawRequest, RawResponse
 
 if TYPE_CHECKING:
-    from fulmarhold.clock import Milliseconds
     from fulmarhold.forwarding.request import Headers, Outcome
     from fulmarhold.upstreams.protocol import UpstreamResponse
 
@@ -33,6 +33,10 @@
 SIGNATURE = "X-Fulmarhold-Server-Stamp"
 NOT_RUN = "X-Fulmarhold-Not-Executed"
 UPSTREAM_ID = "X-Fulmarhold-Instance-Id"
+# For how many milliseconds the upstream stays cold.
+WARM_UP_LEFT = "X-Fulmarhold-Warmup-Remaining"
+# Longer warm-ups are taken as this one.
+MAX_WARM_UP: Milliseconds = 1 * HOUR
 # The signatures of the partial responses in a merged response.
 PART_SIGNATURES = "X-Fulmarhold-Part-Stamps"
 # The number of shards without a partial response, not their names.
@@ -71,7 +75,21 @@
         signature = response.header(SIGNATURE.lower())
         verdict = _classify(response, request_id, signature)
         headers = _end_to_end(response.headers)
-        return Reply(verdict, response.status, headers, response.body, signature)
+        warm_up = read_warm_up(response.header(WARM_UP_LEFT.lower()))
+        return Reply(verdict, response.status, headers, response.body, signature, warm_up=warm_up)
+
+
+def read_warm_up(value: str) -> Milliseconds:
+    """Return for how long an upstream says that it stays cold, zero if it states no such time.
+
+    >>> [read_warm_up(value) for value in ("1500.5", "1e12", "-1", "nan", "inf", "")]
+    [1500.5, 3600000.0, 0.0, 0.0, 0.0, 0.0]
+    """
+    try:
+        remaining = float(value)
+    except ValueError:
+        return 0.0
+    return min(remaining, MAX_WARM_UP) if 0 < remaining < math.inf else 0.0
 
 
 def read_request(raw: RawRequest) -> ForwardRequest:
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -13,6 +13,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.limits.budget import ExtraLoadBound
+from fulmarhold.limits.cold import DEFAULT_BOUND, WarmUpBound
 from fulmarhold.limits.memory import MEBIBYTE
 from fulmarhold.settings.problems import MAX_FILE_BYTES, InvalidSettings, Problem
 from fulmarhold.settings.structs import decode_struct, require_endpoint
@@ -39,6 +40,12 @@
     retry_window_seconds: Annotated[float, Meta(gt=0)] = field(default=10.0, name="retryWindowS")
     grace_seconds: float = field(default=6.0, name="graceS")
     max_ttl_seconds: float = field(default=5.0, name="ttl_max_s")
+    warm_up_overage: Annotated[float, Meta(ge=0)] = field(
+        default=WarmUpBound.overage, name="warmupOverage"
+    )
+    warm_up_slack: Annotated[float, Meta(ge=0)] = field(
+        default=WarmUpBound.slack, name="warmupSlack"
+    )
 
 
 class _Limits(Struct, frozen=True):
@@ -96,6 +103,7 @@
     grace: Milliseconds
     # How much memory the process may use, zero if that is not limited.
     memory_bytes: int = 0
+    warm_up: WarmUpBound = DEFAULT_BOUND
 
 
 def settings_path() -> Path:
@@ -155,5 +163,6 @@
             values.bounds.retry_window_seconds * SECOND,
         ),
         grace=values.bounds.grace_seconds * SECOND,
+        warm_up=WarmUpBound(values.bounds.warm_up_overage, values.bounds.warm_up_slack),
         memory_bytes=int(limits.memory_mebibytes or 0) * MEBIBYTE,
     )
--- a/fulmarhold/routes/configuration.py
+++ b/fulmarhold/routes/configuration.py
@@ -66,11 +66,17 @@
 
 @dataclass(frozen=True)
 class UpstreamService:
-    """A service, each upstream of which accepts `connection_limit` connections from all entries."""
+    """A service, each upstream of which accepts `connection_limit` connections from all entries.
+
+    For `warm_up` ms after its start, an upstream is cold and bears `warm_up_rate` requests a second
+    from all entries; zero means that it has no such bound.
+    """
 
     name: str
     connection_limit: int
     health_path: str = "/health"
+    warm_up: Milliseconds = 0.0
+    warm_up_rate: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -106,6 +112,8 @@
     for name, value in asdict(configuration.limits).items():
         if not 0 < value <= MAX_LIMIT:
             problems.append(Problem(f"limits.{name}", f"must be above 0, and {MAX_LIMIT} at most"))
+    for service in configuration.services.values():
+        problems.extend(_new_service_problems(service))
     if problems:
         raise InvalidSettings(f"configuration {configuration.version}", problems)
 
@@ -151,3 +159,11 @@
     for item in route.services:
         if not item.weight <= MAX_LIMIT:
             yield Problem(path, f"has the weight {item.weight:g}, which is too large")
+
+
+def _new_service_problems(service: UpstreamService) -> Iterable[Problem]:
+    path = f"services.{service.name}"
+    if not 0 <= service.warm_up <= MAX_DURATION:
+        yield Problem(path, f"has a warm-up of {service.warm_up:g} ms, must be from 0 to a day")
+    if not 0 <= service.warm_up_rate <= MAX_LIMIT:
+        yield Problem(path, f"bears {service.warm_up_rate:g} requests a second while it is cold")
--- a/fulmarhold/routing/choice.py
+++ b/fulmarhold/routing/choice.py
@@ -67,9 +67,15 @@
 ) -> list[Replica]:
     """Return the replicas to choose from: live, not tried yet, and not ejected if possible.
 
+    One that is cold and can't bear one more request is left out even if it is the last one.
+
     If all remaining replicas are ejected they are returned nevertheless, so that ejection never
     removes the last replica of a shard.
     """
-    live = [item for item in replicas if item not in tried and item.is_live(now)]
+    live = [
+        item
+        for item in replicas
+        if item not in tried and item.is_live(now) and item.bears_one_more(now)
+    ]
     healthy = [item for item in live if not item.is_ejected(now)]
     return healthy or live
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
+    from fulmarhold.limits.cold import ColdGate
     from fulmarhold.upstreams.pool import ConnectionPool
 
 INITIAL_LATENCY: Milliseconds = 5.0
@@ -118,6 +119,8 @@
         self._pause_seen_at: Milliseconds | None = None
         self._sent_at: Milliseconds = float("-inf")
         self._unanswered_since: Milliseconds | None = None
+        # Set if the service has a bound for upstreams that are cold.
+        self.cold: ColdGate | None = None
         self.pace = Pace(upstream.record.slots, entries, phase)
         if is_starting:
             self._restart_pace(PaceReason.STARTED, now)
@@ -166,6 +169,24 @@
         """Whether its pace admits one more request now; always true at full pace."""
         return self.pace.has_room(now)
 
+    def bears_one_more(self, now: Milliseconds) -> bool:
+        """Whether one more request of this entry may reach it; false only while it is cold."""
+        return self.cold is None or self.cold.has_room(now)
+
+    def note_cold(self, remaining: Milliseconds, now: Milliseconds) -> None:
+        """Record that the upstream says that it stays cold for `remaining` ms."""
+        if self.cold is not None:
+            self.cold.note_cold(remaining, now)
+
+    def note_warm(self, now: Milliseconds) -> None:
+        """Record that the upstream is no longer cold, and can be used beyond the bound."""
+        self._restart_pace(PaceReason.STARTED, now)
+
+    def note_transmitted(self, now: Milliseconds) -> None:
+        """Record that the bytes of a request leave for the upstream."""
+        if self.cold is not None:
+            self.cold.note_sent(now)
+
     def share_pace(self, entries: int) -> None:
         """Set how many entries share the slots of the upstream."""
         self.pace.resize(self.upstream.record.slots, entries)
--- a/fulmarhold/tests/platform/test_headers.py
+++ b/fulmarhold/tests/platform/test_headers.py
@@ -30,6 +30,13 @@
     return UpstreamResponse(status, headers, body, True)
 
 
+def test_the_remaining_warm_up_of_a_response_is_decoded():
+    warm_up = ("X-Fulmarhold-Warmup-Remaining", "1500")
+    codec = PlatformCodec()
+    assert codec.read(response(200, ECHO, STAMP, warm_up), "id-1").warm_up == 1_500.0
+    assert codec.read(response(200, ECHO, STAMP), "id-1").warm_up == 0.0
+
+
 def test_a_request_is_forwarded_unchanged_except_for_connection_headers():
     request = read_request(
         raw(
