Run warm-ups down where heartbeats of the upstream are not heard

Cause: only the control instance that receives the heartbeats sees a warm-up run down. The others, and entries, kept the value of the first statement: an entry that started minutes later took the upstream for cold, and a second warm-up that was shorter than the kept one was no change.

Change: a store brings warm-ups up to date before it feeds or uses them, and compares a new one with what is left. Statements from the file of a control instance start without a warm-up.

--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -118,7 +118,7 @@
         self._source = uuid.uuid4().hex[:12]
         self._changed = Event()
         # The last packed statements, with the positions that they lead from and to.
-        self._packed: tuple[tuple[int, int, int, int] | None, bytes] = (None, b"")
+        self._packed: tuple[tuple[float, ...] | None, bytes] = (None, b"")
         self._heard_at: dict[str, Milliseconds] = {}
         self._unreported: dict[str, tuple[int, int]] = {}
         self._watches: dict[str, _Watch] = {}
@@ -228,6 +228,7 @@
         confirmed_age = min(self._node.confirmed_age(), NEVER_CONFIRMED_AGE)
         if self._first_feed_at is None and is_newer and confirmed_age < FEED_PERIOD:
             self._first_feed_at = self._clock.now()
+        self.upstreams.run_down(self._clock.now())
         upstreams = self.upstreams.since(upstream_position)
         instances = self.instances.since(instance_position)
         packed = b""
@@ -259,6 +260,8 @@
             instance_position,
             self.upstreams.position,
             self.instances.position,
+            # Warm-ups run down while the positions stay the same.
+            self._clock.now() // SECOND if self.upstreams.has_cold else 0.0,
         )
         if self._packed[0] != key:
             self._packed = (key, pack_statements(upstreams, instances))
@@ -322,6 +325,7 @@
             self._sharing.share(upstreams, instances)
 
     def _handle_ask_statements(self, _: AskStatements) -> AllStatements:
+        self.upstreams.run_down(self._clock.now())
         return AllStatements(
             self._is_ready, tuple(self.upstreams.all()), tuple(self.instances.all())
         )
@@ -361,6 +365,8 @@
             "kept from before",
             log_changes=False,
         )
+        # How long ago the warm-ups were stated is not known; heartbeats state those that go on.
+        self.upstreams.run_down(float("inf"))
         until = self._clock.now() + CATCH_UP_TIMEOUT
         while not self._is_ready and self._clock.now() < until:
             answers = [
--- a/fulmarhold/membership/statements.py
+++ b/fulmarhold/membership/statements.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, Generic, Literal, Protocol, TypeVar
 
 import xxhash
@@ -26,6 +26,10 @@
 # Longer than any delay of a statement in transit; late ones must still be recognised as late.
 RETENTION_AFTER_END: Milliseconds = 10 * MINUTE
 
+# A warm-up that ends up to this much later than the one stated before is the same one: heartbeats
+# are delayed by different times.
+WARM_UP_TOLERANCE: Milliseconds = 1_000.0
+
 _FINALITY = {DRAINING: 1, LEFT: 2}
 
 
@@ -84,6 +88,7 @@
     statement: Statement
     position: int
     changed_at: Milliseconds
+    heard_at: Milliseconds
 
 
 class StatementStore(Generic[Statement]):
@@ -92,6 +97,8 @@
     def __init__(self) -> None:
         self._stored: dict[str, _StoredStatement[Statement]] = {}
         self._digest = (-1, "")
+        # The names of the upstreams that were cold when they were last looked at.
+        self._cold: set[str] = set()
         self.position = 0
 
     def __len__(self) -> int:
@@ -129,14 +136,41 @@
         if held is not None:
             if not _supersedes(statement, held.statement):
                 return False
-            is_cold_again = _warm_up(statement) > _warm_up(held.statement)
+            left = _warm_up_left(held, now)
+            is_cold_again = _warm_up(statement) > left + (WARM_UP_TOLERANCE if left else 0.0)
             if not is_cold_again and _content(statement) == _content(held.statement):
-                held.statement = statement
+                held.statement, held.heard_at = statement, now
+                self._note_warm_up(statement)
                 return False
         self.position += 1
-        self._stored[statement.name] = _StoredStatement(statement, self.position, now)
+        self._stored[statement.name] = _StoredStatement(statement, self.position, now, now)
+        self._note_warm_up(statement)
         return True
 
+    @property
+    def has_cold(self) -> bool:
+        """Whether any upstream is cold, by what was last worked out."""
+        return bool(self._cold)
+
+    def run_down(self, now: Milliseconds) -> None:
+        """Bring the warm-up of all statements up to date, before they are passed on or used.
+
+        Only one of many readers hears the heartbeats of an upstream in which it runs down.
+        """
+        for name in list(self._cold):
+            held = self._stored.get(name)
+            if held is not None and isinstance(held.statement, UpstreamStatement):
+                left = _warm_up_left(held, now)
+                held.statement, held.heard_at = replace(held.statement, warm_up=left), now
+            if held is None or not _warm_up(held.statement):
+                self._cold.discard(name)
+
+    def _note_warm_up(self, statement: Statement) -> None:
+        if _warm_up(statement):
+            self._cold.add(statement.name)
+        else:
+            self._cold.discard(statement.name)
+
     def forget_ended(self, now: Milliseconds) -> None:
         """Remove the subjects that ended or went silent over `RETENTION_AFTER_END` ago."""
         oldest = now - RETENTION_AFTER_END
@@ -170,6 +204,11 @@
     return new.state == SILENT != old.state
 
 
+def _warm_up_left(held: _StoredStatement[Statement], now: Milliseconds) -> Milliseconds:
+    warm_up = _warm_up(held.statement)
+    return max(0.0, warm_up - (now - held.heard_at)) if warm_up else 0.0
+
+
 def _warm_up(statement: _Statement) -> Milliseconds:
     """Return how long an upstream still is cold; instances never are."""
     return statement.warm_up if isinstance(statement, UpstreamStatement) else 0.0
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -106,6 +106,7 @@
         A statement of another service, which may be unknown, takes no address from them. Where an
         address is used again, its new owner rejects requests that name the previous one.
         """
+        self.upstreams.run_down(self._clock.now())
         stated = [item for item in self.upstreams.all() if item.service in services]
         return [item for item in owners_by_address(stated).values() if item.state == READY]
 
