--- a/fulmarhold/limits/cold.py
+++ b/fulmarhold/limits/cold.py
@@ -195,6 +195,19 @@
             self._sent.popleft()
         return len(self._sent) < self.part(now)
 
+    def room_at(self, now: Milliseconds) -> Milliseconds:
+        """Return when there is room for one more request, as far as that is known.
+
+        Without a part or without contact to control, that is the end of the warm-up.
+        """
+        if self.has_room(now):
+            return now
+        if now < self._quiet_until:
+            return min(self._quiet_until, self._cold_until)
+        if not self._shares.is_in_contact(now) or len(self._sent) < max(1, self.part(now)):
+            return self._cold_until
+        return min(self._sent[-self.part(now)] + WINDOW, self._cold_until)
+
     def note_sent(self, now: Milliseconds) -> None:
         """Record that a request is being sent."""
         self._last_sent_at = now
--- a/fulmarhold/tests/limits/test_cold.py
+++ b/fulmarhold/tests/limits/test_cold.py
@@ -181,6 +181,21 @@
     assert gate.has_room(now + WINDOW)
 
 
+def test_the_next_request_has_room_when_the_first_one_leaves_the_window():
+    gate, now = gate_of({"a"}, rate=0.0), 2 * VIEW_HOLD
+    gate.resize(BOUND, 1.0)
+    keep_contact(gate, 0.0, now + WINDOW)
+    gate.note_cold(HOUR, 0.0)
+    assert gate.room_at(1.0) == HOUR and gate.part(now) == 5
+    while gate.has_room(now):
+        assert gate.room_at(now) == now
+        gate.note_sent(now)
+        now += 10.0
+    room_at = gate.room_at(now)
+    assert room_at == 2 * VIEW_HOLD + WINDOW and not gate.has_room(room_at - 1)
+    assert gate.has_room(room_at)
+
+
 def test_a_change_of_one_entry_moves_few_requests_of_a_small_bound():
     """Load: 62 entries share 8 requests; the parts of two sets of entries are used for a moment."""
     names = {f"e{number}" for number in range(62)}
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -10,6 +10,7 @@
 import resource
 import subprocess
 import sys
+import time
 from contextlib import suppress
 from itertools import count
 from typing import TYPE_CHECKING, Any
@@ -47,6 +48,8 @@
         self.data_centre, self.records = data_centre, records
         self.name, self.born, self.sequence = f"i-{address}", next(born), 0
         self.targets = []
+        # When each request arrived, in seconds.
+        self.arrived_at = []
         self._server = StreamServer((address, UPSTREAM_PORT), self._serve)
         self._server.start()
 
@@ -57,6 +60,7 @@
             while (field := file.readline()) not in (b"\r\n", b""):
                 key, _, value = field.decode().partition(":")
                 headers[key.lower()] = value.strip()
+            self.arrived_at.append(time.monotonic())
             self.targets.append(line.split(b" ")[1].decode())
             gevent.sleep(self.delay)
             is_meant = headers["x-fulmarhold-target-instance"] == self.name
@@ -72,7 +76,7 @@
                 )
             )
 
-    def send_heartbeat(self, state="ready", control=CONTROL[0]):
+    def send_heartbeat(self, state="ready", control=CONTROL[0], warm_up=0):
         self.sequence += 1
         body = {
             "service": self.service,
@@ -81,7 +85,7 @@
             "version": "v1",
             "slots": 4,
             "state": state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": warm_up,
             "sequence": self.sequence,
             "born": self.born,
         }
