--- a/fulmarhold/collecting/collector.py
+++ b/fulmarhold/collecting/collector.py
@@ -46,6 +46,7 @@
 DECLINES = {
     Reason.LEAVING: Decline.LEAVING,
     Reason.PAUSED: Decline.PAUSED,
+    Reason.COLD: Decline.COLD,
     Reason.EJECTED: Decline.EJECTED,
     Reason.UNRESPONSIVE: Decline.UNRESPONSIVE,
     Reason.AT_LIMIT: Decline.CONGESTED,
--- a/fulmarhold/collecting/messages.py
+++ b/fulmarhold/collecting/messages.py
@@ -32,6 +32,8 @@
     # It has said that it leaves, or that it wants no work for a while.
     LEAVING = "leaving"
     PAUSED = "paused"
+    # It is cold, and the collector's part of what it bears is used up.
+    COLD = "cold"
     # The collector is about to stop.
     STOPPING = "stopping"
 
--- a/fulmarhold/forwarding/attempt.py
+++ b/fulmarhold/forwarding/attempt.py
@@ -94,6 +94,7 @@
         self.may_have_run = True
         if context.flow is not None:
             context.flow.note_sent(self.sent_at)
+        self.replica.note_transmitted(self.sent_at)
         left = context.deadline_at - self.sent_at
         return context.codec.encode(context.prepared, self.replica.upstream.record.name, left)
 
@@ -122,6 +123,8 @@
         reply = context.codec.read(response, context.request.request_id)
         self.replica.note_reply()
         note_reply_signals(self.replica, reply, context)
+        if reply.warm_up and not reply.sender:
+            self.replica.note_cold(reply.warm_up, now)
         if reply.verdict is Verdict.WRONG_ECHO:
             self._report_failure("wrong_echo", response.status, now)
             self._note_failure(now)
--- a/fulmarhold/forwarding/refusals.py
+++ b/fulmarhold/forwarding/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals of requests whose upstreams are all held back by what they said in their answers."""
+"""Refusals of requests whose upstreams are all held back, by what they said or while cold."""
 
 from __future__ import annotations
 
@@ -17,6 +17,8 @@
 
 # A replica and why it gets no request: the one of its shard that wants work first.
 HeldBack = tuple["Replica", "Availability"]
+# Reasons for which an upstream takes work again later.
+WAITING = {Reason.PAUSED: RefusedReason.PAUSED, Reason.COLD: RefusedReason.COLD}
 
 
 def refuse_held_back(context: CallContext, held: Sequence[HeldBack], needed: int) -> Refused:
@@ -24,8 +26,8 @@
     now = context.clock.now()
     replica, availability = sorted(held, key=_wanted_at)[needed - 1]
     left = context.request.deadline_at - now
-    if availability.reason is Reason.PAUSED:
-        reason = RefusedReason.PAUSED
+    if availability.reason in WAITING:
+        reason = WAITING[availability.reason]
         until, since = availability.until or now, availability.since or now
         length = until - since if until > now else 0.0
         retry_after = retry_delay_after_pause(max(0.0, until - now), length, left, context.random)
@@ -50,4 +52,4 @@
 
 def _wanted_at(held: HeldBack) -> tuple[bool, float]:
     _, availability = held
-    return availability.reason is not Reason.PAUSED, availability.until or float("-inf")
+    return availability.reason not in WAITING, availability.until or float("-inf")
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -59,6 +59,8 @@
     STOPPING = "stopping"
     NO_MEMORY = "no_memory"
     PAUSED = "paused"
+    # All upstreams are cold, and bear no more requests now.
+    COLD = "cold"
     LEAVING = "leaving"
     # Room was short, and the account asks for more than usual.
     ACCOUNT_EXCESS = "account_excess"
@@ -107,7 +109,8 @@
     """An upstream's response, with its classification and the signature that proves its origin.
 
     `is_leaving` and `pause` are what it says about further work. `sender` names the upstream that
-    answered if it is not the one that was asked.
+    answered if it is not the one that was asked. `warm_up` is for how many ms the upstream says
+    that it stays cold, zero if it says nothing.
     """
 
     verdict: Verdict
@@ -118,6 +121,7 @@
     is_leaving: bool = False
     pause: Pause | None = None
     sender: str = ""
+    warm_up: Milliseconds = 0.0
 
     @property
     def is_pausing(self) -> bool:
--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import Milliseconds
+from fulmarhold.limits.cold import (
+    DEFAULT_BOUND,
+    WINDOW,
+    ColdGate,
+    EntryShares,
+    WarmUpBound,
+    warm_up_left,
+)
+from fulmarhold.limits.pace import PaceReason
 from fulmarhold.membership.statements import RETENTION_AFTER_END
 from fulmarhold.observe.estimates import QuantileEstimate
 from fulmarhold.observe.logs import get_logger
@@ -22,7 +33,7 @@
     from fulmarhold.membership.statements import UpstreamStatement
     from fulmarhold.observe.counters import Counters
     from fulmarhold.observe.events import EventLog
-    from fulmarhold.routes.configuration import RouteConfiguration
+    from fulmarhold.routes.configuration import RouteConfiguration, UpstreamService
 
 log = get_logger("upstreams")
 
@@ -57,8 +68,11 @@
         counters: Counters,
         memory: MemoryBudget | None = None,
         events: EventLog | None = None,
+        own: str = "",
     ) -> None:
         self._events = events
+        self._shares = EntryShares(own)
+        self._cold: set[tuple[str, int]] = set()
         self._data_centre = data_centre
         self._memory = memory
         self._clock = clock
@@ -72,13 +86,27 @@
         # What incarnations that are not in the table have said, since statements about them may
         # be late, and when each left the table.
         self._departed: dict[tuple[str, int], tuple[AnswerSignals, Milliseconds]] = {}
-        self._unresponsive: set[tuple[str, int]] = set()
+        self._unresponsive: dict[tuple[str, int], Milliseconds] = {}
+        # Upstreams that are not used at full pace, and since when.
+        self._paced: dict[tuple[str, int], Milliseconds] = {}
+        self._entries = 1
+        self._random = Random()
         self._typical_latencies: dict[tuple[str, ...], QuantileEstimate] = {}
 
     @property
     def replicas(self) -> Collection[Replica]:
         return self._replicas.values()
 
+    def paces(self) -> Iterable[tuple[PaceReason, int]]:
+        """Return the number of upstreams that are not used at full pace, by reason."""
+        reasons = Counter(item.pace.reason for item in self._replicas.values())
+        return [(reason, reasons[reason]) for reason in PaceReason]
+
+    @property
+    def cold(self) -> int:
+        """The number of upstreams that are cold."""
+        return len(self._cold)
+
     def of_service(self, service: str) -> list[Replica]:
         """Return the replicas of a service."""
         return self._by_service.get(service, [])
@@ -99,13 +127,21 @@
         *,
         keep_warm: bool,
         evacuated: Iterable[str] = (),
+        active: Collection[str] = (),
+        warm_up_bound: WarmUpBound = DEFAULT_BOUND,
     ) -> None:
         """Set which upstreams serve, and how many entries share their connections.
 
         With `keep_warm`, connections are opened before any request needs them. `evacuated` names
-        upstreams that are left out though they serve.
+        upstreams that are left out though they serve. `active` names the entries that share what
+        cold upstreams bear; without it, those get nothing.
         """
+        now = self._clock.now()
         self._evacuated = frozenset(evacuated)
+        self._shares.update(active, now)
+        self._entries = entries
+        # What an entry that starts finds serving has not just started.
+        is_first = not self._replicas
         before, self._replicas, self._by_service = self._replicas, {}, {}
         self._by_name = {}
         typical_before, self._typical_latencies = self._typical_latencies, {}
@@ -117,34 +153,73 @@
             limit = _connection_share(service.connection_limit, entries)
             replica = before.pop(key, None)
             typical = self._typical_latency(statement.service, configuration, typical_before)
+            is_starting = statement.warm_up > 0 or not is_first
             if replica is None:
                 signals, _ = self._departed.pop(key, (None, 0.0))
-                replica = self._make_replica(statement, limit, signals)
+                replica = self._make_replica(statement, limit, signals, is_starting=is_starting)
             elif replica.address != statement.address:
                 # What is under way at the old address may end there.
                 replica.pool.resize(limit, 0)
                 self._draining.append(replica)
-                replica = self._make_replica(statement, limit, replica.signals)
+                replica = self._make_replica(
+                    statement, limit, replica.signals, is_starting=is_starting
+                )
             replica.typical_latency = typical
+            known = replica.upstream.record
             replica.upstream = ServingUpstream(statement)
+            self._update_cold(replica, known, service, warm_up_bound, is_first=is_first)
+            replica.share_pace(entries)
             replica.pool.resize(limit, WARM_CONNECTIONS if keep_warm else 0)
             self._replicas[key] = replica
             self._by_name[statement.name] = replica
             self._by_service.setdefault(statement.service, []).append(replica)
-        now = self._clock.now()
         for key, replica in before.items():
             self._departed[key] = replica.signals, now
-            self._unresponsive.discard(replica.key)
+            self._unresponsive.pop(replica.key, None)
+            self._paced.pop(replica.key, None)
+            self._cold.discard(replica.key)
             replica.pool.close_when_idle()
             self._draining.append(replica)
         self.maintain()
 
+    def note_contact(self, age: Milliseconds) -> None:
+        """Set how long ago control confirmed what this entry knows; called periodically."""
+        now = self._clock.now()
+        self._shares.note_contact(now - age, now)
+
+    def _update_cold(
+        self,
+        replica: Replica,
+        known: UpstreamStatement,
+        service: UpstreamService,
+        bound: WarmUpBound,
+        *,
+        is_first: bool,
+    ) -> None:
+        """Set until when an upstream is cold; `known` is the statement that was last used."""
+        if service.warm_up_rate <= 0:
+            replica.cold = None
+            return
+        now, statement = self._clock.now(), replica.upstream.record
+        if replica.cold is None:
+            name = f"{statement.name}/{statement.born}"
+            replica.cold = ColdGate(self._shares, name, bound, service.warm_up_rate)
+            age = self._clock.wall() - statement.born
+            remaining = warm_up_left(service.warm_up, age, is_new=not is_first)
+            replica.note_cold(max(statement.warm_up, remaining), now)
+        else:
+            replica.cold.resize(bound, service.warm_up_rate)
+            if statement.sequence != known.sequence:
+                replica.note_cold(statement.warm_up, now)
+
     def maintain(self) -> None:
         """Close idle and overdue connections and open warm ones; called periodically."""
         now = self._clock.now()
         for replica in self._replicas.values():
             self._maintain(replica, now)
             self._log_responsiveness(replica, now)
+            self._log_pace(replica, now)
+            self._log_cold(replica, now)
         for replica in self._draining:
             self._maintain(replica, now)
         self._draining = [replica for replica in self._draining if replica.pool.connections]
@@ -193,12 +268,63 @@
             return
         record = replica.upstream.record
         if is_unresponsive:
-            self._unresponsive.add(replica.key)
+            self._unresponsive[replica.key] = now
             log.info("upstream {} of {} has stopped replying", record.name, record.service)
         else:
-            self._unresponsive.discard(replica.key)
+            replica.note_responsive_again(now - self._unresponsive.pop(replica.key), now)
             log.info("upstream {} of {} replies again", record.name, record.service)
 
+    def _log_pace(self, replica: Replica, now: Milliseconds) -> None:
+        pace, key = replica.pace, replica.key
+        if pace.is_full == (key not in self._paced):
+            return
+        record = replica.upstream.record
+        if pace.reason is None:
+            since = self._paced.pop(key)
+            log.info(
+                "upstream {} of {} is used at full pace again after {:.0f} ms",
+                record.name,
+                record.service,
+                now - since,
+            )
+            return
+        self._paced[key] = now
+        self._counters.add("upstreams_paced", reason=pace.reason.value)
+        log.info(
+            "upstream {} of {} is used at {:.2f} of its {} slots, shared by {} entries: {}, "
+            "its usual latency is {} ms",
+            record.name,
+            record.service,
+            pace.share,
+            record.slots,
+            self._entries,
+            pace.reason.value,
+            "unknown" if pace.usual_latency is None else round(pace.usual_latency),
+        )
+
+    def _log_cold(self, replica: Replica, now: Milliseconds) -> None:
+        gate, key, record = replica.cold, replica.key, replica.upstream.record
+        is_cold = gate is not None and gate.is_cold(now)
+        if is_cold == (key in self._cold):
+            return
+        if gate is not None and is_cold:
+            self._cold.add(key)
+            self._counters.add("upstreams_cold")
+            log.info(
+                "upstream {} of {} is cold for {:.0f} ms: at most {:g} requests a second may reach "
+                "it, this entry's part is {} in {:.0f} ms",
+                record.name,
+                record.service,
+                gate.cold_until - now,
+                gate.total,
+                gate.part(now),
+                WINDOW,
+            )
+        else:
+            self._cold.discard(key)
+            replica.note_warm(now)
+            log.info("upstream {} of {} is no longer cold", record.name, record.service)
+
     def close(self) -> None:
         """Close every connection."""
         for replica in [*self._replicas.values(), *self._draining]:
@@ -222,7 +348,12 @@
         return self._typical_latencies[kind]
 
     def _make_replica(
-        self, statement: UpstreamStatement, limit: int, signals: AnswerSignals | None
+        self,
+        statement: UpstreamStatement,
+        limit: int,
+        signals: AnswerSignals | None,
+        *,
+        is_starting: bool,
     ) -> Replica:
         pool = ConnectionPool(
             statement.address, limit, 0, self._clock, self._counters, self._memory
@@ -231,10 +362,12 @@
             ServingUpstream(statement),
             pool,
             EJECTION_TIME,
-            statement.warm_up,
             self._clock.now(),
             is_local=statement.data_centre == self._data_centre,
             signals=signals,
+            is_starting=is_starting,
+            entries=self._entries,
+            phase=self._random.random(),
         )
 
 
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -90,7 +90,9 @@
         self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
-        self._table = UpstreamTable(settings.data_centre, clock, counters, self._memory, events)
+        self._table = UpstreamTable(
+            settings.data_centre, clock, counters, self._memory, events, settings.name
+        )
         self._active: list[InstanceStatement] = []
         # The upstreams that would serve, but are in evacuated data centres.
         self._evacuated: list[UpstreamStatement] = []
@@ -292,6 +294,8 @@
             entries,
             keep_warm=is_active and self._settling.is_settled,
             evacuated=[item.name for item in self._evacuated],
+            active=[item.name for item in self._active],
+            warm_up_bound=self._watch.settings.warm_up,
         )
 
     def _active_entries(self, upstreams: list[UpstreamStatement]) -> list[InstanceStatement]:
@@ -310,6 +314,7 @@
             if self._settling.check(self._clock.now()):
                 self._fleet_update.run()
             self._fleet_update.run_pending()
+            self._table.note_contact(self.watcher.feed_age)
             self._table.maintain()
             self._collectors.maintain()
             self._quota.note_contact(self._clock.now() - self.watcher.feed_age)
@@ -349,5 +354,8 @@
         yield "entry_upstreams_evacuated", {}, float(len(self._evacuated))
         yield "account_tokens_held", {}, float(self._quota.held)
         yield "account_states", {}, float(self._quota.accounts)
+        yield "entry_upstreams_cold", {}, float(self._table.cold)
+        for cause, paced in self._table.paces():
+            yield "entry_upstreams_paced", {"reason": cause.value}, float(paced)
         yield from self._memory.gauges()
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/platform/headers.py
+++ b/fulmarhold/platform/headers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import re
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from fulmarhold.clock import MINUTE, SECOND, Milliseconds
+from fulmarhold.clock import HOUR, MINUTE, SECOND, Milliseconds
 from fulmarhold.forwarding.request import (
     Failed,
     FailedReason,
@@ -38,6 +39,10 @@
 SIGNATURE = "X-Fulmarhold-Server-Stamp"
 NOT_RUN = "X-Fulmarhold-Not-Executed"
 UPSTREAM_ID = "X-Fulmarhold-Instance-Id"
+# For how many milliseconds the upstream stays cold.
+WARM_UP_LEFT = "X-Fulmarhold-Warmup-Remaining"
+# Longer warm-ups are taken as this one.
+MAX_WARM_UP: Milliseconds = 1 * HOUR
 # The signatures of the partial responses in a merged response.
 PART_SIGNATURES = "X-Fulmarhold-Part-Stamps"
 # The number of shards without a partial response, not their names.
@@ -109,11 +114,25 @@
             return reply
         is_leaving = any(response.header(name.lower()).strip() == "1" for name in LEAVING)
         pause = _read_pause(response)
-        if not is_leaving and pause is None:
+        warm_up = read_warm_up(response.header(WARM_UP_LEFT.lower()))
+        if not is_leaving and pause is None and not warm_up:
             return reply
         is_other = verdict is Verdict.OTHER_OWNER
         sender = response.header(UPSTREAM_ID.lower()) if is_other else ""
-        return replace(reply, is_leaving=is_leaving, pause=pause, sender=sender)
+        return replace(reply, is_leaving=is_leaving, pause=pause, sender=sender, warm_up=warm_up)
+
+
+def read_warm_up(value: str) -> Milliseconds:
+    """Return for how long an upstream says that it stays cold, zero if it states no such time.
+
+    >>> [read_warm_up(value) for value in ("1500.5", "1e12", "-1", "nan", "inf", "")]
+    [1500.5, 3600000.0, 0.0, 0.0, 0.0, 0.0]
+    """
+    try:
+        remaining = float(value)
+    except ValueError:
+        return 0.0
+    return min(remaining, MAX_WARM_UP) if 0 < remaining < math.inf else 0.0
 
 
 def read_request(raw: RawRequest) -> ForwardRequest:
--- a/fulmarhold/platform/settings.py
+++ b/fulmarhold/platform/settings.py
@@ -14,6 +14,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.limits.budget import ExtraLoadBound
+from fulmarhold.limits.cold import DEFAULT_BOUND, WarmUpBound
 from fulmarhold.limits.memory import MEBIBYTE
 from fulmarhold.settings.problems import MAX_FILE_BYTES, InvalidSettings, Problem
 from fulmarhold.settings.structs import decode_struct, require_endpoint
@@ -47,6 +48,12 @@
     quota_window_seconds: Annotated[float, Meta(gt=0)] = field(default=5.0, name="quotaWindowS")
     quota_overage: Annotated[float, Meta(ge=0)] = field(default=0.1, name="quotaOverage")
     quota_slack: Annotated[float, Meta(ge=0)] = field(default=20.0, name="quotaSlack")
+    warm_up_overage: Annotated[float, Meta(ge=0)] = field(
+        default=WarmUpBound.overage, name="warmupOverage"
+    )
+    warm_up_slack: Annotated[float, Meta(ge=0)] = field(
+        default=WarmUpBound.slack, name="warmupSlack"
+    )
 
 
 class _Limits(Struct, frozen=True):
@@ -108,6 +115,7 @@
     # instances in contact with control have to end it.
     revoke_within: Milliseconds | None = None
     quota_bound: QuotaBound = DEFAULT_QUOTA_BOUND
+    warm_up: WarmUpBound = DEFAULT_BOUND
 
 
 def settings_path() -> Path:
@@ -167,6 +175,7 @@
             values.bounds.retry_window_seconds * SECOND,
         ),
         grace=values.bounds.grace_seconds * SECOND,
+        warm_up=WarmUpBound(values.bounds.warm_up_overage, values.bounds.warm_up_slack),
         memory_bytes=int(limits.memory_mebibytes or 0) * MEBIBYTE,
         revoke_within=values.bounds.revoke_within if values.bounds.is_revoke_strict else None,
         quota_bound=QuotaBound(
--- a/fulmarhold/routing/choice.py
+++ b/fulmarhold/routing/choice.py
@@ -58,11 +58,18 @@
     return timely or replicas
 
 
+def with_room(replicas: list[Replica], now: Milliseconds) -> list[Replica]:
+    """Return the replicas whose pace admits one more request, or else all."""
+    return [item for item in replicas if item.has_room(now)] or replicas
+
+
 def candidates(
     replicas: Sequence[Replica], tried: Sequence[Replica], now: Milliseconds
 ) -> list[Replica]:
     """Return the replicas to choose from: not held back, not tried yet, not ejected if possible.
 
+    One that is cold and can't bear one more request is left out even if it is the last one.
+
     If all remaining replicas are ejected they are returned nevertheless, so that ejection never
     removes the last replica of a shard.
     """
@@ -76,7 +83,8 @@
 ) -> tuple[Replica, Availability] | None:
     """Return the replica that wants work again first, if all are held back by what they said.
 
-    That is the one whose pause ends first, or one that leaves if none pauses.
+    That is the one whose pause ends first, or that is cold and bears one more request first; or one
+    that leaves if there is no such replica.
     """
     found: tuple[Replica, Availability] | None = None
     earliest = float("inf")
@@ -84,7 +92,7 @@
         held = replica.held_back(now)
         if held.reason is None:
             return None
-        if held.reason is Reason.PAUSED:
+        if held.reason in (Reason.PAUSED, Reason.COLD):
             until = now if held.until is None else held.until
             if until < earliest:
                 found, earliest = (replica, held), until
--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -10,6 +10,7 @@
 import resource
 import subprocess
 import sys
+import time
 from contextlib import suppress
 from itertools import count
 from typing import TYPE_CHECKING, Any
@@ -49,6 +50,8 @@
         self.targets: list[str] = []
         self.headers: list[dict[str, str]] = []
         self.connections = 0
+        # When each request arrived, in seconds.
+        self.arrived_at: list[float] = []
         self._server = StreamServer((address, UPSTREAM_PORT), self._serve)
         self._server.start()
 
@@ -66,6 +69,7 @@
             while (field := file.readline()) not in (b"\r\n", b""):
                 key, _, value = field.decode().partition(":")
                 headers[key.lower()] = value.strip()
+            self.arrived_at.append(time.monotonic())
             self.targets.append(line.split(b" ")[1].decode())
             self.headers.append(headers)
             self._note()
@@ -86,7 +90,7 @@
     def _note(self):
         """Note a request, for tests that need more than its target."""
 
-    def send_heartbeat(self, state="ready", control=CONTROL[0]):
+    def send_heartbeat(self, state="ready", control=CONTROL[0], warm_up=0):
         self.sequence += 1
         body = {
             "service": self.service,
@@ -95,7 +99,7 @@
             "version": "v1",
             "slots": 4,
             "state": state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": warm_up,
             "sequence": self.sequence,
             "born": self.born,
         }
