Open connections and servers without gevent's resolver

gevent's create_connection and its WSGI server resolve even numeric addresses: the process loads a resolver, starts a thread pool and keeps both, and the start of each HTTP interface waits for a reverse look-up. Connections between instances are opened on a socket of the address's family, and the servers are given their name.

--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -81,6 +81,9 @@
     server = ApplicationServer(
         listen(address, port),
         application,
+        # Without a name, the server would look up that of the address, which may take seconds and
+        # loads a resolver with its threads.
+        environ={"SERVER_NAME": address},
         log=None,
         error_log=_ErrorLog(),
         spawn=Pool(MAX_CONNECTIONS),
--- a/fulmarhold/wire/client.py
+++ b/fulmarhold/wire/client.py
@@ -176,10 +176,7 @@
         if self._socket is not None:
             return self._socket
         try:
-            _, target = socket_address(self.endpoint)
-            connection = gevent.socket.create_connection(target, timeout=CONNECT_TIMEOUT / SECOND)
-            connection.settimeout(None)
-            prepare_connection(connection)
+            connection = _open_connection(self.endpoint)
         except (OSError, ValueError) as error:
             reason = bounded_text(str(error))
             raise PeerUnavailable(reason, step=step, peer=bounded_text(self.endpoint)) from error
@@ -210,3 +207,22 @@
         waiting, self._waiting = self._waiting, {}
         for result in waiting.values():
             result.set_exception(PeerUnavailable(reason, step="reading", peer=self.endpoint))
+
+
+def _open_connection(endpoint: str) -> Any:
+    """Return a new connection to IP:port.
+
+    Opened without gevent's `create_connection`, which resolves even a numeric address: in a thread,
+    whose modules and memory the process would keep.
+    """
+    family, target = socket_address(endpoint)
+    connection = gevent.socket.socket(family)
+    try:
+        connection.settimeout(CONNECT_TIMEOUT / SECOND)
+        connection.connect(target)
+        connection.settimeout(None)
+        prepare_connection(connection)
+    except BaseException:
+        connection.close()
+        raise
+    return connection
