Read upstreams' responses with httptools

The package of geventhttpclient imports its whole client with the parser: urllib.request, http.cookiejar, brotli and a connection pool, which a daemon never uses. httptools, which reads the callers' requests already, has the same parser. A reader makes its parser with the first bytes, and a closed connection gives it up, as the two refer to each other. A malformed response is an error of the project.

test_fuzz.py expects the project's error instead of the library's; it checks the same.

--- a/fulmarhold/soak/callers.py
+++ b/fulmarhold/soak/callers.py
@@ -7,10 +7,9 @@
 
 import gevent
 import gevent.socket
-from geventhttpclient.response import HTTPParseError
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.errors import PeerUnavailable
+from fulmarhold.errors import MalformedInput, PeerUnavailable
 from fulmarhold.platform.encoding import LOOKUP_PATH, read_addresses, write_request
 from fulmarhold.platform.headers import PART_SIGNATURES, PARTS_MISSING, SIGNATURE
 from fulmarhold.soak.kinds import QUICK_DEADLINE
@@ -70,7 +69,7 @@
         except gevent.Timeout:
             self.close()
             response = Response(request, TIMED_OUT, clock.now())
-        except (OSError, HTTPParseError):
+        except (OSError, MalformedInput):
             # A closed connection and an unparseable response are the same to this caller.
             self.close()
             response = Response(request, 0, clock.now())
--- a/fulmarhold/tests/upstreams/test_fuzz.py
+++ b/fulmarhold/tests/upstreams/test_fuzz.py
@@ -4,10 +4,10 @@
 
 import itertools
 
-from geventhttpclient.response import HTTPParseError
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fulmarhold.errors import MalformedInput
 from fulmarhold.forwarding.records import greatest_records
 from fulmarhold.forwarding.request import Verdict
 from fulmarhold.platform.headers import PlatformCodec
@@ -27,7 +27,7 @@
             reader.feed(piece)
             if reader.is_complete:
                 return reader.take()
-    except HTTPParseError:
+    except MalformedInput:
         return None
     return reader.take() if reader.end_of_stream() else None
 
@@ -104,7 +104,7 @@
             reader.feed(piece)
             if reader.is_complete:
                 break
-    except HTTPParseError:
+    except MalformedInput:
         return "malformed"
     if not reader.is_complete:
         return None
--- a/fulmarhold/upstreams/channel.py
+++ b/fulmarhold/upstreams/channel.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 import gevent
-from geventhttpclient.response import HTTPParseError
 
+from fulmarhold.errors import MalformedInput
 from fulmarhold.limits.memory import Shortage
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.upstreams.protocol import ResponseReader, UpstreamResponse
@@ -147,6 +147,7 @@
             watcher.close()
         if self._socket is not None:
             self._socket.close()
+        self._reader.close()
         self._release()
         exchange, self._exchange = self._exchange, None
         self._owner.channel_closed(self, reason)
@@ -215,7 +216,7 @@
             return
         try:
             self._reader.feed(data)
-        except HTTPParseError:
+        except MalformedInput:
             self.close("malformed response")
             return
         if self._reader.is_too_large:
--- a/fulmarhold/upstreams/protocol.py
+++ b/fulmarhold/upstreams/protocol.py
@@ -5,9 +5,10 @@
 import re
 from dataclasses import dataclass
 
-from geventhttpclient.response import HTTPParseError, HTTPResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.errors import MalformedInput
 
 # Header names are compared in lower case.
 PART_HEADER = "fulmarhold-part"
@@ -104,21 +105,20 @@
     ).encode()
 
 
-class ResponseReader(HTTPResponseParser):
-    """Parses the responses of one connection, one at a time."""
+class ResponseReader:
+    """Reads the responses of one connection, one at a time."""
 
     def __init__(self) -> None:
-        super().__init__()
+        # Made with the first bytes: connections that are refused, or wait unused, need none.
+        self._parser: HttpResponseParser | None = None
         self._status = 0
         self._headers: list[tuple[str, str]] = []
         self._has_headers = False
-        self._field = ""
-        self._value = ""
-        self._in_value = False
         self._body: list[bytearray] = []
         self._received = 0
         self._body_bytes = 0
         self._is_complete = False
+        self._keeps_alive = False
         # Set when a second response follows one request, or the end of the stream ends a response:
         # the connection can't be reused.
         self._must_close = False
@@ -145,14 +145,16 @@
         values = (value for name, value in self._headers if name.lower() == "content-length")
         return max((int(value) for value in values if value.isdecimal()), default=0)
 
-    def feed(self, data: str | bytes) -> None:
-        """Parse the next bytes of the connection; raises `HTTPParseError` if they are no HTTP."""
+    def feed(self, data: bytes) -> None:
+        """Parse the next bytes of the connection; raises `MalformedInput` if they are no HTTP."""
         self._received += len(data)
+        if self._parser is None:
+            self._parser = HttpResponseParser(self)
         try:
-            super().feed(data)
-        except HTTPParseError:
+            self._parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade) as error:
             if not self._is_complete:
-                raise
+                raise MalformedInput(str(error), step="reading a response") from error
             # What follows a complete response belongs to no request.
             self._must_close = True
 
@@ -162,7 +164,7 @@
             self._status,
             tuple(self._headers),
             b"".join(self._body),
-            self.should_keep_alive() and not self._must_close,
+            self._keeps_alive and not self._must_close,
         )
         self._is_complete = False
         self._has_headers = False
@@ -180,38 +182,31 @@
             self._is_complete = self._must_close = True
         return self._is_complete
 
-    # Callbacks of HTTPResponseParser.
+    def close(self) -> None:
+        """Free the parser, which refers to this reader, when the connection has closed."""
+        self._parser = None
 
-    def _on_message_begin(self) -> None:
+    # Callbacks of HttpResponseParser.
+
+    def on_message_begin(self) -> None:
         if self._is_complete:
             self._must_close = True
             return
         self._headers = []
         self._has_headers = False
-        self._field = self._value = ""
-        self._in_value = False
         self._body = []
 
-    def _on_status(self, _: str) -> None:
-        pass
-
-    def _on_header_field(self, text: str) -> None:
-        if self._in_value:
-            self._flush_header()
-        self._field += text
-
-    def _on_header_value(self, text: str) -> None:
-        self._in_value = True
-        self._value += text
+    def on_header(self, name: bytes, value: bytes) -> None:
+        # Fields after the head are a trailer, which must not pass for fields of the head.
+        if not self._must_close and not self._has_headers:
+            self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
-    def _on_headers_complete(self) -> bool:
-        self._flush_header()
-        if not self._must_close:
-            self._status = self.get_code()
+    def on_headers_complete(self) -> None:
+        if not self._must_close and self._parser is not None:
+            self._status = self._parser.get_status_code()
         self._has_headers = True
-        return False
 
-    def _on_body(self, data: bytes) -> None:
+    def on_body(self, data: bytes) -> None:
         if not self._must_close:
             self._body_bytes += len(data)
             if self._body:
@@ -219,8 +214,11 @@
             else:
                 self._body.append(bytearray(data))
 
-    def _on_message_complete(self) -> None:
+    def on_message_complete(self) -> None:
         is_interim = self._status < STATUS_OK
+        if not self._is_complete and self._parser is not None:
+            # The parser forgets it with the end of the message.
+            self._keeps_alive = bool(self._parser.should_keep_alive())
         self._is_complete = self._is_complete or not is_interim
         self._has_headers = self._has_headers and not is_interim
 
@@ -231,10 +229,3 @@
             self._body[-1] += data
         else:
             self._body.append(bytearray(data))
-
-    def _flush_header(self) -> None:
-        # Fields after the head are a trailer, which must not pass for fields of the head.
-        if self._field and not self._must_close and not self._has_headers:
-            self._headers.append((self._field, self._value))
-        self._field = self._value = ""
-        self._in_value = False
