Keep the unpacker of a connection only while a frame is incomplete

msgpack's unpacker has its stack for nested values inside, 44 KB that each connection between instances held while it waited. A decoder now makes one for each piece that it is fed, and keeps it only if a frame is not complete.

--- a/fulmarhold/tests/wire/test_fuzz.py
+++ b/fulmarhold/tests/wire/test_fuzz.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from fulmarhold.errors import MalformedInput
+from fulmarhold.tests.upstreams.test_fuzz import split_at
 from fulmarhold.wire import messages
 from fulmarhold.wire.frames import FrameDecoder, encode_frame
 
@@ -56,3 +57,15 @@
     assert list(decoder.feed(frame[cut:])) == [
         (3, messages.Failure("reason", "a longer detail of the failure"))
     ]
+
+
+# Guards against losing the start of a frame with the unpacker, which exists only while one is open.
+@settings(max_examples=CASES, deadline=None)
+@given(st.lists(st.text(max_size=12), max_size=5), st.lists(st.integers(0, 200), max_size=6))
+def test_frames_are_the_same_however_they_are_split(details, cuts):
+    sent = [(number, messages.Failure("r", detail)) for number, detail in enumerate(details)]
+    stream = b"".join(encode_frame(*item) for item in sent)
+    decoder = FrameDecoder()
+    pieces = split_at(stream, cuts)
+    assert [item for piece in pieces for item in decoder.feed(piece)] == sent
+    assert not decoder.has_partial_frame
--- a/fulmarhold/wire/frames.py
+++ b/fulmarhold/wire/frames.py
@@ -38,25 +38,44 @@
     """
 
     def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
-        self._unpacker = msgpack.Unpacker(
-            max_buffer_size=max_frame_bytes,
-            max_array_len=min(MAX_ITEMS, max_frame_bytes),
-            max_map_len=min(MAX_ITEMS, max_frame_bytes),
-        )
+        self._max_frame_bytes = max_frame_bytes
+        # Only there while a frame is incomplete: it takes 44 KB, and most connections are idle.
+        self._unpacker: msgpack.Unpacker | None = None
+        self._received = 0
+
+    @property
+    def has_partial_frame(self) -> bool:
+        """Whether the start of a frame is held until the rest of it arrives."""
+        return self._unpacker is not None
 
     def feed(self, data: bytes) -> Iterator[tuple[int, Any]]:
         """Yield the request id and the message of each complete frame.
 
         Raises `MalformedInput` for a frame that is too large or is not a known message.
         """
+        unpacker = self._unpacker or self._make_unpacker()
+        self._received += len(data)
+        decoded = 0
         try:
-            self._unpacker.feed(data)
-            for frame in self._unpacker:
+            unpacker.feed(data)
+            for frame in unpacker:
+                decoded = unpacker.tell()
                 yield _parse_frame(frame)
         except msgpack.BufferFull:
             raise MalformedInput("frame is larger than allowed", step="decoding") from None
         except (msgpack.UnpackException, ValueError, RecursionError) as error:
             raise MalformedInput(f"not a msgpack frame: {error}", step="decoding") from error
+        if decoded == self._received:
+            self._unpacker = None
+
+    def _make_unpacker(self) -> msgpack.Unpacker:
+        self._received = 0
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=self._max_frame_bytes,
+            max_array_len=min(MAX_ITEMS, self._max_frame_bytes),
+            max_map_len=min(MAX_ITEMS, self._max_frame_bytes),
+        )
+        return self._unpacker
 
 
 def _parse_frame(frame: Any) -> tuple[int, Any]:
