Import what only unusual or busy daemons need when they need it

argparse is imported for arguments that name no role, difflib for the hint to an unknown name, hdrh with the first histogram and statistics with the first stragglers of a query: an entry that stands by has none of them.

--- a/fulmarhold/forwarding/scatter.py
+++ b/fulmarhold/forwarding/scatter.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from statistics import median
 from typing import TYPE_CHECKING
 
 from gevent.event import Event
@@ -180,6 +179,9 @@
 
     def _hedge_stragglers(self) -> None:
         """Bring forward the hedges of pending calls, based on the latency of the received parts."""
+        # Imported here because an entry that serves no queries over shards doesn't need it.
+        from statistics import median  # noqa: PLC0415
+
         now = self._context.clock.now()
         typical = median(call.expected_latency for call in self._calls if call.is_done)
         for call, due in self._hedge_at.items():
--- a/fulmarhold/observe/latency.py
+++ b/fulmarhold/observe/latency.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -28,6 +26,9 @@
     """
 
     def __init__(self) -> None:
+        # Imported here because an entry that serves no requests needs none.
+        from hdrh.histogram import HdrHistogram  # noqa: PLC0415
+
         self._histogram = HdrHistogram(MIN_MICROSECONDS, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
         self._total: Milliseconds = 0.0
 
--- a/fulmarhold/platform/__main__.py
+++ b/fulmarhold/platform/__main__.py
@@ -8,7 +8,6 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 # ruff: noqa: E402
-import argparse
 import sys
 
 import gevent
@@ -22,14 +21,24 @@
 from fulmarhold.platform.settings import load_settings, settings_path
 from fulmarhold.platform.settings_watch import SettingsWatch
 
+ROLES = ("entry", "control")
+
 
 def main() -> int:
     """Run the daemon named on the command line until SIGTERM and return the exit code."""
+    arguments = sys.argv[1:]
+    return run(arguments[0] if len(arguments) == 1 and arguments[0] in ROLES else _parse_role())
+
+
+def _parse_role() -> str:
+    """Return the role that unusual arguments name; exits with a message if they name none."""
     # argparse, because importing cyclopts, which the other commands use, takes as long as
-    # importing the rest of an entry.
+    # importing the rest of an entry. Imported here because a daemon would keep it in memory.
+    import argparse  # noqa: PLC0415
+
     parser = argparse.ArgumentParser(prog="fulmarhold.platform", description=__doc__)
-    parser.add_argument("role", choices=("entry", "control"), help="what this instance does")
-    return run(parser.parse_args().role)
+    parser.add_argument("role", choices=ROLES, help="what this instance does")
+    return str(parser.parse_args().role)
 
 
 def run(role: str) -> int:
--- a/fulmarhold/registry.py
+++ b/fulmarhold/registry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import difflib
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from fulmarhold.errors import FulmarholdError
@@ -51,5 +50,8 @@
 
 def nearest_hint(name: str, known: object) -> str:
     """Return `; did you mean 'x'?` for the closest known name, or an empty string."""
+    # Imported here because daemons, whose names are known, would keep it in memory.
+    import difflib  # noqa: PLC0415
+
     nearest = difflib.get_close_matches(name, [str(item) for item in known], n=1)  # type: ignore[attr-defined]
     return f"; did you mean {nearest[0]!r}?" if nearest else ""
