--- a/fulmarhold/tests/platform/fleet.py
+++ b/fulmarhold/tests/platform/fleet.py
@@ -117,6 +117,7 @@
         data_centre: str = "a",
         module: str = "fulmarhold.platform",
         memory_mebibytes: float = 300.0,
+        options: tuple[str, ...] = (),
     ) -> None:
         role = "entry" if address in ENTRIES else "control"
         folder = self._folder / address
@@ -129,8 +130,13 @@
         settings.write_text(json.dumps(document))
         with (folder / "log").open("ab") as log:
             self._processes[address] = subprocess.Popen(
-                [sys.executable, "-m", module, role],
-                env={**os.environ, "FULMARHOLD_SETTINGS": str(settings)},
+                [sys.executable, *options, "-m", module, role],
+                env={
+                    **os.environ,
+                    "FULMARHOLD_SETTINGS": str(settings),
+                    # As on the platform, where the libraries are in a folder of their own.
+                    "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
+                },
                 stdout=log,
                 stderr=log,
             )
