Count the age of the quorum from the arrival of the stamp

The leader told the age of its quorum when it sent its next request, which is one heartbeat later than the stamp arrives; that heartbeat counted twice.

--- a/fulmarhold/consensus/confirmation.py
+++ b/fulmarhold/consensus/confirmation.py
@@ -2,9 +2,9 @@
 
 The moment at which a message arrives says nothing: it may have been on its way for seconds, or its
 recipient may have been suspended, and its sender may be deposed since. So a follower stamps its
-replies with its own time. The leader's next request repeats the newest stamp, with the time since
-a quorum confirmed that it leads. It was sent after the stamped reply, so the commits that it names
-were all that existed when the stamp was made, less the age of the quorum's confirmation.
+replies with its own time. The leader's next request repeats the newest stamp, and tells how long
+before the arrival of that stamp a quorum had confirmed that it leads. The stamp was made before it
+arrived, so the commits that the request names are all that existed that long before the stamp.
 """
 
 from __future__ import annotations
--- a/fulmarhold/consensus/core.py
+++ b/fulmarhold/consensus/core.py
@@ -521,15 +521,15 @@
         )
 
     def _echo_for(self, identity: str, now: Milliseconds) -> tuple[int, float, float] | None:
-        """Return the newest stamp of a member, and the time since a quorum confirmed this leader.
+        """Return the newest stamp of a member, and the age of the quorum when it arrived.
 
         `None` until it has sent one, and while this leader may lack commits of an earlier one.
         """
         follower = self._followers.find(identity)
-        age = now - self.confirmed_at(now)
-        if follower is None or follower.stamp is None or age == float("inf"):
+        confirmed_at = self.confirmed_at(now)
+        if follower is None or follower.stamp is None or confirmed_at == float("-inf"):
             return None
-        return (*follower.stamp, age)
+        return (*follower.stamp, max(0.0, follower.stamped_at - confirmed_at))
 
     def _send_snapshot(self, identity: str, follower: Follower, now: Milliseconds) -> None:
         if now < follower.snapshot_sent_at + SNAPSHOT_RESEND_PERIOD:
@@ -549,7 +549,7 @@
         if not self.is_leader or message.term < self.term or follower is None:
             return
         follower.record_reply(message.sent_at, message.match_index, success=message.success)
-        is_first_stamp = follower.record_stamp(message.stamp)
+        is_first_stamp = follower.record_stamp(message.stamp, now)
         committed = self.commit_index
         if message.success:
             self._advance_commit()
--- a/fulmarhold/consensus/followers.py
+++ b/fulmarhold/consensus/followers.py
@@ -22,14 +22,15 @@
     snapshot_sent_at: Milliseconds = float("-inf")
     # The newest stamp of its replies, which the next request repeats.
     stamp: Stamp | None = None
+    # When that stamp arrived.
+    stamped_at: Milliseconds = float("-inf")
 
-    def record_stamp(self, stamp: Stamp | None) -> bool:
+    def record_stamp(self, stamp: Stamp | None, now: Milliseconds) -> bool:
         """Keep the stamp of a reply if it is newer; returns whether it is the first one."""
         is_first = self.stamp is None
-        if stamp is not None and (self.stamp is None or stamp[0] != self.stamp[0]):
-            self.stamp = stamp
-        elif stamp is not None and self.stamp is not None:
-            self.stamp = max(self.stamp, stamp)
+        is_same_run = self.stamp is not None and stamp is not None and stamp[0] == self.stamp[0]
+        if stamp is not None and not (is_same_run and self.stamp and stamp < self.stamp):
+            self.stamp, self.stamped_at = stamp, now
         return is_first and self.stamp is not None
 
     def record_reply(self, sent_at: Milliseconds, match_index: int, *, success: bool) -> None:
--- a/fulmarhold/consensus/messages.py
+++ b/fulmarhold/consensus/messages.py
@@ -93,8 +93,9 @@
     """Replicates the entries after `previous_index`; a heartbeat if there are none.
 
     `sent_at` is on the leader's clock; the reply repeats it. `echo` is the newest stamp that the
-    leader has from the recipient, and the milliseconds since a quorum confirmed the leader; it is
-    missing until there is both. A leader of an earlier release never `echoes`.
+    leader has from the recipient, and how many milliseconds before its arrival the leader was last
+    confirmed by a quorum; it is missing until there is both. A leader of an earlier release never
+    `echoes`.
     """
 
     cluster: str
