--- a/fulmarhold/accounts/account_state.py
+++ b/fulmarhold/accounts/account_state.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING
 
 from fulmarhold.accounts.demand import Demand
+from fulmarhold.accounts.leases import ReportItem
 from fulmarhold.accounts.reserve import Reserve
-from fulmarhold.clock import Milliseconds
+from fulmarhold.clock import SECOND, Milliseconds
 
 if TYPE_CHECKING:
     from fulmarhold.accounts.bucket import QuotaLimit
@@ -16,9 +17,19 @@
 # How long the tokens that an entry needs are expected to last: several reports and round trips.
 HORIZON: Milliseconds = 1_000.0
 # The same with the stock. Bridges an election, and is less than tokens are valid.
-STOCK_HORIZON: Milliseconds = 2_200.0
+STOCK_HORIZON: Milliseconds = 1_800.0
 # Fewer requests than this in `HORIZON` need no token in advance.
 FEW_REQUESTS = 0.1
+# An entry asks for more when it holds less than this share of what it wants.
+LOW_SHARE = 0.75
+# An entry gives back what it holds beyond this multiple of what it wants.
+HIGH_SHARE = 1.5
+# How often an entry reports an account.
+REPORT_PERIOD: Milliseconds = 250.0
+# Use is reported at least this often: the leader counts tokens as outstanding until then.
+USE_PERIOD: Milliseconds = 500.0
+# How often the reserve is asked for again after the leader had too few tokens.
+UNRESTORED_PERIOD: Milliseconds = 1 * SECOND
 
 
 @dataclass(frozen=True)
@@ -107,3 +118,40 @@
             return 0
         spare = 0 if self.is_exhausted else 1
         return max(0, math.ceil(expected) + spare - int(self.reserve.content))
+
+    def is_due(self, now: Milliseconds) -> bool:
+        """Whether the next report has to contain this account."""
+        use_period = REPORT_PERIOD if self.is_exhausted else USE_PERIOD
+        return (
+            (self.is_reserve_used and not self.is_unrestored)
+            or (self.is_unrestored and now >= self.reported_at + UNRESTORED_PERIOD)
+            or self.total < LOW_SHARE * self.level(now)
+            or self.held > HIGH_SHARE * self.level(now, STOCK_HORIZON)
+            or (self.used > 0 and now >= self.reported_at + use_period)
+        )
+
+    def report(self, name: str, missing: int, now: Milliseconds) -> ReportItem:
+        """Return what is reported, where `missing` is what the reserve can take."""
+        level, stock = self.level(now), self.level(now, STOCK_HORIZON)
+        if self.held > HIGH_SHARE * stock:
+            self.held = stock
+        # What the reserve gets is not needed in addition.
+        needed = max(int(self.is_short and not missing), level - self.total - missing)
+        stock = max(0, stock - max(level, self.total))
+        self.is_short = self.is_reserve_used = self.is_unrestored = False
+        self.mark += 1
+        self.reported_used = self.used
+        self.reported_at = now
+        return ReportItem(name, self.held, self.used, needed, stock, missing)
+
+    def change(self, name: str, now: Milliseconds, contact_at: Milliseconds) -> LimitChange:
+        """Return the event that the account has reached its limit or has left it."""
+        return LimitChange(
+            name,
+            self.is_limited,
+            self.limit.rate,
+            self.demand.rate(now) * SECOND,
+            self.total,
+            self.refused,
+            now - contact_at,
+        )
--- a/fulmarhold/accounts/leases.py
+++ b/fulmarhold/accounts/leases.py
@@ -111,9 +111,9 @@
     >>> leases = QuotaLeases(1, {"a": QuotaLimit(100.0, 50.0)}, QuotaBound(), led_since=0.0)
     >>> report = Report("entry", 1, 1, 0, True, (ReportItem("a", 0, 0, 10),))
     >>> leases.answer(report, 100.0).items, leases.answer(report, 200.0)
-    ((GrantItem(account='a', granted=0, is_short=True),), None)
+    ((GrantItem(account='a', granted=0, is_short=True, restored=0),), None)
     >>> leases.answer(replace(report, number=2), 10_000.0).items
-    (GrantItem(account='a', granted=10, is_short=False),)
+    (GrantItem(account='a', granted=10, is_short=False, restored=0),)
     """
 
     def __init__(
--- a/fulmarhold/accounts/quota.py
+++ b/fulmarhold/accounts/quota.py
@@ -14,7 +14,7 @@
 from fulmarhold.accounts.account_state import (
     ADMITTED,
     HORIZON,
-    STOCK_HORIZON,
+    REPORT_PERIOD,
     AccountState,
     Admission,
     Admitted,
@@ -32,20 +32,10 @@
     from collections.abc import Collection, Iterable, Mapping
     from random import Random
 
-# An entry asks for more when it holds less than this share of what it wants.
-LOW_SHARE = 0.75
-# An entry gives back what it holds beyond this multiple of what it wants.
-HIGH_SHARE = 1.5
-# How often an entry reports an account.
-REPORT_PERIOD: Milliseconds = 250.0
-# How soon it reports one of which it has refused a request: before and after the leader has
+# How soon an entry reports an account after a refusal: before and after the leader has
 # answered that there are too few tokens.
 SHORT_PERIOD: Milliseconds = 50.0
 EXHAUSTED_PERIOD: Milliseconds = 150.0
-# Use is reported at least this often: the leader counts tokens as outstanding until then.
-USE_PERIOD: Milliseconds = 500.0
-# How often the reserve is asked for again after the leader had too few tokens.
-UNRESTORED_PERIOD: Milliseconds = 1 * SECOND
 # The share of the tokens' validity after which an entry reports even if nothing has changed.
 RENEWAL_SHARE = 0.4
 # How long a use of the reserve can be undone. What the reserve regains meanwhile may be used twice.
@@ -183,8 +173,7 @@
 
     def report(self, now: Milliseconds) -> Report | None:
         """Return what has to be reported now, if anything; there is one open report at a time."""
-        if not self._limits and not self._accounts:
-            self._unanswered.clear()
+        if not self._limits:
             return None
         self._expire(now)
         self._forget_idle(now)
@@ -242,7 +231,7 @@
         for name, account in self._accounts.items():
             if account.is_limited and now > account.refused_at + LIMIT_MEMORY:
                 account.is_limited = False
-                self._changes.append(self._change(name, account, now))
+                self._changes.append(account.change(name, now, self._contact_at))
                 account.refused = 0
         changes, self._changes = self._changes, []
         return changes
@@ -258,21 +247,10 @@
         if now >= self._scanned_at + REPORT_PERIOD:
             self._scanned_at = now
             for name, account in self._accounts.items():
-                if self._is_due(account, now):
+                if account.is_due(now):
                     due[name] = None
         return [self._item(name, now) for name in list(due)[:MAX_ITEMS]]
 
-    def _is_due(self, account: AccountState, now: Milliseconds) -> bool:
-        level = account.level(now)
-        use_period = REPORT_PERIOD if account.is_exhausted else USE_PERIOD
-        return (
-            (account.is_reserve_used and not account.is_unrestored)
-            or (account.is_unrestored and now >= account.reported_at + UNRESTORED_PERIOD)
-            or account.total < LOW_SHARE * level
-            or account.held > HIGH_SHARE * account.level(now, STOCK_HORIZON)
-            or (account.used > 0 and now >= account.reported_at + use_period)
-        )
-
     def _item(self, name: str, now: Milliseconds) -> ReportItem:
         self._unanswered.add(name)
         self._short.discard(name)
@@ -280,17 +258,7 @@
         if account is None:
             return ReportItem(name, 0, 0, 0)
         missing = account.reserve.missing if self._fill_reserve(name, account, now) else 0
-        level, stock = account.level(now), account.level(now, STOCK_HORIZON)
-        if account.held > HIGH_SHARE * stock:
-            account.held = stock
-        # What the reserve gets is not needed in addition.
-        needed = max(int(account.is_short and not missing), level - account.total - missing)
-        stock = max(0, stock - max(level, account.total))
-        account.is_short = account.is_reserve_used = account.is_unrestored = False
-        account.mark += 1
-        account.reported_used = account.used
-        account.reported_at = now
-        return ReportItem(name, account.held, account.used, needed, stock, missing)
+        return account.report(name, missing, now)
 
     def _is_renewal_due(self, now: Milliseconds) -> bool:
         return now >= self._reported_at + RENEWAL_SHARE * self._lease and any(
@@ -376,7 +344,7 @@
             return QuotaExceeded(self._spread(MIN_RETRY_DELAY))
         if not account.is_limited:
             account.is_limited = True
-            self._changes.append(self._change(name, account, now))
+            self._changes.append(account.change(name, now, self._contact_at))
         # Requests beyond the rate return and wait behind each other.
         rate = account.limit.rate / SECOND
         excess = max(0.0, account.demand.rate(now) - rate)
@@ -385,14 +353,3 @@
 
     def _spread(self, delay: Milliseconds) -> Milliseconds:
         return delay * self._random.uniform(1.0, 1.0 + RETRY_SPREAD)
-
-    def _change(self, name: str, account: AccountState, now: Milliseconds) -> LimitChange:
-        return LimitChange(
-            name,
-            account.is_limited,
-            account.limit.rate,
-            account.demand.rate(now) * SECOND,
-            account.total,
-            account.refused,
-            now - self._contact_at,
-        )
--- a/fulmarhold/control/quota_client.py
+++ b/fulmarhold/control/quota_client.py
@@ -9,7 +9,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.control.messages import NotLeading
 from fulmarhold.control.quota_messages import GrantQuotas, encode_report
-from fulmarhold.errors import FulmarholdError
+from fulmarhold.errors import FulmarholdError, PeerUnavailable
 from fulmarhold.observe.limited import LimitedLog
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.wire.client import Link
@@ -88,8 +88,9 @@
         self._drop_link()
 
     def _exchange(self, report: Report, asked_at: Milliseconds) -> None:
-        link = self._link or self._next_link()
+        link = self._link
         try:
+            link = link or self._next_link()
             answer = link.call(encode_report(report), ANSWER_TIMEOUT)
         except FulmarholdError as error:
             self._counters.add("quota_exchanges", result=type(error).__name__)
@@ -98,7 +99,9 @@
             gevent.sleep(RETRY_PAUSE / SECOND)
             return
         finally:
-            self._traffic.add("quotas", link.take_bytes(), self._data_centre_of(link.endpoint))
+            if link is not None:
+                data_centre = self._data_centre_of(link.endpoint)
+                self._traffic.add("quotas", link.take_bytes(), data_centre)
         if isinstance(answer, GrantQuotas):
             is_used = self._quota.accept(answer.grant(), report, asked_at, self._clock.now())
             self._counters.add("quota_exchanges", result="granted" if is_used else "late")
@@ -113,6 +116,8 @@
     def _next_link(self) -> Link:
         """Return a link to the next control instance."""
         sources = self._sources()
+        if not sources:
+            raise PeerUnavailable("no control instance is known", step="reporting quotas")
         endpoint = sources[self._attempt % len(sources)]
         self._attempt += 1
         self._link = Link(endpoint)
