--- a/fulmarhold/tests/accounts/test_quota_bound.py
+++ b/fulmarhold/tests/accounts/test_quota_bound.py
@@ -67,15 +67,15 @@
         *HOLD_ON_FIRST, ("wait", 6_000.0), ("hoard", {1}, 20), ("flood", {0, 1}, 50),
     ],
     "an entry that takes the place of a suspended one": [
-        ("activate", {0, 1}), ("wait", 6_000.0), ("wait", 6_000.0), ("cut", 0, True),
-        ("activate", {1, 2}), ("wait", 6_000.0), ("wait", 1_500.0), ("flood", {0, 1, 2}, 20),
+        ("activate", {0, 1}), ("wait", 12_000.0), ("cut", 0, True), ("activate", {1, 2}),
+        ("wait", 7_500.0), *(5 * [("flood", {0, 1, 2}, 20), ("wait", 900.0)]),
     ],
     "entries that restart again and again": [
         ("wait", 6_000.0), *(4 * [("flood", EVERYONE, 20), ("restart", EVERYONE), ("wait", 90.0)]),
     ],
     "fewer active entries": [
-        ("activate", EVERYONE), ("wait", 6_000.0), ("wait", 6_000.0), ("flood", EVERYONE, 20),
-        ("activate", {0}), *(4 * [("wait", 1_000.0), ("flood", {0}, 20)]),
+        ("wait", 9_000.0), ("flood", EVERYONE - {0}, 20), ("activate", {0}),
+        *(5 * [("flood", {0}, 20), ("wait", 900.0)]),
     ],
     "a lower limit": [
         ("hoard", {0}, 30), ("limit", QuotaLimit(0.3)), *(8 * [("wait", 400.0)]),
