--- a/fulmarhold/tests/accounts/test_quota_bound.py
+++ b/fulmarhold/tests/accounts/test_quota_bound.py
@@ -60,8 +60,12 @@
         ("trickle", {1}, 4, 20.0),
     ],
     "tokens that an entry used before it was restarted": [
-        ("hoard", {0}, 30), ("flood", {0}, 50), ("restart", {0}),
-        ("wait", 1_500.0), ("wait", 1_500.0), ("hoard", {1}, 20), ("flood", {1}, 50),
+        ("wait", 30_000.0), ("hoard", {0}, 30), ("flood", {0}, 50), ("restart", {0}),
+        ("wait", 2_500.0), ("hoard", {1}, 30), ("flood", {1}, 50),
+    ],
+    "requests that end without having run after they were reported": [
+        ("wait", 30_000.0), ("hoard", {0}, 30), ("flood", {0}, 50), ("wait", 600.0),
+        ("hoard", {0}, 10), ("give back", 30), ("flood", {0}, 50),
     ],
     "tokens that are kept through a suspension": [
         *HOLD_ON_FIRST, ("wait", 6_000.0), ("hoard", {1}, 20), ("flood", {0, 1}, 50),
@@ -74,7 +78,7 @@
         ("wait", 6_000.0), *(4 * [("flood", EVERYONE, 20), ("restart", EVERYONE), ("wait", 90.0)]),
     ],
     "fewer active entries": [
-        ("wait", 9_000.0), ("flood", EVERYONE - {0}, 20), ("activate", {0}),
+        ("wait", 9_000.0), ("flood", EVERYONE - {0}, 20), ("activate", {0}), ("wait", 500.0),
         *(5 * [("flood", {0}, 20), ("wait", 900.0)]),
     ],
     "a lower limit": [
