--- a/fulmarhold/tests/accounts/test_quota_bound.py
+++ b/fulmarhold/tests/accounts/test_quota_bound.py
@@ -81,6 +81,9 @@
         ("wait", 9_000.0), ("flood", EVERYONE - {0}, 20), ("activate", {0}), ("wait", 500.0),
         *(5 * [("flood", {0}, 20), ("wait", 900.0)]),
     ],
+    "answers that arrive after the next report": [
+        ("wait", 30_000.0), ("delay", 700.0), ("hoard", {0}, 60), ("flood", {0}, 50),
+    ],
     "a lower limit": [
         ("hoard", {0}, 30), ("limit", QuotaLimit(0.3)), *(8 * [("wait", 400.0)]),
         ("flood", EVERYONE, 50),
@@ -143,6 +146,8 @@
     fleet.advance(8_000.0)
     for action in actions:
         apply(fleet, action)
+        if fleet.check is not None:
+            fleet.check()
     fleet.advance(100.0)
 
 
