--- a/fulmarhold/tests/forwarding/test_accounts.py
+++ b/fulmarhold/tests/forwarding/test_accounts.py
@@ -6,10 +6,19 @@
 
 import pytest
 
+from fulmarhold.accounts.account_state import ADMITTED, QuotaExceeded, QuotaUnknown
 from fulmarhold.accounts.keys import digest_of_key
 from fulmarhold.clock import ManualClock
 from fulmarhold.forwarding.forwarder import Forwarder
-from fulmarhold.forwarding.request import ForwardRequest, NoRoute, Refused, Unauthorized
+from fulmarhold.forwarding.request import (
+    Failed,
+    FailedReason,
+    ForwardRequest,
+    NoRoute,
+    Refused,
+    RefusedReason,
+    Unauthorized,
+)
 from fulmarhold.limits.budget import ExtraLoadBound
 from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.events import EventLog
@@ -121,3 +130,53 @@
     forwarding = Forwarding(accounts)
     forwarding.send(path, key)
     assert forwarding.memory.asked == [is_urgent]
+
+
+class ScriptedGate:
+    """Answers with a fixed decision, and notes what is given back."""
+
+    def __init__(self, admission):
+        self.admission, self.given_back = admission, []
+
+    def admit(self, name):
+        return self.admission
+
+    def give_back(self, name, admitted):
+        self.given_back.append(name)
+
+
+class ScriptedOperation:
+    def __init__(self, outcome):
+        self.run = lambda: outcome
+
+    def caller_gone(self):
+        pass
+
+    release = end = caller_gone
+
+
+NO_UPSTREAM = Refused(RefusedReason.NO_UPSTREAM, 40.0)
+LOST = Failed(FailedReason.CONNECTION_LOST)
+
+
+# Guards against requests beyond the quota that are sent, and tokens lost where nothing was sent.
+@pytest.mark.parametrize(
+    ("path", "admission", "result", "outcome", "given_back"),
+    [
+        ("keyed", ADMITTED, LOST, LOST, []),
+        ("keyed", ADMITTED, NO_UPSTREAM, NO_UPSTREAM, ["plain"]),
+        ("keyed", QuotaExceeded(70.0), None, Refused(RefusedReason.QUOTA_EXCEEDED, 70.0), []),
+        ("keyed", QuotaUnknown(70.0), None, Refused(RefusedReason.QUOTA_UNKNOWN, 70.0), []),
+        ("public", QuotaExceeded(70.0), LOST, LOST, []),
+    ],
+)
+def test_a_request_is_admitted_once_before_it_is_sent(
+    monkeypatch, path, admission, result, outcome, given_back
+):
+    forwarding = Forwarding()
+    gate: Any = ScriptedGate(admission)
+    forwarding.forwarder._memory, forwarding.forwarder._gate = None, gate
+    operation = ScriptedOperation(result)
+    monkeypatch.setattr(forwarding.forwarder, "_operation", lambda *_, **__: operation)
+    assert forwarding.send(path, b"k1") == outcome
+    assert gate.given_back == given_back
--- a/fulmarhold/tests/platform/test_documents.py
+++ b/fulmarhold/tests/platform/test_documents.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fulmarhold.accounts.bucket import QuotaBound
 from fulmarhold.accounts.keys import digest_of_key
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.limits.memory import MEBIBYTE
@@ -189,6 +190,10 @@
     assert decoded.peer_endpoint == "10.1.0.39:7740"
     assert decoded.seeds == ("10.1.0.41:7740", "10.2.0.35:7740")
     assert decoded.voters == 5 and decoded.is_first_start
+    assert decoded.quota_bound == QuotaBound(5_000.0, 0.1, 20.0)
+    bounds = {"quotaWindowS": 2, "quotaOverage": 0, "quotaSlack": 7}
+    decoded = decode_settings({**SETTINGS, "bounds": bounds}, "settings")
+    assert decoded.quota_bound == QuotaBound(2_000.0, 0.0, 7.0)
 
 
 @pytest.mark.parametrize(
@@ -199,6 +204,9 @@
         ({"bindAddresses": {"front": "x"}}, "front"),
         ({"faultTolerance": {"machines": -1}}, "machines"),
         ({"limits": {"memoryMb": -1}}, "memoryMb"),
+        ({"bounds": {"quotaWindowS": 0}}, "quotaWindowS"),
+        ({"bounds": {"quotaOverage": -0.1}}, "quotaOverage"),
+        ({"bounds": {"quotaSlack": -1}}, "quotaSlack"),
     ],
 )
 def test_an_error_names_the_invalid_setting(changes, named):
--- a/fulmarhold/tests/platform/test_headers.py
+++ b/fulmarhold/tests/platform/test_headers.py
@@ -134,6 +134,8 @@
             (("X-Fulmarhold-Part-Stamps", "s1, s2"), ("X-Fulmarhold-Missing-Parts", "1")),
         ),
         (Refused(RefusedReason.NO_UPSTREAM, 250.0), 503, (("Retry-After", "0.250"),)),
+        (Refused(RefusedReason.QUOTA_EXCEEDED, 250.0), 429, (("Retry-After", "0.250"),)),
+        (Refused(RefusedReason.QUOTA_UNKNOWN, 250.0), 503, (("Retry-After", "0.250"),)),
         (NoRoute(3), 404, ()),
         (Unauthorized(UnauthorizedReason.KEY_MISSING), 401, (("WWW-Authenticate", "Bearer"),)),
         (Failed(FailedReason.DEADLINE), 504, ()),
