--- a/fulmarhold/accounts/account_state.py
+++ b/fulmarhold/accounts/account_state.py
@@ -30,6 +30,9 @@
 USE_PERIOD: Milliseconds = 500.0
 # How often the reserve is asked for again after the leader had too few tokens.
 UNRESTORED_PERIOD: Milliseconds = 1 * SECOND
+# Range of the delay after a refusal: a round trip to the leader of another region at least.
+MIN_RETRY_DELAY: Milliseconds = 100.0
+MAX_RETRY_DELAY: Milliseconds = 10 * SECOND
 
 
 @dataclass(frozen=True)
@@ -144,6 +147,13 @@
         self.reported_at = now
         return ReportItem(name, self.held, self.used, needed, stock, missing)
 
+    def retry_delay(self, now: Milliseconds) -> Milliseconds:
+        """Return how long a caller should wait: requests beyond the rate wait for each other."""
+        rate = self.limit.rate / SECOND
+        excess = max(0.0, self.demand.rate(now) - rate)
+        delay = max(MIN_RETRY_DELAY, 1 / rate, SECOND * excess / rate)
+        return min(delay, MAX_RETRY_DELAY)
+
     def change(self, name: str, now: Milliseconds, contact_at: Milliseconds) -> LimitChange:
         """Return the event that the account has reached its limit or has left it."""
         return LimitChange(
--- a/fulmarhold/accounts/quota.py
+++ b/fulmarhold/accounts/quota.py
@@ -14,6 +14,7 @@
 from fulmarhold.accounts.account_state import (
     ADMITTED,
     HORIZON,
+    MIN_RETRY_DELAY,
     REPORT_PERIOD,
     AccountState,
     Admission,
@@ -42,9 +43,7 @@
 UNDO_TIME: Milliseconds = 250.0
 # An account is at its limit until nothing has been refused for this long.
 LIMIT_MEMORY: Milliseconds = 5 * SECOND
-# Range of the delay after a refusal: a round trip to the leader of another region at least.
-MIN_RETRY_DELAY: Milliseconds = 100.0
-MAX_RETRY_DELAY: Milliseconds = 10 * SECOND
+# The delay after a refusal is lengthened by up to this share of it.
 RETRY_SPREAD = 0.5
 # How often idle accounts are looked for, and the rate in requests per millisecond below which an
 # account is idle.
@@ -345,11 +344,7 @@
         if not account.is_limited:
             account.is_limited = True
             self._changes.append(account.change(name, now, self._contact_at))
-        # Requests beyond the rate return and wait behind each other.
-        rate = account.limit.rate / SECOND
-        excess = max(0.0, account.demand.rate(now) - rate)
-        delay = max(MIN_RETRY_DELAY, 1 / rate, SECOND * excess / rate)
-        return QuotaExceeded(self._spread(min(delay, MAX_RETRY_DELAY)))
+        return QuotaExceeded(self._spread(account.retry_delay(now)))
 
     def _spread(self, delay: Milliseconds) -> Milliseconds:
         return delay * self._random.uniform(1.0, 1.0 + RETRY_SPREAD)
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from fulmarhold.accounts.account_state import ADMITTED, Admitted, QuotaExceeded
+from fulmarhold.accounts.account_state import ADMITTED, Admitted
 from fulmarhold.accounts.keys import KeyTable
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
@@ -20,6 +20,7 @@
     Relayed,
     Unauthorized,
     UnauthorizedReason,
+    refusal_beyond_quota,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.shard_timing import partial_answer_at
@@ -35,7 +36,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from fulmarhold.accounts.account_state import QuotaUnknown
     from fulmarhold.accounts.gate import AccountGate
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.collecting.remote import Collector
@@ -174,7 +174,7 @@
             return self._finish(request, route, refusal)
         admission = self._gate.admit(account.name) if self._gate and account else ADMITTED
         if not isinstance(admission, Admitted):
-            return self._finish(request, route, _beyond_quota(admission))
+            return self._finish(request, route, refusal_beyond_quota(admission))
         held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
         operation = self._operation(request, route, deadline_at, held, is_urgent=is_urgent)
         on_disconnect(operation.caller_gone)
@@ -328,12 +328,6 @@
             return "unauthorized", unauthorized.value
 
 
-def _beyond_quota(admission: QuotaExceeded | QuotaUnknown) -> Refused:
-    is_known = isinstance(admission, QuotaExceeded)
-    reason = RefusedReason.QUOTA_EXCEEDED if is_known else RefusedReason.QUOTA_UNKNOWN
-    return Refused(reason, admission.retry_after)
-
-
 def _unauthorized(request: ForwardRequest) -> Unauthorized:
     is_unknown = bool(request.key)
     return Unauthorized(
--- a/fulmarhold/forwarding/request.py
+++ b/fulmarhold/forwarding/request.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from fulmarhold.accounts.account_state import QuotaExceeded, QuotaUnknown
 from fulmarhold.clock import Milliseconds
 
 Headers = tuple[tuple[str, str], ...]
@@ -118,6 +119,13 @@
     retry_after: Milliseconds
 
 
+def refusal_beyond_quota(admission: QuotaExceeded | QuotaUnknown) -> Refused:
+    """Return the refusal of a request that the quota of its account does not admit."""
+    is_known = isinstance(admission, QuotaExceeded)
+    reason = RefusedReason.QUOTA_EXCEEDED if is_known else RefusedReason.QUOTA_UNKNOWN
+    return Refused(reason, admission.retry_after)
+
+
 @dataclass(frozen=True)
 class NoRoute:
     """No route of the current configuration matches."""
