--- a/fulmarhold/accounts/gate.py
+++ b/fulmarhold/accounts/gate.py
@@ -36,13 +36,13 @@
                 result = "exceeded"
             case _:
                 result = "unknown"
-        self._counters.add("account_requests", account=self._label(account), result=result)
+        self._counters.add("account_admissions", account=self._label(account), result=result)
         return admission
 
     def give_back(self, account: str, admitted: Admitted) -> None:
         """Return the token of a request of which nothing was sent."""
         self._quota.give_back(account, admitted, self._clock.now())
-        self._counters.add("account_requests", account=self._label(account), result="given_back")
+        self._counters.add("account_admissions", account=self._label(account), result="given_back")
 
     def _label(self, account: str) -> str:
         if account not in self._counted:
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from fulmarhold.accounts.account_state import ADMITTED, Admitted, QuotaExceeded
+from fulmarhold.accounts.account_state import ADMITTED, Admitted
 from fulmarhold.forwarding.call import CallOwner, ServiceCall
 from fulmarhold.forwarding.context import CallContext
 from fulmarhold.forwarding.identification import Identification, Identified, possible_ranks
@@ -17,6 +17,7 @@
     Outcome,
     Refused,
     RefusedReason,
+    refusal_beyond_quota,
 )
 from fulmarhold.forwarding.scatter import ShardQuery
 from fulmarhold.forwarding.shard_timing import partial_answer_at
@@ -36,7 +37,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from fulmarhold.accounts.account_state import QuotaUnknown
     from fulmarhold.accounts.gate import AccountGate
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.collecting.remote import Collector
@@ -200,7 +200,7 @@
         account = identified.account
         admission = self._gate.admit(account.name) if self._gate and account else ADMITTED
         if not isinstance(admission, Admitted):
-            return self._finish(request, route, _beyond_quota(admission))
+            return self._finish(request, route, refusal_beyond_quota(admission))
         held = self._memory.open_fixed(Holder.REPLY, request.owners) if self._memory else None
         operation = self._operation(request, route, deadline_at, held, flow, is_urgent=is_urgent)
         on_disconnect(operation.caller_gone)
@@ -340,9 +340,3 @@
     def _finish(self, request: ForwardRequest, route: Route | None, outcome: Outcome) -> Outcome:
         self._reports.report(request, route, self._version, *outcome_labels(outcome))
         return outcome
-
-
-def _beyond_quota(admission: QuotaExceeded | QuotaUnknown) -> Refused:
-    is_known = isinstance(admission, QuotaExceeded)
-    reason = RefusedReason.QUOTA_EXCEEDED if is_known else RefusedReason.QUOTA_UNKNOWN
-    return Refused(reason, admission.retry_after)
--- a/fulmarhold/tests/platform/test_quotas.py
+++ b/fulmarhold/tests/platform/test_quotas.py
@@ -108,4 +108,4 @@
     assert max(counts) <= bound
     assert set(answers) <= {200, 429, 503} and answers[429] > answers[200]
     metrics = read_metrics(ENTRIES[0])
-    assert 'account_requests_total{account="one",result="exceeded"}' in metrics
+    assert 'account_admissions_total{account="one",result="exceeded"}' in metrics
