Make latency histograms once, not for each request

Cause: dict.setdefault made a histogram (9 KB, in a reference cycle) for every outcome and dropped it, so that thousands of them waited for the garbage collector while callers sent many short requests.

Change: a histogram is made when there is none for the outcome.

Measured: in the test of all kinds of callers together, a trace of the allocations of an entry showed 18.2 MiB of such histograms (2,084) of 103 MiB.

--- a/fulmarhold/entry/request_handler.py
+++ b/fulmarhold/entry/request_handler.py
@@ -77,7 +77,10 @@
 
     def latency(self, service: str) -> LatencyHistogram:
         """Return the latency histogram of a service's complete answers."""
-        return self._latencies.setdefault(service, LatencyHistogram())
+        histogram = self._latencies.get(service)
+        if histogram is None:
+            histogram = self._latencies[service] = LatencyHistogram()
+        return histogram
 
     def gauges(self) -> Iterable[Gauge]:
         """Yield the latency quantiles of complete answers."""
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -264,7 +264,10 @@
     def _report(self, request: ForwardRequest, route: Route | None, name: str, reason: str) -> None:
         elapsed = self._clock.now() - request.received_at
         self._counters.add("requests", outcome=name, reason=reason)
-        self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
+        histogram = self._histograms.get((name, reason))
+        if histogram is None:
+            histogram = self._histograms[name, reason] = LatencyHistogram()
+        histogram.record(elapsed)
         # Complete answers within the target are dropped first; operators ask about late ones too.
         is_ordinary = name == "answered" and (route is None or elapsed <= route.target_latency)
         note_event = self._events.record_low_priority if is_ordinary else self._events.record
