Bound what callers cost control and the product's own interface

Cause: the WSGI server reads heads of up to 6 MB, waits for the rest of a request without end, and serves the requests that one connection has sent ahead without a pause; bodies of the own interface were not counted; connections were accepted until no descriptor was left.

Change: web/metered.py is the input of these connections. The connections share one budget with the port for callers, so that stalled ones give way. Requests sent ahead take turns with other connections. The fixed pool of 2,048 connections is replaced by this budget.

--- a/fulmarhold/control/daemon.py
+++ b/fulmarhold/control/daemon.py
@@ -37,7 +37,7 @@
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
         clock = self._clock = Clock()
-        counters = Counters()
+        counters = self._counters = Counters()
         machine = ControlMachine()
         presence = Presence(clock)
         storage = Storage(Path(settings.data_folder))
@@ -56,7 +56,10 @@
         self.node.start()
         self._messages.start()
         self._http = start_server(
-            self._application, self._settings.address, self._settings.operator_port
+            self._application,
+            self._settings.address,
+            self._settings.operator_port,
+            self._counters,
         )
         self._housekeeping = gevent.spawn(self._service.run_housekeeping)
         log.info("{} listening on {}", self._settings.name, self._settings.peer_endpoint)
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -23,6 +23,7 @@
 from fulmarhold.gather.query import QueryRunner
 from fulmarhold.gather.services import ServicePolicies
 from fulmarhold.limits.admission import Admission
+from fulmarhold.limits.connections import ConnectionBudget, connection_limit
 from fulmarhold.limits.memory import MEBIBYTE, MemoryBudget, held_bytes_limit
 from fulmarhold.membership.announced import AnnouncedSet
 from fulmarhold.membership.directory import Directory
@@ -71,6 +72,10 @@
         )
         limit = held_bytes_limit(settings.memory_mebibytes * MEBIBYTE)
         self._memory = MemoryBudget(limit, clock, counters)
+        self._callers = ConnectionBudget(
+            clock, counters, connection_limit(settings.memory_mebibytes * MEBIBYTE)
+        )
+        self._memory.relieve = self._callers.relieve
         self.table = RoutingTable(self.directory, self.running, clock, counters, self._memory)
         self._addresses = EntryAddresses(own, self.running, self.directory, self.exchange)
         self._effects = EffectRunner(
@@ -93,7 +98,7 @@
             self._health,
             {
                 "/query/{service}/{request_type}": QueryResource(
-                    self.request_handler, clock, self._update_in_flight
+                    self.request_handler, clock, self._update_in_flight, self._memory
                 ),
                 "/instances": InstancesResource(self._addresses, self.running),
                 "/announce": AnnounceResource(self._announced, self.running, counters),
@@ -105,7 +110,11 @@
         """Start listening and syncing; serve callers once a configuration is confirmed."""
         self._messages.start()
         self._http = start_server(
-            self._application, self._settings.address, self._settings.caller_port
+            self._application,
+            self._settings.address,
+            self._settings.caller_port,
+            self.counters,
+            self._callers,
         )
         self.exchange.start()
         self._greenlets = [
--- a/fulmarhold/entry/http.py
+++ b/fulmarhold/entry/http.py
@@ -6,6 +6,7 @@
 import math
 import re
 import uuid
+from contextlib import ExitStack
 from typing import TYPE_CHECKING, Any
 
 import falcon
@@ -17,13 +18,21 @@
 from fulmarhold.membership.announced import DEFAULT_ANNOUNCEMENT_LEASE, DEFAULT_ANNOUNCEMENT_PERIOD
 from fulmarhold.membership.records import Announcement
 from fulmarhold.settings.loading import type_adapter
-from fulmarhold.web.serving import BodyTooLarge, make_application, read_body, read_json
+from fulmarhold.web.serving import (
+    LARGEST_BODY_BYTES,
+    BodyTooLarge,
+    NoMemory,
+    held_body,
+    make_application,
+    read_json,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.entry.addresses import EntryAddresses
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.membership.announced import AnnouncedSet
     from fulmarhold.membership.running import RunningState
     from fulmarhold.observe.counters import Counters
@@ -53,11 +62,16 @@
     """POST /query/SERVICE/TYPE: runs a request and returns its tagged outcome."""
 
     def __init__(
-        self, handler: RequestHandler, clock: Clock, update_in_flight: Callable[[int], None]
+        self,
+        handler: RequestHandler,
+        clock: Clock,
+        update_in_flight: Callable[[int], None],
+        memory: MemoryBudget,
     ) -> None:
         self._handler = handler
         self._clock = clock
         self._update_in_flight = update_in_flight
+        self._memory = memory
 
     def on_post(
         self, request: falcon.Request, response: falcon.Response, service: str, request_type: str
@@ -76,47 +90,31 @@
         self, request: falcon.Request, service: str, request_type: str, arrived_at: Milliseconds
     ) -> tuple[Outcome, str]:
         request_id = request.get_header(REQUEST_ID_HEADER) or uuid.uuid4().hex
-        try:
-            parsed = self._parse_request(request, request_id, service, request_type, arrived_at)
-        except BodyTooLarge as error:
-            return self._refuse(service, NotRunReason.BODY_TOO_LARGE, str(error)), request_id
-        except MalformedInput as error:
-            return self._refuse(service, NotRunReason.MALFORMED_REQUEST, str(error)), ""
-        if parsed is None:
-            detail = f"{DEADLINE_HEADER} must be a number of milliseconds"
-            return self._refuse(service, NotRunReason.DEADLINE_MISSING, detail), request_id
-        return self._handler.handle(parsed), request_id
+        with ExitStack() as held:
+            try:
+                shard_key = _read_shard_key(request, request_id)
+                body = held.enter_context(held_body(request, LARGEST_BODY_BYTES, self._memory))
+            except NoMemory as error:
+                return self._refuse(service, NotRunReason.OVERLOADED, str(error)), request_id
+            except BodyTooLarge as error:
+                return self._refuse(service, NotRunReason.BODY_TOO_LARGE, str(error)), request_id
+            except MalformedInput as error:
+                return self._refuse(service, NotRunReason.MALFORMED_REQUEST, str(error)), ""
+            deadline = _parse_deadline(request.get_header(DEADLINE_HEADER))
+            if deadline is None:
+                detail = f"{DEADLINE_HEADER} must be a number of milliseconds"
+                return self._refuse(service, NotRunReason.DEADLINE_MISSING, detail), request_id
+            key = request.get_header(IDEMPOTENCY_KEY_HEADER) or ""
+            parsed = CallerRequest(
+                request_id, service, request_type, arrived_at + deadline, key, shard_key, body
+            )
+            return self._handler.handle(parsed), request_id
 
     def _refuse(self, service: str, reason: NotRunReason, detail: str) -> NotRun:
         outcome = NotRun(reason, detail)
         self._handler.count_outcome(service, outcome)
         return outcome
 
-    def _parse_request(
-        self,
-        request: falcon.Request,
-        request_id: str,
-        service: str,
-        request_type: str,
-        arrived_at: Milliseconds,
-    ) -> CallerRequest | None:
-        """Return the validated request, or `None` without a usable deadline."""
-        if not REQUEST_ID_PATTERN.match(request_id):
-            raise MalformedInput(f"{REQUEST_ID_HEADER} must match {REQUEST_ID_PATTERN.pattern}")
-        shard_key = request.get_header(SHARD_KEY_HEADER) or ""
-        if len(shard_key) > MAX_SHARD_KEY_LENGTH:
-            raise MalformedInput(
-                f"{SHARD_KEY_HEADER} is longer than {MAX_SHARD_KEY_LENGTH} characters"
-            )
-        deadline = _parse_deadline(request.get_header(DEADLINE_HEADER))
-        body = read_body(request)
-        if deadline is None:
-            return None
-        key = request.get_header(IDEMPOTENCY_KEY_HEADER) or ""
-        return CallerRequest(
-            request_id, service, request_type, arrived_at + deadline, key, shard_key, body
-        )
-
 
 class InstancesResource:
     """GET /instances: lists the entry instances to use and how long to cache the list."""
@@ -242,6 +240,16 @@
     }
 
 
+def _read_shard_key(request: falcon.Request, request_id: str) -> str:
+    """Return the shard key; raises `MalformedInput` if it or the request id is not valid."""
+    if not REQUEST_ID_PATTERN.match(request_id):
+        raise MalformedInput(f"{REQUEST_ID_HEADER} must match {REQUEST_ID_PATTERN.pattern}")
+    shard_key = request.get_header(SHARD_KEY_HEADER) or ""
+    if len(shard_key) > MAX_SHARD_KEY_LENGTH:
+        raise MalformedInput(f"{SHARD_KEY_HEADER} is longer than {MAX_SHARD_KEY_LENGTH} characters")
+    return shard_key
+
+
 def _parse_deadline(text: str | None) -> Milliseconds | None:
     try:
         value = float(text or "")
--- a/fulmarhold/limits/connections.py
+++ b/fulmarhold/limits/connections.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import Milliseconds
+from fulmarhold.limits.memory import held_bytes_limit
 from fulmarhold.limits.progress import STALLED_AFTER
 from fulmarhold.observe.logs import get_logger
 
@@ -38,10 +39,26 @@
 ADDRESS_SHARE = 7 / 8
 # Descriptors are no longer reported as short once new ones have numbers below this part.
 RELIEVED_SHARE = 1 / 2
+# The memory of a connection: its greenlet, socket and parser.
+CONNECTION_BYTES = 16 * 1024
+# Connections that a process of any size accepts: some thousands of callers may use one entry.
+MIN_CONNECTIONS = 4_100
 # Looking through all connections in vain is not repeated for this long.
 RESCAN_PAUSE: Milliseconds = 20.0
 
 
+def connection_limit(process_bytes: int) -> int:
+    """Return how many connections of callers a process may have that may use so much memory.
+
+    They take as much as is left to requests and answers together.
+
+    >>> from fulmarhold.limits.memory import MEBIBYTE
+    >>> connection_limit(152 * MEBIBYTE), connection_limit(512 * MEBIBYTE)
+    (4100, 13824)
+    """
+    return max(MIN_CONNECTIONS, held_bytes_limit(process_bytes) // CONNECTION_BYTES)
+
+
 class Phase(Enum):
     """What a connection is doing."""
 
@@ -61,6 +78,7 @@
     DESCRIPTORS = "descriptors"
     ADDRESS = "address_share"
     MEMORY = "memory"
+    TOTAL = "connections"
 
 
 class Refusal(Enum):
@@ -68,6 +86,7 @@
 
     DESCRIPTORS = "descriptors"
     ADDRESS = "address_share"
+    TOTAL = "connections"
 
 
 # The order in which phases give way where descriptors are short: an idle caller may be about to
@@ -118,9 +137,12 @@
     gives way for descriptors
     """
 
-    def __init__(self, clock: Clock, counters: Counters) -> None:
+    def __init__(
+        self, clock: Clock, counters: Counters, max_connections: int = MIN_CONNECTIONS
+    ) -> None:
         self._clock = clock
         self._counters = counters
+        self._max_connections = max_connections
         self._connections: set[TrackedConnection] = set()
         self._by_caller: dict[str, int] = {}
         self._candidates: deque[TrackedConnection] = deque()
@@ -162,6 +184,10 @@
             own = (item for item in self._connections if item.caller == caller)
             if not self._end_one(own, GaveWay.ADDRESS):
                 return self._refuse(Refusal.ADDRESS)
+        if self.count >= self._max_connections and not self._end_one(
+            self._connections, GaveWay.TOTAL
+        ):
+            return self._refuse(Refusal.TOTAL)
         if descriptor < usable:
             self._check_relief(descriptor, usable)
             return None
--- a/fulmarhold/platform/control.py
+++ b/fulmarhold/platform/control.py
@@ -18,6 +18,7 @@
 from fulmarhold.control.statement_file import StatementFile
 from fulmarhold.control.versions import DECISION_TIMEOUT, VersionService
 from fulmarhold.daemons import spawn_essential
+from fulmarhold.limits.connections import ConnectionBudget, connection_limit
 from fulmarhold.limits.memory import MemoryBudget, held_bytes_limit
 from fulmarhold.membership.statements import READY, InstanceStatement
 from fulmarhold.observe.logs import get_logger
@@ -94,6 +95,8 @@
         )
         self._versions = VersionService(self.node, machine, clock, counters)
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
+        self._callers = ConnectionBudget(clock, counters, connection_limit(settings.memory_bytes))
+        self._memory.relieve = self._callers.relieve
         self._clock = clock
         self._counters = counters
         self._servers: list[Any] = []
@@ -147,8 +150,10 @@
             self._memory,
         )
         self._servers = [
-            serve_application(application, self._settings.control_endpoint),
-            serve_metrics(self._counters, self._settings.metrics_endpoint),
+            serve_application(
+                application, self._settings.control_endpoint, self._counters, self._callers
+            ),
+            serve_metrics(self._counters, self._settings.metrics_endpoint, self._callers),
         ]
 
     def stop(self, told_at: Milliseconds) -> None:
@@ -187,6 +192,7 @@
         yield "control_instances_known", {}, float(len(self._feeds.instances))
         yield "control_can_store", {}, float(self.node.can_store)
         yield from self._memory.gauges()
+        yield from self._callers.gauges()
         if self.node.is_formed:
             core = self.node.core
             yield "control_leads", {}, float(self._leads)
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -15,7 +15,7 @@
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.stopping import SEND_RESERVE, StopSchedule
 from fulmarhold.forwarding.upstreams import UpstreamTable
-from fulmarhold.limits.connections import ConnectionBudget
+from fulmarhold.limits.connections import ConnectionBudget, connection_limit
 from fulmarhold.limits.memory import MemoryBudget, held_bytes_limit
 from fulmarhold.membership.coalescing import CoalescedUpdate
 from fulmarhold.membership.preference import (
@@ -81,7 +81,7 @@
         self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
-        self._callers = ConnectionBudget(clock, counters)
+        self._callers = ConnectionBudget(clock, counters, connection_limit(settings.memory_bytes))
         self._memory.relieve = self._callers.relieve
         self._table = UpstreamTable(settings.data_centre, clock, counters, self._memory)
         self._active: list[InstanceStatement] = []
@@ -151,14 +151,22 @@
         )
 
         self._readiness = serve_application(
-            readiness_application(self._is_ready), self._settings.readiness_endpoint
+            readiness_application(self._is_ready),
+            self._settings.readiness_endpoint,
+            self._counters,
+            self._callers,
         )
         self._directory = serve_application(
-            directory_application(self._addresses), self._settings.directory_endpoint
+            directory_application(self._addresses),
+            self._settings.directory_endpoint,
+            self._counters,
+            self._callers,
         )
         self._counters.register_gauges(self._gauges)
         self._counters.register_histograms(self.forwarder.histograms)
-        self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
+        self._metrics = serve_metrics(
+            self._counters, self._settings.metrics_endpoint, self._callers
+        )
 
     def stop(self, told_at: Milliseconds) -> None:
         """Leave the directory, serve callers with old directory answers, answer open requests."""
--- a/fulmarhold/platform/settings_watch.py
+++ b/fulmarhold/platform/settings_watch.py
@@ -16,6 +16,7 @@
 
     import falcon
 
+    from fulmarhold.limits.connections import ConnectionBudget
     from fulmarhold.observe.counters import Counters
     from fulmarhold.platform.settings import PlatformSettings
 
@@ -55,16 +56,18 @@
             self.reload()
 
 
-def serve_application(application: falcon.App, endpoint: str) -> Any:
+def serve_application(
+    application: falcon.App, endpoint: str, counters: Counters, callers: ConnectionBudget
+) -> Any:
     """Serve an application at IP:port; raises `FulmarholdError` if the port is unavailable."""
     from fulmarhold.web.serving import start_server  # noqa: PLC0415
 
     address, _, port = endpoint.rpartition(":")
-    return start_server(application, address, int(port))
+    return start_server(application, address, int(port), counters, callers)
 
 
-def serve_metrics(counters: Counters, endpoint: str) -> Any:
+def serve_metrics(counters: Counters, endpoint: str, callers: ConnectionBudget) -> Any:
     """Serve the metrics at IP:port."""
     from fulmarhold.web.serving import metrics_application  # noqa: PLC0415
 
-    return serve_application(metrics_application(counters), endpoint)
+    return serve_application(metrics_application(counters), endpoint, counters, callers)
--- a/fulmarhold/web/connection.py
+++ b/fulmarhold/web/connection.py
@@ -17,6 +17,7 @@
 from fulmarhold.wire.sockets import (
     available_bytes,
     has_input,
+    linger,
     prepare_connection,
     round_trip,
 )
@@ -286,14 +287,9 @@
         self._socket.sendall(piece)
 
     def _linger(self) -> None:
-        """Shut down the sending side and drain input, so that no reset discards the response."""
         if self._gave_way is not None:
             return
-        until = self._server.clock.now() + MAX_LINGER
         try:
-            self._socket.shutdown(gevent.socket.SHUT_WR)
-            self._socket.settimeout(LINGER_TIMEOUT / SECOND)
-            while self._server.clock.now() < until and self._socket.recv(READ_BYTES):
-                pass
-        except (OSError, TimeoutError):
+            linger(self._socket, self._server.clock, LINGER_TIMEOUT, MAX_LINGER)
+        except OSError:
             self._server.counters.add("caller_connections_lost", reason="while_closing")
--- a/fulmarhold/web/server.py
+++ b/fulmarhold/web/server.py
@@ -2,27 +2,49 @@
 
 from __future__ import annotations
 
+import io
+import json
 import socket
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from fulmarhold.clock import SECOND, Milliseconds
+from fulmarhold.limits.retry_after import retry_delay_after_refusal
 from fulmarhold.observe.logs import get_logger
-from fulmarhold.wire.sockets import has_input
+from fulmarhold.web.messages import REASONS, BadRequest, NoMemory, RawResponse, encode_head
+from fulmarhold.web.metered import BUFFER_BYTES, HeadLines, HeadTooLarge, MeteredInput, RequestEnded
+from fulmarhold.wire.sockets import descriptor_limit, has_input, linger, refuse_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fulmarhold.clock import Clock
+    from fulmarhold.limits.connections import ConnectionBudget
+    from fulmarhold.observe.counters import Counters
+
 log = get_logger("web")
 
 # How long connections may take to send a last response, or to close, at the end of the stop.
 LAST_RESPONSE_TIME: Milliseconds = 100.0
+# Connections accepted at once, before the first of them is served or refused: far fewer than the
+# descriptors in reserve.
+MAX_ACCEPTED_AT_ONCE = 8
+# How much of a response is sent at once; each piece has to be read within the idle time-out.
+SEND_BYTES = 256 * 1024
+# How long a refused connection is kept open for reading, after a pause and in all.
+LINGER_TIMEOUT: Milliseconds = 300.0
+MAX_LINGER: Milliseconds = 3_000.0
 STOPPED_STATUS = "503 Service Unavailable"
 STOPPED_BODY = b'{"error": "this instance is stopping"}'
 
 
+# Where a request's environment has the state of its connection.
+CONNECTION_KEY = "fulmarhold.connection"
+
+
 class _Idle(gevent.GreenletExit):
     """The server stops while the connection waits for a request."""
 
@@ -34,8 +56,21 @@
 class ApplicationServer(WSGIServer):
     """Serves an application over persistent connections until it is told to stop."""
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
+    max_accept = MAX_ACCEPTED_AT_ONCE
+
+    def __init__(
+        self,
+        *arguments: Any,
+        budget: ConnectionBudget,
+        clock: Clock,
+        counters: Counters,
+        **options: Any,
+    ) -> None:
         super().__init__(*arguments, handler_class=_Handler, **options)
+        self.clock = clock
+        self._budget = budget
+        self._counters = counters
+        self._random = Random()
         self._is_stopping = False
         self._idle: set[gevent.Greenlet] = set()
 
@@ -64,12 +99,31 @@
             log.warning("ended {} connections before their response was sent", len(self.pool))
             self.pool.kill(_Stopped, timeout=LAST_RESPONSE_TIME / SECOND)
 
+    def refuse(self, error: BadRequest) -> bytes:
+        """Count a refusal and return the response, which closes the connection."""
+        headers: tuple[tuple[str, str], ...] = ()
+        if isinstance(error, NoMemory):
+            delay = retry_delay_after_refusal(self._random)
+            headers = (("Retry-After", f"{delay / SECOND:.3f}"),)
+        else:
+            self._counters.add("caller_requests_malformed", reason=error.reason)
+        response = RawResponse(error.status, headers, error.reason.encode())
+        return encode_head(response, "Connection: close") + response.body
+
     def handle(self, connection: Any, address: Any) -> None:
         """Serve one connection."""
+        why = self._budget.refusal(address[0], connection.fileno(), descriptor_limit())
+        if why is not None:
+            refuse_connection(connection, self.refuse(NoMemory(why.value)))
+            return
         # Head and body are written separately. Without TCP_NODELAY, the body would be delayed until
         # the head is acknowledged.
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle(connection, address)
+        metered = MeteredInput(connection, address[0], self._budget, self.clock)
+        try:
+            _Handler(connection, address, self, metered).handle()
+        finally:
+            metered.release()
 
     def wait_for_bytes(self, read: Callable[[], bytes]) -> bool:
         """Wait until a request begins to arrive; false if the connection closes or is closed."""
@@ -101,12 +155,62 @@
 
 
 class _Handler(WSGIHandler):
+    def __init__(
+        self, connection: Any, address: Any, server: ApplicationServer, metered: MeteredInput
+    ) -> None:
+        super().__init__(connection, address, server, io.BufferedReader(metered, BUFFER_BYTES))
+        self._input = metered
+        self._is_first = True
+
+    def handle_one_request(self) -> Any:
+        if not self._is_first:
+            # Otherwise the requests that one caller has sent ahead would keep others waiting.
+            gevent.sleep(0)
+        self._is_first = False
+        self._input.expect_request()
+        try:
+            result = super().handle_one_request()
+        except RequestEnded as ended:
+            result = ("refused", self.server.refuse(ended.refusal))
+        if not isinstance(result, tuple):
+            return result
+        try:
+            self.socket.sendall(result[1])
+            linger(self.socket, self.server.clock, LINGER_TIMEOUT, MAX_LINGER)
+        except OSError as error:
+            log.info("refused connection of {} ended: {}", self.client_address, error)
+        return None
+
     def read_requestline(self) -> str:
         try:
             has_begun = self.server.wait_for_bytes(lambda: self.rfile.peek(1))
         except _Idle:
             has_begun = has_input(self.socket.fileno())
-        return str(super().read_requestline()) if has_begun else ""
+        if not has_begun:
+            return ""
+        self._input.begin()
+        return str(super().read_requestline())
+
+    def MessageClass(self, file: Any, *arguments: Any) -> Any:  # noqa: N802
+        message = super().MessageClass(HeadLines(file, len(self.requestline)), *arguments)
+        self._input.end_head()
+        return message
+
+    def get_environ(self) -> dict[str, Any]:
+        environment: dict[str, Any] = super().get_environ()
+        environment[CONNECTION_KEY] = self._input.tracked
+        return environment
+
+    def _handle_client_error(self, error: Exception) -> Any:
+        if isinstance(error, HeadTooLarge):
+            return ("431", self.server.refuse(BadRequest(431, "the headers are too large")))
+        return super()._handle_client_error(error)
+
+    def _sendall(self, data: Any) -> None:
+        view = memoryview(data)
+        for start in range(0, len(view), SEND_BYTES):
+            with self._input.sending():
+                super()._sendall(view[start : start + SEND_BYTES])
 
     def finalize_headers(self) -> None:
         super().finalize_headers()
@@ -119,19 +223,25 @@
         try:
             super().run_application()
         except _Stopped:
-            self._answer_stopped()
-
-    def _answer_stopped(self) -> None:
+            self._answer_ended(STOPPED_STATUS, STOPPED_BODY)
+        except RequestEnded as ended:
+            refusal = ended.refusal
+            body = json.dumps({"error": refusal.reason}).encode()
+            self._answer_ended(f"{refusal.status} {REASONS[refusal.status]}", body)
+
+    def _answer_ended(self, status: str, body: bytes) -> None:
+        """Answer a request whose rest is not waited for."""
         self.close_connection = True
         if self.headers_sent:
             return
         headers = [
             ("Content-Type", "application/json"),
-            ("Content-Length", str(len(STOPPED_BODY))),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
         ]
         try:
-            self.start_response(STOPPED_STATUS, headers)
-            self.write(STOPPED_BODY)
+            self.start_response(status, headers)
+            self.write(body)
             # The rest of the request's body is not waited for.
             self.socket.shutdown(socket.SHUT_RD)
         except OSError as error:
--- a/fulmarhold/web/serving.py
+++ b/fulmarhold/web/serving.py
@@ -9,23 +9,25 @@
 import falcon
 from gevent.pool import Pool
 
+from fulmarhold.clock import Clock
 from fulmarhold.errors import FulmarholdError, MalformedInput
+from fulmarhold.limits.connections import ConnectionBudget
 from fulmarhold.limits.memory import Holder
+from fulmarhold.observe.counters import Counters
 from fulmarhold.observe.logs import get_logger
-from fulmarhold.web.server import ApplicationServer
+from fulmarhold.web.server import CONNECTION_KEY, ApplicationServer
 from fulmarhold.wire.server import listen
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from fulmarhold.limits.connections import TrackedConnection
     from fulmarhold.limits.memory import MemoryBudget
-    from fulmarhold.observe.counters import Counters
 
 log = get_logger("web")
 
 LARGEST_BODY_BYTES = 64 * 1024
 READ_BYTES = 65_536
-MAX_CONNECTIONS = 2_048
 
 
 class BodyTooLarge(MalformedInput):
@@ -75,14 +77,27 @@
     return application
 
 
-def start_server(application: falcon.App, address: str, port: int) -> ApplicationServer:
-    """Serve an application; raises `FulmarholdError` if the port can't be bound."""
+def start_server(
+    application: falcon.App,
+    address: str,
+    port: int,
+    counters: Counters | None = None,
+    budget: ConnectionBudget | None = None,
+) -> ApplicationServer:
+    """Serve an application; raises `FulmarholdError` if the port can't be bound.
+
+    `budget` is shared with other ports of the process, if it has any for callers.
+    """
+    clock, counters = Clock(), counters or Counters()
     server = ApplicationServer(
         listen(address, port),
         application,
+        budget=budget or ConnectionBudget(clock, counters),
+        clock=clock,
+        counters=counters,
         log=None,
         error_log=_ErrorLog(),
-        spawn=Pool(MAX_CONNECTIONS),
+        spawn=Pool(),
     )
     server.start()
     return server
@@ -104,7 +119,11 @@
 
     Raises `BodyTooLarge` above `max_bytes`, and `NoMemory` once there is no room for more of it.
     """
-    held = memory.open_fixed(Holder.REQUEST, (f"caller {request.remote_addr}",))
+    owners = (f"caller {request.remote_addr}",)
+    held = memory.open_fixed(Holder.REQUEST, owners)
+    connection: TrackedConnection | None = request.env.get(CONNECTION_KEY)
+    if connection is not None:
+        connection.held, connection.owners = held, owners
     length = request.content_length or 0
     if length > max_bytes:
         raise BodyTooLarge(f"the body is larger than {max_bytes} bytes", step="reading the body")
@@ -123,6 +142,8 @@
         yield body
     finally:
         held.release()
+        if connection is not None:
+            connection.held = None
 
 
 def read_json(request: falcon.Request, max_bytes: int = LARGEST_BODY_BYTES) -> dict[str, Any]:
--- a/fulmarhold/wire/sockets.py
+++ b/fulmarhold/wire/sockets.py
@@ -10,10 +10,13 @@
 import struct
 import termios
 from contextlib import suppress
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from fulmarhold.clock import SECOND, Milliseconds
 
+if TYPE_CHECKING:
+    from fulmarhold.clock import Clock
+
 # Time after which a peer that disappeared without a reset is detected, by unacknowledged data or by
 # keepalive probes while the connection only waits for data from the peer.
 UNACKNOWLEDGED_TIMEOUT: Milliseconds = 1_500.0
@@ -88,6 +91,18 @@
     return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
 
+def linger(connection: Any, clock: Clock, pause: Milliseconds, longest: Milliseconds) -> None:
+    """Shut down the sending side and drain input, so that no reset discards the response.
+
+    Ends after a pause of the peer; raises `OSError`, also for that.
+    """
+    until = clock.now() + longest
+    connection.shutdown(socket.SHUT_WR)
+    connection.settimeout(pause / SECOND)
+    while clock.now() < until and connection.recv(REFUSED_BYTES):
+        pass
+
+
 def refuse_connection(connection: Any, response: bytes) -> None:
     """Send a response without waiting, and close; the socket must not block."""
     descriptor = connection.fileno()
