Refuse surplus connections as they are accepted; tests of the reader and budgets

A connection could give way to its own bytes while they were parsed. A head of legal size with many lines of four bytes was refused, since five were counted for each.

Change: connections are refused where they are accepted. A request that gives way is answered 503 with Retry-After. Holdings and partial requests have modules of their own.

--- a/fulmarhold/forwarding/context.py
+++ b/fulmarhold/forwarding/context.py
@@ -10,7 +10,7 @@
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.forwarding.codec import UpstreamCodec
     from fulmarhold.forwarding.request import ForwardRequest
-    from fulmarhold.limits.memory import FixedHolding
+    from fulmarhold.limits.holdings import FixedHolding
     from fulmarhold.observe.counters import Counters
     from fulmarhold.observe.estimates import ReplyEstimates
     from fulmarhold.observe.events import EventLog
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -37,7 +37,8 @@
     from fulmarhold.forwarding.stopping import StopSchedule
     from fulmarhold.forwarding.upstreams import UpstreamTable
     from fulmarhold.limits.budget import ExtraLoadBound
-    from fulmarhold.limits.memory import FixedHolding, MemoryBudget
+    from fulmarhold.limits.holdings import FixedHolding
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.observe.counters import Counters, Histogram
     from fulmarhold.observe.events import EventLog
     from fulmarhold.routes.configuration import Route
--- a/fulmarhold/limits/connections.py
+++ b/fulmarhold/limits/connections.py
@@ -21,7 +21,7 @@
     from collections.abc import Callable, Iterable
 
     from fulmarhold.clock import Clock
-    from fulmarhold.limits.memory import FixedHolding
+    from fulmarhold.limits.holdings import FixedHolding
     from fulmarhold.limits.progress import Progress
     from fulmarhold.observe.counters import Counters, Gauge
 
--- a/fulmarhold/tests/web/test_front.py
+++ b/fulmarhold/tests/web/test_front.py
@@ -17,11 +17,14 @@
 from fulmarhold.clock import SECOND, Clock
 from fulmarhold.fleet.ports import PortAllocator
 from fulmarhold.forwarding.stopping import StopSchedule
+from fulmarhold.limits import connections, progress
+from fulmarhold.limits.connections import Refusal
 from fulmarhold.limits.memory import Holder, MemoryBudget, Shortage
 from fulmarhold.observe.counters import Counters
 from fulmarhold.routes.configuration import CallerLimits
 from fulmarhold.web.front import FrontServer, RawResponse
-from fulmarhold.web.reader import HEADER_LINE_BYTES, REQUEST_BYTES
+from fulmarhold.web.partial import HEADER_LINE_BYTES, REQUEST_BYTES
+from fulmarhold.web.reader import SEPARATOR_BYTES
 
 LIMITS = CallerLimits(header_bytes=1_000, body_bytes=500, header_timeout=300.0, idle_timeout=2_000)
 TIMEOUT_SECONDS = 5.0
@@ -407,7 +410,11 @@
 
     served.answer = answer
     lines = (("Host", "h"), ("Content-Length", "100"))
-    cost = REQUEST_BYTES + len("/") + sum(HEADER_LINE_BYTES + 4 + len(a + b) for a, b in lines)
+    cost = (
+        REQUEST_BYTES
+        + len("/")
+        + sum(HEADER_LINE_BYTES + SEPARATOR_BYTES + len(a + b) for a, b in lines)
+    )
     with served.connect() as first, served.connect() as second:
         for connection in (first, second):
             connection.sendall(HEAD + b"Content-Length: 100\r\n\r\n" + b"a" * 100)
@@ -436,10 +443,55 @@
         connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         while served.memory.held < len(body):
             gevent.sleep(0.001)
-        request = REQUEST_BYTES + len("/") + HEADER_LINE_BYTES + len("Hosth") + 4
+        request = REQUEST_BYTES + len("/") + HEADER_LINE_BYTES + len("Hosth") + SEPARATOR_BYTES
         assert served.memory.held == len(body) + request
         assert not served.memory.may_admit(("caller 127.0.0.1",), is_urgent=True)
         assert receive_response(connection)[1] == body
     while served.server.connections:
         gevent.sleep(0.001)
     assert served.memory.held == 0
+
+
+# Guards against a head that is kept unfinished by bytes that come faster than any time-out.
+def test_a_head_that_trickles_is_ended_by_its_time(served):
+    with served.connect() as connection:
+        connection.sendall(b"GET / HTTP/1.1\r\nX: ")
+        with suppress(OSError):
+            for _ in range(400):
+                connection.sendall(b"a")
+                gevent.sleep(0.005)
+        assert connection.recv(65_536).startswith(b"HTTP/1.1 408")
+
+
+# Guards against connections that hold a descriptor or memory for as long as their callers like.
+@pytest.mark.parametrize(
+    ("sent", "expected"),
+    [
+        (HEAD + b"Content-Length: 100\r\n\r\na", b"HTTP/1.1 503 "),
+        (HEAD, b"HTTP/1.1 503 "),
+        (b"", b""),
+    ],
+    ids=["body", "head", "idle"],
+)
+@pytest.mark.parametrize("wait", [False, True])
+def test_a_connection_gives_way_only_once_it_is_stalled(served, sent, expected, wait, monkeypatch):
+    monkeypatch.setattr(connections, "STALLED_AFTER", 100.0)
+    monkeypatch.setattr(progress, "STALLED_AFTER", 100.0)
+    with served.connect() as connection:
+        connection.sendall(sent)
+        while served.server.budget.count < 1:
+            gevent.sleep(0.001)
+        gevent.sleep(0.15 if wait else 0.01)
+        refusal = served.server.budget.refusal("10.0.0.1", descriptor=1_000, limit=1_024)
+        assert refusal is Refusal.DESCRIPTORS
+        connection.settimeout(0.1)
+        if wait:
+            answer = connection.recv(65_536)
+            assert answer.startswith(expected) and bool(answer) == (b"Retry-After" in answer)
+        else:
+            with pytest.raises(TimeoutError):
+                connection.recv(65_536)
+    assert served.requests == []
+    while served.server.connections:
+        gevent.sleep(0.001)
+    assert served.memory.held == served.server.budget.count == 0
--- a/fulmarhold/tests/web/test_serving.py
+++ b/fulmarhold/tests/web/test_serving.py
@@ -13,7 +13,11 @@
 import pytest
 from gevent.event import Event
 
+from fulmarhold.clock import SECOND, Clock
 from fulmarhold.fleet.ports import PortAllocator
+from fulmarhold.limits.connections import ConnectionBudget, Refusal
+from fulmarhold.limits.progress import STALLED_AFTER
+from fulmarhold.observe.counters import Counters
 from fulmarhold.tests.connections import TIMEOUT_SECONDS, HttpConnection
 from fulmarhold.web.serving import start_server
 
@@ -63,7 +67,9 @@
         application.add_route("/large", LargeResource())
         port = PORTS.allocate()
         self.endpoint = ("127.0.0.1", port)
-        self.server = start_server(application, *self.endpoint)
+        self.counters = Counters()
+        self.budget = ConnectionBudget(Clock(), self.counters)
+        self.server = start_server(application, *self.endpoint, self.counters, self.budget)
 
     def connect(self):
         return HttpConnection(self.endpoint)
@@ -219,3 +225,59 @@
     gevent.joinall(callers, timeout=TIMEOUT_SECONDS, raise_error=True)
     assert counts["answered"] == counts["run"] >= stop_after
     assert duration < TIMEOUT_SECONDS / 2
+
+
+# Guards against heads of any size and number of lines, which the WSGI server reads whole.
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"X-Long: " + 20_000 * b"a" + b"\r\n",
+        101 * b"a: b\r\n",
+        30 * (b"X: " + 600 * b"a" + b"\r\n"),
+    ],
+    ids=["line", "lines", "bytes"],
+)
+def test_a_head_that_is_too_large_is_refused_and_the_connection_closed(served, lines):
+    connection = served.connect()
+    connection.send(b"GET / HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n")
+    assert connection.read()[0] == 431
+    assert connection.is_closed()
+    assert served.resource.served == 0
+
+
+# Guards against connections that hold a descriptor for as long as their callers like.
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc", 503),
+        (b"GET / HTTP/1.1\r\nHost:", 503),
+        (b"", 0),
+    ],
+    ids=["body", "head", "idle"],
+)
+def test_a_stalled_connection_gives_way_and_its_request_is_refused_as_not_run(served, sent, status):
+    connection = served.connect()
+    connection.send(sent)
+    while served.budget.count < 1:
+        gevent.sleep(0.001)
+    gevent.sleep(STALLED_AFTER / SECOND + 0.1)
+    assert served.budget.refusal("10.0.0.1", descriptor=900, limit=1_024) is None
+    answer, headers, _ = connection.read()
+    assert answer == status
+    assert bool(status) == ("retry-after" in headers)
+    assert connection.is_closed()
+    assert served.resource.served == served.budget.count == 0
+
+
+def test_a_connection_beyond_the_budget_is_refused_at_once(served):
+    served.budget.refusal = lambda *_, **__: Refusal.DESCRIPTORS
+    connection = served.connect()
+    assert connection.read()[0] == 503
+    assert connection.is_closed()
+
+
+def test_a_head_that_is_not_sent_in_time_ends(served):
+    connection = served.connect()
+    connection.send(b"GET / HTTP/1.1\r\nHost:")
+    assert connection.read()[0] == 408
+    assert connection.is_closed()
--- a/fulmarhold/upstreams/channel.py
+++ b/fulmarhold/upstreams/channel.py
@@ -17,7 +17,8 @@
 
 if TYPE_CHECKING:
     from fulmarhold.clock import Milliseconds
-    from fulmarhold.limits.memory import MemoryBudget, ResponseHolding
+    from fulmarhold.limits.holdings import ResponseHolding
+    from fulmarhold.limits.memory import MemoryBudget
 
 log = get_logger("channel")
 
--- a/fulmarhold/web/connection.py
+++ b/fulmarhold/web/connection.py
@@ -182,12 +182,10 @@
         """Note for others whether a request is unfinished, and what it holds."""
         partial, tracked = self._reader.partial, self._tracked
         if partial is None:
-            if tracked.phase is not Phase.IDLE:
-                tracked.enter(Phase.IDLE, self._server.clock.now())
+            tracked.enter(Phase.IDLE, self._server.clock.now())
             return
         tracked.held, tracked.owners = partial.held, partial.owners
-        if tracked.progress is not partial.progress:
-            tracked.enter(Phase.READING, self._server.clock.now(), partial.progress)
+        tracked.enter(Phase.READING, self._server.clock.now(), partial.progress)
 
     def _receive(self) -> bytes:
         """Return bytes that have arrived, or nothing if there are none in time.
@@ -204,8 +202,15 @@
             if self._reader.partial is None:
                 return b""
             raise BadRequest(408, "the request was not sent in time") from None
+        except OSError:
+            # Shutting it down cancels the wait.
+            if self._gave_way is None:
+                raise
+            return b""
         finally:
             self._is_waiting = False
+            # It must not give way to its own bytes while they are parsed.
+            self._tracked.enter(Phase.RUNNING, self._server.clock.now())
 
     def _time_left(self) -> Milliseconds:
         """Return how long to wait for bytes; what has arrived already is read in any case."""
--- a/fulmarhold/web/front.py
+++ b/fulmarhold/web/front.py
@@ -103,8 +103,7 @@
         """Start listening; raises `FulmarholdError` if the port can't be bound."""
         address, _, port = self._endpoint.rpartition(":")
         listener = listen(address, int(port), LISTEN_BACKLOG)
-        self._server = StreamServer(listener, self._serve)
-        self._server.max_accept = MAX_ACCEPTED_AT_ONCE
+        self._server = _Listener(self, listener, self._serve)
         self._server.start()
 
     def stop_accepting(self) -> None:
@@ -126,14 +125,15 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def _serve(self, connection: Any, peer: tuple[str, int]) -> None:
+    def refusal(self, connection: Any, peer: tuple[str, int]) -> bytes:
+        """Return the response to a connection that is one too many, or nothing."""
         why = self.budget.refusal(peer[0], connection.fileno(), descriptor_limit())
-        if why is not None:
-            response = self.refuse(NoMemory(why.value))
-            refuse_connection(
-                connection, encode_head(response, "Connection: close") + response.body
-            )
-            return
+        if why is None:
+            return b""
+        response = self.refuse(NoMemory(why.value))
+        return encode_head(response, "Connection: close") + response.body
+
+    def _serve(self, connection: Any, peer: tuple[str, int]) -> None:
         served = Connection(self, connection, peer[0])
         self._connections.add(served)
         try:
@@ -144,3 +144,24 @@
             self._connections.discard(served)
             connection.close()
             served.release()
+
+
+class _Listener(StreamServer):
+    """Accepts connections, and refuses those that are too many before anything else runs.
+
+    A busy process accepts faster than it starts to serve, so that a refusal which waited its turn
+    would come after the last descriptor is used.
+    """
+
+    max_accept = MAX_ACCEPTED_AT_ONCE
+
+    def __init__(self, server: FrontServer, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._front = server
+
+    def do_handle(self, connection: Any, peer: tuple[str, int]) -> None:
+        refusal = self._front.refusal(connection, peer)
+        if refusal:
+            refuse_connection(connection, refusal)
+        else:
+            super().do_handle(connection, peer)
--- a/fulmarhold/web/metered.py
+++ b/fulmarhold/web/metered.py
@@ -105,6 +105,11 @@
             size: int = self._socket.recv_into(buffer)
         except TimeoutError:
             raise self._end(BadRequest(408, "the request was not sent in time")) from None
+        except OSError:
+            # Shutting it down cancels the wait.
+            if self._gave_way is None:
+                raise
+            size = 0
         finally:
             if progress is not None:
                 self.tracked.enter(Phase.RUNNING, self._clock.now())
--- a/fulmarhold/web/reader.py
+++ b/fulmarhold/web/reader.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import httptools
@@ -17,18 +16,18 @@
 from fulmarhold.limits.memory import Holder
 from fulmarhold.limits.progress import Progress
 from fulmarhold.web.messages import BadRequest, NoMemory, RawRequest
+from fulmarhold.web.partial import HEADER_LINE_BYTES, PartialRequest, ReadRequest, request_owners
 
 if TYPE_CHECKING:
-    from fulmarhold.limits.memory import FixedHolding, MemoryBudget
+    from fulmarhold.limits.holdings import FixedHolding
+    from fulmarhold.limits.memory import MemoryBudget
     from fulmarhold.routes.configuration import CallerLimits
 
-# What a header line costs beside its characters: a pair, two strings and a place in the list.
-HEADER_LINE_BYTES = 200
-# What a request costs beside its header lines, target and body.
-REQUEST_BYTES = 800
 # A head of the largest default size can't have more lines, so that only a configuration with larger
 # heads meets this limit.
 MAX_HEADER_LINES = 4_096
+# A colon and the end of a line: what a header line has at least beside its characters.
+SEPARATOR_BYTES = 3
 # The method, the version and the separators of a head, which its size doesn't count.
 HEAD_OVERHEAD_BYTES = 64
 # How much is parsed at once while a head is read: pipelined requests behind it stay bytes.
@@ -39,49 +38,6 @@
 SMALL_REQUEST_BYTES = 16 * 1024
 
 
-def request_owners(caller: str, fields: dict[str, str]) -> tuple[str, ...]:
-    """Return in whose shares of the memory a request counts, by its lower-case header names.
-
-    >>> request_owners("10.0.0.1", {"host": "a.example"})
-    ('caller 10.0.0.1', 'account a.example')
-    """
-    return (f"caller {caller}", f"account {fields.get('host', '')}")
-
-
-@dataclass
-class PartialRequest:
-    """A request that is still being read."""
-
-    started_at: Milliseconds
-    progress: Progress
-    held: FixedHolding | None
-    target: bytes = b""
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    # Grows in place: many short chunks must not become as many objects.
-    body: bytearray = field(default_factory=bytearray)
-    # The length that was announced, if any.
-    length: int = 0
-    has_head: bool = False
-    owners: tuple[str, ...] = ()
-    lines: int = 0
-    cost: int = REQUEST_BYTES
-    trailer_bytes: int = 0
-
-
-@dataclass(frozen=True)
-class ReadRequest:
-    """A complete request, whether its connection stays open, and the memory that it takes."""
-
-    request: RawRequest
-    keep_open: bool
-    held: FixedHolding | None
-
-    def release(self) -> None:
-        """Give its memory back; may be called more than once."""
-        if self.held is not None:
-            self.held.release()
-
-
 class RequestReader:
     """Turns the bytes of one connection into requests, which are taken with `take`.
 
@@ -274,7 +230,7 @@
         partial.lines += 1
         if partial.lines > MAX_HEADER_LINES:
             raise BadRequest(431, "too many header lines")
-        size = len(name) + len(value) + 4
+        size = len(name) + len(value) + SEPARATOR_BYTES
         if partial.has_head:
             partial.trailer_bytes += size
             if partial.trailer_bytes > self.limits.header_bytes:
@@ -290,7 +246,7 @@
         partial.has_head = True
         self._unreported_bytes = 0
         size = len(partial.target) + sum(
-            len(key) + len(value) + 4 for key, value in partial.headers
+            len(key) + len(value) + SEPARATOR_BYTES for key, value in partial.headers
         )
         if size > self.limits.header_bytes:
             raise BadRequest(431, "the headers are too large")
--- a/fulmarhold/web/server.py
+++ b/fulmarhold/web/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import io
-import json
 import socket
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -14,7 +13,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.limits.retry_after import retry_delay_after_refusal
 from fulmarhold.observe.logs import get_logger
-from fulmarhold.web.messages import REASONS, BadRequest, NoMemory, RawResponse, encode_head
+from fulmarhold.web.messages import BadRequest, NoMemory, RawResponse, encode_head
 from fulmarhold.web.metered import BUFFER_BYTES, HeadLines, HeadTooLarge, MeteredInput, RequestEnded
 from fulmarhold.wire.sockets import descriptor_limit, has_input, linger, refuse_connection
 
@@ -110,12 +109,19 @@
         response = RawResponse(error.status, headers, error.reason.encode())
         return encode_head(response, "Connection: close") + response.body
 
-    def handle(self, connection: Any, address: Any) -> None:
-        """Serve one connection."""
+    def do_handle(self, connection: Any, address: Any) -> None:
+        """Refuse a connection that is one too many, before anything else runs, or serve it.
+
+        A busy process accepts faster than it starts to serve.
+        """
         why = self._budget.refusal(address[0], connection.fileno(), descriptor_limit())
-        if why is not None:
+        if why is None:
+            super().do_handle(connection, address)
+        else:
             refuse_connection(connection, self.refuse(NoMemory(why.value)))
-            return
+
+    def handle(self, connection: Any, address: Any) -> None:
+        """Serve one connection."""
         # Head and body are written separately. Without TCP_NODELAY, the body would be delayed until
         # the head is acknowledged.
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -223,25 +229,26 @@
         try:
             super().run_application()
         except _Stopped:
-            self._answer_ended(STOPPED_STATUS, STOPPED_BODY)
+            headers = [
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(STOPPED_BODY))),
+            ]
+            self._answer_ended(lambda: self._write_whole(STOPPED_STATUS, headers, STOPPED_BODY))
         except RequestEnded as ended:
-            refusal = ended.refusal
-            body = json.dumps({"error": refusal.reason}).encode()
-            self._answer_ended(f"{refusal.status} {REASONS[refusal.status]}", body)
+            answer = self.server.refuse(ended.refusal)
+            self._answer_ended(lambda: self._sendall(answer))
+
+    def _write_whole(self, status: str, headers: list[tuple[str, str]], body: bytes) -> None:
+        self.start_response(status, headers)
+        self.write(body)
 
-    def _answer_ended(self, status: str, body: bytes) -> None:
-        """Answer a request whose rest is not waited for."""
+    def _answer_ended(self, send: Callable[[], None]) -> None:
+        """Answer a request whose rest is not waited for, unless its answer has begun."""
         self.close_connection = True
         if self.headers_sent:
             return
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            ("Connection", "close"),
-        ]
         try:
-            self.start_response(status, headers)
-            self.write(body)
+            send()
             # The rest of the request's body is not waited for.
             self.socket.shutdown(socket.SHUT_RD)
         except OSError as error:
