Let no connection give way that could go on

Cause: a process that was held up takes all callers for stalled, although their bytes have arrived or their buffers have room, and would reset requests that it has not read. Looking for a connection of a busy address was repeated for every new one.

Change: a connection that is asked to give way looks at its socket first and stays if it could go on.

--- a/fulmarhold/limits/connections.py
+++ b/fulmarhold/limits/connections.py
@@ -95,11 +95,15 @@
 
 
 class TrackedConnection:
-    """The state of one connection; `give_way` has to end it, and to release what it holds."""
+    """The state of one connection.
+
+    `give_way` has to end it and to release what it holds, and returns whether it did: bytes that
+    have arrived, and a response that can go on, are progress that this process has not made yet.
+    """
 
     __slots__ = ("caller", "give_way", "held", "owners", "phase", "progress", "since")
 
-    def __init__(self, caller: str, now: Milliseconds, give_way: Callable[[GaveWay], None]) -> None:
+    def __init__(self, caller: str, now: Milliseconds, give_way: Callable[[GaveWay], bool]) -> None:
         self.caller = caller
         self.give_way = give_way
         self.phase = Phase.IDLE
@@ -131,10 +135,10 @@
     >>> budget = ConnectionBudget(clock, Counters())
     >>> budget.refusal("10.0.0.1", descriptor=1_000, limit=1_024)
     <Refusal.DESCRIPTORS: 'descriptors'>
-    >>> stalled = budget.open("10.0.0.1", lambda why: print("gives way for", why.value))
+    >>> stalled = budget.open("10.0.0.1", lambda why: why is GaveWay.DESCRIPTORS)
     >>> clock.advance(2_000.0)
-    >>> budget.refusal("10.0.0.2", descriptor=900, limit=1_024)
-    gives way for descriptors
+    >>> budget.refusal("10.0.0.2", descriptor=900, limit=1_024), budget.count
+    (None, 0)
     """
 
     def __init__(
@@ -147,6 +151,7 @@
         self._by_caller: dict[str, int] = {}
         self._candidates: deque[TrackedConnection] = deque()
         self._rescan_at: Milliseconds = 0.0
+        self._address_rescan_at: Milliseconds = 0.0
         self._relieve_at: Milliseconds = 0.0
         self._is_short = False
 
@@ -154,7 +159,7 @@
     def count(self) -> int:
         return len(self._connections)
 
-    def open(self, caller: str, give_way: Callable[[GaveWay], None]) -> TrackedConnection:
+    def open(self, caller: str, give_way: Callable[[GaveWay], bool]) -> TrackedConnection:
         """Add a connection of a caller address."""
         connection = TrackedConnection(caller, self._clock.now(), give_way)
         self._connections.add(connection)
@@ -214,16 +219,14 @@
             and (not owners or any(owner in owners for owner in item.owners))
             and (since := item.stalled_since(now)) is not None
         ]
-        if not stalled:
-            self._relieve_at = now + RESCAN_PAUSE
-            return False
         freed = 0
         for _, held, _, item in sorted(stalled, reverse=True):
-            self._end(item, GaveWay.MEMORY)
-            freed += held
+            freed += held if self._end(item, GaveWay.MEMORY) else 0
             if freed >= size:
                 break
-        return True
+        if not freed:
+            self._relieve_at = now + RESCAN_PAUSE
+        return freed > 0
 
     def gauges(self) -> Iterable[Gauge]:
         """Yield the number of connections by what they are doing."""
@@ -237,6 +240,8 @@
         """End the connection that has to give way first; returns whether there is one."""
         now = self._clock.now()
         if why is GaveWay.ADDRESS:
+            if now < self._address_rescan_at:
+                return False
             candidates = self._in_order(connections, now)
         else:
             if not self._candidates and now >= self._rescan_at:
@@ -245,9 +250,11 @@
             candidates = self._candidates
         while candidates:
             item = candidates.popleft()
-            if item in self._connections and item.stalled_since(now) is not None:
-                self._end(item, why)
+            is_stalled = item in self._connections and item.stalled_since(now) is not None
+            if is_stalled and self._end(item, why):
                 return True
+        if why is GaveWay.ADDRESS:
+            self._address_rescan_at = now + RESCAN_PAUSE
         return False
 
     def _in_order(
@@ -264,13 +271,15 @@
         )
         return deque(stalled)
 
-    def _end(self, connection: TrackedConnection, why: GaveWay) -> None:
-        self._counters.add(
-            "caller_connections_gave_way", reason=why.value, phase=connection.phase.value
-        )
-        self._report(f"a connection that was {connection.phase.value} gave way, {why.value}")
+    def _end(self, connection: TrackedConnection, why: GaveWay) -> bool:
+        """Let a connection give way; returns whether it was stalled indeed, and has."""
+        phase = connection.phase.value
+        if not connection.give_way(why):
+            return False
         self.close(connection)
-        connection.give_way(why)
+        self._counters.add("caller_connections_gave_way", reason=why.value, phase=phase)
+        self._report(f"a connection that was {phase} gave way, {why.value}")
+        return True
 
     def _refuse(self, why: Refusal) -> Refusal:
         self._counters.add("caller_connections_refused", reason=why.value)
--- a/fulmarhold/tests/limits/test_connections.py
+++ b/fulmarhold/tests/limits/test_connections.py
@@ -25,6 +25,8 @@
         self.memory = MemoryBudget(1_000, self.clock, self.counters)
         self.memory.relieve = self.budget.relieve
         self.gone = []
+        # Connections that could go on, which only this process has not come to.
+        self.ready: set[str] = set()
 
     def open(self, name, phase=Phase.IDLE, caller="a", held=0):
         connection = self.budget.open(caller, lambda why: self._end(name, connection))
@@ -36,8 +38,11 @@
         return connection
 
     def _end(self, name, connection):
+        if name in self.ready:
+            return False
         self.gone.append(name)
         connection.held.release()
+        return True
 
     def refusal(self, caller="b", descriptor=SHORT):
         return self.budget.refusal(caller, descriptor, LIMIT)
@@ -138,3 +143,17 @@
     callers.clock.advance(900.0)
     assert not callers.memory.fits(("caller c",), 100)
     assert callers.gone == []
+
+
+# Guards against a process that was held up, and takes all of its callers for stalled.
+def test_a_connection_that_could_go_on_does_not_give_way(callers):
+    for name in ("first", "second", "third"):
+        callers.open(name, Phase.READING, caller=name, held=240)
+    callers.ready |= {"first", "third"}
+    callers.clock.advance(2_000.0)
+    assert callers.memory.fits(("caller x",), 200)
+    callers.ready.add("second")
+    callers.clock.advance(2_000.0)
+    assert callers.refusal(descriptor=EXHAUSTED) is Refusal.DESCRIPTORS
+    assert callers.gone == ["second"]
+    assert callers.budget.count == 2
--- a/fulmarhold/tests/web/test_reader.py
+++ b/fulmarhold/tests/web/test_reader.py
@@ -71,6 +71,7 @@
         while self.running:
             self.running.pop().release()
         self._connections.close(self.tracked)
+        return True
 
 
 def read(data, memory_bytes=64 * MEBIBYTE):
--- a/fulmarhold/web/connection.py
+++ b/fulmarhold/web/connection.py
@@ -16,6 +16,7 @@
 from fulmarhold.web.reader import ReadRequest, RequestReader
 from fulmarhold.wire.sockets import (
     available_bytes,
+    can_go_on,
     has_input,
     linger,
     prepare_connection,
@@ -101,12 +102,15 @@
             return
         self._shut_down(gevent.socket.SHUT_RDWR)
 
-    def _give_way(self, why: GaveWay) -> None:
+    def _give_way(self, why: GaveWay) -> bool:
         """End the connection in favour of others; an unfinished request is refused as not run."""
+        if can_go_on(self._socket.fileno(), sends=not self._is_waiting):
+            return False
         self._gave_way = why
         self._is_refused = self._is_waiting and self._reader.partial is not None
         self._reader.release()
         self._shut_down(gevent.socket.SHUT_RD if self._is_refused else gevent.socket.SHUT_RDWR)
+        return True
 
     def _shut_down(self, how: int) -> None:
         try:
--- a/fulmarhold/web/metered.py
+++ b/fulmarhold/web/metered.py
@@ -19,6 +19,7 @@
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.routes.configuration import CallerLimits
 from fulmarhold.web.messages import BadRequest, NoMemory
+from fulmarhold.wire.sockets import can_go_on
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -142,7 +143,9 @@
         log.info("request of {} ended: {}", self.tracked.caller, refusal.reason)
         return RequestEnded(refusal)
 
-    def _give_way(self, why: GaveWay) -> None:
+    def _give_way(self, why: GaveWay) -> bool:
+        if can_go_on(self._socket.fileno(), sends=self.tracked.phase is Phase.SENDING):
+            return False
         self._gave_way = why
         held, self.tracked.held = self.tracked.held, None
         if held is not None:
@@ -152,6 +155,7 @@
             self._socket.shutdown(socket.SHUT_RD if is_reading else socket.SHUT_RDWR)
         except OSError as error:
             log.info("connection of {} was lost: {}", self.tracked.caller, error)
+        return True
 
 
 class HeadLines:
--- a/fulmarhold/wire/sockets.py
+++ b/fulmarhold/wire/sockets.py
@@ -76,6 +76,18 @@
     return bool(poll.poll(0))
 
 
+def can_go_on(descriptor: int, *, sends: bool) -> bool:
+    """Whether a socket that waits to send, or else to receive, could do so at this moment.
+
+    Its peer has made progress then, and this process has not come to it.
+    """
+    if descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT if sends else select.POLLIN)
+    return any(event & (select.POLLOUT | select.POLLIN) for _, event in poll.poll(0))
+
+
 def available_bytes(descriptor: int) -> int:
     """Return how many bytes a socket has to read; zero also at the end of its stream."""
     try:
