Send Retry-After with what control refuses for want of memory

Change: the 503 of a body that has no room carries Retry-After; the test of the refused heartbeat checks it.

Measured: tests of heartbeats pass.

--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 
 import falcon
 
 from fulmarhold.clock import SECOND
 from fulmarhold.errors import FulmarholdError, MalformedInput
+from fulmarhold.limits.retry_after import retry_delay_after_refusal
 from fulmarhold.observe.limited import LimitedLog, bounded_text
 from fulmarhold.observe.logs import get_logger
 from fulmarhold.platform.documents import (
@@ -21,7 +23,7 @@
 )
 from fulmarhold.platform.settings import DIRECTORY_ANSWER_TTL
 from fulmarhold.settings.problems import InvalidSettings
-from fulmarhold.web.serving import LARGEST_BODY_BYTES, held_body
+from fulmarhold.web.serving import LARGEST_BODY_BYTES, NoMemory, held_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,6 +35,7 @@
     from fulmarhold.observe.counters import Counters
 
 log = get_logger("heartbeats")
+_random = Random()
 
 
 class ConfigurationResource:
@@ -180,6 +183,8 @@
 ) -> None:
     is_invalid = isinstance(error, MalformedInput | InvalidSettings)
     response.status = falcon.HTTP_400 if is_invalid else falcon.HTTP_503
+    if isinstance(error, NoMemory):
+        response.set_header("Retry-After", f"{retry_delay_after_refusal(_random) / SECOND:.3f}")
     response.media = {"error": bounded_text(error.message), "step": error.step}
 
 
--- a/fulmarhold/tests/platform/test_heartbeats.py
+++ b/fulmarhold/tests/platform/test_heartbeats.py
@@ -255,7 +255,9 @@
 def test_a_heartbeat_for_which_there_is_no_memory_is_refused_as_not_taken(control):
     others = control.memory.open_fixed(Holder.REQUEST, ("caller other",))
     others.grow(750_000)
-    assert control.put(encode(HEARTBEAT)).status_code == 503
+    refused = control.put(encode(HEARTBEAT))
+    assert refused.status_code == 503
+    assert 0 < float(refused.headers["retry-after"]) < 1
     assert control.recorded == []
     others.release()
     assert control.put(encode(HEARTBEAT)).status_code == 200
