--- a/fulmarhold/limits/memory.py
+++ b/fulmarhold/limits/memory.py
@@ -19,7 +19,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from fulmarhold.clock import Milliseconds
+from fulmarhold.limits.holdings import FixedHolding, ResponseHolding
 from fulmarhold.limits.sharing import MIN_ROOM_SHARE
 from fulmarhold.observe.logs import get_logger
 
@@ -126,6 +126,9 @@
         self._responses_by_upstream: dict[str, int] = {}
         self._responses_by_owner: dict[str, int] = {}
         self._is_short = False
+        # Ends stalled requests of owners (of all, if there are none) that hold a number of bytes;
+        # returns whether there were any.
+        self.relieve: Callable[[tuple[str, ...], int], bool] | None = None
 
     @property
     def limit(self) -> int:
@@ -163,15 +166,14 @@
         share = URGENT_ADMITTED_SHARE if is_urgent else ADMITTED_SHARE
         if flow is not None and self._fixed_total > MIN_ROOM_SHARE * share * self._limit:
             share *= flow.room_share(self._clock.now())
-        if self._fixed_total <= share * self._limit and self._have_share(owners, 0):
+        if self._have_room(owners, 0, share):
             return True
         self._report(Shortage.REQUEST_REFUSED)
         return False
 
     def fits(self, owners: tuple[str, ...], size: int) -> bool:
         """Whether there is room for fixed bytes now; a refusal is counted."""
-        is_free = self._fixed_total + size <= URGENT_ADMITTED_SHARE * self._limit
-        if is_free and self._have_share(owners, size):
+        if self._have_room(owners, size, URGENT_ADMITTED_SHARE):
             return True
         self._report(Shortage.BODY_REFUSED)
         return False
@@ -228,6 +230,23 @@
             self._keep_shares(owners)
         self._make_room()
 
+    def _have_room(self, owners: tuple[str, ...], size: int, share: float) -> bool:
+        """Whether fixed bytes fit into a share of the bound, after stalled requests gave way."""
+        excess = self._fixed_total + size - int(share * self._limit)
+        if excess > 0 and not (
+            self.relieve is not None
+            and self.relieve((), excess)
+            and self._fixed_total + size <= share * self._limit
+        ):
+            return False
+        if self._have_share(owners, size):
+            return True
+        return (
+            self.relieve is not None
+            and self.relieve(owners, size)
+            and self._have_share(owners, size)
+        )
+
     def _have_share(self, owners: tuple[str, ...], size: int) -> bool:
         share = OWNER_SHARE * self._limit
         return all(self._fixed_by_owner.get(owner, 0) + size <= share for owner in owners)
@@ -291,68 +310,3 @@
         totals[key] = total
     else:
         totals.pop(key, None)
-
-
-class ResponseHolding:
-    """The bytes of one unfinished response."""
-
-    __slots__ = ("_budget", "_started_at", "give_way", "owners", "size", "upstream")
-
-    def __init__(
-        self,
-        budget: MemoryBudget,
-        upstream: str,
-        owners: tuple[str, ...],
-        give_way: Callable[[Shortage], None],
-        started_at: Milliseconds,
-    ) -> None:
-        self._budget = budget
-        self._started_at = started_at
-        self.upstream = upstream
-        self.owners = owners
-        self.give_way = give_way
-        self.size = 0
-
-    def grow(self, size: int) -> None:
-        """Add bytes; this response or others may have given way when this returns."""
-        self.size += size
-        self._budget.add_response(self, size)
-
-    def release(self) -> None:
-        """Give all bytes back; may be called more than once."""
-        self._budget.remove_response(self)
-        self.size = 0
-
-    def cost(self, now: Milliseconds) -> float:
-        """Return the bytes held times the duration for which they are held."""
-        return self.size * (now - self._started_at)
-
-
-class FixedHolding:
-    """Bytes that can't give way, held on behalf of some owners."""
-
-    __slots__ = ("_budget", "_holder", "_owners", "size")
-
-    def __init__(self, budget: MemoryBudget, holder: Holder, owners: tuple[str, ...]) -> None:
-        self._budget = budget
-        self._holder = holder
-        self._owners = owners
-        self.size = 0
-
-    def try_grow(self, size: int) -> bool:
-        """Add bytes if there is room for them; returns whether there is."""
-        if not self._budget.try_add_fixed(self._holder, self._owners, size):
-            return False
-        self.size += size
-        return True
-
-    def grow(self, size: int) -> None:
-        """Add bytes that have to be held, such as those of a response that has been counted."""
-        self.size += size
-        self._budget.add_fixed(self._holder, self._owners, size)
-
-    def release(self) -> None:
-        """Give all bytes back; may be called more than once."""
-        if self.size:
-            self._budget.add_fixed(self._holder, self._owners, -self.size)
-            self.size = 0
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -19,6 +19,7 @@
 from fulmarhold.forwarding.forwarder import Forwarder
 from fulmarhold.forwarding.stopping import SEND_RESERVE, StopSchedule
 from fulmarhold.forwarding.upstreams import UpstreamTable
+from fulmarhold.limits.connections import ConnectionBudget, connection_limit
 from fulmarhold.limits.memory import MemoryBudget, held_bytes_limit
 from fulmarhold.limits.sharing import FairShares
 from fulmarhold.membership.coalescing import CoalescedUpdate
@@ -90,6 +91,8 @@
         self._lag = LoopLag(clock)
         self.failure: AsyncResult = AsyncResult()
         self._memory = MemoryBudget(held_bytes_limit(settings.memory_bytes), clock, counters)
+        self._callers = ConnectionBudget(clock, counters, connection_limit(settings.memory_bytes))
+        self._memory.relieve = self._callers.relieve
         self._table = UpstreamTable(
             settings.data_centre, clock, counters, self._memory, events, settings.name
         )
@@ -157,6 +160,7 @@
             clock,
             counters,
             self._memory,
+            self._callers,
         )
 
     def start(self) -> None:
@@ -179,14 +183,22 @@
         )
 
         self._readiness = serve_application(
-            readiness_application(self._is_ready), self._settings.readiness_endpoint
+            readiness_application(self._is_ready),
+            self._settings.readiness_endpoint,
+            self._counters,
+            self._callers,
         )
         self._directory = serve_application(
-            directory_application(self._addresses), self._settings.directory_endpoint
+            directory_application(self._addresses),
+            self._settings.directory_endpoint,
+            self._counters,
+            self._callers,
         )
         self._counters.register_gauges(self._gauges)
         self._counters.register_histograms(self.forwarder.histograms)
-        self._metrics = serve_metrics(self._counters, self._settings.metrics_endpoint)
+        self._metrics = serve_metrics(
+            self._counters, self._settings.metrics_endpoint, self._callers
+        )
 
     def stop(self, told_at: Milliseconds) -> None:
         """Leave the directory, serve callers with old directory answers, answer open requests."""
@@ -358,4 +370,5 @@
         for cause, paced in self._table.paces():
             yield "entry_upstreams_paced", {"reason": cause.value}, float(paced)
         yield from self._memory.gauges()
+        yield from self._callers.gauges()
         yield "entry_connections", {}, float(sum(item.pool.connections for item in replicas))
--- a/fulmarhold/tests/platform/test_evacuation.py
+++ b/fulmarhold/tests/platform/test_evacuation.py
@@ -35,7 +35,7 @@
     wait_for,
 )
 from fulmarhold.web.client import request_json
-from fulmarhold.web.server import CONNECTION
+from fulmarhold.web.server import SOCKET_KEY
 
 
 class Interface:
@@ -109,9 +109,9 @@
 # the operator has sent it elsewhere and ended the evacuation since.
 def test_an_order_whose_operator_has_gone_is_not_submitted(interface):
     near, far = gevent.socket.socketpair()
-    assert interface.send("POST", "a", extras={CONNECTION: near}).status_code == 200
+    assert interface.send("POST", "a", extras={SOCKET_KEY: near}).status_code == 200
     far.close()
-    assert interface.send("DELETE", "a", extras={CONNECTION: near}).status_code == 503
+    assert interface.send("DELETE", "a", extras={SOCKET_KEY: near}).status_code == 503
     assert interface.machine.state.evacuations.data_centres == ("a",)
     near.close()
 
--- a/fulmarhold/wire/sockets.py
+++ b/fulmarhold/wire/sockets.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import fcntl
+import os
+import resource
 import select
 import socket
 import struct
-from typing import Any
+import termios
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
 
 from fulmarhold.clock import SECOND, Milliseconds
 
+if TYPE_CHECKING:
+    from fulmarhold.clock import Clock
+
 # Time after which a peer that disappeared without a reset is detected, by unacknowledged data or by
 # keepalive probes while the connection only waits for data from the peer.
 UNACKNOWLEDGED_TIMEOUT: Milliseconds = 1_500.0
@@ -21,6 +29,8 @@
 ROUND_TRIP_OFFSET = 68
 MICROSECONDS_PER_SECOND = 1_000_000
 MAX_PORT = 65_535
+# What a refused caller may have sent before it reads the refusal.
+REFUSED_BYTES = 65_536
 
 
 def socket_address(endpoint: str) -> tuple[int, tuple[str, int]]:
@@ -74,3 +84,54 @@
     poll = select.poll()
     poll.register(descriptor, select.POLLIN)
     return bool(poll.poll(0))
+
+
+def can_go_on(descriptor: int, *, sends: bool) -> bool:
+    """Whether a socket that waits to send, or else to receive, could do so at this moment.
+
+    Its peer has made progress then, and this process has not come to it.
+    """
+    if descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT if sends else select.POLLIN)
+    return any(event & (select.POLLOUT | select.POLLIN) for _, event in poll.poll(0))
+
+
+def available_bytes(descriptor: int) -> int:
+    """Return how many bytes a socket has to read; zero also at the end of its stream."""
+    try:
+        result = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(struct.calcsize("i")))
+    except OSError:
+        return 0
+    available: int = struct.unpack("i", result)[0]
+    return available
+
+
+def descriptor_limit() -> int:
+    """Return how many descriptors this process may have open."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+def linger(connection: Any, clock: Clock, pause: Milliseconds, longest: Milliseconds) -> None:
+    """Shut down the sending side and drain input, so that no reset discards the response.
+
+    Ends after a pause of the peer; raises `OSError`, also for that.
+    """
+    until = clock.now() + longest
+    connection.shutdown(socket.SHUT_WR)
+    connection.settimeout(pause / SECOND)
+    while clock.now() < until and connection.recv(REFUSED_BYTES):
+        pass
+
+
+def refuse_connection(connection: Any, response: bytes) -> None:
+    """Send a response without waiting, and close; the socket must not block."""
+    descriptor = connection.fileno()
+    # Closing with unread bytes would send a reset, which can discard the response. A caller that is
+    # gone, or sends more, gets none.
+    with suppress(OSError):
+        os.write(descriptor, response)
+        connection.shutdown(socket.SHUT_WR)
+        os.read(descriptor, REFUSED_BYTES)
+    connection.close()
