Pace upstreams only where their service asks for it

A service with a warm-up in its configuration is paced; the others keep the fixed slow start. The new test fails without the switch.

--- a/fulmarhold/forwarding/upstreams.py
+++ b/fulmarhold/forwarding/upstreams.py
@@ -153,16 +153,20 @@
             limit = _connection_share(service.connection_limit, entries)
             replica = before.pop(key, None)
             typical = self._typical_latency(statement.service, configuration, typical_before)
-            is_starting = statement.warm_up > 0 or not is_first
-            if replica is None:
+            if replica is None or replica.address != statement.address:
                 signals, _ = self._departed.pop(key, (None, 0.0))
-                replica = self._make_replica(statement, limit, signals, is_starting=is_starting)
-            elif replica.address != statement.address:
-                # What is under way at the old address may end there.
-                replica.pool.resize(limit, 0)
-                self._draining.append(replica)
+                if replica is not None:
+                    # What is under way at the old address may end there.
+                    replica.pool.resize(limit, 0)
+                    self._draining.append(replica)
+                    signals = replica.signals
                 replica = self._make_replica(
-                    statement, limit, replica.signals, is_starting=is_starting
+                    statement,
+                    limit,
+                    signals,
+                    is_starting=statement.warm_up > 0 or not is_first,
+                    # A service that states how long its upstreams are cold asks for a pace.
+                    is_paced=service.warm_up > 0,
                 )
             replica.typical_latency = typical
             known = replica.upstream.record
@@ -354,6 +358,7 @@
         signals: AnswerSignals | None,
         *,
         is_starting: bool,
+        is_paced: bool,
     ) -> Replica:
         pool = ConnectionPool(
             statement.address, limit, 0, self._clock, self._counters, self._memory
@@ -366,6 +371,8 @@
             is_local=statement.data_centre == self._data_centre,
             signals=signals,
             is_starting=is_starting,
+            is_paced=is_paced,
+            slow_start=statement.warm_up,
             entries=self._entries,
             phase=self._random.random(),
         )
--- a/fulmarhold/limits/pace.py
+++ b/fulmarhold/limits/pace.py
@@ -291,3 +291,24 @@
         if self._has_queued():
             weight = QUEUED_WEIGHT
         self._usual += weight * (mean - self._usual)
+
+
+class FullPace(Pace):
+    """The pace of an upstream whose service doesn't ask for one: always full."""
+
+    __slots__ = ()
+
+    def restart(
+        self,
+        reason: PaceReason,
+        typical: Milliseconds,
+        now: Milliseconds,
+        *,
+        share: float = START_SHARE,
+    ) -> None:
+        """Stay at full pace."""
+
+    def note_success(
+        self, latency: Milliseconds, typical: Milliseconds | None, now: Milliseconds
+    ) -> None:
+        """Stay at full pace, however slow replies are."""
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from fulmarhold.limits.concurrency import ConcurrencyLimit
-from fulmarhold.limits.pace import Pace, PaceReason
+from fulmarhold.limits.pace import FullPace, Pace, PaceReason
 from fulmarhold.observe.estimates import LatencyAverage, QuantileEstimate, decay
 from fulmarhold.routing.availability import (
     AVAILABLE,
@@ -23,6 +23,7 @@
 
 INITIAL_LATENCY: Milliseconds = 5.0
 FAILURES_BEFORE_EJECTION = 3
+MIN_SLOW_START_FACTOR = 0.1
 MAX_EJECTION_DOUBLINGS = 4
 # A request that has waited this many times the typical latency, and at least MIN_STALL, indicates
 # a stalled upstream.
@@ -90,7 +91,8 @@
 
     `typical_latency` is the median latency of the replicas of the same kind, if known. One that
     `is_starting` is used at a limited pace until its replies show that it bears more; `phase`, from
-    0 to 1, spreads the first requests of many entries.
+    0 to 1, spreads the first requests of many entries. One that is not `is_paced` counts as slower
+    than it is for `slow_start` ms instead.
     """
 
     def __init__(
@@ -103,6 +105,8 @@
         is_local: bool = True,
         signals: AnswerSignals | None = None,
         is_starting: bool = False,
+        is_paced: bool = True,
+        slow_start: Milliseconds = 0.0,
         entries: int = 1,
         phase: float = 1.0,
     ) -> None:
@@ -132,7 +136,10 @@
         self._unanswered_since: Milliseconds | None = None
         # Set if the service has a bound for upstreams that are cold.
         self.cold: ColdGate | None = None
-        self.pace = Pace(upstream.record.slots, entries, phase)
+        self._slow_start = 0.0 if is_paced else slow_start
+        self._started_at = now
+        pace_type = Pace if is_paced else FullPace
+        self.pace = pace_type(upstream.record.slots, entries, phase)
         if is_starting:
             self._restart_pace(PaceReason.STARTED, now)
 
@@ -254,7 +261,7 @@
     def expected_latency(self, now: Milliseconds) -> Milliseconds:
         """Return the expected latency of a new request.
 
-        Includes queueing, and penalties for failures and for another data centre.
+        Includes queueing, slow start, and penalties for failures and for another data centre.
         """
         slots = self.upstream.record.slots
         extra = FAILURE_PENALTY * self._decayed_failure_share(now) + self._distance_penalty
@@ -262,7 +269,7 @@
             base_latency = self._estimated_latency * (1 + self.pool.load / slots)
         else:
             base_latency = self._decayed_latency(now)
-        return self._distance_factor * base_latency + extra
+        return self._distance_factor * base_latency / self._slow_start_factor(now) + extra
 
     def note_sent(self, now: Milliseconds) -> None:
         """Record that a request was sent."""
@@ -385,6 +392,11 @@
         # further.
         return max(decayed, min(estimate, TYPICAL_LATENCY_SHARE * self.typical_latency.value))
 
+    def _slow_start_factor(self, now: Milliseconds) -> float:
+        if self._slow_start <= 0:
+            return 1.0
+        return min(1.0, max(MIN_SLOW_START_FACTOR, (now - self._started_at) / self._slow_start))
+
     def _restart_pace(self, reason: PaceReason, now: Milliseconds) -> None:
         typical = self.typical_latency
         usual = typical.value if typical is not None else self._estimated_latency
--- a/fulmarhold/tests/routing/test_routing.py
+++ b/fulmarhold/tests/routing/test_routing.py
@@ -123,6 +123,19 @@
     assert cold.pace.is_full and set(sent[-20:]) == {cold}
 
 
+# Guards against a pace that takes effect where no service asks for it.
+def test_a_replica_that_is_not_paced_starts_slowly_and_is_never_limited():
+    upstream: Any = SimpleNamespace(record=make().upstream.record, is_live=lambda _: True)
+    pool: Any = SimpleNamespace(load=0)
+    new = Replica(upstream, pool, EJECTION, 0.0, is_starting=True, is_paced=False, slow_start=WARM)
+    usual = make().expected_latency(0.2 * WARM)
+    assert new.expected_latency(0.2 * WARM) == pytest.approx(5 * usual)
+    eject(new)
+    for number in range(20):
+        new.note_success(5.0 if number < 10 else 100.0, WARM + 200.0 * number)
+        assert new.pace.is_full and new.has_room(WARM) and new.may_send(WARM, is_urgent=True)
+
+
 @pytest.mark.parametrize(
     "recover",
     [
