Make a latency histogram only for an outcome that has none

Each request made one, for the default of setdefault: 19 KB in a cycle of references, which stayed until the garbage collector ran, at 20,000 objects. 300 requests left 5.6 MB in an entry whose collector was switched off; a test counts the histograms.

--- a/fulmarhold/entry/request_handler.py
+++ b/fulmarhold/entry/request_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -64,7 +65,7 @@
         self._effects = effects
         self._clock = clock
         self._counters = counters
-        self._latencies: dict[str, LatencyHistogram] = {}
+        self._latencies: defaultdict[str, LatencyHistogram] = defaultdict(LatencyHistogram)
 
     def handle(self, request: CallerRequest) -> Outcome:
         """Run a request, count its outcome and return it."""
@@ -77,7 +78,7 @@
 
     def latency(self, service: str) -> LatencyHistogram:
         """Return the latency histogram of a service's complete answers."""
-        return self._latencies.setdefault(service, LatencyHistogram())
+        return self._latencies[service]
 
     def gauges(self) -> Iterable[Gauge]:
         """Yield the latency quantiles of complete answers."""
--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -93,8 +94,10 @@
         self._refilled_at = clock.now()
         self._budgets: dict[str, SlackBudget] = {}
         self._replies: dict[str, ReplyEstimates] = {}
-        self._durations: dict[str, RecentLatencies] = {}
-        self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
+        self._durations: defaultdict[str, RecentLatencies] = defaultdict(RecentLatencies)
+        self._histograms: defaultdict[tuple[str, str], LatencyHistogram] = defaultdict(
+            LatencyHistogram
+        )
         self._open: dict[ShardQuery | SingleForward, tuple[ForwardRequest, Route]] = {}
 
     @property
@@ -180,7 +183,7 @@
                 held.release()
         elapsed = self._clock.now() - request.received_at
         if not isinstance(outcome, Refused):
-            self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
+            self._durations[route.name].note(elapsed)
         return self._finish(request, route, outcome)
 
     def report_cut(self) -> int:
@@ -282,7 +285,7 @@
     def _report(self, request: ForwardRequest, route: Route | None, name: str, reason: str) -> None:
         elapsed = self._clock.now() - request.received_at
         self._counters.add("requests", outcome=name, reason=reason)
-        self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
+        self._histograms[name, reason].record(elapsed)
         # Complete answers within the target are dropped first; operators ask about late ones too.
         is_ordinary = name == "answered" and (route is None or elapsed <= route.target_latency)
         note_event = self._events.record_low_priority if is_ordinary else self._events.record
