--- a/fulmarhold/forwarding/forwarder.py
+++ b/fulmarhold/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING
@@ -117,7 +118,7 @@
         self._refilled_at = clock.now()
         self._budgets: dict[str, SlackBudget] = {}
         self._replies: dict[str, ReplyEstimates] = {}
-        self._durations: dict[str, RecentLatencies] = {}
+        self._durations: defaultdict[str, RecentLatencies] = defaultdict(RecentLatencies)
         self._reports = RequestReports(clock, counters, events)
         self._open: dict[ShardQuery | SingleForward, tuple[ForwardRequest, Route]] = {}
 
@@ -220,7 +221,7 @@
                 self._gate.give_back(account.name, admission)
             outcome = self._schedule_return(request, flow, outcome)
         else:
-            self._durations.setdefault(route.name, RecentLatencies()).note(elapsed)
+            self._durations[route.name].note(elapsed)
         return self._finish(request, route, outcome)
 
     def report_cut(self) -> int:
