Let a request wait shortly for tokens that the leader may have

A request without token or reserve now has its account reported at once and waits up to 30 ms for the answer, unless the leader has said that it is short of tokens.

--- a/fulmarhold/accounts/account_state.py
+++ b/fulmarhold/accounts/account_state.py
@@ -91,7 +91,7 @@
         # Tokens used since the last answered report, and how many of them the open report contains.
         self.used = 0
         self.reported_used = 0
-        self.reported_at = now
+        self.reported_at: Milliseconds = -math.inf
         # Grows whenever the use of tokens becomes final.
         self.mark = 0
         # Whether the reserve has to be restored, and the leader had too few tokens for that.
--- a/fulmarhold/accounts/gate.py
+++ b/fulmarhold/accounts/gate.py
@@ -7,20 +7,37 @@
 from fulmarhold.accounts.account_state import Admitted, QuotaExceeded
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fulmarhold.accounts.account_state import Admission
     from fulmarhold.accounts.quota import EntryQuota
-    from fulmarhold.clock import Clock
+    from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.observe.counters import Counters
 
 # How many accounts have counters of their own; the others are counted together.
 MAX_COUNTED_ACCOUNTS = 200
 OTHER_ACCOUNTS = "(others)"
+# How long a request waits for tokens that the leader may have. A round trip to the leader takes a
+# few milliseconds; a quarter of the shortest latency target is about as long as this.
+MAX_WAIT: Milliseconds = 30.0
 
 
 class AccountGate:
-    """Admits requests of accounts, with the entry's clock and counters."""
+    """Admits requests of accounts, with the entry's clock and counters.
+
+    `refresh` sends a report and waits for its answer for some milliseconds; it returns whether
+    there was one. An entry that has just started, or has not had a request of an account for long,
+    holds no token of it: without the wait, it would refuse requests that are within the quota.
+    """
 
-    def __init__(self, quota: EntryQuota, clock: Clock, counters: Counters) -> None:
+    def __init__(
+        self,
+        quota: EntryQuota,
+        clock: Clock,
+        counters: Counters,
+        refresh: Callable[[Milliseconds], bool] = lambda _: False,
+    ) -> None:
+        self._refresh = refresh
         self._quota = quota
         self._clock = clock
         self._counters = counters
@@ -29,6 +46,12 @@
     def admit(self, account: str) -> Admission:
         """Return whether a request of an account is within its quota."""
         admission = self._quota.admit(account, self._clock.now())
+        if (
+            isinstance(admission, QuotaExceeded)
+            and self._quota.may_be_granted(account, self._clock.now())
+            and self._refresh(MAX_WAIT)
+        ):
+            admission = self._quota.admit(account, self._clock.now(), is_again=True)
         match admission:
             case Admitted():
                 result = "admitted"
--- a/fulmarhold/accounts/quota.py
+++ b/fulmarhold/accounts/quota.py
@@ -35,7 +35,7 @@
 
 # How soon an entry reports an account after a refusal: before and after the leader has
 # answered that there are too few tokens.
-SHORT_PERIOD: Milliseconds = 50.0
+SHORT_PERIOD: Milliseconds = 20.0
 EXHAUSTED_PERIOD: Milliseconds = 150.0
 # The share of the tokens' validity after which an entry reports even if nothing has changed.
 RENEWAL_SHARE = 0.4
@@ -133,8 +133,16 @@
         self._active.confirm(at)
         self._contact_at = max(self._contact_at, at)
 
-    def admit(self, name: str, now: Milliseconds) -> Admission:
-        """Take a token for a request of an account, or refuse it."""
+    def may_be_granted(self, name: str, now: Milliseconds) -> bool:
+        """Whether the leader may have tokens of an account of which this entry has none left."""
+        account = self._accounts.get(name)
+        return account is not None and not account.is_exhausted and now <= self._contact_at + LEASE
+
+    def admit(self, name: str, now: Milliseconds, *, is_again: bool = False) -> Admission:
+        """Take a token for a request of an account, or refuse it.
+
+        A request that is tried again after a report is no further demand.
+        """
         limit = self._limits.get(name)
         if limit is None:
             return ADMITTED
@@ -142,7 +150,8 @@
         account = self._accounts.get(name)
         if account is None:
             account = self._accounts[name] = AccountState(limit, now)
-        account.demand.note(now)
+        if not is_again:
+            account.demand.note(now)
         if account.old_held:
             account.old_held -= 1
             return ADMITTED
--- a/fulmarhold/control/quota_client.py
+++ b/fulmarhold/control/quota_client.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from gevent.event import Event
 
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.control.messages import NotLeading
@@ -34,6 +35,8 @@
 ANSWER_TIMEOUT: Milliseconds = 400.0
 # How long an entry that exits waits until its tokens are back.
 CLOSING_TIMEOUT: Milliseconds = 100.0
+# How often it is checked while requests wait for an answer.
+AWAITED_CHECK_PERIOD: Milliseconds = 5.0
 # Pause after a failure, while a leader is elected.
 RETRY_PAUSE: Milliseconds = 100.0
 
@@ -65,17 +68,40 @@
         self._failures = LimitedLog(log, clock)
         self._link: Link | None = None
         self._attempt = 0
+        # Set when a request waits for a report, and by the end of the next exchange.
+        self._wake = Event()
+        self._exchanged = Event()
+        self._started = self._finished = self._waiting = 0
+
+    def refresh(self, timeout: Milliseconds) -> bool:
+        """Wait for the answer to a report that is sent from now on, and return whether it came."""
+        until = self._clock.now() + timeout
+        wanted = self._started + 1
+        self._waiting += 1
+        try:
+            while self._finished < wanted:
+                left = until - self._clock.now()
+                if left <= 0:
+                    return False
+                self._wake.set()
+                self._exchanged.wait(left / SECOND)
+        finally:
+            self._waiting -= 1
+        return True
 
     def run(self) -> None:
         """Report whatever has changed, until killed."""
         while True:
-            period = CHECK_PERIOD if self._quota.has_limits else UNUSED_CHECK_PERIOD
-            gevent.sleep(period / SECOND)
+            self._await_check()
             self._log_changes()
             asked_at = self._clock.now()
             report = self._quota.report(asked_at)
             if report is not None:
-                self._exchange(report, asked_at)
+                self._started += 1
+                if self._exchange(report, asked_at):
+                    self._finished = self._started
+                    ended, self._exchanged = self._exchanged, Event()
+                    ended.set()
 
     def close(self) -> None:
         """Give all tokens back, so that others can use them, and close the connection."""
@@ -87,7 +113,18 @@
             log.warning("tokens were not given back, and expire: {}", error)
         self._drop_link()
 
-    def _exchange(self, report: Report, asked_at: Milliseconds) -> None:
+    def _await_check(self) -> None:
+        """Wait until it is time to look for changes, or a request waits for a report."""
+        if self._waiting:
+            # Its account was reported a moment ago.
+            gevent.sleep(AWAITED_CHECK_PERIOD / SECOND)
+            return
+        period = CHECK_PERIOD if self._quota.has_limits else UNUSED_CHECK_PERIOD
+        self._wake.wait(period / SECOND)
+        self._wake.clear()
+
+    def _exchange(self, report: Report, asked_at: Milliseconds) -> bool:
+        """Send a report and use the answer; returns whether there was one that could be used."""
         link = self._link
         try:
             link = link or self._next_link()
@@ -97,7 +134,7 @@
             self._failures.warning("report of quotas failed: {}", error)
             self._switch_to(None)
             gevent.sleep(RETRY_PAUSE / SECOND)
-            return
+            return False
         finally:
             if link is not None:
                 data_centre = self._data_centre_of(link.endpoint)
@@ -105,13 +142,15 @@
         if isinstance(answer, GrantQuotas):
             is_used = self._quota.accept(answer.grant(), report, asked_at, self._clock.now())
             self._counters.add("quota_exchanges", result="granted" if is_used else "late")
-        elif isinstance(answer, NotLeading):
+            return is_used
+        if isinstance(answer, NotLeading):
             self._counters.add("quota_exchanges", result="not_leading")
             self._switch_to(answer.leader)
             if answer.leader is None or answer.leader == link.endpoint:
                 gevent.sleep(RETRY_PAUSE / SECOND)
         else:
             self._counters.add("quota_exchanges", result="ignored")
+        return False
 
     def _next_link(self) -> Link:
         """Return a link to the next control instance."""
--- a/fulmarhold/platform/entry.py
+++ b/fulmarhold/platform/entry.py
@@ -134,7 +134,7 @@
             max_key_age=lambda: max_confirmed_age(watch.settings.revoke_within),
             shares=shares,
             is_overloaded=lambda: self._lag.value > OVERLOADED_LAG,
-            gate=AccountGate(self._quota, clock, counters),
+            gate=AccountGate(self._quota, clock, counters, self._refresh_quota),
         )
         self.watcher = FleetWatcher(
             own,
@@ -257,6 +257,9 @@
     def _handle_request(self, raw: RawRequest, on_disconnect: Any) -> RawResponse:
         return write_outcome(self.forwarder.forward(read_request(raw), on_disconnect))
 
+    def _refresh_quota(self, timeout: Milliseconds) -> bool:
+        return self._quota_client.refresh(timeout)
+
     def _limits(self) -> CallerLimits:
         routes = self.forwarder.routes
         return routes.configuration.limits if routes else CallerLimits()
