--- a/fulmarhold/limits/pace.py
+++ b/fulmarhold/limits/pace.py
@@ -75,7 +75,6 @@
 
     STARTED = "started"
     RECOVERED = "recovered"
-    PAUSED = "paused"
     SLOW = "slow"
 
 
--- a/fulmarhold/routing/replica.py
+++ b/fulmarhold/routing/replica.py
@@ -355,10 +355,6 @@
         if silent_for > max(RECOVERY_AFTER, RECOVERY_FACTOR * self._estimated_latency):
             self._restart_pace(PaceReason.RECOVERED, now)
 
-    def note_pause_ended(self, now: Milliseconds) -> None:
-        """Record that a time ends at which the upstream asked for no work."""
-        self._restart_pace(PaceReason.PAUSED, now)
-
     def note_superseded(self, now: Milliseconds) -> None:
         """Record that another upstream answers at its address.
 
