--- a/fulmarhold/accounts/quota.py
+++ b/fulmarhold/accounts/quota.py
@@ -134,9 +134,14 @@
         self._contact_at = max(self._contact_at, at)
 
     def may_be_granted(self, name: str, now: Milliseconds) -> bool:
-        """Whether the leader may have tokens of an account of which this entry has none left."""
+        """Whether the leader may have tokens of an account of which this entry has none left.
+
+        That it had too few is true for a moment only, as its bucket fills at the account's rate.
+        """
         account = self._accounts.get(name)
-        return account is not None and not account.is_exhausted and now <= self._contact_at + LEASE
+        if account is None or now > self._contact_at + LEASE:
+            return False
+        return not account.is_exhausted or now >= account.reported_at + EXHAUSTED_PERIOD
 
     def admit(self, name: str, now: Milliseconds, *, is_again: bool = False) -> Admission:
         """Take a token for a request of an account, or refuse it.
--- a/fulmarhold/tests/accounts/test_gate.py
+++ b/fulmarhold/tests/accounts/test_gate.py
@@ -10,7 +10,7 @@
 from fulmarhold.accounts.bucket import QuotaBound, QuotaLimit
 from fulmarhold.accounts.gate import MAX_WAIT, AccountGate
 from fulmarhold.accounts.leases import Grant, GrantItem
-from fulmarhold.accounts.quota import EntryQuota
+from fulmarhold.accounts.quota import EXHAUSTED_PERIOD, EntryQuota
 from fulmarhold.clock import ManualClock
 from fulmarhold.observe.counters import Counters
 
@@ -54,6 +54,19 @@
     assert leader.waits == [MAX_WAIT] * waits
 
 
+# Load: one account asks for more than its quota over many entries, of which each has few requests.
+# Without asking again, most of them refuse requests while the leader's bucket fills.
+def test_an_account_at_its_limit_is_asked_for_again_after_a_moment():
+    leader = ScriptedLeader(0, is_short=True)
+    assert isinstance(leader.gate.admit("a"), QuotaExceeded)
+    leader.granted, leader.is_short = 1, False
+    leader.clock.advance(EXHAUSTED_PERIOD - 1.0)
+    assert isinstance(leader.gate.admit("a"), QuotaExceeded)
+    leader.clock.advance(1.0)
+    assert isinstance(leader.gate.admit("a"), Admitted)
+    assert len(leader.waits) == 2
+
+
 def test_a_request_does_not_wait_without_contact_to_control():
     leader = ScriptedLeader(2)
     leader.clock.advance(10_000.0)
