Use a pause in a test that outlasts a hold-up of its process

The test pauses for 5 s now, so that its check, which is unchanged, does not depend on the time that the process gets.

--- a/fulmarhold/tests/collecting/test_queries.py
+++ b/fulmarhold/tests/collecting/test_queries.py
@@ -405,7 +405,7 @@
 def test_a_query_whose_upstreams_all_ask_for_a_pause_is_refused_as_not_run():
     shards, _ = split_shards(8, 0)
     for pools in shards.values():
-        pools[0].said, pools[0].verdict = {"pause": Pause(50.0)}, Verdict.NOT_RUN
+        pools[0].said, pools[0].verdict = {"pause": Pause(5_000.0)}, Verdict.NOT_RUN
     _, query = run_query(shards, ScriptedCollector([]))
     outcome = query.run()
     assert isinstance(outcome, Refused) and outcome.reason.value == "paused"
