--- a/fulmarhold/forwarding/reporting.py
+++ b/fulmarhold/forwarding/reporting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from fulmarhold.clock import SECOND
@@ -42,7 +43,10 @@
         self._clock = clock
         self._counters = counters
         self._events = events
-        self._histograms: dict[tuple[str, str], LatencyHistogram] = {}
+        # A histogram takes 9 KB: one is made for each outcome, not for each request.
+        self._histograms: defaultdict[tuple[str, str], LatencyHistogram] = defaultdict(
+            LatencyHistogram
+        )
         self._counted_accounts: set[str] = set()
         # When a request of an account last gave way.
         self._excess_at: dict[str, Milliseconds] = {}
@@ -61,7 +65,7 @@
         if request.account:
             result = f"{name}_{reason}" if name in ("refused", "failed") else name
             self.count_for_account(request.account, result)
-        self._histograms.setdefault((name, reason), LatencyHistogram()).record(elapsed)
+        self._histograms[name, reason].record(elapsed)
         # Complete answers within the target are dropped first; operators ask about late ones too.
         is_ordinary = name == "answered" and (route is None or elapsed <= route.target_latency)
         note_event = self._events.record_low_priority if is_ordinary else self._events.record
