Assert the aim of 1 in 100 refused requests, and list the cases that miss it

Nine cases asserted bounds made from measured figures, up to 0.35. All twelve now assert the aim of 0.01; the nine that miss it are known failures. The bound on the quota is a test of its own for each case, so that a listed failure can't hide it.

--- a/fulmarhold/tests/accounts/test_uneven_bursting_load.py
+++ b/fulmarhold/tests/accounts/test_uneven_bursting_load.py
@@ -16,7 +16,7 @@
 from fulmarhold.tests.accounts.model import STEP, Fleet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    pass
 
 ENTRIES = 16
 HEADROOM = 1.6
@@ -103,32 +103,40 @@
     load.run(DURATION / 2)
 
 
-@pytest.mark.parametrize(
-    ("scenario", "limit", "most_refused"),
-    [
-        (steady, LARGE, 0.01),
-        (steady, QuotaLimit(160.0), 0.01),
-        (moving, LARGE, 0.01),
-        # The aim of 0.01 is missed here; docs/design/quotas.md tells why.
-        (steady, MEDIUM, 0.03),
-        (steady, QuotaLimit(0.32), 0.05),
-        (moving, MEDIUM, 0.04),
-        (restarts, LARGE, 0.03),
-        (restarts, MEDIUM, 0.35),
-        (planned_restarts, LARGE, 0.03),
-        (planned_restarts, MEDIUM, 0.3),
-        (no_leader, LARGE, 0.07),
-        (no_leader, MEDIUM, 0.1),
-    ],
-)
-def test_requests_inside_the_rate_are_admitted(
-    scenario: Callable[[Load], None], limit: QuotaLimit, most_refused: float
-) -> None:
+MOST_REFUSED = 0.01
+CASES = {
+    "steady large": (steady, LARGE),
+    "steady without burst": (steady, QuotaLimit(160.0)),
+    "moving large": (moving, LARGE),
+    "steady medium": (steady, MEDIUM),
+    "steady small": (steady, QuotaLimit(0.32)),
+    "moving medium": (moving, MEDIUM),
+    "restarts large": (restarts, LARGE),
+    "restarts medium": (restarts, MEDIUM),
+    "planned restarts large": (planned_restarts, LARGE),
+    "planned restarts medium": (planned_restarts, MEDIUM),
+    "no leader large": (no_leader, LARGE),
+    "no leader medium": (no_leader, MEDIUM),
+}
+
+
+def run_case(name: str) -> Load:
+    scenario, limit = CASES[name]
     load = Load(limit)
     load.run(START, count=False)
     scenario(load)
-    assert load.refused_share <= most_refused
-    assert load.fleet.most_runs_over_bound() <= 0
+    return load
+
+
+# Where the aim is missed, KNOWN-RED.txt lists the case and docs/design/quotas.md tells why.
+@pytest.mark.parametrize("name", CASES)
+def test_requests_inside_the_rate_are_admitted(name: str) -> None:
+    assert run_case(name).refused_share <= MOST_REFUSED
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_the_quota_holds_for_requests_inside_the_rate(name: str) -> None:
+    assert run_case(name).fleet.most_runs_over_bound() <= 0
 
 
 @pytest.mark.parametrize("limit", [LARGE, MEDIUM])
