--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -558,6 +558,7 @@
     timer.daemon = True
     timer.start()
     signal.signal(signal.SIGALRM, _too_late)
+    signal.signal(signal.SIGTERM, _too_late)
     signal.alarm(int(LIMIT_S))
     try:
         broken = run(record, trouble)
@@ -574,4 +575,4 @@
 
 
 def _too_late(*_: object) -> None:
-    raise CannotRun("took too long")
+    raise CannotRun("took too long, or was ended")
