--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -281,9 +281,17 @@
         for process in (*self.control, *self.entries):
             process.start(first=True)
 
-    def add_server(self, service: str, **options: object) -> Server:
-        address = self.address(next(self._server_numbers))
-        server = Server(self, service, address, self.zones[0], **options)  # type: ignore[arg-type]
+    def add_server(
+        self, service: str, zone: str = "", like: Server | None = None, muted: bool = False,
+        **options: object
+    ) -> Server:
+        """Start a server; `like` names one that has ended, whose id and address it takes over."""
+        address = like.address if like else self.address(next(self._server_numbers))
+        server = Server(self, service, address, zone or self.zones[0], **options)  # type: ignore
+        if like is not None:
+            server.id = like.id
+        if muted:
+            server.mute()
         self.servers.append(server)
         server.start()
         return server
@@ -372,12 +380,15 @@
         self._waiting = 0
         self._free = threading.Semaphore(slots)
         self._stopped = threading.Event()
+        self._beats = threading.Event()
+        self._beats.set()
         self._stamps = itertools.count(1)
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind((address, SERVER_PORT))
         self._listener.listen(128)
-        self._beat_at: str | None = None
+        self.beat_at: str | None = None
+        self.acknowledged = 0
 
     def start(self) -> None:
         threading.Thread(target=self._accept, daemon=True).start()
@@ -401,21 +412,47 @@
         }  # fmt: skip
         addresses = [item.address for item in self.fleet.control]
         random.shuffle(addresses)
-        if self._beat_at:
-            addresses = [self._beat_at, *(item for item in addresses if item != self._beat_at)]
+        if self.beat_at:
+            addresses = [self.beat_at, *(item for item in addresses if item != self.beat_at)]
         for address in addresses:
             path = f"/api/instances/{self.id}"
             status, answer = call(address, CONTROL, "PUT", path, body, timeout)
             if 200 <= status < 300 and len(answer) <= 4096:
                 named = json.loads(answer).get("heartbeatAddress") if answer else None
-                self._beat_at = named.rpartition(":")[0] if named else None
+                self.beat_at = named.rpartition(":")[0] if named else None
+                self.acknowledged += 1
+                return True
+            self.beat_at = None
+        return False
+
+    def mute(self) -> None:
+        """Send no further heartbeats."""
+        self._beats.clear()
+
+    def unmute(self) -> None:
+        """Send heartbeats again."""
+        self._beats.set()
+
+    def leave(self) -> bool:
+        """Deregister, at the address for heartbeats first; returns whether it is acknowledged."""
+        self._beats.clear()
+        addresses = [item.address for item in self.fleet.control]
+        random.shuffle(addresses)
+        if self.beat_at:
+            addresses = [self.beat_at, *(item for item in addresses if item != self.beat_at)]
+        for address in addresses:
+            status, _ = call(
+                address, CONTROL, "DELETE", f"/api/instances/{self.id}", {"born": self.born}
+            )
+            self.fleet.record(f"server {self.id}: DELETE at {address}: {status or 'no response'}")
+            if 200 <= status < 300:
                 return True
-            self._beat_at = None
         return False
 
     def _beat(self) -> None:
         while not self._stopped.is_set():
-            self.beat()
+            if self._beats.is_set():
+                self.beat()
             self._stopped.wait(1.2)
 
     def _accept(self) -> None:
