Let an upstream go on after a departure that named no start

A route whose only upstream had started again was not served: a DELETE of the upstream's earlier start, held up by a cut, ended the new start for good.

Cause: a DELETE names an id and no start. It was applied to the newest start and recorded as its departure, which is final in the order of statements and in the replicated log.

Change: a DELETE may name its start (born) and then ends no other one. Without it, it still ends the newest start at once, which may be leaving, and the log marks that start as doubted. If one instance hears ready from it for 8 heartbeat periods more, at least four times, it goes on as a new incarnation that supersedes the departure everywhere. Late heartbeats of an upstream that has left, also those that a suspended instance finds, don't revive it. A departure that only peers know, as there was no leader, is logged when the upstream is heard. A late departure no longer overwrites a later one in the log. Counter departures.

In the model of departures, starts are 1,000 apart now, as milliseconds of different starts never follow each other, and a new event delivers departures of earlier starts. Its check is the same, and covers all numbers of a start.

--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -111,10 +111,12 @@
         self._sharing = StatementSharing(
             node, own.endpoint, seeds, self.upstreams, self.instances, links, counters
         )
-        self._retirements = Retirements(node, machine, self._sharing, clock)
+        self._upstream_timeout = MISSED_HEARTBEATS * heartbeat_period
+        self._retirements = Retirements(
+            node, machine, self._sharing, self._upstream_timeout, clock, counters
+        )
         self._node = node
         self._machine = machine
-        self._upstream_timeout = MISSED_HEARTBEATS * heartbeat_period
         self._statement_file = statement_file
         self._saved_position = 0
         self._clock = clock
@@ -161,20 +163,36 @@
 
         A departure may be acknowledged once it is stored where no single failure can undo it.
         """
-        statement = self._retirements.apply_retirement(statement)
+        known = self.upstreams.find(statement.name)
+        is_departure = statement.state != READY
+        statement = self._retirements.apply_to_heartbeat(statement, known)
         is_change = self._merge_upstreams((statement,), "own statement")
-        if statement.state not in (DRAINING, LEFT):
-            if is_change:
-                self._sharing.share((statement,))
-            return True
-        return self._retirements.record_departure(statement)
+        if is_departure:
+            return self._retirements.record_departure(statement)
+        if is_change:
+            self._sharing.share((statement,))
+        return True
+
+    def deregister_upstream(self, name: str, born: int | None = None) -> bool:
+        """Record that an upstream has left, whether or not it announced its departure before.
 
-    def deregister_upstream(self, name: str) -> bool:
-        """Record that an upstream has left, whether or not it announced its departure before."""
+        `born` is the start that its departure names, if it names one. Without it, the newest known
+        incarnation ends, but goes on if it is heard for longer than heartbeats may be late.
+        """
         known = self.upstreams.find(name)
         if known is None:
+            self._counters.add("departures", result="unknown")
+            return True
+        ended = self._retirements.incarnation_of(name, known.born if born is None else born)
+        if ended < known.born:
+            self._counters.add("departures", result="earlier_start")
+            log.info("departure of {} names the start {}, {} runs now", name, born, known.born)
             return True
-        return self.record_upstream(replace(known, state=LEFT))
+        # One that drains has named its start before.
+        names_start = born is not None or known.state == DRAINING
+        left = replace(known, born=ended, state=DRAINING if names_start else LEFT)
+        self._merge_upstreams((left,), "own statement")
+        return self._retirements.record_departure(left, names_start=names_start)
 
     def control_endpoint_in(self, data_centre: str) -> str | None:
         """Return the endpoint of a control instance that runs in a data centre, if there is one."""
@@ -440,6 +458,7 @@
             self._send_reports()
             self.upstreams.forget_ended(now)
             self.instances.forget_ended(now)
+            self._retirements.forget_ended(now)
         if self._node.is_formed and self._node.core.is_leader:
             self._expire_upstreams(now)
 
--- a/fulmarhold/control/machine.py
+++ b/fulmarhold/control/machine.py
@@ -210,10 +210,26 @@
 
 @appliers.register(RetireUpstream.__name__)
 def _retire(state: ControlState, command: RetireUpstream) -> None:
-    state.retired.pop(command.name, None)
-    state.retired[command.name] = command.born
+    name, retired = command.name, state.retired.get(command.name, -1)
+    if has_retired(state, command):
+        return
+    if command.names_start:
+        state.doubted.pop(name, None)
+    elif name not in state.doubted or command.born > retired + 1:
+        state.doubted[name] = command.born
+    state.retired.pop(name, None)
+    state.retired[name] = command.born
     while len(state.retired) > MAX_RETIRED_UPSTREAMS:
-        del state.retired[next(iter(state.retired))]
+        oldest = next(iter(state.retired))
+        del state.retired[oldest]
+        state.doubted.pop(oldest, None)
+
+
+def has_retired(state: ControlState, command: RetireUpstream) -> bool:
+    """Whether a departure is recorded already, so that the command would change nothing."""
+    retired = state.retired.get(command.name, -1)
+    ends_doubt = command.names_start and command.name in state.doubted
+    return command.born < retired or (command.born == retired and not ends_doubt)
 
 
 @appliers.register(SetEvacuation.__name__)
--- a/fulmarhold/control/retirement.py
+++ b/fulmarhold/control/retirement.py
@@ -8,10 +8,11 @@
 import gevent
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.control.machine import encode_command
+from fulmarhold.control.continuing import ContinuingUpstreams
+from fulmarhold.control.machine import encode_command, has_retired
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import RetireUpstream
-from fulmarhold.membership.statements import DRAINING, LEFT, UpstreamStatement
+from fulmarhold.membership.statements import DRAINING, LEFT, READY, UpstreamStatement
 from fulmarhold.membership.validity import retirement_problem
 from fulmarhold.observe.limited import LimitedLog
 from fulmarhold.observe.logs import get_logger
@@ -22,6 +23,7 @@
     from fulmarhold.consensus.node import Node
     from fulmarhold.control.machine import ControlMachine
     from fulmarhold.control.sharing import StatementSharing
+    from fulmarhold.observe.counters import Counters
 
 log = get_logger("retirement")
 
@@ -33,32 +35,106 @@
     """Makes departures durable, so that no single failure undoes an acknowledged one."""
 
     def __init__(
-        self, node: Node, machine: ControlMachine, sharing: StatementSharing, clock: Clock
+        self,
+        node: Node,
+        machine: ControlMachine,
+        sharing: StatementSharing,
+        lateness: Milliseconds,
+        clock: Clock,
+        counters: Counters,
     ) -> None:
         self._node = node
         self._machine = machine
         self._sharing = sharing
+        self._continuing = ContinuingUpstreams(lateness)
         self._clock = clock
+        self._counters = counters
         self._refusals = LimitedLog(log, clock)
+        # The names of upstreams whose departure is being logged anew.
+        self._logging: set[str] = set()
 
     def apply_retirement(self, statement: UpstreamStatement) -> UpstreamStatement:
-        """Return the statement, changed to draining if the log has retired its incarnation."""
-        born = self._machine.state.retired.get(statement.name)
-        if born is not None and statement.born <= born and statement.state not in (DRAINING, LEFT):
-            return replace(statement, state=DRAINING)
-        return statement
+        """Return the statement, changed if the log has retired its incarnation.
 
-    def record_departure(self, statement: UpstreamStatement) -> bool:
+        It is then draining, or has left if its departure named no start.
+        """
+        name, state = statement.name, self._machine.state
+        born = state.retired.get(name)
+        if born is None or statement.born > born or statement.state in (DRAINING, LEFT):
+            return statement
+        return replace(statement, state=LEFT if name in state.doubted else DRAINING)
+
+    def incarnation_of(self, name: str, born: int) -> int:
+        """Return the number of the incarnation that runs, or may run, since the start `born`.
+
+        It is `born` itself, unless a departure that named no start has ended that incarnation. If
+        it goes on, it counts as a new one, numbered next, which supersedes the departure on every
+        instance. Another control instance may know that one already.
+        """
+        state = self._machine.state
+        first, retired = state.doubted.get(name), state.retired.get(name, -1)
+        return retired + 1 if first is not None and first <= born <= retired else born
+
+    def apply_to_heartbeat(
+        self, statement: UpstreamStatement, known: UpstreamStatement | None
+    ) -> UpstreamStatement:
+        """Return what an upstream says of itself with the incarnation for which it counts."""
+        born = self.incarnation_of(statement.name, statement.born)
+        if statement.state == READY:
+            if known is not None and known.born == born:
+                if known.state == LEFT:
+                    self._complete_log(known)
+            elif born != statement.born and not self._is_continuing(statement):
+                return replace(statement, state=LEFT)
+        return self.apply_retirement(replace(statement, born=born))
+
+    def _complete_log(self, left: UpstreamStatement) -> None:
+        """Log a departure without a start of an upstream that is heard, if only peers know it.
+
+        There was no leader then. Without the log, nothing would supersede the departure.
+        """
+        name = left.name
+        command = RetireUpstream(name, left.born, self._clock.wall(), names_start=False)
+        if name not in self._logging and not has_retired(self._machine.state, command):
+            self._logging.add(name)
+            gevent.spawn(self._log, command).rawlink(lambda _: self._logging.discard(name))
+
+    def _is_continuing(self, statement: UpstreamStatement) -> bool:
+        """Whether an upstream goes on, though a departure that named no start has ended it."""
+        if not self._continuing.note(statement, self._clock.now()):
+            return False
+        self._continuing.end(statement.name)
+        self._counters.add("departures", result="taken_back")
+        log.warning(
+            "upstream {} of {} goes on (born {}, sequence {}) after a departure that named no "
+            "start; it is used again",
+            statement.name,
+            statement.service,
+            statement.born,
+            statement.sequence,
+        )
+        return True
+
+    def forget_ended(self, now: Milliseconds) -> None:
+        """Forget the upstreams that have sent no heartbeat for long after their departure."""
+        self._continuing.forget_ended(now)
+
+    def record_departure(self, statement: UpstreamStatement, *, names_start: bool = True) -> bool:
         """Record a departure in the log and on peers; returns whether it may be acknowledged."""
         replies = self._sharing.share((statement,))
-        command = RetireUpstream(statement.name, statement.born, self._clock.wall())
+        wall = self._clock.wall()
+        command = RetireUpstream(statement.name, statement.born, wall, names_start)
+        self._counters.add("departures", result="start_named" if names_start else "no_start_named")
         logged = gevent.spawn(self._log, command)
         gevent.joinall([logged, *replies], timeout=RECORDING_TIMEOUT / SECOND)
         is_logged = bool(logged.ready() and logged.value)
         acknowledged = sum(1 for reply in replies if reply.ready() and reply.value)
         log.info(
-            "departure of {}: logged {}, acknowledged by {} of {} other control instances",
+            "departure of {} (born {}, {}): logged {}, acknowledged by {} of {} other control "
+            "instances",
             statement.name,
+            statement.born,
+            "named" if names_start else "the newest known, none was named",
             is_logged,
             acknowledged,
             len(replies),
@@ -79,7 +155,7 @@
         return Done() if self._log(command) else Failure("not_logged")
 
     def _log(self, command: RetireUpstream) -> bool:
-        if self._machine.state.retired.get(command.name, -1) >= command.born:
+        if has_retired(self._machine.state, command):
             return True
         if not (self._node.is_formed and self._node.core.is_leader):
             leader = self._node.leader_endpoint
--- a/fulmarhold/control/state.py
+++ b/fulmarhold/control/state.py
@@ -56,7 +56,11 @@
     claims: dict[str, Claim] = field(default_factory=dict)
     routes_version: int = 0
     routes_document: bytes = b""
+    # The newest incarnation of each upstream that has left.
     retired: dict[str, int] = field(default_factory=dict)
+    # Those of them that may go on, as their departure named no start: the `born` that they state.
+    # It is lower than the retired incarnation if that had gone on before.
+    doubted: dict[str, int] = field(default_factory=dict)
     evacuations: Evacuations = field(default_factory=Evacuations)
     # The orders that were applied, with or without a change.
     evacuation_orders: int = 0
@@ -66,6 +70,8 @@
     """Serialize the whole state into a snapshot."""
     evacuations = state.evacuations
     optional: dict[str, Any] = {}
+    if state.doubted:
+        optional["doubted"] = list(state.doubted.items())
     if state.evacuation_orders:
         optional["evacuations"] = [
             state.evacuation_orders,
@@ -139,6 +145,7 @@
         routes_version=routes_version,
         routes_document=routes_document,
         retired=dict(values.get("retired", ())),
+        doubted=dict(values.get("doubted", ())),
         evacuations=Evacuations(evacuations_version, tuple(evacuated)),
         evacuation_orders=orders,
     )
--- a/fulmarhold/membership/feed.py
+++ b/fulmarhold/membership/feed.py
@@ -153,11 +153,17 @@
 
 @message
 class RetireUpstream:
-    """A log command that records durably that an incarnation of an upstream leaves."""
+    """A log command that records durably that an incarnation of an upstream leaves.
+
+    `names_start` is false if the departure did not tell which incarnation it ends. Then it may have
+    been that of an earlier one, and the incarnation goes on if it is heard for long enough. Earlier
+    releases don't know the field, and end the incarnation for good.
+    """
 
     name: str
     born: int
     at: float
+    names_start: bool = True
 
 
 @message
--- a/fulmarhold/platform/documents.py
+++ b/fulmarhold/platform/documents.py
@@ -123,6 +123,11 @@
     born: Ordinal = 0
 
 
+class _Departure(Struct, frozen=True):
+    # Unix time of the start that ends, in milliseconds.
+    born: Ordinal | None = None
+
+
 # The fields of a heartbeat by their names on the platform, and the id in its path.
 HEARTBEAT_FIELDS = frozenset({"id", *(item.encode_name for item in fields(_Heartbeat))})
 
@@ -219,6 +224,22 @@
     )
 
 
+def decode_departure(name: str, body: bytes) -> int | None:
+    """Decode the departure of the upstream `name`; returns the start that it names, if any.
+
+    Raises `MalformedInput` if a body can't be parsed and `InvalidSettings` if it isn't valid.
+
+    >>> decode_departure("i-7f3a", b'{"born": 1796000000000}')
+    1796000000000
+    >>> decode_departure("i-7f3a", b"") is None
+    True
+    """
+    check_id(name)
+    if not body:
+        return None
+    return decode_struct(read_strict_object(body), _Departure, HEARTBEAT).born
+
+
 def check_id(name: str) -> str:
     """Return the id of an upstream in a path; raises `InvalidSettings` if it can't be used."""
     return _require(check_upstream_name, name, "id")
--- a/fulmarhold/platform/interfaces.py
+++ b/fulmarhold/platform/interfaces.py
@@ -15,7 +15,7 @@
 from fulmarhold.platform.documents import (
     HEARTBEAT_FIELDS,
     MAX_DOCUMENT_BYTES,
-    check_id,
+    decode_departure,
     decode_heartbeat,
     decode_new_configuration,
     pack_document,
@@ -118,13 +118,14 @@
             raise
         self._respond(response, self._feeds.record_upstream(statement), statement.data_centre)
 
-    def on_delete(self, _: falcon.Request, response: falcon.Response, name: str) -> None:
+    def on_delete(self, request: falcon.Request, response: falcon.Response, name: str) -> None:
         try:
-            check_id(name)
+            with held_body(request, LARGEST_BODY_BYTES, self._memory) as body:
+                born = decode_departure(name, body)
         except FulmarholdError as error:
             self._record_refusal(name, error)
             raise
-        self._respond(response, self._feeds.deregister_upstream(name))
+        self._respond(response, self._feeds.deregister_upstream(name, born))
 
     def _record_refusal(self, name: str, error: FulmarholdError) -> None:
         self._counters.add("heartbeat_refusals", reason=_refusal_reason(error))
--- a/fulmarhold/tests/control/test_drain_model.py
+++ b/fulmarhold/tests/control/test_drain_model.py
@@ -21,7 +21,7 @@
 from fulmarhold.clock import ManualClock
 from fulmarhold.consensus.core import NotLeader
 from fulmarhold.control import feeds as feeds_module
-from fulmarhold.control.feeds import REPORT_PERIOD, FeedService
+from fulmarhold.control.feeds import MISSED_HEARTBEATS, REPORT_PERIOD, FeedService
 from fulmarhold.control.machine import ControlMachine
 from fulmarhold.control.sharing import SHARE_TIMEOUT
 from fulmarhold.errors import PeerUnavailable
@@ -52,6 +52,7 @@
     "watch": 20,
     "leave": 10,
     "delete": 2,
+    "late delete": 3,
     "return": 8,
     "stop": 12,
     "start": 12,
@@ -67,6 +68,12 @@
 CONTROL = ("c0:1", "c1:1", "c2:1")
 HEARTBEAT_PERIOD = 1_200.0
 BORN = 100
+# Between two starts of an upstream. An incarnation that goes on after a departure which named no
+# start is numbered one higher each time.
+START_INTERVAL = 1_000
+# How many heartbeats may pass until an upstream that goes on is used again: they have to be heard
+# for as long as they may be late, by one instance, and the departure may have come anew.
+DOUBTED_HEARTBEATS = 2 * MISSED_HEARTBEATS
 
 
 class InMemoryStatementFile:
@@ -151,6 +158,8 @@
         self.entries: list[StatementStore[UpstreamStatement]] = [StatementStore(), StatementStore()]
         self.upstream = UpstreamStatement("u", BORN, 1, READY, "parts", "10.0.0.1:80", "a", 2)
         self.acknowledged = 0
+        # Whether a departure of an earlier start may have ended the running one.
+        self.is_doubted = False
         self.has_leader = True
         for name in CONTROL:
             self.start(name)
@@ -263,17 +272,30 @@
         known = feeds.upstreams.find("u")
         if known is None:
             return
+        is_current = known.born >= self.upstream.born
         if feeds.deregister_upstream("u"):
-            self.acknowledged = max(self.acknowledged, known.born)
-        if known.born == self.upstream.born:
+            ended = self.last_number if is_current else known.born
+            self.acknowledged = max(self.acknowledged, ended)
+        if is_current:
             self.upstream = replace(self.upstream, state=LEFT)
 
+    @property
+    def last_number(self):
+        """The highest number that the present incarnation of the upstream can have."""
+        return self.upstream.born + START_INTERVAL - 1
+
+    def deliver_departure_of_earlier_start(self):
+        """Deliver a departure that names no start while the upstream runs, and goes on."""
+        if self.feeds and self.upstream.state == READY and self.upstream.born > BORN:
+            self.feeds[self.random.choice(list(self.feeds))].deregister_upstream("u")
+            self.is_doubted = True
+
     def announce_departure(self):
         """Announce the upstream's departure until it is acknowledged, in four attempts at most."""
         self.upstream = replace(self.upstream, state=self.random.choice([DRAINING, LEFT]))
         for _ in range(4):
             if self.send_statement():
-                self.acknowledged = max(self.acknowledged, self.upstream.born)
+                self.acknowledged = max(self.acknowledged, self.last_number)
                 return
 
     def heal(self):
@@ -294,12 +316,27 @@
 
     def check_serving(self):
         """Check that all instances know a serving upstream soon after its next heartbeat."""
-        if self.upstream.state == READY:
-            self.send_statement()
+        if self.upstream.state != READY:
+            return
+        if self.is_doubted:
+            self.send_doubted_heartbeats()
+        self.send_statement()
+        run_pending_greenlets()
+        held = [feeds.upstreams.find("u") for feeds in self.feeds.values()]
+        assert {item.state for item in held if item is not None} == {READY}, held
+        assert None not in held
+
+    def send_doubted_heartbeats(self):
+        """Send heartbeats to one instance, as upstreams do while they are acknowledged."""
+        heard_by = self.feeds[self.random.choice(list(self.feeds))]
+        for _ in range(DOUBTED_HEARTBEATS):
+            self.upstream = replace(self.upstream, sequence=self.upstream.sequence + 1)
+            assert heard_by.record_upstream(self.upstream)
+            self.clock.advance(HEARTBEAT_PERIOD)
+            for name, feeds in self.feeds.items():
+                self.apply(name, len(self.log))
+                feeds.maintain()
             run_pending_greenlets()
-            held = [feeds.upstreams.find("u") for feeds in self.feeds.values()]
-            assert {item.state for item in held if item is not None} == {READY}, held
-            assert None not in held
 
     def check_departures(self):
         for name, feeds in self.feeds.items():
@@ -328,10 +365,11 @@
             simulation.announce_departure()
         case "return":
             if simulation.upstream.state != READY:
-                born = simulation.upstream.born + 1
+                born = simulation.upstream.born + START_INTERVAL
                 simulation.upstream = replace(
                     simulation.upstream, born=born, sequence=1, state=READY
                 )
+                simulation.is_doubted = False
         case "stop":
             # The platform specifies that one instance, with its disk, may be lost at a time.
             if running == len(CONTROL):
@@ -349,6 +387,8 @@
             simulation.has_leader = True
         case "delete":
             simulation.deregister()
+        case "late delete":
+            simulation.deliver_departure_of_earlier_start()
         case "maintain":
             for feeds in simulation.feeds.values():
                 feeds.maintain()
--- a/fulmarhold/tests/platform/test_heartbeats.py
+++ b/fulmarhold/tests/platform/test_heartbeats.py
@@ -37,7 +37,7 @@
 
     def __init__(self):
         self.recorded: list[UpstreamStatement] = []
-        self.deregistered: list[str] = []
+        self.deregistered: list[tuple[str, int | None]] = []
         self.counters, self.clock = Counters(), ManualClock()
         versions: Any = None
         evacuations: Any = None
@@ -55,15 +55,15 @@
     def put(self, body, path=PATH):
         return self._client.simulate_put(path, body=body)
 
-    def delete(self, path):
-        return self._client.simulate_delete(path)
+    def delete(self, path, body=b""):
+        return self._client.simulate_delete(path, body=body)
 
     def _record(self, statement):
         self.recorded.append(statement)
         return True
 
-    def _deregister(self, name):
-        self.deregistered.append(name)
+    def _deregister(self, name, born):
+        self.deregistered.append((name, born))
         return True
 
     def refusals(self, reason):
@@ -212,9 +212,28 @@
     assert control.deregistered == [] and control.refusals("invalid_id") == 2
 
 
-def test_an_upstream_is_deregistered_by_its_id(control):
-    assert control.delete(PATH).status_code == 200
-    assert control.deregistered == ["i-1"]
+@pytest.mark.parametrize(
+    ("body", "born"),
+    [(b"", None), (b"{}", None), (b'{"born": null}', None), (b'{"born": 7, "more": 1}', 7)],
+)
+def test_an_upstream_is_deregistered_by_its_id_and_the_start_it_names(control, body, born):
+    assert control.delete(PATH, body).status_code == 200
+    assert control.deregistered == [("i-1", born)]
+
+
+@pytest.mark.parametrize(
+    ("body", "reason"),
+    [
+        (b'{"born": "7"}', "invalid_born"),
+        (b'{"born": -1}', "invalid_born"),
+        (b'{"born": 1.5}', "invalid_born"),
+        (b"[7]", "malformed"),
+        (b"born=7", "malformed"),
+    ],
+)
+def test_a_departure_that_names_no_usable_start_is_refused(control, body, reason):
+    assert control.delete(PATH, body).status_code == 400
+    assert control.deregistered == [] and control.refusals(reason) == 1
 
 
 # Guards against a writer of odd heartbeats whose log lines crowd out those of others.
