Keep statements of unknown services from taking the name of an upstream

Cause: statements were kept by name, and the later start won before an entry, which knows the configured services, could leave it out. With state draining the log retired the start, and all earlier ones with it.

Heartbeats and the choice by address were ruled out.

Change: a statement belongs to its name in its service: in the stores of control and entries, in shared statements, in reports of what was heard and in the log of departures. Entries use the newest start of a name among the services that they know. On the own interface an unknown service takes no address from a configured one, announced or relayed.

The test of two stores in any order compares the statement of each subject now, and the model of departures that of the upstream's service, as a name can have several; tests that read the log's departures expect the service in their keys.

--- a/fulmarhold/control/continuing.py
+++ b/fulmarhold/control/continuing.py
@@ -47,29 +47,28 @@
 
     def __init__(self, lateness: Milliseconds) -> None:
         self._lateness = lateness
-        self._runs: dict[str, _Run] = {}
+        self._runs: dict[tuple[str, str], _Run] = {}
 
     def __len__(self) -> int:
         return len(self._runs)
 
     def note(self, statement: UpstreamStatement, now: Milliseconds) -> bool:
         """Count a heartbeat; returns whether it shows that the upstream goes on."""
-        run = self._runs.get(statement.name)
+        key = statement.name, statement.service
+        run = self._runs.get(key)
         if run is None or run.born != statement.born or now > run.last_at + self._lateness:
-            self._runs[statement.name] = _Run(statement.born, now, now, statement.sequence)
+            self._runs[key] = _Run(statement.born, now, now, statement.sequence)
             return False
         if statement.sequence > run.sequence:
             run.sequence, run.last_at = statement.sequence, now
             run.count += 1
         return run.count >= LEAST_HEARTBEATS and now >= run.first_at + self._lateness
 
-    def end(self, name: str) -> None:
-        """Forget the count of an upstream, which goes on or has left."""
-        self._runs.pop(name, None)
+    def end(self, statement: UpstreamStatement) -> None:
+        """Forget the count of an upstream, which goes on."""
+        self._runs.pop((statement.name, statement.service), None)
 
     def forget_ended(self, now: Milliseconds) -> None:
         """Forget the counts of upstreams that send no more heartbeats."""
-        for name in [
-            name for name, run in self._runs.items() if now > run.last_at + self._lateness
-        ]:
-            del self._runs[name]
+        for key in [key for key, run in self._runs.items() if now > run.last_at + self._lateness]:
+            del self._runs[key]
--- a/fulmarhold/control/feeds.py
+++ b/fulmarhold/control/feeds.py
@@ -126,8 +126,9 @@
         self._changed = Event()
         # The last packed statements, with the positions that they lead from and to.
         self._packed: tuple[tuple[float, ...] | None, bytes] = (None, b"")
-        self._heard_at: dict[str, Milliseconds] = {}
-        self._unreported: dict[str, tuple[int, int]] = {}
+        # By name and service.
+        self._heard_at: dict[tuple[str, str], Milliseconds] = {}
+        self._unreported: dict[tuple[str, str], tuple[int, int]] = {}
         self._watches: dict[str, _Watch] = {}
         self._peer_reported_at: dict[str, Milliseconds] = {}
         self._digest_mismatches = DigestMismatches()
@@ -163,7 +164,7 @@
 
         A departure may be acknowledged once it is stored where no single failure can undo it.
         """
-        known = self.upstreams.find(statement.name)
+        known = self.upstreams.find_same(statement)
         is_departure = statement.state != READY
         statement = self._retirements.apply_to_heartbeat(statement, known)
         is_change = self._merge_upstreams((statement,), "own statement")
@@ -179,14 +180,24 @@
         `born` is the start that its departure names, if it names one. Without it, the newest known
         incarnation ends, but goes on if it is heard for longer than heartbeats may be late.
         """
-        known = self.upstreams.find(name)
-        if known is None:
+        known = self.upstreams.named(name)
+        if not known:
             self._counters.add("departures", result="unknown")
-            return True
-        ended = self._retirements.incarnation_of(name, known.born if born is None else born)
+        # There is one, unless its name is stated in several services.
+        return all([self._deregister(item, born) for item in known])
+
+    def _deregister(self, known: UpstreamStatement, born: int | None) -> bool:
+        named = known if born is None else replace(known, born=born)
+        ended = self._retirements.incarnation_of(named)
         if ended < known.born:
             self._counters.add("departures", result="earlier_start")
-            log.info("departure of {} names the start {}, {} runs now", name, born, known.born)
+            log.info(
+                "departure of {} of {} names the start {}, {} runs now",
+                known.name,
+                known.service,
+                born,
+                known.born,
+            )
             return True
         # One that drains has named its start before.
         names_start = born is not None or known.state == DRAINING
@@ -216,14 +227,15 @@
         now = self._clock.now()
         is_change = False
         for statement in self._filter.usable_upstreams(statements, origin):
-            before = self.upstreams.find(statement.name)
+            before = self.upstreams.find_same(statement)
             if self.upstreams.apply(statement, now):
                 is_change = True
                 if log_changes:
                     _log_upstream_change(statement, before, origin)
-            if self.upstreams.find(statement.name) == statement and statement.state != SILENT:
-                self._heard_at[statement.name] = now
-                self._unreported[statement.name] = (statement.born, statement.sequence)
+            if self.upstreams.find_same(statement) == statement and statement.state != SILENT:
+                key = statement.name, statement.service
+                self._heard_at[key] = now
+                self._unreported[key] = (statement.born, statement.sequence)
         if is_change:
             self._notify()
         return is_change
@@ -378,9 +390,10 @@
         now = self._clock.now()
         self._peer_reported_at[report.sender] = now
         for name, born, sequence in report.heard:
-            known = self.upstreams.find(name)
+            starts = [item for item in self.upstreams.named(name) if item.born <= born]
+            known = max(starts, key=lambda item: item.born, default=None)
             if known is not None and (born, sequence) >= (known.born, known.sequence):
-                self._heard_at[name] = now
+                self._heard_at[known.name, known.service] = now
         own = self.upstreams.serving_digest()
         if self._digest_mismatches.record_report(report.sender, report.serving, own):
             gevent.spawn(self._sync_from, report.sender)
@@ -390,7 +403,7 @@
         answer = self._sharing.call(peer, AskStatements(self._own.endpoint))
         if isinstance(answer, AllStatements):
             log.info("compares its upstreams with those of {}", peer)
-            changed = (item for item in answer.upstreams if self.upstreams.find(item.name) != item)
+            changed = (item for item in answer.upstreams if self.upstreams.find_same(item) != item)
             self._merge_upstreams(
                 tuple(map(self._retirements.apply_retirement, changed)), "compared"
             )
@@ -499,7 +512,7 @@
 
     def _send_reports(self) -> None:
         leader = self._node.leader_endpoint
-        heard = tuple((name, born, sequence) for name, (born, sequence) in self._unreported.items())
+        heard = tuple((key[0], *heard) for key, heard in self._unreported.items())
         self._unreported.clear()
         for peer in self._sharing.peers():
             reported = heard if peer == leader else ()
@@ -511,7 +524,8 @@
         if self._node.confirmed_age() > HOUSEKEEPING_PERIOD * 2:
             return
         for known in self.upstreams.all():
-            heard_at = max(self._heard_at.get(known.name, earliest), earliest)
+            key = known.name, known.service
+            heard_at = max(self._heard_at.get(key, earliest), earliest)
             if known.state == READY and now > heard_at + self._upstream_timeout:
                 silent = replace(known, state=SILENT)
                 if self._merge_upstreams((silent,), f"silent for {now - heard_at:.0f} ms"):
@@ -527,7 +541,7 @@
     store: StatementStore[Statement], received: tuple[Statement, ...]
 ) -> tuple[Statement, ...]:
     """Return the store's statements on subjects whose state differs from the received one."""
-    held = ((store.find(item.name), item.state) for item in received)
+    held = ((store.find_same(item), item.state) for item in received)
     return tuple(known for known, state in held if known is not None and known.state != state)
 
 
--- a/fulmarhold/control/machine.py
+++ b/fulmarhold/control/machine.py
@@ -34,6 +34,7 @@
     RecordedOutcome,
     decode_state,
     encode_state,
+    retirement_key,
 )
 from fulmarhold.errors import MalformedInput
 from fulmarhold.membership.evacuation import (
@@ -210,15 +211,15 @@
 
 @appliers.register(RetireUpstream.__name__)
 def _retire(state: ControlState, command: RetireUpstream) -> None:
-    name, retired = command.name, state.retired.get(command.name, -1)
     if has_retired(state, command):
         return
+    key = retirement_key(command.name, command.service)
+    retired = state.retired.pop(key, -1)
     if command.names_start:
-        state.doubted.pop(name, None)
-    elif name not in state.doubted or command.born > retired + 1:
-        state.doubted[name] = command.born
-    state.retired.pop(name, None)
-    state.retired[name] = command.born
+        state.doubted.pop(key, None)
+    elif key not in state.doubted or command.born > retired + 1:
+        state.doubted[key] = command.born
+    state.retired[key] = command.born
     while len(state.retired) > MAX_RETIRED_UPSTREAMS:
         oldest = next(iter(state.retired))
         del state.retired[oldest]
@@ -227,8 +228,9 @@
 
 def has_retired(state: ControlState, command: RetireUpstream) -> bool:
     """Whether a departure is recorded already, so that the command would change nothing."""
-    retired = state.retired.get(command.name, -1)
-    ends_doubt = command.names_start and command.name in state.doubted
+    key = retirement_key(command.name, command.service)
+    retired = state.retired.get(key, -1)
+    ends_doubt = command.names_start and key in state.doubted
     return command.born < retired or (command.born == retired and not ends_doubt)
 
 
--- a/fulmarhold/control/retirement.py
+++ b/fulmarhold/control/retirement.py
@@ -10,6 +10,7 @@
 from fulmarhold.clock import SECOND, Milliseconds
 from fulmarhold.control.continuing import ContinuingUpstreams
 from fulmarhold.control.machine import encode_command, has_retired
+from fulmarhold.control.state import retirement_key
 from fulmarhold.errors import FulmarholdError
 from fulmarhold.membership.feed import RetireUpstream
 from fulmarhold.membership.statements import DRAINING, LEFT, READY, UpstreamStatement
@@ -58,28 +59,40 @@
 
         It is then draining, or has left if its departure named no start.
         """
-        name, state = statement.name, self._machine.state
-        born = state.retired.get(name)
-        if born is None or statement.born > born or statement.state in (DRAINING, LEFT):
+        if statement.state in (DRAINING, LEFT):
             return statement
-        return replace(statement, state=LEFT if name in state.doubted else DRAINING)
+        born, first = self._departure(statement)
+        if statement.born > born:
+            return statement
+        return replace(statement, state=DRAINING if first is None else LEFT)
 
-    def incarnation_of(self, name: str, born: int) -> int:
-        """Return the number of the incarnation that runs, or may run, since the start `born`.
+    def incarnation_of(self, statement: UpstreamStatement) -> int:
+        """Return the number of the incarnation that runs, or may run, since the stated start.
 
         It is `born` itself, unless a departure that named no start has ended that incarnation. If
         it goes on, it counts as a new one, numbered next, which supersedes the departure on every
         instance. Another control instance may know that one already.
         """
+        retired, first = self._departure(statement)
+        is_doubted = first is not None and first <= statement.born <= retired
+        return retired + 1 if is_doubted else statement.born
+
+    def _departure(self, statement: UpstreamStatement) -> tuple[int, int | None]:
+        """Return the newest incarnation of an upstream that has left, -1 without any.
+
+        The second value is the start that it states if its departure named none.
+        """
         state = self._machine.state
-        first, retired = state.doubted.get(name), state.retired.get(name, -1)
-        return retired + 1 if first is not None and first <= born <= retired else born
+        # Departures that an earlier release has logged are of any service.
+        keys = retirement_key(statement.name, statement.service), statement.name
+        born, key = max((state.retired.get(key, -1), key) for key in keys)
+        return born, state.doubted.get(key)
 
     def apply_to_heartbeat(
         self, statement: UpstreamStatement, known: UpstreamStatement | None
     ) -> UpstreamStatement:
         """Return what an upstream says of itself with the incarnation for which it counts."""
-        born = self.incarnation_of(statement.name, statement.born)
+        born = self.incarnation_of(statement)
         if statement.state == READY:
             if known is not None and known.born == born:
                 if known.state == LEFT:
@@ -93,17 +106,21 @@
 
         There was no leader then. Without the log, nothing would supersede the departure.
         """
+        command = self._command(left, names_start=False)
         name = left.name
-        command = RetireUpstream(name, left.born, self._clock.wall(), names_start=False)
         if name not in self._logging and not has_retired(self._machine.state, command):
             self._logging.add(name)
             gevent.spawn(self._log, command).rawlink(lambda _: self._logging.discard(name))
 
+    def _command(self, statement: UpstreamStatement, *, names_start: bool) -> RetireUpstream:
+        wall = self._clock.wall()
+        return RetireUpstream(statement.name, statement.born, wall, names_start, statement.service)
+
     def _is_continuing(self, statement: UpstreamStatement) -> bool:
         """Whether an upstream goes on, though a departure that named no start has ended it."""
         if not self._continuing.note(statement, self._clock.now()):
             return False
-        self._continuing.end(statement.name)
+        self._continuing.end(statement)
         self._counters.add("departures", result="taken_back")
         log.warning(
             "upstream {} of {} goes on (born {}, sequence {}) after a departure that named no "
@@ -122,8 +139,7 @@
     def record_departure(self, statement: UpstreamStatement, *, names_start: bool = True) -> bool:
         """Record a departure in the log and on peers; returns whether it may be acknowledged."""
         replies = self._sharing.share((statement,))
-        wall = self._clock.wall()
-        command = RetireUpstream(statement.name, statement.born, wall, names_start)
+        command = self._command(statement, names_start=names_start)
         self._counters.add("departures", result="start_named" if names_start else "no_start_named")
         logged = gevent.spawn(self._log, command)
         gevent.joinall([logged, *replies], timeout=RECORDING_TIMEOUT / SECOND)
--- a/fulmarhold/control/sharing.py
+++ b/fulmarhold/control/sharing.py
@@ -79,11 +79,9 @@
         undelivered, self._undelivered = self._undelivered, {}
         reachable = set(self.peers())
         for peer, missed in undelivered.items():
-            upstreams = (self._upstreams.find(name) for name in missed.upstreams)
-            instances = (self._instances.find(name) for name in missed.instances)
             shared = ShareStatements(
-                tuple(item for item in upstreams if item is not None),
-                tuple(item for item in instances if item is not None),
+                tuple(item for name in missed.upstreams for item in self._upstreams.named(name)),
+                tuple(item for name in missed.instances for item in self._instances.named(name)),
             )
             if peer in reachable:
                 gevent.spawn(self._deliver, peer, shared)
--- a/fulmarhold/control/state.py
+++ b/fulmarhold/control/state.py
@@ -56,7 +56,7 @@
     claims: dict[str, Claim] = field(default_factory=dict)
     routes_version: int = 0
     routes_document: bytes = b""
-    # The newest incarnation of each upstream that has left.
+    # The newest incarnation of each upstream that has left, by `retirement_key`.
     retired: dict[str, int] = field(default_factory=dict)
     # Those of them that may go on, as their departure named no start: the `born` that they state.
     # It is lower than the retired incarnation if that had gone on before.
@@ -66,6 +66,15 @@
     evacuation_orders: int = 0
 
 
+def retirement_key(name: str, service: str) -> str:
+    """Return the key of an upstream's departures; names contain no space.
+
+    >>> retirement_key("i-7f3a", "search"), retirement_key("i-7f3a", "")
+    ('i-7f3a search', 'i-7f3a')
+    """
+    return f"{name} {service}" if service else name
+
+
 def encode_state(state: ControlState) -> bytes:
     """Serialize the whole state into a snapshot."""
     evacuations = state.evacuations
--- a/fulmarhold/entry/daemon.py
+++ b/fulmarhold/entry/daemon.py
@@ -64,8 +64,8 @@
             settings.name, settings.data_centre, settings.caller_endpoint, settings.peer_endpoint
         )
         self.running = RunningState(settings.name, clock)
-        self._announced = AnnouncedSet(clock, counters)
-        self.directory = Directory(self._announced, clock)
+        self._announced = AnnouncedSet(clock, counters, lambda: self.running.services)
+        self.directory = Directory(self._announced, clock, lambda: self.running.services)
         control = ControlClient(settings.control, clock, counters)
         self.exchange = MembershipExchange(
             own, self.running, self._announced, self.directory, control, clock, counters
--- a/fulmarhold/membership/announced.py
+++ b/fulmarhold/membership/announced.py
@@ -15,6 +15,8 @@
 from fulmarhold.membership.records import UpstreamRecord
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Container
+
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.membership.records import Announcement
     from fulmarhold.observe.counters import Counters
@@ -43,14 +45,33 @@
         return self.data_centre
 
 
-class AnnouncedSet:
-    """The records under a lease, by address; `version` grows whenever their content changes."""
+@dataclass(frozen=True)
+class _Newest:
+    """What was announced last for an address: the order of its record, and when it came."""
+
+    order: tuple[int, int]
+    service: str
+    seen_at: Milliseconds
+
 
-    def __init__(self, clock: Clock, counters: Counters) -> None:
+class AnnouncedSet:
+    """The records under a lease, by address; `version` grows whenever their content changes.
+
+    `services` returns those that the configuration names, or `None` while none is known. Another
+    service takes no address from them.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        counters: Counters,
+        services: Callable[[], Container[str] | None] = lambda: None,
+    ) -> None:
         self._clock = clock
         self._counters = counters
+        self._services = services
         self._held: dict[str, LeasedRecord] = {}
-        self._newest: dict[str, tuple[tuple[int, int], Milliseconds]] = {}
+        self._newest: dict[str, _Newest] = {}
         self.source = uuid.uuid4().hex
         self.version = 1
 
@@ -66,14 +87,17 @@
         record = announcement.upstream
         self._check_layout(record)
         newest = self._newest.get(record.address)
-        if newest is not None and record.order < newest[0]:
-            self._counters.add("announcement_refusals", reason="superseded")
-            return False
+        if newest is not None:
+            rank, newest_rank = self._rank(record.service), self._rank(newest.service)
+            if (rank, record.order) < (newest_rank, newest.order):
+                reason = "superseded" if rank == newest_rank else "unknown_service"
+                self._counters.add("announcement_refusals", reason=reason)
+                return False
         if record.address not in self._held and len(self._held) >= MAX_UPSTREAMS:
             self._counters.add("announcement_refusals", reason="too_many")
             return False
         now = self._clock.now()
-        self._newest[record.address] = (record.order, now)
+        self._newest[record.address] = _Newest(record.order, record.service, now)
         valid_until = self._token_issued_at(announcement.token) + lease
         if record.state == "draining":
             # Draining takes effect at once, however old the token is.
@@ -104,8 +128,8 @@
             self._remove(address)
         for address in [
             key
-            for key, (_, seen) in self._newest.items()
-            if key not in self._held and seen < now - TOMBSTONE_AGE
+            for key, newest in self._newest.items()
+            if key not in self._held and newest.seen_at < now - TOMBSTONE_AGE
         ]:
             del self._newest[address]
 
@@ -121,6 +145,11 @@
         """Return the data centres of the records whose upstreams have named them, by address."""
         return {key: held.data_centre for key, held in self._held.items() if held.data_centre}
 
+    def _rank(self, service: str) -> bool:
+        """Whether the configuration names a service, as far as one is known."""
+        services = self._services()
+        return services is None or service in services
+
     def _remove(self, address: str) -> None:
         del self._held[address]
         self.version += 1
--- a/fulmarhold/membership/directory.py
+++ b/fulmarhold/membership/directory.py
@@ -8,7 +8,7 @@
 from fulmarhold.membership.records import LocatedPeerReply
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Container, Iterable
 
     from fulmarhold.clock import Clock, Milliseconds
     from fulmarhold.membership.announced import AnnouncedSet, LeasedRecord
@@ -54,10 +54,20 @@
 
 
 class Directory:
-    """Merges announced and relayed records; `generation` grows when the result may have changed."""
+    """Merges announced and relayed records; `generation` grows when the result may have changed.
 
-    def __init__(self, announced: AnnouncedSet, clock: Clock) -> None:
+    `services` returns those that the configuration names, or `None` while none is known. Another
+    service takes no address from them.
+    """
+
+    def __init__(
+        self,
+        announced: AnnouncedSet,
+        clock: Clock,
+        services: Callable[[], Container[str] | None] = lambda: None,
+    ) -> None:
         self._announced = announced
+        self._services = services
         self._clock = clock
         self._relayed: dict[str, RelayedSet] = {}
         self._newest: dict[str, tuple[UpstreamRecord, Milliseconds]] = {}
@@ -120,9 +130,9 @@
     def _merge(
         self, address: str, candidates: list[tuple[UpstreamRecord, LeasedRecord | RelayedSet]]
     ) -> KnownUpstream | None:
-        record = max((record for record, _ in candidates), key=lambda record: record.order)
+        record = max((record for record, _ in candidates), key=self._order)
         remembered = self._newest.get(address)
-        if remembered is not None and remembered[0].order > record.order:
+        if remembered is not None and self._order(remembered[0]) > self._order(record):
             record = remembered[0]
         self._newest[address] = (record, self._clock.now())
         if (
@@ -133,10 +143,15 @@
         holders = tuple(
             holder
             for statement, holder in candidates
-            if statement.incarnation == record.incarnation
+            if statement.incarnation == record.incarnation and statement.service == record.service
         )
         return KnownUpstream(record, holders) if holders else None
 
+    def _order(self, record: UpstreamRecord) -> tuple[bool, tuple[int, int]]:
+        """A sort key under which the record that holds an address compares greatest."""
+        services = self._services()
+        return services is None or record.service in services, record.order
+
     def _forget_old(self) -> None:
         oldest = self._clock.now() - TOMBSTONE_AGE
         for address in [key for key, (_, seen) in self._newest.items() if seen < oldest]:
--- a/fulmarhold/membership/feed.py
+++ b/fulmarhold/membership/feed.py
@@ -157,13 +157,15 @@
 
     `names_start` is false if the departure did not tell which incarnation it ends. Then it may have
     been that of an earlier one, and the incarnation goes on if it is heard for long enough. Earlier
-    releases don't know the field, and end the incarnation for good.
+    releases don't know the field, and end the incarnation for good. They name no service either, so
+    that their departures are of any service.
     """
 
     name: str
     born: int
     at: float
     names_start: bool = True
+    service: str = ""
 
 
 @message
--- a/fulmarhold/membership/running.py
+++ b/fulmarhold/membership/running.py
@@ -19,7 +19,7 @@
 from fulmarhold.membership.evacuation import Evacuations
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
     from typing import Any
 
     from fulmarhold.clock import Clock, Milliseconds
@@ -53,6 +53,11 @@
         self._evacuations = Evacuations()
         self.learned_from_control = False
 
+    @property
+    def services(self) -> Container[str] | None:
+        """The names of the configured services, or `None` without a configuration."""
+        return None if self.configuration is None else self.configuration.services
+
     @property
     def evacuations(self) -> Evacuations:
         """The newest set of evacuated data centres; kept when contact with control is lost."""
--- a/fulmarhold/membership/statements.py
+++ b/fulmarhold/membership/statements.py
@@ -3,17 +3,25 @@
 Statements are ordered by the start time of their subject (`born`) and then by a sequence number
 that the subject increments. Late statements of an earlier incarnation and statements that arrive
 out of order are therefore ignored.
+
+The subject of an upstream's statement is its name in a service. Other writers can state anything
+under the name of a running upstream; which services there are is known to those who use statements,
+not where they are stored.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from typing import Final, Generic, Literal, Protocol, TypeVar
+from itertools import chain
+from typing import TYPE_CHECKING, Final, Generic, Literal, Protocol, TypeVar
 
 import xxhash
 
 from fulmarhold.clock import MINUTE, Milliseconds
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
 State = Literal["starting", "ready", "draining", "silent", "left"]
 Role = Literal["entry", "control"]
 
@@ -83,7 +91,7 @@
 Statement = TypeVar("Statement", bound=_Statement)
 
 
-@dataclass
+@dataclass(slots=True)
 class _StoredStatement(Generic[Statement]):
     statement: Statement
     position: int
@@ -95,27 +103,36 @@
     """The newest statement of each subject, numbered in the order in which they changed here."""
 
     def __init__(self) -> None:
-        self._stored: dict[str, _StoredStatement[Statement]] = {}
+        # By name; there are several for a name that is stated in several services.
+        self._stored: dict[str, tuple[_StoredStatement[Statement], ...]] = {}
         self._digest = (-1, "")
         # The names of the upstreams that were cold when they were last looked at.
         self._cold: set[str] = set()
         self.position = 0
 
     def __len__(self) -> int:
-        return len(self._stored)
+        return sum(map(len, self._stored.values()))
 
     def find(self, name: str) -> Statement | None:
-        """Return the newest statement of a subject, if any."""
-        held = self._stored.get(name)
+        """Return the statement of the subject under a name that started last, if any."""
+        return max(self.named(name), key=lambda item: item.born, default=None)
+
+    def named(self, name: str) -> list[Statement]:
+        """Return the newest statement of every subject under a name."""
+        return [held.statement for held in self._stored.get(name, ())]
+
+    def find_same(self, statement: Statement) -> Statement | None:
+        """Return the newest statement of the subject of `statement`, if any."""
+        held = self._find_held(statement)
         return held.statement if held else None
 
     def all(self) -> list[Statement]:
         """Return the newest statement of every subject, including those that have left."""
-        return [held.statement for held in self._stored.values()]
+        return [held.statement for held in self._all_held()]
 
     def since(self, position: int) -> list[Statement]:
         """Return the statements that changed after `position`."""
-        return [held.statement for held in self._stored.values() if held.position > position]
+        return [held.statement for held in self._all_held() if held.position > position]
 
     def serving_digest(self) -> str:
         """Return a digest of the ready incarnations, equal for stores that hold the same ones.
@@ -132,7 +149,7 @@
 
         That is more than the sequence, or a warm-up that does not just run down.
         """
-        held = self._stored.get(statement.name)
+        held = self._find_held(statement)
         if held is not None:
             if not _supersedes(statement, held.statement):
                 return False
@@ -140,11 +157,13 @@
             is_cold_again = _warm_up(statement) > left + (WARM_UP_TOLERANCE if left else 0.0)
             if not is_cold_again and _content(statement) == _content(held.statement):
                 held.statement, held.heard_at = statement, now
-                self._note_warm_up(statement)
+                self._note_warm_up(statement.name)
                 return False
         self.position += 1
-        self._stored[statement.name] = _StoredStatement(statement, self.position, now, now)
-        self._note_warm_up(statement)
+        others = tuple(item for item in self._stored.get(statement.name, ()) if item is not held)
+        stored = _StoredStatement(statement, self.position, now, now)
+        self._stored[statement.name] = (*others, stored)
+        self._note_warm_up(statement.name)
         return True
 
     @property
@@ -158,28 +177,59 @@
         Only one of many readers hears the heartbeats of an upstream in which it runs down.
         """
         for name in list(self._cold):
-            held = self._stored.get(name)
-            if held is not None and isinstance(held.statement, UpstreamStatement):
-                left = _warm_up_left(held, now)
-                held.statement, held.heard_at = replace(held.statement, warm_up=left), now
-            if held is None or not _warm_up(held.statement):
-                self._cold.discard(name)
-
-    def _note_warm_up(self, statement: Statement) -> None:
-        if _warm_up(statement):
-            self._cold.add(statement.name)
-        else:
-            self._cold.discard(statement.name)
+            for held in self._stored.get(name, ()):
+                if isinstance(held.statement, UpstreamStatement) and _warm_up(held.statement):
+                    left = _warm_up_left(held, now)
+                    held.statement, held.heard_at = replace(held.statement, warm_up=left), now
+            self._note_warm_up(name)
 
     def forget_ended(self, now: Milliseconds) -> None:
         """Remove the subjects that ended or went silent over `RETENTION_AFTER_END` ago."""
         oldest = now - RETENTION_AFTER_END
-        for name in [
-            name
-            for name, held in self._stored.items()
+        ended = [
+            held
+            for held in self._all_held()
             if held.statement.state in (LEFT, SILENT, DRAINING) and held.changed_at < oldest
-        ]:
-            del self._stored[name]
+        ]
+        for held in ended:
+            name = held.statement.name
+            left = tuple(item for item in self._stored[name] if item is not held)
+            if left:
+                self._stored[name] = left
+            else:
+                del self._stored[name]
+
+    def _all_held(self) -> Iterator[_StoredStatement[Statement]]:
+        return chain.from_iterable(self._stored.values())
+
+    def _find_held(self, statement: Statement) -> _StoredStatement[Statement] | None:
+        service = _service(statement)
+        for held in self._stored.get(statement.name, ()):
+            if _service(held.statement) == service:
+                return held
+        return None
+
+    def _note_warm_up(self, name: str) -> None:
+        if any(_warm_up(held.statement) for held in self._stored.get(name, ())):
+            self._cold.add(name)
+        else:
+            self._cold.discard(name)
+
+
+def newest_by_name(statements: Iterable[UpstreamStatement]) -> list[UpstreamStatement]:
+    """Return the statement of each upstream that started last, if several services have its name.
+
+    >>> one = UpstreamStatement("u", 1, 1, "ready", "s", "10.0.0.1:80", "a", 2)
+    >>> other = replace(one, born=2, service="t")
+    >>> newest_by_name([other, one]) == [other]
+    True
+    """
+    newest: dict[str, UpstreamStatement] = {}
+    for statement in statements:
+        known = newest.get(statement.name)
+        if known is None or statement.born > known.born:
+            newest[statement.name] = statement
+    return list(newest.values())
 
 
 def owners_by_address(statements: list[UpstreamStatement]) -> dict[str, UpstreamStatement]:
@@ -192,6 +242,11 @@
     return newest
 
 
+def _service(statement: _Statement) -> str:
+    """Return the service of an upstream; instances have none."""
+    return statement.service if isinstance(statement, UpstreamStatement) else ""
+
+
 def _supersedes(new: _Statement, old: _Statement) -> bool:
     if new.born != old.born:
         return new.born > old.born
--- a/fulmarhold/membership/validity.py
+++ b/fulmarhold/membership/validity.py
@@ -66,6 +66,7 @@
 class _Retirement(Struct, frozen=True):
     name: UpstreamName
     born: Ordinal
+    service: Text
 
 
 def check_upstream_name(name: str) -> str:
--- a/fulmarhold/membership/watcher.py
+++ b/fulmarhold/membership/watcher.py
@@ -21,6 +21,7 @@
     State,
     StatementStore,
     UpstreamStatement,
+    newest_by_name,
     owners_by_address,
 )
 from fulmarhold.observe.logs import get_logger
@@ -123,11 +124,12 @@
     def serving_upstreams(self, services: Container[str]) -> list[UpstreamStatement]:
         """Return the upstreams of some services that own their address and are ready.
 
-        A statement of another service, which may be unknown, takes no address from them. Where an
-        address is used again, its new owner rejects requests that name the previous one.
+        A statement of another service, which may be unknown, takes neither a name nor an address
+        from them. Where an address is used again, its new owner rejects requests that name the
+        previous one.
         """
         self.upstreams.run_down(self._clock.now())
-        stated = [item for item in self.upstreams.all() if item.service in services]
+        stated = newest_by_name(item for item in self.upstreams.all() if item.service in services)
         return [item for item in owners_by_address(stated).values() if item.state == READY]
 
     def entries(self) -> list[InstanceStatement]:
@@ -274,7 +276,7 @@
         previous_content = self._content_version()
         upstreams, instances = reply.statements()
         for upstream in self._filter.usable_upstreams(upstreams, self._endpoint):
-            before = self.upstreams.find(upstream.name)
+            before = self.upstreams.find_same(upstream)
             if self.upstreams.apply(upstream, now):
                 log.info(
                     "upstream {} of {} at {} is {}, was {}",
--- a/fulmarhold/soak/odd_writer.py
+++ b/fulmarhold/soak/odd_writer.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import gevent.socket
 
 from fulmarhold.clock import SECOND, Milliseconds
-from fulmarhold.membership.statements import READY, UpstreamStatement
+from fulmarhold.membership.statements import DRAINING, READY, State, UpstreamStatement
 from fulmarhold.platform.encoding import CONTROL_PORT, HEARTBEAT_PATH, write_heartbeat
 
 if TYPE_CHECKING:
@@ -42,14 +43,30 @@
     return b"{" + b",".join(b'"%s":%s' % (k.encode(), v) for k, v in values.items()) + b"}"
 
 
+def write_foreign_heartbeat(upstream: UpstreamStatement, born: int, state: State) -> bytes:
+    """Return the body of a heartbeat for a service that is not configured, at a known address."""
+    foreign = replace(upstream, service="nowhere", born=born, sequence=1, state=state)
+    return json.dumps(write_heartbeat(foreign)).encode()
+
+
 def send_odd_heartbeats(environment: Environment) -> None:
-    """Send heartbeats that have one odd value each to random control instances."""
+    """Send heartbeats that have one odd value each to random control instances.
+
+    One has the name and the address of a running upstream.
+    """
+    random = environment.random
+    sent = []
     for number in range(STATEMENTS):
-        field = environment.random.choice(list(ODD))
-        body = write_odd_heartbeat(field, environment.random.choice(ODD[field]))
-        head = f"PUT {HEARTBEAT_PATH}i-odd-{number} HTTP/1.1\r\nHost: odd\r\n"
+        field = random.choice(list(ODD))
+        sent.append((f"i-odd-{number}", write_odd_heartbeat(field, random.choice(ODD[field]))))
+    upstream = random.choice(environment.upstream_hosts).upstream.statement
+    state: State = random.choice((READY, DRAINING))
+    foreign = write_foreign_heartbeat(upstream, int(environment.clock.wall()), state)
+    sent.append((upstream.name, foreign))
+    for name, body in sent:
+        head = f"PUT {HEARTBEAT_PATH}{name} HTTP/1.1\r\nHost: odd\r\n"
         head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-        endpoint = environment.random.choice(environment.control).address, CONTROL_PORT
+        endpoint = random.choice(environment.control).address, CONTROL_PORT
         try:
             with gevent.socket.create_connection(endpoint, timeout=TIMEOUT / SECOND) as connection:
                 connection.sendall(head.encode() + body)
--- a/fulmarhold/tests/control/test_departures.py
+++ b/fulmarhold/tests/control/test_departures.py
@@ -90,7 +90,7 @@
 def test_a_departure_that_names_its_start_ends_no_other_one(fleet):
     restart(fleet)
     assert fleet.feeds.deregister_upstream("u", EARLIER.born)
-    assert fleet.state == READY and fleet.machine.state.retired == {"u": EARLIER.born}
+    assert fleet.state == READY and fleet.machine.state.retired == {"u parts": EARLIER.born}
     assert fleet.feeds.deregister_upstream("u", LATER.born)
     fleet.beat(LATER, times=2 * MISSED_HEARTBEATS)
     assert fleet.state == DRAINING
@@ -189,5 +189,5 @@
     assert len(continuing) == 50
     continuing.forget_ended(49 * REPORT_PERIOD + LATENESS)
     assert len(continuing) == 1
-    continuing.end("u49")
+    continuing.end(replace(HEARTBEAT, name="u49"))
     assert len(continuing) == 0
--- a/fulmarhold/tests/control/test_drain_model.py
+++ b/fulmarhold/tests/control/test_drain_model.py
@@ -53,6 +53,7 @@
     "leave": 10,
     "delete": 2,
     "late delete": 3,
+    "odd": 4,
     "return": 8,
     "stop": 12,
     "start": 12,
@@ -242,9 +243,9 @@
             return
         store = self.entries[number]
         for statement in reply.upstreams:
-            before = store.find("u")
+            before = store.find_same(self.upstream)
             store.apply(statement, self.clock.now())
-            after = store.find("u")
+            after = store.find_same(self.upstream)
             if before is not None and before.state in (DRAINING, LEFT):
                 assert after.state in (DRAINING, LEFT) or after.born > before.born
 
@@ -269,7 +270,7 @@
         if not self.feeds:
             return
         feeds = self.feeds[self.random.choice(list(self.feeds))]
-        known = feeds.upstreams.find("u")
+        known = feeds.upstreams.find_same(self.upstream)
         if known is None:
             return
         is_current = known.born >= self.upstream.born
@@ -290,6 +291,18 @@
             self.feeds[self.random.choice(list(self.feeds))].deregister_upstream("u")
             self.is_doubted = True
 
+    def send_odd_statement(self):
+        """Send what another writer states under the upstream's name, for a service of its own."""
+        if self.feeds:
+            odd = replace(
+                self.upstream,
+                service="nowhere",
+                born=self.upstream.born + self.random.choice([-50, 0, 50, 5 * START_INTERVAL]),
+                sequence=self.random.randint(0, 50),
+                state=self.random.choice([READY, DRAINING]),
+            )
+            self.feeds[self.random.choice(list(self.feeds))].record_upstream(odd)
+
     def announce_departure(self):
         """Announce the upstream's departure until it is acknowledged, in four attempts at most."""
         self.upstream = replace(self.upstream, state=self.random.choice([DRAINING, LEFT]))
@@ -322,7 +335,7 @@
             self.send_doubted_heartbeats()
         self.send_statement()
         run_pending_greenlets()
-        held = [feeds.upstreams.find("u") for feeds in self.feeds.values()]
+        held = [feeds.upstreams.find_same(self.upstream) for feeds in self.feeds.values()]
         assert {item.state for item in held if item is not None} == {READY}, held
         assert None not in held
 
@@ -340,7 +353,7 @@
 
     def check_departures(self):
         for name, feeds in self.feeds.items():
-            known = feeds.upstreams.find("u")
+            known = feeds.upstreams.find_same(self.upstream)
             assert (
                 known is None or known.state != READY or known.born > self.acknowledged
             ), f"{name} still feeds {known}, whose departure was acknowledged"
@@ -356,13 +369,19 @@
     random = simulation.random
     name = random.choice(CONTROL)
     running = len(simulation.feeds)
+    simple_events = {
+        "beat": simulation.send_heartbeat,
+        "leave": simulation.announce_departure,
+        "delete": simulation.deregister,
+        "late delete": simulation.deliver_departure_of_earlier_start,
+        "odd": simulation.send_odd_statement,
+        "late": simulation.deliver_late,
+    }
     match random.choices(list(EVENT_WEIGHTS), list(EVENT_WEIGHTS.values()))[0]:
-        case "beat":
-            simulation.send_heartbeat()
+        case event if event in simple_events:
+            simple_events[event]()
         case "watch":
             simulation.watch(random.randrange(len(simulation.entries)))
-        case "leave":
-            simulation.announce_departure()
         case "return":
             if simulation.upstream.state != READY:
                 born = simulation.upstream.born + START_INTERVAL
@@ -385,10 +404,6 @@
             simulation.has_leader = False
         case "elect":
             simulation.has_leader = True
-        case "delete":
-            simulation.deregister()
-        case "late delete":
-            simulation.deliver_departure_of_earlier_start()
         case "maintain":
             for feeds in simulation.feeds.values():
                 feeds.maintain()
@@ -398,8 +413,6 @@
             simulation.check_departures()
             simulation.check_serving()
             simulation.loss = loss
-        case "late":
-            simulation.deliver_late()
         case "apply":
             if name in simulation.feeds:
                 simulation.apply(
--- a/fulmarhold/tests/control/test_feeds.py
+++ b/fulmarhold/tests/control/test_feeds.py
@@ -142,7 +142,7 @@
     feeds, peer, machine = make_feeds()
     feeds.record_upstream(HEARTBEAT)
     assert feeds.record_upstream(replace(HEARTBEAT, sequence=2, state=DRAINING))
-    assert machine.state.retired == {"u": 100}
+    assert machine.state.retired == {"u parts": 100}
     assert peer.received_upstreams()[-1].state == DRAINING
 
 
@@ -157,7 +157,7 @@
     feeds, _, machine = make_feeds()
     feeds.record_upstream(HEARTBEAT)
     assert feeds.deregister_upstream("u")
-    assert feeds.upstreams.find("u").state == LEFT and machine.state.retired == {"u": 100}
+    assert feeds.upstreams.find("u").state == LEFT and machine.state.retired == {"u parts": 100}
     assert feeds.deregister_upstream("never-heard-of")
 
 
--- a/fulmarhold/tests/membership/test_leases.py
+++ b/fulmarhold/tests/membership/test_leases.py
@@ -209,3 +209,50 @@
     assert running.is_confirmed
     clock.advance(100)
     assert not running.is_confirmed
+
+
+NAMED = ("s", "t")
+ODD = replace(RECORD, service="nowhere", incarnation=900, sequence=900, layout="m")
+
+
+@pytest.fixture
+def among_services(clock):
+    announced = AnnouncedSet(clock, Counters(), lambda: NAMED)
+    return announced, Directory(announced, clock, lambda: NAMED)
+
+
+# Guards against an upstream that is out of use because another writer has announced its address for
+# a service that no configuration names.
+@pytest.mark.parametrize("has_token", [False, True])
+@pytest.mark.parametrize("odd_first", [False, True])
+def test_an_unknown_service_takes_no_address(among_services, clock, has_token, odd_first):
+    announced, directory = among_services
+    odd = lambda: announced.apply(  # noqa: E731
+        Announcement(ODD, announced.issue_token() if has_token else ""), LEASE
+    )
+    if odd_first:
+        odd()
+    for number in range(3):
+        record = replace(RECORD, sequence=2 + number)
+        assert announced.apply(Announcement(record, announced.issue_token()), LEASE)
+        assert not odd()
+        clock.advance(500.0)
+        announced.expire()
+        assert live(directory, clock) == [record]
+
+
+def test_a_named_service_takes_an_address_over(among_services, clock):
+    announced, directory = among_services
+    announced.apply(Announcement(RECORD, announced.issue_token()), LEASE)
+    successor = replace(RECORD, service="t", incarnation=6)
+    assert announced.apply(Announcement(successor, announced.issue_token()), LEASE)
+    assert not announced.apply(Announcement(RECORD, announced.issue_token()), LEASE)
+    assert live(directory, clock) == [successor]
+
+
+def test_a_relayed_record_of_an_unknown_service_takes_no_address(among_services, clock):
+    announced, directory = among_services
+    announced.apply(Announcement(RECORD, announced.issue_token()), LEASE)
+    reply = PeerReply("p", 1, (ODD,), "serving", 1)
+    directory.apply_reply("p", reply, clock.now(), LEASE)
+    assert live(directory, clock) == [RECORD]
--- a/fulmarhold/tests/membership/test_statements.py
+++ b/fulmarhold/tests/membership/test_statements.py
@@ -99,13 +99,31 @@
     assert [item.name for item in store.all()] == ["u"]
 
 
+def test_a_name_has_a_statement_in_each_service():
+    other = replace(FIRST, service="other", born=200, warm_up=50.0)
+    store = store_of(FIRST, other)
+    assert store.named("u") == [FIRST, other] and store.find("u") == other and len(store) == 2
+    assert store.find_same(replace(FIRST, born=7)) == FIRST
+    assert store.has_cold
+    store.apply(replace(FIRST, sequence=2), 0.0)
+    assert store.has_cold
+    store.run_down(60.0)
+    assert not store.has_cold
+    store.apply(replace(other, state=LEFT), 0.0)
+    store.forget_ended(RETENTION_AFTER_END + 1)
+    assert store.all() == [replace(FIRST, sequence=2)]
+    store.apply(replace(FIRST, sequence=3, state=LEFT), 0.0)
+    store.forget_ended(RETENTION_AFTER_END + 1)
+    assert store.named("u") == [] and store.find("u") is None and len(store) == 0
+
+
 statements = st.builds(
     UpstreamStatement,
     st.just("u"),
     st.integers(1, 3),
     st.integers(0, 4),
     st.sampled_from([READY, DRAINING, SILENT, LEFT]),
-    st.just("parts"),
+    st.sampled_from(["parts", "parts", "other"]),
     st.just("10.0.0.1:80"),
     st.just("a"),
     st.just(2),
@@ -118,8 +136,13 @@
     """Compares incarnation, finality and sequence; either of two equal sequences may win."""
     shuffled = list(received)
     random.shuffle(shuffled)
-    one, other = store_of(*received).find("u"), store_of(*shuffled).find("u")
-    assert one.born == other.born
-    assert (one.state in (DRAINING, LEFT)) == (other.state in (DRAINING, LEFT))
-    assert (one.state == LEFT) == (other.state == LEFT)
-    assert one.sequence == other.sequence or one.state in (DRAINING, LEFT)
+    stores = store_of(*received), store_of(*shuffled)
+    for statement in received:
+        one, other = (store.find_same(statement) for store in stores)
+        assert one.service == other.service == statement.service
+        assert one.born == other.born
+        assert (one.state in (DRAINING, LEFT)) == (other.state in (DRAINING, LEFT))
+        assert (one.state == LEFT) == (other.state == LEFT)
+        assert one.sequence == other.sequence or one.state in (DRAINING, LEFT)
+    assert stores[0].find("u").born == stores[1].find("u").born == max(i.born for i in received)
+    assert len(stores[0]) == len(stores[1]) == len({item.service for item in received})
--- a/fulmarhold/tests/membership/test_watcher.py
+++ b/fulmarhold/tests/membership/test_watcher.py
@@ -15,7 +15,13 @@
 from fulmarhold.membership import watcher as watching
 from fulmarhold.membership.evacuation import Evacuations
 from fulmarhold.membership.feed import AskConfirmation, Confirmation, FeedReply
-from fulmarhold.membership.statements import READY, STARTING, InstanceStatement, UpstreamStatement
+from fulmarhold.membership.statements import (
+    DRAINING,
+    READY,
+    STARTING,
+    InstanceStatement,
+    UpstreamStatement,
+)
 from fulmarhold.membership.watcher import FAILURE_COOLDOWN, FleetWatcher
 from fulmarhold.observe.counters import Counters
 from fulmarhold.tests.control.test_feeds import ODD_STATEMENTS
@@ -199,6 +205,21 @@
     assert watcher.serving_upstreams({"parts", "more"}) == [successor]
 
 
+# Guards against an upstream that is out of use because another writer has stated its name.
+def test_a_statement_of_an_unknown_service_takes_no_name_from_an_upstream(fleet):
+    stranger = replace(UPSTREAM, service="unnamed", born=UPSTREAM.born + 1)
+    successor = replace(UPSTREAM, service="more", born=UPSTREAM.born + 2)
+    fleet.upstreams = (UPSTREAM, stranger)
+    watcher = make_watcher(fleet)
+    fleet.steps = deque([nothing, nothing])
+    gevent.spawn(watcher.run).join(timeout=5)
+    assert watcher.serving_upstreams({"parts"}) == [UPSTREAM]
+    watcher.upstreams.apply(successor, 0.0)
+    assert watcher.serving_upstreams({"parts", "more"}) == [successor]
+    watcher.upstreams.apply(replace(successor, state=DRAINING), 0.0)
+    assert watcher.serving_upstreams({"parts", "more"}) == []
+
+
 def reply_with(evacuations=None, *, version=0, age=FRESH_AGE):
     reply = FeedReply("s", False, age, 1, 1, (), (), version, b"c" if version else None)
     return replace(reply, evacuations=evacuations) if evacuations else reply
