Take no response with a status below 100

Callers got an upstream's answer with the status 000 as it was if it ended with its connection; with a length, their request waited until its deadline for a final answer. With X-Fulmarhold-Not-Executed it counted as not run.

Cause: the parser takes any three digits, and the reader took every status below 200 for an interim one.

Evidence: the reader fed with such answers, and requests over loopback: status 0 relayed with the signature, or 504 at the deadline. Statuses of other than three digits were malformed before; the parser refuses them.

Change: the head of such a response is malformed. Its connection closes at once and the request may have run: it goes to another upstream if it may be repeated, and gets 502 otherwise. The soak's failing upstreams send 000 too.

--- a/fulmarhold/soak/upstream.py
+++ b/fulmarhold/soak/upstream.py
@@ -43,8 +43,8 @@
 MEAN_SLOW_WORK: Milliseconds = 1_200.0
 SLOTS, SLOW_SLOTS = 8, 2
 QUEUED = 8
-# Statuses of responses to requests that ran; none says whether they did.
-FAILURES = (408, 429, 500, 503)
+# Statuses of responses to requests that ran; none says whether they did, and 000 is no answer.
+FAILURES = (0, 408, 429, 500, 503)
 ENDLESS_PIECE = b"X-More: 1\r\n" * 1_000
 HEARTBEAT_TIMEOUT: Milliseconds = 1_000.0
 DRAIN_TIMEOUT: Milliseconds = 8_000.0
@@ -247,6 +247,6 @@
 
 
 def _encode_response(status: int, headers: dict[str, str], body: bytes) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", "Keep-Alive: timeout=4"]
+    lines = [f"HTTP/1.1 {status:03} X", f"Content-Length: {len(body)}", "Keep-Alive: timeout=4"]
     lines += [f"{key}: {value}" for key, value in headers.items()]
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- a/fulmarhold/upstreams/protocol.py
+++ b/fulmarhold/upstreams/protocol.py
@@ -23,6 +23,8 @@
 STATE_DRAINING = "draining"
 
 STATUS_OK = 200
+# Lower ones are no statuses of the protocol; those from here to `STATUS_OK` are interim.
+LEAST_STATUS = 100
 # All bytes received for one response, framing included.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # Bytes received until the head of a response is complete, interim responses before it included.
@@ -204,6 +206,8 @@
     def on_headers_complete(self) -> None:
         if not self._must_close and self._parser is not None:
             self._status = self._parser.get_status_code()
+            if self._status < LEAST_STATUS:
+                raise MalformedInput(f"status {self._status:03}", step="reading a response")
         self._has_headers = True
 
     def on_body(self, data: bytes) -> None:
