--- a/fulmarhold/membership/announced.py
+++ b/fulmarhold/membership/announced.py
@@ -88,9 +88,10 @@
         self._check_layout(record)
         newest = self._newest.get(record.address)
         if newest is not None:
-            rank, newest_rank = self._rank(record.service), self._rank(newest.service)
-            if (rank, record.order) < (newest_rank, newest.order):
-                reason = "superseded" if rank == newest_rank else "unknown_service"
+            is_configured = self._is_configured(record.service)
+            was_configured = self._is_configured(newest.service)
+            if (is_configured, record.order) < (was_configured, newest.order):
+                reason = "superseded" if is_configured == was_configured else "unknown_service"
                 self._counters.add("announcement_refusals", reason=reason)
                 return False
         if record.address not in self._held and len(self._held) >= MAX_UPSTREAMS:
@@ -145,7 +146,7 @@
         """Return the data centres of the records whose upstreams have named them, by address."""
         return {key: held.data_centre for key, held in self._held.items() if held.data_centre}
 
-    def _rank(self, service: str) -> bool:
+    def _is_configured(self, service: str) -> bool:
         """Whether the configuration names a service, as far as one is known."""
         services = self._services()
         return services is None or service in services
