Check overdue responses on a clock that the test advances

It gave the request 20 ms and asserted that it was not over after steps that take as long as the machine makes them.

The test asserts the moment itself: not over at the deadline and its margin, over one millisecond later, where it allowed 30 ms.

--- a/fulmarhold/tests/upstreams/test_endless_responses.py
+++ b/fulmarhold/tests/upstreams/test_endless_responses.py
@@ -8,7 +8,7 @@
 import gevent
 import pytest
 
-from fulmarhold.clock import Clock
+from fulmarhold.clock import Clock, ManualClock
 from fulmarhold.limits.memory import MemoryBudget
 from fulmarhold.observe.counters import Counters
 from fulmarhold.tests.upstreams.test_connections import OK, Request, Upstream, ask
@@ -105,17 +105,18 @@
 )
 def test_a_response_that_never_ends_gives_its_connection_back_after_the_deadline(begun):
     upstream = Upstream([begun, OK])
-    clock = Clock()
+    clock = ManualClock()
     pool = ConnectionPool(upstream.endpoint, 1, 0, clock, Counters())
-    stuck = Request(expires_at=clock.now() + 20.0 - OVERDUE_MARGIN)
+    stuck = Request(expires_at=clock.now() + 20.0)
     pool.submit(stuck)
     waiting = Request()
     pool.submit(waiting)
     while pool.connections and upstream.requests == 0:
         gevent.sleep(0.001)
+    clock.advance(20.0 + OVERDUE_MARGIN)
     pool.maintain()
     assert not stuck.ended.ready()
-    gevent.sleep(0.03)
+    clock.advance(1.0)
     pool.maintain()
     assert stuck.outcome() == ("response overdue", True)
     assert waiting.outcome().body == b"{}"
